--- /dev/null
+++ b/src/adapters/mod.rs
@@ -0,0 +1,1 @@
+//! The outside of the ports: HTTP, disk and clocks.
--- /dev/null
+++ b/src/bin/flamingocroft.rs
@@ -0,0 +1,2 @@
+//! Tool.
+fn main() {}
--- /dev/null
+++ b/src/bin/flamingocroftd.rs
@@ -0,0 +1,2 @@
+//! Daemon.
+fn main() {}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,1 @@
+//! The sub-commands of the operator tool, one file each.
--- /dev/null
+++ b/src/domain/ids.rs
@@ -0,0 +1,131 @@
+//! Identifiers and counters. Counters only ever grow; identifiers are random or time-ordered.
+
+use std::{fmt, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+use uuid::Uuid;
+
+macro_rules! counter {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+    };
+}
+
+macro_rules! identifier {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub Uuid);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = uuid::Error;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                text.parse().map(Self)
+            }
+        }
+    };
+}
+
+counter!(
+    /// Grows with each start of a process; messages of an older incarnation are dropped.
+    Incarnation
+);
+counter!(
+    /// Numbers confirmed configurations; a confirm is a compare-and-set on it.
+    Revision
+);
+counter!(
+    /// Orders to engines carry it; it is allocated by the replicated log and never repeats.
+    FencingNumber
+);
+counter!(
+    /// Identifies a data folder of a controller; an emptied folder gets a new one.
+    MemberId
+);
+identifier!(
+    /// Identifies an accepted request; callers use it to ask again.
+    RequestId
+);
+identifier!(
+    /// Identifies an operator's order, so that a resent order gets the first answer.
+    OperationId
+);
+
+impl RequestId {
+    /// Makes a new time-ordered identifier.
+    pub fn generate() -> Self {
+        Self(Uuid::now_v7())
+    }
+}
+
+/// The caller's `Idempotency-Key`: a version 7 UUID, whose age can therefore be read from it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct IdempotencyKey(Uuid);
+
+/// A key whose text is not a version 7 UUID.
+#[derive(Debug, thiserror::Error)]
+#[error("the Idempotency-Key is not a version 7 UUID; make one with a UUIDv7 function")]
+pub struct InvalidKey;
+
+impl IdempotencyKey {
+    /// Returns the milliseconds since the Unix epoch at which the caller made the key.
+    pub fn created_unix_ms(self) -> u64 {
+        let (high, _) = self.0.as_u64_pair();
+        high >> 16
+    }
+
+    /// Returns the 16 bytes of the key.
+    pub fn as_bytes(&self) -> &[u8; 16] {
+        self.0.as_bytes()
+    }
+
+    /// Reads a key from its 16 bytes.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, InvalidKey> {
+        let id = Uuid::from_slice(bytes).map_err(|_| InvalidKey)?;
+        Self::checked(id)
+    }
+
+    fn checked(id: Uuid) -> Result<Self, InvalidKey> {
+        match id.get_version_num() {
+            7 => Ok(Self(id)),
+            _ => Err(InvalidKey),
+        }
+    }
+}
+
+impl FromStr for IdempotencyKey {
+    type Err = InvalidKey;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let id = text.parse().map_err(|_| InvalidKey)?;
+        Self::checked(id)
+    }
+}
+
+impl fmt::Display for IdempotencyKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
--- /dev/null
+++ b/src/domain/mod.rs
@@ -0,0 +1,27 @@
+//! Types without I/O that every part of the system shares; see docs/GLOSSARY.md for the words.
+
+mod ids;
+mod instance;
+mod intent;
+mod money;
+mod names;
+mod refusal;
+mod request;
+mod view;
+
+pub use ids::{
+    FencingNumber, IdempotencyKey, Incarnation, InvalidKey, MemberId, OperationId, RequestId,
+    Revision,
+};
+pub use instance::{Instance, InstanceState, MachineClass, Purchase};
+pub use intent::{
+    Account, ChangeLimits, Fencing, Intent, Model, Operation, Price, RoutingWeights, Service,
+    ServiceKind, Tier, Zone,
+};
+pub use money::Money;
+pub use names::{
+    AccountName, GatewayName, InstanceName, ModelName, RegionName, ServiceName, TierName, ZoneName,
+};
+pub use refusal::{Ran, Refusal, RefusalKind};
+pub use request::{BodyDigest, Completion, FinishReason, Priority, Token};
+pub use view::{GatewayEntry, Share, View, ViewVersion};
--- /dev/null
+++ b/src/domain/names.rs
@@ -0,0 +1,72 @@
+//! Names given by operators. They are shared immutable strings, so a clone costs one counter.
+
+use std::{fmt, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+macro_rules! name {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Returns the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self(text.into())
+            }
+        }
+
+        impl From<String> for $name {
+            fn from(text: String) -> Self {
+                Self(text.into())
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    };
+}
+
+name!(
+    /// Names a client account.
+    AccountName
+);
+name!(
+    /// Names a gateway process; stays the same over restarts.
+    GatewayName
+);
+name!(
+    /// Names an upstream instance as the cloud API does.
+    InstanceName
+);
+name!(
+    /// Names a model that engines load.
+    ModelName
+);
+name!(
+    /// Names a region, which holds availability zones.
+    RegionName
+);
+name!(
+    /// Names a service: a group of engines or of plain servers.
+    ServiceName
+);
+name!(
+    /// Names a tier, such as paying or free.
+    TierName
+);
+name!(
+    /// Names an availability zone.
+    ZoneName
+);
--- /dev/null
+++ b/src/domain/refusal.rs
@@ -0,0 +1,125 @@
+//! Answers to requests that were not served, with the one fact that a caller needs: did it run?
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Whether a refused or failed request ran on an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Ran {
+    /// No byte of the request can have reached an upstream.
+    No,
+    /// An upstream executed it.
+    Yes,
+    /// It may have reached an upstream whose answer was lost.
+    Unknown,
+}
+
+/// The machine-readable kind of a refusal; the HTTP status follows from it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RefusalKind {
+    /// The request is malformed.
+    BadRequest,
+    /// No account has this bearer token.
+    Unauthorized,
+    /// The path, model, service or request does not exist.
+    NotFound,
+    /// The method does not fit the path.
+    MethodNotAllowed,
+    /// The head, body or prompt is over its limit.
+    TooLarge,
+    /// The request arrived too slowly.
+    TooSlow,
+    /// A non-idempotent call without `Idempotency-Key`.
+    KeyRequired,
+    /// The key is older than the retention window.
+    KeyExpired,
+    /// The key was used for another body.
+    KeyConflict,
+    /// The call of this key is still running.
+    InProgress,
+    /// The account's share of capacity is in use.
+    OverShare,
+    /// The request cannot meet its deadline.
+    Overloaded,
+    /// The gateway is shutting down or being reclaimed.
+    Leaving,
+    /// The gateway's view lease has run out.
+    NoLease,
+    /// No instance of the service is live.
+    NoUpstream,
+    /// The quorum did not answer in time.
+    NoQuorum,
+    /// The upstream failed or went silent.
+    UpstreamFailed,
+    /// The deadline passed.
+    DeadlineExceeded,
+}
+
+impl RefusalKind {
+    /// Returns the HTTP status code.
+    pub fn status(self) -> u16 {
+        match self {
+            Self::BadRequest | Self::KeyRequired => 400,
+            Self::Unauthorized => 401,
+            Self::NotFound => 404,
+            Self::MethodNotAllowed => 405,
+            Self::TooSlow => 408,
+            Self::KeyConflict | Self::InProgress => 409,
+            Self::KeyExpired => 410,
+            Self::TooLarge => 413,
+            Self::OverShare => 429,
+            Self::UpstreamFailed => 502,
+            Self::Overloaded
+            | Self::Leaving
+            | Self::NoLease
+            | Self::NoUpstream
+            | Self::NoQuorum => 503,
+            Self::DeadlineExceeded => 504,
+        }
+    }
+}
+
+/// A final answer to a request that was not served. It is sent at once, never held back.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{message}")]
+pub struct Refusal {
+    /// The machine-readable kind.
+    pub kind: RefusalKind,
+    /// Whether the request ran.
+    pub ran: Ran,
+    /// What happened and what the caller can do.
+    pub message: String,
+    /// When asking again may help.
+    pub retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// Makes a refusal of a request that did not run.
+    pub fn not_run(kind: RefusalKind, message: impl Into<String>) -> Self {
+        Self {
+            kind,
+            ran: Ran::No,
+            message: message.into(),
+            retry_after: None,
+        }
+    }
+
+    /// Makes a refusal of a request that may have run.
+    pub fn unknown(kind: RefusalKind, message: impl Into<String>) -> Self {
+        Self {
+            ran: Ran::Unknown,
+            ..Self::not_run(kind, message)
+        }
+    }
+
+    /// Says when asking again may help.
+    pub fn retry_after(self, delay: Duration) -> Self {
+        Self {
+            retry_after: Some(delay),
+            ..self
+        }
+    }
+}
--- /dev/null
+++ b/src/domain/view.rs
@@ -0,0 +1,66 @@
+//! What a gateway knows of the fleet. A view is replaced whole, never changed in place, so that the
+//! path of a request reads it without a lock.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+use super::{
+    AccountName, GatewayName, Incarnation, Instance, Intent, Revision, ServiceName, ZoneName,
+};
+
+/// Orders views; one with a smaller version is never applied.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ViewVersion {
+    /// Index of the last log entry that the view includes.
+    pub index: u64,
+    /// Counts changes that are not in the log, such as gateway addresses, within a leader's term.
+    pub term: u64,
+    /// The count within the term.
+    pub sequence: u64,
+}
+
+/// A gateway that callers may connect to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GatewayEntry {
+    /// Its name.
+    pub name: GatewayName,
+    /// Grows with each start of the process.
+    pub incarnation: Incarnation,
+    /// Where it runs.
+    pub zone: ZoneName,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where other gateways connect.
+    pub peer_address: SocketAddr,
+    /// Whether it is shutting down or being reclaimed.
+    pub leaving: bool,
+}
+
+/// Capacity of a service leased to one gateway for one account, in requests at once.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Share {
+    /// The service.
+    pub service: ServiceName,
+    /// The account.
+    pub account: AccountName,
+    /// Requests that may be in progress at once.
+    pub slots: u32,
+}
+
+/// The configuration in force, the instances, the gateways and this gateway's shares.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct View {
+    /// Its place among views.
+    pub version: ViewVersion,
+    /// The confirmed revision.
+    pub revision: Revision,
+    /// The confirmed intent.
+    pub intent: Arc<Intent>,
+    /// The upstream instances that are not gone.
+    pub instances: Vec<Arc<Instance>>,
+    /// The gateways that callers may use.
+    pub gateways: Vec<GatewayEntry>,
+    /// This gateway's shares.
+    pub shares: Vec<Share>,
+}
--- /dev/null
+++ b/src/policy/mod.rs
@@ -0,0 +1,9 @@
+//! Decisions as pure functions of a view and a time. Nothing here opens a socket, reads a clock or
+//! logs; tests compare each decision with a naive version. See docs/DESIGN.md, "Decisions".
+
+pub mod admit;
+pub mod allocate;
+pub mod place;
+pub mod prefix;
+pub mod retry;
+pub mod route;
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,180 @@
+//! The settings file of one process: JSON with comments, turned into checked structs.
+//! docs/OPERATIONS.md explains each field.
+
+use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+
+use crate::domain::ZoneName;
+
+/// Settings of a daemon.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The process's name, unique in the installation.
+    pub name: Arc<str>,
+    /// What the process does.
+    pub role: Role,
+    /// The availability zone it runs in.
+    pub zone: ZoneName,
+    /// Where HTTP is served: to callers by a gateway, to operators by a controller. Port zero takes
+    /// a free one.
+    pub http_address: SocketAddr,
+    /// Where other processes of the system connect.
+    pub peer_address: SocketAddr,
+    /// The address that callers or operators are told, if it differs from `http_address`.
+    #[serde(default)]
+    pub advertised_address: Option<SocketAddr>,
+    /// File with the key that all processes share.
+    pub peer_key_file: PathBuf,
+    /// All controllers, this one included.
+    pub controllers: Vec<ControllerEntry>,
+    /// Folder for durable state; needed by a controller.
+    #[serde(default)]
+    pub data_folder: Option<PathBuf>,
+    /// SHA-256 of the operators' bearer token, in hexadecimal; needed by a controller.
+    #[serde(default)]
+    pub operator_token_sha256: Option<String>,
+    /// The cloud API, if there is one.
+    #[serde(default)]
+    pub cloud_address: Option<SocketAddr>,
+    /// Limits towards callers.
+    #[serde(default)]
+    pub limits: Limits,
+    /// Timing.
+    #[serde(default)]
+    pub timing: Timing,
+}
+
+/// What a process does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    /// Keeps the replicated log and serves operators.
+    Controller,
+    /// Serves callers.
+    Gateway,
+}
+
+/// One controller, as all processes know it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ControllerEntry {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Where other processes connect.
+    pub peer_address: SocketAddr,
+    /// Where operators connect.
+    pub http_address: SocketAddr,
+}
+
+/// Limits towards callers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Largest body, in bytes.
+    pub body_bytes: u64,
+    /// Largest prompt, in bytes.
+    pub prompt_bytes: u64,
+    /// Most tokens that a request may ask for.
+    pub max_tokens: u32,
+    /// Most requests in progress at one gateway.
+    pub requests: u32,
+    /// Largest answer of a claimed call that is recorded, in bytes.
+    pub outcome_bytes: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            body_bytes: 1024 * 1024,
+            prompt_bytes: 512 * 1024,
+            max_tokens: 8192,
+            requests: 4096,
+            outcome_bytes: 64 * 1024,
+        }
+    }
+}
+
+/// Timing, in milliseconds in the file.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Timing {
+    /// Time between a leader's heartbeats to its followers.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "replica_heartbeat_ms")]
+    pub replica_heartbeat: Duration,
+    /// Shortest silence of a leader after which a follower stands for election; the longest is
+    /// twice that.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "election_timeout_ms")]
+    pub election_timeout: Duration,
+    /// Time between a gateway's heartbeats to the leader.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "gateway_heartbeat_ms")]
+    pub gateway_heartbeat: Duration,
+    /// Length of a gateway's view lease.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "view_lease_ms")]
+    pub view_lease: Duration,
+    /// Time between two looks at the instance list and the reclaim notices.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "cloud_poll_ms")]
+    pub cloud_poll: Duration,
+    /// Time between two load reports of an upstream.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "load_poll_ms")]
+    pub load_poll: Duration,
+    /// Longest time to connect to an upstream.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "connect_timeout_ms")]
+    pub connect_timeout: Duration,
+    /// Longest silence of an upstream before its first token or answer.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "first_byte_timeout_ms")]
+    pub first_byte_timeout: Duration,
+    /// Longest silence of an upstream between tokens.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "token_timeout_ms")]
+    pub token_timeout: Duration,
+    /// Longest time of a whole request.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "request_timeout_ms")]
+    pub request_timeout: Duration,
+    /// How long callers may keep the answer of `/v1/addresses`.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "address_ttl_ms")]
+    pub address_ttl: Duration,
+    /// Longest time that a graceful shutdown waits for requests in progress.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "shutdown_ms")]
+    pub shutdown: Duration,
+    /// How long the record of a claimed call is kept.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "claim_retention_ms")]
+    pub claim_retention: Duration,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            replica_heartbeat: Duration::from_millis(50),
+            election_timeout: Duration::from_millis(300),
+            gateway_heartbeat: Duration::from_millis(400),
+            view_lease: Duration::from_millis(2000),
+            cloud_poll: Duration::from_millis(500),
+            load_poll: Duration::from_millis(250),
+            connect_timeout: Duration::from_millis(300),
+            first_byte_timeout: Duration::from_millis(5000),
+            token_timeout: Duration::from_millis(2000),
+            request_timeout: Duration::from_secs(120),
+            address_ttl: Duration::from_secs(5),
+            shutdown: Duration::from_secs(30),
+            claim_retention: Duration::from_secs(24 * 3600),
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Library.
