--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod domain;
 pub mod gateway;
 pub mod link;
+pub mod operator;
 pub mod policy;
 pub mod ports;
 pub mod replication;
@@ -15,3 +16,14 @@
 pub mod state;
 pub mod telemetry;
 pub mod wire;
+
+/// A started role.
+#[derive(Debug)]
+pub struct Running {
+    /// Where HTTP is served; the port is the one taken if the settings say zero.
+    pub http_address: std::net::SocketAddr,
+    /// Where other processes connect.
+    pub peer_address: std::net::SocketAddr,
+    /// Ends when the role has stopped.
+    pub task: tokio::task::JoinHandle<anyhow::Result<()>>,
+}
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -14,3 +14,20 @@
     Upstreams,
 };
 pub use weights::{WeightError, WeightStore};
+
+use std::sync::Arc;
+
+use crate::telemetry::Metrics;
+
+/// The outside of a process, handed to its role at the start.
+#[derive(Clone, Debug)]
+pub struct Ports<U, C, T> {
+    /// Model engines and plain servers.
+    pub upstreams: Arc<U>,
+    /// The cloud API, if the settings name one.
+    pub cloud: Option<Arc<C>>,
+    /// The time.
+    pub clock: Arc<T>,
+    /// The process's metrics.
+    pub metrics: Metrics,
+}
