Add the setting caller_timeout_ms

Slow heads and bodies of callers need a limit of their own; the other limits are about upstreams. Additive: one field of Timing with a default of 10 s.

--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -141,6 +141,10 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "token_timeout_ms")]
     pub token_timeout: Duration,
+    /// Longest time for a caller to send the head or the body of a request.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "caller_timeout_ms")]
+    pub caller_timeout: Duration,
     /// Longest time of a whole request.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "request_timeout_ms")]
@@ -171,6 +175,7 @@
             connect_timeout: Duration::from_millis(300),
             first_byte_timeout: Duration::from_millis(5000),
             token_timeout: Duration::from_millis(2000),
+            caller_timeout: Duration::from_secs(10),
             request_timeout: Duration::from_secs(120),
             address_ttl: Duration::from_secs(5),
             shutdown: Duration::from_secs(30),
