--- /dev/null
+++ b/src/gateway/admission.rs
@@ -0,0 +1,268 @@
+//! Counts requests by service and account, and takes each in by `policy::admit`. The counters are
+//! atomics; a request that must wait goes to the service's queue.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU32, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use tokio::{sync::Notify, time::Instant};
+
+use crate::{
+    domain::Priority,
+    policy::admit::{self, Admission, AdmitRequest},
+};
+
+/// Stands for a share that was not leased yet.
+const NO_SHARE: u32 = u32::MAX;
+
+/// Weight of the newest request in the mean service time, as a divisor.
+const MEAN_DIVISOR: u64 = 8;
+
+/// Assumed time of a request before the first one has ended.
+const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(500);
+
+/// The requests of one account for one service.
+#[derive(Debug)]
+pub(crate) struct AccountUsage {
+    in_progress: AtomicU32,
+    waiting: AtomicU32,
+    refused: AtomicU32,
+    share: AtomicU32,
+}
+
+impl Default for AccountUsage {
+    fn default() -> Self {
+        Self {
+            in_progress: AtomicU32::default(),
+            waiting: AtomicU32::default(),
+            refused: AtomicU32::default(),
+            share: AtomicU32::new(NO_SHARE),
+        }
+    }
+}
+
+impl AccountUsage {
+    /// Sets the account's share, or none before shares are leased.
+    pub(crate) fn set_share(&self, share: Option<u32>) {
+        self.share
+            .store(share.unwrap_or(NO_SHARE), Ordering::Relaxed);
+    }
+
+    fn share(&self) -> Option<u32> {
+        let share = self.share.load(Ordering::Relaxed);
+        (share != NO_SHARE).then_some(share)
+    }
+
+    /// Returns the requests in progress, and those that wait or were refused since the last call.
+    pub(crate) fn take_demand(&self) -> (u32, u32) {
+        let refused = self.refused.swap(0, Ordering::Relaxed);
+        let waiting = self.waiting.load(Ordering::Relaxed);
+        let running = self.in_progress.load(Ordering::Relaxed);
+        (running, waiting + refused)
+    }
+}
+
+/// The requests of all accounts for one service.
+#[derive(Debug)]
+pub(crate) struct ServiceUsage {
+    in_progress: AtomicU32,
+    free_in_progress: AtomicU32,
+    waiting: AtomicU32,
+    paying_waiting: AtomicU32,
+    capacity: AtomicU32,
+    service_time_micros: AtomicU64,
+    /// Wakes the queue when a request ends or the shares change.
+    pub(super) freed: Notify,
+    /// Asks one free stream to give its place to a paying request.
+    pub(super) preempt: Notify,
+}
+
+impl Default for ServiceUsage {
+    fn default() -> Self {
+        let micros = INITIAL_SERVICE_TIME.as_micros() as u64;
+        Self {
+            in_progress: AtomicU32::default(),
+            free_in_progress: AtomicU32::default(),
+            waiting: AtomicU32::default(),
+            paying_waiting: AtomicU32::default(),
+            capacity: AtomicU32::default(),
+            service_time_micros: AtomicU64::new(micros),
+            freed: Notify::new(),
+            preempt: Notify::new(),
+        }
+    }
+}
+
+impl ServiceUsage {
+    /// Sets this gateway's capacity for the service and wakes the queue.
+    pub(crate) fn set_capacity(&self, slots: u32) {
+        self.capacity.store(slots, Ordering::Relaxed);
+        self.freed.notify_one();
+    }
+
+    /// Returns the requests that wait.
+    pub(crate) fn waiting(&self) -> u32 {
+        self.waiting.load(Ordering::Relaxed)
+    }
+
+    /// Says whether a free stream should give its place up now.
+    pub(crate) fn is_short_for_paying(&self) -> bool {
+        let full =
+            self.in_progress.load(Ordering::Relaxed) >= self.capacity.load(Ordering::Relaxed);
+        full && self.paying_waiting.load(Ordering::Relaxed) > 0
+    }
+
+    fn service_time(&self) -> Duration {
+        Duration::from_micros(self.service_time_micros.load(Ordering::Relaxed))
+    }
+
+    fn learn_service_time(&self, taken: Duration) {
+        let mean = self.service_time_micros.load(Ordering::Relaxed);
+        let taken = taken.as_micros() as u64;
+        let next = mean - mean / MEAN_DIVISOR + taken / MEAN_DIVISOR;
+        // A lost update of a mean does no harm.
+        self.service_time_micros.store(next, Ordering::Relaxed);
+    }
+}
+
+/// A request that asks to be taken in.
+#[derive(Clone, Debug)]
+pub(crate) struct Applicant {
+    /// The service's counters.
+    pub(crate) service: Arc<ServiceUsage>,
+    /// The account's counters.
+    pub(crate) account: Arc<AccountUsage>,
+    /// Whether the account pays.
+    pub(crate) priority: Priority,
+    /// When the request arrived.
+    pub(crate) arrived: Instant,
+    /// When its first token is due.
+    pub(crate) due: Instant,
+}
+
+/// The right to be in progress, given back when it is dropped.
+#[derive(Debug)]
+pub(crate) struct Permit {
+    applicant: Applicant,
+    since: Instant,
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let service = &self.applicant.service;
+        service.learn_service_time(self.since.elapsed());
+        self.applicant
+            .account
+            .in_progress
+            .fetch_sub(1, Ordering::AcqRel);
+        if self.applicant.priority == Priority::Free {
+            service.free_in_progress.fetch_sub(1, Ordering::AcqRel);
+        }
+        service.in_progress.fetch_sub(1, Ordering::AcqRel);
+        service.freed.notify_one();
+    }
+}
+
+/// What became of an application.
+#[derive(Debug)]
+pub(crate) enum Decision {
+    /// It is taken in.
+    Accepted(Permit),
+    /// It may wait.
+    Wait,
+    /// It is refused.
+    Refused(crate::domain::RefusalKind, Duration),
+}
+
+impl Applicant {
+    /// Decides now. The counters that the decision was made on are the ones that are changed by it;
+    /// if another request was quicker, it is made anew.
+    pub(crate) fn decide(&self, waiting_ahead: u32) -> Decision {
+        loop {
+            let service_before = self.service.in_progress.load(Ordering::Acquire);
+            let account_before = self.account.in_progress.load(Ordering::Acquire);
+            match admit::decide(&self.request(service_before, account_before, waiting_ahead)) {
+                Admission::Accept => {
+                    if let Some(permit) = self.enter(service_before, account_before) {
+                        return Decision::Accepted(permit);
+                    }
+                }
+                Admission::Wait => return Decision::Wait,
+                Admission::Refuse { kind, retry_after } => {
+                    self.account.refused.fetch_add(1, Ordering::Relaxed);
+                    return Decision::Refused(kind, retry_after);
+                }
+            }
+        }
+    }
+
+    fn request(&self, service: u32, account: u32, waiting_ahead: u32) -> AdmitRequest {
+        AdmitRequest {
+            priority: self.priority,
+            account_in_progress: account,
+            share: self.account.share(),
+            service_in_progress: service,
+            service_capacity: self.service.capacity.load(Ordering::Relaxed),
+            paying_waiting: self.service.paying_waiting.load(Ordering::Relaxed),
+            waiting_ahead,
+            waited: self.arrived.elapsed(),
+            service_time: self.service.service_time(),
+            until_due: self.due.saturating_duration_since(Instant::now()),
+        }
+    }
+
+    fn enter(&self, service: u32, account: u32) -> Option<Permit> {
+        swap(&self.service.in_progress, service)?;
+        if swap(&self.account.in_progress, account).is_none() {
+            self.service.in_progress.fetch_sub(1, Ordering::AcqRel);
+            return None;
+        }
+        if self.priority == Priority::Free {
+            self.service.free_in_progress.fetch_add(1, Ordering::AcqRel);
+        }
+        Some(Permit {
+            applicant: self.clone(),
+            since: Instant::now(),
+        })
+    }
+
+    /// Counts the applicant as waiting.
+    pub(super) fn begin_waiting(&self) {
+        self.service.waiting.fetch_add(1, Ordering::Relaxed);
+        self.account.waiting.fetch_add(1, Ordering::Relaxed);
+        if self.priority == Priority::Paying {
+            self.service.paying_waiting.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Counts the applicant as waiting no more.
+    pub(super) fn end_waiting(&self) {
+        self.service.waiting.fetch_sub(1, Ordering::Relaxed);
+        self.account.waiting.fetch_sub(1, Ordering::Relaxed);
+        if self.priority == Priority::Paying {
+            self.service.paying_waiting.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Asks a free stream to make room, if that would let this request in.
+    pub(super) fn preempt_free(&self) {
+        let below_share = self
+            .account
+            .share()
+            .is_none_or(|share| self.account.in_progress.load(Ordering::Relaxed) < share);
+        let free = self.service.free_in_progress.load(Ordering::Relaxed);
+        if self.priority == Priority::Paying && below_share && free > 0 {
+            self.service.preempt.notify_one();
+        }
+    }
+}
+
+fn swap(counter: &AtomicU32, from: u32) -> Option<u32> {
+    counter
+        .compare_exchange(from, from + 1, Ordering::AcqRel, Ordering::Acquire)
+        .ok()
+}
--- /dev/null
+++ b/src/gateway/claims.rs
@@ -0,0 +1,256 @@
+//! The leader's side of at-most-once calls: claims before a dispatch, outcomes after it. See
+//! docs/DESIGN.md, "At most once".
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::{
+    sync::oneshot,
+    time::{sleep, timeout},
+};
+
+use super::core::Gateway;
+use crate::{
+    domain::{AccountName, BodyDigest, IdempotencyKey, Refusal, RefusalKind},
+    ports::{Clock, ServiceReply, Upstreams},
+    wire::{
+        Body, ClaimReply, ClaimRequest, ClaimStatus, OutcomeReply, OutcomeRequest, ReleaseRequest,
+        StoredOutcome,
+    },
+};
+
+/// Longest wait for a claim to be committed.
+const CLAIM_DEADLINE: Duration = Duration::from_secs(3);
+
+/// Longest time that a caller's answer waits for its outcome to be committed.
+const OUTCOME_WAIT: Duration = Duration::from_secs(1);
+
+/// Time of one round of sending an outcome or a release.
+const RECORD_ROUND: Duration = Duration::from_secs(2);
+
+/// Pause between rounds.
+const RECORD_PAUSE: Duration = Duration::from_millis(200);
+
+/// Rounds of sending a release. An unanswered claim may still be committed after the first ones.
+const RELEASE_ROUNDS: u32 = 20;
+
+/// Keys may lie this far in the future, for clocks that differ. Older and newer ones are refused,
+/// since the record of a key is kept for a time counted from the key's own.
+const MAX_KEY_LEAD: Duration = Duration::from_secs(60);
+
+/// Time to come back while the call of a key is running.
+const IN_PROGRESS_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Time to come back when the quorum does not answer.
+const NO_QUORUM_RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// A claim that was granted. It is spent by one dispatch or given back.
+#[derive(Debug)]
+pub(crate) struct Claim(ClaimRequest);
+
+/// The leader's answer to a claim.
+#[derive(Debug)]
+pub(crate) enum Claimed {
+    /// The call may be dispatched, once.
+    Granted(Claim),
+    /// The call ran before; this is its answer.
+    Recorded(StoredOutcome),
+}
+
+impl<U: Upstreams, T: Clock> Gateway<U, T> {
+    /// Asks for the right to dispatch a call.
+    pub(crate) async fn claim(
+        self: &Arc<Self>,
+        account: &AccountName,
+        key: IdempotencyKey,
+        digest: BodyDigest,
+    ) -> Result<Claimed, Refusal> {
+        self.check_key_age(key)?;
+        let request = ClaimRequest {
+            account: account.to_string(),
+            key: key.as_bytes().to_vec(),
+            digest: digest.0.to_vec(),
+            gateway: self.identity.name.to_string(),
+            incarnation: self.identity.incarnation.0,
+            attempt: self.next_attempt(),
+        };
+        let guard = Unsettled::new(self, request.clone());
+        let body = Body::Claim(request.clone());
+        let reply = self.leader.call_until(&body, CLAIM_DEADLINE).await;
+        let Ok(Body::ClaimReply(reply)) = reply else {
+            drop(guard);
+            return Err(no_quorum());
+        };
+        if reply.status() == ClaimStatus::Granted {
+            return Ok(Claimed::Granted(guard.settle()));
+        }
+        // Any other answer leaves nothing to give back.
+        guard.settle();
+        settled(reply)
+    }
+
+    fn check_key_age(&self, key: IdempotencyKey) -> Result<(), Refusal> {
+        let now = Duration::from_millis(self.clock.unix_ms());
+        let made = Duration::from_millis(key.created_unix_ms());
+        if made > now + MAX_KEY_LEAD {
+            return Err(Refusal::not_run(
+                RefusalKind::BadRequest,
+                "the Idempotency-Key lies in the future; set the caller's clock and make a new key",
+            ));
+        }
+        if now.saturating_sub(made) > self.settings.timing.claim_retention {
+            return Err(expired());
+        }
+        Ok(())
+    }
+
+    /// Gives a claim back in the background, because its call was not dispatched.
+    pub(crate) fn release(self: &Arc<Self>, claim: Claim) {
+        let gateway = Arc::clone(self);
+        self.work.spawn(async move {
+            let body = Body::Release(ReleaseRequest {
+                claim: Some(claim.0),
+            });
+            for _ in 0..RELEASE_ROUNDS {
+                let reply = gateway.leader.call_until(&body, RECORD_ROUND).await;
+                if matches!(
+                    reply,
+                    Ok(Body::OutcomeReply(OutcomeReply { accepted: true }))
+                ) {
+                    return;
+                }
+                if gateway.closed.is_cancelled() {
+                    return;
+                }
+                sleep(RECORD_PAUSE).await;
+            }
+        });
+    }
+
+    /// Records how a dispatched call ended, and waits a bounded time for the commit. It is sent
+    /// again in the background until it is committed.
+    pub(crate) async fn record_outcome(
+        self: &Arc<Self>,
+        claim: Claim,
+        reply: Option<&ServiceReply>,
+    ) {
+        let outcome = reply.map(|reply| self.stored(reply));
+        let body = Body::Outcome(OutcomeRequest {
+            claim: Some(claim.0),
+            outcome,
+        });
+        let (done, committed) = oneshot::channel();
+        let gateway = Arc::clone(self);
+        self.work.spawn(async move {
+            while !gateway.closed.is_cancelled() {
+                let reply = gateway.leader.call_until(&body, RECORD_ROUND).await;
+                if let Ok(Body::OutcomeReply(reply)) = reply {
+                    log_lost(&reply);
+                    let _ = done.send(());
+                    return;
+                }
+                sleep(RECORD_PAUSE).await;
+            }
+        });
+        if timeout(OUTCOME_WAIT, committed).await.is_err() {
+            self.counters.late_outcomes.add();
+        }
+    }
+
+    fn stored(&self, reply: &ServiceReply) -> StoredOutcome {
+        if reply.body.len() as u64 <= self.settings.limits.outcome_bytes {
+            return StoredOutcome {
+                status: u32::from(reply.status),
+                content_type: reply.content_type.clone(),
+                body: reply.body.clone(),
+            };
+        }
+        let message = format!(
+            "the call ran with status {}; its answer of {} bytes was too large to be kept",
+            reply.status,
+            reply.body.len()
+        );
+        let body = serde_json::json!({
+            "error": {"kind": "upstream_failed", "message": message, "ran": "yes"}
+        });
+        StoredOutcome {
+            status: u32::from(RefusalKind::UpstreamFailed.status()),
+            content_type: "application/json".to_owned(),
+            body: body.to_string().into(),
+        }
+    }
+}
+
+fn log_lost(reply: &OutcomeReply) {
+    if !reply.accepted {
+        log::warn!("gateway: the leader no longer knows a claim whose call was dispatched.");
+    }
+}
+
+/// A claim that was asked for and not answered. Dropping it gives the claim back, also when the
+/// caller goes away in the middle; its attempt number is never used for a dispatch afterwards.
+struct Unsettled<U: Upstreams, T: Clock> {
+    gateway: Arc<Gateway<U, T>>,
+    request: Option<ClaimRequest>,
+}
+
+impl<U: Upstreams, T: Clock> Unsettled<U, T> {
+    fn new(gateway: &Arc<Gateway<U, T>>, request: ClaimRequest) -> Self {
+        Self {
+            gateway: Arc::clone(gateway),
+            request: Some(request),
+        }
+    }
+
+    fn settle(mut self) -> Claim {
+        Claim(self.request.take().unwrap_or_default())
+    }
+}
+
+impl<U: Upstreams, T: Clock> Drop for Unsettled<U, T> {
+    fn drop(&mut self) {
+        if let Some(request) = self.request.take() {
+            self.gateway.release(Claim(request));
+        }
+    }
+}
+
+fn settled(reply: ClaimReply) -> Result<Claimed, Refusal> {
+    match reply.status() {
+        ClaimStatus::Done => reply.outcome.map(Claimed::Recorded).ok_or_else(unknown),
+        ClaimStatus::Granted | ClaimStatus::Unknown => Err(unknown()),
+        ClaimStatus::InProgress => Err(Refusal::unknown(
+            RefusalKind::InProgress,
+            "the call of this Idempotency-Key is in progress; ask again with the same key",
+        )
+        .retry_after(IN_PROGRESS_RETRY_AFTER)),
+        ClaimStatus::Conflict => Err(Refusal::not_run(
+            RefusalKind::KeyConflict,
+            "this Idempotency-Key was used for another call; make a new key for this one",
+        )),
+        ClaimStatus::Expired => Err(expired()),
+    }
+}
+
+fn unknown() -> Refusal {
+    Refusal::unknown(
+        RefusalKind::UpstreamFailed,
+        "the call of this Idempotency-Key may have run and its answer is lost; look at its effect",
+    )
+}
+
+/// What ran under an old key is no longer known, so that this is not reported as not run.
+fn expired() -> Refusal {
+    Refusal::unknown(
+        RefusalKind::KeyExpired,
+        "the Idempotency-Key is older than its record is kept; this request was not sent on, but an \
+         earlier one with the key may have run",
+    )
+}
+
+fn no_quorum() -> Refusal {
+    Refusal::not_run(
+        RefusalKind::NoQuorum,
+        "the controllers did not confirm the claim in time; ask again with the same key",
+    )
+    .retry_after(NO_QUORUM_RETRY_AFTER)
+}
--- /dev/null
+++ b/src/gateway/core.rs
@@ -0,0 +1,124 @@
+//! What all parts of a gateway share.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use tokio::sync::watch;
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+use super::{
+    counters::Counters,
+    explain::Decisions,
+    journal::{Journal, Peers},
+    view::{Leader, Lease, Snapshot},
+};
+use crate::{
+    domain::{GatewayEntry, Ran, Refusal, RefusalKind, ViewVersion},
+    link::Identity,
+    ports::{Clock, Upstreams},
+    settings::Settings,
+    telemetry::Metrics,
+};
+
+/// Time after which a caller without a lease may try this gateway again.
+const NO_LEASE_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// The shared parts. Nothing in it is locked.
+#[derive(Debug)]
+pub(crate) struct Gateway<U, T> {
+    pub(crate) settings: Arc<Settings>,
+    pub(crate) identity: Identity,
+    pub(crate) upstreams: Arc<U>,
+    pub(crate) clock: Arc<T>,
+    pub(crate) metrics: Metrics,
+    pub(crate) snapshot: ArcSwap<Snapshot>,
+    pub(crate) lease: Lease,
+    pub(crate) leader: Leader,
+    /// Cancelled when the gateway leaves: by its stop token or its own reclaim notice.
+    pub(crate) leaving: CancellationToken,
+    /// Cancelled when what is left must be handed over.
+    pub(crate) hand_over: CancellationToken,
+    /// Cancelled when the process ends.
+    pub(crate) closed: CancellationToken,
+    /// Requests and background work that a graceful exit waits for.
+    pub(crate) work: TaskTracker,
+    /// When this gateway's own instance is taken back, once that is known.
+    pub(crate) reclaimed_in: watch::Sender<Option<Duration>>,
+    pub(crate) decisions: Decisions,
+    pub(crate) journal: Journal,
+    pub(crate) peers: Peers,
+    pub(crate) counters: Counters,
+    pub(crate) attempts: AtomicU64,
+}
+
+impl<U: Upstreams, T: Clock> Gateway<U, T> {
+    /// Refuses new work while the gateway leaves or has no lease.
+    pub(crate) fn check_open(&self) -> Result<(), Refusal> {
+        if self.leaving.is_cancelled() {
+            return Err(Refusal::not_run(
+                RefusalKind::Leaving,
+                "this gateway is leaving; use one of the other addresses",
+            ));
+        }
+        self.check_lease()
+    }
+
+    /// Refuses while the lease is over. Called at admission and again right before a dispatch, since
+    /// the process may have been stopped in between.
+    pub(crate) fn check_lease(&self) -> Result<(), Refusal> {
+        if self.lease.is_valid(self.clock.monotonic()) {
+            return Ok(());
+        }
+        let refusal = Refusal::not_run(
+            RefusalKind::NoLease,
+            "this gateway has lost touch with the controllers; use one of the other addresses",
+        );
+        Err(refusal.retry_after(NO_LEASE_RETRY_AFTER))
+    }
+
+    /// Says whether no view has come from the leader yet.
+    pub(crate) fn has_no_view(&self) -> bool {
+        self.snapshot.load().view.version == ViewVersion::default()
+    }
+
+    /// Returns the gateways other than this one that callers may use.
+    pub(crate) fn others(&self) -> Vec<GatewayEntry> {
+        self.snapshot
+            .load()
+            .view
+            .gateways
+            .iter()
+            .filter(|entry| !entry.leaving && entry.name.as_str() != &*self.identity.name)
+            .cloned()
+            .collect()
+    }
+
+    /// Leaves because the cloud takes this gateway's instance back after a while.
+    pub(crate) fn reclaim(&self, remaining: Duration) {
+        self.reclaimed_in.send_if_modified(|known| {
+            let news = known.is_none();
+            known.get_or_insert(remaining);
+            news
+        });
+        self.leaving.cancel();
+    }
+
+    /// Numbers a claim's attempt; no number repeats within an incarnation.
+    pub(crate) fn next_attempt(&self) -> u64 {
+        self.attempts.fetch_add(1, Ordering::Relaxed) + 1
+    }
+}
+
+/// Says whether a request of which `sent` bytes may have left did run.
+pub(crate) fn ran(may_have_arrived: bool) -> Ran {
+    match may_have_arrived {
+        true => Ran::Unknown,
+        false => Ran::No,
+    }
+}
--- /dev/null
+++ b/src/gateway/explain.rs
@@ -0,0 +1,144 @@
+//! The recent decisions about requests, for operators. One task owns a bounded ring of them; a
+//! request never waits for it.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    fmt,
+};
+
+use tokio::sync::{mpsc, oneshot};
+
+use crate::{
+    domain::{AccountName, InstanceName, Ran, RefusalKind, RequestId},
+    operator::{ExplainedEvent, Explanation},
+    ports::UpstreamErrorKind,
+};
+
+/// Requests whose decisions are kept.
+const KEPT_REQUESTS: usize = 4096;
+
+/// Decisions kept of one request.
+const KEPT_DECISIONS: usize = 64;
+
+/// Decisions that may wait to be stored; more are dropped.
+const PENDING_DECISIONS: usize = 4096;
+
+/// One decision about a request.
+#[derive(Clone, Debug)]
+pub(crate) enum DecisionKind {
+    /// Taken in for an account.
+    Admitted(AccountName),
+    /// Sent to an instance.
+    Routed(InstanceName),
+    /// An attempt failed.
+    Failed(InstanceName, UpstreamErrorKind),
+    /// Moved away from an instance that leaves.
+    Moved(InstanceName),
+    /// Put back into the queue for paying work.
+    Preempted,
+    /// Handed to another gateway.
+    HandedOver(String),
+    /// Taken over from another gateway.
+    TakenOver(String),
+    /// The whole answer was given.
+    Finished(u32),
+    /// Refused.
+    Refused(RefusalKind, Ran),
+}
+
+impl fmt::Display for DecisionKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Admitted(account) => write!(f, "admitted for account {account}"),
+            Self::Routed(instance) => write!(f, "sent to {instance}, the lowest routing cost"),
+            Self::Failed(instance, kind) => write!(f, "the attempt at {instance} failed: {kind:?}"),
+            Self::Moved(instance) => write!(f, "moved away from {instance}, which is leaving"),
+            Self::Preempted => f.write_str("put back into the queue in favour of paying work"),
+            Self::HandedOver(gateway) => write!(f, "handed over to gateway {gateway}"),
+            Self::TakenOver(gateway) => write!(f, "taken over from gateway {gateway}"),
+            Self::Finished(tokens) => write!(f, "answered whole with {tokens} tokens"),
+            Self::Refused(kind, ran) => write!(f, "refused as {kind:?}, ran: {ran:?}"),
+        }
+    }
+}
+
+#[derive(Debug)]
+enum Message {
+    Record(RequestId, u64, DecisionKind),
+    Explain(RequestId, oneshot::Sender<Option<Explanation>>),
+}
+
+/// A handle to the ring; the ring ends when the last one is dropped.
+#[derive(Clone, Debug)]
+pub(crate) struct Decisions {
+    tx: mpsc::Sender<Message>,
+}
+
+impl Decisions {
+    /// Starts an empty ring.
+    pub(crate) fn start() -> Self {
+        let (tx, rx) = mpsc::channel(PENDING_DECISIONS);
+        tokio::spawn(Ring::default().run(rx));
+        Self { tx }
+    }
+
+    /// Records a decision, unless the ring is behind.
+    pub(crate) fn record(&self, id: RequestId, at_unix_ms: u64, decision: DecisionKind) {
+        let _ = self.tx.try_send(Message::Record(id, at_unix_ms, decision));
+    }
+
+    /// Returns what is known of a request.
+    pub(crate) async fn explain(&self, id: RequestId) -> Option<Explanation> {
+        let (reply, rx) = oneshot::channel();
+        self.tx.send(Message::Explain(id, reply)).await.ok()?;
+        rx.await.ok()?
+    }
+}
+
+#[derive(Default)]
+struct Ring {
+    order: VecDeque<RequestId>,
+    kept: HashMap<RequestId, Vec<(u64, DecisionKind)>>,
+}
+
+impl Ring {
+    async fn run(mut self, mut rx: mpsc::Receiver<Message>) {
+        while let Some(message) = rx.recv().await {
+            match message {
+                Message::Record(id, at, decision) => self.record(id, at, decision),
+                Message::Explain(id, reply) => {
+                    let _ = reply.send(self.explain(id));
+                }
+            }
+        }
+    }
+
+    fn record(&mut self, id: RequestId, at: u64, decision: DecisionKind) {
+        let decisions = self.kept.entry(id).or_insert_with(|| {
+            self.order.push_back(id);
+            Vec::new()
+        });
+        if decisions.len() < KEPT_DECISIONS {
+            decisions.push((at, decision));
+        }
+        while self.order.len() > KEPT_REQUESTS {
+            if let Some(oldest) = self.order.pop_front() {
+                self.kept.remove(&oldest);
+            }
+        }
+    }
+
+    fn explain(&self, id: RequestId) -> Option<Explanation> {
+        let events = self.kept.get(&id)?;
+        Some(Explanation {
+            subject: format!("request {id}"),
+            events: events
+                .iter()
+                .map(|(at, decision)| ExplainedEvent {
+                    at_unix_ms: *at,
+                    what: decision.to_string(),
+                })
+                .collect(),
+        })
+    }
+}
--- /dev/null
+++ b/src/gateway/generate/mod.rs
@@ -0,0 +1,9 @@
+//! Generations: one task drives each request through the engines and feeds everyone who reads its
+//! answer. See docs/DESIGN.md, "The path of a request".
+
+mod piece;
+mod pump;
+mod relay;
+
+pub(crate) use piece::{Answer, Attach, Piece, Reader};
+pub(crate) use pump::{Accepted, Pump, attach_channel};
--- /dev/null
+++ b/src/gateway/http/completions.rs
@@ -0,0 +1,120 @@
+//! `POST /v1/completions` and `POST /v1/chat/completions`.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::{sync::mpsc, time::Instant};
+use warp::reply::Response;
+
+use super::{
+    parse::{self, Generation},
+    render::Shape,
+    stream::Outgoing,
+};
+use crate::{
+    domain::{Completion, Refusal, RefusalKind, RequestId},
+    gateway::{
+        admission::Applicant,
+        core::Gateway,
+        generate::{Accepted, Attach, Pump, attach_channel},
+        journal::Running,
+        view::{AccountEntry, ServiceEntry},
+    },
+    ports::{Clock, Upstreams},
+};
+
+/// Answers a generation request.
+pub(super) async fn answer<U: Upstreams, T: Clock>(
+    gateway: &Arc<Gateway<U, T>>,
+    account: Arc<AccountEntry>,
+    body: &[u8],
+    chat: bool,
+) -> Result<Response, Refusal> {
+    let arrived = Instant::now();
+    let generation = parse::generation(body, chat, &gateway.settings.limits)?;
+    let service = gateway.snapshot.load().model(&generation.model).cloned();
+    let service = service.ok_or_else(|| {
+        Refusal::not_run(
+            RefusalKind::NotFound,
+            format!(
+                "no service has the model {}; ask for another one",
+                generation.model
+            ),
+        )
+    })?;
+    let due = arrived + account.tier.first_token;
+    let applicant = applicant(&service, &account, arrived, due)?;
+    service.retries.earn();
+    let permit = service.queue.admit(applicant).await?;
+    account.metrics.queue_wait(arrived.elapsed());
+    // Waiting may have outlasted the lease.
+    gateway.check_open()?;
+    let id = RequestId::generate();
+    let shape = Shape::new(id, generation.model.clone(), chat, gateway.clock.unix_ms());
+    let stream = generation.stream;
+    let request = Accepted {
+        completion: completion(id, &account, generation),
+        chat,
+        account: Arc::clone(&account),
+        arrived,
+        taken_from: None,
+    };
+    let (attach, attached) = attach_channel();
+    let (tx, reader) = mpsc::unbounded_channel();
+    // The channel is empty, so this cannot fail.
+    let _ = attach.try_send(Attach { from: 0, tx });
+    let running = Running {
+        account: account.name.clone(),
+        model: request.completion.model.clone(),
+        chat,
+        attach,
+    };
+    gateway.journal.register(id, running).await;
+    Pump::start(gateway, request, Some(permit), attached);
+    let outgoing = Outgoing {
+        id,
+        shape,
+        reader,
+        from: 0,
+    };
+    match stream {
+        true => outgoing.events().await,
+        false => outgoing.whole().await,
+    }
+}
+
+/// Builds an application for a place.
+pub(super) fn applicant(
+    service: &ServiceEntry,
+    account: &AccountEntry,
+    arrived: Instant,
+    due: Instant,
+) -> Result<Applicant, Refusal> {
+    let usage = service.account(&account.name).ok_or_else(|| {
+        Refusal::not_run(
+            RefusalKind::OverShare,
+            "the account has no share of this service; ask the operator",
+        )
+        .retry_after(Duration::from_secs(1))
+    })?;
+    Ok(Applicant {
+        service: Arc::clone(&service.usage),
+        account: Arc::clone(usage),
+        priority: account.priority(),
+        arrived,
+        due,
+    })
+}
+
+/// The seed is always set, so that an answer that is generated again is the same one.
+fn completion(id: RequestId, account: &AccountEntry, generation: Generation) -> Completion {
+    Completion {
+        id,
+        account: account.name.clone(),
+        model: generation.model,
+        prompt: generation.prompt,
+        max_tokens: generation.max_tokens,
+        seed: generation.seed.unwrap_or_else(rand::random),
+        priority: account.priority(),
+        prefix: Vec::new(),
+    }
+}
--- /dev/null
+++ b/src/gateway/http/error.rs
@@ -0,0 +1,85 @@
+//! The one shape of all errors towards callers.
+
+use std::{net::SocketAddr, time::Duration};
+
+use serde::Serialize;
+use warp::{
+    http::{HeaderValue, StatusCode, header},
+    reply::Response,
+};
+
+use crate::domain::{GatewayEntry, Ran, Refusal, RefusalKind};
+
+/// The body of every error.
+#[derive(Debug, Serialize)]
+pub(super) struct ErrorBody<'a> {
+    error: Detail<'a>,
+}
+
+#[derive(Debug, Serialize)]
+struct Detail<'a> {
+    kind: RefusalKind,
+    message: &'a str,
+    ran: Ran,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    addresses: Vec<Address<'a>>,
+}
+
+/// A gateway's address as callers see it.
+#[derive(Debug, Serialize)]
+pub(super) struct Address<'a> {
+    name: &'a str,
+    zone: &'a str,
+    address: SocketAddr,
+}
+
+impl<'a> From<&'a GatewayEntry> for Address<'a> {
+    fn from(entry: &'a GatewayEntry) -> Self {
+        Self {
+            name: entry.name.as_str(),
+            zone: entry.zone.as_str(),
+            address: entry.caller_address,
+        }
+    }
+}
+
+impl<'a> ErrorBody<'a> {
+    /// Describes a refusal; `others` are named where the caller should go elsewhere.
+    pub(super) fn new(refusal: &'a Refusal, others: &'a [GatewayEntry]) -> Self {
+        let elsewhere = matches!(refusal.kind, RefusalKind::Leaving | RefusalKind::NoLease);
+        let others = if elsewhere { others } else { &[] };
+        Self {
+            error: Detail {
+                kind: refusal.kind,
+                message: &refusal.message,
+                ran: refusal.ran,
+                addresses: others.iter().map(Address::from).collect(),
+            },
+        }
+    }
+}
+
+/// Answers a refusal.
+pub(super) fn respond(refusal: &Refusal, others: &[GatewayEntry]) -> Response {
+    let mut response = json(&ErrorBody::new(refusal, others));
+    *response.status_mut() =
+        StatusCode::from_u16(refusal.kind.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    if let Some(delay) = refusal.retry_after {
+        let seconds = HeaderValue::from(whole_seconds(delay));
+        response.headers_mut().insert(header::RETRY_AFTER, seconds);
+    }
+    response
+}
+
+fn whole_seconds(delay: Duration) -> u64 {
+    delay.as_secs() + u64::from(delay.subsec_nanos() > 0)
+}
+
+/// Answers with a JSON document.
+pub(super) fn json(body: &impl Serialize) -> Response {
+    let bytes = serde_json::to_vec(body).unwrap_or_default();
+    let mut response = Response::new(bytes.into());
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
--- /dev/null
+++ b/src/gateway/http/mod.rs
@@ -0,0 +1,92 @@
+//! The interface for callers: HTTP/1.1 by warp, on connections that are accepted here so that slow
+//! and oversized heads are bounded.
+
+mod addresses;
+mod body;
+mod completions;
+mod error;
+mod parse;
+mod render;
+mod requests;
+mod routes;
+mod services;
+mod stream;
+
+use std::{sync::Arc, time::Duration};
+
+use hyper::server::conn::http1;
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    service::TowerToHyperService,
+};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+use warp::Filter;
+
+use super::core::Gateway;
+use crate::ports::{Clock, Upstreams};
+
+/// Largest head of a request that is read at all, in bytes; routes refuse smaller ones already.
+const MAX_READ_HEAD_BYTES: usize = 64 * 1024;
+
+/// Pause after a connection could not be accepted, such as for lack of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Accepts callers until the token is cancelled, and then lets open connections end.
+pub(super) async fn serve<U: Upstreams, T: Clock>(
+    listener: TcpListener,
+    gateway: Arc<Gateway<U, T>>,
+    stop: CancellationToken,
+) {
+    let connections = TaskTracker::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.cancelled() => break,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let connection = serve_connection(stream, Arc::clone(&gateway), stop.clone());
+                connections.spawn(connection);
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+    connections.close();
+    connections.wait().await;
+}
+
+async fn serve_connection<U: Upstreams, T: Clock>(
+    stream: TcpStream,
+    gateway: Arc<Gateway<U, T>>,
+    stop: CancellationToken,
+) {
+    // Tokens are small and must not wait for more of them.
+    let _ = stream.set_nodelay(true);
+    let head_timeout = gateway.settings.timing.caller_timeout;
+    let filter = warp::any()
+        .map(move || Arc::clone(&gateway))
+        .and(warp::method())
+        .and(warp::path::full())
+        .and(query())
+        .and(warp::header::headers_cloned())
+        .and(warp::body::stream())
+        .then(routes::answer);
+    let service = TowerToHyperService::new(warp::service(filter));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(head_timeout)
+        .max_buf_size(MAX_READ_HEAD_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = stop.cancelled() => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
+}
+
+/// Extracts the query, empty if there is none.
+fn query() -> impl Filter<Extract = (String,), Error = std::convert::Infallible> + Clone {
+    warp::query::raw().or(warp::any().map(String::new)).unify()
+}
--- /dev/null
+++ b/src/gateway/http/routes.rs
@@ -0,0 +1,225 @@
+//! Finds what a request asks for, and checks its account.
+
+use std::sync::Arc;
+
+use bytes::Buf;
+use futures_util::Stream;
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+use warp::{
+    http::{HeaderMap, Method, header},
+    path::FullPath,
+    reply::Response,
+};
+
+use super::{addresses, body, completions, error, requests, services};
+use crate::{
+    domain::{Refusal, RefusalKind, RequestId},
+    gateway::{
+        core::Gateway,
+        view::{AccountEntry, decode_hex},
+    },
+    ports::{Clock, Upstreams},
+};
+
+/// Largest head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
+
+const BEARER: &str = "Bearer ";
+
+/// A request without its body.
+#[derive(Debug)]
+pub(super) struct Head {
+    /// The method.
+    pub(super) method: Method,
+    /// The path.
+    pub(super) path: String,
+    /// The query, empty if there is none.
+    pub(super) query: String,
+    /// The headers.
+    pub(super) headers: HeaderMap,
+}
+
+impl Head {
+    /// Returns a header's text.
+    pub(super) fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    fn size(&self) -> usize {
+        let headers: usize = self
+            .headers
+            .iter()
+            .map(|(name, value)| name.as_str().len() + value.len())
+            .sum();
+        self.path.len() + self.query.len() + headers
+    }
+
+    /// Returns the hash of the bearer token.
+    pub(super) fn token_hash(&self) -> Option<[u8; 32]> {
+        let value = self.header(header::AUTHORIZATION.as_str())?;
+        let token = value.strip_prefix(BEARER)?;
+        Some(Sha256::digest(token.as_bytes()).into())
+    }
+}
+
+/// Answers a request.
+pub(super) async fn answer<U: Upstreams, T: Clock, B: Buf>(
+    gateway: Arc<Gateway<U, T>>,
+    method: Method,
+    path: FullPath,
+    query: String,
+    headers: HeaderMap,
+    body: impl Stream<Item = Result<B, warp::Error>> + Send + 'static,
+) -> Response {
+    let head = Head {
+        method,
+        path: path.as_str().to_owned(),
+        query,
+        headers,
+    };
+    match route(&gateway, &head, body).await {
+        Ok(response) => response,
+        Err(refusal) => {
+            gateway.metrics.refusal(refusal.kind);
+            error::respond(&refusal, &gateway.others())
+        }
+    }
+}
+
+async fn route<U: Upstreams, T: Clock, B: Buf>(
+    gateway: &Arc<Gateway<U, T>>,
+    head: &Head,
+    body: impl Stream<Item = Result<B, warp::Error>> + Send + 'static,
+) -> Result<Response, Refusal> {
+    if head.size() > MAX_HEAD_BYTES {
+        return Err(Refusal::not_run(
+            RefusalKind::TooLarge,
+            format!("the request's head is over {MAX_HEAD_BYTES} bytes; send fewer headers"),
+        ));
+    }
+    let segments: Vec<&str> = head.path.split('/').skip(1).collect();
+    match (segments.as_slice(), &head.method) {
+        (["healthz"], &Method::GET) => Ok(Response::new("ok\n".into())),
+        (["readyz"], &Method::GET) => gateway.check_open().map(|()| Response::new("ok\n".into())),
+        (["metrics"], &Method::GET) => Ok(metrics(gateway)),
+        (["v1", "addresses"], &Method::GET) => addresses::answer(gateway, head),
+        (["v1", "explain", "request", id], &Method::GET) => explain(gateway, head, id).await,
+        (["v1", "requests", id], &Method::GET) => requests::answer(gateway, head, id).await,
+        (["v1", "completions"], &Method::POST) => {
+            let account = admit_caller(gateway, head)?;
+            let body = body::read(gateway, head, body).await?;
+            completions::answer(gateway, account, &body, false).await
+        }
+        (["v1", "chat", "completions"], &Method::POST) => {
+            let account = admit_caller(gateway, head)?;
+            let body = body::read(gateway, head, body).await?;
+            completions::answer(gateway, account, &body, true).await
+        }
+        (["v1", "services", service, ..], _) => {
+            let account = admit_caller(gateway, head)?;
+            let service = (*service).into();
+            let call = services::prepare(gateway, head, account, service)?;
+            let body = body::read(gateway, head, body).await?;
+            services::answer(gateway, head, call, body).await
+        }
+        (known, _) if is_known(known) => Err(method_not_allowed()),
+        _ => Err(not_found()),
+    }
+}
+
+fn is_known(segments: &[&str]) -> bool {
+    matches!(
+        segments,
+        ["healthz" | "readyz" | "metrics"]
+            | ["v1", "addresses" | "completions"]
+            | ["v1", "chat", "completions"]
+            | ["v1", "requests", _]
+            | ["v1", "explain", "request", _]
+    )
+}
+
+/// Checks the account and whether new work is taken. The account comes first, so that strangers
+/// learn nothing; without a view there is no account to check.
+fn admit_caller<U: Upstreams, T: Clock>(
+    gateway: &Gateway<U, T>,
+    head: &Head,
+) -> Result<Arc<AccountEntry>, Refusal> {
+    if gateway.has_no_view() {
+        gateway.check_open()?;
+    }
+    let account = account(gateway, head)?;
+    gateway.check_open()?;
+    Ok(account)
+}
+
+/// Returns the account of the request's bearer token.
+pub(super) fn account<U: Upstreams, T: Clock>(
+    gateway: &Gateway<U, T>,
+    head: &Head,
+) -> Result<Arc<AccountEntry>, Refusal> {
+    let snapshot = gateway.snapshot.load();
+    head.token_hash()
+        .and_then(|hash| snapshot.account(&hash).cloned())
+        .ok_or_else(unauthorized)
+}
+
+fn metrics<U: Upstreams, T: Clock>(gateway: &Gateway<U, T>) -> Response {
+    let text = gateway.metrics.render() + &gateway.counters.render();
+    Response::new(text.into())
+}
+
+async fn explain<U: Upstreams, T: Clock>(
+    gateway: &Gateway<U, T>,
+    head: &Head,
+    id: &str,
+) -> Result<Response, Refusal> {
+    check_operator(gateway, head)?;
+    let id = request_id(id)?;
+    let explanation = gateway.decisions.explain(id).await;
+    let explanation = explanation.ok_or_else(not_found)?;
+    Ok(error::json(&explanation))
+}
+
+fn check_operator<U: Upstreams, T: Clock>(
+    gateway: &Gateway<U, T>,
+    head: &Head,
+) -> Result<(), Refusal> {
+    let hash = gateway.settings.operator_token_sha256.as_deref();
+    let expected = hash.and_then(decode_hex).ok_or_else(not_found)?;
+    let given = head.token_hash().ok_or_else(unauthorized)?;
+    let same: bool = expected.ct_eq(&given).into();
+    if same { Ok(()) } else { Err(unauthorized()) }
+}
+
+/// Reads a request id from a path.
+pub(super) fn request_id(text: &str) -> Result<RequestId, Refusal> {
+    text.parse().map_err(|_| {
+        Refusal::not_run(
+            RefusalKind::BadRequest,
+            "the request id is not a UUID; take it from the header x-request-id",
+        )
+    })
+}
+
+fn unauthorized() -> Refusal {
+    Refusal::not_run(
+        RefusalKind::Unauthorized,
+        "no account has this bearer token; send the header Authorization: Bearer <token>",
+    )
+}
+
+/// Refuses an unknown path or request.
+pub(super) fn not_found() -> Refusal {
+    Refusal::not_run(
+        RefusalKind::NotFound,
+        "there is nothing at this path; see the callers' interface for the paths",
+    )
+}
+
+fn method_not_allowed() -> Refusal {
+    Refusal::not_run(
+        RefusalKind::MethodNotAllowed,
+        "this path has another method; see the callers' interface",
+    )
+}
--- /dev/null
+++ b/src/gateway/http/services.rs
@@ -0,0 +1,179 @@
+//! `/v1/services/{service}/{path}`: calls of plain services.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use tokio::time::Instant;
+use warp::{
+    http::{HeaderName, HeaderValue, StatusCode, header},
+    reply::Response,
+};
+
+use super::{completions::applicant, routes::Head};
+use crate::{
+    domain::{IdempotencyKey, Refusal, RefusalKind, RequestId, ServiceName},
+    gateway::{
+        core::Gateway,
+        explain::DecisionKind,
+        services::{PlainAnswer, PlainCall},
+        view::{AccountEntry, ServiceEntry},
+    },
+    ports::{Clock, ServiceCall, Upstreams},
+};
+
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// Marks an answer that comes from the record of an earlier call.
+const REPLAYED: HeaderName = HeaderName::from_static("x-replayed");
+
+const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+
+/// Path segments before a service's own path.
+const PREFIX_SEGMENTS: usize = 4;
+
+/// A call that fits a declared operation.
+#[derive(Debug)]
+pub(super) struct Prepared {
+    account: Arc<AccountEntry>,
+    service: Arc<ServiceEntry>,
+    path: String,
+    /// The key of a call that may run only once; nothing for an idempotent call.
+    key: Option<IdempotencyKey>,
+    arrived: Instant,
+}
+
+/// Checks a call before its body is read.
+pub(super) fn prepare<U: Upstreams, T: Clock>(
+    gateway: &Gateway<U, T>,
+    head: &Head,
+    account: Arc<AccountEntry>,
+    service: ServiceName,
+) -> Result<Prepared, Refusal> {
+    let service = gateway.snapshot.load().service(&service).cloned();
+    let service = service.ok_or_else(unknown)?;
+    let path = own_path(&head.path);
+    let operation = service
+        .operation(head.method.as_str(), &path)
+        .ok_or_else(unknown)?;
+    let key = match operation.idempotent {
+        true => None,
+        false => Some(key(head)?),
+    };
+    let path = match head.query.is_empty() {
+        true => path,
+        false => format!("{path}?{}", head.query),
+    };
+    Ok(Prepared {
+        account,
+        service,
+        path,
+        key,
+        arrived: Instant::now(),
+    })
+}
+
+fn own_path(path: &str) -> String {
+    let own: Vec<&str> = path.split('/').skip(PREFIX_SEGMENTS).collect();
+    format!("/{}", own.join("/"))
+}
+
+fn key(head: &Head) -> Result<IdempotencyKey, Refusal> {
+    let text = head.header(IDEMPOTENCY_KEY).ok_or_else(|| {
+        Refusal::not_run(
+            RefusalKind::KeyRequired,
+            "this call may run only once; send an Idempotency-Key, a new version 7 UUID for each call",
+        )
+    })?;
+    text.parse()
+        .map_err(|e| Refusal::not_run(RefusalKind::KeyRequired, format!("{e}")))
+}
+
+/// Makes the call.
+pub(super) async fn answer<U: Upstreams, T: Clock>(
+    gateway: &Arc<Gateway<U, T>>,
+    head: &Head,
+    prepared: Prepared,
+    body: Bytes,
+) -> Result<Response, Refusal> {
+    let Prepared {
+        account, service, ..
+    } = &prepared;
+    let due = prepared.arrived + gateway.settings.timing.first_byte_timeout;
+    let applicant = applicant(service, account, prepared.arrived, due)?;
+    service.retries.earn();
+    let permit = service.queue.admit(applicant).await?;
+    account.metrics.queue_wait(prepared.arrived.elapsed());
+    gateway.check_open()?;
+    let id = RequestId::generate();
+    let call = PlainCall {
+        id,
+        account: Arc::clone(account),
+        service: service.service.name.clone(),
+        call: service_call(gateway, head, &prepared, body),
+        arrived: prepared.arrived,
+        _permit: permit,
+    };
+    let admitted = DecisionKind::Admitted(account.name.clone());
+    gateway
+        .decisions
+        .record(id, gateway.clock.unix_ms(), admitted);
+    let answer = match prepared.key {
+        None => gateway.call_idempotent(&call).await,
+        Some(key) => gateway.call_once(call, key).await,
+    };
+    if let Err(refusal) = &answer {
+        let refused = DecisionKind::Refused(refusal.kind, refusal.ran);
+        gateway
+            .decisions
+            .record(id, gateway.clock.unix_ms(), refused);
+    }
+    Ok(respond(id, answer?))
+}
+
+fn service_call<U: Upstreams, T: Clock>(
+    gateway: &Gateway<U, T>,
+    head: &Head,
+    prepared: &Prepared,
+    body: Bytes,
+) -> ServiceCall {
+    let content_type = head.header(header::CONTENT_TYPE.as_str());
+    ServiceCall {
+        method: head.method.to_string(),
+        path: prepared.path.clone(),
+        content_type: content_type.map(str::to_owned),
+        body,
+        key: prepared.key.map(|key| key.to_string()),
+        timeout: gateway.settings.timing.first_byte_timeout,
+    }
+}
+
+fn respond(id: RequestId, answer: PlainAnswer) -> Response {
+    let replayed = matches!(answer, PlainAnswer::Replayed(_));
+    let (status, content_type, body) = match answer {
+        PlainAnswer::Fresh(reply) => (reply.status, reply.content_type, reply.body),
+        PlainAnswer::Replayed(outcome) => {
+            let status = u16::try_from(outcome.status).unwrap_or_default();
+            (status, outcome.content_type, outcome.body)
+        }
+    };
+    let mut response = Response::new(body.into());
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let headers = response.headers_mut();
+    if let Ok(content_type) = HeaderValue::from_str(&content_type) {
+        headers.insert(header::CONTENT_TYPE, content_type);
+    }
+    if let Ok(id) = HeaderValue::from_str(&id.to_string()) {
+        headers.insert(REQUEST_ID, id);
+    }
+    if replayed {
+        headers.insert(REPLAYED, HeaderValue::from_static("true"));
+    }
+    response
+}
+
+fn unknown() -> Refusal {
+    Refusal::not_run(
+        RefusalKind::NotFound,
+        "no service offers this call; see the declared operations",
+    )
+}
--- /dev/null
+++ b/src/gateway/journal/handler.rs
@@ -0,0 +1,91 @@
+//! Receives messages from other gateways.
+
+use std::sync::Arc;
+
+use super::{held::resume, store::Stored};
+use crate::{
+    domain::Incarnation,
+    gateway::core::Gateway,
+    link::{Handler, Peer},
+    ports::{Clock, Upstreams},
+    wire::{Body, JournalAck, LeavingNotice},
+};
+
+/// Answers the gateways that this one is a backup for.
+#[derive(Debug)]
+pub(crate) struct PeerHandler<U, T> {
+    gateway: Arc<Gateway<U, T>>,
+}
+
+impl<U: Upstreams, T: Clock> PeerHandler<U, T> {
+    /// Makes a handler.
+    pub(crate) fn new(gateway: &Arc<Gateway<U, T>>) -> Self {
+        Self {
+            gateway: Arc::clone(gateway),
+        }
+    }
+
+    async fn answer(&self, stored: Stored) -> Option<Body> {
+        match stored {
+            Stored::Ack(ack) => Some(Body::JournalAck(ack)),
+            Stored::TakeOver(ack, id, held, attach) => {
+                resume(&self.gateway, id, *held, attach).await;
+                Some(Body::JournalAck(ack))
+            }
+            Stored::Dropped => {
+                self.gateway.counters.dropped_frames.add();
+                None
+            }
+        }
+    }
+
+    /// A frame in another gateway's name is dropped, as one of an older incarnation is.
+    fn is_from(&self, peer: &Peer, owner: &str, incarnation: u64) -> bool {
+        let same = *peer.name == *owner && peer.incarnation == Incarnation(incarnation);
+        if !same {
+            self.gateway.counters.dropped_frames.add();
+        }
+        same
+    }
+
+    fn note_leaving(&self, notice: &LeavingNotice) {
+        let snapshot = self.gateway.snapshot.load();
+        let member = snapshot.members().find(|m| {
+            m.instance.name.as_str() == notice.instance
+                && m.instance.incarnation == Incarnation(notice.incarnation)
+        });
+        if let Some(member) = member {
+            member.state.mark_leaving();
+        }
+    }
+}
+
+impl<U: Upstreams, T: Clock> Handler for PeerHandler<U, T> {
+    async fn handle(&self, peer: &Peer, body: Body) -> Option<Body> {
+        let journal = &self.gateway.journal;
+        match body {
+            Body::JournalPut(put) if self.is_from(peer, &put.owner, put.incarnation) => {
+                if self.gateway.leaving.is_cancelled() {
+                    return Some(Body::JournalAck(JournalAck::default()));
+                }
+                self.answer(journal.put(put).await).await
+            }
+            Body::JournalAppend(append)
+                if self.is_from(peer, &append.owner, append.incarnation) =>
+            {
+                self.answer(journal.append(append).await).await
+            }
+            Body::JournalRemove(remove)
+                if self.is_from(peer, &remove.owner, remove.incarnation) =>
+            {
+                journal.remove(remove).await;
+                None
+            }
+            Body::LeavingNotice(notice) => {
+                self.note_leaving(&notice);
+                None
+            }
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/journal/held.rs
@@ -0,0 +1,125 @@
+//! Copies of requests that other gateways accepted.
+
+use std::sync::Arc;
+
+use tokio::{sync::mpsc, time::Instant};
+use uuid::Uuid;
+
+use crate::{
+    domain::{AccountName, Completion, FinishReason, RequestId},
+    gateway::{
+        core::Gateway,
+        generate::{Accepted, Attach, Pump},
+    },
+    ports::{Clock, Upstreams},
+    wire::{JournalAppend, JournalPut, JournalTokens, JournaledRequest},
+};
+
+/// A copy.
+#[derive(Clone, Debug)]
+pub(crate) struct Held {
+    /// The gateway that accepted the request.
+    pub(crate) owner: String,
+    /// The request.
+    pub(crate) request: JournaledRequest,
+    /// The tokens known so far.
+    pub(crate) tokens: Vec<String>,
+    /// Whether the answer ends after them, and why.
+    pub(crate) finish: Option<FinishReason>,
+}
+
+impl Held {
+    /// Reads a copy from its message; nothing if the message is incomplete.
+    pub(super) fn read(put: JournalPut) -> Option<(RequestId, Self)> {
+        let request = put.request?;
+        let id = request_id(&request.id)?;
+        let mut held = Self {
+            owner: put.owner,
+            request,
+            tokens: Vec::new(),
+            finish: None,
+        };
+        if let Some(tokens) = put.tokens {
+            held.append(tokens);
+        }
+        Some((id, held))
+    }
+
+    /// Adds tokens. They may repeat some that are held; after a gap nothing is added.
+    pub(super) fn append(&mut self, tokens: JournalTokens) {
+        let known = self.tokens.len();
+        let Some(repeated) = known.checked_sub(tokens.offset as usize) else {
+            return;
+        };
+        if repeated > tokens.texts.len() {
+            return;
+        }
+        self.tokens.extend(tokens.texts.into_iter().skip(repeated));
+        self.finish = match tokens.finish {
+            1 => Some(FinishReason::Stop),
+            2 => Some(FinishReason::Length),
+            _ => self.finish,
+        };
+    }
+
+    /// Returns the bytes that the copy occupies, roughly.
+    pub(super) fn size(&self) -> usize {
+        let tokens: usize = self
+            .tokens
+            .iter()
+            .map(|text| text.len() + size_of::<String>())
+            .sum();
+        self.request.prompt.len() + tokens + size_of::<Self>()
+    }
+
+    /// Returns the account that the request belongs to.
+    pub(super) fn account(&self) -> AccountName {
+        self.request.account.as_str().into()
+    }
+}
+
+/// Reads a request id from its 16 bytes.
+pub(super) fn request_id(bytes: &[u8]) -> Option<RequestId> {
+    Uuid::from_slice(bytes).ok().map(RequestId)
+}
+
+/// Returns which request a message is about.
+pub(super) fn append_id(append: &JournalAppend) -> Option<RequestId> {
+    request_id(&append.id)
+}
+
+/// Goes on with a request that another gateway accepted. Nothing happens if its account is no longer
+/// in force.
+pub(crate) async fn resume<U: Upstreams, T: Clock>(
+    gateway: &Arc<Gateway<U, T>>,
+    id: RequestId,
+    held: Held,
+    attach: mpsc::Receiver<Attach>,
+) {
+    let account: AccountName = held.account();
+    let snapshot = gateway.snapshot.load_full();
+    let Some(account) = snapshot.account_named(&account) else {
+        log::warn!("gateway: request {id} of an unknown account is not taken over.");
+        gateway.journal.finish(id, None).await;
+        return;
+    };
+    let completion = Completion {
+        id,
+        account: account.name.clone(),
+        model: held.request.model.as_str().into(),
+        prompt: held.request.prompt,
+        max_tokens: held.request.max_tokens,
+        seed: held.request.seed,
+        priority: account.priority(),
+        prefix: held.tokens,
+    };
+    gateway.counters.taken_over.add();
+    let request = Accepted {
+        completion,
+        chat: held.request.chat,
+        account: Arc::clone(account),
+        arrived: Instant::now(),
+        taken_from: Some(held.owner),
+    };
+    Pump::start(gateway, request, None, attach);
+}
--- /dev/null
+++ b/src/gateway/journal/peers.rs
@@ -0,0 +1,205 @@
+//! Links to the gateways that keep copies of this one's requests. Each gateway uses a few of the
+//! others, chosen by rendezvous hashing and preferably in other availability zones, so that the
+//! number of links does not grow with the number of gateways.
+
+use std::{sync::Arc, time::Duration};
+
+use arc_swap::ArcSwap;
+use sha2::{Digest, Sha256};
+use tokio::sync::oneshot;
+
+use crate::{
+    domain::{GatewayEntry, RequestId, View, ZoneName},
+    gateway::generate::Accepted,
+    link::{Identity, Link, LinkSettings, PeerKey},
+    wire::{
+        Body, JournalAck, JournalPut, JournalRemove, JournalTokens, JournaledRequest, LeavingNotice,
+    },
+};
+
+/// Gateways that this one keeps links to.
+const LINKED_PEERS: usize = 3;
+
+/// Longest wait for a backup's answer.
+const PUT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Backups that are tried before a request is accepted without one.
+const PUT_ATTEMPTS: usize = 2;
+
+/// A linked gateway.
+#[derive(Clone, Debug)]
+pub(crate) struct PeerLink {
+    /// The gateway.
+    pub(crate) entry: GatewayEntry,
+    link: Link,
+}
+
+/// The linked gateways. Reading them takes no lock.
+#[derive(Clone, Debug)]
+pub(crate) struct Peers {
+    own: Identity,
+    zone: ZoneName,
+    key: PeerKey,
+    settings: LinkSettings,
+    linked: Arc<ArcSwap<Vec<PeerLink>>>,
+}
+
+impl Peers {
+    /// Makes an empty set.
+    pub(crate) fn new(own: Identity, zone: ZoneName, key: PeerKey, settings: LinkSettings) -> Self {
+        Self {
+            own,
+            zone,
+            key,
+            settings,
+            linked: Arc::default(),
+        }
+    }
+
+    /// Links to the gateways of a view. Links to gateways that stay are kept.
+    pub(crate) fn update(&self, view: &View) {
+        let before = self.linked.load();
+        let next = self
+            .choose(&view.gateways)
+            .into_iter()
+            .map(|entry| self.link_to(entry, &before))
+            .collect();
+        self.linked.store(Arc::new(next));
+    }
+
+    fn choose(&self, gateways: &[GatewayEntry]) -> Vec<GatewayEntry> {
+        let mut others: Vec<_> = gateways
+            .iter()
+            .filter(|entry| !entry.leaving && entry.name.as_str() != &*self.own.name)
+            .cloned()
+            .collect();
+        let elsewhere = others.iter().any(|entry| entry.zone != self.zone);
+        others.retain(|entry| !elsewhere || entry.zone != self.zone);
+        others.sort_by_key(|entry| rendezvous(self.own.name.as_bytes(), entry));
+        others.truncate(LINKED_PEERS);
+        others
+    }
+
+    fn link_to(&self, entry: GatewayEntry, before: &[PeerLink]) -> PeerLink {
+        let known = before.iter().find(|peer| {
+            peer.entry.name == entry.name && peer.entry.peer_address == entry.peer_address
+        });
+        let link = known.map_or_else(
+            || {
+                Link::connect(
+                    entry.peer_address,
+                    self.key.clone(),
+                    self.own.clone(),
+                    self.settings.clone(),
+                )
+            },
+            |peer| peer.link.clone(),
+        );
+        PeerLink { entry, link }
+    }
+
+    /// Returns the linked gateways in the order of preference for a request.
+    fn ordered(&self, id: RequestId) -> Vec<PeerLink> {
+        let mut peers = self.linked.load().to_vec();
+        peers.sort_by_key(|peer| rendezvous(id.0.as_bytes(), &peer.entry));
+        peers
+    }
+
+    /// Stores a copy of a request at a backup in the background. The answer is the backup that holds
+    /// it, or nothing if there is none.
+    pub(crate) fn put(
+        &self,
+        request: &Accepted,
+        take_over: bool,
+    ) -> oneshot::Receiver<Option<PeerLink>> {
+        let (tx, rx) = oneshot::channel();
+        let put = self.message(request, take_over);
+        let peers = self.ordered(request.completion.id);
+        if peers.is_empty() {
+            let _ = tx.send(None);
+            return rx;
+        }
+        tokio::spawn(async move {
+            let holder = store(&peers, &put, PUT_ATTEMPTS).await;
+            let _ = tx.send(holder);
+        });
+        rx
+    }
+
+    /// Makes another gateway go on with a request. Nothing if none has confirmed that it does.
+    pub(crate) async fn take_over(&self, request: &Accepted) -> Option<GatewayEntry> {
+        let put = self.message(request, true);
+        let peers = self.ordered(request.completion.id);
+        let holder = store(&peers, &put, peers.len()).await?;
+        Some(holder.entry)
+    }
+
+    /// Drops the copy of a finished request.
+    pub(super) fn remove(&self, holder: &PeerLink, id: RequestId) {
+        holder.link.send(Body::JournalRemove(JournalRemove {
+            owner: self.own.name.to_string(),
+            incarnation: self.own.incarnation.0,
+            id: id.0.as_bytes().to_vec(),
+        }));
+    }
+
+    /// Tells the linked gateways that an instance leaves.
+    pub(crate) fn spread(&self, notice: &LeavingNotice) {
+        for peer in self.linked.load().iter() {
+            peer.link.send(Body::LeavingNotice(notice.clone()));
+        }
+    }
+
+    fn message(&self, request: &Accepted, take_over: bool) -> JournalPut {
+        let completion = &request.completion;
+        JournalPut {
+            owner: self.own.name.to_string(),
+            incarnation: self.own.incarnation.0,
+            request: Some(JournaledRequest {
+                id: completion.id.0.as_bytes().to_vec(),
+                account: completion.account.to_string(),
+                model: completion.model.to_string(),
+                prompt: completion.prompt.clone(),
+                max_tokens: completion.max_tokens,
+                seed: completion.seed,
+                chat: request.chat,
+            }),
+            tokens: Some(JournalTokens {
+                offset: 0,
+                texts: completion.prefix.clone(),
+                finish: 0,
+            }),
+            take_over,
+        }
+    }
+}
+
+async fn store(peers: &[PeerLink], put: &JournalPut, attempts: usize) -> Option<PeerLink> {
+    let needed = put.tokens.as_ref().map_or(0, |tokens| tokens.texts.len());
+    for peer in peers.iter().take(attempts) {
+        let reply = peer
+            .link
+            .call(Body::JournalPut(put.clone()), PUT_TIMEOUT)
+            .await;
+        if is_held(reply.ok().as_ref(), needed) {
+            return Some(peer.clone());
+        }
+    }
+    None
+}
+
+fn is_held(reply: Option<&Body>, needed: usize) -> bool {
+    matches!(
+        reply,
+        Some(Body::JournalAck(JournalAck { accepted: true, tokens })) if *tokens as usize >= needed
+    )
+}
+
+/// Hashes a key with a gateway, so that each key has its own order of all gateways.
+pub(crate) fn rendezvous(key: &[u8], entry: &GatewayEntry) -> [u8; 32] {
+    let mut hash = Sha256::new();
+    hash.update(key);
+    hash.update([0]);
+    hash.update(entry.name.as_str().as_bytes());
+    hash.finalize().into()
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,15 +1,52 @@
 //! The role `gateway`: the path of a request from a caller to an upstream and back.
 
-use std::sync::Arc;
+mod admission;
+mod claims;
+mod core;
+mod counters;
+mod explain;
+mod generate;
+mod http;
+mod journal;
+mod polls;
+mod queue;
+mod retries;
+mod route;
+mod services;
+mod view;
 
-use tokio_util::sync::CancellationToken;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use anyhow::Context;
+use arc_swap::ArcSwap;
+use tokio::{
+    net::TcpListener,
+    sync::watch,
+    time::{Instant, timeout_at},
+};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+use self::{
+    core::Gateway,
+    counters::Counters,
+    explain::Decisions,
+    journal::{Bounds, Journal, PeerHandler, Peers},
+    view::{Addresses, Keeper, Leader, Lease, Snapshot},
+};
 use crate::{
     Running,
+    domain::Incarnation,
+    link::{self, Identity, LinkSettings, PeerKey},
     ports::{Clock, CloudApi, Ports, Upstreams},
     settings::Settings,
 };
 
+/// Longest part of a shutdown that is kept for handing requests over.
+const HAND_OVER_TIME: Duration = Duration::from_secs(2);
+
+/// Bytes of the copies kept for other gateways.
+const COPIED_BYTES: usize = 64 * 1024 * 1024;
+
 /// Starts a gateway. When the token is cancelled it leaves the address list, finishes or hands over
 /// its requests and stops.
 pub async fn start<U: Upstreams, C: CloudApi, T: Clock>(
@@ -17,6 +54,125 @@
     ports: Ports<U, C, T>,
     stop: CancellationToken,
 ) -> anyhow::Result<Running> {
-    let _ = (settings, ports, stop);
-    anyhow::bail!("the gateway is not built yet")
+    let key = PeerKey::read(&settings.peer_key_file)
+        .with_context(|| format!("cannot read {}", settings.peer_key_file.display()))?;
+    let (http_listener, http_address) = bind(settings.http_address).await?;
+    let (peer_listener, peer_address) = bind(settings.peer_address).await?;
+    let gateway = build(settings, &ports, &key, &stop);
+    let addresses = Addresses {
+        caller: gateway.settings.advertised_address.unwrap_or(http_address),
+        peer: peer_address,
+    };
+    Keeper::start(&gateway, addresses);
+    let closed = &gateway.closed;
+    tokio::spawn(link::serve(
+        peer_listener,
+        key,
+        gateway.identity.clone(),
+        LinkSettings::default(),
+        Arc::new(PeerHandler::new(&gateway)),
+        closed.clone(),
+    ));
+    let polls = polls::poll_instances(Arc::clone(&gateway));
+    tokio::spawn(closed.clone().run_until_cancelled_owned(polls));
+    if let Some(cloud) = ports.cloud {
+        let notices = polls::poll_notices(Arc::clone(&gateway), cloud);
+        tokio::spawn(closed.clone().run_until_cancelled_owned(notices));
+    }
+    log::info!("gateway: callers connect to {http_address}.");
+    let task = tokio::spawn(run(gateway, http_listener));
+    Ok(Running {
+        http_address,
+        peer_address,
+        task,
+    })
+}
+
+async fn bind(address: SocketAddr) -> anyhow::Result<(TcpListener, SocketAddr)> {
+    let listener = TcpListener::bind(address)
+        .await
+        .with_context(|| format!("cannot listen on {address}; choose a free address"))?;
+    let address = listener
+        .local_addr()
+        .context("the listener has no address")?;
+    Ok((listener, address))
+}
+
+fn build<U: Upstreams, C: CloudApi, T: Clock>(
+    settings: Arc<Settings>,
+    ports: &Ports<U, C, T>,
+    key: &PeerKey,
+    stop: &CancellationToken,
+) -> Arc<Gateway<U, T>> {
+    let identity = Identity {
+        name: Arc::clone(&settings.name),
+        incarnation: Incarnation(ports.clock.unix_ms()),
+    };
+    let links = LinkSettings::default();
+    let timing = &settings.timing;
+    let bounds = Bounds {
+        entries: settings.limits.requests as usize,
+        bytes: COPIED_BYTES,
+        age: timing.request_timeout + timing.shutdown,
+    };
+    Arc::new(Gateway {
+        leader: Leader::connect(&settings.controllers, key, &identity, &links),
+        peers: Peers::new(identity.clone(), settings.zone.clone(), key.clone(), links),
+        journal: Journal::start(bounds),
+        decisions: Decisions::start(),
+        upstreams: Arc::clone(&ports.upstreams),
+        clock: Arc::clone(&ports.clock),
+        metrics: ports.metrics.clone(),
+        snapshot: ArcSwap::from_pointee(Snapshot::default()),
+        lease: Lease::default(),
+        // The stop token belongs to the whole process; a reclaim must not cancel it.
+        leaving: stop.child_token(),
+        hand_over: CancellationToken::new(),
+        closed: CancellationToken::new(),
+        work: TaskTracker::new(),
+        reclaimed_in: watch::Sender::new(None),
+        counters: Counters::default(),
+        attempts: Default::default(),
+        identity,
+        settings,
+    })
+}
+
+async fn run<U: Upstreams, T: Clock>(
+    gateway: Arc<Gateway<U, T>>,
+    listener: TcpListener,
+) -> anyhow::Result<()> {
+    // Dropping the task, as an abrupt end does, closes everything.
+    let _closing = gateway.closed.clone().drop_guard();
+    let stop_http = CancellationToken::new();
+    let http = tokio::spawn(http::serve(
+        listener,
+        Arc::clone(&gateway),
+        stop_http.clone(),
+    ));
+    let _stopping = stop_http.clone().drop_guard();
+    gateway.leaving.cancelled().await;
+    log::info!("gateway: leaving, new work is refused.");
+    let limit = time_to_leave(&gateway);
+    let end = Instant::now() + limit;
+    gateway.work.close();
+    let reserve = HAND_OVER_TIME.min(limit / 2);
+    if timeout_at(end - reserve, gateway.work.wait())
+        .await
+        .is_err()
+    {
+        log::info!("gateway: handing over {} requests.", gateway.work.len());
+        gateway.hand_over.cancel();
+        let _ = timeout_at(end, gateway.work.wait()).await;
+    }
+    stop_http.cancel();
+    let _ = timeout_at(end, http).await;
+    log::info!("gateway: stopped.");
+    Ok(())
+}
+
+fn time_to_leave<U, T>(gateway: &Gateway<U, T>) -> Duration {
+    let shutdown = gateway.settings.timing.shutdown;
+    let reclaimed_in = *gateway.reclaimed_in.borrow();
+    reclaimed_in.map_or(shutdown, |remaining| remaining.min(shutdown))
 }
--- /dev/null
+++ b/src/gateway/polls.rs
@@ -0,0 +1,136 @@
+//! Regular looks at the outside: load reports and cache events of the instances, and the cloud's
+//! reclaim notices. What is learned of leaving instances is told to the linked gateways.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::time::{MissedTickBehavior, interval, timeout};
+
+use super::{
+    core::Gateway,
+    view::{CacheBelief, LoadReport, Member},
+};
+use crate::{
+    domain::{Intent, ServiceKind},
+    ports::{Clock, CloudApi, ReclaimNotice, Upstreams},
+    wire::LeavingNotice,
+};
+
+/// Polls every instance, each in its own task, so that a silent one does not hold the others up.
+pub(super) async fn poll_instances<U: Upstreams, T: Clock>(gateway: Arc<Gateway<U, T>>) {
+    let every = gateway.settings.timing.load_poll;
+    let mut tick = interval(every);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tick.tick().await;
+        let snapshot = gateway.snapshot.load_full();
+        for member in snapshot.members() {
+            spread_news(&gateway, member);
+            if member.state.begin_poll() {
+                let caches = has_cache(&snapshot.view.intent, member);
+                tokio::spawn(poll(
+                    Arc::clone(&gateway),
+                    Arc::clone(member),
+                    every,
+                    caches,
+                ));
+            }
+        }
+    }
+}
+
+fn has_cache(intent: &Intent, member: &Member) -> bool {
+    intent.services.iter().any(|service| {
+        service.name == member.instance.service
+            && matches!(service.kind, ServiceKind::Engines { .. })
+    })
+}
+
+fn spread_news<U: Upstreams, T: Clock>(gateway: &Gateway<U, T>, member: &Member) {
+    if member.is_news() && member.state.announce() {
+        let instance = &member.instance;
+        log::info!("gateway: {} is leaving.", instance.name);
+        gateway.peers.spread(&LeavingNotice {
+            instance: instance.name.to_string(),
+            incarnation: instance.incarnation.0,
+        });
+    }
+}
+
+async fn poll<U: Upstreams, T: Clock>(
+    gateway: Arc<Gateway<U, T>>,
+    member: Arc<Member>,
+    patience: Duration,
+    caches: bool,
+) {
+    let _ = timeout(patience, poll_load(&gateway, &member)).await;
+    if caches {
+        let _ = timeout(patience, poll_cache(&gateway, &member)).await;
+    }
+    member.state.end_poll();
+}
+
+async fn poll_load<U: Upstreams, T: Clock>(gateway: &Gateway<U, T>, member: &Member) {
+    let asked_at = gateway.clock.monotonic();
+    let sent_before = member.state.sent_since_report();
+    let Ok(load) = gateway.upstreams.load(&member.target).await else {
+        return;
+    };
+    if load.leaving {
+        member.state.mark_leaving();
+    }
+    let report = LoadReport {
+        running: load.running,
+        queued: load.queued,
+        slots: load.slots,
+        made_at: asked_at.saturating_sub(load.age),
+    };
+    member.state.set_report(report, sent_before);
+}
+
+async fn poll_cache<U: Upstreams, T: Clock>(gateway: &Gateway<U, T>, member: &Member) {
+    let before = member.state.cache.load_full();
+    let Ok(events) = gateway
+        .upstreams
+        .cache_events(&member.target, before.next)
+        .await
+    else {
+        return;
+    };
+    let mut index = before.index.clone();
+    index.apply(&events);
+    member.state.cache.store(Arc::new(CacheBelief {
+        index,
+        next: events.next,
+        read_at: Some(gateway.clock.monotonic()),
+    }));
+}
+
+/// Reads the cloud's reclaim notices.
+pub(super) async fn poll_notices<U: Upstreams, C: CloudApi, T: Clock>(
+    gateway: Arc<Gateway<U, T>>,
+    cloud: Arc<C>,
+) {
+    let mut tick = interval(gateway.settings.timing.cloud_poll);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tick.tick().await;
+        if let Ok(notices) = cloud.notices().await {
+            notices.iter().for_each(|notice| apply(&gateway, notice));
+        }
+    }
+}
+
+fn apply<U: Upstreams, T: Clock>(gateway: &Gateway<U, T>, notice: &ReclaimNotice) {
+    if notice.instance.as_str() == &*gateway.settings.name {
+        gateway.reclaim(notice.remaining);
+        return;
+    }
+    let gone_at = gateway.clock.monotonic() + notice.remaining;
+    let snapshot = gateway.snapshot.load();
+    let member = snapshot.members().find(|m| {
+        m.instance.name == notice.instance && m.instance.incarnation == notice.incarnation
+    });
+    if let Some(member) = member {
+        member.state.reclaim_at(gone_at);
+    }
+}
--- /dev/null
+++ b/src/gateway/retries.rs
@@ -0,0 +1,63 @@
+//! The retry budget of a service. One task owns it and ends when the last handle is dropped; only
+//! failed attempts send to it, so that the path of a request that succeeds takes no lock.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicU64, Ordering},
+};
+
+use tokio::sync::{mpsc, oneshot};
+
+use crate::policy::retry::{Failure, Retry, RetryBudget};
+
+/// Failures that may wait for a decision; more are given up.
+const PENDING_FAILURES: usize = 256;
+
+/// Most requests that earn at once; the budget is full long before.
+const MAX_EARNED: u64 = 1000;
+
+/// A handle to the budget.
+#[derive(Clone, Debug)]
+pub(crate) struct Retries {
+    requests: Arc<AtomicU64>,
+    tx: mpsc::Sender<Asked>,
+}
+
+#[derive(Debug)]
+struct Asked {
+    failure: Failure,
+    reply: oneshot::Sender<Retry>,
+}
+
+impl Retries {
+    /// Starts the budget of a service.
+    pub(crate) fn start() -> Self {
+        let (tx, rx) = mpsc::channel(PENDING_FAILURES);
+        let requests = Arc::new(AtomicU64::new(0));
+        tokio::spawn(run(Arc::clone(&requests), rx));
+        Self { requests, tx }
+    }
+
+    /// Counts a request, which earns a part of a repeated attempt.
+    pub(crate) fn earn(&self) {
+        self.requests.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Decides about a failed attempt.
+    pub(crate) async fn decide(&self, failure: Failure) -> Retry {
+        let (reply, rx) = oneshot::channel();
+        if self.tx.try_send(Asked { failure, reply }).is_err() {
+            return Retry::GiveUp;
+        }
+        rx.await.unwrap_or(Retry::GiveUp)
+    }
+}
+
+async fn run(requests: Arc<AtomicU64>, mut rx: mpsc::Receiver<Asked>) {
+    let mut budget = RetryBudget::default();
+    while let Some(asked) = rx.recv().await {
+        let earned = requests.swap(0, Ordering::Relaxed).min(MAX_EARNED);
+        (0..earned).for_each(|_| budget.earn());
+        let _ = asked.reply.send(budget.decide(&asked.failure));
+    }
+}
--- /dev/null
+++ b/src/gateway/route.rs
@@ -0,0 +1,124 @@
+//! Chooses the instance for a request from the view, the load reports and this gateway's counters.
+
+use std::{sync::Arc, time::Duration};
+
+use super::view::{Member, ServiceEntry};
+use crate::{
+    domain::{InstanceName, RoutingWeights, ZoneName},
+    policy::{
+        prefix::{Prefix, count_tokens, prefixes},
+        route::{self, Candidate, Report, RouteRequest},
+    },
+};
+
+/// Age beyond which cache events say nothing about an instance any more.
+const CACHE_EVENTS_MAX_AGE: Duration = Duration::from_secs(5);
+
+/// What routing needs of a prompt, computed once for each request.
+#[derive(Clone, Debug)]
+pub(crate) struct Prompt {
+    prefixes: Vec<Prefix>,
+    tokens: u32,
+    home: u64,
+}
+
+impl Prompt {
+    /// Cuts a prompt into prefixes.
+    pub(crate) fn new(prompt: &str) -> Self {
+        let prefixes = prefixes(prompt);
+        let tokens = count_tokens(prompt);
+        let home = prefixes.first().map_or(0, |prefix| prefix.hash);
+        Self {
+            prefixes,
+            tokens,
+            home,
+        }
+    }
+
+    /// A prompt for calls of plain services, which have nothing cached; a random home spreads them.
+    pub(crate) fn none() -> Self {
+        Self {
+            prefixes: Vec::new(),
+            tokens: 0,
+            home: rand::random(),
+        }
+    }
+}
+
+/// Where and when a choice is made.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Place<'a> {
+    /// The gateway's availability zone.
+    pub(crate) zone: &'a ZoneName,
+    /// The weights in force.
+    pub(crate) weights: &'a RoutingWeights,
+    /// The time on the monotonic clock.
+    pub(crate) now: Duration,
+}
+
+/// A choice.
+#[derive(Clone, Debug)]
+pub(crate) struct Choice {
+    /// The instance.
+    pub(crate) member: Arc<Member>,
+    /// The most tokens of the prompt that any instance is believed to have cached.
+    pub(crate) best_cached: u32,
+}
+
+/// Chooses among the instances that take work and were not tried before.
+pub(crate) fn choose(
+    service: &ServiceEntry,
+    prompt: &Prompt,
+    tried: &[InstanceName],
+    place: Place<'_>,
+) -> Option<Choice> {
+    let members: Vec<&Arc<Member>> = service
+        .members
+        .iter()
+        .filter(|member| member.takes_work() && !tried.contains(&member.instance.name))
+        .collect();
+    let candidates: Vec<Candidate> = members
+        .iter()
+        .map(|member| candidate(service, member, prompt, place.now))
+        .collect();
+    let request = RouteRequest {
+        zone: place.zone.clone(),
+        prompt_tokens: prompt.tokens,
+        home: prompt.home,
+    };
+    let at = route::choose(&request, &candidates, place.weights)?;
+    let best_cached = candidates.iter().filter_map(|c| c.cached_tokens).max();
+    Some(Choice {
+        member: Arc::clone(members.get(at)?),
+        best_cached: best_cached.unwrap_or(0),
+    })
+}
+
+fn candidate(service: &ServiceEntry, member: &Member, prompt: &Prompt, now: Duration) -> Candidate {
+    let state = &member.state;
+    let report = state.report.load_full();
+    let slots = report
+        .as_ref()
+        .map(|report| report.slots)
+        .filter(|slots| *slots > 0);
+    Candidate {
+        instance: member.instance.name.clone(),
+        zone: member.instance.zone.clone(),
+        slots: slots.unwrap_or(service.service.slots_per_instance),
+        report: report.map(|report| Report {
+            running: report.running,
+            queued: report.queued,
+            age: now.saturating_sub(report.made_at),
+        }),
+        sent_since_report: state.sent_since_report(),
+        in_progress: state.in_progress(),
+        cached_tokens: cached_tokens(member, prompt, now),
+        suspect: state.is_suspect(now),
+    }
+}
+
+fn cached_tokens(member: &Member, prompt: &Prompt, now: Duration) -> Option<u32> {
+    let cache = member.state.cache.load();
+    let age = now.saturating_sub(cache.read_at?);
+    (age <= CACHE_EVENTS_MAX_AGE).then(|| cache.index.cached_tokens(&prompt.prefixes))
+}
--- /dev/null
+++ b/src/gateway/services.rs
@@ -0,0 +1,253 @@
+//! Calls of plain services: idempotent ones are tried again elsewhere, the others are dispatched at
+//! most once under a claim.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::{
+    sync::oneshot,
+    time::{Instant, sleep},
+};
+
+use super::{
+    admission::Permit,
+    claims::{Claim, Claimed},
+    core::{Gateway, ran},
+    explain::DecisionKind,
+    route::{self, Choice, Place, Prompt},
+    view::{AccountEntry, ServiceEntry},
+};
+use crate::{
+    domain::{
+        BodyDigest, IdempotencyKey, InstanceName, Refusal, RefusalKind, RequestId, ServiceName,
+    },
+    policy::retry::{Failure, Retry},
+    ports::{Clock, Sent, ServiceCall, ServiceReply, UpstreamError, UpstreamErrorKind, Upstreams},
+    wire::StoredOutcome,
+};
+
+/// How long an instance whose exchange failed is avoided.
+const SUSPECT_TIME: Duration = Duration::from_secs(2);
+
+/// Time to come back when no instance takes work.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// A call that was admitted.
+#[derive(Debug)]
+pub(crate) struct PlainCall {
+    /// Identifies it in explanations.
+    pub(crate) id: RequestId,
+    /// The account.
+    pub(crate) account: Arc<AccountEntry>,
+    /// The service.
+    pub(crate) service: ServiceName,
+    /// The call for the upstream.
+    pub(crate) call: ServiceCall,
+    /// When it arrived.
+    pub(crate) arrived: Instant,
+    /// Its place; it is given back when the call is dropped.
+    pub(crate) _permit: Permit,
+}
+
+/// An answer for the caller.
+#[derive(Debug)]
+pub(crate) enum PlainAnswer {
+    /// From the upstream, just now.
+    Fresh(ServiceReply),
+    /// From the record of an earlier call with the same key.
+    Replayed(StoredOutcome),
+}
+
+impl<U: Upstreams, T: Clock> Gateway<U, T> {
+    /// Makes an idempotent call, at another instance after a failure.
+    pub(crate) async fn call_idempotent(&self, call: &PlainCall) -> Result<PlainAnswer, Refusal> {
+        let mut tried = Vec::new();
+        let mut may_have_arrived = false;
+        loop {
+            let choice = self
+                .choose_plain(&call.service, &tried)
+                .map_err(|refusal| Refusal {
+                    ran: ran(may_have_arrived),
+                    ..refusal
+                })?;
+            match self.dispatch(&choice, call).await {
+                Ok(reply) => return Ok(PlainAnswer::Fresh(reply)),
+                Err(e) => {
+                    may_have_arrived |= e.sent == Sent::Maybe;
+                    tried.push(choice.member.instance.name.clone());
+                    let attempts = tried.len() as u32;
+                    match self.retry_plain(call, &e, attempts).await {
+                        Retry::After(delay) => sleep(delay).await,
+                        Retry::GiveUp => return Err(failed(&e, may_have_arrived)),
+                    }
+                }
+            }
+        }
+    }
+
+    /// Makes a call at most once. The call goes on when its caller goes away, so that its outcome is
+    /// recorded.
+    pub(crate) async fn call_once(
+        self: &Arc<Self>,
+        call: PlainCall,
+        key: IdempotencyKey,
+    ) -> Result<PlainAnswer, Refusal> {
+        let digest = BodyDigest::of(&call.call.method, &claimed_path(&call), &call.call.body);
+        let claim = match self.claim(&call.account.name, key, digest).await? {
+            Claimed::Granted(claim) => claim,
+            Claimed::Recorded(outcome) => return Ok(PlainAnswer::Replayed(outcome)),
+        };
+        let (tx, rx) = oneshot::channel();
+        let gateway = Arc::clone(self);
+        self.work.spawn(async move {
+            let _ = tx.send(gateway.spend_claim(claim, &call).await);
+        });
+        rx.await.unwrap_or_else(|_| Err(lost()))
+    }
+
+    /// Dispatches a granted call. Nothing in here is ever repeated.
+    async fn spend_claim(
+        self: &Arc<Self>,
+        claim: Claim,
+        call: &PlainCall,
+    ) -> Result<PlainAnswer, Refusal> {
+        // The lease is checked in here, after the claim and right before the dispatch.
+        let choice = match self.choose_plain(&call.service, &[]) {
+            Ok(choice) => choice,
+            Err(refusal) => {
+                self.release(claim);
+                return Err(refusal);
+            }
+        };
+        match self.dispatch(&choice, call).await {
+            Ok(reply) => {
+                self.record_outcome(claim, Some(&reply)).await;
+                Ok(PlainAnswer::Fresh(reply))
+            }
+            Err(e) if e.sent == Sent::No => {
+                self.release(claim);
+                Err(failed(&e, false))
+            }
+            Err(e) => {
+                self.record_outcome(claim, None).await;
+                Err(failed(&e, true))
+            }
+        }
+    }
+
+    fn choose_plain(
+        &self,
+        service: &ServiceName,
+        tried: &[InstanceName],
+    ) -> Result<Choice, Refusal> {
+        self.check_lease()?;
+        let snapshot = self.snapshot.load();
+        let place = Place {
+            zone: &self.settings.zone,
+            weights: &snapshot.view.intent.routing,
+            now: self.clock.monotonic(),
+        };
+        snapshot
+            .service(service)
+            .and_then(|service| route::choose(service, &Prompt::none(), tried, place))
+            .ok_or_else(no_upstream)
+    }
+
+    async fn dispatch(
+        &self,
+        choice: &Choice,
+        call: &PlainCall,
+    ) -> Result<ServiceReply, UpstreamError> {
+        let member = &choice.member;
+        let name = &member.instance.name;
+        self.explain_plain(call, DecisionKind::Routed(name.clone()));
+        let _in_progress = member.state.enter();
+        let started = Instant::now();
+        let result = self.upstreams.call(&member.target, &call.call).await;
+        self.spend_plain(choice, call, started.elapsed());
+        match &result {
+            Ok(_) => member.state.trust(),
+            Err(e) => {
+                self.explain_plain(call, DecisionKind::Failed(name.clone(), e.kind));
+                self.suspect(choice, e);
+            }
+        }
+        result
+    }
+
+    fn suspect(&self, choice: &Choice, e: &UpstreamError) {
+        let state = &choice.member.state;
+        match e.kind {
+            UpstreamErrorKind::Leaving => state.mark_leaving(),
+            UpstreamErrorKind::Busy | UpstreamErrorKind::Rejected => {}
+            _ => state.suspect_until(self.clock.monotonic() + SUSPECT_TIME),
+        }
+    }
+
+    async fn retry_plain(&self, call: &PlainCall, e: &UpstreamError, attempts: u32) -> Retry {
+        let Some(service) = self.plain_service(&call.service) else {
+            return Retry::GiveUp;
+        };
+        let limit = self.settings.timing.request_timeout;
+        let failure = Failure {
+            kind: e.kind,
+            sent: e.sent,
+            idempotent: true,
+            attempts,
+            remaining: limit.saturating_sub(call.arrived.elapsed()),
+            random: rand::random(),
+        };
+        service.retries.decide(failure).await
+    }
+
+    fn plain_service(&self, name: &ServiceName) -> Option<Arc<ServiceEntry>> {
+        self.snapshot.load().service(name).cloned()
+    }
+
+    fn spend_plain(&self, choice: &Choice, call: &PlainCall, taken: Duration) {
+        let snapshot = self.snapshot.load();
+        if let Some(service) = snapshot.service(&call.service) {
+            let amount = service.cost(&choice.member.instance, taken, &snapshot.view.intent);
+            call.account.metrics.spending(amount);
+        }
+    }
+
+    fn explain_plain(&self, call: &PlainCall, decision: DecisionKind) {
+        self.decisions
+            .record(call.id, self.clock.unix_ms(), decision);
+    }
+}
+
+/// The path that a claim's digest covers: the service's name belongs to it.
+fn claimed_path(call: &PlainCall) -> String {
+    format!("{}{}", call.service, call.call.path)
+}
+
+fn no_upstream() -> Refusal {
+    Refusal::not_run(
+        RefusalKind::NoUpstream,
+        "no instance of the service takes work now; retry later",
+    )
+    .retry_after(RETRY_AFTER)
+}
+
+fn failed(e: &UpstreamError, may_have_arrived: bool) -> Refusal {
+    let kind = match e.kind {
+        UpstreamErrorKind::Busy | UpstreamErrorKind::Leaving => RefusalKind::Overloaded,
+        _ => RefusalKind::UpstreamFailed,
+    };
+    let refusal = Refusal {
+        ran: ran(may_have_arrived),
+        ..Refusal::not_run(kind, format!("the upstream failed: {}", e.message))
+    };
+    match may_have_arrived {
+        true => refusal,
+        false => refusal.retry_after(RETRY_AFTER),
+    }
+}
+
+fn lost() -> Refusal {
+    Refusal::unknown(
+        RefusalKind::UpstreamFailed,
+        "the gateway stopped before the answer came; ask again with the same Idempotency-Key",
+    )
+}
--- /dev/null
+++ b/src/gateway/view/decode.rs
@@ -0,0 +1,126 @@
+//! Turns the leader's messages into domain types. A record that cannot be read is dropped with a log
+//! line, since one bad record must not stop the rest of a view from being applied.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use crate::{
+    domain::{
+        GatewayEntry, Incarnation, Instance, InstanceState, MachineClass, Purchase, Revision,
+        Share, View, ViewVersion,
+    },
+    wire::{GatewayRecord, InstanceRecord, ShareRecord, ViewReply},
+};
+
+/// Applies a reply to a view. Returns nothing if the reply is not newer.
+pub(super) fn apply(held: &View, reply: &ViewReply) -> Option<View> {
+    let version = ViewVersion {
+        index: reply.index,
+        term: reply.term,
+        sequence: reply.sequence,
+    };
+    if version <= held.version {
+        return None;
+    }
+    let intent = match reply.intent.is_empty() {
+        true => Arc::clone(&held.intent),
+        false => Arc::new(
+            serde_json::from_slice(&reply.intent)
+                .inspect_err(|e| log::error!("gateway: the leader's intent is unreadable: {e}."))
+                .ok()?,
+        ),
+    };
+    let gateways = match reply.gateways_changed {
+        true => reply.gateways.iter().filter_map(gateway).collect(),
+        false => held.gateways.clone(),
+    };
+    Some(View {
+        version,
+        revision: Revision(reply.revision),
+        intent,
+        instances: instances(held, reply),
+        gateways,
+        shares: held.shares.clone(),
+    })
+}
+
+fn instances(held: &View, reply: &ViewReply) -> Vec<Arc<Instance>> {
+    let changed: Vec<Arc<Instance>> = reply.instances.iter().filter_map(instance).collect();
+    let kept = held
+        .instances
+        .iter()
+        .filter(|_| !reply.instances_whole)
+        .filter(|old| !changed.iter().any(|new| new.name == old.name))
+        .cloned();
+    let mut all: Vec<_> = kept
+        .chain(changed.iter().cloned())
+        .filter(|instance| instance.state != InstanceState::Gone)
+        .collect();
+    for instance in &mut all {
+        keep_leaving(held, instance);
+    }
+    all.sort_by(|a, b| a.name.cmp(&b.name));
+    all
+}
+
+/// Leaving is never undone for an incarnation, whatever a late list says.
+fn keep_leaving(held: &View, instance: &mut Arc<Instance>) {
+    let was_leaving = held.instances.iter().any(|old| {
+        old.name == instance.name
+            && old.incarnation == instance.incarnation
+            && old.state == InstanceState::Leaving
+    });
+    if was_leaving && instance.state == InstanceState::Live {
+        Arc::make_mut(instance).state = InstanceState::Leaving;
+    }
+}
+
+fn instance(record: &InstanceRecord) -> Option<Arc<Instance>> {
+    let state = match record.state {
+        0 => InstanceState::Live,
+        1 => InstanceState::Leaving,
+        _ => InstanceState::Gone,
+    };
+    let purchase = match record.reclaimable {
+        true => Purchase::Reclaimable,
+        false => Purchase::OnDemand,
+    };
+    Some(Arc::new(Instance {
+        name: record.name.as_str().into(),
+        incarnation: Incarnation(record.incarnation),
+        service: record.service.as_str().into(),
+        zone: record.zone.as_str().into(),
+        class: MachineClass(record.class.as_str().into()),
+        purchase,
+        address: address(&record.name, &record.address)?,
+        state,
+    }))
+}
+
+fn gateway(record: &GatewayRecord) -> Option<GatewayEntry> {
+    Some(GatewayEntry {
+        name: record.name.as_str().into(),
+        incarnation: Incarnation(record.incarnation),
+        zone: record.zone.as_str().into(),
+        caller_address: address(&record.name, &record.caller_address)?,
+        peer_address: address(&record.name, &record.peer_address)?,
+        leaving: record.leaving,
+    })
+}
+
+/// Reads the shares of a lease.
+pub(super) fn shares(records: &[ShareRecord]) -> Vec<Share> {
+    records
+        .iter()
+        .map(|record| Share {
+            service: record.service.as_str().into(),
+            account: record.account.as_str().into(),
+            slots: record.slots,
+        })
+        .collect()
+}
+
+fn address(name: &str, text: &str) -> Option<SocketAddr> {
+    text.parse()
+        .inspect_err(|_| log::error!("gateway: {name} has the unreadable address {text:?}."))
+        .ok()
+}
--- /dev/null
+++ b/src/gateway/view/keeper.rs
@@ -0,0 +1,268 @@
+//! Heartbeats to the leader, and the long poll for newer views. One task owns the view and publishes
+//! each newer one, so that an older one can never replace it.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::{MissedTickBehavior, interval, sleep},
+};
+
+use super::{decode, snapshot::Snapshot};
+use crate::{
+    domain::{Incarnation, InstanceName, View, ViewVersion},
+    gateway::core::Gateway,
+    ports::{Clock, Upstreams},
+    wire::{
+        Body, Demand, GatewayHeartbeat, GatewayRecord, LeaseReply, LeavingNotice, ShareRecord,
+        ViewReply, ViewRequest,
+    },
+};
+
+/// How long the leader may hold a request for a newer view.
+const VIEW_WAIT: Duration = Duration::from_millis(1000);
+
+/// Longest wait for the answer to it.
+const VIEW_DEADLINE: Duration = Duration::from_millis(2500);
+
+/// Pause after a call to the leader that failed.
+const FAILED_CALL_PAUSE: Duration = Duration::from_millis(20);
+
+/// Updates that may wait for the keeper.
+const PENDING_UPDATES: usize = 64;
+
+/// What the keeper learns.
+#[derive(Debug)]
+enum Update {
+    View {
+        reply: ViewReply,
+        /// Told the version held afterwards, from which the next change is asked for.
+        held: oneshot::Sender<ViewVersion>,
+    },
+    Lease {
+        sent_at: Duration,
+        reply: LeaseReply,
+    },
+}
+
+/// A lease that waits for a view which includes its required index.
+#[derive(Debug)]
+struct PendingLease {
+    until: Duration,
+    required_index: u64,
+}
+
+/// Where the gateway can be reached.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Addresses {
+    /// By callers.
+    pub(crate) caller: SocketAddr,
+    /// By other gateways.
+    pub(crate) peer: SocketAddr,
+}
+
+/// Owns the view.
+pub(crate) struct Keeper<U, T> {
+    gateway: Arc<Gateway<U, T>>,
+    view: View,
+    pending: Option<PendingLease>,
+}
+
+impl<U: Upstreams, T: Clock> Keeper<U, T> {
+    /// Starts the heartbeats, the poll for views and the task that publishes them. All end when the
+    /// gateway is closed.
+    pub(crate) fn start(gateway: &Arc<Gateway<U, T>>, addresses: Addresses) {
+        let (tx, rx) = mpsc::channel(PENDING_UPDATES);
+        let closed = gateway.closed.clone();
+        let heartbeats = heartbeat(Arc::clone(gateway), addresses, tx.clone());
+        let poll = poll_views(Arc::clone(gateway), tx);
+        let keeper = Self {
+            gateway: Arc::clone(gateway),
+            view: View::default(),
+            pending: None,
+        };
+        tokio::spawn(closed.clone().run_until_cancelled_owned(heartbeats));
+        tokio::spawn(closed.clone().run_until_cancelled_owned(poll));
+        tokio::spawn(closed.run_until_cancelled_owned(keeper.run(rx)));
+    }
+
+    async fn run(mut self, mut rx: mpsc::Receiver<Update>) {
+        while let Some(update) = rx.recv().await {
+            match update {
+                Update::View { reply, held } => {
+                    self.apply_view(&reply);
+                    let _ = held.send(self.view.version);
+                }
+                Update::Lease { sent_at, reply } => self.apply_lease(sent_at, &reply),
+            }
+        }
+    }
+
+    fn apply_view(&mut self, reply: &ViewReply) {
+        let Some(view) = decode::apply(&self.view, reply) else {
+            return;
+        };
+        if view.revision != self.view.revision {
+            log::info!("gateway: revision {} is in force.", view.revision);
+        }
+        self.publish(view);
+        self.activate_lease();
+    }
+
+    fn apply_lease(&mut self, sent_at: Duration, reply: &LeaseReply) {
+        if reply.shares_changed {
+            self.apply_shares(&reply.shares);
+        }
+        self.pending = Some(PendingLease {
+            until: sent_at + Duration::from_millis(reply.lease_ms),
+            required_index: reply.required_index,
+        });
+        self.activate_lease();
+    }
+
+    fn apply_shares(&mut self, records: &[ShareRecord]) {
+        let shares = decode::shares(records);
+        if shares != self.view.shares {
+            let view = View {
+                shares,
+                ..self.view.clone()
+            };
+            self.publish(view);
+        }
+    }
+
+    /// Puts the lease in force once the view includes what it requires. Until then the lease before
+    /// it runs on, so that a new revision does not interrupt the service.
+    fn activate_lease(&mut self) {
+        let held = self.view.version;
+        let Some(pending) = &self.pending else {
+            return;
+        };
+        if held != ViewVersion::default() && held.index >= pending.required_index {
+            self.gateway.lease.extend(pending.until);
+            self.pending = None;
+        }
+    }
+
+    fn publish(&mut self, view: View) {
+        self.view = view.clone();
+        self.gateway.peers.update(&view);
+        let before = self.gateway.snapshot.load();
+        let next = Snapshot::build(view, &before, &self.gateway.metrics);
+        for member in next.members() {
+            member.note_state();
+        }
+        self.gateway.snapshot.store(Arc::new(next));
+    }
+}
+
+async fn heartbeat<U: Upstreams, T: Clock>(
+    gateway: Arc<Gateway<U, T>>,
+    addresses: Addresses,
+    tx: mpsc::Sender<Update>,
+) {
+    let timing = &gateway.settings.timing;
+    let mut tick = interval(timing.gateway_heartbeat);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut said_leaving = false;
+    loop {
+        tokio::select! {
+            _ = tick.tick() => {}
+            () = gateway.leaving.cancelled(), if !said_leaving => said_leaving = true,
+        }
+        let body = Body::Heartbeat(heartbeat_message(&gateway, addresses));
+        // The lease is counted from before the sending, so that no delay can lengthen it.
+        let sent_at = gateway.clock.monotonic();
+        let reply = gateway.leader.call(body, timing.view_lease).await;
+        match reply {
+            Ok(Body::Lease(reply)) => {
+                let _ = tx.send(Update::Lease { sent_at, reply }).await;
+            }
+            Ok(_) | Err(_) => {
+                sleep(FAILED_CALL_PAUSE).await;
+                tick.reset_immediately();
+            }
+        }
+    }
+}
+
+fn heartbeat_message<U: Upstreams, T: Clock>(
+    gateway: &Gateway<U, T>,
+    addresses: Addresses,
+) -> GatewayHeartbeat {
+    let snapshot = gateway.snapshot.load();
+    let record = GatewayRecord {
+        name: gateway.identity.name.to_string(),
+        incarnation: gateway.identity.incarnation.0,
+        zone: gateway.settings.zone.to_string(),
+        caller_address: addresses.caller.to_string(),
+        peer_address: addresses.peer.to_string(),
+        leaving: gateway.leaving.is_cancelled(),
+    };
+    GatewayHeartbeat {
+        gateway: Some(record),
+        view_index: snapshot.view.version.index,
+        demand: demand(&snapshot),
+        leaving: leaving(&snapshot),
+    }
+}
+
+fn demand(snapshot: &Snapshot) -> Vec<Demand> {
+    snapshot
+        .services()
+        .flat_map(|entry| {
+            entry.accounts().map(|(account, usage)| {
+                let (running, waiting) = usage.take_demand();
+                Demand {
+                    service: entry.service.name.to_string(),
+                    account: account.to_string(),
+                    running,
+                    waiting,
+                }
+            })
+        })
+        .filter(|demand| demand.running + demand.waiting > 0)
+        .collect()
+}
+
+fn leaving(snapshot: &Snapshot) -> Vec<LeavingNotice> {
+    snapshot
+        .members()
+        .filter(|member| member.is_news())
+        .map(|member| notice(&member.instance.name, member.instance.incarnation))
+        .collect()
+}
+
+fn notice(instance: &InstanceName, incarnation: Incarnation) -> LeavingNotice {
+    LeavingNotice {
+        instance: instance.to_string(),
+        incarnation: incarnation.0,
+    }
+}
+
+async fn poll_views<U: Upstreams, T: Clock>(gateway: Arc<Gateway<U, T>>, tx: mpsc::Sender<Update>) {
+    let mut held = ViewVersion::default();
+    loop {
+        let request = ViewRequest {
+            gateway: gateway.identity.name.to_string(),
+            held_index: held.index,
+            held_term: held.term,
+            held_sequence: held.sequence,
+            wait_ms: VIEW_WAIT.as_millis() as u64,
+        };
+        let reply = gateway
+            .leader
+            .call(Body::ViewRequest(request), VIEW_DEADLINE)
+            .await;
+        let Ok(Body::View(reply)) = reply else {
+            sleep(FAILED_CALL_PAUSE).await;
+            continue;
+        };
+        let (done, version) = oneshot::channel();
+        let update = Update::View { reply, held: done };
+        if tx.send(update).await.is_err() {
+            return;
+        }
+        held = version.await.unwrap_or(held);
+    }
+}
--- /dev/null
+++ b/src/gateway/view/leader.rs
@@ -0,0 +1,106 @@
+//! Finds the leader among the controllers and calls it.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use tokio::time::{Instant, sleep};
+
+use crate::{
+    link::{Identity, Link, LinkError, LinkSettings, PeerKey},
+    settings::ControllerEntry,
+    wire::Body,
+};
+
+/// Pause before the next controller is asked.
+const NEXT_CONTROLLER_PAUSE: Duration = Duration::from_millis(10);
+
+/// Longest wait for one controller's answer to a call that may be resent.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// Links to all controllers, and a guess which of them leads.
+#[derive(Debug)]
+pub(crate) struct Leader {
+    links: Vec<(Arc<str>, Link)>,
+    guess: AtomicUsize,
+}
+
+impl Leader {
+    /// Connects to all controllers in the background.
+    pub(crate) fn connect(
+        controllers: &[ControllerEntry],
+        key: &PeerKey,
+        own: &Identity,
+        settings: &LinkSettings,
+    ) -> Self {
+        let links = controllers
+            .iter()
+            .map(|entry| {
+                let link = Link::connect(
+                    entry.peer_address,
+                    key.clone(),
+                    own.clone(),
+                    settings.clone(),
+                );
+                (Arc::clone(&entry.name), link)
+            })
+            .collect();
+        Self {
+            links,
+            guess: AtomicUsize::new(0),
+        }
+    }
+
+    /// Asks the supposed leader once. A controller that does not lead, or does not answer, makes the
+    /// next call go to another one.
+    pub(crate) async fn call(&self, body: Body, deadline: Duration) -> Result<Body, LinkError> {
+        let at = self.guess.load(Ordering::Relaxed);
+        let Some((_, link)) = self.links.get(at) else {
+            return Err(LinkError::NotSent);
+        };
+        match link.call(body, deadline).await {
+            Ok(Body::NotLeader(hint)) => {
+                self.turn(at, &hint.leader);
+                Err(LinkError::NotSent)
+            }
+            Err(e) => {
+                self.turn(at, "");
+                Err(e)
+            }
+            Ok(reply) => Ok(reply),
+        }
+    }
+
+    /// Asks until there is an answer or the deadline has passed. Only for messages that may be
+    /// resent without harm.
+    pub(crate) async fn call_until(
+        &self,
+        body: &Body,
+        deadline: Duration,
+    ) -> Result<Body, LinkError> {
+        let end = Instant::now() + deadline;
+        loop {
+            let left = end.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Err(LinkError::Unanswered);
+            }
+            match self.call(body.clone(), left.min(CALL_TIMEOUT)).await {
+                Ok(reply) => return Ok(reply),
+                Err(_) => sleep(NEXT_CONTROLLER_PAUSE.min(left)).await,
+            }
+        }
+    }
+
+    fn turn(&self, from: usize, hint: &str) {
+        let hinted = self.links.iter().position(|(name, _)| &**name == hint);
+        let next = hinted.unwrap_or((from + 1) % self.links.len());
+        // A concurrent call may have found the leader already; its finding stands.
+        let _ = self
+            .guess
+            .compare_exchange(from, next, Ordering::Relaxed, Ordering::Relaxed);
+    }
+}
