Thin: route by expected wait and home, admit by deadline and share, pay retries from a budget

Cause: routing by own requests in progress alone forgets caches and homes; admission accepted everything below a share; a budget without a first token could not repeat the first failure.

Weighed: for routing, least reported load (herds on old reports) and a plain hash (ignores load). Kept: one cost in milliseconds with a rendezvous hash among nearly equal costs; reports are drawn to the mean as they age. For admission, queueing above the share was kept only while nobody below its share waits.

AdmitRequest gains under_share_waiting, which only the gateway's queue knows, and admit::preempts says when a free stream may be cancelled.

Constants are not yet measured.

--- a/src/policy/admit.rs
+++ b/src/policy/admit.rs
@@ -1,9 +1,23 @@
 //! Decides whether a request is taken, waits or is refused.
+//!
+//! A request that cannot get its first token in time is refused at once, so that the caller can turn
+//! elsewhere. Free work uses its own share only, and only while no paying work waits. An account
+//! above its share borrows what the others of its tier leave unused, and yields as soon as one of
+//! them, below its own share, waits. See docs/DECISIONS.md, "Admission".
 
 use std::time::Duration;
 
 use crate::domain::{Priority, RefusalKind};
 
+/// Requests at once that a gateway takes for a service before capacity was leased to it.
+pub const UNLEASED_SLOTS: u32 = 4;
+
+/// One slot in this many stays free of free work, for the next paying request.
+const SLOTS_PER_RESERVED_SLOT: u32 = 16;
+
+/// Shortest time after which a refused caller is asked to come back.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+
 /// What admission looks at.
 #[derive(Clone, Debug)]
 pub struct AdmitRequest {
@@ -21,6 +35,9 @@
     pub paying_waiting: u32,
     /// Requests waiting before this one.
     pub waiting_ahead: u32,
+    /// Requests of the same priority, this one left out, that wait at this gateway for this service
+    /// and whose accounts are below their shares.
+    pub under_share_waiting: u32,
     /// How long this request has waited.
     pub waited: Duration,
     /// Recent mean time for one request in progress to finish.
@@ -47,11 +64,85 @@
 
 /// Decides about one request.
 pub fn decide(req: &AdmitRequest) -> Admission {
-    match req.share {
-        Some(share) if req.account_in_progress >= share => Admission::Refuse {
-            kind: RefusalKind::OverShare,
-            retry_after: req.service_time,
-        },
-        _ => Admission::Accept,
+    match req.priority {
+        Priority::Paying => decide_paying(req),
+        Priority::Free => decide_free(req),
+    }
+}
+
+/// Returns whether a free request in progress may be cancelled for this one: it pays, it is below
+/// its share, and only the lack of a slot makes it wait.
+pub fn preempts(req: &AdmitRequest) -> bool {
+    req.priority == Priority::Paying && below_share(req) && full(req)
+}
+
+fn decide_paying(req: &AdmitRequest) -> Admission {
+    let below_share = below_share(req);
+    if !full(req) && (below_share || req.under_share_waiting == 0) {
+        return Admission::Accept;
+    }
+    if below_share {
+        let ahead = req.waiting_ahead.min(req.under_share_waiting);
+        return wait_or_refuse(req, ahead, RefusalKind::Overloaded);
+    }
+    // A request above its share would wait behind every request below it, however many come.
+    if req.under_share_waiting > 0 {
+        return refuse(req, req.waiting_ahead, RefusalKind::OverShare);
+    }
+    wait_or_refuse(req, req.waiting_ahead, RefusalKind::OverShare)
+}
+
+fn decide_free(req: &AdmitRequest) -> Admission {
+    if !below_share(req) {
+        return refuse(req, req.waiting_ahead, RefusalKind::OverShare);
+    }
+    if req.paying_waiting > 0 {
+        return refuse(req, req.waiting_ahead, RefusalKind::Overloaded);
+    }
+    let reserve = capacity(req) / SLOTS_PER_RESERVED_SLOT;
+    if req.service_in_progress + reserve < capacity(req) {
+        return Admission::Accept;
     }
+    wait_or_refuse(req, req.waiting_ahead, RefusalKind::Overloaded)
+}
+
+/// Returns the gateway's capacity; a small constant before the first lease.
+fn capacity(req: &AdmitRequest) -> u32 {
+    match (req.share, req.service_capacity) {
+        (None, 0) => UNLEASED_SLOTS,
+        (_, capacity) => capacity,
+    }
+}
+
+fn full(req: &AdmitRequest) -> bool {
+    req.service_in_progress >= capacity(req)
+}
+
+fn below_share(req: &AdmitRequest) -> bool {
+    let share = match (req.share, req.service_capacity) {
+        (Some(share), _) => share,
+        (None, 0) => UNLEASED_SLOTS,
+        (None, _) => 0,
+    };
+    req.account_in_progress < share
+}
+
+fn wait_or_refuse(req: &AdmitRequest, ahead: u32, kind: RefusalKind) -> Admission {
+    if expected_wait(req, ahead) < req.until_due {
+        Admission::Wait
+    } else {
+        refuse(req, ahead, kind)
+    }
+}
+
+fn refuse(req: &AdmitRequest, ahead: u32, kind: RefusalKind) -> Admission {
+    Admission::Refuse {
+        kind,
+        retry_after: expected_wait(req, ahead).max(MIN_RETRY_AFTER),
+    }
+}
+
+/// Estimates the wait for a slot: with all slots in use, one ends every `service_time / capacity`.
+fn expected_wait(req: &AdmitRequest, ahead: u32) -> Duration {
+    req.service_time / capacity(req).max(1) * (ahead + 1)
 }
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -1,9 +1,27 @@
 //! Decides whether a failed attempt is repeated, and when.
+//!
+//! Repeated attempts are paid from a budget that grows with the requests of the service, so that a
+//! lost zone does not multiply the load on the zones that remain. See docs/DECISIONS.md, "Retries".
 
 use std::time::Duration;
 
 use crate::ports::{Sent, UpstreamErrorKind};
 
+/// Part of a repeated attempt that each request earns.
+const EARNED_PER_REQUEST: f64 = 0.1;
+
+/// Most repeated attempts that a budget can save up.
+const MAX_SAVED: f64 = 20.0;
+
+/// Repeated attempts that a new budget holds, so that the first failure can be repeated.
+const INITIAL_SAVED: f64 = 3.0;
+
+/// Most attempts for one request, the first one included.
+const MAX_ATTEMPTS: u32 = 3;
+
+/// Mean delay before the second attempt; it doubles with each further one.
+const FIRST_DELAY: Duration = Duration::from_millis(10);
+
 /// A failed attempt.
 #[derive(Clone, Debug)]
 pub struct Failure {
@@ -31,24 +49,46 @@
 }
 
 /// A service's budget of repeated attempts, as a fraction of its requests.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct RetryBudget {
-    tokens: f64,
+    saved: f64,
+}
+
+impl Default for RetryBudget {
+    fn default() -> Self {
+        Self {
+            saved: INITIAL_SAVED,
+        }
+    }
 }
 
 impl RetryBudget {
     /// Counts a request, which earns a part of a repeated attempt.
     pub fn earn(&mut self) {
-        self.tokens = (self.tokens + 0.1).min(10.0);
+        self.saved = (self.saved + EARNED_PER_REQUEST).min(MAX_SAVED);
     }
 
     /// Decides about a failure; a repeated attempt is paid from the budget.
     pub fn decide(&mut self, failure: &Failure) -> Retry {
-        let repeatable = failure.idempotent || failure.sent == Sent::No;
-        if !repeatable || failure.attempts >= 3 || self.tokens < 1.0 {
+        let delay = delay(failure);
+        let hopeless = failure.attempts >= MAX_ATTEMPTS || delay >= failure.remaining;
+        if hopeless || !repeatable(failure) || self.saved < 1.0 {
             return Retry::GiveUp;
         }
-        self.tokens -= 1.0;
-        Retry::After(Duration::from_millis(10).mul_f64(failure.random))
+        self.saved -= 1.0;
+        Retry::After(delay)
     }
 }
+
+/// Returns whether another attempt can do no harm and may have another outcome.
+fn repeatable(failure: &Failure) -> bool {
+    let harmless = failure.idempotent || failure.sent == Sent::No;
+    harmless && failure.kind != UpstreamErrorKind::Rejected
+}
+
+/// Returns half to one and a half times a delay that doubles with each attempt.
+fn delay(failure: &Failure) -> Duration {
+    let doublings = failure.attempts.saturating_sub(1).min(MAX_ATTEMPTS);
+    let mean = FIRST_DELAY * 2_u32.pow(doublings);
+    mean.mul_f64(0.5 + failure.random.clamp(0.0, 1.0))
+}
--- a/src/policy/route.rs
+++ b/src/policy/route.rs
@@ -1,9 +1,27 @@
 //! Chooses the upstream instance for a request.
+//!
+//! The cost of an instance is the expected wait, plus the prefill of the prompt tokens that it has not
+//! cached, plus the price of crossing a zone. Instances of nearly equal cost are ordered by a
+//! rendezvous hash of the conversation, so that gateways which see the same old report do not all
+//! choose the same instance, and so that every gateway finds a conversation's home without a
+//! message. See docs/DECISIONS.md, "Routing".
 
-use std::time::Duration;
+use std::{cmp::Reverse, time::Duration};
 
 use crate::domain::{InstanceName, RoutingWeights, ZoneName};
 
+/// After this age a report counts for little more than a third of its distance from the mean.
+const REPORT_TRUST: Duration = Duration::from_millis(1000);
+
+/// Costs that differ by less than this part of a queued request count as equal.
+const EQUAL_COST_QUEUED_REQUESTS: f64 = 0.25;
+
+/// An instance filled to this part of its slots costs as much as one with a request queued.
+const MS_AT_FULL_BATCH_QUEUED_REQUESTS: f64 = 1.0;
+
+/// Part of the load below which an instance costs nothing: a batch that is half full is fast.
+const FREE_LOAD: f64 = 0.5;
+
 /// An instance that may take the request. Leaving instances are not candidates.
 #[derive(Clone, Debug)]
 pub struct Candidate {
@@ -49,11 +67,129 @@
 }
 
 /// Returns the position of the best candidate, or nothing if there is none.
+///
+/// Suspects are chosen only when all candidates are suspect.
 pub fn choose(
     req: &RouteRequest,
     candidates: &[Candidate],
     weights: &RoutingWeights,
 ) -> Option<usize> {
-    let _ = (req, weights);
-    (0..candidates.len()).min_by_key(|&i| (candidates[i].suspect, candidates[i].in_progress))
+    let all_suspect = candidates.iter().all(|c| c.suspect);
+    let usable = |c: &Candidate| all_suspect || !c.suspect;
+    let mean = mean_load(candidates.iter().filter(|c| usable(c)));
+    let home = candidates
+        .iter()
+        .enumerate()
+        .filter(|(_, c)| usable(c))
+        .max_by_key(|(_, c)| rendezvous(req.home, &c.instance))
+        .map(|(i, _)| i);
+    let rated: Vec<Rated> = candidates
+        .iter()
+        .enumerate()
+        .filter(|(_, c)| usable(c))
+        .map(|(i, c)| rate(req, weights, mean, i, c, home == Some(i)))
+        .collect();
+    let cheapest = rated.iter().map(Rated::cost).min_by(f64::total_cmp)?;
+    let band = weights.ms_per_queued_request * EQUAL_COST_QUEUED_REQUESTS;
+    let equals = || rated.iter().filter(|r| r.cost() <= cheapest + band);
+    equals()
+        .filter(|r| !equals().any(|other| other.beats(r)))
+        .max_by_key(|r| (r.rank, Reverse(r.position)))
+        .map(|r| r.position)
+}
+
+/// A candidate with the parts of its cost, in milliseconds.
+struct Rated {
+    position: usize,
+    rank: u64,
+    wait: f64,
+    prefill: f64,
+    crossing: f64,
+}
+
+impl Rated {
+    fn cost(&self) -> f64 {
+        self.wait + self.prefill + self.crossing
+    }
+
+    /// Returns whether this one is better in every respect.
+    fn beats(&self, other: &Self) -> bool {
+        self.wait < other.wait && self.prefill < other.prefill && self.crossing < other.crossing
+    }
+}
+
+fn rate(
+    req: &RouteRequest,
+    weights: &RoutingWeights,
+    mean: f64,
+    position: usize,
+    candidate: &Candidate,
+    is_home: bool,
+) -> Rated {
+    // The home of a conversation is where every gateway without cache events sends it, so its
+    // prompt is expected there.
+    let expected = if is_home { req.prompt_tokens } else { 0 };
+    let cached = candidate.cached_tokens.unwrap_or(expected);
+    let uncached = f64::from(req.prompt_tokens.saturating_sub(cached));
+    let crossing = if candidate.zone == req.zone { 0.0 } else { 1.0 };
+    Rated {
+        position,
+        rank: rendezvous(req.home, &candidate.instance),
+        wait: queued_requests(candidate, mean) * weights.ms_per_queued_request,
+        prefill: uncached / 1000.0 * weights.ms_per_thousand_uncached_tokens,
+        crossing: crossing * weights.ms_per_zone_crossing,
+    }
+}
+
+/// Returns the queue that a request would meet, in requests: none up to a half-full batch, one at a
+/// full batch, and one for each request above it.
+fn queued_requests(candidate: &Candidate, mean: f64) -> f64 {
+    let slots = f64::from(candidate.slots.max(1));
+    let load = load(candidate, mean) * slots;
+    let batch = ((load / slots).min(1.0) - FREE_LOAD).max(0.0) / (1.0 - FREE_LOAD);
+    batch * MS_AT_FULL_BATCH_QUEUED_REQUESTS + (load - slots).max(0.0)
+}
+
+/// Estimates the load of a candidate in parts of its slots. An old report says less and less, so it
+/// is drawn to the mean as it ages; what this gateway did itself is certain.
+fn load(candidate: &Candidate, mean: f64) -> f64 {
+    let slots = f64::from(candidate.slots.max(1));
+    let own = f64::from(candidate.in_progress) / slots;
+    let Some(report) = candidate.report else {
+        return mean.max(own);
+    };
+    let sent = f64::from(candidate.sent_since_report) / slots;
+    let trust = (-report.age.as_secs_f64() / REPORT_TRUST.as_secs_f64()).exp();
+    let estimate = mean + (reported_load(report, candidate.slots) - mean) * trust + sent;
+    estimate.max(own)
+}
+
+fn reported_load(report: Report, slots: u32) -> f64 {
+    f64::from(report.running + report.queued) / f64::from(slots.max(1))
+}
+
+fn mean_load<'a>(candidates: impl Iterator<Item = &'a Candidate>) -> f64 {
+    let (sum, count) = candidates
+        .filter_map(|c| Some(reported_load(c.report?, c.slots)))
+        .fold((0.0, 0.0), |(sum, count), load| (sum + load, count + 1.0));
+    if count == 0.0 { 0.0 } else { sum / count }
+}
+
+/// Returns the weight of an instance for a conversation; the highest one is its home. The hash is
+/// fixed here, because all versions of the gateway must agree on it.
+fn rendezvous(home: u64, instance: &InstanceName) -> u64 {
+    const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const FNV_PRIME: u64 = 0x0100_0000_01b3;
+    let name = instance.as_str().bytes().fold(FNV_OFFSET, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
+    });
+    mix(name ^ mix(home))
+}
+
+/// The finalizer of SplitMix64, which spreads each input bit over the whole output.
+fn mix(mut x: u64) -> u64 {
+    x = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
 }
--- /dev/null
+++ b/tests/naive/retry.rs
@@ -0,0 +1,14 @@
+//! Always at once: whatever failed is repeated without a delay.
+
+use std::time::Duration;
+
+use flamingocroft::policy::retry::{Failure, Retry};
+
+/// Decides about a failure.
+pub fn decide(failure: &Failure) -> Retry {
+    if failure.remaining.is_zero() {
+        Retry::GiveUp
+    } else {
+        Retry::After(Duration::ZERO)
+    }
+}
--- /dev/null
+++ b/tests/policy_admit.rs
@@ -0,0 +1,212 @@
+//! Admission against "accept all": equal under light load, never over capacity, fair under overload.
+
+#[path = "naive/admit.rs"]
+mod naive;
+
+use std::time::Duration;
+
+use flamingocroft::{
+    domain::{Priority, RefusalKind},
+    policy::admit::{Admission, AdmitRequest, UNLEASED_SLOTS, decide, preempts},
+};
+use proptest::prelude::*;
+
+fn idle() -> AdmitRequest {
+    AdmitRequest {
+        priority: Priority::Paying,
+        account_in_progress: 0,
+        share: Some(4),
+        service_in_progress: 0,
+        service_capacity: 32,
+        paying_waiting: 0,
+        waiting_ahead: 0,
+        under_share_waiting: 0,
+        waited: Duration::ZERO,
+        service_time: Duration::from_secs(4),
+        until_due: Duration::from_millis(640),
+    }
+}
+
+fn free(req: AdmitRequest) -> AdmitRequest {
+    AdmitRequest {
+        priority: Priority::Free,
+        ..req
+    }
+}
+
+fn refusal(admission: Admission) -> Option<RefusalKind> {
+    match admission {
+        Admission::Refuse { kind, .. } => Some(kind),
+        Admission::Accept | Admission::Wait => None,
+    }
+}
+
+fn arbitrary() -> impl Strategy<Value = AdmitRequest> {
+    let counts = (
+        0..20_u32,
+        0..80_u32,
+        1..64_u32,
+        0..20_u32,
+        0..20_u32,
+        0..20_u32,
+    );
+    let shares = (any::<bool>(), proptest::option::of(0..20_u32));
+    let times = (0..10_000_u64, 0..2000_u64);
+    (shares, counts, times).prop_map(|((pays, share), counts, times)| AdmitRequest {
+        priority: if pays {
+            Priority::Paying
+        } else {
+            Priority::Free
+        },
+        account_in_progress: counts.0.min(counts.1),
+        share,
+        service_in_progress: counts.1,
+        service_capacity: counts.2,
+        paying_waiting: counts.3,
+        waiting_ahead: counts.4,
+        under_share_waiting: counts.5,
+        waited: Duration::ZERO,
+        service_time: Duration::from_millis(times.0),
+        until_due: Duration::from_millis(times.1),
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn accepts_what_accept_all_accepts_where_load_is_light(mut req in arbitrary()) {
+        req.share = Some(req.account_in_progress + 1);
+        req.paying_waiting = 0;
+        req.under_share_waiting = 0;
+        req.service_in_progress = req.service_in_progress.min(req.service_capacity / 2);
+        prop_assert_eq!(decide(&req), Admission::Accept);
+        prop_assert_eq!(naive::decide(&req), Admission::Accept);
+    }
+
+    #[test]
+    fn never_accepts_over_capacity(req in arbitrary()) {
+        let full = req.service_in_progress >= req.service_capacity;
+        prop_assert!(!(full && decide(&req) == Admission::Accept));
+    }
+
+    #[test]
+    fn free_work_never_goes_before_paying_work(req in arbitrary()) {
+        let paying_waits = req.paying_waiting > 0;
+        prop_assert!(!(paying_waits && refusal(decide(&free(req))).is_none()));
+    }
+
+    #[test]
+    fn whoever_waits_can_make_it(req in arbitrary()) {
+        let slot_ends_every = req.service_time / req.service_capacity;
+        if decide(&req) == Admission::Wait {
+            prop_assert!(slot_ends_every < req.until_due);
+        }
+        if let Admission::Refuse { retry_after, .. } = decide(&req) {
+            prop_assert!(!retry_after.is_zero());
+        }
+    }
+
+    #[test]
+    fn an_account_above_its_share_never_goes_before_one_below(mut req in arbitrary()) {
+        req.share = Some(req.account_in_progress);
+        req.under_share_waiting = req.under_share_waiting.max(1);
+        prop_assert!(refusal(decide(&req)).is_some());
+    }
+}
+
+#[test]
+fn decisions_by_case() {
+    let full = AdmitRequest {
+        service_in_progress: 32,
+        ..idle()
+    };
+    let above_share = AdmitRequest {
+        account_in_progress: 4,
+        ..idle()
+    };
+    let accept = Some(Admission::Accept);
+    let wait = Some(Admission::Wait);
+    let cases = [
+        ("idle", idle(), accept, None),
+        ("idle and free", free(idle()), accept, None),
+        ("borrows", above_share.clone(), accept, None),
+        (
+            "free work does not borrow",
+            free(above_share.clone()),
+            None,
+            Some(RefusalKind::OverShare),
+        ),
+        ("waits for a slot", full.clone(), wait, None),
+        (
+            "waits behind few below their share, not behind many above it",
+            AdmitRequest {
+                waiting_ahead: 100,
+                under_share_waiting: 1,
+                ..full.clone()
+            },
+            wait,
+            None,
+        ),
+        (
+            "cannot make it",
+            AdmitRequest {
+                waiting_ahead: 10,
+                under_share_waiting: 10,
+                ..full.clone()
+            },
+            None,
+            Some(RefusalKind::Overloaded),
+        ),
+        (
+            "keeps a reserve for paying work",
+            AdmitRequest {
+                service_in_progress: 30,
+                until_due: Duration::ZERO,
+                ..free(idle())
+            },
+            None,
+            Some(RefusalKind::Overloaded),
+        ),
+        (
+            "few slots before the first lease",
+            AdmitRequest {
+                share: None,
+                service_capacity: 0,
+                service_in_progress: UNLEASED_SLOTS,
+                account_in_progress: UNLEASED_SLOTS,
+                until_due: Duration::ZERO,
+                ..idle()
+            },
+            None,
+            Some(RefusalKind::OverShare),
+        ),
+    ];
+    for (name, req, admission, kind) in cases {
+        let decision = decide(&req);
+        match admission {
+            Some(admission) => assert_eq!(decision, admission, "{name}"),
+            None => assert_eq!(refusal(decision), kind, "{name}"),
+        }
+    }
+}
+
+#[test]
+fn only_paying_work_below_its_share_preempts_and_only_when_full() {
+    let full = AdmitRequest {
+        service_in_progress: 32,
+        ..idle()
+    };
+    let above_share = AdmitRequest {
+        account_in_progress: 4,
+        ..full.clone()
+    };
+    assert!(preempts(&full));
+    assert!(!preempts(&idle()));
+    assert!(!preempts(&free(full)));
+    assert!(!preempts(&above_share));
+}
--- /dev/null
+++ b/tests/policy_retry.rs
@@ -0,0 +1,157 @@
+//! Retries against "always at once": what is repeated, when, and how much it amplifies.
+
+#[path = "naive/retry.rs"]
+mod naive;
+
+use std::time::Duration;
+
+use flamingocroft::{
+    policy::retry::{Failure, Retry, RetryBudget},
+    ports::{Sent, UpstreamErrorKind},
+};
+use proptest::prelude::*;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+fn failure() -> Failure {
+    Failure {
+        kind: UpstreamErrorKind::Cut,
+        sent: Sent::Maybe,
+        idempotent: true,
+        attempts: 1,
+        remaining: Duration::from_secs(1),
+        random: 0.5,
+    }
+}
+
+#[test]
+fn repeats_only_what_is_harmless_and_in_time() {
+    let cases = [
+        ("idempotent", failure(), true),
+        (
+            "may have run",
+            Failure {
+                idempotent: false,
+                ..failure()
+            },
+            false,
+        ),
+        (
+            "not sent",
+            Failure {
+                idempotent: false,
+                sent: Sent::No,
+                ..failure()
+            },
+            true,
+        ),
+        (
+            "malformed stays malformed",
+            Failure {
+                kind: UpstreamErrorKind::Rejected,
+                ..failure()
+            },
+            false,
+        ),
+        (
+            "too late",
+            Failure {
+                remaining: Duration::from_millis(5),
+                ..failure()
+            },
+            false,
+        ),
+        (
+            "often enough",
+            Failure {
+                attempts: 3,
+                ..failure()
+            },
+            false,
+        ),
+    ];
+    for (name, failure, repeated) in cases {
+        let decision = RetryBudget::default().decide(&failure);
+        assert_eq!(decision != Retry::GiveUp, repeated, "{name}");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn delays_grow_and_differ(sixty_fourths in 0..=64_u32) {
+        let random = f64::from(sixty_fourths) / 64.0;
+        let after = |attempts, random| {
+            match RetryBudget::default().decide(&Failure { attempts, random, ..failure() }) {
+                Retry::After(delay) => delay,
+                Retry::GiveUp => panic!("a new budget pays for one repeated attempt"),
+            }
+        };
+        prop_assert!(after(1, random) >= Duration::from_millis(5));
+        prop_assert!(after(1, random) <= Duration::from_millis(15));
+        prop_assert_eq!(after(2, random), after(1, random) * 2);
+        let other = (random + 0.5) % 1.0;
+        prop_assert_ne!(after(1, random), after(1, other));
+    }
+
+    #[test]
+    fn a_budget_never_pays_more_than_it_earned(steps in proptest::collection::vec(any::<bool>(), 0..500)) {
+        let mut budget = RetryBudget::default();
+        let (mut requests, mut repeated) = (0, 0);
+        for is_failure in steps {
+            if !is_failure {
+                budget.earn();
+                requests += 1;
+            } else if budget.decide(&failure()) != Retry::GiveUp {
+                repeated += 1;
+            }
+        }
+        prop_assert!(f64::from(repeated) <= 3.0 + 0.1 * f64::from(requests) + 1e-6);
+    }
+}
+
+/// Runs requests while each attempt fails with a probability; returns attempts per request.
+fn amplification(mut decide: impl FnMut(bool, &Failure) -> Retry, failing: f64) -> f64 {
+    const REQUESTS: u32 = 2000;
+    let mut rng = StdRng::seed_from_u64(5);
+    let mut attempts = 0;
+    for _ in 0..REQUESTS {
+        let mut tries = 1;
+        while rng.random_bool(failing) {
+            let failure = Failure {
+                attempts: tries,
+                random: rng.random(),
+                ..failure()
+            };
+            if tries == 50 || decide(tries == 1, &failure) == Retry::GiveUp {
+                break;
+            }
+            tries += 1;
+        }
+        attempts += tries;
+    }
+    f64::from(attempts) / f64::from(REQUESTS)
+}
+
+#[test]
+fn a_lost_zone_is_not_amplified() {
+    for failing in [0.01, 0.33, 0.67, 1.0] {
+        let mut budget = RetryBudget::default();
+        let ours = amplification(
+            |first, failure| {
+                if first {
+                    budget.earn();
+                }
+                budget.decide(failure)
+            },
+            failing,
+        );
+        assert!(ours < 1.2, "{ours} attempts per request at {failing}");
+    }
+    let naive = amplification(|_, failure| naive::decide(failure), 0.33);
+    assert!(naive > 1.4, "the naive version makes {naive}");
+}
