--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -20,7 +20,8 @@
 };
 pub use replica::{
     AppendReply, AppendRequest, Entry, EntryKind, InstallSnapshot, InstallSnapshotReply,
-    MembershipRecord, ReplicaMessage, ReplicaPayload, VoteReply, VoteRequest,
+    MemberQuery, MemberReport, MembershipRecord, ReplicaMessage, ReplicaPayload, VoteReply,
+    VoteRequest,
 };
 
 /// Largest frame that a process accepts, in bytes.
@@ -38,7 +39,7 @@
     /// The message; a frame without one is dropped.
     #[prost(
         oneof = "Body",
-        tags = "10, 11, 12, 13, 14, 20, 21, 22, 23, 24, 25, 30, 31, 32, 33, 34, 40, 41, 42, 43, 44"
+        tags = "10, 11, 12, 13, 14, 20, 21, 22, 23, 24, 25, 26, 27, 30, 31, 32, 33, 34, 40, 41, 42, 43, 44"
     )]
     pub body: Option<Body>,
 }
@@ -79,6 +80,12 @@
     /// Any request for the leader that reached another controller.
     #[prost(message, tag = "25")]
     NotLeader(NotLeader),
+    /// Asks a controller which member it is.
+    #[prost(message, tag = "26")]
+    MemberQuery(MemberQuery),
+    /// The answer.
+    #[prost(message, tag = "27")]
+    MemberReport(MemberReport),
     /// Asks for the right to dispatch a non-idempotent call.
     #[prost(message, tag = "30")]
     Claim(ClaimRequest),
--- a/src/wire/replica.rs
+++ b/src/wire/replica.rs
@@ -118,6 +118,12 @@
     /// As in [`AppendRequest`].
     #[prost(uint64, tag = "5")]
     pub round: u64,
+    /// Where in the whole state `state` begins, in bytes; a large state travels in several messages.
+    #[prost(uint64, tag = "6")]
+    pub offset: u64,
+    /// Length of the whole state, in bytes.
+    #[prost(uint64, tag = "7")]
+    pub total: u64,
 }
 
 /// Says up to where a follower now holds synced state.
@@ -129,6 +135,30 @@
     /// The request's round.
     #[prost(uint64, tag = "2")]
     pub round: u64,
+    /// How much of the state has arrived, in bytes.
+    #[prost(uint64, tag = "3")]
+    pub offset: u64,
+}
+
+/// Asks a controller which member it is. Every controller answers, also one that is no member.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct MemberQuery {}
+
+/// Says which member a controller is; see `replication::Bootstrap`.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct MemberReport {
+    /// The controller's name in its settings.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// The identifier of its data folder.
+    #[prost(uint64, tag = "2")]
+    pub member: u64,
+    /// Whether the folder has neither stored nor promised anything.
+    #[prost(bool, tag = "3")]
+    pub blank: bool,
+    /// The names of all controllers in its settings.
+    #[prost(string, repeated, tag = "4")]
+    pub controllers: Vec<String>,
 }
 
 /// One entry of the log.
