--- /dev/null
+++ b/src/replication/batch.rs
@@ -0,0 +1,150 @@
+//! The order of writing and sending for a driver that handles many inputs with one sync.
+
+use super::{Effect, HardState, Input, Snapshot};
+use crate::wire::{Entry, ReplicaMessage};
+
+/// One write to the log store.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Write {
+    /// The vote and term, if they changed.
+    pub hard_state: Option<HardState>,
+    /// Entries; they replace stored ones at or after the first one's index.
+    pub entries: Vec<Entry>,
+    /// A snapshot, which takes effect after the entries.
+    pub snapshot: Option<Snapshot>,
+}
+
+/// Collects the effects of several steps, so that they share one sync (group commit).
+///
+/// ```no_run
+/// # use std::time::Duration;
+/// # use flamingocroft::{adapters::disk::LogStore, replication::*};
+/// # fn run(mut replica: Replica, mut store: LogStore, clock: impl Fn() -> Duration,
+/// #     mut gather: impl FnMut() -> Vec<Input>, send: impl Fn(flamingocroft::wire::ReplicaMessage),
+/// #     mut handle: impl FnMut(Effect)) -> anyhow::Result<()> {
+/// loop {
+///     let inputs = gather(); // waits for at least one, at most half a heartbeat
+///     let now = clock(); // only now: what is heard must not be dated too early
+///     let mut batch = Batch::default();
+///     for input in inputs {
+///         batch.add(replica.step(now, input));
+///     }
+///     batch.add(replica.step(now, Input::Tick)); // sends the new entries in one message
+///     loop {
+///         batch.take_ready().into_iter().for_each(&send); // before the sync, in parallel to it
+///         for write in batch.take_writes() {
+///             // After an error the process must stop: nothing is acknowledged any more.
+///             store.persist(write.hard_state, &write.entries, write.snapshot.as_ref())?;
+///         }
+///         batch.take_held().into_iter().for_each(&send); // only after the sync
+///         batch.take_rest().into_iter().for_each(&mut handle); // Apply, Restore, ReadReady, Rejected
+///         let persisted = batch.take_persisted();
+///         if persisted.is_empty() {
+///             break;
+///         }
+///         for input in persisted {
+///             batch.add(replica.step(clock(), input));
+///         }
+///     }
+/// }
+/// # }
+/// ```
+#[derive(Debug, Default)]
+pub struct Batch {
+    writes: Vec<Write>,
+    ready: Vec<ReplicaMessage>,
+    held: Vec<ReplicaMessage>,
+    rest: Vec<Effect>,
+    last_entry: Option<(u64, u64)>,
+    last_snapshot: Option<(u64, u64)>,
+}
+
+impl Batch {
+    /// Adds the effects of one step.
+    pub fn add(&mut self, effects: Vec<Effect>) {
+        let mut writing = false;
+        for effect in effects {
+            match effect {
+                Effect::Persist {
+                    hard_state,
+                    entries,
+                    snapshot,
+                } => {
+                    writing = true;
+                    self.write(hard_state, entries, snapshot);
+                }
+                Effect::Send(message) if writing => self.held.push(message),
+                Effect::Send(message) => self.ready.push(message),
+                other => self.rest.push(other),
+            }
+        }
+    }
+
+    /// Messages that may be sent before the sync.
+    pub fn take_ready(&mut self) -> Vec<ReplicaMessage> {
+        std::mem::take(&mut self.ready)
+    }
+
+    /// What must be written, in this order. It is usually one write.
+    pub fn take_writes(&mut self) -> Vec<Write> {
+        std::mem::take(&mut self.writes)
+    }
+
+    /// Messages that may be sent only after the writes are synced.
+    pub fn take_held(&mut self) -> Vec<ReplicaMessage> {
+        std::mem::take(&mut self.held)
+    }
+
+    /// The other effects, in order: applying, restoring and answering.
+    pub fn take_rest(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.rest)
+    }
+
+    /// The inputs to step once the writes are synced.
+    pub fn take_persisted(&mut self) -> Vec<Input> {
+        let points = [self.last_snapshot.take(), self.last_entry.take()];
+        points
+            .into_iter()
+            .flatten()
+            .map(|(index, term)| Input::Persisted { index, term })
+            .collect()
+    }
+
+    fn write(
+        &mut self,
+        hard_state: Option<HardState>,
+        entries: Vec<Entry>,
+        snapshot: Option<Snapshot>,
+    ) {
+        if let Some(last) = entries.last() {
+            self.last_entry = Some((last.index, last.term));
+        }
+        if let Some(snapshot) = &snapshot {
+            self.last_snapshot = Some((snapshot.index, snapshot.term));
+        }
+        match self.writes.last_mut() {
+            Some(write) if write.snapshot.is_none() => write.merge(hard_state, entries, snapshot),
+            _ => self.writes.push(Write {
+                hard_state,
+                entries,
+                snapshot,
+            }),
+        }
+    }
+}
+
+impl Write {
+    fn merge(
+        &mut self,
+        hard_state: Option<HardState>,
+        entries: Vec<Entry>,
+        snapshot: Option<Snapshot>,
+    ) {
+        self.hard_state = hard_state.or(self.hard_state.take());
+        if let Some(first) = entries.first() {
+            self.entries.retain(|entry| entry.index < first.index);
+        }
+        self.entries.extend(entries);
+        self.snapshot = snapshot;
+    }
+}
--- /dev/null
+++ b/src/replication/bootstrap.rs
@@ -0,0 +1,145 @@
+//! Forming the first cluster without an operator's step.
+//!
+//! Only the controller with the smallest name may form a cluster, and only after *every* controller
+//! in the settings has reported a blank folder: one that has neither stored an entry nor given a vote.
+//! The members are the folders' random identifiers, so a folder that is emptied later is a stranger:
+//! it finds a folder that is not blank, or one that does not answer, and never forms a second cluster.
+//! The other controllers run a [`super::Replica`] on their blank folder, which never stands for
+//! election and gets its state from the leader.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use super::{HardState, Recovered, Replica, Snapshot};
+use crate::{
+    domain::MemberId,
+    wire::{MemberReport, MembershipRecord},
+};
+
+/// Index and term of the snapshot that holds the first members. They are not zero, so that a member
+/// that joins later gets this snapshot and not only the entries after it.
+const FIRST: u64 = 1;
+
+/// What to do next on the way to a first cluster.
+#[derive(Clone, Debug, PartialEq)]
+pub enum BootstrapStep {
+    /// Send a `MemberQuery` to these controllers and give the answers to [`Bootstrap::receive`];
+    /// repeat it until something else is returned.
+    Ask(Vec<Arc<str>>),
+    /// Persist this hard state and snapshot, then make a [`Replica`] from it.
+    Form(Recovered),
+    /// Make a [`Replica`] from the folder as it is.
+    Run,
+}
+
+/// Decides whether a controller forms the first cluster.
+///
+/// At start: open the log store, make a `Bootstrap`, and follow [`Bootstrap::next`] until it returns
+/// `Form` or `Run`. Answer a `MemberQuery` at all times: with [`Bootstrap::report`] before the replica
+/// exists, and with [`Bootstrap::report_of`] afterwards.
+#[derive(Debug)]
+pub struct Bootstrap {
+    own: MemberId,
+    name: Arc<str>,
+    controllers: BTreeSet<Arc<str>>,
+    blank: bool,
+    reports: BTreeMap<Arc<str>, MemberId>,
+    refused: bool,
+}
+
+impl Bootstrap {
+    /// Begins with what the folder holds and the names of all controllers in the settings.
+    pub fn new(
+        own: MemberId,
+        name: Arc<str>,
+        controllers: impl IntoIterator<Item = Arc<str>>,
+        recovered: &Recovered,
+    ) -> Self {
+        Self {
+            own,
+            reports: BTreeMap::from([(Arc::clone(&name), own)]),
+            name,
+            controllers: controllers.into_iter().collect(),
+            blank: *recovered == Recovered::default(),
+            refused: false,
+        }
+    }
+
+    /// Takes an answer. One from a folder that is not blank rules out forming a cluster. One from a
+    /// controller with another list of controllers does not count; give all the same settings.
+    pub fn receive(&mut self, report: &MemberReport) {
+        let same = report.controllers.len() == self.controllers.len()
+            && report
+                .controllers
+                .iter()
+                .all(|name| self.controllers.contains(name.as_str()));
+        let Some(name) = self.controllers.get(report.name.as_str()) else {
+            return;
+        };
+        self.refused |= !report.blank;
+        if same {
+            self.reports
+                .insert(Arc::clone(name), MemberId(report.member));
+        }
+    }
+
+    /// Returns what to do next.
+    pub fn next(&self) -> BootstrapStep {
+        let first = self.controllers.first();
+        if !self.blank || self.refused || first != Some(&self.name) {
+            return BootstrapStep::Run;
+        }
+        let missing: Vec<Arc<str>> = self
+            .controllers
+            .iter()
+            .filter(|name| !self.reports.contains_key(*name))
+            .cloned()
+            .collect();
+        if !missing.is_empty() {
+            return BootstrapStep::Ask(missing);
+        }
+        BootstrapStep::Form(self.first_state())
+    }
+
+    /// The answer to a `MemberQuery` before the replica exists.
+    pub fn report(&self) -> MemberReport {
+        self.report_with(self.blank)
+    }
+
+    /// The answer to a `MemberQuery` once the replica exists.
+    pub fn report_of(&self, replica: &Replica) -> MemberReport {
+        self.report_with(replica.is_blank())
+    }
+
+    fn report_with(&self, blank: bool) -> MemberReport {
+        MemberReport {
+            name: self.name.to_string(),
+            member: self.own.0,
+            blank,
+            controllers: self.controllers.iter().map(ToString::to_string).collect(),
+        }
+    }
+
+    fn first_state(&self) -> Recovered {
+        let mut voters: Vec<u64> = self.reports.values().map(|id| id.0).collect();
+        voters.sort_unstable();
+        Recovered {
+            hard_state: HardState {
+                term: FIRST,
+                vote: None,
+            },
+            snapshot: Snapshot {
+                index: FIRST,
+                term: FIRST,
+                membership: MembershipRecord {
+                    voters,
+                    learners: Vec::new(),
+                },
+                ..Snapshot::default()
+            },
+            entries: Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/src/replication/follower.rs
@@ -0,0 +1,60 @@
+//! Taking entries from a leader.
+
+use super::Replica;
+use crate::wire::{AppendReply, AppendRequest, Entry, ReplicaPayload};
+
+impl Replica {
+    pub(super) fn receive_append(&mut self, from: u64, request: AppendRequest) {
+        let round = request.round;
+        let (matched, index) = match self.matches(&request) {
+            true => (true, self.take_entries(request)),
+            false => {
+                let hint = self.log.hint(request.previous_index, request.previous_term);
+                (false, hint)
+            }
+        };
+        let reply = AppendReply {
+            matched,
+            index,
+            round,
+        };
+        self.send(from, ReplicaPayload::AppendReply(reply));
+    }
+
+    /// Committed entries equal those of every later leader, so they need no comparison.
+    fn matches(&self, request: &AppendRequest) -> bool {
+        request.previous_index <= self.commit
+            || self.log.term(request.previous_index) == Some(request.previous_term)
+    }
+
+    /// Stores what is new and returns the last index that is known to equal the leader's and will
+    /// be synced before the reply is sent.
+    fn take_entries(&mut self, request: AppendRequest) -> u64 {
+        let last = request.previous_index + request.entries.len() as u64;
+        let new: Vec<Entry> = request
+            .entries
+            .into_iter()
+            .skip_while(|entry| {
+                entry.index <= self.commit || self.log.term(entry.index) == Some(entry.term)
+            })
+            .collect();
+        if let Some(first) = new.first() {
+            self.truncate(first.index);
+            for entry in &new {
+                self.memberships.note(entry);
+                self.log.append(entry.clone());
+            }
+            self.persist(new, None);
+        }
+        let equal = last.max(self.commit);
+        self.commit_to(request.commit.min(equal));
+        self.claimable(equal)
+    }
+
+    fn truncate(&mut self, from: u64) {
+        assert!(from > self.commit, "committed entries are never replaced");
+        self.log.truncate(from);
+        self.memberships.truncate(from);
+        self.persisted = self.persisted.min(from - 1);
+    }
+}
--- /dev/null
+++ b/src/replication/log.rs
@@ -0,0 +1,167 @@
+//! The entries that a replica holds in memory, and the members that they describe.
+
+use std::collections::VecDeque;
+
+use prost::Message;
+
+use crate::wire::{Entry, EntryKind, MembershipRecord};
+
+/// The part of the log after the compacted prefix. The last compacted entry is known by its index
+/// and term, so that the entry after it can still be matched.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Log {
+    base_index: u64,
+    base_term: u64,
+    entries: VecDeque<Entry>,
+}
+
+impl Log {
+    pub(super) fn new(base_index: u64, base_term: u64, entries: Vec<Entry>) -> Self {
+        Self {
+            base_index,
+            base_term,
+            entries: entries.into(),
+        }
+    }
+
+    /// Index of the last compacted entry.
+    pub(super) fn base_index(&self) -> u64 {
+        self.base_index
+    }
+
+    pub(super) fn last_index(&self) -> u64 {
+        self.base_index + self.entries.len() as u64
+    }
+
+    pub(super) fn last_term(&self) -> u64 {
+        self.entries.back().map_or(self.base_term, |e| e.term)
+    }
+
+    /// Returns the term of an entry, unless it was compacted or is not there yet.
+    pub(super) fn term(&self, index: u64) -> Option<u64> {
+        if index == self.base_index {
+            return Some(self.base_term);
+        }
+        self.get(index).map(|entry| entry.term)
+    }
+
+    pub(super) fn get(&self, index: u64) -> Option<&Entry> {
+        let place = index.checked_sub(self.base_index + 1)?;
+        self.entries.get(usize::try_from(place).ok()?)
+    }
+
+    pub(super) fn append(&mut self, entry: Entry) {
+        assert_eq!(entry.index, self.last_index() + 1, "the log has no gaps");
+        self.entries.push_back(entry);
+    }
+
+    /// Drops the entries from an index on.
+    pub(super) fn truncate(&mut self, from: u64) {
+        let keep = from.saturating_sub(self.base_index + 1);
+        self.entries.truncate(keep as usize);
+    }
+
+    /// Returns entries from an index on, at least one if there is one, within both limits.
+    pub(super) fn slice(&self, from: u64, most: usize, most_bytes: usize) -> Vec<Entry> {
+        let skip = from.saturating_sub(self.base_index + 1) as usize;
+        let mut bytes = 0;
+        self.entries
+            .iter()
+            .skip(skip)
+            .take(most)
+            .take_while(|entry| {
+                let first = bytes == 0;
+                bytes += entry.encoded_len();
+                first || bytes <= most_bytes
+            })
+            .cloned()
+            .collect()
+    }
+
+    /// Drops the entries up to an index, which must be in the log.
+    pub(super) fn compact(&mut self, to: u64) {
+        let Some(term) = self.term(to) else { return };
+        self.entries.drain(..(to - self.base_index) as usize);
+        self.base_index = to;
+        self.base_term = term;
+    }
+
+    /// Replaces everything by a snapshot's last entry.
+    pub(super) fn reset(&mut self, index: u64, term: u64) {
+        *self = Self::new(index, term, Vec::new());
+    }
+
+    /// Returns where a leader should try next if the entry at `previous` does not match: the last
+    /// entry before it whose term is not newer than the leader's.
+    pub(super) fn hint(&self, previous: u64, previous_term: u64) -> u64 {
+        let last = self.last_index();
+        if last < previous {
+            return last;
+        }
+        (self.base_index..previous)
+            .rev()
+            .find(|index| self.term(*index).is_some_and(|term| term <= previous_term))
+            .unwrap_or(self.base_index)
+    }
+}
+
+/// The membership at the log's base and every change after it, committed or not.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Memberships {
+    base: MembershipRecord,
+    changes: Vec<(u64, MembershipRecord)>,
+}
+
+impl Memberships {
+    pub(super) fn new(base: MembershipRecord) -> Self {
+        Self {
+            base,
+            changes: Vec::new(),
+        }
+    }
+
+    /// Takes over an appended entry if it changes the members.
+    pub(super) fn note(&mut self, entry: &Entry) {
+        if entry.kind != EntryKind::Membership as i32 {
+            return;
+        }
+        let record = MembershipRecord::decode(entry.data.clone()).unwrap_or_default();
+        self.changes.push((entry.index, record));
+    }
+
+    pub(super) fn truncate(&mut self, from: u64) {
+        self.changes.retain(|(index, _)| *index < from);
+    }
+
+    /// The newest membership, which is in force from the moment it is appended.
+    pub(super) fn latest(&self) -> &MembershipRecord {
+        self.changes.last().map_or(&self.base, |(_, record)| record)
+    }
+
+    /// The index of the newest change.
+    pub(super) fn changed_at(&self) -> u64 {
+        self.changes.last().map_or(0, |(index, _)| *index)
+    }
+
+    pub(super) fn at(&self, index: u64) -> &MembershipRecord {
+        self.changes
+            .iter()
+            .rev()
+            .find(|(changed, _)| *changed <= index)
+            .map_or(&self.base, |(_, record)| record)
+    }
+
+    /// Makes the membership at an index the base.
+    pub(super) fn compact(&mut self, to: u64) {
+        self.base = self.at(to).clone();
+        self.changes.retain(|(index, _)| *index > to);
+    }
+}
+
+/// Returns the greatest value that a majority of the voters has reached.
+pub(super) fn majority<T: Ord + Copy>(values: impl Iterator<Item = T>) -> Option<T> {
+    let mut values: Vec<T> = values.collect();
+    values.sort_unstable();
+    let place = values.len().checked_sub(1)? / 2;
+    values.get(place).copied()
+}
--- /dev/null
+++ b/src/replication/membership.rs
@@ -0,0 +1,59 @@
+//! Changing the members, one at a time.
+
+use bytes::Bytes;
+use prost::Message;
+
+use super::{MemberChange, Rejection, Replica, Ticket, replica::State};
+use crate::wire::{EntryKind, MembershipRecord};
+
+impl Replica {
+    pub(super) fn change_members(&mut self, ticket: Ticket, change: MemberChange) {
+        if !matches!(self.state, State::Leader(_)) {
+            return self.reject(ticket, Rejection::NotLeader);
+        }
+        let Some(record) = self.changed(change) else {
+            return self.reject(ticket, Rejection::ChangeRefused);
+        };
+        let data = Bytes::from(record.encode_to_vec());
+        self.append_own(EntryKind::Membership, data, Some(ticket));
+        self.track_members();
+    }
+
+    /// Returns the members after a change, or nothing if it may not be made now.
+    fn changed(&self, change: MemberChange) -> Option<MembershipRecord> {
+        // Two changes that are both open, or one from before this term, could give majorities that
+        // don't overlap.
+        if self.memberships.changed_at() > self.commit || !self.has_opened() {
+            return None;
+        }
+        let mut record = self.membership().clone();
+        match change {
+            MemberChange::AddLearner(id) => {
+                if record.voters.contains(&id.0) || record.learners.contains(&id.0) {
+                    return None;
+                }
+                record.learners.push(id.0);
+            }
+            MemberChange::Promote(id) => {
+                let place = record.learners.iter().position(|other| *other == id.0)?;
+                if !self.has_caught_up(id.0) {
+                    return None;
+                }
+                record.learners.remove(place);
+                record.voters.push(id.0);
+            }
+            MemberChange::Remove(id) => {
+                if record.voters == [id.0] {
+                    return None;
+                }
+                let before = record.voters.len() + record.learners.len();
+                record.voters.retain(|other| *other != id.0);
+                record.learners.retain(|other| *other != id.0);
+                if record.voters.len() + record.learners.len() == before {
+                    return None;
+                }
+            }
+        }
+        Some(record)
+    }
+}
--- a/src/replication/mod.rs
+++ b/src/replication/mod.rs
@@ -1,6 +1,23 @@
 //! The replicated log as a pure step function: an input and a time go in, effects come out.
 //! It opens no socket, reads no clock and writes no log line. See docs/DESIGN.md, "Replication".
 
+mod batch;
+mod bootstrap;
+mod election;
+mod follower;
+mod leader;
+mod log;
+mod membership;
+mod progress;
+mod read;
+mod replica;
+mod snapshot;
+
+pub use batch::{Batch, Write};
+pub use bootstrap::{Bootstrap, BootstrapStep};
+pub use leader::MAX_COMMAND_BYTES;
+pub use replica::{Replica, Role};
+
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,7 +28,7 @@
 };
 
 /// Timing and sizes of a replica.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReplicaSettings {
     /// Time between a leader's heartbeats.
     pub heartbeat: Duration,
@@ -23,6 +40,17 @@
     pub retained_entries: u64,
 }
 
+impl Default for ReplicaSettings {
+    fn default() -> Self {
+        Self {
+            heartbeat: Duration::from_millis(50),
+            election_timeout: Duration::from_millis(300),
+            batch_entries: 256,
+            retained_entries: 4096,
+        }
+    }
+}
+
 /// What must be on disk before anything that depends on it is said.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct HardState {
@@ -122,6 +150,8 @@
     Deposed,
     /// Another membership change is not yet committed, or this one does not apply.
     ChangeRefused,
+    /// The command exceeds [`MAX_COMMAND_BYTES`]; nothing was appended.
+    TooLarge,
 }
 
 /// What the driver must do, in this order. `Send` effects that follow a `Persist` in the same step
--- /dev/null
+++ b/src/replication/replica.rs
@@ -0,0 +1,307 @@
+//! The replica's state, its entry point and what all roles share.
+
+use std::{collections::BTreeSet, mem, time::Duration};
+
+use bytes::BytesMut;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+use super::{
+    Effect, HardState, Input, Recovered, Rejection, ReplicaSettings, Snapshot, Ticket,
+    leader::Leadership,
+    log::{Log, Memberships},
+};
+use crate::{
+    domain::MemberId,
+    wire::{Entry, MembershipRecord, ReplicaMessage, ReplicaPayload},
+};
+
+/// What a replica does at the moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Role {
+    /// It does not vote: it is a learner, was removed, or was not added yet.
+    Learner,
+    /// It follows a leader or waits for one.
+    Follower,
+    /// It asks for votes.
+    Candidate,
+    /// It leads.
+    Leader,
+}
+
+/// One member of the replicated log, as a pure step function.
+///
+/// The driver owns the disk, the links and the clock. It restores its state machine on
+/// `Effect::Restore`, which the first step gives if there is a snapshot; an empty `state` there means
+/// the state machine's initial state. See [`super::Batch`] for the order of writing and sending.
+#[derive(Debug)]
+pub struct Replica {
+    pub(super) own: u64,
+    pub(super) settings: ReplicaSettings,
+    pub(super) now: Duration,
+    pub(super) hard: HardState,
+    pub(super) log: Log,
+    pub(super) memberships: Memberships,
+    pub(super) snapshot: Snapshot,
+    pub(super) commit: u64,
+    pub(super) applied: u64,
+    /// The last entry known to be synced here.
+    pub(super) persisted: u64,
+    pub(super) state: State,
+    pub(super) leader: Option<u64>,
+    /// No vote is given before this time, because a leader may still rely on its lease.
+    pub(super) votes_from: Duration,
+    /// When to stand for election.
+    pub(super) deadline: Duration,
+    pub(super) incoming: Option<Incoming>,
+    hard_changed: bool,
+    persisting: bool,
+    restored: bool,
+    rng: StdRng,
+    effects: Vec<Effect>,
+}
+
+#[derive(Debug)]
+pub(super) enum State {
+    Follower,
+    Candidate { pre: bool, votes: BTreeSet<u64> },
+    Leader(Box<Leadership>),
+}
+
+/// A snapshot of which some chunks have arrived.
+#[derive(Debug)]
+pub(super) struct Incoming {
+    pub(super) from: u64,
+    pub(super) index: u64,
+    pub(super) state: BytesMut,
+}
+
+impl Replica {
+    /// Makes a replica from what its disk holds. `seed` drives the election timeouts; members
+    /// should have different ones. `now` counts from any fixed point and must never go back.
+    pub fn new(
+        own: MemberId,
+        recovered: Recovered,
+        settings: ReplicaSettings,
+        seed: u64,
+        now: Duration,
+    ) -> Self {
+        let Recovered {
+            hard_state,
+            snapshot,
+            entries,
+        } = recovered;
+        let mut memberships = Memberships::new(snapshot.membership.clone());
+        entries.iter().for_each(|entry| memberships.note(entry));
+        let log = Log::new(snapshot.index, snapshot.term, entries);
+        let mut replica = Self {
+            own: own.0,
+            now,
+            hard: hard_state,
+            commit: snapshot.index,
+            applied: snapshot.index,
+            persisted: log.last_index(),
+            log,
+            memberships,
+            restored: snapshot.index == 0,
+            snapshot,
+            state: State::Follower,
+            leader: None,
+            // It may have answered a leader just before the restart.
+            votes_from: now + settings.election_timeout,
+            deadline: now,
+            incoming: None,
+            hard_changed: false,
+            persisting: false,
+            rng: StdRng::seed_from_u64(seed),
+            settings,
+            effects: Vec::new(),
+        };
+        replica.reset_deadline();
+        replica
+    }
+
+    /// Handles one input. `now` must be read after the inputs of a batch were gathered.
+    pub fn step(&mut self, now: Duration, input: Input) -> Vec<Effect> {
+        self.now = self.now.max(now);
+        self.persisting = false;
+        if !mem::replace(&mut self.restored, true) {
+            self.effects.push(Effect::Restore(self.snapshot.clone()));
+        }
+        match input {
+            Input::Tick => self.tick(),
+            Input::Receive(message) => self.receive(message),
+            Input::Propose { ticket, command } => self.propose(ticket, command),
+            Input::Read { ticket } => self.read(ticket),
+            Input::ChangeMembers { ticket, change } => self.change_members(ticket, change),
+            Input::Persisted { index, term } => self.persisted(index, term),
+            Input::Compact { index, state } => self.compact(index, state),
+        }
+        if self.hard_changed {
+            self.persist(Vec::new(), None);
+        }
+        mem::take(&mut self.effects)
+    }
+
+    /// What the replica does at the moment.
+    pub fn role(&self) -> Role {
+        match self.state {
+            State::Leader(_) => Role::Leader,
+            _ if !self.is_voter() => Role::Learner,
+            State::Candidate { .. } => Role::Candidate,
+            State::Follower => Role::Follower,
+        }
+    }
+
+    /// The newest term seen.
+    pub fn term(&self) -> u64 {
+        self.hard.term
+    }
+
+    /// The leader of that term, if it is known.
+    pub fn leader(&self) -> Option<MemberId> {
+        self.leader.map(MemberId)
+    }
+
+    /// Index of the last entry known to be committed.
+    pub fn commit(&self) -> u64 {
+        self.commit
+    }
+
+    /// Index of the last entry given to the state machine.
+    pub fn applied(&self) -> u64 {
+        self.applied
+    }
+
+    /// Index of the last entry in the log.
+    pub fn last_index(&self) -> u64 {
+        self.log.last_index()
+    }
+
+    /// The newest membership; it may not be committed yet.
+    pub fn membership(&self) -> &MembershipRecord {
+        self.memberships.latest()
+    }
+
+    /// Returns the entry at an index, unless it was compacted or is not there yet.
+    pub fn entry(&self, index: u64) -> Option<&Entry> {
+        self.log.get(index)
+    }
+
+    /// Says whether this folder has neither stored nor promised anything; see
+    /// [`super::Bootstrap`].
+    pub fn is_blank(&self) -> bool {
+        self.hard == HardState::default() && self.log.last_index() == 0
+    }
+
+    pub(super) fn is_voter(&self) -> bool {
+        self.membership().voters.contains(&self.own)
+    }
+
+    pub(super) fn reset_deadline(&mut self) {
+        let shortest = self.settings.election_timeout;
+        let factor = self.rng.random_range(1.0..2.0);
+        self.deadline = self.now + shortest.mul_f64(factor);
+    }
+
+    /// Takes over a newer term.
+    pub(super) fn enter_term(&mut self, term: u64) {
+        self.step_down();
+        self.hard = HardState { term, vote: None };
+        self.hard_changed = true;
+    }
+
+    pub(super) fn vote_for(&mut self, member: u64) {
+        self.hard.vote = Some(MemberId(member));
+        // Also if it is the old vote: the step that gave it may not be synced yet.
+        self.hard_changed = true;
+    }
+
+    /// Gives up leading or standing, and whatever waited for it.
+    pub(super) fn step_down(&mut self) {
+        let lease = self.lease();
+        self.leader = None;
+        let state = mem::replace(&mut self.state, State::Follower);
+        let State::Leader(leadership) = state else {
+            return;
+        };
+        self.votes_from = self.votes_from.max(lease);
+        self.reset_deadline();
+        for ticket in leadership.tickets.into_values() {
+            self.reject(ticket, Rejection::Deposed);
+        }
+        for read in leadership.reads {
+            self.reject(read.ticket, Rejection::NotLeader);
+        }
+    }
+
+    pub(super) fn reject(&mut self, ticket: Ticket, rejection: Rejection) {
+        self.effects.push(Effect::Rejected { ticket, rejection });
+    }
+
+    pub(super) fn emit(&mut self, effect: Effect) {
+        self.effects.push(effect);
+    }
+
+    pub(super) fn persist(&mut self, entries: Vec<Entry>, snapshot: Option<Snapshot>) {
+        let hard_state = mem::take(&mut self.hard_changed).then(|| self.hard.clone());
+        self.persisting |= !entries.is_empty() || snapshot.is_some();
+        self.effects.push(Effect::Persist {
+            hard_state,
+            entries,
+            snapshot,
+        });
+    }
+
+    /// The last index up to which a reply of this step may claim synced entries. What the step
+    /// itself persists counts, because its replies wait for that.
+    pub(super) fn claimable(&self, index: u64) -> u64 {
+        if self.persisting {
+            index
+        } else {
+            index.min(self.persisted)
+        }
+    }
+
+    /// Sends in the current term, after the term and vote.
+    pub(super) fn send(&mut self, to: u64, payload: ReplicaPayload) {
+        self.send_in(self.hard.term, to, payload);
+    }
+
+    pub(super) fn send_in(&mut self, term: u64, to: u64, payload: ReplicaPayload) {
+        if self.hard_changed {
+            self.persist(Vec::new(), None);
+        }
+        self.effects.push(Effect::Send(ReplicaMessage {
+            from: self.own,
+            to,
+            term,
+            payload: Some(payload),
+        }));
+    }
+
+    /// Commits up to an index and hands the entries out.
+    pub(super) fn commit_to(&mut self, index: u64) {
+        self.commit = self.commit.max(index);
+        while self.applied < self.commit {
+            self.applied += 1;
+            let entry = self
+                .log
+                .get(self.applied)
+                .expect("committed entries are kept until they are applied")
+                .clone();
+            let ticket = match &mut self.state {
+                State::Leader(leadership) => leadership.tickets.remove(&self.applied),
+                _ => None,
+            };
+            self.effects.push(Effect::Apply { entry, ticket });
+        }
+    }
+
+    fn persisted(&mut self, index: u64, term: u64) {
+        if self.log.term(index) == Some(term) {
+            self.persisted = self.persisted.max(index);
+        }
+        self.advance_commit();
+        self.send_entries();
+    }
+}
--- /dev/null
+++ b/src/replication/snapshot.rs
@@ -0,0 +1,179 @@
+//! Replacing entries by the state that they led to, here and at a follower.
+
+use bytes::{Bytes, BytesMut};
+
+use super::{
+    Effect, Replica, Snapshot,
+    log::Memberships,
+    progress::{Mode, Transfer},
+    replica::{Incoming, State},
+};
+use crate::wire::{InstallSnapshot, InstallSnapshotReply, ReplicaPayload};
+
+/// Bytes of state in one message.
+const CHUNK_BYTES: usize = 1024 * 1024;
+
+impl Replica {
+    pub(super) fn compact(&mut self, index: u64, state: Bytes) {
+        if index <= self.snapshot.index || index > self.applied {
+            return;
+        }
+        let Some(term) = self.log.term(index) else {
+            return;
+        };
+        self.snapshot = Snapshot {
+            index,
+            term,
+            membership: self.memberships.at(index).clone(),
+            state,
+        };
+        self.persist(Vec::new(), Some(self.snapshot.clone()));
+        let drop_to = index.saturating_sub(self.settings.retained_entries);
+        if drop_to > self.log.base_index() {
+            self.log.compact(drop_to);
+            self.memberships.compact(drop_to);
+        }
+    }
+
+    pub(super) fn receive_snapshot(&mut self, from: u64, request: InstallSnapshot) {
+        let round = request.round;
+        let offset = match request.index <= self.commit {
+            true => request.total,
+            false => self.take_chunk(from, request),
+        };
+        let reply = InstallSnapshotReply {
+            index: self.claimable(self.commit),
+            round,
+            offset,
+        };
+        self.send(from, ReplicaPayload::InstallSnapshotReply(reply));
+    }
+
+    /// Stores a chunk, installs the snapshot if it is the last one, and returns how many bytes have
+    /// arrived.
+    fn take_chunk(&mut self, from: u64, request: InstallSnapshot) -> u64 {
+        let same = |incoming: &Incoming| incoming.from == from && incoming.index == request.index;
+        let mut incoming = self
+            .incoming
+            .take()
+            .filter(same)
+            .unwrap_or_else(|| Incoming {
+                from,
+                index: request.index,
+                state: BytesMut::new(),
+            });
+        let received = incoming.state.len() as u64;
+        if request.offset == received {
+            incoming.state.extend_from_slice(&request.state);
+        }
+        let received = incoming.state.len() as u64;
+        if received < request.total {
+            self.incoming = Some(incoming);
+            return received;
+        }
+        self.install(Snapshot {
+            index: request.index,
+            term: request.term,
+            membership: request.membership.unwrap_or_default(),
+            state: incoming.state.freeze(),
+        });
+        received
+    }
+
+    fn install(&mut self, snapshot: Snapshot) {
+        let (index, term) = (snapshot.index, snapshot.term);
+        if self.log.term(index) == Some(term) {
+            self.log.compact(index);
+            self.memberships.compact(index);
+        } else {
+            self.log.reset(index, term);
+            self.memberships = Memberships::new(snapshot.membership.clone());
+            self.persisted = self.persisted.min(self.commit);
+        }
+        self.commit = index;
+        self.applied = index;
+        self.snapshot = snapshot.clone();
+        self.persist(Vec::new(), Some(snapshot.clone()));
+        self.emit(Effect::Restore(snapshot));
+    }
+
+    /// Begins to send the newest snapshot to a member.
+    pub(super) fn start_transfer(&mut self, to: u64) {
+        let transfer = Transfer {
+            snapshot: self.snapshot.clone(),
+            offset: 0,
+            sent: self.now,
+            resent: false,
+        };
+        let State::Leader(leadership) = &mut self.state else {
+            return;
+        };
+        if let Some(progress) = leadership.progress.get_mut(&to) {
+            progress.mode = Mode::Snapshot(transfer);
+            self.send_chunk(to);
+        }
+    }
+
+    /// Repeats a chunk that was not answered within an election timeout.
+    pub(super) fn repeat_chunk(&mut self, to: u64) {
+        let (now, patience) = (self.now, self.settings.election_timeout);
+        let Some(transfer) = self.transfer(to) else {
+            return;
+        };
+        if now < transfer.sent + patience {
+            return;
+        }
+        transfer.resent = true;
+        self.send_chunk(to);
+    }
+
+    fn transfer(&mut self, to: u64) -> Option<&mut Transfer> {
+        let State::Leader(leadership) = &mut self.state else {
+            return None;
+        };
+        match &mut leadership.progress.get_mut(&to)?.mode {
+            Mode::Snapshot(transfer) => Some(transfer),
+            _ => None,
+        }
+    }
+
+    fn send_chunk(&mut self, to: u64) {
+        let (now, round) = (self.now, self.round());
+        let Some(transfer) = self.transfer(to) else {
+            return;
+        };
+        transfer.sent = now;
+        let state = &transfer.snapshot.state;
+        let end = state.len().min(transfer.offset + CHUNK_BYTES);
+        let request = InstallSnapshot {
+            index: transfer.snapshot.index,
+            term: transfer.snapshot.term,
+            membership: Some(transfer.snapshot.membership.clone()),
+            state: state.slice(transfer.offset..end),
+            round,
+            offset: transfer.offset as u64,
+            total: state.len() as u64,
+        };
+        self.send(to, ReplicaPayload::InstallSnapshot(request));
+    }
+
+    pub(super) fn receive_snapshot_reply(&mut self, from: u64, reply: InstallSnapshotReply) {
+        if !self.note_echo(from, reply.round) {
+            return;
+        }
+        if self.advance_member(from, reply.index) {
+            return;
+        }
+        let Some(transfer) = self.transfer(from) else {
+            return;
+        };
+        let offset = usize::try_from(reply.offset).unwrap_or(usize::MAX);
+        let news = offset > transfer.offset || (transfer.resent && offset < transfer.offset);
+        if !news || offset > transfer.snapshot.state.len() {
+            return;
+        }
+        transfer.offset = offset;
+        transfer.resent = false;
+        self.send_chunk(from);
+    }
+}
