--- /dev/null
+++ b/src/adapters/disk/error.rs
@@ -0,0 +1,69 @@
+//! Why a data folder can't be used.
+
+use std::{
+    io,
+    path::{Path, PathBuf},
+};
+
+/// Why a data folder can't be opened or written.
+#[derive(Debug, thiserror::Error)]
+pub enum StoreError {
+    /// The operating system refused.
+    #[error("cannot {action} {}: {source}; check the disk, its free space and its permissions", path.display())]
+    Io {
+        /// What was tried.
+        action: &'static str,
+        /// On what.
+        path: PathBuf,
+        /// The operating system's answer.
+        source: io::Error,
+    },
+    /// Another process holds the folder.
+    #[error("{} is in use by another process; stop that one or use another data folder", .0.display())]
+    Locked(PathBuf),
+    /// The folder was written by another version.
+    #[error("{} has format version {found}, not {expected}; start the version that wrote it", path.display())]
+    Version {
+        /// The file.
+        path: PathBuf,
+        /// Its version.
+        found: u32,
+        /// The only version that is read.
+        expected: u32,
+    },
+    /// Stored data was changed or is missing.
+    #[error(
+        "{} is damaged at byte {offset}: {reason}; move the data folder away, start with an empty \
+         one, and add it with `flamingocroft` as a new member in place of the old one", path.display()
+    )]
+    Damaged {
+        /// The file.
+        path: PathBuf,
+        /// Where.
+        offset: u64,
+        /// What is wrong.
+        reason: &'static str,
+    },
+    /// An earlier write or sync failed, so that nothing more may be acknowledged.
+    #[error("an earlier write to {} failed; restart the process once the disk works", .0.display())]
+    Poisoned(PathBuf),
+}
+
+impl StoreError {
+    pub(super) fn io(action: &'static str, path: &Path) -> impl FnOnce(io::Error) -> Self {
+        let path = path.to_owned();
+        move |source| Self::Io {
+            action,
+            path,
+            source,
+        }
+    }
+
+    pub(super) fn damaged(path: &Path, offset: u64, reason: &'static str) -> Self {
+        Self::Damaged {
+            path: path.to_owned(),
+            offset,
+            reason,
+        }
+    }
+}
--- /dev/null
+++ b/src/adapters/disk/folder.rs
@@ -0,0 +1,118 @@
+//! Files of a data folder, and writing them so that a crash leaves the old or the new one.
+
+use std::{
+    fs::{self, File, OpenOptions, TryLockError},
+    io::Write,
+    path::{Path, PathBuf},
+};
+
+use super::StoreError;
+
+const LOCK: &str = "lock";
+const SNAPSHOT: &str = "snapshot";
+const SEGMENT: &str = "log-";
+const TEMPORARY: &str = "tmp";
+
+#[derive(Debug)]
+pub(super) struct Folder {
+    path: PathBuf,
+    /// Holds the lock until the store is dropped or the process ends.
+    _lock: File,
+}
+
+impl Folder {
+    /// Makes the folder if needed, and locks it against other processes.
+    pub(super) fn open(path: &Path) -> Result<Self, StoreError> {
+        fs::create_dir_all(path).map_err(StoreError::io("create", path))?;
+        let lock_path = path.join(LOCK);
+        let lock = OpenOptions::new()
+            .create(true)
+            .truncate(false)
+            .write(true)
+            .open(&lock_path)
+            .map_err(StoreError::io("open", &lock_path))?;
+        match lock.try_lock() {
+            Ok(()) => {}
+            Err(TryLockError::WouldBlock) => return Err(StoreError::Locked(path.to_owned())),
+            Err(TryLockError::Error(error)) => {
+                return Err(StoreError::io("lock", &lock_path)(error));
+            }
+        }
+        let folder = Self {
+            path: path.to_owned(),
+            _lock: lock,
+        };
+        if let Some(parent) = path.parent().filter(|p| !p.as_os_str().is_empty()) {
+            sync_folder(parent)?;
+        }
+        Ok(folder)
+    }
+
+    pub(super) fn path(&self) -> &Path {
+        &self.path
+    }
+
+    pub(super) fn snapshot(&self) -> PathBuf {
+        self.path.join(SNAPSHOT)
+    }
+
+    pub(super) fn segment(&self, number: u64) -> PathBuf {
+        self.path.join(format!("{SEGMENT}{number}"))
+    }
+
+    /// The numbers of the segments, oldest first.
+    pub(super) fn segments(&self) -> Result<Vec<u64>, StoreError> {
+        let listing = fs::read_dir(&self.path).map_err(StoreError::io("list", &self.path))?;
+        let mut numbers: Vec<u64> = listing
+            .filter_map(Result::ok)
+            .filter_map(|file| file.file_name().into_string().ok())
+            .filter_map(|name| name.strip_prefix(SEGMENT)?.parse().ok())
+            .collect();
+        numbers.sort_unstable();
+        Ok(numbers)
+    }
+
+    /// Reads a file, or nothing if there is none.
+    pub(super) fn read(&self, path: &Path) -> Result<Option<Vec<u8>>, StoreError> {
+        match fs::read(path) {
+            Ok(bytes) => Ok(Some(bytes)),
+            Err(error) if error.kind() == std::io::ErrorKind::NotFound => Ok(None),
+            Err(error) => Err(StoreError::io("read", path)(error)),
+        }
+    }
+
+    /// Writes a whole file under a temporary name, syncs it, gives it its name and syncs the folder.
+    pub(super) fn replace(&self, path: &Path, bytes: &[u8]) -> Result<(), StoreError> {
+        let temporary = path.with_extension(TEMPORARY);
+        let mut file = File::create(&temporary).map_err(StoreError::io("create", &temporary))?;
+        file.write_all(bytes)
+            .map_err(StoreError::io("write", &temporary))?;
+        file.sync_all()
+            .map_err(StoreError::io("sync", &temporary))?;
+        fs::rename(&temporary, path).map_err(StoreError::io("rename", &temporary))?;
+        sync_folder(&self.path)
+    }
+
+    pub(super) fn remove(&self, path: &Path) -> Result<(), StoreError> {
+        fs::remove_file(path).map_err(StoreError::io("remove", path))
+    }
+
+    /// Opens a file to append, cut to a length and synced: what a killed process wrote may not have
+    /// reached the disk yet.
+    pub(super) fn append(&self, path: &Path, length: u64) -> Result<File, StoreError> {
+        let file = OpenOptions::new()
+            .append(true)
+            .open(path)
+            .map_err(StoreError::io("open", path))?;
+        file.set_len(length).map_err(StoreError::io("cut", path))?;
+        file.sync_all().map_err(StoreError::io("sync", path))?;
+        sync_folder(&self.path)?;
+        Ok(file)
+    }
+}
+
+fn sync_folder(path: &Path) -> Result<(), StoreError> {
+    File::open(path)
+        .and_then(|folder| folder.sync_all())
+        .map_err(StoreError::io("sync", path))
+}
--- /dev/null
+++ b/src/adapters/disk/recover.rs
@@ -0,0 +1,150 @@
+//! Reading a data folder back.
+
+use std::path::Path;
+
+use prost::Message;
+
+use super::{
+    StoreError,
+    folder::Folder,
+    record::{self, SegmentHeader, StoredBatch, StoredSnapshot},
+};
+use crate::{
+    domain::MemberId,
+    replication::{HardState, Recovered, Snapshot},
+    wire::Entry,
+};
+
+pub(super) const VERSION: u32 = 1;
+
+/// What a data folder holds.
+pub(super) struct Stored {
+    pub(super) member: MemberId,
+    pub(super) recovered: Recovered,
+    /// Length of the segment's whole records, in bytes.
+    pub(super) length: u64,
+    /// The sequence number of the next record.
+    pub(super) sequence: u64,
+}
+
+pub(super) fn read(folder: &Folder, segment: &Path) -> Result<Stored, StoreError> {
+    let bytes = folder.read(segment)?.unwrap_or_default();
+    let scan = record::scan(&bytes)
+        .map_err(|hole| StoreError::damaged(segment, hole.offset as u64, hole.reason))?;
+    let mut payloads = scan.payloads.iter();
+    // A segment gets its name only after its first record is synced, so that record is never torn.
+    let header = payloads
+        .next()
+        .and_then(|payload| SegmentHeader::decode(*payload).ok())
+        .ok_or_else(|| StoreError::damaged(segment, 0, "the first record can't be read"))?;
+    if header.version != VERSION {
+        return Err(StoreError::Version {
+            path: segment.to_owned(),
+            found: header.version,
+            expected: VERSION,
+        });
+    }
+    if scan.end < bytes.len() {
+        let torn = bytes.len() - scan.end;
+        log::warn!(
+            "disk: {} ends with {torn} bytes of an unfinished record, which are cut.",
+            segment.display()
+        );
+    }
+    let (hard_state, entries) = replay(segment, &header, payloads)?;
+    let snapshot = read_snapshot(folder, &header)?;
+    let entries = after(&snapshot, entries, header.base_index);
+    Ok(Stored {
+        member: MemberId(header.member),
+        recovered: Recovered {
+            hard_state,
+            snapshot,
+            entries,
+        },
+        length: scan.end as u64,
+        sequence: scan.payloads.len() as u64,
+    })
+}
+
+fn replay<'a>(
+    segment: &Path,
+    header: &SegmentHeader,
+    payloads: impl Iterator<Item = &'a &'a [u8]>,
+) -> Result<(HardState, Vec<Entry>), StoreError> {
+    let mut hard_state = HardState::default();
+    let mut entries = Vec::new();
+    for payload in payloads {
+        let batch = StoredBatch::decode(*payload)
+            .map_err(|_| StoreError::damaged(segment, 0, "a record has an unknown form"))?;
+        if let Some(stored) = batch.hard_state {
+            hard_state = HardState {
+                term: stored.term,
+                vote: stored.vote.map(MemberId),
+            };
+        }
+        if !append(&mut entries, batch.entries, header.base_index) {
+            return Err(StoreError::damaged(segment, 0, "an entry is missing"));
+        }
+    }
+    Ok((hard_state, entries))
+}
+
+/// Appends entries in place of those at or after the first one's index. Returns whether they
+/// continue the ones before.
+pub(super) fn append(entries: &mut Vec<Entry>, new: Vec<Entry>, base_index: u64) -> bool {
+    for entry in new {
+        let Some(place) = entry.index.checked_sub(base_index + 1) else {
+            return false;
+        };
+        if place > entries.len() as u64 {
+            return false;
+        }
+        entries.truncate(place as usize);
+        entries.push(entry);
+    }
+    true
+}
+
+/// Returns the entries that follow a snapshot: none if the log had another entry at its index.
+pub(super) fn after(snapshot: &Snapshot, mut entries: Vec<Entry>, base_index: u64) -> Vec<Entry> {
+    let Some(covered) = snapshot.index.checked_sub(base_index).filter(|n| *n > 0) else {
+        return entries;
+    };
+    let last = entries.get(covered as usize - 1);
+    if last.is_none_or(|entry| entry.term != snapshot.term) {
+        return Vec::new();
+    }
+    entries.drain(..covered as usize);
+    entries
+}
+
+fn read_snapshot(folder: &Folder, header: &SegmentHeader) -> Result<Snapshot, StoreError> {
+    let path = folder.snapshot();
+    let damaged = |reason| StoreError::damaged(&path, 0, reason);
+    let Some(bytes) = folder.read(&path)? else {
+        return match header.base_index {
+            0 => Ok(Snapshot::default()),
+            _ => Err(damaged("it is missing, and the log continues from it")),
+        };
+    };
+    let scan = record::scan(&bytes).map_err(|hole| damaged(hole.reason))?;
+    let &[payload] = scan.payloads.as_slice() else {
+        return Err(damaged("its checksum is wrong"));
+    };
+    if scan.end < bytes.len() {
+        return Err(damaged("bytes follow its end"));
+    }
+    let stored = StoredSnapshot::decode(payload).map_err(|_| damaged("it has an unknown form"))?;
+    if stored.member != header.member {
+        return Err(damaged("it belongs to another member"));
+    }
+    if stored.index < header.base_index {
+        return Err(damaged("it is older than the log's beginning"));
+    }
+    Ok(Snapshot {
+        index: stored.index,
+        term: stored.term,
+        membership: stored.membership.unwrap_or_default(),
+        state: stored.state,
+    })
+}
--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -1,1 +1,3 @@
 //! The outside of the ports: HTTP, disk and clocks.
+
+pub mod disk;
