Divide capacity by three methods behind an enum, hold shares back, bound the prefix index

Cause: equal shares ignore demand, weights and tiers; a share that moves between gateways is used twice while their views differ; the prefix index grew without a bound.

Change: allocate::Method has equal shares (naive), division by demand (dynamic equipartitioning with weights, rows without demand last) and demand with headroom, by account and then by gateway. hold_back lets a share grow only into capacity that nobody holds. PrefixIndex keeps two halves of at most 16,384 prefixes.

Ruled out: asking one slot for idle rows together with busy ones, as in the paper; a busy row could end at zero (found by the property test). A least-recently-used list for the prefixes; two halves do with one lookup more.

--- a/src/policy/allocate.rs
+++ b/src/policy/allocate.rs
@@ -1,7 +1,20 @@
 //! Divides the capacity of each service among gateways and accounts.
+//!
+//! Paying accounts are served before free ones, by weight within a tier. See docs/DECISIONS.md,
+//! "Shares of capacity", for the methods and for the measurement that chose the default.
+
+use std::collections::HashMap;
 
 use crate::domain::{AccountName, GatewayName, ServiceName};
 
+use super::max_min;
+
+/// Slots asked for each waiting request, so that a share grows faster than the queue drains.
+const SLOTS_PER_WAITING: u32 = 2;
+
+/// Slots in use for each further slot that a paying account keeps ready for a burst.
+const SLOTS_PER_HEADROOM_SLOT: u32 = 4;
+
 /// What one account asks of one service at one gateway.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DemandRow {
@@ -43,9 +56,26 @@
     pub slots: u32,
 }
 
+/// How capacity is divided.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Method {
+    /// The same for every row, whatever it asks.
+    Equal,
+    /// By demand as in dynamic equipartitioning: nobody gets more than is asked.
+    ByDemand,
+    /// By demand of whole accounts, then of their gateways; what nobody asks for becomes headroom.
+    #[default]
+    Headroom,
+}
+
 /// Divides every service's capacity; the sum for a service never exceeds its slots. There is one row
 /// for each gateway, service and account that may use the service, also without demand.
 pub fn shares(rows: &[DemandRow], capacities: &[Capacity]) -> Vec<Allocation> {
+    shares_by(Method::default(), rows, capacities)
+}
+
+/// Divides every service's capacity by a method; the sum for a service never exceeds its slots.
+pub fn shares_by(method: Method, rows: &[DemandRow], capacities: &[Capacity]) -> Vec<Allocation> {
     capacities
         .iter()
         .flat_map(|capacity| {
@@ -53,13 +83,168 @@
                 .iter()
                 .filter(|row| row.service == capacity.service)
                 .collect();
-            let each = capacity.slots / (rows.len().max(1) as u32);
-            rows.into_iter().map(move |row| Allocation {
+            let slots = divide(method, &rows, capacity.slots);
+            rows.into_iter().zip(slots).map(|(row, slots)| Allocation {
                 gateway: row.gateway.clone(),
                 service: row.service.clone(),
                 account: row.account.clone(),
-                slots: each,
+                slots,
             })
         })
         .collect()
 }
+
+fn divide(method: Method, rows: &[&DemandRow], slots: u32) -> Vec<u32> {
+    match method {
+        Method::Equal => vec![slots / (rows.len().max(1) as u32); rows.len()],
+        Method::ByDemand => by_demand(rows, slots),
+        Method::Headroom => with_headroom(rows, slots),
+    }
+}
+
+/// Returns the slots that a row could use: what it runs, and more than what waits.
+fn desire(row: &DemandRow) -> u32 {
+    let waiting = row.waiting.saturating_mul(SLOTS_PER_WAITING);
+    row.running.saturating_add(waiting)
+}
+
+fn by_demand(rows: &[&DemandRow], slots: u32) -> Vec<u32> {
+    let mut given = vec![0; rows.len()];
+    for paying in [true, false] {
+        let busy = positions(rows, |row| row.paying == paying && desire(row) > 0);
+        give_rows(&mut given, rows, &busy, slots);
+        let idle = positions(rows, |row| row.paying == paying && desire(row) == 0);
+        give_rows(&mut given, rows, &idle, slots);
+    }
+    given
+}
+
+/// Gives some rows what they ask out of the slots not yet given. A row without demand asks for one
+/// slot, as a job does in its first quantum.
+fn give_rows(given: &mut [u32], rows: &[&DemandRow], some: &[usize], slots: u32) {
+    let left = slots - given.iter().sum::<u32>();
+    let weights: Vec<_> = some.iter().map(|&i| rows[i].weight).collect();
+    let asks: Vec<_> = some.iter().map(|&i| desire(rows[i]).max(1)).collect();
+    for (&i, slots) in some.iter().zip(max_min::divide(&asks, &weights, left)) {
+        given[i] = slots;
+    }
+}
+
+fn with_headroom(rows: &[&DemandRow], slots: u32) -> Vec<u32> {
+    let mut division = Division {
+        rows,
+        given: vec![0; rows.len()],
+        left: slots,
+    };
+    division.give(true, |row, _| desire(row));
+    division.give(true, |_, given| u32::from(given == 0));
+    division.give(true, |_, given| given.div_ceil(SLOTS_PER_HEADROOM_SLOT));
+    division.give(false, |row, _| desire(row));
+    division.give(false, |_, given| u32::from(given == 0));
+    division.give(true, |_, _| slots);
+    division.give(false, |_, _| slots);
+    division.given
+}
+
+/// Slots given so far, and those left.
+struct Division<'a> {
+    rows: &'a [&'a DemandRow],
+    given: Vec<u32>,
+    left: u32,
+}
+
+impl Division<'_> {
+    /// Gives one tier up to what its rows ask in addition: by weight among accounts, then evenly
+    /// among the gateways of an account.
+    fn give(&mut self, paying: bool, ask: impl Fn(&DemandRow, u32) -> u32) {
+        let asks: Vec<_> = self
+            .rows
+            .iter()
+            .zip(&self.given)
+            .map(|(row, &given)| {
+                if row.paying == paying {
+                    ask(row, given)
+                } else {
+                    0
+                }
+            })
+            .collect();
+        let accounts = self.accounts(paying);
+        let total = |rows: &Vec<usize>| {
+            rows.iter()
+                .fold(0, |sum: u32, &i| sum.saturating_add(asks[i]))
+        };
+        let totals: Vec<_> = accounts.iter().map(total).collect();
+        let weights: Vec<_> = accounts
+            .iter()
+            .map(|rows| self.rows[rows[0]].weight)
+            .collect();
+        let by_account = max_min::divide(&totals, &weights, self.left);
+        for (rows, slots) in accounts.iter().zip(by_account) {
+            let asks: Vec<_> = rows.iter().map(|&i| asks[i]).collect();
+            let by_gateway = max_min::divide(&asks, &vec![1; asks.len()], slots);
+            for (&i, slots) in rows.iter().zip(by_gateway) {
+                self.given[i] += slots;
+                self.left -= slots;
+            }
+        }
+    }
+
+    /// Returns the positions of a tier's rows, grouped by account in the order of their names.
+    fn accounts(&self, paying: bool) -> Vec<Vec<usize>> {
+        let mut tier = positions(self.rows, |row| row.paying == paying);
+        tier.sort_by(|&a, &b| self.rows[a].account.cmp(&self.rows[b].account));
+        tier.chunk_by(|&a, &b| self.rows[a].account == self.rows[b].account)
+            .map(<[usize]>::to_vec)
+            .collect()
+    }
+}
+
+fn positions(rows: &[&DemandRow], keep: impl Fn(&DemandRow) -> bool) -> Vec<usize> {
+    (0..rows.len()).filter(|&i| keep(rows[i])).collect()
+}
+
+/// Holds new shares back until the old ones are given up.
+///
+/// `held` is what each gateway may still use: the larger of the shares last sent to it and those it
+/// last confirmed, also at a gateway that went silent and whose lease runs. A share may shrink at
+/// once, but it grows only into capacity that nobody holds, so that gateways with views of different
+/// ages never use more than the capacity together.
+pub fn hold_back(
+    mut targets: Vec<Allocation>,
+    held: &[Allocation],
+    capacities: &[Capacity],
+) -> Vec<Allocation> {
+    let held_by: HashMap<Row, u32> = held.iter().map(|a| (Row::of(a), a.slots)).collect();
+    for capacity in capacities {
+        let of_service = |a: &&Allocation| a.service == capacity.service;
+        let all_held: u32 = held.iter().filter(of_service).map(|a| a.slots).sum();
+        let mut released = capacity.slots.saturating_sub(all_held);
+        let of_service = |a: &&mut Allocation| a.service == capacity.service;
+        for target in targets.iter_mut().filter(of_service) {
+            let held_here = held_by.get(&Row::of(target)).copied().unwrap_or_default();
+            let growth = target.slots.saturating_sub(held_here).min(released);
+            target.slots = target.slots.min(held_here) + growth;
+            released -= growth;
+        }
+    }
+    targets
+}
+
+/// Identifies an allocation.
+#[derive(PartialEq, Eq, Hash)]
+struct Row<'a> {
+    gateway: &'a GatewayName,
+    service: &'a ServiceName,
+    account: &'a AccountName,
+}
+
+impl<'a> Row<'a> {
+    fn of(allocation: &'a Allocation) -> Self {
+        Self {
+            gateway: &allocation.gateway,
+            service: &allocation.service,
+            account: &allocation.account,
+        }
+    }
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod admit;
 pub mod allocate;
+mod max_min;
 pub mod place;
 pub mod prefix;
 pub mod retry;
--- a/src/policy/prefix.rs
+++ b/src/policy/prefix.rs
@@ -1,6 +1,6 @@
 //! How a prompt is cut into prefixes, and which of them an engine holds in its cache.
 
-use std::collections::HashMap;
+use std::{collections::HashSet, mem};
 
 use sha2::{Digest, Sha256};
 
@@ -47,23 +47,32 @@
     prompt.len().div_ceil(BYTES_PER_TOKEN) as u32
 }
 
-/// The prefixes that one engine is believed to hold.
+/// Most prefixes of one engine that are remembered, at about 16 bytes each.
+pub const MAX_PREFIXES: usize = 32 * 1024;
+
+/// The prefixes that one engine is believed to hold, bounded by [`MAX_PREFIXES`].
+///
+/// They are kept in two halves. When the newer half is full it becomes the older one and the former
+/// older half is forgotten, so that the oldest events go first without a list to keep in order.
 #[derive(Clone, Debug, Default)]
 pub struct PrefixIndex {
-    held: HashMap<u64, u32>,
+    newer: HashSet<u64>,
+    older: HashSet<u64>,
 }
 
 impl PrefixIndex {
     /// Applies events. A gap forgets everything, since evictions may have been missed.
     pub fn apply(&mut self, events: &CacheEvents) {
         if events.gap {
-            self.held.clear();
+            self.newer.clear();
+            self.older.clear();
         }
         for event in &events.events {
             if event.stored {
-                self.held.insert(event.prefix, event.tokens);
+                self.store(event.prefix);
             } else {
-                self.held.remove(&event.prefix);
+                self.newer.remove(&event.prefix);
+                self.older.remove(&event.prefix);
             }
         }
     }
@@ -73,7 +82,29 @@
         prefixes
             .iter()
             .rev()
-            .find(|prefix| self.held.contains_key(&prefix.hash))
+            .find(|prefix| self.holds(prefix.hash))
             .map_or(0, |prefix| prefix.tokens)
     }
+
+    /// Returns how many prefixes are remembered.
+    pub fn len(&self) -> usize {
+        self.newer.len() + self.older.len()
+    }
+
+    /// Returns whether no prefix is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn holds(&self, prefix: u64) -> bool {
+        self.newer.contains(&prefix) || self.older.contains(&prefix)
+    }
+
+    fn store(&mut self, prefix: u64) {
+        if self.newer.len() >= MAX_PREFIXES / 2 && !self.newer.contains(&prefix) {
+            self.older = mem::take(&mut self.newer);
+        }
+        self.older.remove(&prefix);
+        self.newer.insert(prefix);
+    }
 }
