Plan the placement so that any zone may be lost, at the least cost, inside the limits

Cause: the plan was empty.

Weighed: on-demand only (safe and dear), the cheapest zone only (cheap, and lost whole), an even spread (not the cheapest where prices differ). Kept: the cheapest spread with at most m instances in one zone and need + m in all, over all m; reclaimable instances, priced with the time that reclaims cost, are replaced by on-demand ones only while reclaims in several zones would leave too little for more than 1% of the time. Over the limits, services lose cover step by step and each gets a sentence with the remedy. plan_without counts on no start that the cloud refuses.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -3,8 +3,10 @@
 
 pub mod admit;
 pub mod allocate;
+mod fit;
 mod max_min;
 pub mod place;
 pub mod prefix;
 pub mod retry;
 pub mod route;
+mod spread;
--- a/src/policy/place.rs
+++ b/src/policy/place.rs
@@ -1,6 +1,22 @@
 //! Decides how many reclaimable and on-demand instances of each service run in each zone.
+//!
+//! The paying load, `expected_concurrency`, must fit into what is left when any one zone is lost,
+//! and a zone's reclaimable instances may all go at once. See docs/DECISIONS.md, "Placement".
 
-use crate::domain::{Instance, Intent, MachineClass, Money, Purchase, ServiceName, ZoneName};
+use std::collections::BTreeMap;
+
+use crate::domain::{
+    Instance, InstanceState, Intent, MachineClass, Money, Price, Purchase, Service, ServiceName,
+    ZoneName,
+};
+
+use super::{
+    fit,
+    spread::{Offer, ZoneCount, ZoneOffer},
+};
+
+/// Time to notice a reclaim and to replace an instance, refused starts and loading included.
+const REPLACEMENT_DAYS: f64 = 15.0 / (24.0 * 60.0);
 
 /// Instances of one kind of one service in one zone.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -42,8 +58,184 @@
     }
 }
 
+/// Instances that the cloud API refuses to start for now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RefusedStart {
+    /// The zone.
+    pub zone: ZoneName,
+    /// The kind of machine.
+    pub class: MachineClass,
+    /// How they would be paid for.
+    pub purchase: Purchase,
+}
+
 /// Plans the placement for an intent.
 pub fn plan(intent: &Intent, instances: &[Instance]) -> PlacementPlan {
-    let _ = (intent, instances);
-    PlacementPlan::default()
+    plan_without(intent, instances, &[])
+}
+
+/// Plans the placement while some starts are refused: there, no more than what runs is counted on.
+pub fn plan_without(
+    intent: &Intent,
+    instances: &[Instance],
+    refused: &[RefusedStart],
+) -> PlacementPlan {
+    let running = running(intent, instances);
+    let needs: Vec<_> = intent
+        .services
+        .iter()
+        .map(|service| Need::of(intent, service, &running, refused))
+        .collect();
+    let (wanted, shortfalls) = fit::within_limits(&needs, &intent.limits);
+    PlacementPlan {
+        wanted,
+        running,
+        shortfalls,
+    }
+}
+
+/// What one service needs and what the zones offer to it.
+#[derive(Debug)]
+pub(super) struct Need<'a> {
+    pub(super) service: &'a Service,
+    /// Instances that carry the paying load.
+    pub(super) instances: u32,
+    /// The prices of the usable zones.
+    pub(super) prices: Vec<&'a Price>,
+    /// What these zones offer, in the same order.
+    pub(super) offers: Vec<ZoneOffer>,
+}
+
+impl<'a> Need<'a> {
+    fn of(
+        intent: &'a Intent,
+        service: &'a Service,
+        running: &[Placement],
+        refused: &[RefusedStart],
+    ) -> Self {
+        let prices: Vec<_> = service
+            .zones
+            .iter()
+            .filter_map(|zone| price(intent, zone, &service.class))
+            .collect();
+        let most = |price: &Price, purchase| {
+            if is_refused(refused, price, purchase) {
+                count_running(running, &service.name, price, purchase)
+            } else {
+                u32::MAX
+            }
+        };
+        let offer = |price: &&Price| offer(price, |purchase| most(price, purchase));
+        Self {
+            instances: service
+                .expected_concurrency
+                .div_ceil(service.slots_per_instance.max(1)),
+            offers: prices.iter().map(offer).collect(),
+            service,
+            prices,
+        }
+    }
+
+    /// Turns counts, one for each price, into priced rows.
+    pub(super) fn placements(&self, counts: &[ZoneCount]) -> Vec<Placement> {
+        self.prices
+            .iter()
+            .zip(counts)
+            .flat_map(|(price, count)| {
+                let of = |purchase, count| self.placement(price, purchase, count);
+                [
+                    of(Purchase::Reclaimable, count.reclaimable),
+                    of(Purchase::OnDemand, count.on_demand),
+                ]
+            })
+            .filter(|placement| placement.count > 0)
+            .collect()
+    }
+
+    fn placement(&self, price: &Price, purchase: Purchase, count: u32) -> Placement {
+        Placement {
+            service: self.service.name.clone(),
+            zone: price.zone.clone(),
+            class: price.class.clone(),
+            purchase,
+            count,
+            per_hour: per_hour(price, purchase).times(count),
+        }
+    }
+}
+
+fn offer(price: &Price, most: impl Fn(Purchase) -> u32) -> ZoneOffer {
+    let away = (price.reclaims_per_day * REPLACEMENT_DAYS).clamp(0.0, 1.0);
+    let reclaimable = price.reclaimable_micros_per_hour.0 as f64 * (1.0 + away);
+    ZoneOffer {
+        reclaimable: Offer {
+            price: reclaimable.round() as i64,
+            most: most(Purchase::Reclaimable),
+        },
+        on_demand: Offer {
+            price: price.on_demand_micros_per_hour.0,
+            most: most(Purchase::OnDemand),
+        },
+        away,
+    }
+}
+
+fn price<'a>(intent: &'a Intent, zone: &ZoneName, class: &MachineClass) -> Option<&'a Price> {
+    intent
+        .prices
+        .iter()
+        .find(|price| price.zone == *zone && price.class == *class)
+}
+
+fn per_hour(price: &Price, purchase: Purchase) -> Money {
+    match purchase {
+        Purchase::Reclaimable => price.reclaimable_micros_per_hour,
+        Purchase::OnDemand => price.on_demand_micros_per_hour,
+    }
+}
+
+fn is_refused(refused: &[RefusedStart], price: &Price, purchase: Purchase) -> bool {
+    refused.iter().any(|start| {
+        start.zone == price.zone && start.class == price.class && start.purchase == purchase
+    })
+}
+
+fn count_running(
+    running: &[Placement],
+    service: &ServiceName,
+    price: &Price,
+    purchase: Purchase,
+) -> u32 {
+    running
+        .iter()
+        .filter(|p| p.service == *service && p.purchase == purchase)
+        .filter(|p| p.zone == price.zone && p.class == price.class)
+        .map(|p| p.count)
+        .sum()
+}
+
+/// Counts and prices the live instances; one whose zone and class have no price costs nothing here.
+fn running(intent: &Intent, instances: &[Instance]) -> Vec<Placement> {
+    let mut counts = BTreeMap::new();
+    for instance in instances.iter().filter(|i| i.state == InstanceState::Live) {
+        let kind = (
+            &instance.service,
+            &instance.zone,
+            &instance.class,
+            instance.purchase,
+        );
+        *counts.entry(kind).or_default() += 1;
+    }
+    counts
+        .into_iter()
+        .map(|((service, zone, class, purchase), count)| Placement {
+            service: service.clone(),
+            zone: zone.clone(),
+            class: class.clone(),
+            purchase,
+            count,
+            per_hour: price(intent, zone, class)
+                .map_or(Money(0), |price| per_hour(price, purchase).times(count)),
+        })
+        .collect()
 }
--- /dev/null
+++ b/tests/naive/place.rs
@@ -0,0 +1,34 @@
+//! On-demand only, or the cheapest zone only: the placements that ours is compared with.
+
+use flamingocroft::domain::{Intent, Money, Price, Service};
+
+/// Instances that carry the load of a service.
+pub fn needed(service: &Service) -> u32 {
+    service
+        .expected_concurrency
+        .div_ceil(service.slots_per_instance)
+}
+
+/// Returns the cost an hour of on-demand instances, evenly over the zones, so that one may be lost.
+pub fn on_demand_only(intent: &Intent, service: &Service) -> Money {
+    let others = service.zones.len().saturating_sub(1).max(1) as u32;
+    let each = needed(service).div_ceil(others);
+    prices(intent, service)
+        .map(|price| price.on_demand_micros_per_hour.times(each))
+        .sum()
+}
+
+/// Returns the cost an hour of reclaimable instances in the cheapest zone, for the load alone.
+pub fn cheapest_only(intent: &Intent, service: &Service) -> Money {
+    prices(intent, service)
+        .map(|price| price.reclaimable_micros_per_hour.times(needed(service)))
+        .min()
+        .unwrap_or_default()
+}
+
+fn prices<'a>(intent: &'a Intent, service: &'a Service) -> impl Iterator<Item = &'a Price> {
+    intent
+        .prices
+        .iter()
+        .filter(|price| service.zones.contains(&price.zone) && price.class == service.class)
+}
