--- /dev/null
+++ b/src/adapters/http/client.rs
@@ -0,0 +1,241 @@
+//! One exchange: a connection, a request, the head of the answer, and its whole body.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    HeaderMap, Method, Request, Response, StatusCode,
+    body::Incoming,
+    header::{self, HeaderValue},
+};
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::time::{Instant, timeout_at};
+
+use super::{
+    connection::Connection,
+    messages::{ErrorReply, error_kind},
+    pool::{Idle, Pool},
+};
+use crate::ports::{Sent, Target, UpstreamError, UpstreamErrorKind};
+
+/// Largest answer that is read whole, in bytes.
+const ANSWER_LIMIT_BYTES: usize = 64 * 1024 * 1024;
+
+/// Whether a request may go over a connection that was used before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Reuse {
+    /// An idle connection will do. If it has died unseen, the request fails.
+    Allowed,
+    /// A new one is made, so that a dead one cannot leave the outcome unknown.
+    Forbidden,
+}
+
+/// Makes exchanges.
+#[derive(Debug)]
+pub(super) struct Client {
+    pool: Pool,
+    connect_timeout: Duration,
+}
+
+/// The head of an answer, with the connection that the body comes from.
+#[derive(Debug)]
+pub(super) struct Answer {
+    pub(super) res: Response<Incoming>,
+    pub(super) connection: Lease,
+}
+
+/// A connection in use. Unless it is given back, dropping it closes it.
+#[derive(Debug)]
+pub(super) struct Lease {
+    connection: Connection,
+    idle: std::sync::Arc<Idle>,
+    reused: bool,
+}
+
+impl Lease {
+    /// Keeps the connection for the next exchange. The answer must have been read to its end.
+    pub(super) fn give_back(self) {
+        self.idle.put(self.connection);
+    }
+
+    /// Makes an error of a silence. What silenced a reused connection may have done so to all idle
+    /// ones, so they are closed too.
+    pub(super) fn silent(&self, message: &str) -> UpstreamError {
+        if self.reused {
+            self.idle.clear();
+        }
+        UpstreamError::new(UpstreamErrorKind::Silent, Sent::Maybe, message)
+    }
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub(super) struct Whole {
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+}
+
+impl Client {
+    /// Makes a client without connections.
+    pub(super) fn new(connect_timeout: Duration) -> Self {
+        Self {
+            pool: Pool::default(),
+            connect_timeout,
+        }
+    }
+
+    /// Sends a request once and returns the head of its answer.
+    pub(super) async fn exchange(
+        &self,
+        target: &Target,
+        req: Request<Full<Bytes>>,
+        reuse: Reuse,
+        deadline: Instant,
+    ) -> Result<Answer, UpstreamError> {
+        let mut connection = self.connect(target, reuse).await?;
+        match timeout_at(deadline, connection.connection.send(req)).await {
+            Ok(Ok(res)) => Ok(Answer { res, connection }),
+            Ok(Err(e)) => Err(e),
+            Err(_) => Err(connection.silent("no answer before the deadline")),
+        }
+    }
+
+    /// Sends a request once and reads the whole answer.
+    pub(super) async fn whole(
+        &self,
+        target: &Target,
+        req: Request<Full<Bytes>>,
+        reuse: Reuse,
+        deadline: Instant,
+    ) -> Result<Whole, UpstreamError> {
+        let answer = self.exchange(target, req, reuse, deadline).await?;
+        answer.whole(deadline).await
+    }
+
+    /// Makes an idempotent call with JSON on both sides.
+    pub(super) async fn json<T: DeserializeOwned>(
+        &self,
+        target: &Target,
+        req: Request<Full<Bytes>>,
+        deadline: Instant,
+    ) -> Result<T, UpstreamError> {
+        let whole = self.whole(target, req, Reuse::Allowed, deadline).await?;
+        whole.success()?.json()
+    }
+
+    async fn connect(&self, target: &Target, reuse: Reuse) -> Result<Lease, UpstreamError> {
+        let idle = self.pool.target(target);
+        if reuse == Reuse::Allowed {
+            while let Some(mut connection) = idle.take() {
+                if connection.is_usable().await {
+                    return Ok(Lease {
+                        connection,
+                        idle,
+                        reused: true,
+                    });
+                }
+            }
+        }
+        let connection = Connection::open(target.address, self.connect_timeout).await?;
+        Ok(Lease {
+            connection,
+            idle,
+            reused: false,
+        })
+    }
+}
+
+impl Answer {
+    /// Reads the body to its end.
+    pub(super) async fn whole(self, deadline: Instant) -> Result<Whole, UpstreamError> {
+        let (head, body) = self.res.into_parts();
+        let body = Limited::new(body, ANSWER_LIMIT_BYTES);
+        let collected = timeout_at(deadline, body.collect()).await;
+        let body = match collected {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(e)) => return Err(cut(&e.to_string())),
+            Err(_) => return Err(self.connection.silent("the answer stopped in its middle")),
+        };
+        self.connection.give_back();
+        Ok(Whole {
+            status: head.status,
+            headers: head.headers,
+            body,
+        })
+    }
+}
+
+impl Whole {
+    /// Turns an error status into an error.
+    pub(super) fn success(self) -> Result<Self, UpstreamError> {
+        if self.status.is_success() {
+            return Ok(self);
+        }
+        let reply: Option<ErrorReply> = serde_json::from_slice(&self.body).ok();
+        let kind = error_kind(self.status, reply.as_ref());
+        let message = match reply {
+            Some(reply) => format!("{}: {}", self.status, reply.error.message),
+            None => self.status.to_string(),
+        };
+        Err(UpstreamError::new(kind, Sent::Maybe, message))
+    }
+
+    /// Reads the body as JSON.
+    pub(super) fn json<T: DeserializeOwned>(&self) -> Result<T, UpstreamError> {
+        serde_json::from_slice(&self.body)
+            .map_err(|e| protocol(format!("the answer is not the expected JSON: {e}")))
+    }
+}
+
+/// Makes a request without a body.
+pub(super) fn get(target: &Target, path: &str) -> Result<Request<Full<Bytes>>, UpstreamError> {
+    request(target, Method::GET, path, None, Bytes::new())
+}
+
+/// Makes a request with a JSON body.
+pub(super) fn post(
+    target: &Target,
+    path: &str,
+    body: &impl Serialize,
+) -> Result<Request<Full<Bytes>>, UpstreamError> {
+    let body = serde_json::to_vec(body).map_err(|e| rejected(e.to_string()))?;
+    let kind = HeaderValue::from_static("application/json");
+    request(target, Method::POST, path, Some(kind), body.into())
+}
+
+/// Makes a request.
+pub(super) fn request(
+    target: &Target,
+    method: Method,
+    path: &str,
+    content_type: Option<HeaderValue>,
+    body: Bytes,
+) -> Result<Request<Full<Bytes>>, UpstreamError> {
+    let mut req = Request::builder()
+        .method(method)
+        .uri(path)
+        .header(header::HOST, target.address.to_string())
+        .body(Full::new(body))
+        .map_err(|e| rejected(e.to_string()))?;
+    if let Some(kind) = content_type {
+        req.headers_mut().insert(header::CONTENT_TYPE, kind);
+    }
+    Ok(req)
+}
+
+/// An error of a request that cannot be sent as it is.
+pub(super) fn rejected(message: String) -> UpstreamError {
+    UpstreamError::new(UpstreamErrorKind::Rejected, Sent::No, message)
+}
+
+/// An error of an answer that does not follow the protocol.
+pub(super) fn protocol(message: String) -> UpstreamError {
+    UpstreamError::new(UpstreamErrorKind::Protocol, Sent::Maybe, message)
+}
+
+/// An error of a connection that ended before the answer did.
+pub(super) fn cut(message: &str) -> UpstreamError {
+    UpstreamError::new(UpstreamErrorKind::Cut, Sent::Maybe, message)
+}
--- /dev/null
+++ b/src/adapters/http/cloud.rs
@@ -0,0 +1,114 @@
+//! The cloud API over HTTP.
+
+use std::{net::SocketAddr, time::Duration};
+
+use serde::de::DeserializeOwned;
+use tokio::time::Instant;
+
+use super::{
+    client::{Client, Reuse, get, post},
+    messages::{ListingReply, NoticeReply, StartBody, StartReply, StopBody},
+};
+use crate::{
+    domain::{FencingNumber, Incarnation, InstanceName},
+    ports::{
+        CloudApi, CloudError, InstanceListing, ReclaimNotice, StartRequest, Target, UpstreamError,
+        UpstreamErrorKind,
+    },
+    settings::Timing,
+};
+
+/// The cloud API over HTTP.
+#[derive(Debug)]
+pub struct HttpCloud {
+    client: Client,
+    target: Target,
+    read_timeout: Duration,
+    order_timeout: Duration,
+}
+
+impl HttpCloud {
+    /// Makes a client without connections.
+    pub fn new(address: SocketAddr, timing: &Timing) -> Self {
+        Self {
+            client: Client::new(timing.connect_timeout),
+            target: Target {
+                instance: "cloud".into(),
+                incarnation: Incarnation(0),
+                address,
+            },
+            read_timeout: timing.first_byte_timeout,
+            order_timeout: timing.request_timeout,
+        }
+    }
+
+    async fn read<T: DeserializeOwned>(&self, path: &str) -> Result<T, CloudError> {
+        let req = get(&self.target, path).map_err(unanswered)?;
+        let deadline = Instant::now() + self.read_timeout;
+        self.client
+            .json(&self.target, req, deadline)
+            .await
+            .map_err(unanswered)
+    }
+}
+
+impl CloudApi for HttpCloud {
+    async fn instances(&self) -> Result<Vec<InstanceListing>, CloudError> {
+        let rows: Vec<ListingReply> = self.read("/instances").await?;
+        Ok(rows.into_iter().map(Into::into).collect())
+    }
+
+    async fn notices(&self) -> Result<Vec<ReclaimNotice>, CloudError> {
+        let rows: Vec<NoticeReply> = self.read("/notices").await?;
+        Ok(rows.into_iter().map(Into::into).collect())
+    }
+
+    async fn start(&self, req: &StartRequest) -> Result<InstanceName, CloudError> {
+        let body = StartBody {
+            operation: req.operation.to_string(),
+            service: &req.service,
+            zone: &req.zone,
+            class: &req.class,
+            purchase: req.purchase,
+            fence: req.fence,
+        };
+        let post = post(&self.target, "/instances", &body).map_err(unanswered)?;
+        let deadline = Instant::now() + self.order_timeout;
+        let whole = self
+            .client
+            .whole(&self.target, post, Reuse::Forbidden, deadline)
+            .await
+            .map_err(unanswered)?;
+        let reply: StartReply = whole
+            .success()
+            .and_then(|whole| whole.json())
+            .map_err(answered)?;
+        Ok(reply.name)
+    }
+
+    async fn stop(&self, instance: &InstanceName, fence: FencingNumber) -> Result<(), CloudError> {
+        let path = format!("/instances/{instance}/stop");
+        let post = post(&self.target, &path, &StopBody { fence }).map_err(unanswered)?;
+        let deadline = Instant::now() + self.order_timeout;
+        let whole = self
+            .client
+            .whole(&self.target, post, Reuse::Forbidden, deadline)
+            .await
+            .map_err(unanswered)?;
+        whole.success().map(drop).map_err(answered)
+    }
+}
+
+fn unanswered(e: UpstreamError) -> CloudError {
+    CloudError::Unanswered(e.to_string())
+}
+
+/// Sorts an answer that is not a success into refusals and answers that tell nothing.
+fn answered(e: UpstreamError) -> CloudError {
+    match e.kind {
+        UpstreamErrorKind::Busy | UpstreamErrorKind::Rejected => {
+            CloudError::Refused(e.message.to_string())
+        }
+        _ => unanswered(e),
+    }
+}
--- /dev/null
+++ b/src/adapters/http/generation.rs
@@ -0,0 +1,179 @@
+//! The stream of one generation, checked token by token.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::{StreamExt, stream};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::{Instant, timeout_at};
+
+use super::{
+    client::{Answer, Lease, cut, protocol},
+    events::EventDecoder,
+    messages::StreamEvent,
+};
+use crate::{
+    domain::{FinishReason, RequestId, Token},
+    ports::{StreamEnd, StreamItem, TokenStream, UpstreamError},
+};
+
+/// The data of the last event.
+const END_MARK: &[u8] = b"[DONE]";
+
+/// Reads the tokens of one generation.
+#[derive(Debug)]
+pub(super) struct Generation {
+    request_id: String,
+    next_offset: u32,
+    body: Incoming,
+    connection: Option<Lease>,
+    decoder: EventDecoder,
+    end: Option<StreamEnd>,
+    deadline: Instant,
+    token_timeout: Duration,
+}
+
+impl Generation {
+    /// Reads an answer whose first token is due by `deadline`, and each other one `token_timeout`
+    /// after the one before it.
+    pub(super) fn new(
+        answer: Answer,
+        id: RequestId,
+        first_offset: u32,
+        deadline: Instant,
+        token_timeout: Duration,
+    ) -> Self {
+        Self {
+            request_id: id.to_string(),
+            next_offset: first_offset,
+            body: answer.res.into_body(),
+            connection: Some(answer.connection),
+            decoder: EventDecoder::default(),
+            end: None,
+            deadline,
+            token_timeout,
+        }
+    }
+
+    /// Returns the tokens. Dropping the stream closes the connection.
+    pub(super) fn into_stream(self) -> TokenStream {
+        stream::unfold(Some(self), async |generation| {
+            let mut generation = generation?;
+            match generation.next().await {
+                Ok(token @ StreamItem::Token(_)) => Some((Ok(token), Some(generation))),
+                last => Some((last, None)),
+            }
+        })
+        .boxed()
+    }
+
+    async fn next(&mut self) -> Result<StreamItem, UpstreamError> {
+        loop {
+            let event = self.next_event().await?;
+            if event == END_MARK {
+                return self.finish().await;
+            }
+            if let Some(token) = self.read(&event)? {
+                self.deadline = Instant::now() + self.token_timeout;
+                return Ok(StreamItem::Token(token));
+            }
+        }
+    }
+
+    async fn next_event(&mut self) -> Result<Bytes, UpstreamError> {
+        loop {
+            let event = self
+                .decoder
+                .next()
+                .map_err(|_| protocol("an event of the stream is too large".to_owned()))?;
+            if let Some(event) = event {
+                return Ok(event);
+            }
+            match self.next_piece().await? {
+                Some(piece) => self.decoder.push(&piece),
+                None => return Err(cut("the stream ended without its end mark")),
+            }
+        }
+    }
+
+    async fn next_piece(&mut self) -> Result<Option<Bytes>, UpstreamError> {
+        let frame = timeout_at(self.deadline, self.body.frame()).await;
+        match frame {
+            Ok(Some(Ok(frame))) => Ok(Some(frame.into_data().unwrap_or_default())),
+            Ok(Some(Err(e))) => Err(cut(&format!("the stream broke off: {e}"))),
+            Ok(None) => Ok(None),
+            Err(_) => Err(self.silent()),
+        }
+    }
+
+    fn silent(&self) -> UpstreamError {
+        let message = format!("no token after offset {}", self.next_offset);
+        match &self.connection {
+            Some(connection) => connection.silent(&message),
+            None => cut(&message),
+        }
+    }
+
+    /// Checks an event; it is a token or says why the answer ends.
+    fn read(&mut self, data: &[u8]) -> Result<Option<Token>, UpstreamError> {
+        let event: StreamEvent<'_> = serde_json::from_slice(data)
+            .map_err(|e| protocol(format!("an event of the stream is malformed: {e}")))?;
+        if event.request_id != self.request_id {
+            let message = format!("the stream is that of request {}", event.request_id);
+            return Err(protocol(message));
+        }
+        if let Some(reason) = event.finish_reason {
+            let usage = event.usage.unwrap_or_default();
+            self.end = Some(StreamEnd {
+                reason: finish_reason(&reason)?,
+                prompt_tokens: usage.prompt_tokens,
+                cached_tokens: usage.cached_tokens,
+            });
+            return Ok(None);
+        }
+        let (Some(offset), Some(text)) = (event.offset, event.text) else {
+            return Err(protocol("an event has neither token nor end".to_owned()));
+        };
+        self.check_offset(offset)?;
+        self.next_offset += 1;
+        Ok(Some(Token { offset, text }))
+    }
+
+    fn check_offset(&self, offset: u32) -> Result<(), UpstreamError> {
+        if self.end.is_some() {
+            return Err(protocol(format!("token {offset} comes after the end")));
+        }
+        if offset == self.next_offset {
+            return Ok(());
+        }
+        let expected = self.next_offset;
+        Err(protocol(format!(
+            "token {offset} comes in place of {expected}"
+        )))
+    }
+
+    /// Reads the body to its end, so that the connection can be used again.
+    async fn finish(&mut self) -> Result<StreamItem, UpstreamError> {
+        let Some(end) = self.end else {
+            return Err(protocol("the end mark came without a reason".to_owned()));
+        };
+        self.deadline = Instant::now() + self.token_timeout;
+        // The answer is whole; a connection that does not end well is only closed.
+        if let Ok(None) = self.next_piece().await
+            && let Some(connection) = self.connection.take()
+        {
+            connection.give_back();
+        }
+        Ok(StreamItem::End(end))
+    }
+}
+
+fn finish_reason(text: &str) -> Result<FinishReason, UpstreamError> {
+    match text {
+        "stop" => Ok(FinishReason::Stop),
+        "length" => Ok(FinishReason::Length),
+        "cancelled" => Err(cut("the engine cancelled the request")),
+        other => Err(protocol(format!("finish reason {other} is unknown"))),
+    }
+}
--- /dev/null
+++ b/src/adapters/http/mod.rs
@@ -0,0 +1,18 @@
+//! HTTP towards upstreams, the cloud API and the weight store.
+//!
+//! No request is ever sent again from here. A connection serves one exchange at a time, and one
+//! whose answer was not read to its end is closed; see docs/DESIGN.md.
+
+mod client;
+mod cloud;
+mod connection;
+mod events;
+mod generation;
+mod messages;
+mod pool;
+mod upstreams;
+mod weights;
+
+pub use cloud::HttpCloud;
+pub use upstreams::HttpUpstreams;
+pub use weights::HttpWeights;
--- /dev/null
+++ b/src/adapters/http/upstreams.rs
@@ -0,0 +1,196 @@
+//! Model engines and plain servers over HTTP.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::{
+    Method,
+    header::{self, HeaderName, HeaderValue},
+};
+use serde::Deserialize;
+use tokio::time::Instant;
+
+use super::{
+    client::{Client, Reuse, get, post, rejected, request},
+    generation::Generation,
+    messages::{CacheEventsReply, CompletionBody, LoadReply, OrderBody},
+};
+use crate::{
+    domain::{Completion, RequestId},
+    ports::{
+        CacheEvents, EngineLoad, EngineOrder, OrderOutcome, ServiceCall, ServiceReply, Target,
+        TokenStream, UpstreamError, Upstreams,
+    },
+    settings::Timing,
+};
+
+const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// Model engines and plain servers over HTTP.
+#[derive(Debug)]
+pub struct HttpUpstreams {
+    client: Client,
+    first_byte_timeout: Duration,
+    token_timeout: Duration,
+    request_timeout: Duration,
+}
+
+impl HttpUpstreams {
+    /// Makes a client without connections.
+    pub fn new(timing: &Timing) -> Self {
+        Self {
+            client: Client::new(timing.connect_timeout),
+            first_byte_timeout: timing.first_byte_timeout,
+            token_timeout: timing.token_timeout,
+            request_timeout: timing.request_timeout,
+        }
+    }
+
+    fn answer_deadline(&self) -> Instant {
+        Instant::now() + self.first_byte_timeout
+    }
+}
+
+/// The answer to calls whose result does not matter.
+#[derive(Debug, Deserialize)]
+struct Ignored {}
+
+impl Upstreams for HttpUpstreams {
+    async fn generate(
+        &self,
+        target: &Target,
+        req: &Completion,
+    ) -> Result<TokenStream, UpstreamError> {
+        let deadline = self.answer_deadline();
+        let body = CompletionBody::from(req);
+        let post = post(target, "/v1/completions", &body)?;
+        let answer = self
+            .client
+            .exchange(target, post, Reuse::Allowed, deadline)
+            .await?;
+        if !answer.res.status().is_success() {
+            answer.whole(deadline).await?.success()?;
+            return Err(super::client::protocol(
+                "an error without a cause".to_owned(),
+            ));
+        }
+        let first = req.prefix.len() as u32;
+        let generation = Generation::new(answer, req.id, first, deadline, self.token_timeout);
+        Ok(generation.into_stream())
+    }
+
+    async fn cancel(&self, target: &Target, id: RequestId) -> Result<(), UpstreamError> {
+        let req = request(
+            target,
+            Method::POST,
+            &format!("/v1/requests/{id}/cancel"),
+            None,
+            Bytes::new(),
+        )?;
+        let Ignored {} = self
+            .client
+            .json(target, req, self.answer_deadline())
+            .await?;
+        Ok(())
+    }
+
+    async fn load(&self, target: &Target) -> Result<EngineLoad, UpstreamError> {
+        let req = get(target, "/load")?;
+        let reply: LoadReply = self
+            .client
+            .json(target, req, self.answer_deadline())
+            .await?;
+        Ok(reply.into())
+    }
+
+    async fn cache_events(
+        &self,
+        target: &Target,
+        after: u64,
+    ) -> Result<CacheEvents, UpstreamError> {
+        let req = get(target, &format!("/cache-events?after={after}"))?;
+        let reply: CacheEventsReply = self
+            .client
+            .json(target, req, self.answer_deadline())
+            .await?;
+        Ok(reply.into())
+    }
+
+    async fn export_cache(&self, target: &Target, id: RequestId) -> Result<Bytes, UpstreamError> {
+        let req = get(target, &format!("/v1/requests/{id}/cache"))?;
+        let whole = self
+            .client
+            .whole(target, req, Reuse::Allowed, self.answer_deadline())
+            .await?;
+        Ok(whole.success()?.body)
+    }
+
+    async fn import_cache(&self, target: &Target, cache: Bytes) -> Result<(), UpstreamError> {
+        let kind = HeaderValue::from_static("application/octet-stream");
+        let req = request(target, Method::POST, "/v1/cache", Some(kind), cache)?;
+        let whole = self
+            .client
+            .whole(target, req, Reuse::Allowed, self.answer_deadline())
+            .await?;
+        whole.success().map(drop)
+    }
+
+    async fn order(
+        &self,
+        target: &Target,
+        order: &EngineOrder,
+    ) -> Result<OrderOutcome, UpstreamError> {
+        let req = post(target, "/orders", &OrderBody::from(order))?;
+        let deadline = Instant::now() + self.request_timeout;
+        let whole = self
+            .client
+            .whole(target, req, Reuse::Forbidden, deadline)
+            .await?;
+        if whole.status == hyper::StatusCode::CONFLICT {
+            return Ok(OrderOutcome::Fenced);
+        }
+        whole.success()?;
+        Ok(OrderOutcome::Done)
+    }
+
+    async fn call(
+        &self,
+        target: &Target,
+        call: &ServiceCall,
+    ) -> Result<ServiceReply, UpstreamError> {
+        let deadline = Instant::now() + call.timeout;
+        let method = Method::from_bytes(call.method.as_bytes())
+            .map_err(|_| rejected(format!("{} is not an HTTP method", call.method)))?;
+        let reuse = reuse(&method, call);
+        let kind = call.content_type.as_deref().map(header_value).transpose()?;
+        let key = call.key.as_deref().map(header_value).transpose()?;
+        let mut req = request(target, method, &call.path, kind, call.body.clone())?;
+        if let Some(key) = key {
+            req.headers_mut().insert(IDEMPOTENCY_KEY, key);
+        }
+        let whole = self.client.whole(target, req, reuse, deadline).await?;
+        let content_type = whole
+            .headers
+            .get(header::CONTENT_TYPE)
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or("application/octet-stream");
+        Ok(ServiceReply {
+            status: whole.status.as_u16(),
+            content_type: content_type.to_owned(),
+            body: whole.body,
+        })
+    }
+}
+
+/// A call that must not run twice gets a new connection: if that fails, nothing was sent.
+fn reuse(method: &Method, call: &ServiceCall) -> Reuse {
+    if call.key.is_none() && method.is_safe() {
+        Reuse::Allowed
+    } else {
+        Reuse::Forbidden
+    }
+}
+
+fn header_value(text: &str) -> Result<HeaderValue, UpstreamError> {
+    HeaderValue::from_str(text).map_err(|_| rejected("a header has invalid characters".to_owned()))
+}
--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -1,1 +1,7 @@
 //! The outside of the ports: HTTP, disk and clocks.
+
+mod clock;
+mod http;
+
+pub use clock::SystemClock;
+pub use http::{HttpCloud, HttpUpstreams, HttpWeights};
