--- /dev/null
+++ b/examples/support/http.rs
@@ -0,0 +1,177 @@
+//! A small HTTP client for callers and operators: one connection for each request.
+
+use std::{net::SocketAddr, time::Duration};
+
+use anyhow::Context;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, StatusCode, body::Incoming, client::conn::http1, header};
+use hyper_util::rt::TokioIo;
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::{net::TcpStream, time::timeout};
+
+/// Longest wait for a whole answer.
+const TIMEOUT: Duration = Duration::from_secs(60);
+
+/// One request.
+#[derive(Clone, Debug, Default)]
+pub struct Call {
+    /// The method; `GET` if empty.
+    pub method: &'static str,
+    /// The path.
+    pub path: String,
+    /// The bearer token.
+    pub token: String,
+    /// Further headers.
+    pub headers: Vec<(&'static str, String)>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl Call {
+    /// Makes a `GET`.
+    pub fn get(path: impl Into<String>, token: &str) -> Self {
+        Self {
+            method: "GET",
+            path: path.into(),
+            token: token.to_owned(),
+            ..Self::default()
+        }
+    }
+
+    /// Makes a `POST` with a JSON body.
+    pub fn post(path: impl Into<String>, token: &str, body: &impl Serialize) -> Self {
+        Self {
+            method: "POST",
+            body: serde_json::to_vec(body).expect("the body can be encoded"),
+            ..Self::get(path, token)
+        }
+    }
+
+    /// Adds a header.
+    pub fn header(mut self, name: &'static str, value: impl ToString) -> Self {
+        self.headers.push((name, value.to_string()));
+        self
+    }
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The status code.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: hyper::HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// Reads the body as JSON.
+    pub fn json<T: DeserializeOwned>(&self) -> anyhow::Result<T> {
+        serde_json::from_slice(&self.body)
+            .with_context(|| format!("status {}: {}", self.status, self.text()))
+    }
+
+    /// Returns the body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+/// Sends a request and reads the whole answer.
+pub async fn send(address: SocketAddr, call: &Call) -> anyhow::Result<Answer> {
+    let exchange = async {
+        let response = open(address, call).await?;
+        let status = response.status();
+        let headers = response.headers().clone();
+        let body = response.into_body().collect().await?.to_bytes();
+        Ok(Answer {
+            status,
+            headers,
+            body,
+        })
+    };
+    timeout(TIMEOUT, exchange)
+        .await
+        .with_context(|| format!("{} {} took too long", call.method, call.path))?
+}
+
+/// Sends a request and returns the answer before its body has arrived.
+pub async fn open(address: SocketAddr, call: &Call) -> anyhow::Result<hyper::Response<Incoming>> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    tokio::spawn(connection);
+    let mut builder = Request::builder()
+        .method(call.method)
+        .uri(&call.path)
+        .header(header::HOST, address.to_string())
+        .header(header::CONTENT_TYPE, "application/json")
+        .header(header::AUTHORIZATION, format!("Bearer {}", call.token));
+    for (name, value) in &call.headers {
+        builder = builder.header(*name, value);
+    }
+    let req = builder.body(Full::new(Bytes::from(call.body.clone())))?;
+    Ok(sender.send_request(req).await?)
+}
+
+/// One server-sent event.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Event {
+    /// The event's name; empty for ordinary ones.
+    pub name: String,
+    /// The event's id.
+    pub id: String,
+    /// The data.
+    pub data: String,
+}
+
+/// Reads server-sent events from an answer.
+#[derive(Debug)]
+pub struct Events {
+    body: Incoming,
+    buf: Vec<u8>,
+}
+
+impl Events {
+    /// Begins to read.
+    pub fn new(response: hyper::Response<Incoming>) -> Self {
+        Self {
+            body: response.into_body(),
+            buf: Vec::new(),
+        }
+    }
+
+    /// Returns the next event, or nothing at the end of the answer.
+    pub async fn next(&mut self) -> anyhow::Result<Option<Event>> {
+        loop {
+            if let Some(event) = self.take() {
+                return Ok(Some(event));
+            }
+            let Some(frame) = timeout(TIMEOUT, self.body.frame()).await? else {
+                return Ok(None);
+            };
+            if let Ok(data) = frame?.into_data() {
+                self.buf.extend_from_slice(&data);
+            }
+        }
+    }
+
+    fn take(&mut self) -> Option<Event> {
+        let end = self.buf.windows(2).position(|pair| pair == b"\n\n")?;
+        let block: Vec<u8> = self.buf.drain(..end + 2).collect();
+        let mut event = Event::default();
+        for line in String::from_utf8_lossy(&block).lines() {
+            let (field, value) = line.split_once(':').unwrap_or((line, ""));
+            let value = value.trim_start();
+            match field {
+                "event" => event.name = value.to_owned(),
+                "id" => event.id = value.to_owned(),
+                "data" => event.data.push_str(value),
+                _ => {}
+            }
+        }
+        Some(event)
+    }
+}
