Test the replica against late, doubled, lost and reordered messages, crashes and emptied disks

The checks run at every step: one leader a term, log matching, leader completeness, applied entries equal in order, no read older than what was visible when it was asked, no later leader during a lease (clocks run at rates that differ by up to 6%), and at the end a state equal to the naive copy of all that was acknowledged.

--- /dev/null
+++ b/tests/replication_properties.rs
@@ -0,0 +1,223 @@
+//! Messages come late, twice, out of order or not at all; members crash and lose what was not synced;
+//! disks are emptied. The checks of `Group` must hold at every step, and nothing acknowledged is lost.
+
+mod replication_support;
+
+use std::time::Duration;
+
+use flamingocroft::{
+    domain::MemberId,
+    replication::{Input, MemberChange, ReplicaSettings},
+    wire::ReplicaMessage,
+};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
+use replication_support::Group;
+
+#[derive(Clone, Copy, Debug)]
+enum Action {
+    Pass(u8),
+    Tick(u8),
+    Deliver(u16),
+    Duplicate(u16),
+    Drop(u16),
+    Delay(u16),
+    Late(u16),
+    Sync(u8),
+    Propose(u8),
+    Read(u8),
+    Crash(u8),
+    Stop(u8),
+    Start,
+    Compact(u8),
+    Cut(u8, u8),
+    Heal,
+    Run(u8),
+    Wipe(u8),
+    Repair,
+}
+
+fn action() -> impl Strategy<Value = Action> {
+    use Action::*;
+    prop_oneof![
+        6 => (1..80u8).prop_map(Pass),
+        10 => any::<u8>().prop_map(Tick),
+        40 => any::<u16>().prop_map(Deliver),
+        4 => any::<u16>().prop_map(Duplicate),
+        4 => any::<u16>().prop_map(Drop),
+        4 => any::<u16>().prop_map(Delay),
+        3 => any::<u16>().prop_map(Late),
+        14 => any::<u8>().prop_map(Sync),
+        8 => any::<u8>().prop_map(Propose),
+        4 => any::<u8>().prop_map(Read),
+        2 => any::<u8>().prop_map(Crash),
+        1 => any::<u8>().prop_map(Stop),
+        2 => Just(Start),
+        1 => any::<u8>().prop_map(Compact),
+        2 => any::<(u8, u8)>().prop_map(|(a, b)| Cut(a, b)),
+        2 => Just(Heal),
+        4 => (1..20u8).prop_map(Run),
+        1 => any::<u8>().prop_map(Wipe),
+        3 => Just(Repair),
+    ]
+}
+
+/// A group together with what the network holds back and the repair in progress.
+struct Trial {
+    group: Group,
+    late: Vec<ReplicaMessage>,
+    /// The member whose disk was emptied, and who took its place.
+    repair: Option<(u64, u64)>,
+    wiped: usize,
+}
+
+impl Trial {
+    fn new(members: u64) -> Self {
+        let settings = ReplicaSettings {
+            batch_entries: 4,
+            retained_entries: 3,
+            ..ReplicaSettings::default()
+        };
+        let rates = [1.0, 0.97, 1.03, 0.98, 1.02];
+        Self {
+            group: Group::with(members, settings, &rates),
+            late: Vec::new(),
+            repair: None,
+            wiped: 0,
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        let group = &mut self.group;
+        let count = group.nodes.len();
+        let place = |n: u8| usize::from(n) % count;
+        match action {
+            Action::Pass(ms) => group.now += Duration::from_millis(ms.into()),
+            Action::Tick(n) => group.step(place(n), Input::Tick),
+            Action::Deliver(n) => group.deliver(n.into(), false),
+            Action::Duplicate(n) => group.deliver(n.into(), true),
+            Action::Drop(n) => drop(take(&mut group.messages, n)),
+            Action::Delay(n) => self.late.extend(take(&mut group.messages, n)),
+            Action::Late(n) => group.messages.extend(take(&mut self.late, n)),
+            Action::Sync(n) => group.sync(place(n)),
+            Action::Propose(n) => drop(group.propose(group.leader().unwrap_or(place(n)))),
+            Action::Read(n) => drop(group.read(group.leader().unwrap_or(place(n)))),
+            Action::Crash(n) => group.crash(place(n)),
+            Action::Stop(n) => group.nodes[place(n)].up = false,
+            Action::Start => group.nodes.iter_mut().for_each(|node| node.up = true),
+            Action::Compact(n) => group.compact(place(n)),
+            Action::Cut(a, b) => {
+                let pair = (group.nodes[place(a)].id, group.nodes[place(b)].id);
+                group.cut.insert(pair);
+            }
+            Action::Heal => group.cut.clear(),
+            Action::Run(n) => group.run(n.into()),
+            Action::Wipe(n) => self.wipe(place(n)),
+            Action::Repair => self.repair(),
+        }
+    }
+
+    /// Empties a disk, but not a second one before the first is replaced.
+    fn wipe(&mut self, place: usize) {
+        if self.repair.is_some() {
+            return;
+        }
+        let old = self.group.nodes[place].id;
+        let new = self.group.wipe(place);
+        self.repair = Some((old, new));
+        self.wiped += 1;
+    }
+
+    /// Asks the leader for the next change that puts the emptied member back.
+    fn repair(&mut self) {
+        let (Some((old, new)), Some(leader)) = (self.repair, self.group.leader()) else {
+            return;
+        };
+        let replica = &self.group.nodes[leader].replica;
+        let record = replica.membership();
+        let change = if record.voters.contains(&old) {
+            MemberChange::Remove(MemberId(old))
+        } else if record.learners.contains(&new) {
+            MemberChange::Promote(MemberId(new))
+        } else if !record.voters.contains(&new) {
+            MemberChange::AddLearner(MemberId(new))
+        } else {
+            if replica.commit() == replica.last_index() {
+                self.repair = None;
+            }
+            return;
+        };
+        self.group.change(leader, change);
+    }
+}
+
+fn take(messages: &mut Vec<ReplicaMessage>, number: u16) -> Option<ReplicaMessage> {
+    let number = usize::from(number).checked_rem(messages.len())?;
+    Some(messages.remove(number))
+}
+
+fn config(cases: u32, seed: u64) -> Config {
+    Config {
+        cases,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        max_shrink_iters: 2000,
+        ..Config::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config(256, 1))]
+
+    #[test]
+    fn three_members_keep_every_promise(
+        actions in prop::collection::vec(action(), 100..800),
+    ) {
+        let mut trial = Trial::new(3);
+        actions.into_iter().for_each(|action| trial.act(action));
+        trial.group.settle();
+    }
+}
+
+proptest! {
+    #![proptest_config(config(96, 2))]
+
+    #[test]
+    fn five_members_keep_every_promise(
+        actions in prop::collection::vec(action(), 100..1200),
+    ) {
+        let mut trial = Trial::new(5);
+        actions.into_iter().for_each(|action| trial.act(action));
+        trial.group.settle();
+    }
+}
+
+/// The runs above would show nothing if little happened in them.
+#[test]
+fn the_actions_reach_commits_reads_wipes_and_snapshots() {
+    use proptest::{strategy::ValueTree, test_runner::TestRunner};
+
+    let mut runner = TestRunner::new(config(1, 3));
+    let strategy = prop::collection::vec(action(), 400..800);
+    let (mut acknowledged, mut reads, mut wiped, mut compacted, mut repaired) = (0, 0, 0, 0, 0);
+    for _ in 0..40 {
+        let mut trial = Trial::new(3);
+        let actions = strategy.new_tree(&mut runner).unwrap().current();
+        for action in actions {
+            let repairing = trial.repair.is_some();
+            trial.act(action);
+            repaired += usize::from(repairing && trial.repair.is_none());
+        }
+        acknowledged += trial.group.acknowledged.len();
+        reads += trial.group.reads_done;
+        wiped += trial.wiped;
+        let nodes = &trial.group.nodes;
+        compacted += nodes.iter().filter(|n| n.disk.0.snapshot.index > 1).count();
+    }
+    println!(
+        "{acknowledged} acknowledged, {reads} reads, {wiped} wiped, {repaired} repaired, {compacted} compacted"
+    );
+    assert!(acknowledged > 200 && reads > 50 && wiped > 20 && repaired > 5 && compacted > 20);
+}
--- a/tests/replication_support/mod.rs
+++ b/tests/replication_support/mod.rs
@@ -495,8 +495,8 @@
     }
 
     fn members(&self) -> impl Iterator<Item = &Node> {
-        let newest = self.nodes.iter().max_by_key(|node| node.replica.term());
-        let record = newest.unwrap().replica.membership().clone();
+        let leader = self.leader().expect("a settled group has a leader");
+        let record = self.nodes[leader].replica.membership().clone();
         let is_member = move |node: &&Node| record.voters.contains(&node.id);
         self.nodes.iter().filter(is_member)
     }
