--- /dev/null
+++ b/src/controller/cloud.rs
@@ -0,0 +1,185 @@
+//! Follows the cloud's instance list and its reclaim notices and commits what changed.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use tokio::time::{MissedTickBehavior, interval, timeout};
+use tokio_util::sync::CancellationToken;
+
+use super::core::Core;
+use crate::{
+    domain::{InstanceState, Purchase},
+    ports::{Clock, CloudApi, InstanceListing, ReclaimNotice},
+    state::{Action, Instances, LEAVING, LIVE, Observation, ObserveInstances, Sighting},
+    wire::{InstanceRecord, LeavingNotice},
+};
+
+/// Lists in a row that an instance must be missing from; one short list can be a fault of the API.
+const MISSING_LISTS: u32 = 2;
+
+/// Compares lists and notices with the state.
+#[derive(Clone, Debug, Default)]
+pub struct Watcher {
+    missing: BTreeMap<(String, u64), u32>,
+}
+
+impl Watcher {
+    /// Returns what a list shows that the state does not have.
+    pub fn compare(&mut self, known: &Instances, list: &[InstanceListing]) -> Vec<Observation> {
+        let records: Vec<_> = list.iter().map(record).collect();
+        let seen = records
+            .iter()
+            .filter(|record| differs(known, record))
+            .map(|record| Observation {
+                reason: "the instance list shows it".into(),
+                sighting: Some(Sighting::Seen(record.clone())),
+            })
+            .collect();
+        self.missing(known, &records, seen)
+    }
+
+    fn missing(
+        &mut self,
+        known: &Instances,
+        listed: &[InstanceRecord],
+        mut observations: Vec<Observation>,
+    ) -> Vec<Observation> {
+        let listed: BTreeSet<&str> = listed.iter().map(|record| record.name.as_str()).collect();
+        let absent = known
+            .present()
+            .filter(|record| !listed.contains(record.name.as_str()))
+            .map(|record| (record.name.clone(), record.incarnation));
+        let before = std::mem::take(&mut self.missing);
+        for place in absent {
+            let count = before.get(&place).copied().unwrap_or_default() + 1;
+            if count < MISSING_LISTS {
+                self.missing.insert(place, count);
+                continue;
+            }
+            let (instance, incarnation) = place;
+            observations.push(Observation {
+                reason: format!("{MISSING_LISTS} instance lists in a row lack it"),
+                sighting: Some(Sighting::Gone(LeavingNotice {
+                    instance,
+                    incarnation,
+                })),
+            });
+        }
+        observations
+    }
+}
+
+/// Returns what the notices say that the state does not have.
+pub fn announced(known: &Instances, notices: &[ReclaimNotice]) -> Vec<Observation> {
+    let notice = |notice: &ReclaimNotice| LeavingNotice {
+        instance: notice.instance.to_string(),
+        incarnation: notice.incarnation.0,
+    };
+    notices
+        .iter()
+        .map(|n| (notice(n), n.remaining))
+        .filter(|(notice, _)| !known.is_leaving(notice))
+        .map(|(notice, remaining)| Observation {
+            reason: format!("the cloud takes it back in {} s", remaining.as_secs()),
+            sighting: Some(Sighting::Leaving(notice)),
+        })
+        .collect()
+}
+
+fn differs(known: &Instances, record: &InstanceRecord) -> bool {
+    let Some(fact) = known.get(&record.name) else {
+        return true;
+    };
+    let Some(have) = &fact.record else {
+        return true;
+    };
+    if have.incarnation != record.incarnation {
+        return have.incarnation < record.incarnation;
+    }
+    let state = if fact.left { LEAVING } else { record.state };
+    *have
+        != InstanceRecord {
+            state,
+            ..record.clone()
+        }
+}
+
+fn record(listing: &InstanceListing) -> InstanceRecord {
+    InstanceRecord {
+        name: listing.name.to_string(),
+        incarnation: listing.incarnation.0,
+        service: listing.service.to_string(),
+        zone: listing.zone.to_string(),
+        class: listing.class.0.to_string(),
+        reclaimable: listing.purchase == Purchase::Reclaimable,
+        address: listing.address.to_string(),
+        state: match listing.state {
+            InstanceState::Live => LIVE,
+            InstanceState::Leaving | InstanceState::Gone => LEAVING,
+        },
+    }
+}
+
+/// Polls the cloud API while this controller leads.
+pub(super) async fn run<T: Clock, C: CloudApi>(
+    core: Arc<Core<T>>,
+    cloud: Arc<C>,
+    stop: CancellationToken,
+) {
+    let mut watcher = Watcher::default();
+    let mut tick = interval(core.settings.timing.cloud_poll);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = tick.tick() => {}
+            () = stop.cancelled() => return,
+        }
+        if !core.leads() {
+            watcher = Watcher::default();
+            continue;
+        }
+        tokio::select! {
+            () = poll(&core, &*cloud, &mut watcher) => {}
+            () = stop.cancelled() => return,
+        }
+    }
+}
+
+async fn poll<T: Clock, C: CloudApi>(core: &Core<T>, cloud: &C, watcher: &mut Watcher) {
+    let limit = core.settings.timing.view_lease;
+    // Notices are urgent, so a silent list does not hold them up.
+    let (notices, list) = tokio::join!(
+        async {
+            let notices = timeout(limit, cloud.notices()).await;
+            if let Ok(Ok(notices)) = &notices {
+                let observations = announced(core.log.state().instances(), notices);
+                commit(core, observations).await;
+            }
+            notices.is_ok_and(|notices| notices.is_ok())
+        },
+        timeout(limit, cloud.instances())
+    );
+    if !notices {
+        log::warn!("controller: the cloud API gives no reclaim notices.");
+    }
+    match list {
+        Ok(Ok(list)) => {
+            let observations = watcher.compare(core.log.state().instances(), &list);
+            commit(core, observations).await;
+        }
+        Ok(Err(e)) => log::warn!("controller: the instance list cannot be read: {e}."),
+        Err(_) => log::warn!("controller: the instance list did not come in time."),
+    }
+}
+
+async fn commit<T: Clock>(core: &Core<T>, observations: Vec<Observation>) {
+    if observations.is_empty() {
+        return;
+    }
+    let action = Action::Observe(ObserveInstances { observations });
+    if let Err(e) = core.propose(action).await {
+        log::warn!("controller: a change of instances is not recorded yet: {e}.");
+    }
+}
--- /dev/null
+++ b/src/controller/convert.rs
@@ -0,0 +1,33 @@
+//! Turns records of the state into the types that operators and policies use.
+
+use crate::{
+    domain::{Incarnation, Instance, InstanceState, MachineClass, Purchase},
+    state::{GONE, Instances, LEAVING},
+    wire::InstanceRecord,
+};
+
+/// Returns the instances that are not gone.
+pub fn instances(instances: &Instances) -> Vec<Instance> {
+    instances.present().filter_map(instance).collect()
+}
+
+/// Returns an instance, or nothing if its address is not one.
+pub fn instance(record: &InstanceRecord) -> Option<Instance> {
+    Some(Instance {
+        name: record.name.as_str().into(),
+        incarnation: Incarnation(record.incarnation),
+        service: record.service.as_str().into(),
+        zone: record.zone.as_str().into(),
+        class: MachineClass(record.class.as_str().into()),
+        purchase: match record.reclaimable {
+            true => Purchase::Reclaimable,
+            false => Purchase::OnDemand,
+        },
+        address: record.address.parse().ok()?,
+        state: match record.state {
+            GONE => InstanceState::Gone,
+            LEAVING => InstanceState::Leaving,
+            _ => InstanceState::Live,
+        },
+    })
+}
--- /dev/null
+++ b/src/controller/core.rs
@@ -0,0 +1,121 @@
+//! What all parts of a controller share.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use tokio::sync::watch;
+
+use super::{
+    fleet::Fleet,
+    form::Card,
+    log::{Applied, Log, LogError},
+    peers::Peers,
+};
+use crate::{
+    ports::Clock,
+    settings::{ControllerEntry, Settings},
+    state::{Action, Command},
+    telemetry::Metrics,
+};
+
+/// What all parts of a controller share.
+#[derive(Debug)]
+pub struct Core<T> {
+    /// The settings.
+    pub settings: Arc<Settings>,
+    /// The time.
+    pub clock: Arc<T>,
+    /// The metrics of the process.
+    pub metrics: Metrics,
+    /// The replicated log.
+    pub log: Log,
+    /// Links to the other controllers.
+    pub peers: Arc<Peers>,
+    /// What this controller says of its data folder.
+    pub card: Arc<Card>,
+    fleet: Mutex<Fleet>,
+    fleet_changed: watch::Sender<u64>,
+    heard: watch::Sender<u64>,
+}
+
+impl<T: Clock> Core<T> {
+    /// Puts the parts together.
+    pub fn new(
+        settings: Arc<Settings>,
+        clock: Arc<T>,
+        metrics: Metrics,
+        log: Log,
+        peers: Arc<Peers>,
+        card: Arc<Card>,
+    ) -> Self {
+        let fleet = Fleet::new(settings.timing.view_lease);
+        Self {
+            settings,
+            clock,
+            metrics,
+            log,
+            peers,
+            card,
+            fleet: Mutex::new(fleet),
+            fleet_changed: watch::channel(0).0,
+            heard: watch::channel(0).0,
+        }
+    }
+
+    /// Returns the registry of gateways for a short look or change.
+    pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Wakes those that wait for a change of the gateways.
+    pub fn note_fleet_change(&self) {
+        self.fleet_changed.send_modify(|count| *count += 1);
+    }
+
+    /// Returns a receiver that is woken when the gateways change.
+    pub fn watch_fleet(&self) -> watch::Receiver<u64> {
+        self.fleet_changed.subscribe()
+    }
+
+    /// Wakes those that wait for heartbeats.
+    pub fn note_heartbeat(&self) {
+        self.heard.send_modify(|count| *count += 1);
+    }
+
+    /// Returns a receiver that is woken by heartbeats of gateways.
+    pub fn watch_heard(&self) -> watch::Receiver<u64> {
+        self.heard.subscribe()
+    }
+
+    /// Returns the time by the monotonic clock.
+    pub fn now(&self) -> Duration {
+        self.clock.monotonic()
+    }
+
+    /// Returns whether this controller leads, holds its own lease and has applied all that earlier
+    /// leaders committed.
+    pub fn leads(&self) -> bool {
+        self.log.led_term(self.now()) == Some(self.fleet().term())
+    }
+
+    /// Returns the leader's entry in the settings, if it is known.
+    pub fn leader(&self) -> Option<&ControllerEntry> {
+        let leader = self.log.standing().leader?;
+        let name = self.peers.name(leader)?;
+        self.settings
+            .controllers
+            .iter()
+            .find(|entry| entry.name == name)
+    }
+
+    /// Commits a command with the present time.
+    pub async fn propose(&self, action: Action) -> Result<Applied, LogError> {
+        let command = Command {
+            at_unix_ms: self.clock.unix_ms(),
+            action: Some(action),
+        };
+        self.log.propose(&command).await
+    }
+}
--- /dev/null
+++ b/src/controller/form.rs
@@ -0,0 +1,97 @@
+//! Forming the first cluster: asks the other controllers which data folders they have.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use tokio::time::sleep;
+
+use super::peers::Peers;
+use crate::{
+    domain::MemberId,
+    replication::{Bootstrap, BootstrapStep, Recovered},
+    settings::Settings,
+    wire::{Body, MemberQuery, MemberReport},
+};
+
+/// Longest wait for an answer.
+const ASK_TIMEOUT: Duration = Duration::from_millis(500);
+/// Pause between two rounds of questions.
+const ASK_PAUSE: Duration = Duration::from_millis(50);
+
+/// What a controller says of its data folder.
+#[derive(Debug)]
+pub struct Card {
+    name: Arc<str>,
+    member: MemberId,
+    controllers: Vec<Arc<str>>,
+    blank: AtomicBool,
+}
+
+impl Card {
+    /// Makes a card from what the folder holds.
+    pub fn new(settings: &Settings, member: MemberId, recovered: &Recovered) -> Self {
+        Self {
+            name: Arc::clone(&settings.name),
+            member,
+            controllers: names(settings),
+            blank: AtomicBool::new(*recovered == Recovered::default()),
+        }
+    }
+
+    /// Returns the member id of the folder.
+    pub fn member(&self) -> MemberId {
+        self.member
+    }
+
+    /// Notes whether the folder still holds nothing.
+    pub fn set_blank(&self, blank: bool) {
+        self.blank.store(blank, Ordering::Release);
+    }
+
+    /// Returns the answer to a `MemberQuery`.
+    pub fn report(&self) -> MemberReport {
+        MemberReport {
+            name: self.name.to_string(),
+            member: self.member.0,
+            blank: self.blank.load(Ordering::Acquire),
+            controllers: self.controllers.iter().map(ToString::to_string).collect(),
+        }
+    }
+}
+
+fn names(settings: &Settings) -> Vec<Arc<str>> {
+    let entries = settings.controllers.iter();
+    entries.map(|entry| Arc::clone(&entry.name)).collect()
+}
+
+/// Decides whether this controller forms the first cluster; returns what it then starts from, or
+/// nothing if it goes on from its folder.
+pub(super) async fn form(
+    settings: &Settings,
+    member: MemberId,
+    recovered: &Recovered,
+    peers: &Peers,
+) -> Option<Recovered> {
+    let name = Arc::clone(&settings.name);
+    let mut bootstrap = Bootstrap::new(member, name, names(settings), recovered);
+    loop {
+        let missing = match bootstrap.next() {
+            BootstrapStep::Form(first) => return Some(first),
+            BootstrapStep::Run => return None,
+            BootstrapStep::Ask(missing) => missing,
+        };
+        for name in missing {
+            let query = Body::MemberQuery(MemberQuery {});
+            if let Ok(Body::MemberReport(report)) = peers.ask(&name, query, ASK_TIMEOUT).await {
+                peers.learn(MemberId(report.member), &name);
+                bootstrap.receive(&report);
+            }
+        }
+        sleep(ASK_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/src/controller/handler.rs
@@ -0,0 +1,230 @@
+//! Answers gateways and the other controllers.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::time::{Instant, timeout_at};
+
+use super::{
+    core::Core,
+    log::{Applied, LogError},
+    view,
+};
+use crate::{
+    domain::{IdempotencyKey, MemberId},
+    link::{Handler, Peer},
+    ports::Clock,
+    state::{Action, ClaimCommand, Observation, ObserveInstances, Reply, Sighting},
+    wire::{
+        Body, ClaimRequest, Failure, GatewayHeartbeat, LeavingNotice, NotLeader, OutcomeReply,
+        ViewRequest,
+    },
+};
+
+/// Longest time that a request for a view waits for a change.
+const LONGEST_POLL: Duration = Duration::from_secs(10);
+/// How far the time in a caller's key may lie ahead of the leader's.
+const KEY_SKEW: Duration = Duration::from_secs(60);
+
+/// Answers peers.
+#[derive(Debug)]
+pub(super) struct PeerHandler<T> {
+    pub core: Arc<Core<T>>,
+}
+
+impl<T: Clock> Handler for PeerHandler<T> {
+    async fn handle(&self, peer: &Peer, body: Body) -> Option<Body> {
+        match body {
+            Body::Replica(message) => {
+                self.core.peers.learn(MemberId(message.from), &peer.name);
+                self.core.log.receive(message).await;
+                None
+            }
+            Body::MemberQuery(_) => Some(Body::MemberReport(self.core.card.report())),
+            Body::Heartbeat(heartbeat) => Some(self.heartbeat(peer, heartbeat).await),
+            Body::ViewRequest(held) => Some(self.view(&held).await),
+            Body::Claim(request) => Some(self.claim(peer, request).await),
+            Body::Outcome(request) => {
+                let held_by = request.claim.as_ref().map(|claim| claim.gateway.as_str());
+                if held_by != Some(&*peer.name) {
+                    return Some(foreign());
+                }
+                Some(self.settle(Action::RecordOutcome(request)).await)
+            }
+            Body::Release(request) => {
+                let held_by = request.claim.as_ref().map(|claim| claim.gateway.as_str());
+                if held_by != Some(&*peer.name) {
+                    return Some(foreign());
+                }
+                Some(self.settle(Action::ReleaseClaim(request)).await)
+            }
+            Body::LeavingNotice(notice) => {
+                record_leaving(&self.core, &peer.name, vec![notice]).await;
+                None
+            }
+            _ => Some(failure("controllers do not answer this message")),
+        }
+    }
+}
+
+impl<T: Clock> PeerHandler<T> {
+    async fn heartbeat(&self, peer: &Peer, heartbeat: GatewayHeartbeat) -> Body {
+        let named = heartbeat.gateway.as_ref().map(|g| g.name.as_str());
+        if named != Some(&*peer.name) {
+            return foreign();
+        }
+        if !self.core.leads() {
+            return self.not_leader();
+        }
+        let reply = {
+            let mut fleet = self.core.fleet();
+            let before = fleet.sequence();
+            // The index is read under the registry's lock, so that a confirm that looks at the
+            // registry after its commit sees every lease granted on an older index.
+            let required = self.core.log.state().view_index();
+            let reply = fleet.hear(self.core.now(), &heartbeat, required);
+            let changed = fleet.sequence() != before;
+            drop(fleet);
+            self.core.note_heartbeat();
+            if changed {
+                self.core.note_fleet_change();
+            }
+            reply
+        };
+        // The leader's own lease may have ended meanwhile; a gateway's must not outlive it by more
+        // than the length counted from its heartbeat.
+        if !self.core.leads() {
+            return self.not_leader();
+        }
+        if !heartbeat.leaving.is_empty() {
+            // The lease does not wait for the commit.
+            let (core, name) = (Arc::clone(&self.core), Arc::clone(&peer.name));
+            tokio::spawn(async move { record_leaving(&core, &name, heartbeat.leaving).await });
+        }
+        match reply {
+            Ok(reply) => Body::Lease(reply),
+            Err(e) => failure(e),
+        }
+    }
+
+    async fn view(&self, held: &ViewRequest) -> Body {
+        let wait = Duration::from_millis(held.wait_ms).min(LONGEST_POLL);
+        let deadline = Instant::now() + wait;
+        let mut leads = self.core.log.watch_leads();
+        let mut viewed = self.core.log.watch_view();
+        let mut fleet = self.core.watch_fleet();
+        loop {
+            leads.mark_unchanged();
+            viewed.mark_unchanged();
+            fleet.mark_unchanged();
+            if !self.core.leads() {
+                return self.not_leader();
+            }
+            if let Some(reply) = self.difference(held) {
+                return Body::View(reply);
+            }
+            let change = async {
+                tokio::select! {
+                    result = viewed.changed() => result.is_ok(),
+                    result = fleet.changed() => result.is_ok(),
+                    result = leads.changed() => result.is_ok(),
+                }
+            };
+            match timeout_at(deadline, change).await {
+                Ok(true) => {}
+                Ok(false) => return failure("this controller is stopping"),
+                Err(_) => return Body::View(self.unchanged(held)),
+            }
+        }
+    }
+
+    fn difference(&self, held: &ViewRequest) -> Option<crate::wire::ViewReply> {
+        let fleet = self.core.fleet();
+        let state = self.core.log.state();
+        view::difference(&state, &fleet, self.core.now(), held)
+    }
+
+    fn unchanged(&self, held: &ViewRequest) -> crate::wire::ViewReply {
+        crate::wire::ViewReply {
+            index: held.held_index,
+            term: held.held_term,
+            sequence: held.held_sequence,
+            revision: self.core.log.state().configuration().revision(),
+            ..Default::default()
+        }
+    }
+
+    async fn claim(&self, peer: &Peer, request: ClaimRequest) -> Body {
+        if request.gateway != *peer.name {
+            return foreign();
+        }
+        if IdempotencyKey::from_bytes(&request.key).is_err() {
+            return failure("the key of the claim is not a version 7 UUID");
+        }
+        let millis = |d: Duration| u64::try_from(d.as_millis()).unwrap_or(u64::MAX);
+        let action = Action::Claim(ClaimCommand {
+            request: Some(request),
+            retention_ms: millis(self.core.settings.timing.claim_retention),
+            skew_ms: millis(KEY_SKEW),
+        });
+        self.commit(action).await
+    }
+
+    async fn settle(&self, action: Action) -> Body {
+        self.commit(action).await
+    }
+
+    async fn commit(&self, action: Action) -> Body {
+        if !self.core.log.standing().leads {
+            return self.not_leader();
+        }
+        match self.core.propose(action).await {
+            Ok(Applied { reply, .. }) => match reply {
+                Reply::Claim(reply) => Body::ClaimReply(reply),
+                Reply::Accepted(accepted) => Body::OutcomeReply(OutcomeReply { accepted }),
+                _ => failure("the log gave an answer to something else"),
+            },
+            Err(LogError::NotLeader) => self.not_leader(),
+            Err(e) => failure(e),
+        }
+    }
+
+    fn not_leader(&self) -> Body {
+        let leader = self.core.leader().map(|entry| entry.name.to_string());
+        Body::NotLeader(NotLeader {
+            leader: leader.unwrap_or_default(),
+        })
+    }
+}
+
+async fn record_leaving<T: Clock>(core: &Core<T>, source: &str, notices: Vec<LeavingNotice>) {
+    let unknown: Vec<_> = {
+        let state = core.log.state();
+        notices
+            .into_iter()
+            .filter(|notice| !state.instances().is_leaving(notice))
+            .collect()
+    };
+    if unknown.is_empty() {
+        return;
+    }
+    let observations = unknown.into_iter().map(|notice| Observation {
+        reason: format!("gateway {source} learned it"),
+        sighting: Some(Sighting::Leaving(notice)),
+    });
+    let action = Action::Observe(ObserveInstances {
+        observations: observations.collect(),
+    });
+    if let Err(e) = core.propose(action).await {
+        log::warn!("controller: a leaving instance is not recorded yet: {e}.");
+    }
+}
+
+fn foreign() -> Body {
+    failure("the message names another process than the one that sent it")
+}
+
+fn failure(message: impl ToString) -> Body {
+    Body::Failure(Failure {
+        message: message.to_string(),
+    })
+}
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -1,21 +1,215 @@
 //! The role `controller`: drives a replica, serves operators and gateways, and issues orders.
+//! See docs/DESIGN.md, "Controllers".
 
-use std::sync::Arc;
+mod api_error;
+pub mod changes;
+pub mod cloud;
+mod convert;
+mod core;
+mod driver;
+pub mod fleet;
+mod form;
+mod handler;
+mod http;
+mod leader;
+mod log;
+mod operators;
+mod peers;
+mod shares;
+mod token;
+pub mod view;
 
-use tokio_util::sync::CancellationToken;
+use std::{net::SocketAddr, path::Path, sync::Arc};
 
+use anyhow::Context;
+use rand::Rng;
+use tokio::{net::TcpListener, task::JoinHandle};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+use self::{
+    core::Core,
+    driver::{Driver, Parts},
+    form::Card,
+    handler::PeerHandler,
+    http::Http,
+    operators::Operators,
+    peers::Peers,
+    token::TokenHash,
+};
 use crate::{
     Running,
+    adapters::disk::LogStore,
+    domain::Incarnation,
+    link::{self, Identity, LinkSettings, PeerKey},
     ports::{Clock, CloudApi, Ports, Upstreams},
+    replication::{Recovered, Replica, ReplicaSettings},
     settings::Settings,
 };
 
-/// Starts a controller; it stops when the token is cancelled.
+/// Starts a controller; it stops when the token is cancelled or its disk fails.
+///
+/// # Errors
+///
+/// Fails if the settings lack what a controller needs, if the data folder cannot be opened or is
+/// damaged, or if an address cannot be bound.
 pub async fn start<U: Upstreams, C: CloudApi, T: Clock>(
     settings: Arc<Settings>,
     ports: Ports<U, C, T>,
     stop: CancellationToken,
 ) -> anyhow::Result<Running> {
-    let _ = (settings, ports, stop);
-    anyhow::bail!("the controller is not built yet")
+    let token = token(&settings)?;
+    let key = PeerKey::read(&settings.peer_key_file).with_context(|| {
+        let path = settings.peer_key_file.display();
+        format!("the peer key file {path} cannot be read; make it or correct peer_key_file")
+    })?;
+    let folder = settings.data_folder.as_deref();
+    let folder = folder.context("data_folder is missing; a controller needs one")?;
+    let (store, recovered, member) = open(folder).await?;
+    let identity = Identity {
+        name: Arc::clone(&settings.name),
+        incarnation: Incarnation(ports.clock.unix_ms()),
+    };
+    let peer_listener = bind(settings.peer_address, "peer_address").await?;
+    let http_listener = bind(settings.http_address, "http_address").await?;
+    let peer_address = peer_listener.local_addr()?;
+    let http_address = http_listener.local_addr()?;
+    let peers = Arc::new(Peers::connect(&settings, &key, &identity));
+    let card = Arc::new(Card::new(&settings, member, &recovered));
+    let (log, inbox) = log::channel();
+    let core = Arc::new(Core::new(
+        Arc::clone(&settings),
+        Arc::clone(&ports.clock),
+        ports.metrics.clone(),
+        log,
+        Arc::clone(&peers),
+        Arc::clone(&card),
+    ));
+    // Everything ends together: a controller whose disk failed must not go on answering.
+    let stop = stop.child_token();
+    let tasks = TaskTracker::new();
+    let handler = Arc::new(PeerHandler {
+        core: Arc::clone(&core),
+    });
+    tasks.spawn(link::serve(
+        peer_listener,
+        key,
+        identity,
+        LinkSettings::default(),
+        handler,
+        stop.clone(),
+    ));
+    let http = Arc::new(Http {
+        operators: Operators {
+            core: Arc::clone(&core),
+        },
+        token,
+    });
+    tasks.spawn(http::serve(http, http_listener, stop.clone()));
+    tasks.spawn(leader::run(Arc::clone(&core), stop.clone()));
+    if let Some(cloud) = &ports.cloud {
+        tasks.spawn(cloud::run(
+            Arc::clone(&core),
+            Arc::clone(cloud),
+            stop.clone(),
+        ));
+    }
+    let begin = Begin {
+        settings,
+        store,
+        recovered,
+        card,
+        peers,
+        inbox,
+        core,
+    };
+    let task: JoinHandle<anyhow::Result<()>> = tokio::spawn(async move {
+        let result = begin.run(stop.clone()).await;
+        if let Err(e) = &result {
+            ::log::error!("controller: stops: {e:#}.");
+        }
+        stop.cancel();
+        tasks.close();
+        tasks.wait().await;
+        result
+    });
+    Ok(Running {
+        http_address,
+        peer_address,
+        task,
+    })
+}
+
+struct Begin<T> {
+    settings: Arc<Settings>,
+    store: LogStore,
+    recovered: Recovered,
+    card: Arc<Card>,
+    peers: Arc<Peers>,
+    inbox: log::Inbox,
+    core: Arc<Core<T>>,
+}
+
+impl<T: Clock> Begin<T> {
+    /// Forms the first cluster if that is this controller's part, then drives the replica.
+    async fn run(mut self, stop: CancellationToken) -> anyhow::Result<()> {
+        let member = self.card.member();
+        let formed = tokio::select! {
+            formed = form::form(&self.settings, member, &self.recovered, &self.peers) => formed,
+            () = stop.cancelled() => return Ok(()),
+        };
+        if let Some(first) = formed {
+            ::log::info!("controller: forms the first cluster.");
+            self.store
+                .persist(Some(first.hard_state.clone()), &[], Some(&first.snapshot))
+                .context("the first members cannot be written; free or replace the disk")?;
+            self.recovered = first;
+        }
+        let timing = &self.settings.timing;
+        let replica_settings = ReplicaSettings {
+            heartbeat: timing.replica_heartbeat,
+            election_timeout: timing.election_timeout,
+            ..ReplicaSettings::default()
+        };
+        let tick = timing.replica_heartbeat / 2;
+        let replica = Replica::new(
+            member,
+            self.recovered,
+            replica_settings,
+            rand::rng().random(),
+            self.core.now(),
+        );
+        let driver = Driver::new(Parts {
+            replica,
+            store: Some(self.store),
+            clock: Arc::clone(&self.core.clock),
+            metrics: self.core.metrics.clone(),
+            peers: self.peers,
+            card: self.card,
+            inbox: self.inbox,
+            tick,
+        });
+        driver.run(stop).await
+    }
+}
+
+fn token(settings: &Settings) -> anyhow::Result<TokenHash> {
+    let text = settings.operator_token_sha256.as_deref();
+    let text = text.context("operator_token_sha256 is missing; a controller needs it")?;
+    TokenHash::parse(text).context(
+        "operator_token_sha256 is not 64 hexadecimal digits; write the SHA-256 of the token",
+    )
+}
+
+async fn open(folder: &Path) -> anyhow::Result<(LogStore, Recovered, crate::domain::MemberId)> {
+    let path = folder.to_owned();
+    let opened = tokio::task::spawn_blocking(move || LogStore::open(&path)).await;
+    opened
+        .context("the thread that opens the data folder ended")?
+        .with_context(|| format!("the data folder {} cannot be opened", folder.display()))
+}
+
+async fn bind(address: SocketAddr, field: &str) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address).await.with_context(|| {
+        format!("{field} {address} cannot be bound; choose an address of this machine that is free")
+    })
 }
--- /dev/null
+++ b/src/controller/operators.rs
@@ -0,0 +1,358 @@
+//! What operators may ask of the leader; see `crate::operator` for the answers.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::time::{Instant, timeout_at};
+use uuid::Uuid;
+use warp::http::StatusCode;
+
+use super::{api_error::ApiError, changes, convert, core::Core, log::LogError};
+use crate::{
+    domain::{Instance, InstanceName, Intent, MemberId, Money, OperationId, Revision},
+    operator::{
+        ConfirmRequest, Confirmed, DrainRequest, Drained, ExplainedEvent, Explanation,
+        GatewayStatus, HistoryEntry, MemberChanged, MemberRequest, MemberStatus, PlacementRow,
+        Plan, Status,
+    },
+    policy::place::{self, Placement},
+    ports::Clock,
+    replication::MemberChange,
+    state::{
+        Action, ConfirmIntent, ConfirmOutcome, Observation, ObserveInstances, Reply,
+        RevisionRecord, Sighting,
+    },
+    wire::LeavingNotice,
+};
+
+/// Longest time that a confirm waits for the gateways after its commit.
+const IN_FORCE_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Time between two looks at the gateways' progress, besides those after a heartbeat.
+const PROGRESS_LOOK: Duration = Duration::from_millis(20);
+
+type Answer<R> = Result<R, ApiError>;
+
+/// Answers operators.
+#[derive(Debug)]
+pub(super) struct Operators<T> {
+    pub core: Arc<Core<T>>,
+}
+
+impl<T: Clock> Operators<T> {
+    /// How the installation stands.
+    pub async fn status(&self) -> Answer<Status> {
+        self.read().await?;
+        let standing = self.core.log.standing();
+        let voters = &standing.membership.voters;
+        let members = standing
+            .matched
+            .iter()
+            .map(|(member, matched)| MemberStatus {
+                name: self.member_name(*member),
+                member: *member,
+                voter: voters.contains(&member.0),
+                matched: *matched,
+            });
+        let members = members.collect();
+        let gateways = self.gateways();
+        let state = self.core.log.state();
+        Ok(Status {
+            controller: Arc::clone(&self.core.settings.name),
+            term: standing.term,
+            commit: standing.commit,
+            revision: Revision(state.configuration().revision()),
+            members,
+            gateways,
+            instances: convert::instances(state.instances()),
+        })
+    }
+
+    fn member_name(&self, member: MemberId) -> Arc<str> {
+        if member == self.core.card.member() {
+            return Arc::clone(&self.core.settings.name);
+        }
+        self.core.peers.name(member).unwrap_or_else(|| "".into())
+    }
+
+    fn gateways(&self) -> Vec<GatewayStatus> {
+        let fleet = self.core.fleet();
+        let statuses = fleet.members().filter_map(|member| {
+            Some(GatewayStatus {
+                name: member.record.name.as_str().into(),
+                zone: member.record.zone.as_str().into(),
+                caller_address: member.record.caller_address.parse().ok()?,
+                view_index: member.view_index,
+                leaving: member.record.leaving,
+            })
+        });
+        statuses.collect()
+    }
+
+    /// What confirming an intent would change.
+    pub async fn plan(&self, intent: Intent) -> Answer<Plan> {
+        self.read().await?;
+        let (base_revision, before, instances) = {
+            let state = self.core.log.state();
+            let configuration = state.configuration();
+            (
+                Revision(configuration.revision()),
+                Arc::clone(configuration.intent()),
+                convert::instances(state.instances()),
+            )
+        };
+        let placement = place::plan(&intent, &instances);
+        Ok(Plan {
+            operation: OperationId(Uuid::new_v4()),
+            base_revision,
+            changes: changes::describe(&before, &intent),
+            placement: rows(&placement.running, &placement.wanted),
+            shortfalls: placement.shortfalls.clone(),
+            cost_before: cost_before(&before, &instances, placement.cost_running()),
+            cost_after: placement.cost_wanted(),
+            intent,
+        })
+    }
+
+    /// Puts an intent in force.
+    pub async fn confirm(&self, request: ConfirmRequest) -> Answer<Confirmed> {
+        let intent = serde_json::to_vec(&request.intent).map_err(|e| {
+            let message = format!("the intent cannot be encoded: {e}");
+            ApiError::new(StatusCode::BAD_REQUEST, "bad_request", message)
+        })?;
+        let before = Arc::clone(self.core.log.state().configuration().intent());
+        let action = Action::Confirm(ConfirmIntent {
+            operation: request.operation.0.as_bytes().to_vec(),
+            base_revision: request.base_revision.0,
+            intent: intent.into(),
+            changes: changes::describe(&before, &request.intent),
+        });
+        let applied = self.core.propose(action).await;
+        let applied = applied.map_err(|e| self.log_error(e))?;
+        let Reply::Confirm(outcome) = applied.reply else {
+            return Err(unexpected());
+        };
+        let (revision, index) = confirmed(outcome, request.base_revision)?;
+        Ok(self.in_force(revision, index).await)
+    }
+
+    /// Waits until no gateway takes new work on an older revision.
+    async fn in_force(&self, revision: u64, index: u64) -> Confirmed {
+        let deadline = Instant::now() + IN_FORCE_TIMEOUT;
+        loop {
+            let progress = self.core.fleet().progress(self.core.now(), index);
+            if progress.everywhere || Instant::now() >= deadline {
+                return Confirmed {
+                    revision: Revision(revision),
+                    index,
+                    in_force: progress.in_force,
+                    gateways: progress.gateways,
+                    everywhere: progress.everywhere,
+                };
+            }
+            let look = Instant::now() + PROGRESS_LOOK;
+            let mut heard = self.core.watch_heard();
+            // Leases also run out without a heartbeat, so the wait is bounded.
+            let _ = timeout_at(look.min(deadline), heard.changed()).await;
+        }
+    }
+
+    /// The confirmed revisions, oldest first.
+    pub async fn history(&self) -> Answer<Vec<HistoryEntry>> {
+        self.read().await?;
+        let state = self.core.log.state();
+        Ok(state.configuration().history().map(entry).collect())
+    }
+
+    /// What was decided about a revision.
+    pub async fn explain_revision(&self, number: u64) -> Answer<Explanation> {
+        self.read().await?;
+        let state = self.core.log.state();
+        let mut history = state.configuration().history();
+        let Some(record) = history.find(|record| record.revision == number) else {
+            return Err(not_found(format!(
+                "revision {number} is not in the history; see the history for those that are kept"
+            )));
+        };
+        let first = format!(
+            "Confirmed by operation {} at index {} of the log.",
+            operation(record),
+            record.index
+        );
+        let events = std::iter::once(&first).chain(&record.changes);
+        Ok(Explanation {
+            subject: format!("revision {number}"),
+            events: events
+                .map(|what| ExplainedEvent {
+                    at_unix_ms: record.at_unix_ms,
+                    what: what.clone(),
+                })
+                .collect(),
+        })
+    }
+
+    /// What happened to an instance.
+    pub async fn explain_instance(&self, name: &str) -> Answer<Explanation> {
+        self.read().await?;
+        let state = self.core.log.state();
+        let Some(fact) = state.instances().get(name) else {
+            return Err(unknown_instance(name));
+        };
+        let events = fact.events.iter().map(|event| ExplainedEvent {
+            at_unix_ms: event.at_unix_ms,
+            what: event.what.clone(),
+        });
+        Ok(Explanation {
+            subject: format!("instance {name}"),
+            events: events.collect(),
+        })
+    }
+
+    /// Takes an instance out of use. A resent order finds it leaving and gets the same index.
+    pub async fn drain(&self, name: &InstanceName, request: DrainRequest) -> Answer<Drained> {
+        self.read().await?;
+        let incarnation = {
+            let state = self.core.log.state();
+            let fact = state.instances().get(name.as_str());
+            fact.and_then(|fact| fact.record.as_ref())
+                .map(|record| record.incarnation)
+                .ok_or_else(|| unknown_instance(name.as_str()))?
+        };
+        let action = Action::Observe(ObserveInstances {
+            observations: vec![Observation {
+                reason: format!("an operator drains it, operation {}", request.operation),
+                sighting: Some(Sighting::Leaving(LeavingNotice {
+                    instance: name.to_string(),
+                    incarnation,
+                })),
+            }],
+        });
+        let applied = self.core.propose(action).await;
+        let applied = applied.map_err(|e| self.log_error(e))?;
+        let state = self.core.log.state();
+        let fact = state.instances().get(name.as_str());
+        let index = fact.map_or(applied.index, |fact| fact.changed_index);
+        Ok(Drained { index })
+    }
+
+    /// Changes the members of the log.
+    pub async fn change_members(&self, request: MemberRequest) -> Answer<MemberChanged> {
+        let change = match request {
+            MemberRequest::AddLearner(member) => MemberChange::AddLearner(member),
+            MemberRequest::Promote(member) => MemberChange::Promote(member),
+            MemberRequest::Remove(member) => MemberChange::Remove(member),
+        };
+        let applied = self.core.log.change_members(change).await;
+        let applied = applied.map_err(|e| self.log_error(e))?;
+        Ok(MemberChanged {
+            index: applied.index,
+        })
+    }
+
+    /// Makes sure that what follows is answered from the newest state.
+    async fn read(&self) -> Answer<()> {
+        let read = self.core.log.read().await;
+        // A read changes nothing, however it ends.
+        read.map_err(|e| self.log_error(e).not_run())
+    }
+
+    fn log_error(&self, e: LogError) -> ApiError {
+        ApiError::from_log(e, self.core.leader().map(|entry| entry.http_address))
+    }
+}
+
+fn confirmed(outcome: ConfirmOutcome, base: Revision) -> Answer<(u64, u64)> {
+    match outcome {
+        ConfirmOutcome::Confirmed { revision, index } => Ok((revision, index)),
+        ConfirmOutcome::Conflict { newest } => {
+            let message = format!(
+                "the plan was made on revision {base}, but revision {newest} is the newest; plan again"
+            );
+            Err(ApiError::new(StatusCode::CONFLICT, "conflict", message))
+        }
+        ConfirmOutcome::Reused => {
+            let message = "the operation id was used for another plan; plan again";
+            Err(ApiError::new(
+                StatusCode::CONFLICT,
+                "operation_reused",
+                message,
+            ))
+        }
+        ConfirmOutcome::Malformed => {
+            let message = "the intent is malformed; check the file and plan again";
+            Err(ApiError::new(
+                StatusCode::BAD_REQUEST,
+                "bad_request",
+                message,
+            ))
+        }
+    }
+}
+
+fn rows(running: &[Placement], wanted: &[Placement]) -> Vec<PlacementRow> {
+    let mut rows: Vec<PlacementRow> = Vec::new();
+    let mut add = |placement: &Placement, before: u32, after: u32| {
+        let known = rows.iter_mut().find(|row| {
+            row.service == placement.service
+                && row.zone == placement.zone
+                && row.class == placement.class
+                && row.purchase == placement.purchase
+        });
+        match known {
+            Some(row) => {
+                row.before += before;
+                row.after += after;
+            }
+            None => rows.push(PlacementRow {
+                service: placement.service.clone(),
+                zone: placement.zone.clone(),
+                class: placement.class.clone(),
+                purchase: placement.purchase,
+                before,
+                after,
+            }),
+        }
+    };
+    for placement in running {
+        add(placement, placement.count, 0);
+    }
+    for placement in wanted {
+        add(placement, 0, placement.count);
+    }
+    rows.sort_by(|a, b| (&a.service, &a.zone).cmp(&(&b.service, &b.zone)));
+    rows
+}
+
+/// What runs is priced by the prices in force, or before the first confirm by the new ones.
+fn cost_before(before: &Intent, instances: &[Instance], by_new_prices: Money) -> Money {
+    match before.prices.is_empty() {
+        true => by_new_prices,
+        false => place::plan(before, instances).cost_running(),
+    }
+}
+
+fn entry(record: &RevisionRecord) -> HistoryEntry {
+    HistoryEntry {
+        revision: Revision(record.revision),
+        operation: operation(record),
+        at_unix_ms: record.at_unix_ms,
+        changes: record.changes.clone(),
+    }
+}
+
+fn operation(record: &RevisionRecord) -> OperationId {
+    OperationId(Uuid::from_slice(&record.operation).unwrap_or_default())
+}
+
+fn unknown_instance(name: &str) -> ApiError {
+    not_found(format!(
+        "no instance is named {name}; see the status for those that are"
+    ))
+}
+
+fn not_found(message: String) -> ApiError {
+    ApiError::new(StatusCode::NOT_FOUND, "not_found", message)
+}
+
+fn unexpected() -> ApiError {
+    let message = "the log gave an answer to something else; report this as a fault";
+    ApiError::new(StatusCode::INTERNAL_SERVER_ERROR, "internal", message)
+}
--- /dev/null
+++ b/src/controller/shares.rs
@@ -0,0 +1,84 @@
+//! Gathers demand and capacity and turns the division into messages.
+
+use std::collections::BTreeMap;
+
+use super::fleet::Fleet;
+use crate::{
+    domain::Intent,
+    policy::allocate::{self, Capacity, DemandRow},
+    state::{Instances, LIVE},
+    wire::{Demand, ShareRecord},
+};
+
+/// Divides the capacity of every service among the registered gateways.
+pub fn divide(
+    intent: &Intent,
+    instances: &Instances,
+    fleet: &Fleet,
+) -> BTreeMap<String, Vec<ShareRecord>> {
+    let rows = rows(intent, fleet);
+    let mut shares: BTreeMap<String, Vec<ShareRecord>> = fleet
+        .members()
+        .map(|member| (member.record.name.clone(), Vec::new()))
+        .collect();
+    for share in allocate::shares(&rows, &capacities(intent, instances)) {
+        let record = ShareRecord {
+            service: share.service.to_string(),
+            account: share.account.to_string(),
+            slots: share.slots,
+        };
+        if let Some(list) = shares.get_mut(share.gateway.as_str()) {
+            list.push(record);
+        }
+    }
+    shares
+}
+
+fn capacities(intent: &Intent, instances: &Instances) -> Vec<Capacity> {
+    let mut live = BTreeMap::<&str, u32>::new();
+    for record in instances.present().filter(|record| record.state == LIVE) {
+        *live.entry(&record.service).or_default() += 1;
+    }
+    intent
+        .services
+        .iter()
+        .map(|service| Capacity {
+            service: service.name.clone(),
+            slots: service.slots_per_instance
+                * live.get(service.name.as_str()).copied().unwrap_or_default(),
+        })
+        .collect()
+}
+
+fn rows(intent: &Intent, fleet: &Fleet) -> Vec<DemandRow> {
+    let mut rows = Vec::new();
+    // A leaving gateway takes no new work, so its part goes to the others.
+    for member in fleet.members().filter(|member| !member.record.leaving) {
+        let demand: BTreeMap<_, _> = member
+            .demand
+            .iter()
+            .map(|demand| ((demand.service.as_str(), demand.account.as_str()), demand))
+            .collect();
+        for service in &intent.services {
+            for account in &intent.accounts {
+                let place = (service.name.as_str(), account.name.as_str());
+                let (running, waiting) = demand.get(&place).map_or((0, 0), |d| count(d));
+                let tier = intent.tiers.iter().find(|tier| tier.name == account.tier);
+                rows.push(DemandRow {
+                    gateway: member.record.name.as_str().into(),
+                    service: service.name.clone(),
+                    account: account.name.clone(),
+                    paying: tier.is_some_and(|tier| tier.paying),
+                    weight: account.weight,
+                    running,
+                    waiting,
+                });
+            }
+        }
+    }
+    rows
+}
+
+fn count(demand: &Demand) -> (u32, u32) {
+    (demand.running, demand.waiting)
+}
--- /dev/null
+++ b/src/controller/token.rs
@@ -0,0 +1,35 @@
+//! The operators' bearer token, of which only the hash is known here.
+
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+const SCHEME: &str = "Bearer ";
+
+/// SHA-256 of the token.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TokenHash([u8; 32]);
+
+impl TokenHash {
+    /// Reads the hash from hexadecimal digits.
+    pub fn parse(text: &str) -> Option<Self> {
+        let digits = text.trim().as_bytes();
+        if digits.len() != 64 {
+            return None;
+        }
+        let mut hash = [0; 32];
+        for (byte, pair) in hash.iter_mut().zip(digits.chunks_exact(2)) {
+            let pair = std::str::from_utf8(pair).ok()?;
+            *byte = u8::from_str_radix(pair, 16).ok()?;
+        }
+        Some(Self(hash))
+    }
+
+    /// Compares an `Authorization` header; the time does not depend on where they differ.
+    pub fn admits(&self, header: &str) -> bool {
+        let Some(token) = header.strip_prefix(SCHEME) else {
+            return false;
+        };
+        let hash: [u8; 32] = Sha256::digest(token.trim().as_bytes()).into();
+        hash.ct_eq(&self.0).into()
+    }
+}
--- /dev/null
+++ b/src/state/claims.rs
@@ -0,0 +1,293 @@
+//! Claims: the right to dispatch one non-idempotent call, given to one attempt only.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::command::ClaimCommand;
+use crate::{
+    domain::IdempotencyKey,
+    wire::{ClaimReply, ClaimRequest, ClaimStatus, OutcomeRequest, ReleaseRequest, StoredOutcome},
+};
+
+/// Where a recorded claim stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub enum Standing {
+    /// Its attempt may dispatch.
+    Open = 0,
+    /// Its attempt gave it back without dispatching.
+    Released = 1,
+    /// Its outcome is recorded.
+    Done = 2,
+    /// It may have run and its answer is lost.
+    Unknown = 3,
+}
+
+/// A recorded claim.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct ClaimRecord {
+    /// The claim as its holder asked for it.
+    #[prost(message, optional, tag = "1")]
+    pub request: Option<ClaimRequest>,
+    /// Where it stands.
+    #[prost(enumeration = "Standing", tag = "2")]
+    pub standing: i32,
+    /// The recorded answer, if there is one.
+    #[prost(message, optional, tag = "3")]
+    pub outcome: Option<StoredOutcome>,
+}
+
+/// The key comes first, because its leading bytes are its time: expiry removes a prefix.
+type Place = (IdempotencyKey, String);
+type Holder = (String, u64);
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Claim {
+    request: ClaimRequest,
+    standing: Standing,
+    outcome: Option<StoredOutcome>,
+}
+
+/// All claims within the retention window.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Claims {
+    records: BTreeMap<Place, Claim>,
+    open: BTreeMap<Holder, BTreeSet<Place>>,
+    /// Keys before this time were forgotten. It only grows, so that a leader whose clock is behind
+    /// cannot grant a forgotten key again.
+    expired_before: u64,
+}
+
+impl Claims {
+    /// Returns how many claims are recorded.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Returns whether no claim is recorded.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Returns the time before which all keys are refused, in milliseconds since the Unix epoch.
+    pub fn expired_before(&self) -> u64 {
+        self.expired_before
+    }
+
+    /// Returns the gateway incarnations that hold open claims.
+    pub fn holders(&self) -> impl Iterator<Item = (&str, u64)> {
+        self.open.keys().map(|(name, inc)| (name.as_str(), *inc))
+    }
+
+    /// Grants a claim to its first attempt, or says where it stands.
+    pub fn claim(&mut self, at_unix_ms: u64, command: &ClaimCommand) -> ClaimReply {
+        let Some(request) = &command.request else {
+            return reply(ClaimStatus::Conflict);
+        };
+        let Some(place) = place(request) else {
+            return reply(ClaimStatus::Conflict);
+        };
+        let created = place.0.created_unix_ms();
+        let oldest = at_unix_ms.saturating_sub(command.retention_ms);
+        let newest = at_unix_ms.saturating_add(command.skew_ms);
+        if created < oldest.max(self.expired_before) || created > newest {
+            return reply(ClaimStatus::Expired);
+        }
+        let Some(claim) = self.records.get(&place) else {
+            return self.grant(place, request);
+        };
+        if claim.request.digest != request.digest {
+            return reply(ClaimStatus::Conflict);
+        }
+        let own = same_attempt(&claim.request, request);
+        match claim.standing {
+            Standing::Open if own => reply(ClaimStatus::Granted),
+            Standing::Open => reply(ClaimStatus::InProgress),
+            // A late duplicate of a request whose attempt has given up must not hold the key.
+            Standing::Released if own => reply(ClaimStatus::InProgress),
+            Standing::Released => self.grant(place, request),
+            Standing::Unknown => reply(ClaimStatus::Unknown),
+            Standing::Done => ClaimReply {
+                status: ClaimStatus::Done.into(),
+                outcome: claim.outcome.clone(),
+            },
+        }
+    }
+
+    fn grant(&mut self, place: Place, request: &ClaimRequest) -> ClaimReply {
+        self.open
+            .entry(holder(request))
+            .or_default()
+            .insert(place.clone());
+        self.records.insert(
+            place,
+            Claim {
+                request: request.clone(),
+                standing: Standing::Open,
+                outcome: None,
+            },
+        );
+        reply(ClaimStatus::Granted)
+    }
+
+    /// Records an outcome, or that it is unknown. Returns whether the sender held the claim.
+    pub fn record(&mut self, request: &OutcomeRequest) -> bool {
+        let Some((place, claim)) = self.held(request.claim.as_ref()) else {
+            return false;
+        };
+        match (claim.standing, &request.outcome) {
+            (Standing::Done, _) | (Standing::Unknown, None) => return true,
+            (Standing::Released, _) => return false,
+            (Standing::Open | Standing::Unknown, Some(outcome)) => {
+                claim.standing = Standing::Done;
+                claim.outcome = Some(outcome.clone());
+            }
+            (Standing::Open, None) => claim.standing = Standing::Unknown,
+        }
+        self.close(request.claim.as_ref(), &place);
+        true
+    }
+
+    /// Gives a claim back. Returns whether the sender may rely on not holding it.
+    pub fn release(&mut self, at_unix_ms: u64, request: &ReleaseRequest) -> bool {
+        let Some(claimed) = &request.claim else {
+            return false;
+        };
+        if let Some((place, claim)) = self.held(Some(claimed)) {
+            match claim.standing {
+                Standing::Released => return true,
+                Standing::Done | Standing::Unknown => return false,
+                Standing::Open => claim.standing = Standing::Released,
+            }
+            self.close(Some(claimed), &place);
+            return true;
+        }
+        self.remember_release(at_unix_ms, claimed)
+    }
+
+    /// A release can overtake the claim that it gives back; remembering it keeps that claim from
+    /// being granted to an attempt that has ended.
+    fn remember_release(&mut self, at_unix_ms: u64, claimed: &ClaimRequest) -> bool {
+        let Some(place) = place(claimed) else {
+            return false;
+        };
+        let created = place.0.created_unix_ms();
+        if created < self.expired_before
+            || created > at_unix_ms
+            || self.records.contains_key(&place)
+        {
+            return false;
+        }
+        let claim = Claim {
+            request: claimed.clone(),
+            standing: Standing::Released,
+            outcome: None,
+        };
+        self.records.insert(place, claim);
+        true
+    }
+
+    /// Marks the open claims of a gateway incarnation; returns how many.
+    pub fn mark_unknown(&mut self, gateway: &str, incarnation: u64) -> u64 {
+        let places = self
+            .open
+            .remove(&(gateway.to_owned(), incarnation))
+            .unwrap_or_default();
+        for place in &places {
+            if let Some(claim) = self.records.get_mut(place) {
+                claim.standing = Standing::Unknown;
+            }
+        }
+        places.len() as u64
+    }
+
+    /// Forgets claims whose key was made before a time; from then on their keys are refused.
+    pub fn expire(&mut self, before_unix_ms: u64) -> u64 {
+        self.expired_before = self.expired_before.max(before_unix_ms);
+        let mut count = 0;
+        while let Some(entry) = self.records.first_entry() {
+            if entry.key().0.created_unix_ms() >= self.expired_before {
+                break;
+            }
+            let (place, claim) = entry.remove_entry();
+            self.close(Some(&claim.request), &place);
+            count += 1;
+        }
+        count
+    }
+
+    fn held(&mut self, asked: Option<&ClaimRequest>) -> Option<(Place, &mut Claim)> {
+        let asked = asked?;
+        let place = place(asked)?;
+        let claim = self.records.get_mut(&place)?;
+        same_attempt(&claim.request, asked).then_some((place, claim))
+    }
+
+    fn close(&mut self, request: Option<&ClaimRequest>, place: &Place) {
+        let Some(holder) = request.map(holder) else {
+            return;
+        };
+        let Some(places) = self.open.get_mut(&holder) else {
+            return;
+        };
+        places.remove(place);
+        if places.is_empty() {
+            self.open.remove(&holder);
+        }
+    }
+
+    /// Returns all records for a snapshot.
+    pub fn records(&self) -> Vec<ClaimRecord> {
+        self.records
+            .values()
+            .map(|claim| ClaimRecord {
+                request: Some(claim.request.clone()),
+                standing: claim.standing.into(),
+                outcome: claim.outcome.clone(),
+            })
+            .collect()
+    }
+
+    /// Builds the claims from a snapshot; returns nothing if a record is malformed.
+    pub fn from_records(records: Vec<ClaimRecord>, expired_before: u64) -> Option<Self> {
+        let mut claims = Self {
+            expired_before,
+            ..Self::default()
+        };
+        for record in records {
+            let standing = record.standing();
+            let request = record.request?;
+            let place = place(&request)?;
+            if standing == Standing::Open {
+                let holder = holder(&request);
+                claims.open.entry(holder).or_default().insert(place.clone());
+            }
+            let claim = Claim {
+                request,
+                standing,
+                outcome: record.outcome,
+            };
+            claims.records.insert(place, claim);
+        }
+        Some(claims)
+    }
+}
+
+fn place(request: &ClaimRequest) -> Option<Place> {
+    let key = IdempotencyKey::from_bytes(&request.key).ok()?;
+    Some((key, request.account.clone()))
+}
+
+fn holder(request: &ClaimRequest) -> Holder {
+    (request.gateway.clone(), request.incarnation)
+}
+
+fn same_attempt(a: &ClaimRequest, b: &ClaimRequest) -> bool {
+    a.gateway == b.gateway && a.incarnation == b.incarnation && a.attempt == b.attempt
+}
+
+fn reply(status: ClaimStatus) -> ClaimReply {
+    ClaimReply {
+        status: status.into(),
+        outcome: None,
+    }
+}
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -1,2 +1,192 @@
 //! The replicated state machine: configuration, claims, fencing numbers and instances. Applying the
 //! same entries in the same order gives the same state on every controller.
+
+mod claims;
+mod command;
+mod configuration;
+mod instances;
+
+pub use claims::{ClaimRecord, Claims, Standing};
+pub use command::{
+    Action, AllocateFence, ClaimCommand, Command, ConfirmIntent, ExpireClaims, MarkUnknown,
+    Observation, ObserveInstances, Sighting,
+};
+pub use configuration::{Configuration, ConfirmOutcome, OperationRecord, RevisionRecord};
+pub use instances::{
+    At, EventRecord, GONE, InstanceFact, Instances, InstancesRecord, LEAVING, LIVE,
+};
+
+use bytes::Bytes;
+use prost::Message;
+
+use crate::{domain::FencingNumber, wire::ClaimReply};
+
+/// What a command answered.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// To a confirm.
+    Confirm(ConfirmOutcome),
+    /// To a claim.
+    Claim(ClaimReply),
+    /// To an outcome or a release: whether the sender held the claim.
+    Accepted(bool),
+    /// To an order to expire or mark claims: how many there were.
+    Count(u64),
+    /// To observations: whether all instances are known.
+    Known(bool),
+    /// A fencing number that was never given before.
+    Fence(FencingNumber),
+    /// The command has no action; nothing changed.
+    Nothing,
+}
+
+/// A snapshot that is not one.
+#[derive(Debug, thiserror::Error)]
+#[error("the snapshot of the state is damaged; restore the data folder or join as a new member")]
+pub struct DamagedState;
+
+/// The replicated state.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct State {
+    index: u64,
+    configuration: Configuration,
+    claims: Claims,
+    instances: Instances,
+    fence: u64,
+}
+
+impl State {
+    /// Returns the index of the last applied entry.
+    pub fn index(&self) -> u64 {
+        self.index
+    }
+
+    /// Returns the confirmed configuration.
+    pub fn configuration(&self) -> &Configuration {
+        &self.configuration
+    }
+
+    /// Returns the claims.
+    pub fn claims(&self) -> &Claims {
+        &self.claims
+    }
+
+    /// Returns the upstream instances.
+    pub fn instances(&self) -> &Instances {
+        &self.instances
+    }
+
+    /// Returns the log index of the last change that gateways must see.
+    pub fn view_index(&self) -> u64 {
+        self.configuration
+            .index()
+            .max(self.instances.changed_index())
+    }
+
+    /// Notes an entry that is not a command.
+    pub fn skip(&mut self, index: u64) {
+        self.index = index;
+    }
+
+    /// Applies a committed command.
+    pub fn apply(&mut self, index: u64, command: &Command) -> Reply {
+        self.index = index;
+        let at = At {
+            index,
+            unix_ms: command.at_unix_ms,
+        };
+        let Some(action) = &command.action else {
+            return Reply::Nothing;
+        };
+        match action {
+            Action::Confirm(confirm) => {
+                Reply::Confirm(self.configuration.confirm(index, at.unix_ms, confirm))
+            }
+            Action::Claim(claim) => Reply::Claim(self.claims.claim(at.unix_ms, claim)),
+            Action::RecordOutcome(outcome) => Reply::Accepted(self.claims.record(outcome)),
+            Action::ReleaseClaim(release) => {
+                Reply::Accepted(self.claims.release(at.unix_ms, release))
+            }
+            Action::ExpireClaims(expire) => Reply::Count(self.claims.expire(expire.before_unix_ms)),
+            Action::MarkUnknown(mark) => {
+                Reply::Count(self.claims.mark_unknown(&mark.gateway, mark.incarnation))
+            }
+            Action::Observe(observe) => Reply::Known(self.observe(at, observe)),
+            Action::AllocateFence(_) => {
+                self.fence += 1;
+                Reply::Fence(FencingNumber(self.fence))
+            }
+        }
+    }
+
+    fn observe(&mut self, at: At, observe: &ObserveInstances) -> bool {
+        let mut known = true;
+        for observation in &observe.observations {
+            known &= self.instances.observe(at, observation);
+        }
+        known
+    }
+
+    /// Encodes the state for a snapshot.
+    pub fn encode(&self) -> Bytes {
+        let record = StateRecord {
+            index: self.index,
+            revision: self.configuration.revision(),
+            intent_index: self.configuration.index(),
+            intent: self.configuration.json().clone(),
+            history: self.configuration.history().cloned().collect(),
+            operations: self.configuration.operations(),
+            claims: self.claims.records(),
+            expired_before: self.claims.expired_before(),
+            instances: Some(self.instances.to_record()),
+            fence: self.fence,
+        };
+        record.encode_to_vec().into()
+    }
+
+    /// Decodes a snapshot. An empty one is the state before the first entry.
+    pub fn decode(bytes: &[u8]) -> Result<Self, DamagedState> {
+        let record = StateRecord::decode(bytes).map_err(|_| DamagedState)?;
+        Self::from_record(record).ok_or(DamagedState)
+    }
+
+    fn from_record(record: StateRecord) -> Option<Self> {
+        Some(Self {
+            index: record.index,
+            configuration: Configuration::from_records(
+                record.revision,
+                record.intent_index,
+                record.intent,
+                record.history,
+                record.operations,
+            )?,
+            claims: Claims::from_records(record.claims, record.expired_before)?,
+            instances: Instances::from_record(record.instances.unwrap_or_default())?,
+            fence: record.fence,
+        })
+    }
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct StateRecord {
+    #[prost(uint64, tag = "1")]
+    index: u64,
+    #[prost(uint64, tag = "2")]
+    revision: u64,
+    #[prost(uint64, tag = "3")]
+    intent_index: u64,
+    #[prost(bytes = "bytes", tag = "4")]
+    intent: Bytes,
+    #[prost(message, repeated, tag = "5")]
+    history: Vec<RevisionRecord>,
+    #[prost(message, repeated, tag = "6")]
+    operations: Vec<OperationRecord>,
+    #[prost(message, repeated, tag = "7")]
+    claims: Vec<ClaimRecord>,
+    #[prost(uint64, tag = "8")]
+    expired_before: u64,
+    #[prost(message, optional, tag = "9")]
+    instances: Option<InstancesRecord>,
+    #[prost(uint64, tag = "10")]
+    fence: u64,
+}
--- /dev/null
+++ b/tests/controllers/cloud.rs
@@ -0,0 +1,93 @@
+//! A cloud API in memory.
+
+use std::sync::Mutex;
+
+use flamingocroft::{
+    domain::{
+        FencingNumber, Incarnation, InstanceName, InstanceState, MachineClass, OperationId,
+        Purchase, ServiceName,
+    },
+    ports::{CloudApi, CloudError, InstanceListing, ReclaimNotice, StartRequest},
+};
+
+#[derive(Debug, Default)]
+pub struct FakeCloud(pub Mutex<Inner>);
+
+#[derive(Debug, Default)]
+pub struct Inner {
+    pub list: Vec<InstanceListing>,
+    pub notices: Vec<ReclaimNotice>,
+    pub started: Vec<StartRequest>,
+    pub stopped: Vec<InstanceName>,
+    pub operations: Vec<OperationId>,
+    pub refusals: u32,
+    pub next: u64,
+}
+
+pub fn listing(name: &str, service: &str, zone: &str) -> InstanceListing {
+    InstanceListing {
+        name: name.into(),
+        incarnation: Incarnation(1),
+        service: service.into(),
+        zone: zone.into(),
+        class: MachineClass("gpu-1".into()),
+        purchase: Purchase::Reclaimable,
+        address: "127.0.0.1:9".parse().unwrap(),
+        state: InstanceState::Live,
+    }
+}
+
+impl FakeCloud {
+    pub fn with(list: Vec<InstanceListing>) -> Self {
+        Self(Mutex::new(Inner {
+            list,
+            ..Inner::default()
+        }))
+    }
+
+    pub fn change(&self, change: impl FnOnce(&mut Inner)) {
+        change(&mut self.0.lock().unwrap());
+    }
+
+    pub fn count(&self, service: &ServiceName) -> usize {
+        let inner = self.0.lock().unwrap();
+        inner.list.iter().filter(|l| l.service == *service).count()
+    }
+}
+
+impl CloudApi for FakeCloud {
+    async fn instances(&self) -> Result<Vec<InstanceListing>, CloudError> {
+        Ok(self.0.lock().unwrap().list.clone())
+    }
+
+    async fn notices(&self) -> Result<Vec<ReclaimNotice>, CloudError> {
+        Ok(self.0.lock().unwrap().notices.clone())
+    }
+
+    async fn start(&self, req: &StartRequest) -> Result<InstanceName, CloudError> {
+        let mut inner = self.0.lock().unwrap();
+        if inner.refusals > 0 {
+            inner.refusals -= 1;
+            return Err(CloudError::Refused("no capacity".into()));
+        }
+        let name = format!("i-{}", req.operation);
+        if inner.operations.contains(&req.operation) {
+            return Ok(name.into());
+        }
+        inner.operations.push(req.operation);
+        inner.started.push(req.clone());
+        inner.list.push(InstanceListing {
+            class: req.class.clone(),
+            purchase: req.purchase,
+            ..listing(&name, req.service.as_str(), req.zone.as_str())
+        });
+        Ok(name.into())
+    }
+
+    async fn stop(&self, instance: &InstanceName, _: FencingNumber) -> Result<(), CloudError> {
+        let mut inner = self.0.lock().unwrap();
+        inner.list.retain(|listing| listing.name != *instance);
+        inner.stopped.push(instance.clone());
+        Ok(())
+    }
+}
--- /dev/null
+++ b/tests/controllers/gateway.rs
@@ -0,0 +1,210 @@
+//! A gateway that only sends heartbeats, polls views and makes claims.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use flamingocroft::{
+    domain::Incarnation,
+    link::{Identity, Link, LinkSettings, PeerKey},
+    wire::{
+        Body, ClaimReply, ClaimRequest, Demand, GatewayHeartbeat, GatewayRecord, LeaseReply,
+        LeavingNotice, ViewReply, ViewRequest,
+    },
+};
+use tokio::{sync::watch, task::JoinSet};
+
+use super::{Cluster, KEY};
+
+const CALL: Duration = Duration::from_millis(1500);
+
+/// What a gateway holds.
+#[derive(Clone, Debug, Default)]
+pub struct Held {
+    pub index: u64,
+    pub term: u64,
+    pub sequence: u64,
+    pub revision: u64,
+    pub gateways: Vec<String>,
+    pub instances: Vec<(String, u32)>,
+    pub lease: Option<LeaseReply>,
+    pub slots: u32,
+}
+
+pub struct FakeGateway {
+    pub record: GatewayRecord,
+    pub shared: Arc<Shared>,
+    tasks: JoinSet<()>,
+}
+
+pub struct Shared {
+    links: Vec<(String, Link)>,
+    preferred: AtomicUsize,
+    pub held: watch::Sender<Held>,
+    pub leaving: std::sync::Mutex<Vec<LeavingNotice>>,
+    pub demand: std::sync::Mutex<Vec<Demand>>,
+    pub silent: AtomicBool,
+}
+
+impl Shared {
+    /// Asks the leader, following `NotLeader`, until one answers.
+    pub async fn ask(&self, body: Body) -> Body {
+        loop {
+            let at = self.preferred.load(Ordering::Relaxed) % self.links.len();
+            match self.links[at].1.call(body.clone(), CALL).await {
+                Ok(Body::NotLeader(other)) => {
+                    let named = self
+                        .links
+                        .iter()
+                        .position(|(name, _)| *name == other.leader);
+                    self.preferred
+                        .store(named.unwrap_or(at + 1), Ordering::Relaxed);
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                }
+                Ok(reply) => return reply,
+                Err(_) => {
+                    self.preferred.store(at + 1, Ordering::Relaxed);
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                }
+            }
+        }
+    }
+
+    pub async fn claim(&self, request: &ClaimRequest) -> ClaimReply {
+        match self.ask(Body::Claim(request.clone())).await {
+            Body::ClaimReply(reply) => reply,
+            other => panic!("unexpected answer {other:?}"),
+        }
+    }
+
+    fn take(&self, reply: &ViewReply) {
+        self.held.send_modify(|held| {
+            if (reply.index, reply.term, reply.sequence) < (held.index, held.term, held.sequence) {
+                return;
+            }
+            held.index = reply.index;
+            held.term = reply.term;
+            held.sequence = reply.sequence;
+            held.revision = reply.revision;
+            if reply.gateways_changed {
+                held.gateways = reply.gateways.iter().map(|g| g.name.clone()).collect();
+            }
+            if reply.instances_whole {
+                held.instances.clear();
+            }
+            for record in &reply.instances {
+                held.instances.retain(|(name, _)| *name != record.name);
+                held.instances.push((record.name.clone(), record.state));
+            }
+        });
+    }
+}
+
+impl FakeGateway {
+    pub fn start(cluster: &Cluster, name: &str, zone: &str, incarnation: u64) -> Self {
+        let own = Identity {
+            name: name.into(),
+            incarnation: Incarnation(incarnation),
+        };
+        let key = PeerKey::new(KEY).unwrap();
+        let links = cluster.controllers.iter().map(|controller| {
+            let address = controller.settings.peer_address;
+            let link = Link::connect(address, key.clone(), own.clone(), LinkSettings::default());
+            (controller.settings.name.to_string(), link)
+        });
+        let shared = Arc::new(Shared {
+            links: links.collect(),
+            preferred: AtomicUsize::new(0),
+            held: watch::channel(Held::default()).0,
+            leaving: std::sync::Mutex::default(),
+            demand: std::sync::Mutex::default(),
+            silent: AtomicBool::new(false),
+        });
+        let record = GatewayRecord {
+            name: name.into(),
+            incarnation,
+            zone: zone.into(),
+            caller_address: "127.0.0.1:1".into(),
+            peer_address: "127.0.0.1:2".into(),
+            leaving: false,
+        };
+        let mut tasks = JoinSet::new();
+        let period = cluster.controllers[0].settings.timing.gateway_heartbeat;
+        tasks.spawn(heartbeats(Arc::clone(&shared), record.clone(), period));
+        tasks.spawn(views(Arc::clone(&shared), name.to_owned()));
+        Self {
+            record,
+            shared,
+            tasks,
+        }
+    }
+
+    /// Waits until what it holds has a property.
+    pub async fn holds(&self, property: impl FnMut(&Held) -> bool) -> Held {
+        let mut held = self.shared.held.subscribe();
+        let seen = tokio::time::timeout(Duration::from_secs(20), held.wait_for(property)).await;
+        match seen {
+            Ok(held) => held.unwrap().clone(),
+            Err(_) => panic!("never held; last {:?}", *self.shared.held.borrow()),
+        }
+    }
+
+    pub fn request(&self, key: uuid::Uuid, digest: u8, attempt: u64) -> ClaimRequest {
+        ClaimRequest {
+            account: "office".into(),
+            key: key.as_bytes().to_vec(),
+            digest: vec![digest; 32],
+            gateway: self.record.name.clone(),
+            incarnation: self.record.incarnation,
+            attempt,
+        }
+    }
+}
+
+async fn heartbeats(shared: Arc<Shared>, record: GatewayRecord, period: Duration) {
+    let mut tick = tokio::time::interval(period);
+    loop {
+        tick.tick().await;
+        if shared.silent.load(Ordering::Relaxed) {
+            continue;
+        }
+        beat(&shared, &record).await;
+    }
+}
+
+async fn beat(shared: &Shared, record: &GatewayRecord) {
+    let heartbeat = GatewayHeartbeat {
+        gateway: Some(record.clone()),
+        view_index: shared.held.borrow().index,
+        demand: shared.demand.lock().unwrap().clone(),
+        leaving: shared.leaving.lock().unwrap().clone(),
+    };
+    if let Body::Lease(lease) = shared.ask(Body::Heartbeat(heartbeat)).await {
+        shared.held.send_modify(|held| {
+            if lease.shares_changed {
+                held.slots = lease.shares.iter().map(|share| share.slots).sum();
+            }
+            held.lease = Some(lease);
+        });
+    }
+}
+
+async fn views(shared: Arc<Shared>, gateway: String) {
+    loop {
+        let held = shared.held.borrow().clone();
+        let request = ViewRequest {
+            gateway: gateway.clone(),
+            held_index: held.index,
+            held_term: held.term,
+            held_sequence: held.sequence,
+            wait_ms: 1000,
+        };
+        if let Body::View(reply) = shared.ask(Body::ViewRequest(request)).await {
+            shared.take(&reply);
+        }
+    }
+}
--- /dev/null
+++ b/tests/controllers/mod.rs
@@ -0,0 +1,313 @@
+//! Controllers in this process, with real links and disks, and fakes at the ports.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+mod cloud;
+mod gateway;
+mod upstreams;
+
+pub use cloud::{FakeCloud, listing};
+pub use gateway::FakeGateway;
+pub use upstreams::FakeUpstreams;
+
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::Path,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use bytes::Bytes;
+use flamingocroft::{
+    Running, controller,
+    domain::{Intent, OperationId, Revision},
+    operator::{ConfirmRequest, Confirmed, ErrorBody, Plan, Status},
+    ports::{Clock, Ports},
+    settings::{ControllerEntry, Limits, Role, Settings, Timing},
+    telemetry::Metrics,
+};
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request, StatusCode};
+use hyper_util::{client::legacy::Client, rt::TokioExecutor};
+use serde::{Serialize, de::DeserializeOwned};
+use sha2::{Digest, Sha256};
+use tempfile::TempDir;
+use tokio_util::sync::CancellationToken;
+
+pub const TOKEN: &str = "operators-token-for-tests";
+pub const KEY: &[u8] = b"a-shared-key-for-the-tests-only";
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// The machine's clock.
+#[derive(Debug)]
+pub struct SystemClock(Instant);
+
+impl Clock for SystemClock {
+    fn monotonic(&self) -> Duration {
+        self.0.elapsed()
+    }
+
+    fn unix_ms(&self) -> u64 {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+        now.as_millis() as u64
+    }
+}
+
+/// An own loopback address for every cluster, so that tests in parallel share no port.
+fn own_address() -> IpAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let pid = std::process::id();
+    let count = NEXT.fetch_add(1, Ordering::Relaxed);
+    IpAddr::V4(Ipv4Addr::new(
+        127,
+        64 + (pid % 128) as u8,
+        (pid / 128 % 256) as u8,
+        1 + (count % 250) as u8,
+    ))
+}
+
+/// One controller that may run.
+pub struct Controller {
+    pub settings: Arc<Settings>,
+    running: Option<(CancellationToken, Running)>,
+}
+
+/// Several controllers.
+pub struct Cluster {
+    pub controllers: Vec<Controller>,
+    pub cloud: Arc<FakeCloud>,
+    pub upstreams: Arc<FakeUpstreams>,
+    folder: TempDir,
+}
+
+/// An answer: its status and body.
+pub struct Answer {
+    pub status: StatusCode,
+    pub body: Bytes,
+}
+
+impl Answer {
+    pub fn read<R: DeserializeOwned>(&self) -> R {
+        assert_eq!(self.status, StatusCode::OK, "{:?}", self.body);
+        serde_json::from_slice(&self.body).unwrap()
+    }
+
+    pub fn error(&self) -> ErrorBody {
+        assert_ne!(self.status, StatusCode::OK);
+        serde_json::from_slice(&self.body).unwrap()
+    }
+}
+
+impl Cluster {
+    pub async fn start(count: usize) -> Self {
+        Self::start_with(count, Timing::default(), None).await
+    }
+
+    pub async fn start_with(count: usize, timing: Timing, cloud: Option<FakeCloud>) -> Self {
+        let folder = TempDir::new().unwrap();
+        let address = own_address();
+        let key = folder.path().join("key");
+        std::fs::write(&key, KEY).unwrap();
+        let entries: Vec<_> = (0..count).map(|i| entry(address, i)).collect();
+        let has_cloud = cloud.is_some();
+        let controllers = entries.iter().map(|entry| Controller {
+            settings: Arc::new(settings(
+                entry,
+                &entries,
+                &key,
+                folder.path(),
+                timing.clone(),
+                has_cloud,
+            )),
+            running: None,
+        });
+        let mut cluster = Self {
+            controllers: controllers.collect(),
+            cloud: Arc::new(cloud.unwrap_or_default()),
+            upstreams: Arc::default(),
+            folder,
+        };
+        for index in 0..count {
+            cluster.run(index).await;
+        }
+        cluster
+    }
+
+    pub async fn run(&mut self, index: usize) {
+        let controller = &mut self.controllers[index];
+        let settings = Arc::clone(&controller.settings);
+        let ports = Ports {
+            upstreams: Arc::clone(&self.upstreams),
+            cloud: settings.cloud_address.map(|_| Arc::clone(&self.cloud)),
+            clock: Arc::new(SystemClock(Instant::now())),
+            metrics: Metrics::new().unwrap(),
+        };
+        let stop = CancellationToken::new();
+        let running = controller::start(settings, ports, stop.clone())
+            .await
+            .unwrap();
+        controller.running = Some((stop, running));
+    }
+
+    pub async fn stop(&mut self, index: usize) {
+        let Some((stop, running)) = self.controllers[index].running.take() else {
+            return;
+        };
+        stop.cancel();
+        running.task.await.unwrap().unwrap();
+    }
+
+    pub async fn stop_all(&mut self) {
+        for index in 0..self.controllers.len() {
+            self.stop(index).await;
+        }
+    }
+
+    pub fn data_folder(&self, index: usize) -> &Path {
+        self.controllers[index]
+            .settings
+            .data_folder
+            .as_deref()
+            .unwrap()
+    }
+
+    /// Asks until a controller that runs says that it leads.
+    pub async fn leader(&self) -> (usize, Status) {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            for (index, controller) in self.controllers.iter().enumerate() {
+                if controller.running.is_none() {
+                    continue;
+                }
+                let answer = self.get(index, "status").await;
+                if answer.status == StatusCode::OK {
+                    return (index, answer.read());
+                }
+            }
+            assert!(Instant::now() < until, "no leader in time");
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// Asks the leader until a status has a property.
+    pub async fn status_where(&self, property: impl Fn(&Status) -> bool) -> Status {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let (_, status) = self.leader().await;
+            if property(&status) {
+                return status;
+            }
+            assert!(Instant::now() < until, "never seen; last {status:?}");
+        }
+    }
+
+    pub async fn get(&self, index: usize, call: &str) -> Answer {
+        self.send(index, Method::GET, call, TOKEN, Bytes::new())
+            .await
+    }
+
+    pub async fn post(&self, index: usize, call: &str, body: &impl Serialize) -> Answer {
+        let body = serde_json::to_vec(body).unwrap();
+        self.send(index, Method::POST, call, TOKEN, body.into())
+            .await
+    }
+
+    pub async fn send(
+        &self,
+        index: usize,
+        method: Method,
+        call: &str,
+        token: &str,
+        body: Bytes,
+    ) -> Answer {
+        let address = self.controllers[index].settings.http_address;
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{address}/v1/{call}"))
+            .header("authorization", format!("Bearer {token}"))
+            .body(Full::new(body))
+            .unwrap();
+        let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
+        match client.request(request).await {
+            Ok(response) => Answer {
+                status: response.status(),
+                body: response.into_body().collect().await.unwrap().to_bytes(),
+            },
+            Err(_) => Answer {
+                status: StatusCode::BAD_GATEWAY,
+                body: Bytes::new(),
+            },
+        }
+    }
+
+    pub async fn plan(&self, index: usize, intent: &Intent) -> Plan {
+        self.post(index, "plan", intent).await.read()
+    }
+
+    pub async fn confirm(&self, index: usize, plan: &Plan) -> Answer {
+        self.post(index, "confirm", &request(plan)).await
+    }
+
+    /// Plans and confirms at the leader.
+    pub async fn put(&self, intent: &Intent) -> Confirmed {
+        let (leader, _) = self.leader().await;
+        let plan = self.plan(leader, intent).await;
+        self.confirm(leader, &plan).await.read()
+    }
+}
+
+pub fn request(plan: &Plan) -> ConfirmRequest {
+    ConfirmRequest {
+        operation: plan.operation,
+        base_revision: plan.base_revision,
+        intent: plan.intent.clone(),
+    }
+}
+
+pub fn order(base: u64, intent: Intent) -> ConfirmRequest {
+    ConfirmRequest {
+        operation: OperationId(uuid::Uuid::new_v4()),
+        base_revision: Revision(base),
+        intent,
+    }
+}
+
+fn entry(address: IpAddr, index: usize) -> ControllerEntry {
+    let port = 20_000 + 10 * index as u16;
+    ControllerEntry {
+        name: format!("c{index}").as_str().into(),
+        zone: format!("z{index}").as_str().into(),
+        peer_address: SocketAddr::new(address, port),
+        http_address: SocketAddr::new(address, port + 1),
+    }
+}
+
+fn settings(
+    entry: &ControllerEntry,
+    entries: &[ControllerEntry],
+    key: &Path,
+    folder: &Path,
+    timing: Timing,
+    has_cloud: bool,
+) -> Settings {
+    let hash = Sha256::digest(TOKEN.as_bytes());
+    let hash: String = hash.iter().map(|byte| format!("{byte:02x}")).collect();
+    Settings {
+        name: Arc::clone(&entry.name),
+        role: Role::Controller,
+        zone: entry.zone.clone(),
+        http_address: entry.http_address,
+        peer_address: entry.peer_address,
+        advertised_address: None,
+        peer_key_file: key.to_owned(),
+        controllers: entries.to_vec(),
+        data_folder: Some(folder.join(&*entry.name)),
+        operator_token_sha256: Some(hash),
+        cloud_address: has_cloud.then_some(entry.http_address),
+        limits: Limits::default(),
+        timing,
+    }
+}
