Thin: checked settings and intent, the operator tool and the daemon's entry

Fields are checked one by one against tables before deserialising, since serde stops at the first error and operators should see all. Cross checks run on what remains valid.

--- a/src/bin/flamingocroft.rs
+++ b/src/bin/flamingocroft.rs
@@ -1,2 +1,11 @@
-//! Tool.
-fn main() {}
+//! The operator tool.
+
+use std::process::ExitCode;
+
+use clap::Parser;
+use flamingocroft::cmd::Cli;
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    Cli::parse().run().await
+}
--- a/src/bin/flamingocroftd.rs
+++ b/src/bin/flamingocroftd.rs
@@ -1,2 +1,17 @@
-//! Daemon.
-fn main() {}
+//! The daemon.
+
+use std::process::ExitCode;
+
+use clap::Parser;
+use flamingocroft::daemon::Daemon;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    match Daemon::parse().run().await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("flamingocroftd: {e:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/cmd/check.rs
@@ -0,0 +1,86 @@
+//! `flamingocroft check`.
+
+use std::path::PathBuf;
+
+use clap::Args;
+use serde::Serialize;
+use serde_json::Value;
+
+use super::{CmdError, Options, Run};
+use crate::settings::{Settings, intent::read_intent, read_value};
+
+/// Checks a settings file or an intent file and reports all its errors.
+#[derive(Debug, Args)]
+pub(super) struct Check {
+    /// The file; its content tells which kind it is.
+    file: PathBuf,
+    /// Checks the files and folders named in settings as well.
+    #[arg(long)]
+    files: bool,
+}
+
+#[derive(Debug, Serialize)]
+struct Checked {
+    file: PathBuf,
+    kind: &'static str,
+    summary: String,
+}
+
+impl Run for Check {
+    async fn run(&self, options: &Options) -> Result<(), CmdError> {
+        let value = read_value(&self.file)?;
+        let (kind, summary) = if is_settings(&value) {
+            ("settings", self.settings()?)
+        } else {
+            ("intent", self.intent()?)
+        };
+        let checked = Checked {
+            file: self.file.clone(),
+            kind,
+            summary,
+        };
+        options.output().show(&checked, |checked| {
+            let file = checked.file.display();
+            format!(
+                "{file}: {} without errors: {}",
+                checked.kind, checked.summary
+            )
+        })
+    }
+}
+
+impl Check {
+    fn settings(&self) -> Result<String, CmdError> {
+        let settings = if self.files {
+            Settings::read(&self.file)?
+        } else {
+            Settings::read_without_files(&self.file)?
+        };
+        Ok(format!(
+            "{} {} in zone {}, {} controllers",
+            settings.role,
+            settings.name,
+            settings.zone,
+            settings.controllers.len()
+        ))
+    }
+
+    fn intent(&self) -> Result<String, CmdError> {
+        let intent = read_intent(&self.file)?;
+        Ok(format!(
+            "{} zones, {} services, {} accounts, {} models",
+            intent.zones.len(),
+            intent.services.len(),
+            intent.accounts.len(),
+            intent.models.len()
+        ))
+    }
+}
+
+/// Only settings have a role, and only intents have services.
+fn is_settings(value: &Value) -> bool {
+    const SETTINGS_FIELDS: [&str; 4] = ["role", "controllers", "peer_address", "peer_key_file"];
+    SETTINGS_FIELDS
+        .iter()
+        .any(|field| value.get(field).is_some())
+}
--- /dev/null
+++ b/src/cmd/output.rs
@@ -0,0 +1,69 @@
+//! What the tool prints: text for people, or JSON for scripts.
+
+use std::io::{self, Write};
+
+use serde::Serialize;
+use serde_json::json;
+
+use super::CmdError;
+
+/// Prints results on standard output and errors on standard error.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Output {
+    is_json: bool,
+}
+
+impl Output {
+    pub(super) fn new(is_json: bool) -> Self {
+        Self { is_json }
+    }
+
+    /// Prints a value as JSON, or the text that describes it.
+    pub(super) fn show<T: Serialize>(
+        self,
+        value: &T,
+        describe: impl Fn(&T) -> String,
+    ) -> Result<(), CmdError> {
+        let text = if self.is_json {
+            serde_json::to_string_pretty(value).map_err(io::Error::other)
+        } else {
+            Ok(describe(value))
+        };
+        let printed = text.and_then(|text| writeln!(io::stdout(), "{}", text.trim_end()));
+        printed.map_err(|cause| CmdError::Write {
+            place: "the result".to_owned(),
+            cause,
+        })
+    }
+
+    /// Prints an error.
+    pub(super) fn error(self, e: &CmdError) {
+        let text = if self.is_json {
+            json!({ "error": { "kind": e.kind(), "message": e.to_string() } }).to_string()
+        } else {
+            format!("error: {e}")
+        };
+        // There is nowhere left to report that standard error is closed.
+        let _ = writeln!(io::stderr(), "{text}");
+    }
+}
+
+/// Lays out rows in columns that are as wide as their widest cell.
+pub(super) fn table(rows: &[Vec<String>]) -> String {
+    let columns = rows.iter().map(Vec::len).max().unwrap_or(0);
+    let width = |column: usize| {
+        let cells = rows.iter().filter_map(|row| row.get(column));
+        cells.map(|cell| cell.chars().count()).max().unwrap_or(0)
+    };
+    let widths: Vec<usize> = (0..columns).map(width).collect();
+    rows.iter().map(|row| line(row, &widths)).collect()
+}
+
+fn line(row: &[String], widths: &[usize]) -> String {
+    let cells: Vec<String> = row
+        .iter()
+        .zip(widths)
+        .map(|(cell, width)| format!("{cell:<width$}"))
+        .collect();
+    format!("  {}\n", cells.join("  ").trim_end())
+}
--- /dev/null
+++ b/src/cmd/status.rs
@@ -0,0 +1,73 @@
+//! `flamingocroft status`.
+
+use clap::Args;
+
+use super::{CmdError, Options, Run, output::table};
+use crate::{
+    domain::{Instance, InstanceState},
+    operator::{GatewayStatus, MemberStatus, Status},
+};
+
+/// Shows the controllers, gateways and instances as the leader sees them.
+#[derive(Debug, Args)]
+pub(super) struct ShowStatus {}
+
+impl Run for ShowStatus {
+    async fn run(&self, options: &Options) -> Result<(), CmdError> {
+        let status: Status = options.client()?.get("/v1/status").await?;
+        options.output().show(&status, describe)
+    }
+}
+
+fn describe(status: &Status) -> String {
+    let members: Vec<_> = status.members.iter().map(member).collect();
+    let gateways: Vec<_> = status.gateways.iter().map(gateway).collect();
+    let instances: Vec<_> = status.instances.iter().map(instance).collect();
+    format!(
+        "Revision {} (leader {}, term {}, commit {})\n\
+         Controllers\n{}Gateways\n{}Instances\n{}",
+        status.revision,
+        status.controller,
+        status.term,
+        status.commit,
+        table(&members),
+        table(&gateways),
+        table(&instances)
+    )
+}
+
+fn member(member: &MemberStatus) -> Vec<String> {
+    let kind = if member.voter { "voter" } else { "learner" };
+    vec![
+        member.name.to_string(),
+        format!("member {}", member.member),
+        kind.to_owned(),
+        format!("at {}", member.matched),
+    ]
+}
+
+fn gateway(gateway: &GatewayStatus) -> Vec<String> {
+    let state = if gateway.leaving { "leaving" } else { "live" };
+    vec![
+        gateway.name.to_string(),
+        gateway.zone.to_string(),
+        gateway.caller_address.to_string(),
+        state.to_owned(),
+        format!("view {}", gateway.view_index),
+    ]
+}
+
+fn instance(instance: &Instance) -> Vec<String> {
+    let state = match instance.state {
+        InstanceState::Live => "live",
+        InstanceState::Leaving => "leaving",
+        InstanceState::Gone => "gone",
+    };
+    vec![
+        instance.name.to_string(),
+        instance.service.to_string(),
+        instance.zone.to_string(),
+        instance.address.to_string(),
+        state.to_owned(),
+    ]
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod adapters;
 pub mod cmd;
 pub mod controller;
+pub mod daemon;
 pub mod domain;
 pub mod gateway;
 pub mod link;
--- /dev/null
+++ b/src/settings/intent.rs
@@ -0,0 +1,447 @@
+//! Reads and checks the operator's intent.
+
+use std::{collections::HashSet, fmt::Display, path::Path};
+
+use serde_json::Value;
+
+use super::{
+    FileError, Problem,
+    problem::read_value,
+    shape::{Field, Shape, check_object, is_sha256, optional, required},
+};
+use crate::domain::{Intent, Operation, Service, ServiceKind};
+
+const HOUR_MS: u64 = 3600 * 1000;
+const COUNT: Shape = Shape::Integer {
+    min: 1,
+    max: 1 << 20,
+};
+const TARGET_MS: Shape = Shape::Integer {
+    min: 1,
+    max: HOUR_MS,
+};
+const PRICE: Shape = Shape::Integer {
+    min: 0,
+    max: 1 << 50,
+};
+const WEIGHT_MS: Shape = Shape::Decimal { min: 0.0, max: 1e6 };
+
+/// The HTTP methods that plain services may offer.
+const METHODS: &[&str] = &["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"];
+
+const ZONE: &[Field] = &[
+    required("name", Shape::Text),
+    required("region", Shape::Text),
+];
+
+const TIER: &[Field] = &[
+    required("name", Shape::Text),
+    required("paying", Shape::Bool),
+    required("first_token_ms", TARGET_MS),
+    required("between_tokens_ms", TARGET_MS),
+];
+
+const ACCOUNT: &[Field] = &[
+    required("name", Shape::Text),
+    required("tier", Shape::Text),
+    required("token_sha256", Shape::Sha256),
+    optional("weight", COUNT),
+];
+
+const MODEL: &[Field] = &[
+    required("name", Shape::Text),
+    required("version", Shape::Text),
+    required(
+        "weights_mib",
+        Shape::Integer {
+            min: 1,
+            max: 1 << 30,
+        },
+    ),
+];
+
+const OPERATION: &[Field] = &[
+    required("method", Shape::OneOf(METHODS)),
+    required("path", Shape::Text),
+    required("idempotent", Shape::Bool),
+];
+
+const ENGINES: &[Field] = &[
+    required(
+        "models",
+        Shape::List {
+            of: &Shape::Text,
+            min: 1,
+        },
+    ),
+    required("fencing", Shape::OneOf(&["checked", "ignored"])),
+];
+
+const PLAIN: &[Field] = &[required(
+    "operations",
+    Shape::List {
+        of: &Shape::Object(OPERATION),
+        min: 1,
+    },
+)];
+
+const KIND: &[Field] = &[
+    required("engines", Shape::Object(ENGINES)),
+    required("plain", Shape::Object(PLAIN)),
+];
+
+const SERVICE: &[Field] = &[
+    required("name", Shape::Text),
+    required("kind", Shape::Choice(KIND)),
+    required(
+        "zones",
+        Shape::List {
+            of: &Shape::Text,
+            min: 1,
+        },
+    ),
+    required("class", Shape::Text),
+    required("slots_per_instance", COUNT),
+    required("expected_concurrency", COUNT),
+];
+
+const PRICES: &[Field] = &[
+    required("zone", Shape::Text),
+    required("class", Shape::Text),
+    required("on_demand_micros_per_hour", PRICE),
+    required("reclaimable_micros_per_hour", PRICE),
+    required(
+        "reclaims_per_day",
+        Shape::Decimal {
+            min: 0.0,
+            max: 86400.0,
+        },
+    ),
+];
+
+const ROUTING: &[Field] = &[
+    optional("ms_per_thousand_uncached_tokens", WEIGHT_MS),
+    optional("ms_per_zone_crossing", WEIGHT_MS),
+    optional("ms_per_queued_request", WEIGHT_MS),
+];
+
+const CHANGE_LIMITS: &[Field] = &[
+    optional("max_instances", COUNT),
+    optional("max_micros_per_hour", PRICE),
+];
+
+const INTENT: &[Field] = &[
+    required(
+        "zones",
+        Shape::List {
+            of: &Shape::Object(ZONE),
+            min: 1,
+        },
+    ),
+    required(
+        "tiers",
+        Shape::List {
+            of: &Shape::Object(TIER),
+            min: 1,
+        },
+    ),
+    required(
+        "accounts",
+        Shape::List {
+            of: &Shape::Object(ACCOUNT),
+            min: 1,
+        },
+    ),
+    required(
+        "models",
+        Shape::List {
+            of: &Shape::Object(MODEL),
+            min: 0,
+        },
+    ),
+    required(
+        "services",
+        Shape::List {
+            of: &Shape::Object(SERVICE),
+            min: 1,
+        },
+    ),
+    required(
+        "prices",
+        Shape::List {
+            of: &Shape::Object(PRICES),
+            min: 0,
+        },
+    ),
+    optional("routing", Shape::Object(ROUTING)),
+    optional("limits", Shape::Object(CHANGE_LIMITS)),
+];
+
+/// Reads and checks an intent file.
+pub fn read_intent(file: &Path) -> Result<Intent, FileError> {
+    parse_intent(read_value(file)?).map_err(|problems| FileError::Invalid {
+        file: file.to_owned(),
+        problems,
+    })
+}
+
+/// Checks an intent in JSON.
+pub fn parse_intent(mut value: Value) -> Result<Intent, Vec<Problem>> {
+    let mut problems = Vec::new();
+    if !check_object(INTENT, "", &mut value, &mut problems) {
+        return Err(problems);
+    }
+    let intent: Intent = match serde_json::from_value(value) {
+        Ok(intent) => intent,
+        Err(e) => {
+            problems.push(Problem::new(
+                "the file",
+                e,
+                "correct the field that it names",
+            ));
+            return Err(problems);
+        }
+    };
+    if let Err(found) = check_intent(&intent) {
+        problems.extend(found);
+    }
+    if problems.is_empty() {
+        Ok(intent)
+    } else {
+        Err(problems)
+    }
+}
+
+/// Checks that the parts of an intent fit together.
+pub fn check_intent(intent: &Intent) -> Result<(), Vec<Problem>> {
+    let mut check = Check {
+        intent,
+        problems: Vec::new(),
+    };
+    check.names();
+    check.targets();
+    check.accounts();
+    check.services();
+    check.prices();
+    if check.problems.is_empty() {
+        Ok(())
+    } else {
+        Err(check.problems)
+    }
+}
+
+struct Check<'a> {
+    intent: &'a Intent,
+    problems: Vec<Problem>,
+}
+
+impl Check<'_> {
+    fn report(&mut self, field: String, value: impl Display, remedy: impl Into<String>) {
+        self.problems.push(Problem::new(field, value, remedy));
+    }
+
+    fn names(&mut self) {
+        let intent = self.intent;
+        if intent.zones.is_empty() {
+            self.report("zones".to_owned(), "empty", "declare at least one zone");
+        }
+        self.unique(
+            "zones",
+            "name",
+            intent.zones.iter().map(|zone| zone.name.as_str()),
+        );
+        self.unique(
+            "tiers",
+            "name",
+            intent.tiers.iter().map(|tier| tier.name.as_str()),
+        );
+        let accounts = &intent.accounts;
+        self.unique(
+            "accounts",
+            "name",
+            accounts.iter().map(|account| account.name.as_str()),
+        );
+        let hashes = accounts.iter().map(|account| account.token_sha256.as_str());
+        self.unique("accounts", "token_sha256", hashes);
+        self.unique(
+            "models",
+            "name",
+            intent.models.iter().map(|model| model.name.as_str()),
+        );
+        let services = intent.services.iter().map(|service| service.name.as_str());
+        self.unique("services", "name", services);
+    }
+
+    fn unique<'a>(&mut self, list: &str, field: &str, values: impl Iterator<Item = &'a str>) {
+        let mut seen = HashSet::new();
+        for (i, value) in values.enumerate() {
+            let field = format!("{list}[{i}].{field}");
+            if value.is_empty() {
+                self.report(field, "empty", "write a text");
+            } else if !seen.insert(value.to_ascii_lowercase()) {
+                self.report(field, value, "write one that no other entry has");
+            }
+        }
+    }
+
+    fn targets(&mut self) {
+        for (i, tier) in self.intent.tiers.iter().enumerate() {
+            let targets = [
+                ("first_token_ms", tier.first_token),
+                ("between_tokens_ms", tier.between_tokens),
+            ];
+            for (field, target) in targets.into_iter().filter(|(_, target)| target.is_zero()) {
+                let value = target.as_millis();
+                self.report(
+                    format!("tiers[{i}].{field}"),
+                    value,
+                    "set a target above zero",
+                );
+            }
+        }
+    }
+
+    fn accounts(&mut self) {
+        let intent = self.intent;
+        for (i, account) in intent.accounts.iter().enumerate() {
+            if !is_sha256(&account.token_sha256) {
+                let remedy = "write the 64 hexadecimal digits that `flamingocroft token` prints";
+                let field = format!("accounts[{i}].token_sha256");
+                self.report(field, &account.token_sha256, remedy);
+            }
+            if account.weight == 0 {
+                self.report(format!("accounts[{i}].weight"), 0, "write 1 or more");
+            }
+            let known = intent.tiers.iter().map(|tier| tier.name.as_str());
+            self.refers(
+                format!("accounts[{i}].tier"),
+                account.tier.as_str(),
+                "tiers",
+                known,
+            );
+        }
+    }
+
+    fn refers<'a>(
+        &mut self,
+        field: String,
+        name: &str,
+        list: &str,
+        known: impl Iterator<Item = &'a str>,
+    ) {
+        let known: Vec<&str> = known.collect();
+        if !known.contains(&name) {
+            let remedy = format!("add it to {list}, or write one of {}", known.join(", "));
+            self.report(field, name, remedy);
+        }
+    }
+
+    fn services(&mut self) {
+        for (i, service) in self.intent.services.iter().enumerate() {
+            self.service(i, service);
+        }
+    }
+
+    fn service(&mut self, i: usize, service: &Service) {
+        let intent = self.intent;
+        if service.zones.is_empty() {
+            self.report(
+                format!("services[{i}].zones"),
+                "empty",
+                "name at least one zone",
+            );
+        }
+        let zones = service.zones.iter().map(|zone| zone.as_str());
+        self.unique(&format!("services[{i}].zones"), "name", zones);
+        for (j, zone) in service.zones.iter().enumerate() {
+            let field = format!("services[{i}].zones[{j}]");
+            let known = intent.zones.iter().map(|zone| zone.name.as_str());
+            self.refers(field.clone(), zone.as_str(), "zones", known);
+            let is_priced = intent
+                .prices
+                .iter()
+                .any(|price| price.zone == *zone && price.class == service.class);
+            if !is_priced {
+                let remedy = format!("add a price for class {} in this zone", service.class.0);
+                self.report(field, zone, remedy);
+            }
+        }
+        let counts = [
+            ("slots_per_instance", service.slots_per_instance),
+            ("expected_concurrency", service.expected_concurrency),
+        ];
+        for (field, _) in counts.into_iter().filter(|(_, count)| *count == 0) {
+            self.report(format!("services[{i}].{field}"), 0, "write 1 or more");
+        }
+        match &service.kind {
+            ServiceKind::Engines { models, .. } => {
+                for (j, model) in models.iter().enumerate() {
+                    let field = format!("services[{i}].kind.engines.models[{j}]");
+                    let known = intent.models.iter().map(|model| model.name.as_str());
+                    self.refers(field, model.as_str(), "models", known);
+                }
+            }
+            ServiceKind::Plain { operations } => self.operations(i, operations),
+        }
+    }
+
+    fn operations(&mut self, service: usize, operations: &[Operation]) {
+        let mut seen = HashSet::new();
+        for (i, operation) in operations.iter().enumerate() {
+            let place = format!("services[{service}].kind.plain.operations[{i}]");
+            if !METHODS.contains(&operation.method.as_str()) {
+                let remedy = format!("write one of {}", METHODS.join(", "));
+                self.report(format!("{place}.method"), &operation.method, remedy);
+            }
+            if !is_path(&operation.path) {
+                let remedy = "write a path such as /releases: it starts with a slash, ends \
+                              without one, and has no query, dots-only part or blank";
+                self.report(format!("{place}.path"), &operation.path, remedy);
+            }
+            if !seen.insert((&operation.method, &operation.path)) {
+                let value = format!("{} {}", operation.method, operation.path);
+                self.report(place, value, "declare each call once");
+            }
+        }
+    }
+
+    fn prices(&mut self) {
+        let intent = self.intent;
+        let mut seen = HashSet::new();
+        for (i, price) in intent.prices.iter().enumerate() {
+            let known = intent.zones.iter().map(|zone| zone.name.as_str());
+            self.refers(
+                format!("prices[{i}].zone"),
+                price.zone.as_str(),
+                "zones",
+                known,
+            );
+            if !seen.insert((&price.zone, &price.class)) {
+                let value = format!("{} {}", price.zone, price.class.0);
+                self.report(
+                    format!("prices[{i}]"),
+                    value,
+                    "give each zone and class one price",
+                );
+            }
+            let amounts = [
+                ("on_demand_micros_per_hour", price.on_demand_micros_per_hour),
+                (
+                    "reclaimable_micros_per_hour",
+                    price.reclaimable_micros_per_hour,
+                ),
+            ];
+            for (field, amount) in amounts.into_iter().filter(|(_, amount)| amount.0 < 0) {
+                self.report(format!("prices[{i}].{field}"), amount.0, "write 0 or more");
+            }
+        }
+    }
+}
+
+fn is_path(path: &str) -> bool {
+    let Some(rest) = path.strip_prefix('/') else {
+        return false;
+    };
+    let is_plain = |byte: u8| byte.is_ascii_graphic() && !b"?#\\%".contains(&byte);
+    rest.bytes().all(is_plain) && rest.split('/').all(|part| !matches!(part, "" | "." | ".."))
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,7 +1,14 @@
 //! The settings file of one process: JSON with comments, turned into checked structs.
 //! docs/OPERATIONS.md explains each field.
 
-use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
+pub mod intent;
+mod problem;
+mod read;
+mod shape;
+
+pub use problem::{FileError, Problem, read_value};
+
+use std::{fmt, net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
@@ -57,6 +64,15 @@
     Gateway,
 }
 
+impl fmt::Display for Role {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Controller => "controller",
+            Self::Gateway => "gateway",
+        })
+    }
+}
+
 /// One controller, as all processes know it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -1,5 +1,9 @@
 //! Logs and metrics of a process.
 
+mod logging;
+
+pub use logging::start_logging;
+
 use std::time::Duration;
 
 use crate::domain::{AccountName, Money, RefusalKind, TierName};
