--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -1,6 +1,7 @@
 //! The outside of the ports: HTTP, disk and clocks.
 
 mod clock;
+pub mod disk;
 mod http;
 
 pub use clock::SystemClock;
