Take the new admission figures and let settings files name caller_timeout_ms

Admission is told how many waiting requests of the priority are below their share, and asks a free stream to yield by policy::admit::preempts. The list of known settings gets caller_timeout_ms.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -129,6 +129,15 @@
     }
 }
 
+/// The place of a request among those that wait.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Line {
+    /// Requests that wait before it.
+    pub(crate) ahead: u32,
+    /// Other requests of its priority that wait and whose accounts are below their shares.
+    pub(crate) under_share: u32,
+}
+
 /// A request that asks to be taken in.
 #[derive(Clone, Debug)]
 pub(crate) struct Applicant {
@@ -181,11 +190,11 @@
 impl Applicant {
     /// Decides now. The counters that the decision was made on are the ones that are changed by it;
     /// if another request was quicker, it is made anew.
-    pub(crate) fn decide(&self, waiting_ahead: u32) -> Decision {
+    pub(crate) fn decide(&self, line: Line) -> Decision {
         loop {
             let service_before = self.service.in_progress.load(Ordering::Acquire);
             let account_before = self.account.in_progress.load(Ordering::Acquire);
-            match admit::decide(&self.request(service_before, account_before, waiting_ahead)) {
+            match admit::decide(&self.request(service_before, account_before, line)) {
                 Admission::Accept => {
                     if let Some(permit) = self.enter(service_before, account_before) {
                         return Decision::Accepted(permit);
@@ -200,7 +209,7 @@
         }
     }
 
-    fn request(&self, service: u32, account: u32, waiting_ahead: u32) -> AdmitRequest {
+    fn request(&self, service: u32, account: u32, line: Line) -> AdmitRequest {
         AdmitRequest {
             priority: self.priority,
             account_in_progress: account,
@@ -208,7 +217,8 @@
             service_in_progress: service,
             service_capacity: self.service.capacity.load(Ordering::Relaxed),
             paying_waiting: self.service.paying_waiting.load(Ordering::Relaxed),
-            waiting_ahead,
+            waiting_ahead: line.ahead,
+            under_share_waiting: line.under_share,
             waited: self.arrived.elapsed(),
             service_time: self.service.service_time(),
             until_due: self.due.saturating_duration_since(Instant::now()),
@@ -248,14 +258,20 @@
         }
     }
 
-    /// Asks a free stream to make room, if that would let this request in.
-    pub(super) fn preempt_free(&self) {
-        let below_share = self
-            .account
+    /// Says whether the account is below its share.
+    pub(super) fn is_below_share(&self) -> bool {
+        let in_progress = self.account.in_progress.load(Ordering::Relaxed);
+        self.account
             .share()
-            .is_none_or(|share| self.account.in_progress.load(Ordering::Relaxed) < share);
+            .is_some_and(|share| in_progress < share)
+    }
+
+    /// Asks a free stream to make room, if that would let this request in.
+    pub(super) fn preempt_free(&self, line: Line) {
+        let service = self.service.in_progress.load(Ordering::Relaxed);
+        let account = self.account.in_progress.load(Ordering::Relaxed);
         let free = self.service.free_in_progress.load(Ordering::Relaxed);
-        if self.priority == Priority::Paying && below_share && free > 0 {
+        if free > 0 && admit::preempts(&self.request(service, account, line)) {
             self.service.preempt.notify_one();
         }
     }
--- a/src/gateway/queue.rs
+++ b/src/gateway/queue.rs
@@ -8,7 +8,7 @@
     time::{Instant, interval},
 };
 
-use super::admission::{Applicant, Decision, Permit, ServiceUsage};
+use super::admission::{Applicant, Decision, Line, Permit, ServiceUsage};
 use crate::domain::{Priority, Refusal, RefusalKind};
 
 /// Requests that may wait for one service at one gateway.
@@ -48,9 +48,8 @@
 
     /// Takes a request in, at once if nothing waits before it.
     pub(crate) async fn admit(&self, applicant: Applicant) -> Result<Permit, Refusal> {
-        let waiting = applicant.service.waiting();
-        if waiting == 0 {
-            match applicant.decide(waiting) {
+        if applicant.service.waiting() == 0 {
+            match applicant.decide(Line::default()) {
                 Decision::Accepted(permit) => return Ok(permit),
                 Decision::Refused(kind, after) => return Err(refusal(kind, after)),
                 Decision::Wait => {}
@@ -114,30 +113,38 @@
 }
 
 fn review_part(waiters: &mut VecDeque<Waiter>, ahead: &mut u32) {
+    let under_share = waiters.iter().filter(|w| w.applicant.is_below_share());
+    let mut under_share = under_share.count() as u32;
     for waiter in std::mem::take(waiters) {
-        if let Some(waiter) = review_one(waiter, *ahead) {
+        let below = u32::from(waiter.applicant.is_below_share());
+        under_share = under_share.saturating_sub(below);
+        let line = Line {
+            ahead: *ahead,
+            under_share,
+        };
+        if let Some(waiter) = review_one(waiter, line) {
             *ahead += 1;
+            under_share += below;
             waiters.push_back(waiter);
         }
     }
 }
 
 /// Returns the waiter if it goes on waiting.
-fn review_one(waiter: Waiter, ahead: u32) -> Option<Waiter> {
+fn review_one(waiter: Waiter, line: Line) -> Option<Waiter> {
+    // The decision counts the others that wait, not the request itself.
+    waiter.applicant.end_waiting();
     if waiter.reply.is_closed() {
-        waiter.applicant.end_waiting();
         return None;
     }
-    // The decision counts the others that wait, not the request itself.
-    waiter.applicant.end_waiting();
     let decision = match waiter.applicant.due <= Instant::now() {
         true => Decision::Refused(RefusalKind::Overloaded, FULL_RETRY_AFTER),
-        false => waiter.applicant.decide(ahead),
+        false => waiter.applicant.decide(line),
     };
     let answer = match decision {
         Decision::Wait => {
             waiter.applicant.begin_waiting();
-            waiter.applicant.preempt_free();
+            waiter.applicant.preempt_free(line);
             return Some(waiter);
         }
         Decision::Accepted(permit) => Ok(permit),
--- a/src/settings/read.rs
+++ b/src/settings/read.rs
@@ -74,6 +74,7 @@
     optional("connect_timeout_ms", DURATION),
     optional("first_byte_timeout_ms", DURATION),
     optional("token_timeout_ms", DURATION),
+    optional("caller_timeout_ms", DURATION),
     optional("request_timeout_ms", DURATION),
     optional("address_ttl_ms", DURATION),
     optional("shutdown_ms", DURATION),
