Test the callers' interface and the claims of a gateway with fakes at its ports

A request id that a gateway does not know is now refused with ran: unknown and the other addresses: it said no, which a gateway cannot know.

--- a/src/gateway/http/error.rs
+++ b/src/gateway/http/error.rs
@@ -46,7 +46,12 @@
 impl<'a> ErrorBody<'a> {
     /// Describes a refusal; `others` are named where the caller should go elsewhere.
     pub(super) fn new(refusal: &'a Refusal, others: &'a [GatewayEntry]) -> Self {
-        let elsewhere = matches!(refusal.kind, RefusalKind::Leaving | RefusalKind::NoLease);
+        let elsewhere = match refusal.kind {
+            RefusalKind::Leaving | RefusalKind::NoLease => true,
+            // Only a request that another gateway may know is not found and may have run.
+            RefusalKind::NotFound => refusal.ran == Ran::Unknown,
+            _ => false,
+        };
         let others = if elsewhere { others } else { &[] };
         Self {
             error: Detail {
--- a/src/gateway/http/requests.rs
+++ b/src/gateway/http/requests.rs
@@ -7,11 +7,11 @@
 
 use super::{
     render::Shape,
-    routes::{Head, account, not_found, request_id},
+    routes::{Head, account, request_id},
     stream::Outgoing,
 };
 use crate::{
-    domain::{AccountName, Refusal, RefusalKind, RequestId},
+    domain::{AccountName, ModelName, Refusal, RefusalKind, RequestId},
     gateway::{
         core::Gateway,
         generate::{Attach, Reader},
@@ -27,7 +27,7 @@
 /// What is found of a request.
 struct Resumed {
     reader: Reader,
-    model: crate::domain::ModelName,
+    model: ModelName,
     chat: bool,
 }
 
@@ -81,7 +81,7 @@
 ) -> Result<Resumed, Refusal> {
     for _ in 0..LOOKUPS {
         let found = gateway.journal.find(id, account.clone()).await;
-        match found.ok_or_else(not_found)? {
+        match found.ok_or_else(unknown)? {
             Found::Answered(answer) => {
                 return Ok(Resumed {
                     reader: answer.read_from(from),
@@ -114,5 +114,13 @@
             }
         }
     }
-    Err(not_found())
+    Err(unknown())
+}
+
+/// A request that is unknown here may well have run at another gateway.
+fn unknown() -> Refusal {
+    Refusal::unknown(
+        RefusalKind::NotFound,
+        "this gateway does not know the request, or no longer; ask at the other addresses",
+    )
 }
--- /dev/null
+++ b/tests/gateway_support/leader.rs
@@ -0,0 +1,289 @@
+//! A leader that answers from a view set by the test and settles claims in memory.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use flamingocroft::{
+    link::{Handler, Peer},
+    wire::{
+        Body, ClaimReply, ClaimRequest, ClaimStatus, GatewayHeartbeat, GatewayRecord,
+        InstanceRecord, LeaseReply, OutcomeReply, ShareRecord, StoredOutcome, ViewReply,
+        ViewRequest,
+    },
+};
+use tokio::{sync::watch, time::timeout};
+
+/// How the leader answers claims.
+#[derive(Clone, Debug, Default)]
+pub enum Claims {
+    /// As a leader should.
+    #[default]
+    Settled,
+    /// Settles them and says nothing.
+    Silent,
+    /// With this status.
+    Always(ClaimStatus),
+}
+
+struct Record {
+    claim: ClaimRequest,
+    outcome: Option<Option<StoredOutcome>>,
+}
+
+#[derive(Default)]
+struct State {
+    view: ViewReply,
+    gateways: Vec<GatewayRecord>,
+    shares: Vec<ShareRecord>,
+    claims: HashMap<Vec<u8>, Record>,
+    mode: Claims,
+    silent: bool,
+    lease: Duration,
+    outcomes: u32,
+    lost_outcomes: u32,
+    releases: Vec<u64>,
+    asked: Vec<u64>,
+    demand: u32,
+    notices: Vec<String>,
+}
+
+pub struct FakeLeader {
+    state: Mutex<State>,
+    /// Wakes view requests; the number is the view's sequence.
+    changed: watch::Sender<u64>,
+    /// Claims are answered while this is true.
+    pub grants_open: watch::Sender<bool>,
+    /// Counts granted claims, also ones whose answer waits.
+    pub granted: watch::Sender<u32>,
+}
+
+impl FakeLeader {
+    pub fn new(lease: Duration) -> Arc<Self> {
+        Arc::new(Self {
+            state: Mutex::new(State {
+                lease,
+                ..State::default()
+            }),
+            changed: watch::Sender::new(0),
+            grants_open: watch::Sender::new(true),
+            granted: watch::Sender::new(0),
+        })
+    }
+
+    fn with<R>(&self, act: impl FnOnce(&mut State) -> R) -> R {
+        act(&mut self.state.lock().unwrap())
+    }
+
+    pub fn set_intent(&self, intent: &str, shares: Vec<ShareRecord>) {
+        self.change(|state| {
+            state.view.intent = intent.to_owned().into();
+            state.view.revision += 1;
+            state.view.index += 1;
+            state.shares = shares;
+        });
+    }
+
+    pub fn set_instances(&self, instances: Vec<InstanceRecord>) {
+        self.change(|state| state.view.instances = instances);
+    }
+
+    /// Marks an instance as leaving in the view.
+    pub fn set_leaving(&self, name: &str) {
+        self.change(|state| {
+            for instance in &mut state.view.instances {
+                if instance.name == name {
+                    instance.state = 1;
+                }
+            }
+        });
+    }
+
+    fn change(&self, act: impl FnOnce(&mut State)) {
+        let sequence = self.with(|state| {
+            act(state);
+            state.view.sequence += 1;
+            state.view.term = 1;
+            state.view.instances_whole = true;
+            state.view.gateways_changed = true;
+            state.view.gateways = state.gateways.clone();
+            state.view.sequence
+        });
+        self.changed.send_replace(sequence);
+    }
+
+    /// Stops and starts answering heartbeats and view requests.
+    pub fn set_silent(&self, silent: bool) {
+        self.with(|state| state.silent = silent);
+    }
+
+    pub fn set_claims(&self, mode: Claims) {
+        self.with(|state| state.mode = mode);
+    }
+
+    /// Leaves this many outcomes unanswered.
+    pub fn lose_outcomes(&self, count: u32) {
+        self.with(|state| state.lost_outcomes = count);
+    }
+
+    pub fn outcomes(&self) -> u32 {
+        self.with(|state| state.outcomes)
+    }
+
+    /// The attempts given back.
+    pub fn releases(&self) -> Vec<u64> {
+        self.with(|state| state.releases.clone())
+    }
+
+    /// The attempts asked for, resent ones included.
+    pub fn asked(&self) -> Vec<u64> {
+        self.with(|state| state.asked.clone())
+    }
+
+    pub fn demand(&self) -> u32 {
+        self.with(|state| state.demand)
+    }
+
+    pub fn notices(&self) -> Vec<String> {
+        self.with(|state| state.notices.clone())
+    }
+
+    pub fn gateways(&self) -> Vec<GatewayRecord> {
+        self.with(|state| state.gateways.clone())
+    }
+
+    /// Adds a gateway that does not run.
+    pub fn add_gateway(&self, record: GatewayRecord) {
+        self.change(|state| state.gateways.push(record));
+    }
+
+    fn heartbeat(&self, heartbeat: GatewayHeartbeat) -> Option<Body> {
+        let record = heartbeat.gateway?;
+        let (news, lease) = self.with(|state| {
+            let waiting: u32 = heartbeat.demand.iter().map(|d| d.running + d.waiting).sum();
+            state.demand += waiting;
+            let notices = heartbeat.leaving.into_iter().map(|n| n.instance);
+            state.notices.extend(notices);
+            let known = state.gateways.iter().position(|g| g.name == record.name);
+            let news = match known {
+                Some(at) if state.gateways[at] == record => false,
+                Some(at) => {
+                    state.gateways[at] = record;
+                    true
+                }
+                None => {
+                    state.gateways.push(record);
+                    true
+                }
+            };
+            let lease = LeaseReply {
+                lease_ms: state.lease.as_millis() as u64,
+                required_index: state.view.index,
+                shares: state.shares.clone(),
+                shares_changed: true,
+            };
+            (news, lease)
+        });
+        if news {
+            self.change(|_| {});
+        }
+        Some(Body::Lease(lease))
+    }
+
+    async fn view(&self, request: ViewRequest) -> Option<Body> {
+        let mut changed = self.changed.subscribe();
+        let wait = Duration::from_millis(request.wait_ms);
+        let newer = changed.wait_for(|sequence| *sequence > request.held_sequence);
+        let _ = timeout(wait, newer).await;
+        let view = self.with(|state| (!state.silent).then(|| state.view.clone()));
+        view.map(Body::View)
+    }
+
+    async fn claim(&self, claim: ClaimRequest) -> Option<Body> {
+        let (mode, reply) = self.with(|state| {
+            state.asked.push(claim.attempt);
+            (state.mode.clone(), settle(state, claim))
+        });
+        if reply.status() == ClaimStatus::Granted {
+            self.granted.send_modify(|granted| *granted += 1);
+        }
+        let mut open = self.grants_open.subscribe();
+        let _ = open.wait_for(|open| *open).await;
+        match mode {
+            Claims::Settled => Some(Body::ClaimReply(reply)),
+            Claims::Silent => None,
+            Claims::Always(status) => Some(Body::ClaimReply(ClaimReply {
+                status: status as i32,
+                outcome: None,
+            })),
+        }
+    }
+}
+
+fn settle(state: &mut State, claim: ClaimRequest) -> ClaimReply {
+    let key = [claim.account.as_bytes(), &claim.key].concat();
+    let record = state.claims.entry(key).or_insert_with(|| Record {
+        claim: claim.clone(),
+        outcome: None,
+    });
+    let status = match &record.outcome {
+        _ if record.claim.digest != claim.digest => ClaimStatus::Conflict,
+        Some(Some(_)) => ClaimStatus::Done,
+        Some(None) => ClaimStatus::Unknown,
+        None if record.claim == claim => ClaimStatus::Granted,
+        None => ClaimStatus::InProgress,
+    };
+    let outcome = match status {
+        ClaimStatus::Done => record.outcome.clone().flatten(),
+        _ => None,
+    };
+    ClaimReply {
+        status: status as i32,
+        outcome,
+    }
+}
+
+impl Handler for FakeLeader {
+    async fn handle(&self, _: &Peer, body: Body) -> Option<Body> {
+        let silent = self.with(|state| state.silent);
+        match body {
+            Body::Heartbeat(_) if silent => None,
+            Body::Heartbeat(heartbeat) => self.heartbeat(heartbeat),
+            Body::ViewRequest(request) => self.view(request).await,
+            Body::Claim(claim) => self.claim(claim).await,
+            Body::Outcome(request) => {
+                let claim = request.claim?;
+                let lost = self.with(|state| {
+                    state.outcomes += 1;
+                    let key = [claim.account.as_bytes(), &claim.key].concat();
+                    if let Some(record) = state.claims.get_mut(&key) {
+                        record.outcome.get_or_insert(request.outcome);
+                    }
+                    let lost = state.lost_outcomes > 0;
+                    state.lost_outcomes = state.lost_outcomes.saturating_sub(1);
+                    lost
+                });
+                (!lost).then_some(Body::OutcomeReply(OutcomeReply { accepted: true }))
+            }
+            Body::Release(request) => {
+                let claim = request.claim?;
+                let accepted = self.with(|state| {
+                    state.releases.push(claim.attempt);
+                    let key = [claim.account.as_bytes(), &claim.key].concat();
+                    let held = state
+                        .claims
+                        .get(&key)
+                        .is_some_and(|r| r.claim == claim && r.outcome.is_none());
+                    if held {
+                        state.claims.remove(&key);
+                    }
+                    held
+                });
+                Some(Body::OutcomeReply(OutcomeReply { accepted }))
+            }
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/tests/gateway_support/upstreams.rs
@@ -0,0 +1,275 @@
+//! Engines and plain servers that count what reached them and fail as they are told.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex},
+};
+
+use bytes::Bytes;
+use flamingocroft::{
+    domain::{Completion, FinishReason, RequestId, Token},
+    ports::{
+        CacheEvents, EngineLoad, EngineOrder, OrderOutcome, Sent, ServiceCall, ServiceReply,
+        StreamEnd, StreamItem, Target, TokenStream, UpstreamError, UpstreamErrorKind, Upstreams,
+    },
+};
+use futures_util::{StreamExt, stream};
+use tokio::sync::watch;
+
+/// How an instance fails.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Fault {
+    #[default]
+    None,
+    /// Answers with an error, before or after the request has reached it.
+    Refuse(UpstreamErrorKind, Sent),
+    /// Sends this many tokens of an attempt and then nothing, without closing.
+    Silent(u32),
+    /// Sends this many tokens of an attempt and then cuts the connection.
+    Cut(u32),
+    /// Sends this many tokens of an attempt and ends without an end mark.
+    NoEnd(u32),
+    /// Leaves out the token at this offset.
+    Skip(u32),
+}
+
+/// What happened at one instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Attempt {
+    pub instance: String,
+    pub prompt: String,
+    pub prefix: usize,
+}
+
+#[derive(Default)]
+struct State {
+    faults: HashMap<String, Fault>,
+    attempts: Vec<Attempt>,
+    calls: Vec<(String, String)>,
+    reached: u32,
+    exports: u32,
+    imports: Vec<String>,
+    leaving: Vec<String>,
+}
+
+pub struct FakeUpstreams {
+    state: Mutex<State>,
+    /// Tokens that may be sent of each answer; more wait.
+    released: watch::Sender<u32>,
+    /// Plain calls wait while this is false.
+    open: watch::Sender<bool>,
+}
+
+impl Default for FakeUpstreams {
+    fn default() -> Self {
+        Self {
+            state: Mutex::default(),
+            released: watch::Sender::new(u32::MAX),
+            open: watch::Sender::new(true),
+        }
+    }
+}
+
+/// The token at an offset: unique to the prompt and the seed, so that a foreign one shows.
+pub fn token_text(prompt: &str, seed: u64, offset: u32) -> String {
+    format!("[{prompt}/{seed}/{offset}]")
+}
+
+/// The whole text of an answer.
+pub fn answer_text(prompt: &str, seed: u64, tokens: u32) -> String {
+    (0..tokens).map(|at| token_text(prompt, seed, at)).collect()
+}
+
+impl FakeUpstreams {
+    pub fn fail(&self, instance: &str, fault: Fault) {
+        let mut state = self.state.lock().unwrap();
+        state.faults.insert(instance.to_owned(), fault);
+    }
+
+    pub fn set_leaving(&self, instance: &str) {
+        self.state.lock().unwrap().leaving.push(instance.to_owned());
+    }
+
+    /// Lets every answer go on up to a token.
+    pub fn release(&self, tokens: u32) {
+        self.released.send_replace(tokens);
+    }
+
+    pub fn set_open(&self, open: bool) {
+        self.open.send_replace(open);
+    }
+
+    /// Requests of any kind of which a byte has arrived.
+    pub fn reached(&self) -> u32 {
+        self.state.lock().unwrap().reached
+    }
+
+    pub fn attempts(&self) -> Vec<Attempt> {
+        self.state.lock().unwrap().attempts.clone()
+    }
+
+    /// Executed plain calls: instance and body.
+    pub fn calls(&self) -> Vec<(String, String)> {
+        self.state.lock().unwrap().calls.clone()
+    }
+
+    pub fn exports(&self) -> u32 {
+        self.state.lock().unwrap().exports
+    }
+
+    pub fn imports(&self) -> Vec<String> {
+        self.state.lock().unwrap().imports.clone()
+    }
+
+    fn fault(&self, target: &Target) -> Fault {
+        let state = self.state.lock().unwrap();
+        let fault = state.faults.get(target.instance.as_str());
+        fault.copied().unwrap_or_default()
+    }
+
+    /// Counts a request unless nothing of it arrives.
+    fn arrive(&self, fault: Fault) -> Result<(), UpstreamError> {
+        let refused = match fault {
+            Fault::Refuse(kind, sent) => Some(UpstreamError::new(kind, sent, "told to fail")),
+            _ => None,
+        };
+        if refused.as_ref().is_none_or(|e| e.sent == Sent::Maybe) {
+            self.state.lock().unwrap().reached += 1;
+        }
+        refused.map_or(Ok(()), Err)
+    }
+}
+
+fn items(req: &Completion, fault: Fault) -> Vec<Result<StreamItem, UpstreamError>> {
+    let from = req.prefix.len() as u32;
+    let token = |offset| {
+        Ok(StreamItem::Token(Token {
+            offset,
+            text: token_text(&req.prompt, req.seed, offset),
+        }))
+    };
+    let end = Ok(StreamItem::End(StreamEnd {
+        reason: FinishReason::Length,
+        prompt_tokens: 7,
+        cached_tokens: 3,
+    }));
+    let cut = Err(UpstreamError::new(
+        UpstreamErrorKind::Cut,
+        Sent::Maybe,
+        "told to cut",
+    ));
+    let whole = from..req.max_tokens;
+    match fault {
+        Fault::Silent(tokens) | Fault::NoEnd(tokens) => {
+            whole.take(tokens as usize).map(token).collect()
+        }
+        Fault::Cut(tokens) => whole
+            .take(tokens as usize)
+            .map(token)
+            .chain([cut])
+            .collect(),
+        Fault::Skip(at) => whole
+            .filter(|offset| *offset != at)
+            .map(token)
+            .chain([end])
+            .collect(),
+        Fault::None | Fault::Refuse(..) => whole.map(token).chain([end]).collect(),
+    }
+}
+
+impl Upstreams for FakeUpstreams {
+    async fn generate(
+        &self,
+        target: &Target,
+        req: &Completion,
+    ) -> Result<TokenStream, UpstreamError> {
+        let fault = self.fault(target);
+        self.state.lock().unwrap().attempts.push(Attempt {
+            instance: target.instance.to_string(),
+            prompt: req.prompt.clone(),
+            prefix: req.prefix.len(),
+        });
+        self.arrive(fault)?;
+        let released = self.released.subscribe();
+        let paced = stream::iter(items(req, fault)).then(move |item| {
+            let mut released = released.clone();
+            async move {
+                if let Ok(StreamItem::Token(token)) = &item {
+                    let offset = token.offset;
+                    let _ = released.wait_for(|tokens| offset < *tokens).await;
+                }
+                item
+            }
+        });
+        match fault {
+            Fault::Silent(_) => Ok(paced.chain(stream::pending()).boxed()),
+            _ => Ok(paced.boxed()),
+        }
+    }
+
+    async fn cancel(&self, _: &Target, _: RequestId) -> Result<(), UpstreamError> {
+        Ok(())
+    }
+
+    async fn load(&self, target: &Target) -> Result<EngineLoad, UpstreamError> {
+        let state = self.state.lock().unwrap();
+        Ok(EngineLoad {
+            slots: 64,
+            leaving: state
+                .leaving
+                .iter()
+                .any(|name| name == target.instance.as_str()),
+            ..EngineLoad::default()
+        })
+    }
+
+    async fn cache_events(&self, _: &Target, after: u64) -> Result<CacheEvents, UpstreamError> {
+        Ok(CacheEvents {
+            next: after,
+            ..CacheEvents::default()
+        })
+    }
+
+    async fn export_cache(&self, _: &Target, _: RequestId) -> Result<Bytes, UpstreamError> {
+        self.state.lock().unwrap().exports += 1;
+        Ok(Bytes::from_static(b"cache"))
+    }
+
+    async fn import_cache(&self, target: &Target, _: Bytes) -> Result<(), UpstreamError> {
+        let mut state = self.state.lock().unwrap();
+        state.imports.push(target.instance.to_string());
+        Ok(())
+    }
+
+    async fn order(&self, _: &Target, _: &EngineOrder) -> Result<OrderOutcome, UpstreamError> {
+        Ok(OrderOutcome::Done)
+    }
+
+    async fn call(
+        &self,
+        target: &Target,
+        call: &ServiceCall,
+    ) -> Result<ServiceReply, UpstreamError> {
+        self.arrive(self.fault(target))?;
+        let body = String::from_utf8_lossy(&call.body).into_owned();
+        let count = {
+            let mut state = self.state.lock().unwrap();
+            state
+                .calls
+                .push((target.instance.to_string(), body.clone()));
+            state.calls.len()
+        };
+        let mut open = self.open.subscribe();
+        let _ = open.wait_for(|open| *open).await;
+        Ok(ServiceReply {
+            status: 200,
+            content_type: "text/plain".to_owned(),
+            body: format!("{count}: {} {} {body}", call.method, call.path).into(),
+        })
+    }
+}
+
+/// Shares the fake with a gateway.
+pub fn shared() -> Arc<FakeUpstreams> {
+    Arc::default()
+}
