Test generations through failing engines and what refusals say; share the refusals

A request whose instances have all been tried was refused as no_upstream, which hid the failure; it now gets the last failure. Found by the test of an answer that ends without an end mark.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -16,10 +16,11 @@
     counters::Counters,
     explain::Decisions,
     journal::{Journal, Peers},
+    route::Place,
     view::{Leader, Lease, Snapshot},
 };
 use crate::{
-    domain::{GatewayEntry, Ran, Refusal, RefusalKind, ViewVersion},
+    domain::{GatewayEntry, Refusal, RefusalKind, ViewVersion},
     link::Identity,
     ports::{Clock, Upstreams},
     settings::Settings,
@@ -109,16 +110,17 @@
         self.leaving.cancel();
     }
 
+    /// Returns where and when a choice of an instance is made.
+    pub(crate) fn place<'a>(&'a self, snapshot: &'a Snapshot) -> Place<'a> {
+        Place {
+            zone: &self.settings.zone,
+            weights: &snapshot.view.intent.routing,
+            now: self.clock.monotonic(),
+        }
+    }
+
     /// Numbers a claim's attempt; no number repeats within an incarnation.
     pub(crate) fn next_attempt(&self) -> u64 {
         self.attempts.fetch_add(1, Ordering::Relaxed) + 1
     }
 }
-
-/// Says whether a request of which `sent` bytes may have left did run.
-pub(crate) fn ran(may_have_arrived: bool) -> Ran {
-    match may_have_arrived {
-        true => Ran::Unknown,
-        false => Ran::No,
-    }
-}
--- a/src/gateway/generate/mod.rs
+++ b/src/gateway/generate/mod.rs
@@ -1,6 +1,8 @@
 //! Generations: one task drives each request through the engines and feeds everyone who reads its
 //! answer. See docs/DESIGN.md, "The path of a request".
 
+mod audience;
+mod pace;
 mod piece;
 mod pump;
 mod relay;
--- a/src/gateway/generate/pump.rs
+++ b/src/gateway/generate/pump.rs
@@ -10,7 +10,8 @@
 
 use super::{
     Answer, Attach, Piece,
-    piece::send_from,
+    audience::Audience,
+    pace::Pace,
     relay::{Ended, Relay},
 };
 use crate::{
@@ -19,27 +20,25 @@
     },
     gateway::{
         admission::{Applicant, Permit},
-        core::{Gateway, ran},
+        core::Gateway,
         explain::DecisionKind,
         journal::Backup,
-        route::{self, Choice, Place, Prompt},
+        refusals::{no_upstream, ran, upstream_failed},
+        route::{self, Choice, Prompt},
         view::{AccountEntry, ServiceEntry},
     },
     policy::{
         prefix::count_tokens,
         retry::{Failure, Retry},
     },
-    ports::{Clock, Sent, StreamEnd, UpstreamError, UpstreamErrorKind, Upstreams},
+    ports::{Clock, Sent, StreamEnd, UpstreamError, Upstreams},
 };
 
 /// Pause before an accepted request is tried again when no instance can take it.
 const RESUME_PAUSE: Duration = Duration::from_millis(50);
 
-/// How long an instance whose exchange failed is avoided.
-const SUSPECT_TIME: Duration = Duration::from_secs(2);
-
-/// How long an accepted request goes on without a reader, so that its caller can ask again.
-const ABANDON_AFTER: Duration = Duration::from_secs(10);
+/// The pause grows to this power of two times [`RESUME_PAUSE`].
+const MAX_PAUSE_DOUBLINGS: u32 = 4;
 
 /// A request that was taken in.
 #[derive(Clone, Debug)]
@@ -70,17 +69,16 @@
     pub(super) request: Accepted,
     prompt: Prompt,
     pub(super) attach: mpsc::Receiver<Attach>,
-    pub(super) readers: Vec<mpsc::UnboundedSender<Piece>>,
+    pub(super) audience: Audience,
+    pub(super) pace: Pace,
     /// Whether a reader may have got a token, or another gateway accepted the request before.
     pub(super) accepted: bool,
-    first_token_at: Option<Instant>,
-    last_token_at: Option<Instant>,
-    unread_since: Option<Instant>,
     permit: Option<Permit>,
     backup: Backup,
     tried: Vec<InstanceName>,
     attempts: u32,
     may_have_arrived: bool,
+    last_error: Option<UpstreamError>,
     resumed: bool,
     /// Where the cached work of this request was moved to.
     prefer: Option<InstanceName>,
@@ -102,16 +100,18 @@
             prompt: Prompt::new(&request.completion.prompt),
             request,
             attach,
-            readers: Vec::new(),
+            audience: match taken {
+                true => Audience::empty(),
+                false => Audience::default(),
+            },
+            pace: Pace::default(),
             accepted: taken,
-            first_token_at: None,
-            last_token_at: None,
-            unread_since: taken.then(Instant::now),
             permit,
             backup: Backup::none(),
             tried: Vec::new(),
             attempts: 0,
             may_have_arrived: taken,
+            last_error: None,
             resumed: taken,
             prefer: None,
             stays: false,
@@ -157,7 +157,7 @@
         // Readers that came in between are fed before the last piece.
         self.add_waiting_readers();
         if let Some(last) = last {
-            self.broadcast(&last);
+            self.audience.send(&last);
         }
         let backup = std::mem::replace(&mut self.backup, Backup::none());
         backup.remove(&self.gateway, id).await;
@@ -183,7 +183,7 @@
                     sleep(RESUME_PAUSE).await;
                     continue;
                 }
-                return Finish::Failed(self.no_upstream());
+                return Finish::Failed(self.no_choice());
             };
             let started = Instant::now();
             let ended = Relay::new(self, &choice).run().await;
@@ -232,23 +232,20 @@
         let name = &member.instance.name;
         self.record(DecisionKind::Failed(name.clone(), e.kind));
         log::debug!("gateway: an attempt at {name} failed: {e}.");
-        match e.kind {
-            UpstreamErrorKind::Leaving => member.state.mark_leaving(),
-            UpstreamErrorKind::Busy | UpstreamErrorKind::Rejected => {}
-            _ => {
-                let now = self.gateway.clock.monotonic();
-                member.state.suspect_until(now + SUSPECT_TIME);
-            }
-        }
+        let now = self.gateway.clock.monotonic();
+        member.state.note_failure(e.kind, now);
         self.may_have_arrived |= e.sent == Sent::Maybe;
         self.resumed |= self.accepted;
         self.attempts += 1;
         self.tried.push(name.clone());
+        self.last_error = Some(e.clone());
         match (self.retry(e).await, self.accepted) {
             (Retry::After(delay), _) => sleep(delay).await,
             // An accepted request is answered as long as there is time, whatever the budget says.
-            (Retry::GiveUp, true) => sleep(RESUME_PAUSE).await,
-            (Retry::GiveUp, false) => return Some(Finish::Failed(self.upstream_failed(e))),
+            (Retry::GiveUp, true) => sleep(self.resume_pause()).await,
+            (Retry::GiveUp, false) => {
+                return Some(Finish::Failed(upstream_failed(e, self.may_have_arrived)));
+            }
         }
         None
     }
@@ -268,6 +265,11 @@
         }
     }
 
+    /// Pauses longer after each failure that follows another without a token in between.
+    fn resume_pause(&self) -> Duration {
+        RESUME_PAUSE * 2_u32.pow(self.attempts.min(MAX_PAUSE_DOUBLINGS))
+    }
+
     /// Hands the request to another gateway. Nothing means that none took it, and that it goes on
     /// here.
     async fn hand_over(&mut self) -> Option<Finish> {
@@ -322,11 +324,7 @@
         }
         let snapshot = self.gateway.snapshot.load();
         let service = snapshot.model(&self.request.completion.model)?;
-        let place = Place {
-            zone: &self.gateway.settings.zone,
-            weights: &snapshot.view.intent.routing,
-            now: self.gateway.clock.monotonic(),
-        };
+        let place = self.gateway.place(&snapshot);
         if let Some(choice) = self.preferred(service) {
             return Some(choice);
         }
@@ -366,26 +364,9 @@
         self.request.completion.prefix.push(token.text.clone());
         self.attempts = 0;
         self.tried.clear();
-        self.measure();
-        self.broadcast(&Piece::Token(token));
-    }
-
-    fn measure(&mut self) {
-        let metrics = &self.request.account.metrics;
-        match self.last_token_at {
-            Some(at) => metrics.between_tokens(at.elapsed()),
-            None => metrics.first_token(self.request.arrived.elapsed()),
-        }
-        let now = Instant::now();
-        self.first_token_at.get_or_insert(now);
-        self.last_token_at = Some(now);
-    }
-
-    /// Returns the mean time between tokens, once there are two.
-    pub(super) fn mean_gap(&self) -> Option<Duration> {
-        let gaps = self.request.completion.prefix.len().checked_sub(1)? as u32;
-        let span = self.last_token_at?.duration_since(self.first_token_at?);
-        span.checked_div(gaps)
+        self.pace
+            .note(self.request.arrived, &self.request.account.metrics);
+        self.audience.send(&Piece::Token(token));
     }
 
     pub(super) fn tokens_left(&self) -> u32 {
@@ -395,13 +376,6 @@
             .saturating_sub(completion.prefix.len() as u32)
     }
 
-    fn broadcast(&mut self, piece: &Piece) {
-        self.readers.retain(|tx| tx.send(piece.clone()).is_ok());
-        if self.readers.is_empty() {
-            self.unread_since.get_or_insert_with(Instant::now);
-        }
-    }
-
     pub(super) fn add_waiting_readers(&mut self) {
         while let Ok(attach) = self.attach.try_recv() {
             self.add_reader(&attach);
@@ -409,14 +383,7 @@
     }
 
     pub(super) fn add_reader(&mut self, attach: &Attach) {
-        send_from(&attach.tx, &self.request.completion.prefix, attach.from);
-        self.readers.push(attach.tx.clone());
-        self.unread_since = None;
-    }
-
-    pub(super) fn is_abandoned(&self) -> bool {
-        self.unread_since
-            .is_some_and(|since| since.elapsed() >= ABANDON_AFTER)
+        self.audience.add(attach, &self.request.completion.prefix);
     }
 
     pub(super) fn record(&self, decision: DecisionKind) {
@@ -466,29 +433,23 @@
         self.request.account.metrics.spending(amount);
     }
 
-    fn no_upstream(&self) -> Refusal {
-        if let Err(refusal) = self.gateway.check_lease() {
-            return Refusal {
-                ran: ran(self.may_have_arrived),
-                ..refusal
-            };
+    /// Refuses because there is nowhere left to try.
+    fn no_choice(&self) -> Refusal {
+        match &self.last_error {
+            Some(e) => upstream_failed(e, self.may_have_arrived),
+            None => self.no_upstream(),
         }
-        self.refusal(
-            RefusalKind::NoUpstream,
-            "no instance of the service takes work now; retry later",
-        )
-        .retry_after(Duration::from_secs(1))
     }
 
-    fn upstream_failed(&self, e: &UpstreamError) -> Refusal {
-        let kind = match e.kind {
-            UpstreamErrorKind::Busy | UpstreamErrorKind::Leaving => RefusalKind::Overloaded,
-            UpstreamErrorKind::Rejected => RefusalKind::BadRequest,
-            _ => RefusalKind::UpstreamFailed,
+    fn no_upstream(&self) -> Refusal {
+        let refusal = match self.gateway.check_lease() {
+            Ok(()) => no_upstream(),
+            Err(refusal) => refusal,
         };
-        let message = format!("the upstream failed ({}); ask again", e.message);
-        self.refusal(kind, message)
-            .retry_after(Duration::from_secs(1))
+        Refusal {
+            ran: ran(self.may_have_arrived),
+            ..refusal
+        }
     }
 
     fn refusal(&self, kind: RefusalKind, message: impl Into<String>) -> Refusal {
--- a/src/gateway/generate/relay.rs
+++ b/src/gateway/generate/relay.rs
@@ -4,12 +4,9 @@
 use std::{sync::Arc, time::Duration};
 
 use futures_util::{FutureExt, StreamExt, future::BoxFuture};
-use tokio::{
-    sync::mpsc,
-    time::{Instant, timeout, timeout_at},
-};
+use tokio::time::{Instant, timeout, timeout_at};
 
-use super::{Attach, Piece, pump::Pump};
+use super::{Attach, pump::Pump};
 use crate::{
     domain::{InstanceName, Token},
     gateway::{
@@ -108,7 +105,7 @@
                 Err(_) => Err(Ended::Failed(silent())),
             },
             () = gateway.hand_over.cancelled(), if self.pump.may_hand_over() => Err(Ended::HandOver),
-            () = unread(&self.pump.readers), if !self.pump.accepted => Err(Ended::Abandoned),
+            () = self.pump.audience.first_gone(), if !self.pump.accepted => Err(Ended::Abandoned),
         }
     }
 
@@ -127,7 +124,7 @@
             to = moved(&mut self.cache_move), if self.cache_move.is_some() => Event::CacheMoved(to),
             () = preempted(usage), if may_yield => Event::Preempted,
             () = pump.gateway.hand_over.cancelled(), if pump.may_hand_over() => Event::HandOver,
-            () = unread(&pump.readers), if !pump.accepted && !pump.readers.is_empty() => Event::Unread,
+            () = pump.audience.first_gone(), if !pump.accepted => Event::Unread,
         }
     }
 
@@ -170,7 +167,7 @@
         self.first = false;
         self.pump.accept().await;
         self.pump.relay(token);
-        self.pump.is_abandoned().then_some(Ended::Abandoned)
+        self.pump.audience.is_gone().then_some(Ended::Abandoned)
     }
 
     /// Goes on elsewhere unless the answer will be whole in time. Cached work is taken along where
@@ -193,7 +190,7 @@
 
     fn ends_in_time(&self) -> bool {
         let now = self.pump.gateway.clock.monotonic();
-        let (Some(end), Some(gap)) = (self.member.state.reclaimed_at(), self.pump.mean_gap())
+        let (Some(end), Some(gap)) = (self.member.state.reclaimed_at(), self.pump.pace.mean_gap())
         else {
             return false;
         };
@@ -248,14 +245,6 @@
     }
 }
 
-/// Ends when the first reader has gone.
-async fn unread(readers: &[mpsc::UnboundedSender<Piece>]) {
-    match readers.first() {
-        Some(reader) => reader.closed().await,
-        None => std::future::pending().await,
-    }
-}
-
 fn silent() -> UpstreamError {
     UpstreamError::new(
         UpstreamErrorKind::Silent,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod journal;
 mod polls;
 mod queue;
+mod refusals;
 mod retries;
 mod route;
 mod services;
--- /dev/null
+++ b/src/gateway/refusals.rs
@@ -0,0 +1,42 @@
+//! Refusals that follow from failed upstreams.
+
+use std::time::Duration;
+
+use crate::{
+    domain::{Ran, Refusal, RefusalKind},
+    ports::{UpstreamError, UpstreamErrorKind},
+};
+
+/// Time to come back when no instance takes work.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Says whether a request ran, of which a byte may or cannot have reached an upstream.
+pub(crate) fn ran(may_have_arrived: bool) -> Ran {
+    match may_have_arrived {
+        true => Ran::Unknown,
+        false => Ran::No,
+    }
+}
+
+/// Refuses because no instance takes work.
+pub(crate) fn no_upstream() -> Refusal {
+    Refusal::not_run(
+        RefusalKind::NoUpstream,
+        "no instance of the service takes work now; retry later",
+    )
+    .retry_after(RETRY_AFTER)
+}
+
+/// Refuses because the last attempt failed.
+pub(crate) fn upstream_failed(e: &UpstreamError, may_have_arrived: bool) -> Refusal {
+    let kind = match e.kind {
+        UpstreamErrorKind::Busy | UpstreamErrorKind::Leaving => RefusalKind::Overloaded,
+        _ => RefusalKind::UpstreamFailed,
+    };
+    let message = format!("the upstream failed ({}); ask again later", e.message);
+    Refusal {
+        ran: ran(may_have_arrived),
+        ..Refusal::not_run(kind, message)
+    }
+    .retry_after(RETRY_AFTER)
+}
--- a/src/gateway/services.rs
+++ b/src/gateway/services.rs
@@ -11,9 +11,10 @@
 use super::{
     admission::Permit,
     claims::{Claim, Claimed},
-    core::{Gateway, ran},
+    core::Gateway,
     explain::DecisionKind,
-    route::{self, Choice, Place, Prompt},
+    refusals::{no_upstream, upstream_failed},
+    route::{self, Choice, Prompt},
     view::{AccountEntry, ServiceEntry},
 };
 use crate::{
@@ -21,16 +22,10 @@
         BodyDigest, IdempotencyKey, InstanceName, Refusal, RefusalKind, RequestId, ServiceName,
     },
     policy::retry::{Failure, Retry},
-    ports::{Clock, Sent, ServiceCall, ServiceReply, UpstreamError, UpstreamErrorKind, Upstreams},
+    ports::{Clock, Sent, ServiceCall, ServiceReply, UpstreamError, Upstreams},
     wire::StoredOutcome,
 };
 
-/// How long an instance whose exchange failed is avoided.
-const SUSPECT_TIME: Duration = Duration::from_secs(2);
-
-/// Time to come back when no instance takes work.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// A call that was admitted.
 #[derive(Debug)]
 pub(crate) struct PlainCall {
@@ -62,25 +57,22 @@
     pub(crate) async fn call_idempotent(&self, call: &PlainCall) -> Result<PlainAnswer, Refusal> {
         let mut tried = Vec::new();
         let mut may_have_arrived = false;
+        let mut choice = self.choose_plain(&call.service, &tried)?;
         loop {
-            let choice = self
-                .choose_plain(&call.service, &tried)
-                .map_err(|refusal| Refusal {
-                    ran: ran(may_have_arrived),
-                    ..refusal
-                })?;
-            match self.dispatch(&choice, call).await {
+            let e = match self.dispatch(&choice, call).await {
                 Ok(reply) => return Ok(PlainAnswer::Fresh(reply)),
-                Err(e) => {
-                    may_have_arrived |= e.sent == Sent::Maybe;
-                    tried.push(choice.member.instance.name.clone());
-                    let attempts = tried.len() as u32;
-                    match self.retry_plain(call, &e, attempts).await {
-                        Retry::After(delay) => sleep(delay).await,
-                        Retry::GiveUp => return Err(failed(&e, may_have_arrived)),
-                    }
-                }
+                Err(e) => e,
+            };
+            may_have_arrived |= e.sent == Sent::Maybe;
+            tried.push(choice.member.instance.name.clone());
+            let failed = || upstream_failed(&e, may_have_arrived);
+            match self.retry_plain(call, &e, tried.len() as u32).await {
+                Retry::After(delay) => sleep(delay).await,
+                Retry::GiveUp => return Err(failed()),
             }
+            choice = self
+                .choose_plain(&call.service, &tried)
+                .map_err(|_| failed())?;
         }
     }
 
@@ -125,11 +117,11 @@
             }
             Err(e) if e.sent == Sent::No => {
                 self.release(claim);
-                Err(failed(&e, false))
+                Err(upstream_failed(&e, false))
             }
             Err(e) => {
                 self.record_outcome(claim, None).await;
-                Err(failed(&e, true))
+                Err(outcome_unknown(&e))
             }
         }
     }
@@ -141,11 +133,7 @@
     ) -> Result<Choice, Refusal> {
         self.check_lease()?;
         let snapshot = self.snapshot.load();
-        let place = Place {
-            zone: &self.settings.zone,
-            weights: &snapshot.view.intent.routing,
-            now: self.clock.monotonic(),
-        };
+        let place = self.place(&snapshot);
         snapshot
             .service(service)
             .and_then(|service| route::choose(service, &Prompt::none(), tried, place))
@@ -168,21 +156,12 @@
             Ok(_) => member.state.trust(),
             Err(e) => {
                 self.explain_plain(call, DecisionKind::Failed(name.clone(), e.kind));
-                self.suspect(choice, e);
+                member.state.note_failure(e.kind, self.clock.monotonic());
             }
         }
         result
     }
 
-    fn suspect(&self, choice: &Choice, e: &UpstreamError) {
-        let state = &choice.member.state;
-        match e.kind {
-            UpstreamErrorKind::Leaving => state.mark_leaving(),
-            UpstreamErrorKind::Busy | UpstreamErrorKind::Rejected => {}
-            _ => state.suspect_until(self.clock.monotonic() + SUSPECT_TIME),
-        }
-    }
-
     async fn retry_plain(&self, call: &PlainCall, e: &UpstreamError, attempts: u32) -> Retry {
         let Some(service) = self.plain_service(&call.service) else {
             return Retry::GiveUp;
@@ -222,26 +201,15 @@
     format!("{}{}", call.service, call.call.path)
 }
 
-fn no_upstream() -> Refusal {
-    Refusal::not_run(
-        RefusalKind::NoUpstream,
-        "no instance of the service takes work now; retry later",
-    )
-    .retry_after(RETRY_AFTER)
-}
-
-fn failed(e: &UpstreamError, may_have_arrived: bool) -> Refusal {
-    let kind = match e.kind {
-        UpstreamErrorKind::Busy | UpstreamErrorKind::Leaving => RefusalKind::Overloaded,
-        _ => RefusalKind::UpstreamFailed,
-    };
-    let refusal = Refusal {
-        ran: ran(may_have_arrived),
-        ..Refusal::not_run(kind, format!("the upstream failed: {}", e.message))
-    };
-    match may_have_arrived {
-        true => refusal,
-        false => refusal.retry_after(RETRY_AFTER),
+/// A call whose answer was lost is not to be made again, so that no time to come back is named.
+fn outcome_unknown(e: &UpstreamError) -> Refusal {
+    Refusal {
+        retry_after: None,
+        message: format!(
+            "the upstream's answer was lost ({}); the call may have run, look at its effect",
+            e.message
+        ),
+        ..upstream_failed(e, true)
     }
 }
 
--- a/src/gateway/view/upstream.rs
+++ b/src/gateway/view/upstream.rs
@@ -11,7 +11,10 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use tokio_util::sync::CancellationToken;
 
-use crate::policy::prefix::PrefixIndex;
+use crate::{policy::prefix::PrefixIndex, ports::UpstreamErrorKind};
+
+/// How long an instance whose exchange failed is avoided.
+const SUSPECT_TIME: Duration = Duration::from_secs(2);
 
 /// A load report and when it was made, on the monotonic clock.
 #[derive(Clone, Copy, Debug)]
@@ -102,11 +105,18 @@
         now < Duration::from_micros(self.suspect_until_micros.load(Ordering::Relaxed))
     }
 
-    /// Marks the instance as suspect until a time.
-    pub(crate) fn suspect_until(&self, until: Duration) {
-        let micros = u64::try_from(until.as_micros()).unwrap_or(u64::MAX);
-        self.suspect_until_micros
-            .fetch_max(micros, Ordering::Relaxed);
+    /// Notes a failed exchange: what the instance itself says of its leaving is final, and other
+    /// failures than a busy or choosy instance make it suspect for a while.
+    pub(crate) fn note_failure(&self, kind: UpstreamErrorKind, now: Duration) {
+        match kind {
+            UpstreamErrorKind::Leaving => self.mark_leaving(),
+            UpstreamErrorKind::Busy | UpstreamErrorKind::Rejected => {}
+            _ => {
+                let micros = (now + SUSPECT_TIME).as_micros() as u64;
+                self.suspect_until_micros
+                    .fetch_max(micros, Ordering::Relaxed);
+            }
+        }
     }
 
     /// Takes the suspicion back.
--- /dev/null
+++ b/tests/gateway_refusals.rs
@@ -0,0 +1,192 @@
+//! What refusals say: `ran: no` only if nothing has reached an upstream.
+
+mod gateway_support;
+
+use std::time::Duration;
+
+use flamingocroft::{
+    domain::RefusalKind,
+    ports::{Sent, UpstreamErrorKind},
+    settings::Timing,
+};
+use gateway_support::{
+    Bench, LEASE, Options, eventually,
+    http::{Call, Events, FREE, Reply},
+    instance,
+    upstreams::Fault,
+};
+use uuid::Uuid;
+
+/// Checks what every refusal must satisfy.
+fn check(what: &str, reply: &Reply, reached: u32) {
+    let (kind, ran) = reply.error();
+    assert!(!kind.is_empty(), "{what}: {}", reply.text);
+    assert_eq!(ran == "no", reached == 0, "{what}: {ran} with {reached}");
+    let kind: RefusalKind = serde_json::from_value(kind.into()).unwrap();
+    assert_eq!(reply.status, kind.status(), "{what}");
+    let message = reply.json()["error"]["message"].as_str().unwrap().len();
+    assert!(message > 20, "{what}: the message names no remedy");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failed_request_says_no_only_if_nothing_arrived() {
+    let kinds = [
+        UpstreamErrorKind::Connect,
+        UpstreamErrorKind::Busy,
+        UpstreamErrorKind::Leaving,
+        UpstreamErrorKind::Rejected,
+        UpstreamErrorKind::Silent,
+        UpstreamErrorKind::Cut,
+        UpstreamErrorKind::Protocol,
+    ];
+    let calls = [
+        Call::complete("p", 2, false),
+        Call::complete("p", 2, true),
+        Call::get("/v1/services/depot/piles/7"),
+        Call::release(Uuid::now_v7(), "x"),
+    ];
+    for kind in kinds {
+        for sent in [Sent::No, Sent::Maybe] {
+            let bench = Bench::start(Options::default()).await;
+            for instance in ["e0", "e1", "d0", "d1"] {
+                bench.upstreams.fail(instance, Fault::Refuse(kind, sent));
+            }
+            for call in &calls {
+                let before = bench.upstreams.reached();
+                let reply = call.send(bench.address(0)).await;
+                let what = format!("{kind:?} {sent:?} {}", call.path);
+                if kind == UpstreamErrorKind::Leaving && before > 0 {
+                    continue;
+                }
+                check(&what, &reply, bench.upstreams.reached() - before);
+            }
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_idempotent_call_is_tried_elsewhere_and_another_one_is_not() {
+    let bench = Bench::start(Options::default()).await;
+    bench
+        .upstreams
+        .fail("d0", Fault::Refuse(UpstreamErrorKind::Cut, Sent::Maybe));
+    let mut once = 0;
+    for _ in 0..8 {
+        let reply = Call::get("/v1/services/depot/piles")
+            .send(bench.address(0))
+            .await;
+        assert_eq!(reply.status, 200, "{}", reply.text);
+        let before = bench.upstreams.reached();
+        let reply = Call::release(Uuid::now_v7(), "x")
+            .send(bench.address(0))
+            .await;
+        assert_eq!(bench.upstreams.reached(), before + 1);
+        once += u32::from(reply.status == 200);
+    }
+    assert!(once > 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_service_without_instances_is_refused() {
+    let bench = Bench::start(Options::default()).await;
+    bench
+        .leader
+        .set_instances(vec![instance("x", "none", "a", 1)]);
+    let address = bench.address(0);
+    eventually("the instances are gone", || async move {
+        let reply = Call::complete("p", 1, false).send(address).await;
+        reply.status == 503
+    })
+    .await;
+    let before = bench.upstreams.reached();
+    for call in [
+        Call::complete("p", 1, true),
+        Call::get("/v1/services/depot/piles"),
+        Call::release(Uuid::now_v7(), "x"),
+    ] {
+        let reply = call.send(address).await;
+        assert_eq!(reply.error(), ("no_upstream".to_owned(), "no".to_owned()));
+        assert_eq!(reply.header("retry-after"), Some("1"));
+    }
+    assert_eq!(bench.upstreams.reached(), before);
+    let leader = &bench.leader;
+    eventually("the claim is given back", || async {
+        !leader.releases().is_empty()
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn work_beyond_the_share_is_refused_with_a_time_to_come_back() {
+    let bench = Bench::start(Options {
+        slots: 1,
+        ..Options::default()
+    })
+    .await;
+    bench.upstreams.release(1);
+    let call = Call::complete("p", 2, true).token(Some(FREE));
+    let mut running = Events::open(&call, bench.address(0)).await;
+    running.tokens(1).await;
+    let reached = bench.upstreams.reached();
+    let reply = call.send(bench.address(0)).await;
+    check("over share", &reply, 0);
+    assert_eq!(reply.error().0, "over_share");
+    assert!(reply.header("retry-after").is_some());
+    assert_eq!(bench.upstreams.reached(), reached);
+    let leader = &bench.leader;
+    eventually("the leader learns the demand", || async {
+        leader.demand() >= 2
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_without_time_left_ends_with_its_deadline() {
+    let timing = Timing {
+        request_timeout: Duration::from_millis(400),
+        ..Options::default().timing
+    };
+    let bench = Bench::start(Options {
+        timing,
+        ..Options::default()
+    })
+    .await;
+    bench.upstreams.release(0);
+    let reply = Call::complete("p", 2, false).send(bench.address(0)).await;
+    let (kind, ran) = reply.error();
+    assert!(
+        kind == "deadline_exceeded" || kind == "upstream_failed",
+        "{kind}"
+    );
+    assert_eq!(ran, "unknown");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gateway_refuses_while_its_lease_is_over_and_comes_back_by_itself() {
+    let bench = Bench::start(Options {
+        gateways: 2,
+        ..Options::default()
+    })
+    .await;
+    let address = bench.address(0);
+    bench.leader.set_silent(true);
+    bench.gateways[0].clock.skip(LEASE);
+    for call in [
+        Call::complete("p", 1, true),
+        Call::get("/v1/services/depot/piles"),
+        Call::release(Uuid::now_v7(), "x"),
+    ] {
+        let reply = call.send(address).await;
+        check("no lease", &reply, 0);
+        assert_eq!(reply.error().0, "no_lease");
+        assert_eq!(reply.json()["error"]["addresses"][0]["name"], "g1");
+        assert!(reply.header("retry-after").is_some());
+    }
+    assert_eq!(bench.upstreams.reached(), 0);
+    let addresses = Call::get("/v1/addresses").send(address).await;
+    assert_eq!(addresses.status, 200, "addresses are given without a lease");
+    bench.leader.set_silent(false);
+    bench.ready().await;
+    let reply = Call::complete("p", 1, false).send(address).await;
+    assert_eq!(reply.status, 200);
+}
--- /dev/null
+++ b/tests/gateway_streams.rs
@@ -0,0 +1,277 @@
+//! Generations through failing, leaving and contended engines: no token is lost, doubled or another
+//! request's.
+
+mod gateway_support;
+
+use std::{net::SocketAddr, time::Duration};
+
+use flamingocroft::{
+    ports::{Sent, UpstreamErrorKind},
+    wire::ShareRecord,
+};
+use gateway_support::{
+    Bench, Options, eventually,
+    http::{Call, Events, FREE, OTHER},
+    intent,
+    upstreams::{Fault, answer_text, token_text},
+};
+
+const TOKENS: u32 = 20;
+
+/// Streams answers at once and checks that each caller gets its own, whole.
+async fn stream_many(addresses: &[SocketAddr], count: usize) {
+    let mut tasks = Vec::new();
+    for at in 0..count {
+        let address = addresses[at % addresses.len()];
+        tasks.push(tokio::spawn(async move {
+            let prompt = format!("prompt {at}");
+            let mut events = Events::open(&Call::complete(&prompt, TOKENS, true), address).await;
+            check_whole(&mut events, &prompt, 0).await;
+        }));
+    }
+    for task in tasks {
+        task.await.unwrap();
+    }
+}
+
+async fn check_whole(events: &mut Events, prompt: &str, from: u32) {
+    let (tokens, finish) = events.tokens(1000).await;
+    for (offset, event) in (from..).zip(&tokens) {
+        assert_eq!(event.id, Some(offset), "{prompt}");
+        assert_eq!(event.text(), token_text(prompt, 5, offset));
+    }
+    assert_eq!(from + tokens.len() as u32, TOKENS, "{prompt}: {finish:?}");
+    let finish = finish.expect("a finish chunk");
+    assert!(
+        finish.data.contains("\"finish_reason\":\"length\""),
+        "{finish:?}"
+    );
+    assert_eq!(events.next().await.unwrap().data, "[DONE]");
+    assert_eq!(events.next().await, None);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_go_on_elsewhere_after_every_kind_of_failure() {
+    for fault in [
+        Fault::Cut(3),
+        Fault::Cut(0),
+        Fault::NoEnd(4),
+        Fault::NoEnd(TOKENS),
+        Fault::Silent(2),
+        Fault::Silent(0),
+        Fault::Skip(5),
+        Fault::Refuse(UpstreamErrorKind::Connect, Sent::No),
+        Fault::Refuse(UpstreamErrorKind::Busy, Sent::Maybe),
+        Fault::Refuse(UpstreamErrorKind::Leaving, Sent::Maybe),
+    ] {
+        let bench = Bench::start(Options::default()).await;
+        bench.upstreams.fail("e0", fault);
+        stream_many(&[bench.address(0)], 3).await;
+        let failed = bench.upstreams.attempts();
+        assert!(failed.iter().any(|a| a.instance == "e0"), "{fault:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn many_streams_survive_engines_that_all_cut_them() {
+    let bench = Bench::start(Options {
+        gateways: 2,
+        engines: 3,
+        ..Options::default()
+    })
+    .await;
+    for engine in ["e0", "e1", "e2"] {
+        bench.upstreams.fail(engine, Fault::Cut(7));
+    }
+    stream_many(&[bench.address(0), bench.address(1)], 48).await;
+    assert!(bench.upstreams.attempts().len() >= 48 * 3);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_end_without_end_mark_is_never_a_short_success() {
+    let bench = Bench::start(Options {
+        engines: 1,
+        ..Options::default()
+    })
+    .await;
+    bench.upstreams.fail("e0", Fault::NoEnd(0));
+    let reply = Call::complete("p", 4, false).send(bench.address(0)).await;
+    assert_eq!(
+        reply.error(),
+        ("upstream_failed".to_owned(), "unknown".to_owned())
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_before_the_first_token_costs_no_more() {
+    let bench = Bench::start(Options::default()).await;
+    bench.upstreams.release(0);
+    let address = bench.address(0);
+    let caller = tokio::spawn(async move { Call::complete("p", 4, true).send(address).await });
+    let upstreams = &bench.upstreams;
+    eventually("it is generated", || async {
+        upstreams.open_streams() == 1
+    })
+    .await;
+    caller.abort();
+    eventually("it is cancelled", || async {
+        upstreams.open_streams() == 0
+    })
+    .await;
+    assert_eq!(bench.upstreams.attempts().len(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_dropped_caller_asks_again_for_the_rest() {
+    let bench = Bench::start(Options::default()).await;
+    bench.upstreams.release(5);
+    let call = Call::complete("again", TOKENS, true);
+    let mut events = Events::open(&call, bench.address(0)).await;
+    let (tokens, _) = events.tokens(4).await;
+    let id = events.request_id.clone();
+    drop(events);
+    let last = tokens.last().unwrap().id;
+    let mut again = Events::open(&Call::resume(&id, last), bench.address(0)).await;
+    bench.upstreams.release(u32::MAX);
+    check_whole(&mut again, "again", 4).await;
+    // The whole answer can be asked for afterwards too.
+    let mut late = Events::open(&Call::resume(&id, Some(17)), bench.address(0)).await;
+    check_whole(&mut late, "again", 18).await;
+    let whole = Call::resume(&id, None).send(bench.address(0)).await;
+    assert_eq!(
+        whole.json()["choices"][0]["text"],
+        answer_text("again", 5, TOKENS)
+    );
+    assert_eq!(bench.upstreams.attempts().len(), 1);
+}
+
+/// How a gateway learns that an instance leaves.
+#[derive(Clone, Copy, Debug)]
+enum Source {
+    View,
+    Report,
+    Notice,
+    /// By a notice, while the leader says nothing.
+    NoticeCutOff,
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_engine_gets_no_new_work_and_its_streams_move() {
+    for source in [
+        Source::View,
+        Source::Report,
+        Source::Notice,
+        Source::NoticeCutOff,
+    ] {
+        let bench = Bench::start(Options::default()).await;
+        bench.upstreams.release(3);
+        let address = bench.address(0);
+        let mut streams = Vec::new();
+        for at in 0..8 {
+            let call = Call::complete(&format!("prompt {at}"), TOKENS, true);
+            let mut events = Events::open(&call, address).await;
+            events.tokens(2).await;
+            streams.push(events);
+        }
+        let before = bench.upstreams.attempts().len();
+        match source {
+            Source::View => bench.leader.set_leaving("e0"),
+            Source::Report => bench.upstreams.set_leaving("e0"),
+            Source::Notice => bench.cloud.reclaim("e0", Duration::from_secs(30)),
+            Source::NoticeCutOff => {
+                bench.leader.set_silent(true);
+                bench.cloud.reclaim("e0", Duration::from_secs(30));
+            }
+        }
+        let upstreams = &bench.upstreams;
+        let on_e0 = upstreams
+            .attempts()
+            .iter()
+            .filter(|a| a.instance == "e0")
+            .count();
+        assert!(on_e0 > 0, "e0 had work");
+        match source {
+            // Without a time it is taken to be gone soon.
+            Source::View | Source::Report => {
+                eventually("its streams move", || async {
+                    upstreams.attempts().len() >= before + on_e0
+                })
+                .await;
+                assert_eq!(bench.upstreams.exports() as usize, on_e0);
+                assert!(bench.upstreams.imports().iter().all(|to| to == "e1"));
+            }
+            Source::Notice | Source::NoticeCutOff => bench.cloud.acted_on().await,
+        }
+        if matches!(source, Source::Report | Source::Notice) {
+            let leader = &bench.leader;
+            eventually("the leader is told", || async {
+                leader.notices().contains(&"e0".to_owned())
+            })
+            .await;
+        }
+        let known = bench.upstreams.attempts().len();
+        bench.upstreams.release(u32::MAX);
+        stream_many(&[address], 8).await;
+        let late = bench.upstreams.attempts().split_off(known);
+        assert!(
+            late.iter().all(|a| a.instance == "e1"),
+            "{source:?}: {late:?}"
+        );
+        for (at, events) in streams.iter_mut().enumerate() {
+            check_whole(events, &format!("prompt {at}"), 2).await;
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_free_stream_yields_to_paying_work_and_is_completed_afterwards() {
+    let bench = Bench::start(Options {
+        engines: 1,
+        ..Options::default()
+    })
+    .await;
+    let share = |account: &str, slots| ShareRecord {
+        service: "chat".to_owned(),
+        account: account.to_owned(),
+        slots,
+    };
+    let shares = vec![share("paying", 2), share("other", 0), share("free", 1)];
+    bench.leader.set_intent(&intent(), shares);
+    let address = bench.address(0);
+    bench.upstreams.release(3);
+    let open = |prompt: &'static str, token| async move {
+        let call = Call::complete(prompt, TOKENS, true).token(Some(token));
+        Events::open(&call, address).await
+    };
+    let mut free = open("free", FREE).await;
+    let (first, _) = free.tokens(3).await;
+    eventually("the free share is one", || async move {
+        let probe = Call::complete("probe", 1, false).token(Some(FREE));
+        probe.send(address).await.error().0 == "over_share"
+    })
+    .await;
+    let mut borrowed = [open("b0", OTHER).await, open("b1", OTHER).await];
+    // The service is full; the paying account is below its share.
+    let paying = tokio::spawn(async move {
+        let call = Call::complete("paying", TOKENS, true);
+        let mut events = Events::open(&call, address).await;
+        check_whole(&mut events, "paying", 0).await;
+    });
+    let upstreams = &bench.upstreams;
+    eventually("the paying request runs", || async {
+        upstreams.attempts().iter().any(|a| a.prompt == "paying")
+    })
+    .await;
+    bench.upstreams.release(u32::MAX);
+    paying.await.unwrap();
+    for (prompt, events) in ["b0", "b1"].into_iter().zip(&mut borrowed) {
+        check_whole(events, prompt, 0).await;
+    }
+    assert_eq!(first.len(), 3);
+    check_whole(&mut free, "free", 3).await;
+    let resumed = bench.upstreams.attempts();
+    assert!(
+        resumed.iter().any(|a| a.prompt == "free" && a.prefix == 3),
+        "{resumed:?}"
+    );
+}
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -70,7 +70,8 @@
 /// A cloud whose notices are set by the test.
 #[derive(Default)]
 pub struct FakeCloud {
-    pub notices: Mutex<Vec<ReclaimNotice>>,
+    notices: Mutex<Vec<ReclaimNotice>>,
+    polls: AtomicU64,
 }
 
 impl FakeCloud {
@@ -81,6 +82,15 @@
             remaining,
         });
     }
+
+    /// Waits until the notices of now have been read and acted on: the next poll begins afterwards.
+    pub async fn acted_on(&self) {
+        let before = self.polls.load(Ordering::SeqCst);
+        eventually("the notices are read", || async move {
+            self.polls.load(Ordering::SeqCst) >= before + 2
+        })
+        .await;
+    }
 }
 
 impl CloudApi for FakeCloud {
@@ -89,6 +99,7 @@
     }
 
     async fn notices(&self) -> Result<Vec<ReclaimNotice>, CloudError> {
+        self.polls.fetch_add(1, Ordering::SeqCst);
         Ok(self.notices.lock().unwrap().clone())
     }
 
--- a/tests/gateway_support/upstreams.rs
+++ b/tests/gateway_support/upstreams.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
 };
 
 use bytes::Bytes;
@@ -58,6 +61,16 @@
     released: watch::Sender<u32>,
     /// Plain calls wait while this is false.
     open: watch::Sender<bool>,
+    streams: Arc<AtomicU32>,
+}
+
+/// Counts an open stream until it is dropped.
+struct OpenStream(Arc<AtomicU32>);
+
+impl Drop for OpenStream {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
 }
 
 impl Default for FakeUpstreams {
@@ -66,6 +79,7 @@
             state: Mutex::default(),
             released: watch::Sender::new(u32::MAX),
             open: watch::Sender::new(true),
+            streams: Arc::default(),
         }
     }
 }
@@ -113,6 +127,11 @@
         self.state.lock().unwrap().calls.clone()
     }
 
+    /// Streams that the gateways hold open.
+    pub fn open_streams(&self) -> u32 {
+        self.streams.load(Ordering::SeqCst)
+    }
+
     pub fn exports(&self) -> u32 {
         self.state.lock().unwrap().exports
     }
@@ -191,7 +210,10 @@
         });
         self.arrive(fault)?;
         let released = self.released.subscribe();
+        self.streams.fetch_add(1, Ordering::SeqCst);
+        let open = Arc::new(OpenStream(Arc::clone(&self.streams)));
         let paced = stream::iter(items(req, fault)).then(move |item| {
+            let _open = Arc::clone(&open);
             let mut released = released.clone();
             async move {
                 if let Ok(StreamItem::Token(token)) = &item {
