Hand accepted requests over, and answer a resumed one at once

The answer names the backup in x-backup-address. A request that nobody reads is parked and gone on with when its caller asks again.

--- a/src/gateway/generate/piece.rs
+++ b/src/gateway/generate/piece.rs
@@ -10,6 +10,8 @@
 /// One piece of an answer.
 #[derive(Clone, Debug)]
 pub(crate) enum Piece {
+    /// The request is accepted; the gateway that holds a copy of it, if there is one.
+    Accepted(Option<Box<GatewayEntry>>),
     /// The next token.
     Token(Token),
     /// The proper end.
--- a/src/gateway/generate/pump.rs
+++ b/src/gateway/generate/pump.rs
@@ -22,7 +22,7 @@
         admission::{Applicant, Permit},
         core::Gateway,
         explain::DecisionKind,
-        journal::Backup,
+        journal::{Backup, Held},
         refusals::{no_upstream, ran, upstream_failed},
         route::{self, Choice, Prompt},
         view::{AccountEntry, ServiceEntry},
@@ -135,31 +135,37 @@
 
     async fn finish(mut self, finish: Finish) {
         let id = self.request.completion.id;
-        let answer = match &finish {
-            Finish::Whole(end) => Some(self.answer(*end)),
-            _ => None,
-        };
-        let last = match finish {
-            Finish::Whole(end) => Some(Piece::End(end)),
+        let journal = self.gateway.journal.clone();
+        match &finish {
+            Finish::Whole(end) => journal.finish(id, Some(self.answer(*end))).await,
+            Finish::Abandoned if self.accepted => {
+                let held = Held::of(&self.gateway.identity.name, &self.request);
+                journal.park(id, held).await;
+            }
+            _ => journal.finish(id, None).await,
+        }
+        // Readers that came in between are fed before the last piece.
+        self.add_waiting_readers();
+        let backup = std::mem::replace(&mut self.backup, Backup::none());
+        match finish {
+            Finish::Whole(end) => self.audience.send(&Piece::End(end)),
             Finish::Failed(refusal) => {
                 self.record(DecisionKind::Refused(refusal.kind, refusal.ran));
-                self.gateway.metrics.refusal(refusal.kind);
-                Some(Piece::Failed(refusal))
+                if self.accepted {
+                    // A refusal before that is counted where it is answered.
+                    self.gateway.metrics.refusal(refusal.kind);
+                }
+                self.audience.send(&Piece::Failed(refusal));
             }
             Finish::Moved(entry) => {
-                self.backup.keep();
+                self.gateway.counters.handed_over.add();
                 self.record(DecisionKind::HandedOver(entry.name.to_string()));
-                Some(Piece::Moved(entry))
+                self.audience.send(&Piece::Moved(entry));
+                return;
             }
-            Finish::Abandoned => None,
-        };
-        self.gateway.journal.finish(id, answer).await;
-        // Readers that came in between are fed before the last piece.
-        self.add_waiting_readers();
-        if let Some(last) = last {
-            self.audience.send(&last);
+            Finish::Abandoned if self.accepted => return,
+            Finish::Abandoned => {}
         }
-        let backup = std::mem::replace(&mut self.backup, Backup::none());
         backup.remove(&self.gateway, id).await;
     }
 
@@ -354,8 +360,10 @@
     /// Waits until a backup holds the request, or until it is known that none will.
     pub(super) async fn accept(&mut self) {
         if !self.accepted {
-            self.backup.settle(&self.gateway).await;
+            let holder = self.backup.settle(&self.gateway).await;
             self.accepted = true;
+            let holder = holder.map(|peer| Box::new(peer.entry.clone()));
+            self.audience.send(&Piece::Accepted(holder));
         }
     }
 
--- a/src/gateway/http/completions.rs
+++ b/src/gateway/http/completions.rs
@@ -75,6 +75,7 @@
         shape,
         reader,
         from: 0,
+        backup: None,
     };
     match stream {
         true => outgoing.events().await,
--- a/src/gateway/http/render.rs
+++ b/src/gateway/http/render.rs
@@ -196,5 +196,5 @@
 
 /// Says whether a piece is the last one.
 pub(super) fn is_last(piece: &Piece) -> bool {
-    !matches!(piece, Piece::Token(_))
+    !matches!(piece, Piece::Token(_) | Piece::Accepted(_))
 }
--- a/src/gateway/http/requests.rs
+++ b/src/gateway/http/requests.rs
@@ -48,9 +48,10 @@
         shape,
         reader: resumed.reader,
         from,
+        backup: None,
     };
     match last.is_some() || wants_events(head) {
-        true => outgoing.events().await,
+        true => Ok(outgoing.rest()),
         false => outgoing.whole().await,
     }
 }
--- a/src/gateway/http/stream.rs
+++ b/src/gateway/http/stream.rs
@@ -23,6 +23,9 @@
 /// Names the request, so that its caller can ask again.
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 
+/// Names the gateway that holds a copy of the request, in case this one is lost.
+const BACKUP_ADDRESS: HeaderName = HeaderName::from_static("x-backup-address");
+
 /// An answer on its way to a caller.
 #[derive(Debug)]
 pub(super) struct Outgoing {
@@ -34,18 +37,27 @@
     pub(super) reader: Reader,
     /// Offset of the first token to send.
     pub(super) from: u32,
+    /// The gateway that holds a copy of the request, once it is accepted.
+    pub(super) backup: Option<Box<GatewayEntry>>,
 }
 
 impl Outgoing {
-    /// Answers with events. Nothing is said before the first piece is there, since a request that
-    /// was not accepted gets an error status.
+    /// Answers a new request with events. Nothing is said before the first piece is there, since a
+    /// request that was not accepted gets an error status.
     pub(super) async fn events(mut self) -> Result<Response, Refusal> {
-        let first = match self.reader.recv().await {
-            Some(Piece::Failed(refusal)) => return Err(refusal),
-            Some(piece) => piece,
-            None => return Err(interrupted()),
-        };
-        let id = self.id;
+        match self.next().await {
+            Piece::Failed(refusal) => Err(refusal),
+            first => Ok(self.begin(Some(first))),
+        }
+    }
+
+    /// Answers with the rest of an accepted request, at once.
+    pub(super) fn rest(self) -> Response {
+        self.begin(None)
+    }
+
+    fn begin(mut self, first: Option<Piece>) -> Response {
+        let (id, backup) = (self.id, self.backup.take());
         let mut response = warp::reply::stream(self.body(first)).into_response();
         let headers = response.headers_mut();
         headers.insert(
@@ -53,21 +65,30 @@
             HeaderValue::from_static("text/event-stream"),
         );
         headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
-        mark(&mut response, id);
-        Ok(response)
+        mark(&mut response, id, backup.as_deref());
+        response
     }
 
-    fn body(self, first: Piece) -> impl Stream<Item = Result<Bytes, Infallible>> {
+    /// Returns the next piece for the caller. A task that vanished must not look like a proper end.
+    async fn next(&mut self) -> Piece {
+        loop {
+            match self.reader.recv().await {
+                Some(Piece::Accepted(backup)) => self.backup = backup,
+                Some(piece) => return piece,
+                None => return Piece::Failed(interrupted()),
+            }
+        }
+    }
+
+    fn body(self, first: Option<Piece>) -> impl Stream<Item = Result<Bytes, Infallible>> {
         let from = self.from;
-        let state = Some((self, Some(first), from));
+        let state = Some((self, first, from));
         stream::unfold(state, |state| async move {
             let (mut this, first, mut next) = state?;
             let piece = match first {
-                Some(piece) => Some(piece),
-                None => this.reader.recv().await,
+                Some(piece) => piece,
+                None => this.next().await,
             };
-            // A task that vanished must not look like a proper end.
-            let piece = piece.unwrap_or_else(|| Piece::Failed(interrupted()));
             let bytes = this.render(&piece, &mut next);
             let rest = (!render::is_last(&piece)).then_some((this, None, next));
             Some((Ok(bytes), rest))
@@ -80,6 +101,7 @@
                 *next = token.offset + 1;
                 self.shape.token(token)
             }
+            Piece::Accepted(_) => Bytes::new(),
             Piece::End(end) => self.shape.end(*next, *end),
             Piece::Failed(refusal) => render::failed(refusal),
             Piece::Moved(entry) => render::moved(self.id, entry),
@@ -91,22 +113,22 @@
         let mut text = String::new();
         let mut tokens = 0;
         loop {
-            match self.reader.recv().await {
-                Some(Piece::Token(token)) => {
+            match self.next().await {
+                Piece::Accepted(_) => {}
+                Piece::Token(token) => {
                     text.push_str(&token.text);
                     tokens += 1;
                 }
-                Some(Piece::End(end)) => return Ok(self.document(&text, tokens, end)),
-                Some(Piece::Failed(refusal)) => return Err(refusal),
-                Some(Piece::Moved(entry)) => return Ok(self.elsewhere(*entry)),
-                None => return Err(interrupted()),
+                Piece::End(end) => return Ok(self.document(&text, tokens, end)),
+                Piece::Failed(refusal) => return Err(refusal),
+                Piece::Moved(entry) => return Ok(self.elsewhere(*entry)),
             }
         }
     }
 
     fn document(&self, text: &str, tokens: u32, end: StreamEnd) -> Response {
         let mut response = error::json(&self.shape.whole(text, tokens, end));
-        mark(&mut response, self.id);
+        mark(&mut response, self.id, self.backup.as_deref());
         response
     }
 
@@ -124,14 +146,19 @@
             )
         };
         let mut response = error::respond(&refusal, &[entry]);
-        mark(&mut response, self.id);
+        mark(&mut response, self.id, self.backup.as_deref());
         response
     }
 }
 
-fn mark(response: &mut Response, id: RequestId) {
+fn mark(response: &mut Response, id: RequestId, backup: Option<&GatewayEntry>) {
+    let headers = response.headers_mut();
     if let Ok(value) = HeaderValue::from_str(&id.to_string()) {
-        response.headers_mut().insert(REQUEST_ID, value);
+        headers.insert(REQUEST_ID, value);
+    }
+    let address = backup.map(|entry| entry.caller_address.to_string());
+    if let Some(Ok(value)) = address.as_deref().map(HeaderValue::from_str) {
+        headers.insert(BACKUP_ADDRESS, value);
     }
 }
 
--- a/src/gateway/journal/backup.rs
+++ b/src/gateway/journal/backup.rs
@@ -10,7 +10,6 @@
 pub(crate) struct Backup {
     pending: Option<oneshot::Receiver<Option<PeerLink>>>,
     holder: Option<PeerLink>,
-    keep: bool,
 }
 
 impl Backup {
@@ -19,7 +18,6 @@
         Self {
             pending: None,
             holder: None,
-            keep: false,
         }
     }
 
@@ -31,28 +29,20 @@
         }
     }
 
-    /// Leaves the copy where it is when the request ends here.
-    pub(crate) fn keep(&mut self) {
-        self.keep = true;
-    }
-
     /// Waits until the copy is acknowledged or all attempts have failed; a request without a copy is
-    /// counted.
-    pub(crate) async fn settle<U, T>(&mut self, gateway: &Gateway<U, T>) {
-        let Some(pending) = self.pending.take() else {
-            return;
-        };
-        self.holder = pending.await.ok().flatten();
-        if self.holder.is_none() {
-            gateway.counters.accepted_alone.add();
+    /// counted. Returns the backup.
+    pub(crate) async fn settle<U, T>(&mut self, gateway: &Gateway<U, T>) -> Option<&PeerLink> {
+        if let Some(pending) = self.pending.take() {
+            self.holder = pending.await.ok().flatten();
+            if self.holder.is_none() {
+                gateway.counters.accepted_alone.add();
+            }
         }
+        self.holder.as_ref()
     }
 
     /// Drops the copy of a request that ended here.
     pub(crate) async fn remove<U, T>(mut self, gateway: &Gateway<U, T>, id: RequestId) {
-        if self.keep {
-            return;
-        }
         if let Some(pending) = self.pending.take() {
             self.holder = pending.await.ok().flatten();
         }
--- a/src/gateway/journal/handler.rs
+++ b/src/gateway/journal/handler.rs
@@ -78,7 +78,8 @@
             Body::JournalRemove(remove)
                 if self.is_from(peer, &remove.owner, remove.incarnation) =>
             {
-                journal.remove(remove).await;
+                // The sender waits for no answer.
+                self.answer(journal.remove(remove).await).await;
                 None
             }
             Body::LeavingNotice(notice) => {
--- a/src/gateway/journal/held.rs
+++ b/src/gateway/journal/held.rs
@@ -5,6 +5,7 @@
 use tokio::{sync::mpsc, time::Instant};
 use uuid::Uuid;
 
+use super::peers::journaled;
 use crate::{
     domain::{AccountName, Completion, FinishReason, RequestId},
     gateway::{
@@ -29,6 +30,16 @@
 }
 
 impl Held {
+    /// Makes a copy of a request of this gateway's own.
+    pub(crate) fn of(owner: &str, request: &Accepted) -> Self {
+        Self {
+            owner: owner.to_owned(),
+            request: journaled(request),
+            tokens: request.completion.prefix.clone(),
+            finish: None,
+        }
+    }
+
     /// Reads a copy from its message; nothing if the message is incomplete.
     pub(super) fn read(put: JournalPut) -> Option<(RequestId, Self)> {
         let request = put.request?;
--- a/src/gateway/journal/mod.rs
+++ b/src/gateway/journal/mod.rs
@@ -9,6 +9,6 @@
 
 pub(crate) use backup::Backup;
 pub(crate) use handler::PeerHandler;
-pub(crate) use held::resume;
+pub(crate) use held::{Held, resume};
 pub(crate) use peers::{Peers, rendezvous};
 pub(crate) use store::{Bounds, Found, Journal, Running};
--- a/src/gateway/journal/peers.rs
+++ b/src/gateway/journal/peers.rs
@@ -151,22 +151,13 @@
     }
 
     fn message(&self, request: &Accepted, take_over: bool) -> JournalPut {
-        let completion = &request.completion;
         JournalPut {
             owner: self.own.name.to_string(),
             incarnation: self.own.incarnation.0,
-            request: Some(JournaledRequest {
-                id: completion.id.0.as_bytes().to_vec(),
-                account: completion.account.to_string(),
-                model: completion.model.to_string(),
-                prompt: completion.prompt.clone(),
-                max_tokens: completion.max_tokens,
-                seed: completion.seed,
-                chat: request.chat,
-            }),
+            request: Some(journaled(request)),
             tokens: Some(JournalTokens {
                 offset: 0,
-                texts: completion.prefix.clone(),
+                texts: request.completion.prefix.clone(),
                 finish: 0,
             }),
             take_over,
@@ -174,6 +165,20 @@
     }
 }
 
+/// Returns a request in the form that gateways exchange.
+pub(super) fn journaled(request: &Accepted) -> JournaledRequest {
+    let completion = &request.completion;
+    JournaledRequest {
+        id: completion.id.0.as_bytes().to_vec(),
+        account: completion.account.to_string(),
+        model: completion.model.to_string(),
+        prompt: completion.prompt.clone(),
+        max_tokens: completion.max_tokens,
+        seed: completion.seed,
+        chat: request.chat,
+    }
+}
+
 async fn store(peers: &[PeerLink], put: &JournalPut, attempts: usize) -> Option<PeerLink> {
     let needed = put.tokens.as_ref().map_or(0, |tokens| tokens.texts.len());
     for peer in peers.iter().take(attempts) {
--- a/src/gateway/journal/store.rs
+++ b/src/gateway/journal/store.rs
@@ -82,10 +82,11 @@
 enum Message {
     Register(RequestId, Running),
     Finish(RequestId, Option<Box<Answer>>),
+    Park(RequestId, Box<Held>),
     Find(RequestId, AccountName, oneshot::Sender<Option<Found>>),
     Put(JournalPut, oneshot::Sender<Stored>),
     Append(JournalAppend, oneshot::Sender<Stored>),
-    Remove(JournalRemove),
+    Remove(JournalRemove, oneshot::Sender<Stored>),
 }
 
 /// A handle to the journal.
@@ -112,6 +113,11 @@
         self.send(Message::Finish(id, answer.map(Box::new))).await;
     }
 
+    /// Keeps a request that nobody reads, to be gone on with when its caller asks again.
+    pub(crate) async fn park(&self, id: RequestId, held: Held) {
+        self.send(Message::Park(id, Box::new(held))).await;
+    }
+
     /// Looks a request of an account up.
     pub(crate) async fn find(&self, id: RequestId, account: AccountName) -> Option<Found> {
         let (reply, rx) = oneshot::channel();
@@ -134,8 +140,10 @@
     }
 
     /// Drops a copy.
-    pub(crate) async fn remove(&self, remove: JournalRemove) {
-        self.send(Message::Remove(remove)).await;
+    pub(crate) async fn remove(&self, remove: JournalRemove) -> Stored {
+        let (reply, rx) = oneshot::channel();
+        self.send(Message::Remove(remove, reply)).await;
+        rx.await.unwrap_or(Stored::Dropped)
     }
 
     async fn send(&self, message: Message) {
@@ -188,6 +196,12 @@
         match message {
             Message::Register(id, running) => self.insert(id, Entry::Running(running)),
             Message::Finish(id, answer) => self.finish(id, answer),
+            Message::Park(id, held) => {
+                self.discard(id);
+                if self.has_room(id, &held) {
+                    self.insert(id, Entry::Held(held, Instant::now()));
+                }
+            }
             Message::Find(id, account, reply) => {
                 let _ = reply.send(self.find(id, &account));
             }
@@ -197,7 +211,9 @@
             Message::Append(append, reply) => {
                 let _ = reply.send(self.append(append));
             }
-            Message::Remove(remove) => self.remove_copy(&remove),
+            Message::Remove(remove, reply) => {
+                let _ = reply.send(self.remove_copy(&remove));
+            }
         }
     }
 
@@ -326,13 +342,20 @@
         })
     }
 
-    fn remove_copy(&mut self, remove: &JournalRemove) {
+    fn remove_copy(&mut self, remove: &JournalRemove) -> Stored {
+        if !self.is_current(&remove.owner, remove.incarnation) {
+            return Stored::Dropped;
+        }
         let Some(id) = request_id(&remove.id) else {
-            return;
+            return Stored::Dropped;
         };
-        let own = matches!(self.entries.get(&id), Some(Entry::Held(held, _)) if held.owner == remove.owner);
-        if own {
-            self.discard(id);
+        match self.entries.get(&id) {
+            Some(Entry::Held(held, _)) if held.owner == remove.owner => {
+                self.discard(id);
+                Stored::Ack(JournalAck::default())
+            }
+            // The request was resumed here, or its copy is too old and gone.
+            _ => Stored::Ack(JournalAck::default()),
         }
     }
 
--- /dev/null
+++ b/tests/gateway_hand_over.rs
@@ -0,0 +1,364 @@
+//! Accepted requests through the end of their gateway: announced, abrupt, and abrupt in the middle of
+//! an announced one.
+
+mod gateway_support;
+
+use std::{net::SocketAddr, time::Duration};
+
+use flamingocroft::{
+    domain::Incarnation,
+    link::{Identity, Link, LinkError, LinkSettings, PeerKey},
+    wire::{Body, JournalAck, JournalPut, JournalRemove, JournalTokens, JournaledRequest},
+};
+use gateway_support::{
+    Bench, KEY, Options, eventually,
+    http::{Call, Event, Events, OTHER},
+    upstreams::{answer_text, token_text},
+};
+use serde_json::Value;
+use uuid::Uuid;
+
+const TOKENS: u32 = 30;
+
+/// A caller in the middle of a stream.
+struct Caller {
+    prompt: String,
+    events: Events,
+    texts: Vec<String>,
+}
+
+impl Caller {
+    async fn start(at: usize, address: SocketAddr) -> Self {
+        let prompt = format!("prompt {at}");
+        let mut events = Events::open(&Call::complete(&prompt, TOKENS, true), address).await;
+        let (tokens, _) = events.tokens(2).await;
+        let mut caller = Self {
+            prompt,
+            events,
+            texts: Vec::new(),
+        };
+        caller.take(&tokens);
+        caller
+    }
+
+    fn take(&mut self, tokens: &[Event]) {
+        for token in tokens {
+            assert_eq!(token.id, Some(self.texts.len() as u32), "{}", self.prompt);
+            self.texts.push(token.text());
+        }
+    }
+
+    /// Reads on until the stream ends in some way; the last event is returned.
+    async fn read_on(&mut self) -> Option<Event> {
+        let (tokens, last) = self.events.tokens(usize::MAX).await;
+        self.take(&tokens);
+        last
+    }
+
+    async fn resume(&mut self, address: SocketAddr) {
+        let last = self.texts.len().checked_sub(1).map(|at| at as u32);
+        let call = Call::resume(&self.events.request_id, last);
+        self.events = Events::open(&call, address).await;
+    }
+
+    async fn check_whole(&mut self) {
+        let last = self.read_on().await.expect("a finish chunk");
+        assert!(
+            last.data.contains("\"finish_reason\":\"length\""),
+            "{last:?}"
+        );
+        let expected: Vec<String> = (0..TOKENS)
+            .map(|offset| token_text(&self.prompt, 5, offset))
+            .collect();
+        assert_eq!(self.texts, expected);
+        assert_eq!(self.events.next().await.unwrap().data, "[DONE]");
+    }
+}
+
+fn moved_to(event: &Event) -> SocketAddr {
+    assert_eq!(event.name.as_deref(), Some("moved"), "{event:?}");
+    let json: Value = serde_json::from_str(&event.data).unwrap();
+    json["address"].as_str().unwrap().parse().unwrap()
+}
+
+async fn bench(gateways: usize) -> Bench {
+    let bench = Bench::start(Options {
+        gateways,
+        ..Options::default()
+    })
+    .await;
+    // Nobody gets further before the test lets it.
+    bench.upstreams.release(5);
+    bench
+}
+
+async fn callers(bench: &Bench, count: usize) -> Vec<Caller> {
+    let mut callers = Vec::new();
+    for at in 0..count {
+        callers.push(Caller::start(at, bench.address(0)).await);
+    }
+    callers
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_announced_end_moves_every_stream_to_another_zone() {
+    for by_notice in [false, true] {
+        let mut bench = bench(3).await;
+        let mut callers = callers(&bench, 16).await;
+        match by_notice {
+            true => bench.cloud.reclaim("g0", Duration::from_secs(1)),
+            false => bench.gateways[0].stop.cancel(),
+        }
+        // A zone's worth at once: the engine in the gateway's zone leaves too.
+        bench.leader.set_leaving("e0");
+        for caller in &mut callers {
+            let last = caller.read_on().await.expect("an event says where to go");
+            let address = moved_to(&last);
+            assert_ne!(address, bench.address(0));
+            caller.resume(address).await;
+        }
+        bench.upstreams.release(u32::MAX);
+        for caller in &mut callers {
+            caller.check_whole().await;
+        }
+        bench.gateways[0].ended().await.unwrap();
+        let metrics = Call::get("/metrics");
+        let mut taken = 0;
+        for at in [1, 2] {
+            taken += counter(&metrics.send(bench.address(at)).await.text, "taken_over");
+        }
+        assert_eq!(taken, 16);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_abrupt_end_leaves_the_backups_copy() {
+    let mut bench = bench(3).await;
+    let mut callers = Vec::new();
+    for at in 0..8 {
+        let prompt = format!("prompt {at}");
+        let response = Call::complete(&prompt, TOKENS, true)
+            .open(bench.address(0))
+            .await;
+        let backup = response.headers()["x-backup-address"].to_str().unwrap();
+        let backup: SocketAddr = backup.parse().unwrap();
+        assert_ne!(backup, bench.address(0));
+        drop(response);
+        callers.push((Caller::start(at, bench.address(0)).await, backup));
+    }
+    bench.gateways[0].kill().await;
+    let upstreams = &bench.upstreams;
+    eventually("the dead gateway's connections end", || async {
+        upstreams.open_streams() == 0
+    })
+    .await;
+    bench.upstreams.release(u32::MAX);
+    for (caller, _) in &mut callers {
+        let last = caller.read_on().await;
+        let whole = last.is_some_and(|event| event.data.contains("finish_reason\":\"length"));
+        assert!(!whole, "the stream of a dead gateway does not look whole");
+        let mut resumed = None;
+        for at in [1, 2] {
+            let call = Call::resume(
+                &caller.events.request_id,
+                Some(caller.texts.len() as u32 - 1),
+            );
+            let stolen = call
+                .clone()
+                .token(Some(OTHER))
+                .send(bench.address(at))
+                .await;
+            assert_eq!(stolen.status, 404, "another account gets nothing");
+            if call.open(bench.address(at)).await.status() == 200 {
+                resumed = Some(bench.address(at));
+                break;
+            }
+        }
+        caller
+            .resume(resumed.expect("a backup knows the request"))
+            .await;
+        caller.check_whole().await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn death_in_the_middle_of_a_hand_over_loses_nothing() {
+    let mut bench = bench(2).await;
+    let mut callers = callers(&bench, 16).await;
+    bench.gateways[0].stop.cancel();
+    let other = bench.address(1);
+    eventually("some requests are handed over", || async move {
+        let metrics = Call::get("/metrics").send(other).await;
+        counter(&metrics.text, "taken_over") > 0
+    })
+    .await;
+    bench.gateways[0].kill().await;
+    bench.upstreams.release(u32::MAX);
+    for caller in &mut callers {
+        caller.read_on().await;
+        caller.resume(other).await;
+        caller.check_whole().await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_whole_answer_that_moved_is_asked_for_elsewhere() {
+    let mut bench = bench(2).await;
+    let address = bench.address(0);
+    let caller =
+        tokio::spawn(async move { Call::complete("w", TOKENS, false).send(address).await });
+    let upstreams = &bench.upstreams;
+    eventually("it is generated", || async {
+        upstreams.open_streams() == 1
+    })
+    .await;
+    bench.gateways[0].stop.cancel();
+    let reply = caller.await.unwrap();
+    assert_eq!((reply.status, reply.error().1.as_str()), (503, "unknown"));
+    assert_eq!(reply.json()["error"]["addresses"][0]["name"], "g1");
+    bench.upstreams.release(u32::MAX);
+    let id = reply.header("x-request-id").unwrap();
+    let again = Call::resume(id, None).send(bench.address(1)).await;
+    let text = &again.json()["choices"][0]["text"];
+    assert_eq!(text, &answer_text("w", 5, TOKENS), "{}", again.text);
+    bench.gateways[0].ended().await.unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gateway_without_others_finishes_what_it_can() {
+    let mut bench = bench(1).await;
+    let mut caller = Caller::start(0, bench.address(0)).await;
+    let metrics = Call::get("/metrics").send(bench.address(0)).await;
+    assert_eq!(counter(&metrics.text, "accepted_alone"), 1);
+    bench.gateways[0].stop.cancel();
+    let address = bench.address(0);
+    eventually("the gateway refuses", || async move {
+        Call::get("/readyz").send(address).await.status == 503
+    })
+    .await;
+    bench.upstreams.release(u32::MAX);
+    caller.check_whole().await;
+    bench.gateways[0].ended().await.unwrap();
+}
+
+fn counter(metrics: &str, name: &str) -> u64 {
+    let name = format!("flamingocroft_gateway_{name}_total ");
+    let line = metrics.lines().find_map(|line| line.strip_prefix(&name));
+    line.expect("the counter is there").parse().unwrap()
+}
+
+/// A gateway that exists only as a link.
+struct Neighbour {
+    link: Link,
+    incarnation: u64,
+}
+
+impl Neighbour {
+    async fn connect(bench: &Bench, incarnation: u64) -> Self {
+        let own = Identity {
+            name: "g9".into(),
+            incarnation: Incarnation(incarnation),
+        };
+        let key = PeerKey::new(KEY).unwrap();
+        let address = bench.gateways[0].peer_address;
+        let link = Link::connect(address, key, own, LinkSettings::default());
+        eventually("the link is up", || async { link.peer().is_some() }).await;
+        Self { link, incarnation }
+    }
+
+    fn put(&self, id: Uuid, owner: &str, tokens: &[&str]) -> JournalPut {
+        JournalPut {
+            owner: owner.to_owned(),
+            incarnation: self.incarnation,
+            request: Some(JournaledRequest {
+                id: id.as_bytes().to_vec(),
+                account: "paying".to_owned(),
+                model: "m".to_owned(),
+                prompt: "copied".to_owned(),
+                max_tokens: 3,
+                seed: 5,
+                chat: false,
+            }),
+            tokens: Some(JournalTokens {
+                offset: 0,
+                texts: tokens.iter().map(|text| (*text).to_owned()).collect(),
+                finish: 0,
+            }),
+            take_over: false,
+        }
+    }
+
+    async fn send(&self, put: JournalPut) -> Result<Body, LinkError> {
+        let patience = Duration::from_millis(500);
+        self.link.call(Body::JournalPut(put), patience).await
+    }
+}
+
+fn ack(accepted: bool, tokens: u32) -> Result<Body, LinkError> {
+    Ok(Body::JournalAck(JournalAck { accepted, tokens }))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn frames_of_an_older_incarnation_or_in_another_name_are_dropped() {
+    let bench = bench(1).await;
+    let (old, new) = (
+        Neighbour::connect(&bench, 7).await,
+        Neighbour::connect(&bench, 8).await,
+    );
+    let id = Uuid::now_v7();
+    assert_eq!(new.send(new.put(id, "g9", &["a"])).await, ack(true, 1));
+    for frame in [old.put(id, "g9", &["x", "y"]), new.put(id, "g8", &["z"])] {
+        let sender = if frame.incarnation == 7 { &old } else { &new };
+        assert_eq!(sender.send(frame).await, Err(LinkError::Unanswered));
+    }
+    let remove = JournalRemove {
+        owner: "g9".to_owned(),
+        incarnation: 7,
+        id: id.as_bytes().to_vec(),
+    };
+    old.link.send(Body::JournalRemove(remove));
+    let address = bench.address(0);
+    eventually("three frames are dropped", || async move {
+        let metrics = Call::get("/metrics").send(address).await;
+        counter(&metrics.text, "dropped_frames") == 3
+    })
+    .await;
+    bench.upstreams.release(u32::MAX);
+    let whole = Call::resume(&id.to_string(), None).send(address).await;
+    let rest = answer_text("copied", 5, 3).split_off(token_text("copied", 5, 0).len());
+    assert_eq!(whole.json()["choices"][0]["text"], format!("a{rest}"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn copies_are_bounded_and_refused_while_leaving() {
+    let mut options = Options::default();
+    options.limits.requests = 2;
+    let bench = Bench::start(options).await;
+    let neighbour = Neighbour::connect(&bench, 7).await;
+    let ids = [Uuid::now_v7(), Uuid::now_v7(), Uuid::now_v7()];
+    for (id, accepted) in ids.iter().zip([true, true, false]) {
+        let put = neighbour.put(*id, "g9", &[]);
+        assert_eq!(neighbour.send(put).await, ack(accepted, 0));
+    }
+    let resent = neighbour.put(ids[1], "g9", &["a"]);
+    assert_eq!(neighbour.send(resent).await, ack(true, 1));
+    let remove = JournalRemove {
+        owner: "g9".to_owned(),
+        incarnation: 7,
+        id: ids[0].as_bytes().to_vec(),
+    };
+    neighbour.link.send(Body::JournalRemove(remove));
+    let link = &neighbour;
+    eventually("there is room again", || async {
+        link.send(link.put(ids[2], "g9", &[])).await == ack(true, 0)
+    })
+    .await;
+    // A request that does not end keeps the gateway up.
+    bench.upstreams.release(5);
+    let _running = Caller::start(1, bench.address(0)).await;
+    bench.gateways[0].stop.cancel();
+    eventually("it refuses", || async {
+        link.send(link.put(ids[2], "g9", &[])).await == ack(false, 0)
+    })
+    .await;
+}
