--- a/examples/support/mod.rs
+++ b/examples/support/mod.rs
@@ -4,3 +4,4 @@
 
 pub mod http;
 pub mod installation;
+pub mod processes;
