Test views and leases; renew a lost backup; bound the requests of a gateway

- limits.requests was not enforced; a request is now counted before its body is read.
- An accepted request gets a new copy when the gateway that held it leaves or starts anew: the peers are looked at only when they have changed.
- An accepted free request that waits for its place again is handed over when its gateway leaves; before, it would have ended with the process.
- A request taken over from another gateway needs no admission: its capacity was leased there.
- A silent controller took a whole lease to notice; a heartbeat now waits for a quarter of the lease before another controller is asked.
- Prompts shorter than one block all had the same home and went to the same engine while costs were equal; their own hash spreads them now.
- A request whose deadline passed during an attempt says deadline_exceeded.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -225,19 +225,31 @@
         }
     }
 
+    /// Takes a request in that another gateway has accepted: its capacity was leased there, and it
+    /// cannot be refused any more.
+    pub(crate) fn take_over(&self) -> Permit {
+        self.service.in_progress.fetch_add(1, Ordering::AcqRel);
+        self.account.in_progress.fetch_add(1, Ordering::AcqRel);
+        self.permit()
+    }
+
     fn enter(&self, service: u32, account: u32) -> Option<Permit> {
         swap(&self.service.in_progress, service)?;
         if swap(&self.account.in_progress, account).is_none() {
             self.service.in_progress.fetch_sub(1, Ordering::AcqRel);
             return None;
         }
+        Some(self.permit())
+    }
+
+    fn permit(&self) -> Permit {
         if self.priority == Priority::Free {
             self.service.free_in_progress.fetch_add(1, Ordering::AcqRel);
         }
-        Some(Permit {
+        Permit {
             applicant: self.clone(),
             since: Instant::now(),
-        })
+        }
     }
 
     /// Counts the applicant as waiting.
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicU32, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -30,6 +30,9 @@
 /// Time after which a caller without a lease may try this gateway again.
 const NO_LEASE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Time after which a caller may try a full gateway again.
+const FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// The shared parts. Nothing in it is locked.
 #[derive(Debug)]
 pub(crate) struct Gateway<U, T> {
@@ -56,6 +59,17 @@
     pub(crate) peers: Peers,
     pub(crate) counters: Counters,
     pub(crate) attempts: AtomicU64,
+    pub(crate) requests: Arc<AtomicU32>,
+}
+
+/// Counts one request in progress at this gateway while it lives.
+#[derive(Debug)]
+pub(crate) struct InFlight(Arc<AtomicU32>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
 }
 
 impl<U: Upstreams, T: Clock> Gateway<U, T> {
@@ -70,6 +84,20 @@
         self.check_lease()
     }
 
+    /// Counts a request, before its body is read, or refuses it if there are too many.
+    pub(crate) fn enter(&self) -> Result<InFlight, Refusal> {
+        let before = self.requests.fetch_add(1, Ordering::AcqRel);
+        let entered = InFlight(Arc::clone(&self.requests));
+        if before < self.settings.limits.requests {
+            return Ok(entered);
+        }
+        let refusal = Refusal::not_run(
+            RefusalKind::Overloaded,
+            "this gateway has too many requests in progress; retry later or at another address",
+        );
+        Err(refusal.retry_after(FULL_RETRY_AFTER))
+    }
+
     /// Refuses while the lease is over. Called at admission and again right before a dispatch, since
     /// the process may have been stopped in between.
     pub(crate) fn check_lease(&self) -> Result<(), Refusal> {
--- a/src/gateway/generate/mod.rs
+++ b/src/gateway/generate/mod.rs
@@ -8,4 +8,4 @@
 mod relay;
 
 pub(crate) use piece::{Answer, Attach, Piece, Reader};
-pub(crate) use pump::{Accepted, Pump, attach_channel};
+pub(crate) use pump::{Accepted, Place, Pump, attach_channel};
--- a/src/gateway/generate/pump.rs
+++ b/src/gateway/generate/pump.rs
@@ -20,7 +20,7 @@
     },
     gateway::{
         admission::{Applicant, Permit},
-        core::Gateway,
+        core::{Gateway, InFlight},
         explain::DecisionKind,
         journal::{Backup, Held},
         refusals::{no_upstream, ran, upstream_failed},
@@ -55,6 +55,15 @@
     pub(crate) taken_from: Option<String>,
 }
 
+/// What a new request holds until it is done.
+#[derive(Debug)]
+pub(crate) struct Place {
+    /// Its place in the service.
+    pub(crate) permit: Permit,
+    /// Counts it at this gateway.
+    pub(crate) _in_flight: InFlight,
+}
+
 /// How a request ended at this gateway.
 enum Finish {
     Whole(StreamEnd),
@@ -74,6 +83,7 @@
     /// Whether a reader may have got a token, or another gateway accepted the request before.
     pub(super) accepted: bool,
     permit: Option<Permit>,
+    _in_flight: Option<InFlight>,
     backup: Backup,
     tried: Vec<InstanceName>,
     attempts: u32,
@@ -84,6 +94,7 @@
     prefer: Option<InstanceName>,
     /// Whether no other gateway would take the request, so that it ends here.
     stays: bool,
+    was_preempted: bool,
 }
 
 impl<U: Upstreams, T: Clock> Pump<U, T> {
@@ -91,9 +102,10 @@
     pub(crate) fn start(
         gateway: &Arc<Gateway<U, T>>,
         request: Accepted,
-        permit: Option<Permit>,
+        place: Option<Place>,
         attach: mpsc::Receiver<Attach>,
     ) {
+        let (permit, in_flight) = place.map(|p| (p.permit, p._in_flight)).unzip();
         let taken = request.taken_from.is_some();
         let pump = Self {
             gateway: Arc::clone(gateway),
@@ -107,6 +119,7 @@
             pace: Pace::default(),
             accepted: taken,
             permit,
+            _in_flight: in_flight,
             backup: Backup::none(),
             tried: Vec::new(),
             attempts: 0,
@@ -115,6 +128,7 @@
             resumed: taken,
             prefer: None,
             stays: false,
+            was_preempted: false,
         };
         let closed = gateway.closed.clone();
         gateway
@@ -175,13 +189,17 @@
                 return self.whole(end);
             }
             if self.remaining().is_zero() {
-                return Finish::Failed(self.refusal(
-                    RefusalKind::DeadlineExceeded,
-                    "the deadline passed; ask again with fewer tokens",
-                ));
+                return Finish::Failed(self.late());
+            }
+            if self.must_hand_over()
+                && let Some(finish) = self.hand_over().await
+            {
+                return finish;
             }
-            if let Err(refusal) = self.check_permit().await {
-                return Finish::Failed(refusal);
+            match self.check_permit().await {
+                Ok(true) => {}
+                Ok(false) => continue,
+                Err(refusal) => return Finish::Failed(refusal),
             }
             let Some(choice) = self.choose() else {
                 if self.accepted {
@@ -224,6 +242,7 @@
             Ended::Preempted => {
                 self.resumed = true;
                 self.permit = None;
+                self.was_preempted = true;
                 self.record(DecisionKind::Preempted);
                 None
             }
@@ -249,6 +268,9 @@
             (Retry::After(delay), _) => sleep(delay).await,
             // An accepted request is answered as long as there is time, whatever the budget says.
             (Retry::GiveUp, true) => sleep(self.resume_pause()).await,
+            (Retry::GiveUp, false) if self.remaining().is_zero() => {
+                return Some(Finish::Failed(self.late()));
+            }
             (Retry::GiveUp, false) => {
                 return Some(Finish::Failed(upstream_failed(e, self.may_have_arrived)));
             }
@@ -290,25 +312,37 @@
         }
     }
 
+    fn must_hand_over(&self) -> bool {
+        self.may_hand_over() && self.gateway.hand_over.is_cancelled()
+    }
+
     pub(super) fn may_hand_over(&self) -> bool {
         self.accepted && !self.stays
     }
 
-    /// Takes a place again after it was given to paying work.
-    async fn check_permit(&mut self) -> Result<(), Refusal> {
-        while self.permit.is_none() {
-            let Some((service, applicant)) = self.application() else {
-                return Err(self.no_upstream());
-            };
-            match service.queue.admit(applicant).await {
-                Ok(permit) => self.permit = Some(permit),
-                Err(refusal) if !self.accepted || self.remaining().is_zero() => {
-                    return Err(refusal);
-                }
-                Err(_) => sleep(RESUME_PAUSE).await,
-            }
+    /// Takes a place again after it was given to paying work. Returns whether there is one now.
+    async fn check_permit(&mut self) -> Result<bool, Refusal> {
+        if self.permit.is_some() {
+            return Ok(true);
+        }
+        let Some((service, applicant)) = self.application() else {
+            return Err(self.no_upstream());
+        };
+        if self.request.taken_from.is_some() && !self.was_preempted {
+            self.permit = Some(applicant.take_over());
+            return Ok(true);
+        }
+        let gateway = Arc::clone(&self.gateway);
+        let admitted = tokio::select! {
+            admitted = service.queue.admit(applicant) => admitted,
+            () = gateway.hand_over.cancelled(), if self.may_hand_over() => return Ok(false),
+        };
+        match admitted {
+            Ok(permit) => self.permit = Some(permit),
+            Err(refusal) if !self.accepted => return Err(refusal),
+            Err(_) => sleep(RESUME_PAUSE).await,
         }
-        Ok(())
+        Ok(self.permit.is_some())
     }
 
     fn application(&self) -> Option<(Arc<ServiceEntry>, Applicant)> {
@@ -365,6 +399,7 @@
             let holder = holder.map(|peer| Box::new(peer.entry.clone()));
             self.audience.send(&Piece::Accepted(holder));
         }
+        self.backup.renew(&self.gateway.peers, &self.request);
     }
 
     /// Keeps a token and feeds it to the readers.
@@ -460,10 +495,11 @@
         }
     }
 
-    fn refusal(&self, kind: RefusalKind, message: impl Into<String>) -> Refusal {
+    fn late(&self) -> Refusal {
+        let message = "the deadline passed; ask again with fewer tokens";
         Refusal {
             ran: ran(self.may_have_arrived),
-            ..Refusal::not_run(kind, message)
+            ..Refusal::not_run(RefusalKind::DeadlineExceeded, message)
         }
     }
 }
--- a/src/gateway/http/completions.rs
+++ b/src/gateway/http/completions.rs
@@ -8,6 +8,7 @@
 use super::{
     parse::{self, Generation},
     render::Shape,
+    routes::Caller,
     stream::Outgoing,
 };
 use crate::{
@@ -15,7 +16,7 @@
     gateway::{
         admission::Applicant,
         core::Gateway,
-        generate::{Accepted, Attach, Pump, attach_channel},
+        generate::{Accepted, Attach, Place, Pump, attach_channel},
         journal::Running,
         view::{AccountEntry, ServiceEntry},
     },
@@ -25,11 +26,12 @@
 /// Answers a generation request.
 pub(super) async fn answer<U: Upstreams, T: Clock>(
     gateway: &Arc<Gateway<U, T>>,
-    account: Arc<AccountEntry>,
+    caller: Caller,
     body: &[u8],
     chat: bool,
 ) -> Result<Response, Refusal> {
     let arrived = Instant::now();
+    let account = caller.account;
     let generation = parse::generation(body, chat, &gateway.settings.limits)?;
     let service = gateway.snapshot.load().model(&generation.model).cloned();
     let service = service.ok_or_else(|| {
@@ -69,7 +71,11 @@
         attach,
     };
     gateway.journal.register(id, running).await;
-    Pump::start(gateway, request, Some(permit), attached);
+    let place = Place {
+        permit,
+        _in_flight: caller.in_flight,
+    };
+    Pump::start(gateway, request, Some(place), attached);
     let outgoing = Outgoing {
         id,
         shape,
--- a/src/gateway/http/mod.rs
+++ b/src/gateway/http/mod.rs
@@ -12,13 +12,14 @@
 mod services;
 mod stream;
 
-use std::{sync::Arc, time::Duration};
+use std::{io, sync::Arc, time::Duration};
 
 use hyper::server::conn::http1;
 use hyper_util::{
     rt::{TokioIo, TokioTimer},
     service::TowerToHyperService,
 };
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use warp::Filter;
@@ -29,6 +30,9 @@
 /// Largest head of a request that is read at all, in bytes; routes refuse smaller ones already.
 const MAX_READ_HEAD_BYTES: usize = 64 * 1024;
 
+/// Time after which a caller that acknowledges nothing is taken to be gone.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Pause after a connection could not be accepted, such as for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -61,8 +65,9 @@
     gateway: Arc<Gateway<U, T>>,
     stop: CancellationToken,
 ) {
-    // Tokens are small and must not wait for more of them.
-    let _ = stream.set_nodelay(true);
+    if let Err(e) = tune(&stream) {
+        log::debug!("gateway: a caller's connection cannot be tuned: {e}.");
+    }
     let head_timeout = gateway.settings.timing.caller_timeout;
     let filter = warp::any()
         .map(move || Arc::clone(&gateway))
@@ -86,6 +91,17 @@
     let _ = connection.await;
 }
 
+/// Tokens are small and must not wait for more of them; a caller that has silently gone is noticed.
+fn tune(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(SILENCE_TIMEOUT / 2)
+        .with_interval(SILENCE_TIMEOUT / 6);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(SILENCE_TIMEOUT))
+}
+
 /// Extracts the query, empty if there is none.
 fn query() -> impl Filter<Extract = (String,), Error = std::convert::Infallible> + Clone {
     warp::query::raw().or(warp::any().map(String::new)).unify()
--- a/src/gateway/http/routes.rs
+++ b/src/gateway/http/routes.rs
@@ -16,7 +16,7 @@
 use crate::{
     domain::{Refusal, RefusalKind, RequestId},
     gateway::{
-        core::Gateway,
+        core::{Gateway, InFlight},
         view::{AccountEntry, decode_hex},
     },
     ports::{Clock, Upstreams},
@@ -63,6 +63,15 @@
     }
 }
 
+/// Who asks for new work, counted until the work is done.
+#[derive(Debug)]
+pub(super) struct Caller {
+    /// The account.
+    pub(super) account: Arc<AccountEntry>,
+    /// Counts the request.
+    pub(super) in_flight: InFlight,
+}
+
 /// Answers a request.
 pub(super) async fn answer<U: Upstreams, T: Clock, B: Buf>(
     gateway: Arc<Gateway<U, T>>,
@@ -107,19 +116,19 @@
         (["v1", "explain", "request", id], &Method::GET) => explain(gateway, head, id).await,
         (["v1", "requests", id], &Method::GET) => requests::answer(gateway, head, id).await,
         (["v1", "completions"], &Method::POST) => {
-            let account = admit_caller(gateway, head)?;
+            let caller = admit_caller(gateway, head)?;
             let body = body::read(gateway, head, body).await?;
-            completions::answer(gateway, account, &body, false).await
+            completions::answer(gateway, caller, &body, false).await
         }
         (["v1", "chat", "completions"], &Method::POST) => {
-            let account = admit_caller(gateway, head)?;
+            let caller = admit_caller(gateway, head)?;
             let body = body::read(gateway, head, body).await?;
-            completions::answer(gateway, account, &body, true).await
+            completions::answer(gateway, caller, &body, true).await
         }
         (["v1", "services", service, ..], _) => {
-            let account = admit_caller(gateway, head)?;
+            let caller = admit_caller(gateway, head)?;
             let service = (*service).into();
-            let call = services::prepare(gateway, head, account, service)?;
+            let call = services::prepare(gateway, head, caller, service)?;
             let body = body::read(gateway, head, body).await?;
             services::answer(gateway, head, call, body).await
         }
@@ -144,13 +153,16 @@
 fn admit_caller<U: Upstreams, T: Clock>(
     gateway: &Gateway<U, T>,
     head: &Head,
-) -> Result<Arc<AccountEntry>, Refusal> {
+) -> Result<Caller, Refusal> {
     if gateway.has_no_view() {
         gateway.check_open()?;
     }
     let account = account(gateway, head)?;
     gateway.check_open()?;
-    Ok(account)
+    Ok(Caller {
+        account,
+        in_flight: gateway.enter()?,
+    })
 }
 
 /// Returns the account of the request's bearer token.
--- a/src/gateway/http/services.rs
+++ b/src/gateway/http/services.rs
@@ -9,14 +9,17 @@
     reply::Response,
 };
 
-use super::{completions::applicant, routes::Head};
+use super::{
+    completions::applicant,
+    routes::{Caller, Head},
+};
 use crate::{
     domain::{IdempotencyKey, Refusal, RefusalKind, RequestId, ServiceName},
     gateway::{
         core::Gateway,
         explain::DecisionKind,
         services::{PlainAnswer, PlainCall},
-        view::{AccountEntry, ServiceEntry},
+        view::ServiceEntry,
     },
     ports::{Clock, ServiceCall, Upstreams},
 };
@@ -34,7 +37,7 @@
 /// A call that fits a declared operation.
 #[derive(Debug)]
 pub(super) struct Prepared {
-    account: Arc<AccountEntry>,
+    caller: Caller,
     service: Arc<ServiceEntry>,
     path: String,
     /// The key of a call that may run only once; nothing for an idempotent call.
@@ -46,7 +49,7 @@
 pub(super) fn prepare<U: Upstreams, T: Clock>(
     gateway: &Gateway<U, T>,
     head: &Head,
-    account: Arc<AccountEntry>,
+    caller: Caller,
     service: ServiceName,
 ) -> Result<Prepared, Refusal> {
     let service = gateway.snapshot.load().service(&service).cloned();
@@ -64,7 +67,7 @@
         false => format!("{path}?{}", head.query),
     };
     Ok(Prepared {
-        account,
+        caller,
         service,
         path,
         key,
@@ -95,9 +98,7 @@
     prepared: Prepared,
     body: Bytes,
 ) -> Result<Response, Refusal> {
-    let Prepared {
-        account, service, ..
-    } = &prepared;
+    let (account, service) = (&prepared.caller.account, &prepared.service);
     let due = prepared.arrived + gateway.settings.timing.first_byte_timeout;
     let applicant = applicant(service, account, prepared.arrived, due)?;
     service.retries.earn();
@@ -112,6 +113,7 @@
         call: service_call(gateway, head, &prepared, body),
         arrived: prepared.arrived,
         _permit: permit,
+        _in_flight: prepared.caller.in_flight,
     };
     let admitted = DecisionKind::Admitted(account.name.clone());
     gateway
--- a/src/gateway/journal/backup.rs
+++ b/src/gateway/journal/backup.rs
@@ -1,15 +1,22 @@
 //! Where the copy of one request is.
 
-use tokio::sync::oneshot;
+use std::sync::Arc;
 
-use super::peers::PeerLink;
-use crate::{domain::RequestId, gateway::core::Gateway};
+use tokio::sync::oneshot::{self, error::TryRecvError};
+
+use super::peers::{PeerLink, Peers};
+use crate::{
+    domain::RequestId,
+    gateway::{core::Gateway, generate::Accepted},
+};
 
 /// The copy of a request, from the moment it was asked for.
 #[derive(Debug)]
 pub(crate) struct Backup {
     pending: Option<oneshot::Receiver<Option<PeerLink>>>,
     holder: Option<PeerLink>,
+    /// The peers that the copy was last weighed against.
+    seen: Option<Arc<Vec<PeerLink>>>,
 }
 
 impl Backup {
@@ -18,6 +25,7 @@
         Self {
             pending: None,
             holder: None,
+            seen: None,
         }
     }
 
@@ -41,6 +49,39 @@
         self.holder.as_ref()
     }
 
+    /// Asks for a new copy if the gateway that held it is gone or about to go. This looks at the peers
+    /// only when they have changed, and waits for nothing.
+    pub(crate) fn renew(&mut self, peers: &Peers, request: &Accepted) {
+        if let Some(pending) = &mut self.pending {
+            match pending.try_recv() {
+                Ok(holder) => self.holder = holder,
+                Err(TryRecvError::Empty) => return,
+                Err(TryRecvError::Closed) => {}
+            }
+            self.pending = None;
+        }
+        let linked = peers.linked();
+        if self
+            .seen
+            .as_ref()
+            .is_some_and(|seen| Arc::ptr_eq(seen, &linked))
+        {
+            return;
+        }
+        let held = self.holder.as_ref().is_some_and(|holder| {
+            linked.iter().any(|peer| {
+                peer.entry.name == holder.entry.name
+                    && peer.entry.incarnation == holder.entry.incarnation
+            })
+        });
+        let none_left = linked.is_empty();
+        self.seen = Some(linked);
+        if !held && !none_left {
+            self.holder = None;
+            self.pending = Some(peers.put(request, false));
+        }
+    }
+
     /// Drops the copy of a request that ended here.
     pub(crate) async fn remove<U, T>(mut self, gateway: &Gateway<U, T>, id: RequestId) {
         if let Some(pending) = self.pending.take() {
--- a/src/gateway/journal/peers.rs
+++ b/src/gateway/journal/peers.rs
@@ -98,6 +98,11 @@
         PeerLink { entry, link }
     }
 
+    /// Returns the linked gateways.
+    pub(super) fn linked(&self) -> Arc<Vec<PeerLink>> {
+        self.linked.load_full()
+    }
+
     /// Returns the linked gateways in the order of preference for a request.
     fn ordered(&self, id: RequestId) -> Vec<PeerLink> {
         let mut peers = self.linked.load().to_vec();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -134,6 +134,7 @@
         reclaimed_in: watch::Sender::new(None),
         counters: Counters::default(),
         attempts: Default::default(),
+        requests: Arc::default(),
         identity,
         settings,
     })
--- a/src/gateway/route.rs
+++ b/src/gateway/route.rs
@@ -1,6 +1,10 @@
 //! Chooses the instance for a request from the view, the load reports and this gateway's counters.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    sync::Arc,
+    time::Duration,
+};
 
 use super::view::{Member, ServiceEntry};
 use crate::{
@@ -27,7 +31,11 @@
     pub(crate) fn new(prompt: &str) -> Self {
         let prefixes = prefixes(prompt);
         let tokens = count_tokens(prompt);
-        let home = prefixes.first().map_or(0, |prefix| prefix.hash);
+        // A prompt without a whole block has nothing cached anywhere; its own hash spreads it.
+        let home = match prefixes.first() {
+            Some(prefix) => prefix.hash,
+            None => hash(prompt),
+        };
         Self {
             prefixes,
             tokens,
@@ -122,3 +130,9 @@
     let age = now.saturating_sub(cache.read_at?);
     (age <= CACHE_EVENTS_MAX_AGE).then(|| cache.index.cached_tokens(&prompt.prefixes))
 }
+
+fn hash(prompt: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    prompt.hash(&mut hasher);
+    hasher.finish()
+}
--- a/src/gateway/services.rs
+++ b/src/gateway/services.rs
@@ -11,7 +11,7 @@
 use super::{
     admission::Permit,
     claims::{Claim, Claimed},
-    core::Gateway,
+    core::{Gateway, InFlight},
     explain::DecisionKind,
     refusals::{no_upstream, upstream_failed},
     route::{self, Choice, Prompt},
@@ -41,6 +41,8 @@
     pub(crate) arrived: Instant,
     /// Its place; it is given back when the call is dropped.
     pub(crate) _permit: Permit,
+    /// Counts it at this gateway.
+    pub(crate) _in_flight: InFlight,
 }
 
 /// An answer for the caller.
--- a/src/gateway/view/keeper.rs
+++ b/src/gateway/view/keeper.rs
@@ -28,6 +28,9 @@
 /// Pause after a call to the leader that failed.
 const FAILED_CALL_PAUSE: Duration = Duration::from_millis(20);
 
+/// Heartbeats that may go unanswered, one after the other, before the lease is over.
+const HEARTBEATS_TRIED_IN_A_LEASE: u32 = 4;
+
 /// Updates that may wait for the keeper.
 const PENDING_UPDATES: usize = 64;
 
@@ -165,6 +168,8 @@
     let mut tick = interval(timing.gateway_heartbeat);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut said_leaving = false;
+    // A silent controller must leave time for another one within the lease.
+    let patience = timing.view_lease / HEARTBEATS_TRIED_IN_A_LEASE;
     loop {
         tokio::select! {
             _ = tick.tick() => {}
@@ -173,7 +178,7 @@
         let body = Body::Heartbeat(heartbeat_message(&gateway, addresses));
         // The lease is counted from before the sending, so that no delay can lengthen it.
         let sent_at = gateway.clock.monotonic();
-        let reply = gateway.leader.call(body, timing.view_lease).await;
+        let reply = gateway.leader.call(body, patience).await;
         match reply {
             Ok(Body::Lease(reply)) => {
                 let _ = tx.send(Update::Lease { sent_at, reply }).await;
--- a/tests/gateway_support/http.rs
+++ b/tests/gateway_support/http.rs
@@ -158,6 +158,7 @@
 /// Reads the events of an answer.
 pub struct Events {
     pub request_id: String,
+    pub backup: Option<String>,
     body: Incoming,
     buf: String,
 }
@@ -166,9 +167,13 @@
     pub async fn open(call: &Call, address: SocketAddr) -> Self {
         let response = call.open(address).await;
         assert_eq!(response.status(), 200, "the stream is accepted");
-        let id = response.headers().get("x-request-id");
+        let header = |name| {
+            let value = response.headers().get(name)?;
+            Some(value.to_str().unwrap().to_owned())
+        };
         Self {
-            request_id: id.expect("a request id").to_str().unwrap().to_owned(),
+            request_id: header("x-request-id").expect("a request id"),
+            backup: header("x-backup-address"),
             body: response.into_body(),
             buf: String::new(),
         }
--- a/tests/gateway_support/leader.rs
+++ b/tests/gateway_support/leader.rs
@@ -10,7 +10,7 @@
     link::{Handler, Peer},
     wire::{
         Body, ClaimReply, ClaimRequest, ClaimStatus, GatewayHeartbeat, GatewayRecord,
-        InstanceRecord, LeaseReply, OutcomeReply, ShareRecord, StoredOutcome, ViewReply,
+        InstanceRecord, LeaseReply, NotLeader, OutcomeReply, ShareRecord, StoredOutcome, ViewReply,
         ViewRequest,
     },
 };
@@ -48,6 +48,8 @@
     asked: Vec<u64>,
     demand: u32,
     notices: Vec<String>,
+    index_ahead: u64,
+    older: Option<ViewReply>,
 }
 
 pub struct FakeLeader {
@@ -56,6 +58,8 @@
     changed: watch::Sender<u64>,
     /// Claims are answered while this is true.
     pub grants_open: watch::Sender<bool>,
+    /// Counts views of an older index that were sent.
+    older_sent: Arc<watch::Sender<u32>>,
     /// Counts granted claims, also ones whose answer waits.
     pub granted: watch::Sender<u32>,
 }
@@ -69,6 +73,7 @@
             }),
             changed: watch::Sender::new(0),
             grants_open: watch::Sender::new(true),
+            older_sent: Arc::new(watch::Sender::new(0)),
             granted: watch::Sender::new(0),
         })
     }
@@ -154,9 +159,35 @@
         self.with(|state| state.gateways.clone())
     }
 
-    /// Adds a gateway that does not run.
-    pub fn add_gateway(&self, record: GatewayRecord) {
-        self.change(|state| state.gateways.push(record));
+    /// Changes what is known of a gateway, as if it had said so itself.
+    pub fn replace_gateway(&self, record: GatewayRecord) {
+        self.change(|state| {
+            state.gateways.retain(|known| known.name != record.name);
+            state.gateways.push(record);
+        });
+    }
+
+    /// Requires views of leases that are ahead of the one that can be had.
+    pub fn require_index_ahead(&self, ahead: u64) {
+        self.with(|state| state.index_ahead = ahead);
+    }
+
+    /// Answers view requests with an older index and a higher term and sequence, and counts them.
+    pub fn answer_with_older_index(
+        &self,
+        instances: Vec<InstanceRecord>,
+    ) -> Arc<watch::Sender<u32>> {
+        self.with(|state| {
+            state.older = Some(ViewReply {
+                index: state.view.index - 1,
+                term: state.view.term + 1,
+                sequence: state.view.sequence + 100,
+                instances,
+                ..state.view.clone()
+            });
+        });
+        self.change(|_| {});
+        Arc::clone(&self.older_sent)
     }
 
     fn heartbeat(&self, heartbeat: GatewayHeartbeat) -> Option<Body> {
@@ -180,7 +211,7 @@
             };
             let lease = LeaseReply {
                 lease_ms: state.lease.as_millis() as u64,
-                required_index: state.view.index,
+                required_index: state.view.index + state.index_ahead,
                 shares: state.shares.clone(),
                 shares_changed: true,
             };
@@ -194,6 +225,10 @@
 
     async fn view(&self, request: ViewRequest) -> Option<Body> {
         let mut changed = self.changed.subscribe();
+        if let Some(older) = self.with(|state| state.older.clone()) {
+            self.older_sent.send_modify(|sent| *sent += 1);
+            return Some(Body::View(older));
+        }
         let wait = Duration::from_millis(request.wait_ms);
         let newer = changed.wait_for(|sequence| *sequence > request.held_sequence);
         let _ = timeout(wait, newer).await;
@@ -245,6 +280,26 @@
     }
 }
 
+/// A controller that knows who leads and nothing else.
+pub struct Follower;
+
+impl Handler for Follower {
+    async fn handle(&self, _: &Peer, _: Body) -> Option<Body> {
+        Some(Body::NotLeader(NotLeader {
+            leader: "leader".to_owned(),
+        }))
+    }
+}
+
+/// A controller that says nothing.
+pub struct Mute;
+
+impl Handler for Mute {
+    async fn handle(&self, _: &Peer, _: Body) -> Option<Body> {
+        None
+    }
+}
+
 impl Handler for FakeLeader {
     async fn handle(&self, _: &Peer, body: Body) -> Option<Body> {
         let silent = self.with(|state| state.silent);
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -19,13 +19,13 @@
     Running,
     domain::{FencingNumber, Incarnation, InstanceName},
     gateway,
-    link::{self, Identity, LinkSettings, PeerKey},
+    link::{self, Handler, Identity, LinkSettings, PeerKey},
     ports::{Clock, CloudApi, CloudError, InstanceListing, Ports, ReclaimNotice, StartRequest},
     settings::{ControllerEntry, Limits, Role, Settings, Timing},
     telemetry::Metrics,
     wire::{InstanceRecord, ShareRecord},
 };
-use leader::FakeLeader;
+use leader::{FakeLeader, Follower, Mute};
 use sha2::{Digest, Sha256};
 use tempfile::TempDir;
 use tokio::{net::TcpListener, time::sleep};
@@ -192,7 +192,7 @@
         leader.set_instances(instances(options.engines));
         leader.set_intent(&intent(), shares(options.slots));
         let leader_stop = CancellationToken::new();
-        let leader_address = serve_leader(&leader, host, leader_stop.clone()).await;
+        let leader_address = serve(&leader, host, leader_stop.clone()).await;
         let settings = Settings {
             name: "".into(),
             role: Role::Gateway,
@@ -229,6 +229,24 @@
         bench
     }
 
+    /// Puts a silent controller and one that follows before the leader in the settings.
+    pub async fn add_followers(&mut self) {
+        let host = own_host();
+        let mute = serve(&Arc::new(Mute), host, self.leader_stop.clone()).await;
+        let follower = serve(&Arc::new(Follower), host, self.leader_stop.clone()).await;
+        let leader = self.settings.controllers[0].clone();
+        let other = |name: &str, address| ControllerEntry {
+            name: name.into(),
+            peer_address: address,
+            ..leader.clone()
+        };
+        self.settings.controllers = vec![
+            other("mute", mute),
+            other("follower", follower),
+            leader.clone(),
+        ];
+    }
+
     /// Starts the gateway `g<at>` in the zone of its number.
     pub async fn add_gateway(&mut self, at: usize) {
         let name = format!("g{at}");
@@ -239,7 +257,7 @@
         };
         let clock = Arc::new(TestClock::new());
         let ports = Ports {
-            upstreams: Arc::clone(&self.upstreams),
+            upstreams: Arc::new(self.upstreams.seen_by(at)),
             cloud: Some(Arc::clone(&self.cloud)),
             clock: Arc::clone(&clock),
             metrics: Metrics::new().unwrap(),
@@ -297,11 +315,7 @@
     }
 }
 
-async fn serve_leader(
-    leader: &Arc<FakeLeader>,
-    host: IpAddr,
-    stop: CancellationToken,
-) -> SocketAddr {
+async fn serve(handler: &Arc<impl Handler>, host: IpAddr, stop: CancellationToken) -> SocketAddr {
     let listener = TcpListener::bind(SocketAddr::new(host, 0)).await.unwrap();
     let address = listener.local_addr().unwrap();
     let own = Identity {
@@ -309,7 +323,7 @@
         incarnation: Incarnation(1),
     };
     let key = PeerKey::new(KEY).unwrap();
-    let handler = Arc::clone(leader);
+    let handler = Arc::clone(handler);
     tokio::spawn(link::serve(
         listener,
         key,
--- a/tests/gateway_support/upstreams.rs
+++ b/tests/gateway_support/upstreams.rs
@@ -53,14 +53,18 @@
     exports: u32,
     imports: Vec<String>,
     leaving: Vec<String>,
+    leaving_hidden_from: Option<usize>,
 }
 
+#[derive(Clone)]
 pub struct FakeUpstreams {
-    state: Mutex<State>,
+    state: Arc<Mutex<State>>,
+    /// The gateway that sees the upstreams through this handle.
+    viewer: usize,
     /// Tokens that may be sent of each answer; more wait.
-    released: watch::Sender<u32>,
+    released: Arc<watch::Sender<u32>>,
     /// Plain calls wait while this is false.
-    open: watch::Sender<bool>,
+    open: Arc<watch::Sender<bool>>,
     streams: Arc<AtomicU32>,
 }
 
@@ -76,9 +80,10 @@
 impl Default for FakeUpstreams {
     fn default() -> Self {
         Self {
-            state: Mutex::default(),
-            released: watch::Sender::new(u32::MAX),
-            open: watch::Sender::new(true),
+            state: Arc::default(),
+            viewer: 0,
+            released: Arc::new(watch::Sender::new(u32::MAX)),
+            open: Arc::new(watch::Sender::new(true)),
             streams: Arc::default(),
         }
     }
@@ -100,6 +105,19 @@
         state.faults.insert(instance.to_owned(), fault);
     }
 
+    /// The same upstreams as one gateway sees them.
+    pub fn seen_by(&self, viewer: usize) -> Self {
+        Self {
+            viewer,
+            ..self.clone()
+        }
+    }
+
+    /// Lets one gateway's load reports say nothing of leaving.
+    pub fn hide_leaving_from(&self, viewer: usize) {
+        self.state.lock().unwrap().leaving_hidden_from = Some(viewer);
+    }
+
     pub fn set_leaving(&self, instance: &str) {
         self.state.lock().unwrap().leaving.push(instance.to_owned());
     }
@@ -235,12 +253,13 @@
 
     async fn load(&self, target: &Target) -> Result<EngineLoad, UpstreamError> {
         let state = self.state.lock().unwrap();
+        let named = state
+            .leaving
+            .iter()
+            .any(|name| name == target.instance.as_str());
         Ok(EngineLoad {
             slots: 64,
-            leaving: state
-                .leaving
-                .iter()
-                .any(|name| name == target.instance.as_str()),
+            leaving: named && state.leaving_hidden_from != Some(self.viewer),
             ..EngineLoad::default()
         })
     }
--- /dev/null
+++ b/tests/gateway_view.rs
@@ -0,0 +1,200 @@
+//! Views and leases: which ones a gateway applies, and what it does without.
+
+mod gateway_support;
+
+use flamingocroft::wire::GatewayRecord;
+use gateway_support::{
+    Bench, Options, eventually,
+    http::{Call, Events},
+    instance, intent, shares,
+};
+
+async fn status(bench: &Bench, path: &str) -> u16 {
+    Call::get(path).send(bench.address(0)).await.status
+}
+
+/// The engines that answer a few requests.
+async fn engines_in_use(bench: &Bench) -> Vec<String> {
+    let before = bench.upstreams.attempts().len();
+    for at in 0..6 {
+        let call = Call::complete(&format!("use {at}"), 1, false);
+        assert_eq!(call.send(bench.address(0)).await.status, 200);
+    }
+    let mut used: Vec<String> = bench
+        .upstreams
+        .attempts()
+        .drain(before..)
+        .map(|a| a.instance)
+        .collect();
+    used.sort_unstable();
+    used.dedup();
+    used
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gateway_serves_nothing_before_its_first_leased_view() {
+    let mut bench = Bench::start(Options {
+        gateways: 0,
+        ..Options::default()
+    })
+    .await;
+    bench.leader.set_silent(true);
+    bench.add_gateway(0).await;
+    let reply = Call::complete("p", 1, false).send(bench.address(0)).await;
+    assert_eq!(reply.error(), ("no_lease".to_owned(), "no".to_owned()));
+    assert_eq!(status(&bench, "/readyz").await, 503);
+    assert_eq!(status(&bench, "/v1/addresses").await, 503);
+    assert_eq!(status(&bench, "/healthz").await, 200);
+    bench.leader.set_silent(false);
+    bench.ready().await;
+    assert_eq!(bench.upstreams.reached(), 0);
+    let reply = Call::complete("p", 1, false).send(bench.address(0)).await;
+    assert_eq!(reply.status, 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lease_that_requires_a_newer_view_does_not_count_before_it_is_there() {
+    let bench = Bench::start(Options::default()).await;
+    bench.leader.require_index_ahead(1);
+    // The lease of the view in force runs on, and then nothing more is taken.
+    assert_eq!(status(&bench, "/readyz").await, 200);
+    let bench = &bench;
+    eventually("the lease is over", || async {
+        status(bench, "/readyz").await == 503
+    })
+    .await;
+    let reply = Call::complete("p", 1, false).send(bench.address(0)).await;
+    assert_eq!(reply.error(), ("no_lease".to_owned(), "no".to_owned()));
+    bench.leader.set_intent(&intent(), shares(64));
+    bench.leader.require_index_ahead(0);
+    bench.ready().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_older_view_is_never_applied() {
+    let bench = Bench::start(Options::default()).await;
+    bench.leader.set_intent(&intent(), shares(64));
+    bench
+        .leader
+        .set_instances(vec![instance("e1", "chat", "a", 1)]);
+    let bench = &bench;
+    eventually("only e1 is in use", || async {
+        engines_in_use(bench).await == ["e1"]
+    })
+    .await;
+    // A deposed leader in a later sequence of its own still has the older index.
+    let old = bench
+        .leader
+        .answer_with_older_index(vec![instance("e0", "chat", "a", 0)]);
+    let mut sent = old.subscribe();
+    sent.wait_for(|sent| *sent >= 3).await.unwrap();
+    assert_eq!(engines_in_use(bench).await, ["e1"]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_is_never_undone_for_an_incarnation() {
+    let bench = Bench::start(Options::default()).await;
+    bench.leader.set_leaving("e0");
+    let bench = &bench;
+    eventually("only e1 is in use", || async {
+        engines_in_use(bench).await == ["e1"]
+    })
+    .await;
+    // A late list shows it as live again; a third engine tells when that list is in force.
+    let mut late = vec![
+        instance("e0", "chat", "a", 0),
+        instance("e1", "chat", "b", 1),
+        instance("e2", "chat", "a", 2),
+    ];
+    bench.leader.set_instances(late.clone());
+    eventually("the late list is in force", || async {
+        engines_in_use(bench).await.contains(&"e2".to_owned())
+    })
+    .await;
+    for _ in 0..5 {
+        assert!(!engines_in_use(bench).await.contains(&"e0".to_owned()));
+    }
+    // A replacement of the same name is another incarnation.
+    late[0].incarnation = 2;
+    bench.leader.set_instances(late);
+    eventually("the replacement is in use", || async {
+        engines_in_use(bench).await.contains(&"e0".to_owned())
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gateway_cut_off_from_the_leader_learns_of_leaving_from_its_neighbours() {
+    let bench = Bench::start(Options {
+        gateways: 2,
+        ..Options::default()
+    })
+    .await;
+    // The second gateway is told by the engine, the first one only by the second.
+    bench.upstreams.hide_leaving_from(0);
+    bench.leader.set_silent(true);
+    bench.upstreams.set_leaving("e0");
+    let bench = &bench;
+    eventually("only e1 is in use", || async {
+        engines_in_use(bench).await == ["e1"]
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_is_found_by_hints_and_after_silence() {
+    let mut bench = Bench::start(Options {
+        gateways: 0,
+        ..Options::default()
+    })
+    .await;
+    bench.add_followers().await;
+    bench.add_gateway(0).await;
+    bench.ready().await;
+    let reply = Call::complete("p", 1, false).send(bench.address(0)).await;
+    assert_eq!(reply.status, 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_copy_is_asked_for_when_the_backup_leaves() {
+    let mut bench = Bench::start(Options {
+        gateways: 3,
+        ..Options::default()
+    })
+    .await;
+    bench.upstreams.release(2);
+    let call = Call::complete("p", 6, true);
+    let mut events = Events::open(&call, bench.address(0)).await;
+    events.tokens(2).await;
+    let id = events.request_id.clone();
+    let first = events.backup.clone().expect("a backup");
+    let first = bench.at(&first);
+    bench.gateways[first].kill().await;
+    let record = bench
+        .leader
+        .gateways()
+        .into_iter()
+        .find(|g| g.name == bench.gateways[first].name);
+    bench.leader.replace_gateway(GatewayRecord {
+        leaving: true,
+        ..record.unwrap()
+    });
+    let other = 3 - first;
+    let address = bench.address(0);
+    eventually("the list is short", || async move {
+        let reply = Call::get("/v1/addresses").send(address).await;
+        reply.json()["addresses"].as_array().unwrap().len() == 2
+    })
+    .await;
+    // The next token finds the backup gone.
+    bench.upstreams.release(3);
+    events.tokens(1).await;
+    let held = bench.address(other);
+    let mut known = Call::resume(&id, Some(2)).open(held).await.status() == 200;
+    for tokens in [4, 5] {
+        bench.upstreams.release(tokens);
+        events.tokens(1).await;
+        known |= Call::resume(&id, Some(2)).open(held).await.status() == 200;
+    }
+    assert!(known, "the other gateway holds a copy");
+}
