Say ran: unknown of a request that had reached an engine before it moved

Only failed attempts counted as arrivals, so that a request which moved away from a leaving engine before its first token, and then found no connection elsewhere, was refused with ran: no although an engine had it. Every opened stream counts now; the new test failed before (upstream_failed, ran: no). Refusals of requests that had an id name it, for operators who explain it.

--- a/src/gateway/generate/mod.rs
+++ b/src/gateway/generate/mod.rs
@@ -2,6 +2,7 @@
 //! answer. See docs/DESIGN.md, "The path of a request".
 
 mod audience;
+mod finish;
 mod pace;
 mod piece;
 mod pump;
--- a/src/gateway/generate/pump.rs
+++ b/src/gateway/generate/pump.rs
@@ -9,21 +9,19 @@
 };
 
 use super::{
-    Answer, Attach, Piece,
+    Attach, Piece,
     audience::Audience,
+    finish::Finish,
     pace::Pace,
     relay::{Ended, Relay},
 };
 use crate::{
-    domain::{
-        Completion, FinishReason, GatewayEntry, InstanceName, Priority, Refusal, RefusalKind, Token,
-    },
+    domain::{Completion, FinishReason, InstanceName, Priority, Refusal, Token},
     gateway::{
         admission::{Applicant, Permit},
         core::{Gateway, InFlight},
         explain::DecisionKind,
-        journal::{Backup, Held},
-        refusals::{no_upstream, ran, upstream_failed},
+        journal::Backup,
         route::{self, Choice, Prompt},
         view::{AccountEntry, ServiceEntry},
     },
@@ -64,14 +62,6 @@
     pub(crate) _in_flight: InFlight,
 }
 
-/// How a request ended at this gateway.
-enum Finish {
-    Whole(StreamEnd),
-    Failed(Refusal),
-    Moved(Box<GatewayEntry>),
-    Abandoned,
-}
-
 /// The task of one request.
 pub(crate) struct Pump<U, T> {
     pub(super) gateway: Arc<Gateway<U, T>>,
@@ -84,11 +74,11 @@
     pub(super) accepted: bool,
     permit: Option<Permit>,
     _in_flight: Option<InFlight>,
-    backup: Backup,
+    pub(super) backup: Backup,
     tried: Vec<InstanceName>,
     attempts: u32,
-    may_have_arrived: bool,
-    last_error: Option<UpstreamError>,
+    pub(super) may_have_arrived: bool,
+    pub(super) last_error: Option<UpstreamError>,
     resumed: bool,
     /// Where the cached work of this request was moved to.
     prefer: Option<InstanceName>,
@@ -147,42 +137,6 @@
         self.finish(finish).await;
     }
 
-    async fn finish(mut self, finish: Finish) {
-        let id = self.request.completion.id;
-        let journal = self.gateway.journal.clone();
-        match &finish {
-            Finish::Whole(end) => journal.finish(id, Some(self.answer(*end))).await,
-            Finish::Abandoned if self.accepted => {
-                let held = Held::of(&self.gateway.identity.name, &self.request);
-                journal.park(id, held).await;
-            }
-            _ => journal.finish(id, None).await,
-        }
-        // Readers that came in between are fed before the last piece.
-        self.add_waiting_readers();
-        let backup = std::mem::replace(&mut self.backup, Backup::none());
-        match finish {
-            Finish::Whole(end) => self.audience.send(&Piece::End(end)),
-            Finish::Failed(refusal) => {
-                self.record(DecisionKind::Refused(refusal.kind, refusal.ran));
-                if self.accepted {
-                    // A refusal before that is counted where it is answered.
-                    self.gateway.metrics.refusal(refusal.kind);
-                }
-                self.audience.send(&Piece::Failed(refusal));
-            }
-            Finish::Moved(entry) => {
-                self.gateway.counters.handed_over.add();
-                self.record(DecisionKind::HandedOver(entry.name.to_string()));
-                self.audience.send(&Piece::Moved(entry));
-                return;
-            }
-            Finish::Abandoned if self.accepted => return,
-            Finish::Abandoned => {}
-        }
-        backup.remove(&self.gateway, id).await;
-    }
-
     async fn drive(&mut self) -> Finish {
         loop {
             if let Some(end) = self.completed() {
@@ -221,6 +175,9 @@
     /// Decides what follows an attempt: nothing means another attempt.
     async fn after(&mut self, choice: &Choice, ended: Ended) -> Option<Finish> {
         let instance = &choice.member.instance.name;
+        if !matches!(ended, Ended::Failed(_)) {
+            self.may_have_arrived = true;
+        }
         match ended {
             Ended::Whole(end) => {
                 let recomputed = match self.resumed {
@@ -272,7 +229,7 @@
                 return Some(Finish::Failed(self.late()));
             }
             (Retry::GiveUp, false) => {
-                return Some(Finish::Failed(upstream_failed(e, self.may_have_arrived)));
+                return Some(Finish::Failed(self.failure(e)));
             }
         }
         None
@@ -450,23 +407,6 @@
         })
     }
 
-    fn whole(&self, end: StreamEnd) -> Finish {
-        let tokens = self.request.completion.prefix.len() as u32;
-        self.record(DecisionKind::Finished(tokens));
-        Finish::Whole(end)
-    }
-
-    fn answer(&self, end: StreamEnd) -> Answer {
-        let request = &self.request;
-        Answer {
-            account: request.account.name.clone(),
-            model: request.completion.model.clone(),
-            chat: request.chat,
-            tokens: request.completion.prefix.clone(),
-            end,
-        }
-    }
-
     fn spend(&self, choice: &Choice, taken: Duration) {
         let snapshot = self.gateway.snapshot.load();
         let Some(service) = snapshot.model(&self.request.completion.model) else {
@@ -475,33 +415,6 @@
         let amount = service.cost(&choice.member.instance, taken, &snapshot.view.intent);
         self.request.account.metrics.spending(amount);
     }
-
-    /// Refuses because there is nowhere left to try.
-    fn no_choice(&self) -> Refusal {
-        match &self.last_error {
-            Some(e) => upstream_failed(e, self.may_have_arrived),
-            None => self.no_upstream(),
-        }
-    }
-
-    fn no_upstream(&self) -> Refusal {
-        let refusal = match self.gateway.check_lease() {
-            Ok(()) => no_upstream(),
-            Err(refusal) => refusal,
-        };
-        Refusal {
-            ran: ran(self.may_have_arrived),
-            ..refusal
-        }
-    }
-
-    fn late(&self) -> Refusal {
-        let message = "the deadline passed; ask again with fewer tokens";
-        Refusal {
-            ran: ran(self.may_have_arrived),
-            ..Refusal::not_run(RefusalKind::DeadlineExceeded, message)
-        }
-    }
 }
 
 /// Opens the channel by which readers are attached to a request.
--- a/src/gateway/http/completions.rs
+++ b/src/gateway/http/completions.rs
@@ -6,6 +6,7 @@
 use warp::reply::Response;
 
 use super::{
+    error,
     parse::{self, Generation},
     render::Shape,
     routes::Caller,
@@ -83,10 +84,15 @@
         from: 0,
         backup: None,
     };
-    match stream {
+    let answer = match stream {
         true => outgoing.events().await,
         false => outgoing.whole().await,
-    }
+    };
+    Ok(answer.unwrap_or_else(|refusal| {
+        let mut response = error::refuse(gateway, &refusal);
+        error::name_request(&mut response, id);
+        response
+    }))
 }
 
 /// Builds an application for a place.
--- a/src/gateway/http/error.rs
+++ b/src/gateway/http/error.rs
@@ -4,11 +4,17 @@
 
 use serde::Serialize;
 use warp::{
-    http::{HeaderValue, StatusCode, header},
+    http::{HeaderName, HeaderValue, StatusCode, header},
     reply::Response,
 };
 
-use crate::domain::{GatewayEntry, Ran, Refusal, RefusalKind};
+use crate::{
+    domain::{GatewayEntry, Ran, Refusal, RefusalKind, RequestId},
+    gateway::core::Gateway,
+    ports::{Clock, Upstreams},
+};
+
+const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 
 /// The body of every error.
 #[derive(Debug, Serialize)]
@@ -64,6 +70,22 @@
     }
 }
 
+/// Counts a refusal and answers it.
+pub(super) fn refuse<U: Upstreams, T: Clock>(
+    gateway: &Gateway<U, T>,
+    refusal: &Refusal,
+) -> Response {
+    gateway.metrics.refusal(refusal.kind);
+    respond(refusal, &gateway.others())
+}
+
+/// Names a request in its answer, so that its caller can ask again and an operator can explain it.
+pub(super) fn name_request(response: &mut Response, id: RequestId) {
+    if let Ok(value) = HeaderValue::from_str(&id.to_string()) {
+        response.headers_mut().insert(REQUEST_ID, value);
+    }
+}
+
 /// Answers a refusal.
 pub(super) fn respond(refusal: &Refusal, others: &[GatewayEntry]) -> Response {
     let mut response = json(&ErrorBody::new(refusal, others));
--- a/src/gateway/http/routes.rs
+++ b/src/gateway/http/routes.rs
@@ -89,10 +89,7 @@
     };
     match route(&gateway, &head, body).await {
         Ok(response) => response,
-        Err(refusal) => {
-            gateway.metrics.refusal(refusal.kind);
-            error::respond(&refusal, &gateway.others())
-        }
+        Err(refusal) => error::refuse(&gateway, &refusal),
     }
 }
 
--- a/src/gateway/http/services.rs
+++ b/src/gateway/http/services.rs
@@ -11,6 +11,7 @@
 
 use super::{
     completions::applicant,
+    error,
     routes::{Caller, Head},
 };
 use crate::{
@@ -29,8 +30,6 @@
 /// Marks an answer that comes from the record of an earlier call.
 const REPLAYED: HeaderName = HeaderName::from_static("x-replayed");
 
-const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
-
 /// Path segments before a service's own path.
 const PREFIX_SEGMENTS: usize = 4;
 
@@ -123,13 +122,18 @@
         None => gateway.call_idempotent(&call).await,
         Some(key) => gateway.call_once(call, key).await,
     };
-    if let Err(refusal) = &answer {
-        let refused = DecisionKind::Refused(refusal.kind, refusal.ran);
-        gateway
-            .decisions
-            .record(id, gateway.clock.unix_ms(), refused);
-    }
-    Ok(respond(id, answer?))
+    let mut response = match answer {
+        Ok(answer) => respond(answer),
+        Err(refusal) => {
+            let refused = DecisionKind::Refused(refusal.kind, refusal.ran);
+            gateway
+                .decisions
+                .record(id, gateway.clock.unix_ms(), refused);
+            error::refuse(gateway, &refusal)
+        }
+    };
+    error::name_request(&mut response, id);
+    Ok(response)
 }
 
 fn service_call<U: Upstreams, T: Clock>(
@@ -149,7 +153,7 @@
     }
 }
 
-fn respond(id: RequestId, answer: PlainAnswer) -> Response {
+fn respond(answer: PlainAnswer) -> Response {
     let replayed = matches!(answer, PlainAnswer::Replayed(_));
     let (status, content_type, body) = match answer {
         PlainAnswer::Fresh(reply) => (reply.status, reply.content_type, reply.body),
@@ -164,9 +168,6 @@
     if let Ok(content_type) = HeaderValue::from_str(&content_type) {
         headers.insert(header::CONTENT_TYPE, content_type);
     }
-    if let Ok(id) = HeaderValue::from_str(&id.to_string()) {
-        headers.insert(REQUEST_ID, id);
-    }
     if replayed {
         headers.insert(REPLAYED, HeaderValue::from_static("true"));
     }
--- a/src/gateway/http/stream.rs
+++ b/src/gateway/http/stream.rs
@@ -20,9 +20,6 @@
     ports::StreamEnd,
 };
 
-/// Names the request, so that its caller can ask again.
-const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
-
 /// Names the gateway that holds a copy of the request, in case this one is lost.
 const BACKUP_ADDRESS: HeaderName = HeaderName::from_static("x-backup-address");
 
@@ -152,13 +149,10 @@
 }
 
 fn mark(response: &mut Response, id: RequestId, backup: Option<&GatewayEntry>) {
-    let headers = response.headers_mut();
-    if let Ok(value) = HeaderValue::from_str(&id.to_string()) {
-        headers.insert(REQUEST_ID, value);
-    }
+    error::name_request(response, id);
     let address = backup.map(|entry| entry.caller_address.to_string());
     if let Some(Ok(value)) = address.as_deref().map(HeaderValue::from_str) {
-        headers.insert(BACKUP_ADDRESS, value);
+        response.headers_mut().insert(BACKUP_ADDRESS, value);
     }
 }
 
--- a/tests/gateway_refusals.rs
+++ b/tests/gateway_refusals.rs
@@ -86,6 +86,27 @@
     assert!(once > 0);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_moved_before_its_first_token_may_have_run() {
+    let bench = Bench::start(Options::default()).await;
+    bench.upstreams.release(0);
+    let address = bench.address(0);
+    let caller = tokio::spawn(async move { Call::complete("p", 2, false).send(address).await });
+    let upstreams = &bench.upstreams;
+    eventually("an engine has it", || async {
+        upstreams.open_streams() == 1
+    })
+    .await;
+    let first = upstreams.attempts()[0].instance.clone();
+    let other = if first == "e0" { "e1" } else { "e0" };
+    upstreams.fail(other, Fault::Refuse(UpstreamErrorKind::Connect, Sent::No));
+    bench.leader.set_leaving(&first);
+    let reply = caller.await.unwrap();
+    let expected = ("upstream_failed".to_owned(), "unknown".to_owned());
+    assert_eq!(reply.error(), expected, "{}", reply.text);
+    assert!(reply.header("x-request-id").is_some());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_service_without_instances_is_refused() {
     let bench = Bench::start(Options::default()).await;
