--- a/src/gateway/journal/mod.rs
+++ b/src/gateway/journal/mod.rs
@@ -2,6 +2,7 @@
 //! kept for other gateways. See docs/DESIGN.md, "Journal and hand-over".
 
 mod backup;
+mod entries;
 mod handler;
 mod held;
 mod peers;
