--- a/examples/support/processes.rs
+++ b/examples/support/processes.rs
@@ -26,7 +26,7 @@
     installation::{OPERATOR_TOKEN, Shape, Upstreams, plan_settings, start_upstreams, wait_ready},
 };
 
-const PATIENCE: Duration = Duration::from_secs(60);
+const PATIENCE: Duration = Duration::from_secs(20);
 const POLL: Duration = Duration::from_millis(20);
 
 /// A daemon in a process of its own; dropping it kills the process.
--- /dev/null
+++ b/tests/processes.rs
@@ -0,0 +1,444 @@
+//! Failures that only processes can have: the daemons are killed, stopped and continued by signals,
+//! and the stand-ins, which run here, say what was really executed.
+
+#[path = "../examples/support/mod.rs"]
+mod support;
+
+use std::{collections::BTreeMap, net::SocketAddr, path::Path, sync::Arc, time::Duration};
+
+use flamingocroft::domain::Intent;
+use hyper::StatusCode;
+use nix::sys::signal::Signal;
+use serde_json::{Value, json};
+use standin::{
+    Faults,
+    engine::{EngineParams, answer_seed, answer_token},
+};
+use support::{
+    http::{Answer, Call, Events, open, send},
+    installation::{FREE_TOKEN, MODEL, PAYING_TOKEN, Shape, intent},
+    processes::Processes,
+};
+use tokio::{
+    sync::{Barrier, Semaphore},
+    task::JoinSet,
+    time::{Instant, sleep, timeout},
+};
+use uuid::Uuid;
+
+/// A bound for what must happen; reaching it fails the test.
+const PATIENCE: Duration = Duration::from_secs(60);
+const POLL: Duration = Duration::from_millis(10);
+/// A confirmed configuration is in force everywhere within this time.
+const IN_FORCE: Duration = Duration::from_secs(3);
+
+fn program() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_flamingocroftd"))
+}
+
+/// Keeps the tests of this file from running at the same time, so that their timing is their own.
+static ONE_AT_A_TIME: Semaphore = Semaphore::const_new(1);
+
+async fn start(shape: &Shape, folder: &Path) -> Processes {
+    let processes = Processes::start(shape, program(), folder).await.unwrap();
+    let confirmed = processes.confirm(&intent(shape)).await.unwrap();
+    assert!(confirmed.everywhere);
+    processes.wait_ready().await.unwrap();
+    processes
+}
+
+fn release(key: Uuid) -> Call {
+    let body = json!({"truck": "TN-204"});
+    Call::post("/v1/services/depot/releases", PAYING_TOKEN, &body).header("Idempotency-Key", key)
+}
+
+/// What a caller knows of a release in the end.
+#[derive(Debug, PartialEq, Eq)]
+enum Known {
+    Ran(String),
+    Unknown,
+}
+
+/// Sends a release until its outcome is final, to each gateway in turn.
+async fn release_until_final(gateways: &[SocketAddr], key: Uuid) -> Known {
+    let call = release(key);
+    let start = Instant::now();
+    for gateway in gateways.iter().cycle() {
+        assert!(start.elapsed() < PATIENCE, "release {key} has no outcome");
+        let Ok(answer) = send(*gateway, &call).await else {
+            sleep(POLL).await;
+            continue;
+        };
+        if answer.status.is_success() {
+            return Known::Ran(answer.text());
+        }
+        if ran(&answer) == "unknown" {
+            return Known::Unknown;
+        }
+        sleep(POLL).await;
+    }
+    unreachable!("the cycle does not end")
+}
+
+fn ran(answer: &Answer) -> String {
+    let body: Value = answer.json().unwrap();
+    body["error"]["ran"].as_str().unwrap_or("").to_owned()
+}
+
+async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < PATIENCE, "never: {what}");
+        sleep(POLL).await;
+    }
+}
+
+fn executions(processes: &Processes) -> BTreeMap<String, u32> {
+    let mut by_key = BTreeMap::new();
+    for service in &processes.upstreams.services {
+        for (key, count) in service.counts().by_key {
+            *by_key.entry(key).or_insert(0) += count;
+        }
+    }
+    by_key
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn releases_run_once_while_the_leader_is_killed() {
+    let _alone = ONE_AT_A_TIME.acquire().await.unwrap();
+    const RELEASES: usize = 60;
+    let folder = tempfile::tempdir().unwrap();
+    let mut processes = start(&Shape::default(), folder.path()).await;
+    let gateways = [processes.gateway(0), processes.gateway(1)];
+    let begin = Arc::new(Barrier::new(RELEASES + 1));
+    let mut callers = JoinSet::new();
+    for i in 0..RELEASES {
+        let begin = Arc::clone(&begin);
+        let mut gateways = gateways;
+        gateways.rotate_left(i % 2);
+        callers.spawn(async move {
+            let key = Uuid::now_v7();
+            begin.wait().await;
+            sleep(Duration::from_millis(5 * i as u64)).await;
+            (key, release_until_final(&gateways, key).await)
+        });
+    }
+    let leader = processes.leader().await.unwrap();
+    begin.wait().await;
+    until("some releases ran", || executions(&processes).len() > 5).await;
+    processes.controllers[leader].kill().unwrap();
+    let known = callers.join_all().await;
+    let executed = executions(&processes);
+    for (key, known) in known {
+        let count = executed.get(&key.to_string()).copied().unwrap_or(0);
+        match known {
+            Known::Ran(_) => assert_eq!(count, 1, "{key} was answered as run"),
+            Known::Unknown => assert!(count <= 1, "{key} ran {count} times"),
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_release_of_a_killed_gateway_never_runs_again() {
+    let _alone = ONE_AT_A_TIME.acquire().await.unwrap();
+    let folder = tempfile::tempdir().unwrap();
+    let mut processes = start(&Shape::default(), folder.path()).await;
+    processes.upstreams.services[0].set_faults(Faults {
+        answer_delay_ms: 30_000,
+        ..Faults::default()
+    });
+    let key = Uuid::now_v7();
+    let first = processes.gateway(0);
+    let lost = tokio::spawn(async move { send(first, &release(key)).await });
+    until("the release ran", || {
+        executions(&processes).get(&key.to_string()) == Some(&1)
+    })
+    .await;
+    processes.gateways[0].kill().unwrap();
+    assert!(lost.await.unwrap().is_err(), "the answer was lost");
+    processes.upstreams.services[0].set_faults(Faults::default());
+    let known = release_until_final(&[processes.gateway(1)], key).await;
+    assert_eq!(known, Known::Unknown);
+    processes.gateways[0].restart().unwrap();
+    processes.wait_ready().await.unwrap();
+    let known = release_until_final(&[processes.gateway(0)], key).await;
+    assert_eq!(known, Known::Unknown);
+    assert_eq!(executions(&processes).get(&key.to_string()), Some(&1));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn outcomes_outlive_a_restart_of_all_controllers() {
+    let _alone = ONE_AT_A_TIME.acquire().await.unwrap();
+    let folder = tempfile::tempdir().unwrap();
+    let mut processes = start(&Shape::default(), folder.path()).await;
+    let gateways = [processes.gateway(0), processes.gateway(1)];
+    let keys: Vec<Uuid> = (0..10).map(|_| Uuid::now_v7()).collect();
+    let mut before = Vec::new();
+    for key in &keys {
+        before.push(release_until_final(&gateways, *key).await);
+    }
+    for controller in &mut processes.controllers {
+        controller.kill().unwrap();
+    }
+    for controller in &mut processes.controllers {
+        controller.restart().unwrap();
+    }
+    let status = processes.status().await.unwrap();
+    assert_eq!(status.revision.0, 1, "the confirmed revision is in force");
+    for (key, before) in keys.iter().zip(before) {
+        let after = release_until_final(&gateways, *key).await;
+        assert_eq!(after, before);
+    }
+    assert!(executions(&processes).values().all(|&count| count == 1));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_gateway_takes_no_work_on_an_old_revision() {
+    let _alone = ONE_AT_A_TIME.acquire().await.unwrap();
+    let folder = tempfile::tempdir().unwrap();
+    let shape = Shape::default();
+    let processes = start(&shape, folder.path()).await;
+    let body = json!({"model": MODEL, "prompt": "hello", "max_tokens": 2});
+    let call = Call::post("/v1/completions", FREE_TOKEN, &body);
+    let answer = send(processes.gateway(1), &call).await.unwrap();
+    assert_eq!(answer.status, StatusCode::OK);
+    let executed_before = executed_completions(&processes);
+
+    processes.gateways[1].signal(Signal::SIGSTOP).unwrap();
+    let frozen = processes.gateway(1);
+    let during = {
+        let call = call.clone();
+        tokio::spawn(async move { send(frozen, &call).await })
+    };
+    let start = Instant::now();
+    let confirmed = processes
+        .confirm(&without_trial_account(&shape))
+        .await
+        .unwrap();
+    assert!(confirmed.everywhere);
+    assert!(start.elapsed() < IN_FORCE, "took {:?}", start.elapsed());
+
+    processes.gateways[1].signal(Signal::SIGCONT).unwrap();
+    let during = during.await.unwrap().unwrap();
+    assert!(!during.status.is_success(), "{}", during.text());
+    assert_eq!(ran(&during), "no");
+    let after = send(frozen, &call).await.unwrap();
+    assert!(!after.status.is_success(), "{}", after.text());
+    assert_eq!(executed_completions(&processes), executed_before);
+    processes.wait_ready().await.unwrap();
+    let paying = Call::post("/v1/completions", PAYING_TOKEN, &body);
+    let answer = send(frozen, &paying).await.unwrap();
+    assert_eq!(answer.status, StatusCode::OK, "{}", answer.text());
+}
+
+fn without_trial_account(shape: &Shape) -> Intent {
+    let mut intent = intent(shape);
+    intent
+        .accounts
+        .retain(|account| account.name.as_str() != "trial");
+    intent
+}
+
+fn executed_completions(processes: &Processes) -> u64 {
+    let engines = processes.upstreams.engines.iter();
+    engines.map(|engine| engine.counts().started).sum()
+}
+
+/// What a caller holds of one streamed answer.
+#[derive(Clone, Debug, Default)]
+struct Received {
+    id: String,
+    texts: Vec<String>,
+}
+
+/// Reads a stream to its end mark. Where it breaks off or moves, the caller goes on at a gateway from
+/// the last event it saw, as callers' libraries do.
+async fn read_whole(gateways: &[SocketAddr], prompt: &str, tokens: u32, seed: u64) -> Received {
+    let body = json!({
+        "model": MODEL, "prompt": prompt, "max_tokens": tokens, "seed": seed, "stream": true,
+    });
+    let call = Call::post("/v1/completions", PAYING_TOKEN, &body);
+    let response = open(gateways[0], &call).await.unwrap();
+    assert_eq!(response.status(), StatusCode::OK);
+    let id = response.headers()["x-request-id"]
+        .to_str()
+        .unwrap()
+        .to_owned();
+    let mut received = Received {
+        id,
+        ..Received::default()
+    };
+    let start = Instant::now();
+    let mut next = Some(response);
+    for gateway in gateways.iter().cycle().skip(1) {
+        assert!(start.elapsed() < PATIENCE, "{received:?} stays cut off");
+        if let Some(response) = next.take()
+            && read_events(response, &mut received).await
+        {
+            return received;
+        }
+        let path = format!("/v1/requests/{}", received.id);
+        let mut call = Call::get(path, PAYING_TOKEN).header("Accept", "text/event-stream");
+        if let Some(last) = received.texts.len().checked_sub(1) {
+            call = call.header("Last-Event-ID", last);
+        }
+        match open(*gateway, &call).await {
+            Ok(response) if response.status() == StatusCode::OK => next = Some(response),
+            _ => sleep(POLL).await,
+        }
+    }
+    unreachable!("the cycle does not end")
+}
+
+/// Returns whether the end mark came.
+async fn read_events(response: hyper::Response<hyper::body::Incoming>, to: &mut Received) -> bool {
+    let mut events = Events::new(response);
+    while let Ok(Some(event)) = events.next().await {
+        if event.data == "[DONE]" {
+            return true;
+        }
+        if !event.name.is_empty() {
+            return false;
+        }
+        let chunk: Value = serde_json::from_str(&event.data).unwrap();
+        let choice = &chunk["choices"][0];
+        if choice["finish_reason"].is_null() {
+            assert_eq!(event.id, to.texts.len().to_string(), "offsets have no gaps");
+            to.texts.push(choice["text"].as_str().unwrap().to_owned());
+        }
+    }
+    false
+}
+
+fn expected(prompt: &str, tokens: u32, seed: u64) -> Vec<String> {
+    let answer = answer_seed(prompt, seed);
+    (0..tokens).map(|i| answer_token(answer, i)).collect()
+}
+
+fn slow_shape(shutdown: Duration) -> Shape {
+    let base = Shape::default();
+    Shape {
+        gateways: 3,
+        engines: 6,
+        engine: EngineParams {
+            slots: 32,
+            token_interval_us: 10_000,
+            ..base.engine.clone()
+        },
+        timing: flamingocroft::settings::Timing {
+            shutdown,
+            ..base.timing.clone()
+        },
+        ..base
+    }
+}
+
+/// Starts streams at gateway 0 with different prompts and returns what the callers got.
+fn start_streams(processes: &Processes, count: u64, tokens: u32) -> JoinSet<(u64, Received)> {
+    let gateways: Vec<_> = (0..processes.gateways.len())
+        .map(|i| processes.gateway(i))
+        .collect();
+    let mut callers = JoinSet::new();
+    for seed in 0..count {
+        let gateways = gateways.clone();
+        callers.spawn(async move {
+            let prompt = format!("draft number {seed}");
+            (seed, read_whole(&gateways, &prompt, tokens, seed).await)
+        });
+    }
+    callers
+}
+
+async fn check_streams(mut callers: JoinSet<(u64, Received)>, tokens: u32) {
+    let all = async {
+        while let Some(result) = callers.join_next().await {
+            let (seed, received) = result.unwrap();
+            let prompt = format!("draft number {seed}");
+            assert_eq!(received.texts, expected(&prompt, tokens, seed), "{prompt}");
+        }
+    };
+    timeout(PATIENCE, all).await.unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_graceful_shutdown_hands_streams_over_whole() {
+    let _alone = ONE_AT_A_TIME.acquire().await.unwrap();
+    const TOKENS: u32 = 200;
+    let folder = tempfile::tempdir().unwrap();
+    let shape = slow_shape(Duration::from_millis(300));
+    let mut processes = start(&shape, folder.path()).await;
+    let callers = start_streams(&processes, 40, TOKENS);
+    until("the streams run", || executed_completions(&processes) >= 40).await;
+    processes.gateways[0].signal(Signal::SIGTERM).unwrap();
+    check_streams(callers, TOKENS).await;
+    let status = processes.gateways[0].wait().await.unwrap();
+    assert!(status.success(), "{status}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_outlive_a_gateway_killed_in_the_middle_of_its_hand_over() {
+    let _alone = ONE_AT_A_TIME.acquire().await.unwrap();
+    const TOKENS: u32 = 200;
+    let folder = tempfile::tempdir().unwrap();
+    let shape = slow_shape(Duration::from_millis(300));
+    let mut processes = start(&shape, folder.path()).await;
+    let callers = start_streams(&processes, 40, TOKENS);
+    until("the streams run", || executed_completions(&processes) >= 40).await;
+    processes.gateways[0].signal(Signal::SIGTERM).unwrap();
+    sleep(Duration::from_millis(310)).await;
+    processes.gateways[0].kill().unwrap();
+    check_streams(callers, TOKENS).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_outlive_the_reclaim_of_a_whole_zone() {
+    let _alone = ONE_AT_A_TIME.acquire().await.unwrap();
+    const TOKENS: u32 = 200;
+    let folder = tempfile::tempdir().unwrap();
+    let shape = slow_shape(Duration::from_millis(300));
+    let mut processes = start(&shape, folder.path()).await;
+    let callers = start_streams(&processes, 40, TOKENS);
+    until("the streams run", || executed_completions(&processes) >= 40).await;
+    // Engines 0 and 3, gateway 0 and controller 0 are in the zone that is taken back.
+    for engine in ["engine-0", "engine-3"] {
+        assert!(
+            processes
+                .upstreams
+                .cloud
+                .reclaim(engine, Duration::from_secs(1))
+        );
+    }
+    processes.gateways[0].signal(Signal::SIGTERM).unwrap();
+    processes.controllers[0].kill().unwrap();
+    sleep(Duration::from_millis(400)).await;
+    processes.gateways[0].kill().unwrap();
+    check_streams(callers, TOKENS).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_engine_gets_no_new_work_after_three_seconds() {
+    let _alone = ONE_AT_A_TIME.acquire().await.unwrap();
+    const NO_NEW_WORK: Duration = Duration::from_secs(3);
+    let folder = tempfile::tempdir().unwrap();
+    let processes = start(&Shape::default(), folder.path()).await;
+    assert!(processes.upstreams.cloud.reclaim("engine-0", PATIENCE));
+    let noticed = Instant::now();
+    let mut last_new = Duration::ZERO;
+    let mut before = processes.upstreams.engines[0].counts().started;
+    let mut seed = 0;
+    while noticed.elapsed() < NO_NEW_WORK * 2 {
+        seed += 1;
+        let body = json!({
+            "model": MODEL, "prompt": format!("question {seed}"), "max_tokens": 1, "seed": seed,
+        });
+        let call = Call::post("/v1/completions", PAYING_TOKEN, &body);
+        let answer = send(processes.gateway(seed % 2), &call).await.unwrap();
+        assert_eq!(answer.status, StatusCode::OK, "{}", answer.text());
+        let now = processes.upstreams.engines[0].counts().started;
+        if now > before {
+            last_new = noticed.elapsed();
+            before = now;
+        }
+    }
+    assert!(last_new < NO_NEW_WORK, "new work after {last_new:?}");
+}
