Test catch-up, repair of a lost disk, membership, leases and the bootstrap rule

Found by its test: a report whose list of controllers names one of them several times was taken for the same list. The lists are now compared as sets.

--- a/src/replication/bootstrap.rs
+++ b/src/replication/bootstrap.rs
@@ -70,11 +70,8 @@
     /// Takes an answer. One from a folder that is not blank rules out forming a cluster. One from a
     /// controller with another list of controllers does not count; give all the same settings.
     pub fn receive(&mut self, report: &MemberReport) {
-        let same = report.controllers.len() == self.controllers.len()
-            && report
-                .controllers
-                .iter()
-                .all(|name| self.controllers.contains(name.as_str()));
+        let theirs: BTreeSet<&str> = report.controllers.iter().map(String::as_str).collect();
+        let same = theirs == self.controllers.iter().map(AsRef::as_ref).collect();
         let Some(name) = self.controllers.get(report.name.as_str()) else {
             return;
         };
