Test that the data folder finds every cut, flipped bit and missing part

A flipped bit in the last record can't be told from a torn write and cuts that record; every other one is an error that names the remedy. A failed write or sync poisons the store, also if the disk works again afterwards.

--- a/tests/disk_store.rs
+++ b/tests/disk_store.rs
@@ -1,10 +1,24 @@
-//! The data folder: what was persisted is read back, and damage is found.
+//! The data folder: what was persisted is read back, damage is found, and a failing disk stops
+//! everything.
+
+use std::{
+    fs, io,
+    path::Path,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
 
 use flamingocroft::{
-    adapters::disk::{LogStore, StoreError},
+    adapters::disk::{LogStore, Medium, StoreError},
     domain::MemberId,
-    replication::{HardState, Recovered},
-    wire::Entry,
+    replication::{HardState, Recovered, Snapshot},
+    wire::{Entry, MembershipRecord},
+};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
 };
 
 fn entry(index: u64, term: u64) -> Entry {
@@ -16,31 +30,382 @@
     }
 }
 
+fn snapshot(index: u64, term: u64) -> Snapshot {
+    Snapshot {
+        index,
+        term,
+        membership: MembershipRecord {
+            voters: vec![1, 2, 3],
+            learners: vec![4],
+        },
+        state: format!("state at {index}").into(),
+    }
+}
+
+fn hard_state(term: u64) -> HardState {
+    HardState {
+        term,
+        vote: Some(MemberId(7)),
+    }
+}
+
+fn reopen(folder: &Path) -> Recovered {
+    LogStore::open(folder).unwrap().1
+}
+
+/// Writes one entry per record, and returns the file and where each record ends.
+fn written(folder: &Path, count: u64) -> (Vec<u8>, Vec<usize>) {
+    let segment = folder.join("log-1");
+    let (mut store, ..) = LogStore::open(folder).unwrap();
+    let mut ends = vec![fs::read(&segment).unwrap().len()];
+    for index in 1..=count {
+        store.persist(None, &[entry(index, 1)], None).unwrap();
+        ends.push(fs::read(&segment).unwrap().len());
+    }
+    (fs::read(&segment).unwrap(), ends)
+}
+
 #[test]
 fn what_was_persisted_is_read_back() {
     let folder = tempfile::tempdir().unwrap();
     let (mut store, recovered, member) = LogStore::open(folder.path()).unwrap();
     assert_eq!(recovered, Recovered::default());
-    let hard_state = HardState {
-        term: 3,
-        vote: Some(MemberId(7)),
-    };
     let entries = [entry(1, 2), entry(2, 2), entry(3, 3)];
-    store
-        .persist(Some(hard_state.clone()), &entries, None)
-        .unwrap();
+    store.persist(Some(hard_state(3)), &entries, None).unwrap();
     store.persist(None, &[entry(3, 4)], None).unwrap();
     drop(store);
     let (_store, recovered, again) = LogStore::open(folder.path()).unwrap();
     assert_eq!(again, member);
-    assert_eq!(recovered.hard_state, hard_state);
+    assert_eq!(recovered.hard_state, hard_state(3));
     assert_eq!(recovered.entries, [entry(1, 2), entry(2, 2), entry(3, 4)]);
 }
 
+#[test]
+fn an_emptied_folder_is_another_member() {
+    let folder = tempfile::tempdir().unwrap();
+    let (store, _, first) = LogStore::open(folder.path()).unwrap();
+    drop(store);
+    fs::remove_file(folder.path().join("log-1")).unwrap();
+    let (_store, recovered, second) = LogStore::open(folder.path()).unwrap();
+    assert_ne!(first, second);
+    assert_eq!(recovered, Recovered::default());
+}
+
 #[test]
 fn a_folder_belongs_to_one_process() {
     let folder = tempfile::tempdir().unwrap();
-    let _first = LogStore::open(folder.path()).unwrap();
+    let first = LogStore::open(folder.path()).unwrap();
     let second = LogStore::open(folder.path());
     assert!(matches!(second, Err(StoreError::Locked(_))));
+    drop(first);
+    LogStore::open(folder.path()).unwrap();
+}
+
+#[test]
+fn a_gap_between_entries_is_not_stored() {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut store, ..) = LogStore::open(folder.path()).unwrap();
+    store.persist(None, &[entry(1, 1)], None).unwrap();
+    assert!(store.persist(None, &[entry(3, 1)], None).is_err());
+}
+
+#[test]
+fn any_cut_gives_a_prefix() {
+    let folder = tempfile::tempdir().unwrap();
+    let (bytes, ends) = written(folder.path(), 5);
+    let segment = folder.path().join("log-1");
+    for cut in 0..bytes.len() {
+        fs::write(&segment, &bytes[..cut]).unwrap();
+        let opened = LogStore::open(folder.path());
+        if cut < ends[0] {
+            // The first record is synced before the file gets its name, so it is never torn.
+            assert!(
+                matches!(opened, Err(StoreError::Damaged { .. })),
+                "cut at {cut}"
+            );
+            continue;
+        }
+        let whole = ends.iter().filter(|end| **end <= cut).count() as u64 - 1;
+        let expected: Vec<Entry> = (1..=whole).map(|index| entry(index, 1)).collect();
+        assert_eq!(opened.unwrap().1.entries, expected, "cut at {cut}");
+        let length = fs::metadata(&segment).unwrap().len();
+        assert_eq!(length as usize, ends[whole as usize], "the tail is cut");
+    }
+}
+
+#[test]
+fn a_store_goes_on_after_a_torn_tail() {
+    let folder = tempfile::tempdir().unwrap();
+    let (bytes, _) = written(folder.path(), 3);
+    let segment = folder.path().join("log-1");
+    fs::write(&segment, &bytes[..bytes.len() - 3]).unwrap();
+    let (mut store, ..) = LogStore::open(folder.path()).unwrap();
+    store.persist(None, &[entry(3, 2)], None).unwrap();
+    drop(store);
+    let entries = reopen(folder.path()).entries;
+    assert_eq!(entries, [entry(1, 1), entry(2, 1), entry(3, 2)]);
+}
+
+/// A bit in the last record can't be told from a torn write, so that record is cut.
+#[test]
+fn any_flipped_bit_is_found_or_is_in_the_last_record() {
+    let folder = tempfile::tempdir().unwrap();
+    let (bytes, ends) = written(folder.path(), 4);
+    let segment = folder.path().join("log-1");
+    let last = ends[ends.len() - 2];
+    let prefix: Vec<Entry> = (1..=3).map(|index| entry(index, 1)).collect();
+    for bit in 0..bytes.len() * 8 {
+        let mut flipped = bytes.clone();
+        flipped[bit / 8] ^= 1 << (bit % 8);
+        fs::write(&segment, &flipped).unwrap();
+        match LogStore::open(folder.path()) {
+            Err(StoreError::Damaged { .. }) => {}
+            Ok((_, recovered, _)) => {
+                assert!(bit / 8 >= last, "bit {bit} was not found");
+                assert_eq!(recovered.entries, prefix, "bit {bit}");
+            }
+            Err(error) => panic!("bit {bit}: {error}"),
+        }
+    }
+}
+
+#[test]
+fn any_flipped_bit_of_a_snapshot_is_found() {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut store, ..) = LogStore::open(folder.path()).unwrap();
+    store.persist(None, &[entry(1, 1)], None).unwrap();
+    store.persist(None, &[], Some(&snapshot(1, 1))).unwrap();
+    drop(store);
+    let path = folder.path().join("snapshot");
+    let bytes = fs::read(&path).unwrap();
+    for bit in 0..bytes.len() * 8 {
+        let mut flipped = bytes.clone();
+        flipped[bit / 8] ^= 1 << (bit % 8);
+        fs::write(&path, &flipped).unwrap();
+        let opened = LogStore::open(folder.path());
+        assert!(
+            matches!(opened, Err(StoreError::Damaged { .. })),
+            "bit {bit}"
+        );
+    }
+    for cut in 0..bytes.len() {
+        fs::write(&path, &bytes[..cut]).unwrap();
+        let opened = LogStore::open(folder.path());
+        assert!(
+            matches!(opened, Err(StoreError::Damaged { .. })),
+            "cut {cut}"
+        );
+    }
+}
+
+#[test]
+fn missing_parts_are_errors_that_name_the_remedy() {
+    let removals: [(&str, &[&str]); 2] = [("the snapshot", &["snapshot"]), ("the log", &["log-2"])];
+    for (what, names) in removals {
+        let folder = tempfile::tempdir().unwrap();
+        let (mut store, ..) = LogStore::open(folder.path()).unwrap();
+        store.persist(None, &[entry(1, 1)], None).unwrap();
+        store.persist(None, &[], Some(&snapshot(1, 1))).unwrap();
+        drop(store);
+        for name in names {
+            fs::remove_file(folder.path().join(name)).unwrap();
+        }
+        let error = LogStore::open(folder.path()).unwrap_err().to_string();
+        assert!(
+            error.contains("add it with `flamingocroft`"),
+            "{what}: {error}"
+        );
+    }
+}
+
+#[test]
+fn a_removed_record_in_the_middle_is_found() {
+    let folder = tempfile::tempdir().unwrap();
+    let (bytes, ends) = written(folder.path(), 4);
+    let without = [&bytes[..ends[1]], &bytes[ends[2]..]].concat();
+    fs::write(folder.path().join("log-1"), without).unwrap();
+    let opened = LogStore::open(folder.path());
+    assert!(matches!(opened, Err(StoreError::Damaged { .. })));
+}
+
+#[test]
+fn another_members_snapshot_is_refused() {
+    let [one, other] = [(); 2].map(|()| {
+        let folder = tempfile::tempdir().unwrap();
+        let (mut store, ..) = LogStore::open(folder.path()).unwrap();
+        store.persist(None, &[], Some(&snapshot(5, 1))).unwrap();
+        folder
+    });
+    let name = "snapshot";
+    fs::copy(other.path().join(name), one.path().join(name)).unwrap();
+    let opened = LogStore::open(one.path());
+    assert!(matches!(opened, Err(StoreError::Damaged { .. })));
+}
+
+/// A crash after the snapshot got its name, but before the new segment did or the old one was removed.
+#[test]
+fn a_crash_while_compacting_loses_nothing() {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut store, ..) = LogStore::open(folder.path()).unwrap();
+    let entries = [entry(1, 1), entry(2, 1), entry(3, 1)];
+    store.persist(Some(hard_state(1)), &entries, None).unwrap();
+    let old = fs::read(folder.path().join("log-1")).unwrap();
+    store.persist(None, &[], Some(&snapshot(2, 1))).unwrap();
+    drop(store);
+    let expected = reopen(folder.path());
+    assert_eq!(expected.entries, [entry(3, 1)]);
+    assert_eq!(expected.hard_state, hard_state(1));
+
+    fs::write(folder.path().join("log-1"), &old).unwrap();
+    assert_eq!(reopen(folder.path()), expected);
+    assert!(!folder.path().join("log-1").exists());
+
+    fs::write(folder.path().join("log-1"), &old).unwrap();
+    fs::remove_file(folder.path().join("log-2")).unwrap();
+    fs::write(folder.path().join("log-2.tmp"), b"half a file").unwrap();
+    assert_eq!(reopen(folder.path()), expected);
+}
+
+/// A file that fails on its n-th write or sync, and then works again.
+#[derive(Debug)]
+struct Failing {
+    file: fs::File,
+    left: Arc<AtomicUsize>,
+}
+
+impl Failing {
+    fn count(&self) -> io::Result<()> {
+        let before = self.left.fetch_sub(1, Ordering::SeqCst);
+        match before {
+            1 => Err(io::Error::from(io::ErrorKind::StorageFull)),
+            _ => Ok(()),
+        }
+    }
+}
+
+impl Medium for Failing {
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.count()?;
+        self.file.append(bytes)
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        self.count()?;
+        self.file.sync()
+    }
+}
+
+#[test]
+fn a_failed_write_or_sync_stops_all_acknowledgements() {
+    for fails_at in 1..=6 {
+        let folder = tempfile::tempdir().unwrap();
+        let left = Arc::new(AtomicUsize::new(fails_at));
+        let wrap = move |file| -> Box<dyn Medium> {
+            let left = Arc::clone(&left);
+            Box::new(Failing { file, left })
+        };
+        let (mut store, ..) = LogStore::open_with(folder.path(), wrap).unwrap();
+        let acknowledged = (1..=10)
+            .take_while(|index| store.persist(None, &[entry(*index, 1)], None).is_ok())
+            .count();
+        assert_eq!(acknowledged, (fails_at - 1) / 2);
+        // The medium works again, but what it holds is not known.
+        let again = store.persist(None, &[entry(1, 1)], None);
+        assert!(matches!(again, Err(StoreError::Poisoned(_))));
+        let empty = store.persist(None, &[], None);
+        assert!(matches!(empty, Err(StoreError::Poisoned(_))));
+        drop(store);
+        let entries = reopen(folder.path()).entries;
+        assert!(
+            entries.len() >= acknowledged,
+            "an acknowledged entry was lost"
+        );
+    }
+}
+
+#[test]
+fn a_snapshot_that_can_not_be_written_stops_all_acknowledgements() {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut store, ..) = LogStore::open(folder.path()).unwrap();
+    store.persist(None, &[entry(1, 1)], None).unwrap();
+    // A folder in the place of the temporary file can't be opened for writing.
+    fs::create_dir(folder.path().join("snapshot.tmp")).unwrap();
+    let error = store.persist(None, &[], Some(&snapshot(1, 1))).unwrap_err();
+    assert!(matches!(error, StoreError::Io { .. }));
+    let again = store.persist(None, &[entry(2, 1)], None);
+    assert!(matches!(again, Err(StoreError::Poisoned(_))));
+}
+
+#[derive(Clone, Debug)]
+enum Write {
+    Append { count: u64, back: u64, vote: bool },
+    Compact { behind: u64 },
+    Install { ahead: u64 },
+    Reopen,
+}
+
+fn write() -> impl Strategy<Value = Write> {
+    prop_oneof![
+        5 => (0..5u64, 0..4u64, any::<bool>())
+            .prop_map(|(count, back, vote)| Write::Append { count, back, vote }),
+        1 => (0..4u64).prop_map(|behind| Write::Compact { behind }),
+        1 => (1..5u64).prop_map(|ahead| Write::Install { ahead }),
+        2 => Just(Write::Reopen),
+    ]
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 48,
+        rng_seed: RngSeed::Fixed(4),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    /// Whatever is written, a reopened folder holds what a naive model holds.
+    #[test]
+    fn a_folder_holds_what_a_naive_model_holds(writes in prop::collection::vec(write(), 1..40)) {
+        let folder = tempfile::tempdir().unwrap();
+        let mut store = Some(LogStore::open(folder.path()).unwrap().0);
+        let mut model = Recovered::default();
+        for (number, write) in writes.into_iter().enumerate() {
+            let term = number as u64 + 1;
+            let last = model.snapshot.index + model.entries.len() as u64;
+            let Some(open) = &mut store else { unreachable!() };
+            match write {
+                Write::Append { count, back, vote } => {
+                    let first = (last + 1 - back.min(model.entries.len() as u64)).max(1);
+                    let new: Vec<Entry> = (first..first + count).map(|i| entry(i, term)).collect();
+                    let vote = vote.then(|| hard_state(term));
+                    open.persist(vote.clone(), &new, None).unwrap();
+                    if !new.is_empty() {
+                        model.entries.retain(|e| e.index < first);
+                        model.entries.extend(new);
+                    }
+                    model.hard_state = vote.unwrap_or(model.hard_state);
+                }
+                Write::Compact { behind } => {
+                    let index = last.saturating_sub(behind);
+                    let Some(at) = model.entries.iter().find(|e| e.index == index) else { continue };
+                    let new = snapshot(index, at.term);
+                    open.persist(None, &[], Some(&new)).unwrap();
+                    model.entries.retain(|e| e.index > index);
+                    model.snapshot = new;
+                }
+                Write::Install { ahead } => {
+                    let new = snapshot(last + ahead, term);
+                    open.persist(Some(hard_state(term)), &[], Some(&new)).unwrap();
+                    model = Recovered { hard_state: hard_state(term), snapshot: new, entries: vec![] };
+                }
+                Write::Reopen => {
+                    drop(store.take());
+                    let (again, recovered, _) = LogStore::open(folder.path()).unwrap();
+                    prop_assert_eq!(&recovered, &model);
+                    store = Some(again);
+                }
+            }
+        }
+        drop(store);
+        prop_assert_eq!(reopen(folder.path()), model);
+    }
 }
