--- a/tests/disk_store.rs
+++ b/tests/disk_store.rs
@@ -430,3 +430,39 @@
         prop_assert_eq!(reopen(folder.path()), model);
     }
 }
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 256,
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    /// Whatever bytes are overwritten, opening gives an error or a prefix, and only the last record
+    /// may be lost.
+    #[test]
+    fn overwritten_bytes_are_found_or_cut(
+        at in 0..10_000usize,
+        garbage in prop::collection::vec(any::<u8>(), 1..80),
+    ) {
+        let folder = tempfile::tempdir().unwrap();
+        let (mut bytes, ends) = written(folder.path(), 6);
+        let at = at % bytes.len();
+        let end = bytes.len().min(at + garbage.len());
+        let before = bytes.clone();
+        bytes[at..end].copy_from_slice(&garbage[..end - at]);
+        fs::write(folder.path().join("log-1"), &bytes).unwrap();
+        let whole = ends.iter().filter(|end| **end <= at).count() as u64;
+        let expected: Vec<Entry> = (1..whole).map(|index| entry(index, 1)).collect();
+        match LogStore::open(folder.path()) {
+            Err(StoreError::Damaged { .. }) => {}
+            Err(error) => panic!("{error}"),
+            Ok((_, recovered, _)) if bytes == before => prop_assert_eq!(recovered.entries.len(), 6),
+            Ok((_, recovered, _)) => {
+                prop_assert!(end > ends[5], "a record in the middle was lost");
+                prop_assert_eq!(recovered.entries, expected);
+            }
+        }
+    }
+}
