--- a/tests/replication_basics.rs
+++ b/tests/replication_basics.rs
@@ -14,9 +14,9 @@
     let leader = group.elect();
     let tickets: Vec<Ticket> = (0..10).map(|_| group.propose(leader)).collect();
     group.run(4);
-    assert!(tickets.iter().all(|ticket| group.done.contains(ticket)));
+    assert!(tickets.iter().all(|ticket| group.is_done(*ticket)));
     group.settle();
-    assert_eq!(group.acknowledged.len(), 11);
+    assert_eq!(group.checks.acknowledged.len(), 11);
 }
 
 #[test]
@@ -25,9 +25,9 @@
     let leader = group.elect();
     let follower = (leader + 1) % 3;
     let ticket = group.propose(follower);
-    assert_eq!(group.rejected, [(ticket, Rejection::NotLeader)]);
+    assert_eq!(group.checks.rejected, [(ticket, Rejection::NotLeader)]);
     let read = group.read(follower);
-    assert_eq!(group.rejected[1], (read, Rejection::NotLeader));
+    assert_eq!(group.checks.rejected[1], (read, Rejection::NotLeader));
     assert_eq!(group.nodes[follower].replica.role(), Role::Follower);
     let known = group.nodes[follower].replica.leader();
     assert_eq!(known, Some(MemberId(group.nodes[leader].id)));
@@ -46,7 +46,7 @@
         // Only the leader's disk answers.
         group.sync(leader);
     }
-    assert!(!group.done.contains(&ticket));
+    assert!(!group.is_done(ticket));
     group.run(2);
-    assert!(group.done.contains(&ticket));
+    assert!(group.is_done(ticket));
 }
--- a/tests/replication_properties.rs
+++ b/tests/replication_properties.rs
@@ -106,7 +106,7 @@
             Action::Sync(n) => group.sync(place(n)),
             Action::Propose(n) => drop(group.propose(group.leader().unwrap_or(place(n)))),
             Action::Read(n) => drop(group.read(group.leader().unwrap_or(place(n)))),
-            Action::Crash(n) => group.crash(place(n)),
+            Action::Crash(n) => drop(group.crash(place(n))),
             Action::Stop(n) => group.nodes[place(n)].up = false,
             Action::Start => group.nodes.iter_mut().for_each(|node| node.up = true),
             Action::Compact(n) => group.compact(place(n)),
@@ -216,11 +216,12 @@
             trial.act(action);
             repaired += usize::from(repairing && trial.repair.is_none());
         }
-        acknowledged += trial.group.acknowledged.len();
-        reads += trial.group.reads_done;
+        acknowledged += trial.group.checks.acknowledged.len();
+        reads += trial.group.checks.reads;
         wiped += trial.wiped;
-        let nodes = &trial.group.nodes;
-        compacted += nodes.iter().filter(|n| n.disk.0.snapshot.index > 1).count();
+        for node in &mut trial.group.nodes {
+            compacted += usize::from(node.disk.read().snapshot.index > 1);
+        }
     }
     println!(
         "{acknowledged} acknowledged, {reads} reads, {wiped} wiped, {repaired} repaired, {compacted} compacted"
--- a/tests/replication_recovery.rs
+++ b/tests/replication_recovery.rs
@@ -11,7 +11,7 @@
         Input, MAX_COMMAND_BYTES, MemberChange, Rejection, ReplicaSettings, Role, Ticket,
     },
 };
-use replication_support::{Group, STEP};
+use replication_support::{Group, Node, STEP};
 
 const MISSED: usize = 400;
 
@@ -30,7 +30,7 @@
         group.compact(leader);
         group.sync(leader);
     }
-    assert_eq!(group.acknowledged.len(), MISSED);
+    assert_eq!(group.checks.acknowledged.len(), MISSED);
     let commit = group.nodes[leader].replica.commit();
     assert!(group.nodes[slow].applied + 300 < commit);
     group.nodes[slow].up = true;
@@ -40,10 +40,21 @@
     group
 }
 
+/// How many disks hold a later snapshot than the first one.
+fn snapshots(group: &mut Group) -> usize {
+    let read = |node: &mut Node| node.disk.read().snapshot.index;
+    group
+        .nodes
+        .iter_mut()
+        .map(read)
+        .filter(|index| *index > 1)
+        .count()
+}
+
 #[test]
 fn a_member_catches_up_with_entries() {
     let mut group = catch_up(ReplicaSettings::default(), false);
-    assert!(group.nodes.iter().all(|n| n.disk.0.snapshot.index == 1));
+    assert_eq!(snapshots(&mut group), 0);
     group.settle();
 }
 
@@ -54,8 +65,11 @@
         ..ReplicaSettings::default()
     };
     let mut group = catch_up(settings, true);
-    let installed = group.nodes.iter().filter(|n| n.disk.0.snapshot.index > 300);
-    assert_eq!(installed.count(), 2, "the leader's and the slow member's");
+    assert_eq!(
+        snapshots(&mut group),
+        2,
+        "the leader's and the slow member's"
+    );
     group.settle();
 }
 
@@ -65,9 +79,8 @@
         retained_entries: 1000,
         ..ReplicaSettings::default()
     };
-    let group = catch_up(settings, true);
-    let installed = group.nodes.iter().filter(|n| n.disk.0.snapshot.index > 300);
-    assert_eq!(installed.count(), 1, "only the leader's own");
+    let mut group = catch_up(settings, true);
+    assert_eq!(snapshots(&mut group), 1, "only the leader's own");
 }
 
 #[test]
@@ -81,9 +94,7 @@
     let slow = (leader + 1) % 3;
     group.nodes[slow].up = false;
     for _ in 0..5 {
-        let ticket = group.ticket();
-        let command = Bytes::from(vec![7; 3 * 1024 * 1024]);
-        group.step(leader, Input::Propose { ticket, command });
+        group.propose_command(leader, Bytes::from(vec![7; 3 * 1024 * 1024]));
         group.run(2);
     }
     group.compact(leader);
@@ -98,15 +109,12 @@
 fn an_oversized_command_is_refused_and_the_largest_one_fits() {
     let mut group = Group::new(3);
     let leader = group.elect();
-    let ticket = group.ticket();
     let command = Bytes::from(vec![0; MAX_COMMAND_BYTES + 1]);
-    group.step(leader, Input::Propose { ticket, command });
-    assert_eq!(group.rejected, [(ticket, Rejection::TooLarge)]);
-    let ticket = group.ticket();
-    let command = Bytes::from(vec![0; MAX_COMMAND_BYTES]);
-    group.step(leader, Input::Propose { ticket, command });
+    let ticket = group.propose_command(leader, command);
+    assert_eq!(group.checks.rejected, [(ticket, Rejection::TooLarge)]);
+    let ticket = group.propose_command(leader, Bytes::from(vec![0; MAX_COMMAND_BYTES]));
     group.run(3);
-    assert!(group.done.contains(&ticket));
+    assert!(group.is_done(ticket));
 }
 
 /// Replaces a lost disk by a learner that is promoted, in both orders, and then loses another one.
@@ -139,11 +147,11 @@
             for change in changes {
                 group.change_and_wait(change);
             }
-            let before = group.acknowledged.len();
+            let before = group.checks.acknowledged.len();
             assert_eq!(before, 50 + 3);
             group.wipe(second);
             group.settle();
-            assert_eq!(group.acknowledged.len(), before + 1);
+            assert_eq!(group.checks.acknowledged.len(), before + 1);
         }
     }
 }
@@ -161,7 +169,7 @@
     group.change_and_wait(MemberChange::AddLearner(MemberId(id)));
     let ticket = group.change(leader, MemberChange::Promote(MemberId(id)));
     assert_eq!(
-        group.rejected.pop(),
+        group.checks.rejected.pop(),
         Some((ticket, Rejection::ChangeRefused))
     );
     group.nodes[place].up = true;
@@ -181,9 +189,9 @@
     let (_, id) = group.add_blank();
     let first = group.change(leader, MemberChange::AddLearner(MemberId(id)));
     let second = group.change(leader, MemberChange::Remove(own));
-    assert_eq!(group.rejected, [(second, Rejection::ChangeRefused)]);
+    assert_eq!(group.checks.rejected, [(second, Rejection::ChangeRefused)]);
     group.run(5);
-    assert!(group.done.contains(&first));
+    assert!(group.is_done(first));
     for change in [
         MemberChange::AddLearner(MemberId(id)),
         MemberChange::AddLearner(own),
@@ -193,7 +201,7 @@
     ] {
         let ticket = group.change(leader, change);
         let refused = Some((ticket, Rejection::ChangeRefused));
-        assert_eq!(group.rejected.pop(), refused, "{change:?}");
+        assert_eq!(group.checks.rejected.pop(), refused, "{change:?}");
     }
 }
 
@@ -205,7 +213,7 @@
         let own = MemberId(group.nodes[leader].id);
         let ticket = group.change(leader, MemberChange::Remove(own));
         group.run(5);
-        assert!(group.done.contains(&ticket));
+        assert!(group.is_done(ticket));
         assert_eq!(group.nodes[leader].replica.role(), Role::Learner);
         group.nodes[leader].up = false;
         let next = group.elect();
@@ -215,12 +223,12 @@
     let own = MemberId(group.nodes[last].id);
     let ticket = group.change(last, MemberChange::Remove(own));
     assert_eq!(
-        group.rejected.pop(),
+        group.checks.rejected.pop(),
         Some((ticket, Rejection::ChangeRefused))
     );
     let ticket = group.propose(last);
     group.run(2);
-    assert!(group.done.contains(&ticket));
+    assert!(group.is_done(ticket));
 }
 
 fn isolate(group: &mut Group, place: usize) {
@@ -245,15 +253,25 @@
     assert_eq!(group.nodes[old].replica.lease_until(), None);
     let proposal = group.propose(old);
     let read = group.read(old);
-    assert!(!group.done.contains(&read));
+    assert!(!group.is_done(read));
     let new = group.elect();
     assert_ne!(new, old);
     group.propose(new);
     group.run(50);
-    assert!(group.rejected.contains(&(proposal, Rejection::Deposed)));
-    assert!(group.rejected.contains(&(read, Rejection::NotLeader)));
+    assert!(
+        group
+            .checks
+            .rejected
+            .contains(&(proposal, Rejection::Deposed))
+    );
+    assert!(
+        group
+            .checks
+            .rejected
+            .contains(&(read, Rejection::NotLeader))
+    );
     group.settle();
-    assert!(!group.done.contains(&proposal) && !group.done.contains(&read));
+    assert!(!group.is_done(proposal) && !group.is_done(read));
 }
 
 #[test]
@@ -264,11 +282,10 @@
     group.now = group.nodes[leader].replica.lease_until().unwrap();
     group.step(leader, Input::Tick);
     assert_eq!(group.nodes[leader].replica.lease_until(), None);
-    group.messages.clear();
     let read = group.read(leader);
-    assert!(!group.done.contains(&read));
-    group.run(5);
-    assert!(group.done.contains(&read));
+    assert!(!group.is_done(read));
+    group.run(1);
+    assert!(group.is_done(read));
 }
 
 #[test]
@@ -301,7 +318,7 @@
     }
     group.messages.clear();
     group.settle();
-    assert_eq!(group.acknowledged.len(), 21);
+    assert_eq!(group.checks.acknowledged.len(), 21);
 }
 
 #[test]
@@ -318,7 +335,7 @@
         assert!(group.now - lost <= Duration::from_millis(1200));
         let ticket = group.propose(next);
         group.run(2);
-        assert!(group.done.contains(&ticket));
+        assert!(group.is_done(ticket));
     }
 }
 
@@ -327,10 +344,10 @@
     let mut group = Group::new(1);
     let leader = group.elect();
     let tickets: Vec<Ticket> = (0..3).map(|_| group.propose(leader)).collect();
-    assert!(!group.done.contains(&tickets[0]), "nothing is synced yet");
+    assert!(!group.is_done(tickets[0]), "nothing is synced yet");
     group.sync(leader);
-    assert!(tickets.iter().all(|ticket| group.done.contains(ticket)));
+    assert!(tickets.iter().all(|ticket| group.is_done(*ticket)));
     group.now += STEP * 100;
     let read = group.read(leader);
-    assert!(group.done.contains(&read));
+    assert!(group.is_done(read));
 }
--- a/tests/replication_support/mod.rs
+++ b/tests/replication_support/mod.rs
@@ -2,108 +2,64 @@
 
 #![allow(dead_code)]
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+mod checks;
+mod disk;
+pub mod single;
+
+use std::{collections::BTreeSet, sync::atomic::Ordering, time::Duration};
 
 use bytes::Bytes;
 use flamingocroft::{
     domain::MemberId,
     replication::{
-        Batch, Effect, HardState, Input, MemberChange, Recovered, Rejection, Replica,
-        ReplicaSettings, Role, Snapshot, Ticket, Write,
+        Batch, HardState, Input, MemberChange, Recovered, Replica, ReplicaSettings, Role, Snapshot,
+        Ticket, Write,
     },
-    wire::{Entry, EntryKind, MembershipRecord, ReplicaMessage},
+    wire::{MAX_FRAME_BYTES, MembershipRecord, ReplicaMessage},
 };
 use prost::Message;
 
-pub const STEP: Duration = Duration::from_millis(20);
+use checks::{Checks, encode_state};
+use disk::Disk;
 
-/// What survives a crash.
-#[derive(Clone, Debug, Default)]
-pub struct Disk(pub Recovered);
-
-impl Disk {
-    pub fn write(&mut self, write: Write) {
-        let Recovered {
-            hard_state,
-            snapshot,
-            entries,
-        } = &mut self.0;
-        if let Some(new) = write.hard_state {
-            *hard_state = new;
-        }
-        for entry in write.entries {
-            entries.retain(|old| old.index < entry.index);
-            entries.push(entry);
-        }
-        if let Some(new) = write.snapshot {
-            let same = |e: &Entry| e.index == new.index && e.term == new.term;
-            let keep = entries.iter().any(same);
-            entries.retain(|e| keep && e.index > new.index);
-            *snapshot = new;
-        }
-    }
-}
+pub const STEP: Duration = Duration::from_millis(20);
 
+/// A member and its driver.
 pub struct Node {
     pub id: u64,
     pub replica: Replica,
     pub disk: Disk,
-    pub batch: Batch,
-    /// The state machine: the commands applied, by index.
+    batch: Batch,
+    /// The state machine: the commands applied, with their index.
     pub state: Vec<(u64, Bytes)>,
     pub applied: u64,
+    /// How fast its clock runs.
     pub rate: f64,
     pub up: bool,
-    pub incarnation: u64,
+    starts: u64,
+}
+
+impl Node {
+    /// From now on its syncs fail, if it has a data folder.
+    pub fn break_disk(&self) {
+        if let Disk::Folder(folder) = &self.disk {
+            folder.broken.store(true, Ordering::SeqCst);
+        }
+    }
 }
 
-/// The replicas, the messages between them, and the naive single copy.
 pub struct Group {
     pub nodes: Vec<Node>,
     pub messages: Vec<ReplicaMessage>,
     pub now: Duration,
-    pub settings: ReplicaSettings,
     pub cut: BTreeSet<(u64, u64)>,
-    pub committed: BTreeMap<u64, Entry>,
-    pub acknowledged: BTreeMap<u64, Bytes>,
-    pub rejected: Vec<(Ticket, Rejection)>,
-    pub done: Vec<Ticket>,
-    pub sent: u64,
-    pub sent_bytes: u64,
-    visible: u64,
-    leaders: BTreeMap<u64, u64>,
-    written: BTreeMap<(u64, u64), (Bytes, Option<u64>)>,
-    reads: BTreeMap<Ticket, u64>,
-    pub reads_done: u64,
+    pub checks: Checks,
+    settings: ReplicaSettings,
     next_ticket: u64,
     next_id: u64,
 }
 
-pub fn encode_state(state: &[(u64, Bytes)]) -> Bytes {
-    let entries = state.iter().map(|(index, data)| Entry {
-        index: *index,
-        data: data.clone(),
-        ..Entry::default()
-    });
-    let mut bytes = Vec::new();
-    for entry in entries {
-        entry.encode_length_delimited(&mut bytes).unwrap();
-    }
-    bytes.into()
-}
-
-pub fn decode_state(mut bytes: Bytes) -> Vec<(u64, Bytes)> {
-    let mut state = Vec::new();
-    while !bytes.is_empty() {
-        let entry = Entry::decode_length_delimited(&mut bytes).unwrap();
-        state.push((entry.index, entry.data));
-    }
-    state
-}
-
+/// What `Bootstrap` forms of these members.
 pub fn first_state(ids: impl IntoIterator<Item = u64>) -> Recovered {
     Recovered {
         hard_state: HardState {
@@ -119,7 +75,7 @@
             },
             state: Bytes::new(),
         },
-        ..Recovered::default()
+        entries: Vec::new(),
     }
 }
 
@@ -130,130 +86,136 @@
 
     /// Makes a group whose members' clocks run at the given rates.
     pub fn with(members: u64, settings: ReplicaSettings, rates: &[f64]) -> Self {
+        let disks = (1..=members).map(|id| (Disk::Memory(Recovered::default()), id));
+        Self::on(disks.collect(), settings, rates)
+    }
+
+    /// Makes a group on real data folders.
+    pub fn on_folders(members: usize, settings: ReplicaSettings) -> Self {
+        let disks = (0..members).map(|_| Disk::folder()).collect();
+        Self::on(disks, settings, &[])
+    }
+
+    fn on(disks: Vec<(Disk, u64)>, settings: ReplicaSettings, rates: &[f64]) -> Self {
         let mut group = Self {
             nodes: Vec::new(),
             messages: Vec::new(),
             now: Duration::from_secs(1),
-            settings,
             cut: BTreeSet::new(),
-            committed: BTreeMap::new(),
-            acknowledged: BTreeMap::new(),
-            rejected: Vec::new(),
-            done: Vec::new(),
-            sent: 0,
-            sent_bytes: 0,
-            visible: 0,
-            leaders: BTreeMap::new(),
-            written: BTreeMap::new(),
-            reads: BTreeMap::new(),
-            reads_done: 0,
+            checks: Checks::default(),
+            settings,
             next_ticket: 1,
-            next_id: members + 1,
+            next_id: 100,
         };
-        let ids: Vec<u64> = (1..=members).collect();
-        for id in &ids {
-            let rate = rates.get(*id as usize - 1).copied().unwrap_or(1.0);
-            group.join(*id, first_state(ids.clone()), rate);
+        let first = first_state(disks.iter().map(|(_, id)| *id));
+        for (place, (mut disk, id)) in disks.into_iter().enumerate() {
+            let write = Write {
+                hard_state: Some(first.hard_state.clone()),
+                entries: Vec::new(),
+                snapshot: Some(first.snapshot.clone()),
+            };
+            disk.write(write).unwrap();
+            group.join(id, disk, rates.get(place).copied().unwrap_or(1.0));
         }
         group
     }
 
-    fn join(&mut self, id: u64, recovered: Recovered, rate: f64) {
+    fn join(&mut self, id: u64, mut disk: Disk, rate: f64) {
         let now = self.now.mul_f64(rate);
-        let replica = Replica::new(
-            MemberId(id),
-            recovered.clone(),
-            self.settings.clone(),
-            id,
-            now,
-        );
+        let settings = self.settings.clone();
+        let seed = self.nodes.len() as u64 * 1000;
         self.nodes.push(Node {
             id,
-            replica,
-            disk: Disk(recovered),
+            replica: Replica::new(MemberId(id), disk.read(), settings, seed, now),
+            disk,
             batch: Batch::default(),
             state: Vec::new(),
             applied: 0,
             rate,
             up: true,
-            incarnation: 0,
+            starts: 0,
         });
     }
 
+    fn blank(&mut self, place: Option<usize>) -> (Disk, u64) {
+        if place.is_some_and(|place| matches!(self.nodes[place].disk, Disk::Folder(_))) {
+            return Disk::folder();
+        }
+        self.next_id += 1;
+        (Disk::Memory(Recovered::default()), self.next_id)
+    }
+
     /// Adds a member with an empty folder and returns its place and identifier.
     pub fn add_blank(&mut self) -> (usize, u64) {
-        let id = self.next_id;
-        self.next_id += 1;
-        self.join(id, Recovered::default(), 1.0);
+        let (disk, id) = self.blank(None);
+        self.join(id, disk, 1.0);
         (self.nodes.len() - 1, id)
     }
 
     /// Empties a member's disk; it starts as somebody else.
     pub fn wipe(&mut self, place: usize) -> u64 {
-        let id = self.next_id;
-        self.next_id += 1;
+        let (disk, id) = self.blank(Some(place));
+        self.nodes[place].disk = disk;
         self.nodes[place].id = id;
-        self.nodes[place].disk = Disk::default();
         self.crash(place);
         id
     }
 
     /// Loses everything that was not synced and starts again.
-    pub fn crash(&mut self, place: usize) {
+    pub fn crash(&mut self, place: usize) -> Recovered {
         let node = &mut self.nodes[place];
-        node.incarnation += 1;
+        let recovered = node.disk.read();
+        node.starts += 1;
         node.batch = Batch::default();
         node.state.clear();
         node.applied = 0;
-        node.replica = Replica::new(
-            MemberId(node.id),
-            node.disk.0.clone(),
-            self.settings.clone(),
-            node.id * 1000 + node.incarnation,
-            self.now.mul_f64(node.rate),
-        );
+        let (id, settings) = (MemberId(node.id), self.settings.clone());
+        let seed = place as u64 * 1000 + node.starts;
+        let now = self.now.mul_f64(node.rate);
+        node.replica = Replica::new(id, recovered.clone(), settings, seed, now);
+        recovered
     }
 
     pub fn step(&mut self, place: usize, input: Input) {
-        if !self.nodes[place].up {
+        let node = &mut self.nodes[place];
+        if !node.up {
             return;
         }
-        let node = &mut self.nodes[place];
         let was_leader = node.replica.role() == Role::Leader;
         let effects = node.replica.step(self.now.mul_f64(node.rate), input);
         for effect in &effects {
-            self.check_effect(place, effect);
+            self.checks.effect(node, effect);
         }
-        let node = &mut self.nodes[place];
         node.batch.add(effects);
         node.batch.take_rest();
         let ready = node.batch.take_ready();
-        self.post(ready);
-        if !was_leader && self.nodes[place].replica.role() == Role::Leader {
-            self.check_new_leader(place);
+        if !was_leader && node.replica.role() == Role::Leader {
+            self.checks.new_leader(node);
         }
-        self.check_leases();
+        self.post(ready);
+        self.checks.leases(&self.nodes, self.now);
     }
 
     fn post(&mut self, messages: Vec<ReplicaMessage>) {
         for message in messages {
-            self.sent += 1;
-            self.sent_bytes += message.encoded_len() as u64;
-            assert!(message.encoded_len() < flamingocroft::wire::MAX_FRAME_BYTES);
+            assert!(message.encoded_len() < MAX_FRAME_BYTES);
             if !self.cut.contains(&(message.from, message.to)) {
                 self.messages.push(message);
             }
         }
     }
 
-    /// Finishes what a member has to write.
+    /// Finishes what a member has to write. Its driver stops if that fails.
     pub fn sync(&mut self, place: usize) {
-        if !self.nodes[place].up {
+        let node = &mut self.nodes[place];
+        if !node.up {
             return;
         }
-        let node = &mut self.nodes[place];
         for write in node.batch.take_writes() {
-            node.disk.write(write);
+            if node.disk.write(write).is_err() {
+                node.up = false;
+                return;
+            }
         }
         let held = node.batch.take_held();
         let persisted = node.batch.take_persisted();
@@ -263,18 +225,21 @@
         }
     }
 
+    fn receive(&mut self, message: ReplicaMessage) {
+        if let Some(place) = self.nodes.iter().position(|node| node.id == message.to) {
+            self.step(place, Input::Receive(message));
+        }
+    }
+
     pub fn deliver(&mut self, number: usize, keep: bool) {
-        if self.messages.is_empty() {
+        let Some(number) = number.checked_rem(self.messages.len()) else {
             return;
-        }
-        let number = number % self.messages.len();
+        };
         let message = match keep {
             true => self.messages[number].clone(),
             false => self.messages.remove(number),
         };
-        if let Some(place) = self.nodes.iter().position(|node| node.id == message.to) {
-            self.step(place, Input::Receive(message));
-        }
+        self.receive(message);
     }
 
     /// Delivers everything, syncs everything and lets a little time pass, some times.
@@ -285,10 +250,7 @@
             }
             for _ in 0..6 {
                 for message in std::mem::take(&mut self.messages) {
-                    let place = self.nodes.iter().position(|node| node.id == message.to);
-                    if let Some(place) = place {
-                        self.step(place, Input::Receive(message));
-                    }
+                    self.receive(message);
                 }
                 for place in 0..self.nodes.len() {
                     self.sync(place);
@@ -298,7 +260,7 @@
         }
     }
 
-    /// Runs until a leader is known by all who are up, and returns its place.
+    /// Runs until a leader has committed in its term, and returns its place.
     pub fn elect(&mut self) -> usize {
         for _ in 0..500 {
             self.run(1);
@@ -309,12 +271,12 @@
         panic!("no leader within 10 s");
     }
 
-    /// The place of the newest leader that has committed in its term.
+    /// The place of the newest leader that holds a lease.
     pub fn leader(&self) -> Option<usize> {
-        let leads = |node: &&Node| node.up && node.replica.lease_until().is_some();
-        let newest = self.nodes.iter().filter(leads);
-        let newest = newest.max_by_key(|node| node.replica.term())?;
-        self.nodes.iter().position(|node| node.id == newest.id)
+        let places = 0..self.nodes.len();
+        places
+            .filter(|n| self.nodes[*n].up && self.nodes[*n].replica.lease_until().is_some())
+            .max_by_key(|n| self.nodes[*n].replica.term())
     }
 
     pub fn ticket(&mut self) -> Ticket {
@@ -323,15 +285,19 @@
     }
 
     pub fn propose(&mut self, place: usize) -> Ticket {
+        let command = Bytes::from(format!("command {}", self.next_ticket));
+        self.propose_command(place, command)
+    }
+
+    pub fn propose_command(&mut self, place: usize, command: Bytes) -> Ticket {
         let ticket = self.ticket();
-        let command = Bytes::from(format!("command {}", ticket.0));
         self.step(place, Input::Propose { ticket, command });
         ticket
     }
 
     pub fn read(&mut self, place: usize) -> Ticket {
         let ticket = self.ticket();
-        self.reads.insert(ticket, self.visible);
+        self.checks.ask(ticket);
         self.step(place, Input::Read { ticket });
         ticket
     }
@@ -348,165 +314,61 @@
         self.step(place, Input::Compact { index, state });
     }
 
+    pub fn is_done(&self, ticket: Ticket) -> bool {
+        self.checks.done.contains(&ticket)
+    }
+
+    /// Proposes some commands and checks that all are acknowledged.
+    pub fn commit(&mut self, count: usize) {
+        let leader = self.elect();
+        let tickets: Vec<Ticket> = (0..count).map(|_| self.propose(leader)).collect();
+        self.run(4);
+        assert!(tickets.into_iter().all(|ticket| self.is_done(ticket)));
+    }
+
     /// Makes a change and runs until it is committed, asking again while it is refused.
     pub fn change_and_wait(&mut self, change: MemberChange) {
         for _ in 0..200 {
             let leader = self.elect();
             let ticket = self.change(leader, change);
             self.run(5);
-            if self.done.contains(&ticket) {
+            if self.is_done(ticket) {
                 return;
             }
         }
         panic!("{change:?} was refused for 200 times");
     }
 
-    fn check_effect(&mut self, place: usize, effect: &Effect) {
-        match effect {
-            Effect::Persist { entries, .. } => self.check_written(place, entries),
-            Effect::Apply { entry, ticket } => self.check_applied(place, entry, *ticket),
-            Effect::Restore(snapshot) => {
-                let node = &mut self.nodes[place];
-                node.state = decode_state(snapshot.state.clone());
-                node.applied = snapshot.index;
-                let state = node.state.clone();
-                self.check_state(snapshot.index, &state);
-            }
-            Effect::ReadReady(ticket) => {
-                let visible = self.reads[ticket];
-                let applied = self.nodes[place].applied;
-                assert!(applied >= visible, "a read at {applied} missed {visible}");
-                self.reads_done += 1;
-                self.done.push(*ticket);
-            }
-            Effect::Rejected { ticket, rejection } => self.rejected.push((*ticket, *rejection)),
-            Effect::Send(_) => {}
-        }
-    }
-
-    /// Log matching: an index and term name one command and one entry before it.
-    fn check_written(&mut self, place: usize, entries: &[Entry]) {
-        for entry in entries {
-            let replica = &self.nodes[place].replica;
-            let Some(now_held) = replica.entry(entry.index) else {
-                continue;
-            };
-            if now_held.term != entry.term {
-                continue;
-            }
-            let previous = replica.entry(entry.index - 1).map(|e| e.term);
-            let known = self
-                .written
-                .entry((entry.index, entry.term))
-                .or_insert((entry.data.clone(), previous));
-            assert_eq!(known.0, entry.data, "two entries with one index and term");
-            if let (Some(one), Some(other)) = (known.1, previous) {
-                assert_eq!(one, other, "two histories before one entry");
-            }
-        }
-    }
-
-    fn check_applied(&mut self, place: usize, entry: &Entry, ticket: Option<Ticket>) {
-        let node = &mut self.nodes[place];
-        assert_eq!(
-            node.applied + 1,
-            entry.index,
-            "entries are applied in order"
-        );
-        node.applied = entry.index;
-        if entry.kind == EntryKind::Command as i32 {
-            node.state.push((entry.index, entry.data.clone()));
-        }
-        let known = self
-            .committed
-            .entry(entry.index)
-            .or_insert_with(|| entry.clone());
-        assert_eq!(known, entry, "two members applied different entries");
-        self.visible = self.visible.max(entry.index);
-        if let Some(ticket) = ticket {
-            self.acknowledged.insert(entry.index, entry.data.clone());
-            self.done.push(ticket);
-        }
-    }
-
-    fn check_state(&self, index: u64, state: &[(u64, Bytes)]) {
-        let naive: Vec<(u64, Bytes)> = self
-            .committed
-            .range(..=index)
-            .filter(|(_, entry)| entry.kind == EntryKind::Command as i32)
-            .map(|(index, entry)| (*index, entry.data.clone()))
-            .collect();
-        assert_eq!(state, naive, "a state differs from the naive copy");
-    }
-
-    /// Election safety and leader completeness.
-    fn check_new_leader(&mut self, place: usize) {
-        let node = &self.nodes[place];
-        let term = node.replica.term();
-        let known = *self.leaders.entry(term).or_insert(node.id);
-        assert_eq!(known, node.id, "two leaders in term {term}");
-        for (index, entry) in self.committed.range(node.applied + 1..) {
-            let held = node.replica.entry(*index);
-            assert_eq!(
-                held,
-                Some(entry),
-                "the leader of term {term} misses {index}"
-            );
-        }
-    }
-
-    /// While a lease holds nobody else leads in a later term.
-    fn check_leases(&self) {
-        for node in self.nodes.iter().filter(|node| node.up) {
-            let lease = node.replica.lease_until();
-            if lease.is_none_or(|until| until <= self.now.mul_f64(node.rate)) {
-                continue;
-            }
-            let other = self.nodes.iter().find(|other| {
-                other.up
-                    && other.replica.role() == Role::Leader
-                    && other.replica.term() > node.replica.term()
-            });
-            assert!(other.is_none(), "a leader was elected during a lease");
-        }
-    }
-
     /// Everything works again: all must agree on everything that was acknowledged.
     pub fn settle(&mut self) {
         self.cut.clear();
-        for place in 0..self.nodes.len() {
-            self.nodes[place].up = true;
-        }
+        self.nodes.iter_mut().for_each(|node| node.up = true);
         let leader = self.elect();
         let ticket = self.propose(leader);
         for _ in 0..500 {
             self.run(1);
-            if self.done.contains(&ticket) && self.agree() {
+            if self.is_done(ticket) && self.agree() {
                 break;
             }
         }
         assert!(self.agree(), "the members did not agree within 10 s");
-        for (index, data) in &self.acknowledged {
-            assert_eq!(
-                &self.committed[index].data, data,
-                "an acknowledged entry was lost"
-            );
-        }
-        let last = *self.committed.keys().last().unwrap();
-        for node in self.members() {
-            self.check_state(last, &node.state);
+        for (index, data) in &self.checks.acknowledged {
+            let held = &self.checks.committed[index].data;
+            assert_eq!(held, data, "an acknowledged entry was lost");
         }
+        self.voters().for_each(|node| self.checks.state(node));
     }
 
-    fn members(&self) -> impl Iterator<Item = &Node> {
+    fn voters(&self) -> impl Iterator<Item = &Node> {
         let leader = self.leader().expect("a settled group has a leader");
-        let record = self.nodes[leader].replica.membership().clone();
-        let is_member = move |node: &&Node| record.voters.contains(&node.id);
-        self.nodes.iter().filter(is_member)
+        let record = self.nodes[leader].replica.membership();
+        self.nodes
+            .iter()
+            .filter(|node| record.voters.contains(&node.id))
     }
 
     fn agree(&self) -> bool {
-        let last = self.committed.keys().last().copied().unwrap_or_default();
-        self.leader().is_some() && self.members().all(|node| node.applied == last)
+        let last = self.checks.committed.keys().last().copied();
+        self.leader().is_some() && self.voters().all(|node| Some(node.applied) == last)
     }
 }
--- /dev/null
+++ b/tests/replication_support/single.rs
@@ -0,0 +1,107 @@
+//! One replica whose peers are played by the test.
+
+use std::time::Duration;
+
+use flamingocroft::{
+    domain::MemberId,
+    replication::{Effect, Input, Replica, ReplicaSettings, Role},
+    wire::{
+        AppendReply, AppendRequest, Entry, ReplicaMessage, ReplicaPayload, VoteReply, VoteRequest,
+    },
+};
+
+use super::first_state;
+
+/// When the replica starts.
+pub const START: Duration = Duration::from_secs(10);
+
+pub fn entry(index: u64, term: u64) -> Entry {
+    Entry {
+        index,
+        term,
+        kind: 1,
+        data: format!("{index} {term}").into(),
+    }
+}
+
+/// Makes member 1 of five, in a term and with entries after the first snapshot.
+pub fn replica(term: u64, entries: Vec<Entry>) -> Replica {
+    let mut recovered = first_state(1..=5);
+    recovered.hard_state.term = term;
+    recovered.entries = entries;
+    let settings = ReplicaSettings::default();
+    let mut replica = Replica::new(MemberId(1), recovered, settings, 1, START);
+    let effects = replica.step(START, Input::Tick);
+    assert!(matches!(effects.as_slice(), [Effect::Restore(_)]));
+    replica
+}
+
+pub fn receive(
+    replica: &mut Replica,
+    now: Duration,
+    from: u64,
+    term: u64,
+    payload: ReplicaPayload,
+) -> Vec<Effect> {
+    let message = ReplicaMessage {
+        from,
+        to: 1,
+        term,
+        payload: Some(payload),
+    };
+    replica.step(now, Input::Receive(message))
+}
+
+/// Lets members 2 and 3 elect the replica at a time, and its disk sync its first entry.
+pub fn lead(replica: &mut Replica, now: Duration) {
+    replica.step(now, Input::Tick);
+    let term = replica.term() + 1;
+    for pre_vote in [true, false] {
+        for from in [2, 3] {
+            let granted = true;
+            let vote = ReplicaPayload::VoteReply(VoteReply { pre_vote, granted });
+            receive(replica, now, from, term, vote);
+        }
+    }
+    assert_eq!((replica.role(), replica.term()), (Role::Leader, term));
+    let index = replica.last_index();
+    replica.step(now, Input::Persisted { index, term });
+}
+
+pub fn reply(matched: bool, index: u64, round: u64) -> ReplicaPayload {
+    ReplicaPayload::AppendReply(AppendReply {
+        matched,
+        index,
+        round,
+    })
+}
+
+pub fn append(previous: Entry, entries: Vec<Entry>) -> ReplicaPayload {
+    ReplicaPayload::Append(AppendRequest {
+        previous_index: previous.index,
+        previous_term: previous.term,
+        entries,
+        commit: 1,
+        round: 1,
+    })
+}
+
+/// A request that loses to no log.
+pub fn vote(pre_vote: bool) -> ReplicaPayload {
+    ReplicaPayload::Vote(VoteRequest {
+        pre_vote,
+        last_index: 100,
+        last_term: 100,
+    })
+}
+
+/// The payloads of the messages that a step sends.
+pub fn sent(effects: &[Effect]) -> Vec<&ReplicaPayload> {
+    effects
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::Send(message) => message.payload.as_ref(),
+            _ => None,
+        })
+        .collect()
+}
