Survive stray messages: bound what a reply may claim

A reply that claims entries beyond the leader's log moved the place to send from beyond it. Such a claim now counts up to the log's end.

--- a/src/replication/leader.rs
+++ b/src/replication/leader.rs
@@ -268,6 +268,7 @@
 
     /// Takes over what a member has synced. Returns whether it takes entries, not a snapshot.
     pub(super) fn advance_member(&mut self, from: u64, index: u64) -> bool {
+        let index = index.min(self.log.last_index());
         let Some(progress) = self.progress_mut(from) else {
             return false;
         };
--- a/src/replication/progress.rs
+++ b/src/replication/progress.rs
@@ -68,7 +68,7 @@
         if matches!(self.mode, Mode::Snapshot(_)) {
             return;
         }
-        self.next = (hint + 1).min(last_index + 1).max(self.matched + 1);
+        self.next = hint.min(last_index).max(self.matched) + 1;
         self.mode = Mode::Probe { waiting: false };
     }
 
