Write the log anew when it is opened, and never cut what was sealed

Two causes, found by reading: after a failed sync the system may show bytes that never reach the disk, so a restarted member could build on them; and a flipped bit in the first batch of a compacted segment, if no other record followed, was cut as a torn tail together with the vote and all entries. Opening now writes a new segment, and a segment's header says how many records were synced before the file got its name; losing one of those is damage, not a tear.

--- a/src/adapters/disk/folder.rs
+++ b/src/adapters/disk/folder.rs
@@ -95,17 +95,12 @@
         fs::remove_file(path).map_err(StoreError::io("remove", path))
     }
 
-    /// Opens a file to append, cut to a length and synced: what a killed process wrote may not have
-    /// reached the disk yet.
-    pub(super) fn append(&self, path: &Path, length: u64) -> Result<File, StoreError> {
-        let file = OpenOptions::new()
+    /// Opens a file to append to it.
+    pub(super) fn append(&self, path: &Path) -> Result<File, StoreError> {
+        OpenOptions::new()
             .append(true)
             .open(path)
-            .map_err(StoreError::io("open", path))?;
-        file.set_len(length).map_err(StoreError::io("cut", path))?;
-        file.sync_all().map_err(StoreError::io("sync", path))?;
-        sync_folder(&self.path)?;
-        Ok(file)
+            .map_err(StoreError::io("open", path))
     }
 }
 
--- a/src/adapters/disk/record.rs
+++ b/src/adapters/disk/record.rs
@@ -19,6 +19,9 @@
     pub(super) base_index: u64,
     #[prost(uint64, tag = "4")]
     pub(super) base_term: u64,
+    /// Records that were synced before the file got its name, this one included. They are never torn.
+    #[prost(uint64, tag = "5")]
+    pub(super) sealed: u64,
 }
 
 /// Every other record of a segment: what was written with one sync.
--- a/src/adapters/disk/recover.rs
+++ b/src/adapters/disk/recover.rs
@@ -17,26 +17,17 @@
 
 pub(super) const VERSION: u32 = 1;
 
-/// What a data folder holds.
-pub(super) struct Stored {
-    pub(super) member: MemberId,
-    pub(super) recovered: Recovered,
-    /// Length of the segment's whole records, in bytes.
-    pub(super) length: u64,
-    /// The sequence number of the next record.
-    pub(super) sequence: u64,
-}
-
-pub(super) fn read(folder: &Folder, segment: &Path) -> Result<Stored, StoreError> {
+/// Reads which member a data folder belongs to and what it holds.
+pub(super) fn read(folder: &Folder, segment: &Path) -> Result<(MemberId, Recovered), StoreError> {
     let bytes = folder.read(segment)?.unwrap_or_default();
     let scan = record::scan(&bytes)
         .map_err(|hole| StoreError::damaged(segment, hole.offset as u64, hole.reason))?;
     let mut payloads = scan.payloads.iter();
-    // A segment gets its name only after its first record is synced, so that record is never torn.
+    let damaged = |reason| StoreError::damaged(segment, scan.end as u64, reason);
     let header = payloads
         .next()
         .and_then(|payload| SegmentHeader::decode(*payload).ok())
-        .ok_or_else(|| StoreError::damaged(segment, 0, "the first record can't be read"))?;
+        .ok_or_else(|| damaged("the first record can't be read"))?;
     if header.version != VERSION {
         return Err(StoreError::Version {
             path: segment.to_owned(),
@@ -44,6 +35,11 @@
             expected: VERSION,
         });
     }
+    if (scan.payloads.len() as u64) < header.sealed {
+        return Err(damaged(
+            "a record that was synced with the file can't be read",
+        ));
+    }
     if scan.end < bytes.len() {
         let torn = bytes.len() - scan.end;
         log::warn!(
@@ -53,17 +49,12 @@
     }
     let (hard_state, entries) = replay(segment, &header, payloads)?;
     let snapshot = read_snapshot(folder, &header)?;
-    let entries = after(&snapshot, entries, header.base_index);
-    Ok(Stored {
-        member: MemberId(header.member),
-        recovered: Recovered {
-            hard_state,
-            snapshot,
-            entries,
-        },
-        length: scan.end as u64,
-        sequence: scan.payloads.len() as u64,
-    })
+    let recovered = Recovered {
+        hard_state,
+        entries: after(&snapshot, entries, header.base_index),
+        snapshot,
+    };
+    Ok((MemberId(header.member), recovered))
 }
 
 fn replay<'a>(
--- a/src/adapters/disk/store.rs
+++ b/src/adapters/disk/store.rs
@@ -4,6 +4,7 @@
     fmt,
     fs::File,
     io::{self, Write},
+    mem,
     path::Path,
 };
 
@@ -11,7 +12,7 @@
     StoreError,
     folder::Folder,
     record::{self, SegmentHeader, StoredBatch, StoredHardState, StoredSnapshot},
-    recover::{self, Stored, VERSION},
+    recover::{self, VERSION},
 };
 use crate::{
     domain::MemberId,
@@ -42,23 +43,30 @@
 /// The log, vote and snapshot of one member on a disk.
 pub struct LogStore {
     folder: Folder,
-    member: MemberId,
+    contents: Contents,
     number: u64,
+    /// The sequence number of the next record.
     sequence: u64,
     end: Box<dyn Medium>,
     wrap: Wrap,
+    poisoned: bool,
+}
+
+/// What a segment holds when it begins.
+#[derive(Debug)]
+struct Contents {
+    member: MemberId,
     hard_state: HardState,
-    /// The entry before the first of `entries`.
+    /// Index and term of the entry before the first one.
     base: (u64, u64),
     entries: Vec<Entry>,
-    poisoned: bool,
 }
 
 impl fmt::Debug for LogStore {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("LogStore")
             .field("folder", &self.folder.path())
-            .field("member", &self.member)
+            .field("member", &self.contents.member)
             .field("poisoned", &self.poisoned)
             .finish_non_exhaustive()
     }
@@ -78,33 +86,31 @@
     ) -> Result<(Self, Recovered, MemberId), StoreError> {
         let folder = Folder::open(folder)?;
         let segments = folder.segments()?;
-        let number = match segments.last() {
-            Some(number) => *number,
-            None => create(&folder)?,
+        let newest = segments.last().copied();
+        let (member, recovered) = match newest {
+            Some(number) => recover::read(&folder, &folder.segment(number))?,
+            None => (new_member(&folder)?, Recovered::default()),
         };
-        let segment = folder.segment(number);
-        let stored = recover::read(&folder, &segment)?;
-        let file = folder.append(&segment, stored.length)?;
-        // A crash between writing a segment and removing the one before leaves both.
-        for older in segments.iter().filter(|older| **older < number) {
-            folder.remove(&folder.segment(*older))?;
-        }
-        let Stored {
+        let contents = Contents {
             member,
-            recovered,
-            sequence,
-            ..
-        } = stored;
+            hard_state: recovered.hard_state.clone(),
+            base: (recovered.snapshot.index, recovered.snapshot.term),
+            entries: recovered.entries.clone(),
+        };
+        let number = newest.unwrap_or(0) + 1;
+        // What was read may only be in the system's cache, also after a sync that failed, so it is
+        // written anew before anything is built on it.
+        let (end, sequence) = contents.begin(&folder, number)?;
+        for old in segments {
+            folder.remove(&folder.segment(old))?;
+        }
         let store = Self {
             folder,
-            member,
+            contents,
             number,
             sequence,
-            end: wrap(file),
+            end: wrap(end),
             wrap: Box::new(wrap),
-            hard_state: recovered.hard_state.clone(),
-            base: (recovered.snapshot.index, recovered.snapshot.term),
-            entries: recovered.entries.clone(),
             poisoned: false,
         };
         Ok((store, recovered, member))
@@ -144,12 +150,10 @@
         };
         let bytes = record::encode(self.sequence, &batch);
         let path = self.folder.segment(self.number);
-        if !recover::append(&mut self.entries, batch.entries, self.base.0) {
-            return Err(StoreError::damaged(
-                &path,
-                0,
-                "an entry to store is out of order",
-            ));
+        let base_index = self.contents.base.0;
+        if !recover::append(&mut self.contents.entries, batch.entries, base_index) {
+            let reason = "an entry to store does not follow the ones before";
+            return Err(StoreError::damaged(&path, 0, reason));
         }
         self.end
             .append(&bytes)
@@ -157,18 +161,19 @@
         self.end.sync().map_err(StoreError::io("sync", &path))?;
         self.sequence += 1;
         if let Some(hard_state) = hard_state {
-            self.hard_state = hard_state;
+            self.contents.hard_state = hard_state;
         }
         Ok(())
     }
 
     /// Stores a snapshot and begins a segment with what follows it.
     fn rotate(&mut self, snapshot: &Snapshot) -> Result<(), StoreError> {
-        if snapshot.index <= self.base.0 {
+        let base_index = self.contents.base.0;
+        if snapshot.index <= base_index {
             return Ok(());
         }
         let stored = StoredSnapshot {
-            member: self.member.0,
+            member: self.contents.member.0,
             index: snapshot.index,
             term: snapshot.term,
             membership: Some(snapshot.membership.clone()),
@@ -176,34 +181,37 @@
         };
         let bytes = record::encode(0, &stored);
         self.folder.replace(&self.folder.snapshot(), &bytes)?;
-        let entries = std::mem::take(&mut self.entries);
-        self.entries = recover::after(snapshot, entries, self.base.0);
-        self.base = (snapshot.index, snapshot.term);
+        let entries = mem::take(&mut self.contents.entries);
+        self.contents.entries = recover::after(snapshot, entries, base_index);
+        self.contents.base = (snapshot.index, snapshot.term);
         let old = self.folder.segment(self.number);
         self.number += 1;
-        let path = self.folder.segment(self.number);
-        let bytes = self.first_records();
-        self.folder.replace(&path, &bytes)?;
-        let file = self.folder.append(&path, bytes.len() as u64)?;
-        self.end = (self.wrap)(file);
+        let (end, sequence) = self.contents.begin(&self.folder, self.number)?;
+        self.end = (self.wrap)(end);
+        self.sequence = sequence;
         self.folder.remove(&old)
     }
+}
 
-    fn first_records(&mut self) -> Vec<u8> {
+impl Contents {
+    /// Writes a segment and opens its end. Returns the sequence number of its next record, too.
+    fn begin(&self, folder: &Folder, number: u64) -> Result<(File, u64), StoreError> {
         let header = SegmentHeader {
             version: VERSION,
             member: self.member.0,
             base_index: self.base.0,
             base_term: self.base.1,
+            sealed: 2,
         };
         let batch = StoredBatch {
             hard_state: Some(stored_hard_state(&self.hard_state)),
             entries: self.entries.clone(),
         };
-        self.sequence = 2;
         let mut bytes = record::encode(0, &header);
         bytes.extend(record::encode(1, &batch));
-        bytes
+        let path = folder.segment(number);
+        folder.replace(&path, &bytes)?;
+        Ok((folder.append(&path)?, header.sealed))
     }
 }
 
@@ -214,21 +222,12 @@
     }
 }
 
-/// Makes the first segment of a new member. Its identifier is random, so that an emptied folder is
-/// never taken for the member it was.
-fn create(folder: &Folder) -> Result<u64, StoreError> {
+/// Returns a random identifier, so that an emptied folder is never taken for the member it was.
+fn new_member(folder: &Folder) -> Result<MemberId, StoreError> {
     let snapshot = folder.snapshot();
     if folder.read(&snapshot)?.is_some() {
         let reason = "there is a snapshot but no log";
         return Err(StoreError::damaged(&snapshot, 0, reason));
     }
-    let header = SegmentHeader {
-        version: VERSION,
-        member: rand::random_range(1..=u64::MAX),
-        base_index: 0,
-        base_term: 0,
-    };
-    let number = 1;
-    folder.replace(&folder.segment(number), &record::encode(0, &header))?;
-    Ok(number)
+    Ok(MemberId(rand::random_range(1..=u64::MAX)))
 }
