--- a/src/replication/leader.rs
+++ b/src/replication/leader.rs
@@ -14,14 +14,10 @@
     progress::{Mode, Progress},
     replica::State,
 };
-use crate::wire::{AppendReply, AppendRequest, Entry, EntryKind, ReplicaPayload};
+use crate::wire::{Entry, EntryKind};
 
-/// Bytes of entries in one message; a larger entry travels alone.
-const BATCH_BYTES: usize = 1024 * 1024;
 /// Largest command, so that a message with it fits into a frame.
 pub const MAX_COMMAND_BYTES: usize = 4 * 1024 * 1024;
-/// A lease ends this part of the election timeout early, for clocks that run at different rates.
-const LEASE_MARGIN: u32 = 10;
 /// Election timeouts without an answer of a majority after which a leader gives up.
 const PATIENCE: u32 = 2;
 
@@ -167,86 +163,10 @@
         self.release_reads();
     }
 
-    pub(super) fn send_entries(&mut self) {
-        let Some(leadership) = self.leadership() else {
-            return;
-        };
-        let members: Vec<u64> = leadership.progress.keys().copied().collect();
-        for to in members {
-            self.send_to(to);
-        }
-    }
-
-    /// Sends what a member may get now; returns whether anything was sent.
-    pub(super) fn send_to(&mut self, to: u64) -> bool {
-        let mut sent = false;
-        while let Some(progress) = self.leadership().and_then(|l| l.progress.get(&to)) {
-            let (next, ready) = (progress.next, progress.ready());
-            if !ready {
-                return sent;
-            }
-            if next <= self.log.base_index() {
-                self.start_transfer(to);
-                return true;
-            }
-            let entries = self
-                .log
-                .slice(next, self.settings.batch_entries, BATCH_BYTES);
-            let Some(last) = entries.last().map(|entry| entry.index) else {
-                return sent;
-            };
-            self.send_append(to, next - 1, entries);
-            if let Some(progress) = self.progress_mut(to) {
-                progress.sent(last);
-            }
-            sent = true;
-        }
-        sent
-    }
-
-    /// Sends no entries, only a place to compare and a round to echo.
-    fn send_heartbeat(&mut self, to: u64) {
-        let Some(progress) = self.leadership().and_then(|l| l.progress.get(&to)) else {
-            return;
-        };
-        let previous = match &progress.mode {
-            Mode::Snapshot(_) => self.snapshot.index,
-            _ => (progress.next - 1).max(self.log.base_index()),
-        };
-        self.send_append(to, previous, Vec::new());
-        self.repeat_chunk(to);
-    }
-
-    fn send_append(&mut self, to: u64, previous: u64, entries: Vec<Entry>) {
-        let request = AppendRequest {
-            previous_index: previous,
-            previous_term: self.log.term(previous).unwrap_or_default(),
-            entries,
-            commit: self.commit,
-            round: self.round(),
-        };
-        self.send(to, ReplicaPayload::Append(request));
-    }
-
-    fn progress_mut(&mut self, member: u64) -> Option<&mut Progress> {
+    pub(super) fn progress_mut(&mut self, member: u64) -> Option<&mut Progress> {
         self.leadership_mut()?.progress.get_mut(&member)
     }
 
-    pub(super) fn receive_append_reply(&mut self, from: u64, reply: AppendReply) {
-        if !self.note_echo(from, reply.round) {
-            return;
-        }
-        if reply.matched {
-            self.advance_member(from, reply.index);
-            return;
-        }
-        let last = self.log.last_index();
-        if let Some(progress) = self.progress_mut(from) {
-            progress.retreat(reply.index, last);
-        }
-        self.send_to(from);
-    }
-
     /// Takes over that a member echoed a round. Returns whether the member is known.
     pub(super) fn note_echo(&mut self, from: u64, round: u64) -> bool {
         let Some(leadership) = self.leadership_mut() else {
@@ -266,19 +186,6 @@
         true
     }
 
-    /// Takes over what a member has synced. Returns whether it takes entries, not a snapshot.
-    pub(super) fn advance_member(&mut self, from: u64, index: u64) -> bool {
-        let index = index.min(self.log.last_index());
-        let Some(progress) = self.progress_mut(from) else {
-            return false;
-        };
-        progress.advance(index);
-        let takes_entries = !matches!(progress.mode, Mode::Snapshot(_));
-        self.advance_commit();
-        self.send_to(from);
-        takes_entries
-    }
-
     /// Commits what a majority has synced, if it is of this term: an older entry that a majority
     /// holds may still be replaced.
     pub(super) fn advance_commit(&mut self) {
@@ -319,35 +226,6 @@
         })
     }
 
-    /// The start of the newest round that a majority echoed.
-    fn quorum_start(&self) -> Duration {
-        let Some(leadership) = self.leadership() else {
-            return Duration::ZERO;
-        };
-        let voters = &self.membership().voters;
-        let starts = voters.iter().map(|id| match leadership.progress.get(id) {
-            Some(progress) => progress.echoed_start,
-            None => self.now,
-        });
-        majority(starts).unwrap_or_default()
-    }
-
-    /// The time until which a majority gives no vote; zero if this member does not lead.
-    pub(super) fn lease(&self) -> Duration {
-        let timeout = self.settings.election_timeout;
-        match self.quorum_start() {
-            Duration::ZERO => Duration::ZERO,
-            start => start + timeout - timeout / LEASE_MARGIN,
-        }
-    }
-
-    /// Until when no other leader can exist. Nothing if this member does not lead, or has not yet
-    /// committed an entry of its term and so may not know the newest state.
-    pub fn lease_until(&self) -> Option<Duration> {
-        let lease = self.lease();
-        (self.has_opened() && lease > self.now).then_some(lease)
-    }
-
     /// The last index that a member is known to have synced, if this member leads.
     pub fn matched(&self, member: crate::domain::MemberId) -> Option<u64> {
         let leadership = self.leadership()?;
--- a/src/replication/mod.rs
+++ b/src/replication/mod.rs
@@ -6,11 +6,14 @@
 mod election;
 mod follower;
 mod leader;
+mod lease;
 mod log;
 mod membership;
 mod progress;
 mod read;
+mod receive;
 mod replica;
+mod sending;
 mod snapshot;
 
 pub use batch::{Batch, Write};
--- /dev/null
+++ b/src/replication/receive.rs
@@ -0,0 +1,75 @@
+//! Incoming messages: who may be heard, and who handles what.
+
+use super::{Replica, replica::State};
+use crate::wire::{AppendReply, ReplicaMessage, ReplicaPayload};
+
+impl Replica {
+    pub(super) fn receive(&mut self, message: ReplicaMessage) {
+        let ReplicaMessage {
+            from,
+            to,
+            term,
+            payload: Some(payload),
+        } = message
+        else {
+            return;
+        };
+        if to != self.own || from == self.own {
+            return;
+        }
+        match payload {
+            ReplicaPayload::Vote(request) => self.receive_vote(from, term, request),
+            ReplicaPayload::VoteReply(reply) => self.receive_vote_reply(from, term, reply),
+            ReplicaPayload::Append(request) => {
+                if self.accept_leader(from, term, request.round) {
+                    self.receive_append(from, request);
+                }
+            }
+            ReplicaPayload::InstallSnapshot(request) => {
+                if self.accept_leader(from, term, request.round) {
+                    self.receive_snapshot(from, request);
+                }
+            }
+            ReplicaPayload::AppendReply(reply) => {
+                if self.accept_reply(term) {
+                    self.receive_append_reply(from, reply);
+                }
+            }
+            ReplicaPayload::InstallSnapshotReply(reply) => {
+                if self.accept_reply(term) {
+                    self.receive_snapshot_reply(from, reply);
+                }
+            }
+        }
+    }
+
+    /// Takes over the sender as leader, or tells it of a newer term.
+    fn accept_leader(&mut self, from: u64, term: u64, round: u64) -> bool {
+        if term < self.hard.term {
+            let reply = AppendReply {
+                matched: false,
+                index: self.log.last_index(),
+                round,
+            };
+            self.send(from, ReplicaPayload::AppendReply(reply));
+            return false;
+        }
+        if term > self.hard.term {
+            self.enter_term(term);
+        }
+        self.state = State::Follower;
+        self.leader = Some(from);
+        self.votes_from = self
+            .votes_from
+            .max(self.now + self.settings.election_timeout);
+        self.reset_deadline();
+        true
+    }
+
+    fn accept_reply(&mut self, term: u64) -> bool {
+        if term > self.hard.term {
+            self.enter_term(term);
+        }
+        term == self.hard.term
+    }
+}
--- /dev/null
+++ b/src/replication/sending.rs
@@ -0,0 +1,98 @@
+//! Sending entries to the other members, and taking their answers.
+
+use super::{Replica, progress::Mode};
+use crate::wire::{AppendReply, AppendRequest, Entry, ReplicaPayload};
+
+/// Bytes of entries in one message; a larger entry travels alone.
+const BATCH_BYTES: usize = 1024 * 1024;
+
+impl Replica {
+    pub(super) fn send_entries(&mut self) {
+        let Some(leadership) = self.leadership() else {
+            return;
+        };
+        let members: Vec<u64> = leadership.progress.keys().copied().collect();
+        for to in members {
+            self.send_to(to);
+        }
+    }
+
+    /// Sends what a member may get now; returns whether anything was sent.
+    pub(super) fn send_to(&mut self, to: u64) -> bool {
+        let mut sent = false;
+        while let Some(progress) = self.leadership().and_then(|l| l.progress.get(&to)) {
+            let (next, ready) = (progress.next, progress.ready());
+            if !ready {
+                return sent;
+            }
+            if next <= self.log.base_index() {
+                self.start_transfer(to);
+                return true;
+            }
+            let entries = self
+                .log
+                .slice(next, self.settings.batch_entries, BATCH_BYTES);
+            let Some(last) = entries.last().map(|entry| entry.index) else {
+                return sent;
+            };
+            self.send_append(to, next - 1, entries);
+            if let Some(progress) = self.progress_mut(to) {
+                progress.sent(last);
+            }
+            sent = true;
+        }
+        sent
+    }
+
+    /// Sends no entries, only a place to compare and a round to echo.
+    pub(super) fn send_heartbeat(&mut self, to: u64) {
+        let Some(progress) = self.leadership().and_then(|l| l.progress.get(&to)) else {
+            return;
+        };
+        let previous = match &progress.mode {
+            Mode::Snapshot(_) => self.snapshot.index,
+            _ => (progress.next - 1).max(self.log.base_index()),
+        };
+        self.send_append(to, previous, Vec::new());
+        self.repeat_chunk(to);
+    }
+
+    fn send_append(&mut self, to: u64, previous: u64, entries: Vec<Entry>) {
+        let request = AppendRequest {
+            previous_index: previous,
+            previous_term: self.log.term(previous).unwrap_or_default(),
+            entries,
+            commit: self.commit,
+            round: self.round(),
+        };
+        self.send(to, ReplicaPayload::Append(request));
+    }
+
+    pub(super) fn receive_append_reply(&mut self, from: u64, reply: AppendReply) {
+        if !self.note_echo(from, reply.round) {
+            return;
+        }
+        if reply.matched {
+            self.advance_member(from, reply.index);
+            return;
+        }
+        let last = self.log.last_index();
+        if let Some(progress) = self.progress_mut(from) {
+            progress.retreat(reply.index, last);
+        }
+        self.send_to(from);
+    }
+
+    /// Takes over what a member has synced. Returns whether it takes entries, not a snapshot.
+    pub(super) fn advance_member(&mut self, from: u64, index: u64) -> bool {
+        let index = index.min(self.log.last_index());
+        let Some(progress) = self.progress_mut(from) else {
+            return false;
+        };
+        progress.advance(index);
+        let takes_entries = !matches!(progress.mode, Mode::Snapshot(_));
+        self.advance_commit();
+        self.send_to(from);
+        takes_entries
+    }
+}
