--- a/tests/replication_commit.rs
+++ b/tests/replication_commit.rs
@@ -5,8 +5,9 @@
 use flamingocroft::{
     domain::MemberId,
     replication::{Batch, Effect, Input, Snapshot},
-    wire::{Entry, InstallSnapshot, ReplicaMessage, ReplicaPayload},
+    wire::{Entry, EntryKind, InstallSnapshot, MembershipRecord, ReplicaMessage, ReplicaPayload},
 };
+use prost::Message;
 use replication_support::single::{
     START, append, entry, lead, receive, replica, reply, sent, vote,
 };
@@ -63,6 +64,25 @@
     assert_eq!(claimed(&effects), [2]);
 }
 
+#[test]
+fn a_change_of_members_is_in_force_until_it_is_replaced() {
+    let mut replica = replica(2, vec![entry(2, 2)]);
+    let record = MembershipRecord {
+        voters: vec![1, 2, 3],
+        learners: vec![4],
+    };
+    let change = Entry {
+        kind: EntryKind::Membership as i32,
+        data: record.encode_to_vec().into(),
+        ..entry(3, 2)
+    };
+    receive(&mut replica, LATER, 2, 2, append(entry(2, 2), vec![change]));
+    assert_eq!(replica.membership(), &record);
+    let other = vec![entry(3, 3), entry(4, 3)];
+    receive(&mut replica, LATER, 3, 3, append(entry(2, 2), other));
+    assert_eq!(replica.membership().voters, [1, 2, 3, 4, 5]);
+}
+
 #[test]
 fn an_installed_snapshot_is_claimed_only_once_it_is_synced() {
     let mut replica = replica(2, vec![entry(2, 1), entry(3, 1)]);
