Show each fault of the stand-ins to the adapters, and describe the stand-ins

Each fault gives the right kind and whether bytes can have been sent, and the stand-in's own count says that nothing ran twice. Two tests failed first: the stand-in dropped the last token before a cut, because hyper writes what it buffers only when the body has to wait; the body now waits once before it breaks. A call's own timeout now bounds its connect, too.

--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -94,7 +94,7 @@
         reuse: Reuse,
         deadline: Instant,
     ) -> Result<Answer, UpstreamError> {
-        let mut connection = self.connect(target, reuse).await?;
+        let mut connection = self.connect(target, reuse, deadline).await?;
         match timeout_at(deadline, connection.connection.send(req)).await {
             Ok(Ok(res)) => Ok(Answer { res, connection }),
             Ok(Err(e)) => Err(e),
@@ -125,7 +125,12 @@
         whole.success()?.json()
     }
 
-    async fn connect(&self, target: &Target, reuse: Reuse) -> Result<Lease, UpstreamError> {
+    async fn connect(
+        &self,
+        target: &Target,
+        reuse: Reuse,
+        deadline: Instant,
+    ) -> Result<Lease, UpstreamError> {
         let idle = self.pool.target(target);
         if reuse == Reuse::Allowed {
             while let Some(mut connection) = idle.take() {
@@ -138,7 +143,9 @@
                 }
             }
         }
-        let connection = Connection::open(target.address, self.connect_timeout).await?;
+        let limit = deadline.saturating_duration_since(Instant::now());
+        let limit = limit.min(self.connect_timeout);
+        let connection = Connection::open(target.address, limit).await?;
         Ok(Lease {
             connection,
             idle,
--- a/standin/src/cloud/mod.rs
+++ b/standin/src/cloud/mod.rs
@@ -85,6 +85,11 @@
         self.server.address
     }
 
+    /// Returns how many connections were accepted so far.
+    pub fn connections(&self) -> u64 {
+        self.server.accepted()
+    }
+
     /// Returns what was ordered so far.
     pub fn counts(&self) -> CloudCounts {
         self.shared.lock().counts.clone()
--- a/standin/src/engine/generate.rs
+++ b/standin/src/engine/generate.rs
@@ -9,6 +9,7 @@
 use sha2::{Digest, Sha256};
 use tokio::{
     sync::{Notify, oneshot},
+    task::yield_now,
     time::{Instant, sleep_until},
 };
 
@@ -134,6 +135,8 @@
             return None;
         }
         if self.faults.cut_after_tokens == Some(self.relayed) {
+            // The server writes what it holds only when it has to wait for more.
+            yield_now().await;
             return Some(Err(Fault));
         }
         if self.faults.silent_after_tokens == Some(self.relayed) {
--- a/standin/src/engine/mod.rs
+++ b/standin/src/engine/mod.rs
@@ -40,6 +40,11 @@
         self.server.address
     }
 
+    /// Returns how many connections were accepted so far.
+    pub fn connections(&self) -> u64 {
+        self.server.accepted()
+    }
+
     /// Returns what was executed so far.
     pub fn counts(&self) -> EngineCounts {
         self.shared.lock().counts.clone()
--- a/standin/src/http/mod.rs
+++ b/standin/src/http/mod.rs
@@ -8,7 +8,10 @@
 use std::{
     future::Future,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError, atomic::AtomicBool},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
 };
 
 use anyhow::Context;
@@ -29,6 +32,7 @@
 #[derive(Debug)]
 pub(crate) struct Server {
     pub(crate) address: SocketAddr,
+    accepted: Arc<AtomicU64>,
     silenced: Arc<Mutex<Arc<AtomicBool>>>,
     task: JoinHandle<()>,
 }
@@ -44,15 +48,27 @@
             .await
             .with_context(|| format!("could not listen on {listen}; choose a free address"))?;
         let address = listener.local_addr()?;
+        let accepted = Arc::default();
         let silenced = Arc::default();
-        let task = tokio::spawn(accept(listener, handler, Arc::clone(&silenced)));
+        let task = tokio::spawn(accept(
+            listener,
+            handler,
+            Arc::clone(&accepted),
+            Arc::clone(&silenced),
+        ));
         Ok(Self {
             address,
+            accepted,
             silenced,
             task,
         })
     }
 
+    /// Returns how many connections were accepted so far.
+    pub(crate) fn accepted(&self) -> u64 {
+        self.accepted.load(Ordering::Relaxed)
+    }
+
     /// Closes the listener and all connections at once, as the end of an instance does.
     pub(crate) fn stop(&self) {
         self.task.abort();
@@ -61,13 +77,17 @@
     /// Makes all open connections silent for good; new ones work.
     pub(crate) fn silence_open(&self) {
         let mut current = self.silenced.lock().unwrap_or_else(PoisonError::into_inner);
-        current.store(true, std::sync::atomic::Ordering::Relaxed);
+        current.store(true, Ordering::Relaxed);
         *current = Arc::default();
     }
 }
 
-async fn accept<H, F>(listener: TcpListener, handler: H, silenced: Arc<Mutex<Arc<AtomicBool>>>)
-where
+async fn accept<H, F>(
+    listener: TcpListener,
+    handler: H,
+    count: Arc<AtomicU64>,
+    silenced: Arc<Mutex<Arc<AtomicBool>>>,
+) where
     H: Fn(Request<Bytes>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Reply> + Send + 'static,
 {
@@ -76,6 +96,7 @@
         tokio::select! {
             accepted = listener.accept() => {
                 let Ok((stream, _)) = accepted else { continue };
+                count.fetch_add(1, Ordering::Relaxed);
                 let flag = Arc::clone(&silenced.lock().unwrap_or_else(PoisonError::into_inner));
                 connections.spawn(converse(stream, flag, handler.clone()));
             }
--- a/standin/src/http/reply.rs
+++ b/standin/src/http/reply.rs
@@ -8,6 +8,7 @@
 use hyper::{Response, StatusCode, body::Frame, header};
 use serde::{Serialize, de::DeserializeOwned};
 use serde_json::json;
+use tokio::task::yield_now;
 
 use crate::Faults;
 
@@ -105,6 +106,11 @@
     head.headers
         .insert(header::CONTENT_LENGTH, whole.len().into());
     let part = whole.slice(..bytes.min(whole.len()));
-    let frames = stream::iter([Ok(Frame::data(part)), Err(Fault)]);
+    let end = stream::once(async {
+        // The server writes what it holds only when it has to wait for more.
+        yield_now().await;
+        Err(Fault)
+    });
+    let frames = stream::iter([Ok(Frame::data(part))]).chain(end);
     Response::from_parts(head, BodyExt::boxed_unsync(StreamBody::new(frames)))
 }
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -110,6 +110,11 @@
         self.server.address
     }
 
+    /// Returns how many connections were accepted so far.
+    pub fn connections(&self) -> u64 {
+        self.server.accepted()
+    }
+
     /// Returns what was executed so far.
     pub fn counts(&self) -> ServiceCounts {
         lock(&self.state).counts.clone()
--- /dev/null
+++ b/tests/adapters_call.rs
@@ -0,0 +1,192 @@
+//! Calls of plain services over HTTP: whatever fails, a call is executed at most once.
+
+mod adapters_support;
+
+use std::time::Duration;
+
+use adapters_support::{eventually, pile_status, release, target, timing};
+use flamingocroft::{
+    adapters::HttpUpstreams,
+    ports::{
+        Sent::{Maybe, No},
+        UpstreamErrorKind::{self, Connect, Cut, Silent},
+        Upstreams,
+    },
+};
+use standin::{
+    Faults,
+    service::{self, Echo, ServiceParams},
+};
+
+const KEY: &str = "0190b5a0-0000-7000-8000-000000000001";
+const SHORT: Duration = Duration::from_millis(150);
+
+#[tokio::test]
+async fn a_call_passes_its_key_and_body_and_runs_once() {
+    let service = service::start(ServiceParams::default()).await.unwrap();
+    let upstreams = HttpUpstreams::new(&timing());
+    let call = release(KEY, Duration::from_secs(2));
+    let reply = upstreams
+        .call(&target(service.address()), &call)
+        .await
+        .unwrap();
+    let echo: Echo = serde_json::from_slice(&reply.body).unwrap();
+    assert_eq!(
+        (reply.status, reply.content_type.as_str()),
+        (200, "application/json")
+    );
+    assert_eq!(
+        (echo.method.as_str(), echo.path.as_str()),
+        ("POST", "/releases")
+    );
+    assert_eq!(echo.key.as_deref(), Some(KEY));
+    assert_eq!(service.counts().by_key[KEY], 1);
+}
+
+#[tokio::test]
+async fn each_fault_of_a_service_has_its_kind_and_executes_at_most_once() {
+    let none = Faults::default();
+    let cases: [(&str, Faults, UpstreamErrorKind, u64); 6] = [
+        (
+            "silent",
+            Faults {
+                silent: true,
+                ..none
+            },
+            Silent,
+            0,
+        ),
+        (
+            "silent after it ran",
+            Faults {
+                silent_reply: true,
+                ..none
+            },
+            Silent,
+            1,
+        ),
+        (
+            "late answer",
+            Faults {
+                answer_delay_ms: 60_000,
+                ..none
+            },
+            Silent,
+            1,
+        ),
+        (
+            "lost reply",
+            Faults {
+                lost_reply: true,
+                ..none
+            },
+            Cut,
+            1,
+        ),
+        (
+            "cut head of the body",
+            Faults {
+                cut_after_bytes: Some(0),
+                ..none
+            },
+            Cut,
+            1,
+        ),
+        (
+            "cut body",
+            Faults {
+                cut_after_bytes: Some(10),
+                ..none
+            },
+            Cut,
+            1,
+        ),
+    ];
+    for (name, faults, kind, executed) in cases {
+        let params = ServiceParams {
+            faults,
+            ..ServiceParams::default()
+        };
+        let service = service::start(params).await.unwrap();
+        let upstreams = HttpUpstreams::new(&timing());
+        let call = release(KEY, SHORT);
+        let e = upstreams
+            .call(&target(service.address()), &call)
+            .await
+            .expect_err(name);
+        assert_eq!((e.kind, e.sent), (kind, Maybe), "{name}: {e}");
+        assert_eq!(service.counts().executed, executed, "{name}");
+        assert_eq!(service.connections(), 1, "{name}");
+    }
+}
+
+#[tokio::test]
+async fn a_call_that_was_given_up_may_run_late_but_once() {
+    let service = service::start(ServiceParams::default()).await.unwrap();
+    service.set_faults(Faults {
+        execute_delay_ms: 300,
+        ..Faults::default()
+    });
+    let upstreams = HttpUpstreams::new(&timing());
+    let call = release(KEY, SHORT);
+    let e = upstreams
+        .call(&target(service.address()), &call)
+        .await
+        .unwrap_err();
+    assert_eq!((e.kind, e.sent), (Silent, Maybe));
+    assert_eq!(service.counts().executed, 0);
+    eventually("it ran", || service.counts().executed == 1).await;
+}
+
+#[tokio::test]
+async fn a_call_to_an_ended_service_was_not_sent() {
+    let service = service::start(ServiceParams::default()).await.unwrap();
+    let target = target(service.address());
+    let upstreams = HttpUpstreams::new(&timing());
+    upstreams.call(&target, &pile_status()).await.unwrap();
+    service.stop();
+    eventually("the port is closed", || {
+        std::net::TcpStream::connect(target.address).is_err()
+    })
+    .await;
+    let call = release(KEY, SHORT);
+    let e = upstreams.call(&target, &call).await.unwrap_err();
+    assert_eq!((e.kind, e.sent), (Connect, No));
+    assert_eq!(service.counts().by_key.len(), 0);
+}
+
+#[tokio::test]
+async fn a_call_that_must_not_run_twice_avoids_idle_connections() {
+    let service = service::start(ServiceParams::default()).await.unwrap();
+    let target = target(service.address());
+    let upstreams = HttpUpstreams::new(&timing());
+    for _ in 0..3 {
+        upstreams.call(&target, &pile_status()).await.unwrap();
+    }
+    assert_eq!(service.connections(), 1);
+    service.silence_open();
+    let call = release(KEY, Duration::from_secs(2));
+    upstreams.call(&target, &call).await.unwrap();
+    assert_eq!(service.counts().by_key[KEY], 1);
+    assert_eq!(service.connections(), 2);
+}
+
+#[tokio::test]
+async fn a_restarted_service_is_reached_over_new_connections() {
+    let first = service::start(ServiceParams::default()).await.unwrap();
+    let target = target(first.address());
+    let upstreams = HttpUpstreams::new(&timing());
+    upstreams.call(&target, &pile_status()).await.unwrap();
+    first.stop();
+    eventually("the port is closed", || {
+        std::net::TcpStream::connect(target.address).is_err()
+    })
+    .await;
+    let params = ServiceParams {
+        listen: target.address,
+        ..ServiceParams::default()
+    };
+    let second = service::start(params).await.unwrap();
+    upstreams.call(&target, &pile_status()).await.unwrap();
+    assert_eq!(second.counts().executed, 1);
+}
--- /dev/null
+++ b/tests/adapters_generate.rs
@@ -0,0 +1,305 @@
+//! Generations over HTTP, with each fault of an engine.
+
+mod adapters_support;
+
+use adapters_support::{completion, eventually, read, target, timing};
+use flamingocroft::{
+    adapters::HttpUpstreams,
+    domain::FinishReason,
+    ports::{
+        Sent::{self, Maybe, No},
+        UpstreamErrorKind::{self, Busy, Connect, Cut, Leaving, Protocol, Rejected, Silent},
+        Upstreams,
+    },
+};
+use futures_util::{StreamExt, future::join_all};
+use standin::{
+    Faults,
+    engine::{self, EngineParams, answer_seed, answer_token},
+};
+
+const PROMPT: &str = "Draft the manifest of pile 3.";
+
+fn answer(prompt: &str, tokens: u32) -> Vec<String> {
+    let seed = answer_seed(prompt, 7);
+    (0..tokens).map(|i| answer_token(seed, i)).collect()
+}
+
+#[tokio::test]
+async fn a_whole_answer_ends_with_its_reason_and_frees_its_connection() {
+    let engine = engine::start(EngineParams::default()).await.unwrap();
+    let upstreams = HttpUpstreams::new(&timing());
+    let target = target(engine.address());
+    for _ in 0..5 {
+        let (tokens, end) = read(&upstreams, &target, &completion(PROMPT, 12)).await;
+        assert_eq!(tokens, answer(PROMPT, 12));
+        assert_eq!(end.unwrap().reason, FinishReason::Length);
+    }
+    assert_eq!(engine.connections(), 1);
+    assert_eq!(engine.counts().executed, 5);
+}
+
+#[tokio::test]
+async fn concurrent_callers_each_get_their_own_answer() {
+    const CALLERS: usize = 100;
+    let params = EngineParams {
+        slots: 100,
+        ..EngineParams::default()
+    };
+    let engine = engine::start(params).await.unwrap();
+    let upstreams = HttpUpstreams::new(&timing());
+    let target = target(engine.address());
+    let ask = async |i: usize| {
+        let prompt = format!("Draft the manifest of truck {i}.");
+        for _ in 0..3 {
+            let (tokens, end) = read(&upstreams, &target, &completion(&prompt, 20)).await;
+            assert_eq!(tokens, answer(&prompt, 20));
+            end.unwrap();
+        }
+    };
+    join_all((0..CALLERS).map(ask)).await;
+    assert_eq!(engine.counts().executed, 3 * CALLERS as u64);
+    assert!(engine.connections() <= CALLERS as u64);
+}
+
+struct Case {
+    name: &'static str,
+    params: EngineParams,
+    model: &'static str,
+    leaving: bool,
+    tokens: u32,
+    kind: UpstreamErrorKind,
+    sent: Sent,
+    started: u64,
+}
+
+fn case(name: &'static str, faults: Faults, kind: UpstreamErrorKind, tokens: u32) -> Case {
+    Case {
+        name,
+        params: EngineParams {
+            faults,
+            ..EngineParams::default()
+        },
+        model: "assistant",
+        leaving: false,
+        tokens,
+        kind,
+        sent: Maybe,
+        started: 1,
+    }
+}
+
+fn cases() -> Vec<Case> {
+    let none = Faults::default();
+    vec![
+        Case {
+            started: 0,
+            ..case(
+                "silent",
+                Faults {
+                    silent: true,
+                    ..none
+                },
+                Silent,
+                0,
+            )
+        },
+        case(
+            "late head",
+            Faults {
+                answer_delay_ms: 60_000,
+                ..none
+            },
+            Silent,
+            0,
+        ),
+        case(
+            "silent in the middle",
+            Faults {
+                silent_after_tokens: Some(3),
+                ..none
+            },
+            Silent,
+            3,
+        ),
+        case(
+            "cut in the middle",
+            Faults {
+                cut_after_tokens: Some(3),
+                ..none
+            },
+            Cut,
+            3,
+        ),
+        case(
+            "lost reply",
+            Faults {
+                lost_reply: true,
+                ..none
+            },
+            Cut,
+            0,
+        ),
+        case(
+            "lost token",
+            Faults {
+                skip_token: Some(2),
+                ..none
+            },
+            Protocol,
+            2,
+        ),
+        case(
+            "another's answer",
+            Faults {
+                wrong_request_id: true,
+                ..none
+            },
+            Protocol,
+            0,
+        ),
+        Case {
+            leaving: true,
+            started: 0,
+            ..case("leaving", none, Leaving, 0)
+        },
+        Case {
+            model: "unknown",
+            started: 0,
+            ..case("unknown model", none, Rejected, 0)
+        },
+        Case {
+            params: EngineParams {
+                slots: 0,
+                queue: 0,
+                ..EngineParams::default()
+            },
+            started: 0,
+            ..case("busy", none, Busy, 0)
+        },
+    ]
+}
+
+#[tokio::test]
+async fn each_fault_of_an_engine_has_its_kind_and_is_never_repeated() {
+    for case in cases() {
+        let engine = engine::start(case.params).await.unwrap();
+        if case.leaving {
+            engine.set_leaving();
+        }
+        let upstreams = HttpUpstreams::new(&timing());
+        let mut req = completion(PROMPT, 8);
+        req.model = case.model.into();
+        let (tokens, end) = read(&upstreams, &target(engine.address()), &req).await;
+        let e = end.expect_err(case.name);
+        assert_eq!(
+            (e.kind, e.sent),
+            (case.kind, case.sent),
+            "{}: {e}",
+            case.name
+        );
+        assert_eq!(tokens, answer(PROMPT, case.tokens), "{}", case.name);
+        let counts = engine.counts();
+        assert!(counts.started <= case.started, "{}: {counts:?}", case.name);
+        assert_eq!(engine.connections(), 1, "{}", case.name);
+    }
+}
+
+#[tokio::test]
+async fn an_ended_engine_was_sent_nothing() {
+    let engine = engine::start(EngineParams::default()).await.unwrap();
+    let target = target(engine.address());
+    engine.stop();
+    eventually("the port is closed", || {
+        std::net::TcpStream::connect(target.address).is_err()
+    })
+    .await;
+    let upstreams = HttpUpstreams::new(&timing());
+    let (_, end) = read(&upstreams, &target, &completion(PROMPT, 8)).await;
+    let e = end.unwrap_err();
+    assert_eq!((e.kind, e.sent), (Connect, No));
+}
+
+#[tokio::test]
+async fn an_engine_that_ends_in_the_middle_cuts_its_streams() {
+    let engine = engine::start(EngineParams::default()).await.unwrap();
+    let upstreams = HttpUpstreams::new(&timing());
+    let target = target(engine.address());
+    let mut stream = upstreams
+        .generate(&target, &completion(PROMPT, 100_000))
+        .await
+        .unwrap();
+    assert!(stream.next().await.unwrap().is_ok());
+    engine.stop();
+    let e = loop {
+        if let Err(e) = stream.next().await.unwrap() {
+            break e;
+        }
+    };
+    assert_eq!((e.kind, e.sent), (Cut, Maybe));
+}
+
+#[tokio::test]
+async fn a_resumed_answer_continues_exactly() {
+    let first = engine::start(EngineParams::default()).await.unwrap();
+    let second = engine::start(EngineParams::default()).await.unwrap();
+    first.set_faults(Faults {
+        cut_after_tokens: Some(5),
+        ..Faults::default()
+    });
+    let upstreams = HttpUpstreams::new(&timing());
+    let mut req = completion(PROMPT, 12);
+    let (mut tokens, end) = read(&upstreams, &target(first.address()), &req).await;
+    assert_eq!(end.unwrap_err().kind, Cut);
+    req.prefix.clone_from(&tokens);
+    let (rest, end) = read(&upstreams, &target(second.address()), &req).await;
+    end.unwrap();
+    tokens.extend(rest);
+    assert_eq!(tokens, answer(PROMPT, 12));
+    assert_eq!(second.counts().foreign_prefixes, 0);
+    assert_eq!(second.counts().tokens, 7);
+}
+
+#[tokio::test]
+async fn a_dropped_stream_and_a_cancel_end_the_generation() {
+    let engine = engine::start(EngineParams::default()).await.unwrap();
+    let upstreams = HttpUpstreams::new(&timing());
+    let target = target(engine.address());
+    let req = completion(PROMPT, 100_000);
+    let mut stream = upstreams.generate(&target, &req).await.unwrap();
+    assert!(stream.next().await.unwrap().is_ok());
+    drop(stream);
+    eventually("the engine has cancelled it", || {
+        engine.counts().cancelled == 1
+    })
+    .await;
+
+    let mut stream = upstreams.generate(&target, &req).await.unwrap();
+    assert!(stream.next().await.unwrap().is_ok());
+    upstreams.cancel(&target, req.id).await.unwrap();
+    let e = loop {
+        if let Err(e) = stream.next().await.unwrap() {
+            break e;
+        }
+    };
+    assert_eq!(e.kind, Cut);
+    assert_eq!(engine.counts().cancelled, 2);
+    assert_eq!(engine.load().running, 0);
+}
+
+#[tokio::test]
+async fn connections_that_went_silent_are_replaced_by_new_ones() {
+    let engine = engine::start(EngineParams::default()).await.unwrap();
+    let upstreams = HttpUpstreams::new(&timing());
+    let target = target(engine.address());
+    let short = completion(PROMPT, 2);
+    let both = join_all([0, 1].map(|_| read(&upstreams, &target, &short))).await;
+    assert!(both.iter().all(|(_, end)| end.is_ok()));
+    engine.silence_open();
+    let (_, end) = read(&upstreams, &target, &short).await;
+    assert_eq!(end.unwrap_err().kind, Silent);
+    let (tokens, end) = read(&upstreams, &target, &short).await;
+    end.unwrap();
+    assert_eq!(tokens, answer(PROMPT, 2));
+    assert_eq!(engine.connections(), 3);
+}
--- /dev/null
+++ b/tests/adapters_platform.rs
@@ -0,0 +1,238 @@
+//! The cloud API, the weight store and orders to engines over HTTP.
+
+mod adapters_support;
+
+use std::{sync::Arc, time::Duration};
+
+use adapters_support::{completion, eventually, read, target, timing};
+use flamingocroft::{
+    adapters::{HttpCloud, HttpUpstreams, HttpWeights},
+    domain::{FencingNumber, InstanceState, MachineClass, OperationId, Purchase},
+    ports::{
+        CloudApi, CloudError, EngineOrder, OrderKind, OrderOutcome, StartRequest, Upstreams,
+        WeightError, WeightStore,
+    },
+};
+use standin::{
+    Faults,
+    cloud::{self, Cloud, CloudParams, Launch, Started},
+    engine::{self, EngineParams},
+    weights::{self, WeightParams},
+};
+use uuid::Uuid;
+
+fn launch() -> Launch {
+    Arc::new(|_| {
+        Box::pin(async {
+            let engine = engine::start(EngineParams::default()).await?;
+            Ok(Started {
+                address: engine.address(),
+                stop: Box::new(move || engine.stop()),
+            })
+        })
+    })
+}
+
+async fn start_cloud() -> (Cloud, HttpCloud) {
+    let cloud = cloud::start(CloudParams::default(), launch())
+        .await
+        .unwrap();
+    let api = HttpCloud::new(cloud.address(), &timing());
+    (cloud, api)
+}
+
+fn order(operation: u128) -> StartRequest {
+    StartRequest {
+        operation: OperationId(Uuid::from_u128(operation)),
+        service: "assistant".into(),
+        zone: "tunis-a".into(),
+        class: MachineClass("gpu-8".into()),
+        purchase: Purchase::Reclaimable,
+        fence: FencingNumber(3),
+    }
+}
+
+#[tokio::test]
+async fn a_resent_start_makes_one_instance_even_if_the_answer_was_lost() {
+    let (cloud, api) = start_cloud().await;
+    cloud.set_faults(Faults {
+        lost_reply: true,
+        ..Faults::default()
+    });
+    let lost = api.start(&order(1)).await;
+    assert!(matches!(lost, Err(CloudError::Unanswered(_))), "{lost:?}");
+    cloud.set_faults(Faults::default());
+    let name = api.start(&order(1)).await.unwrap();
+    assert_eq!(cloud.counts().started, 1);
+    let rows = api.instances().await.unwrap();
+    assert_eq!(rows.len(), 1);
+    assert_eq!((&rows[0].name, rows[0].state), (&name, InstanceState::Live));
+    assert_eq!(rows[0].purchase, Purchase::Reclaimable);
+}
+
+#[tokio::test]
+async fn a_refused_start_is_told_from_an_unanswered_one() {
+    let (cloud, api) = start_cloud().await;
+    cloud.adjust(|params| params.refuse_starts = true);
+    let refused = api.start(&order(1)).await;
+    assert!(
+        matches!(refused, Err(CloudError::Refused(_))),
+        "{refused:?}"
+    );
+    cloud.stop();
+    eventually("the cloud API is gone", || {
+        std::net::TcpStream::connect(cloud.address()).is_err()
+    })
+    .await;
+    let unanswered = api.start(&order(1)).await;
+    assert!(
+        matches!(unanswered, Err(CloudError::Unanswered(_))),
+        "{unanswered:?}"
+    );
+}
+
+#[tokio::test]
+async fn a_reclaimed_instance_is_announced_and_then_ends() {
+    const NOTICE: Duration = Duration::from_millis(200);
+    let (cloud, api) = start_cloud().await;
+    let name = api.start(&order(1)).await.unwrap();
+    let address = api.instances().await.unwrap()[0].address;
+    assert!(cloud.reclaim(name.as_str(), NOTICE));
+    let notices = api.notices().await.unwrap();
+    assert_eq!(notices[0].instance, name);
+    assert!(notices[0].remaining <= NOTICE);
+    assert_eq!(
+        api.instances().await.unwrap()[0].state,
+        InstanceState::Leaving
+    );
+    eventually("the instance is gone", || cloud.instances().is_empty()).await;
+    eventually("its process has ended", || {
+        std::net::TcpStream::connect(address).is_err()
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn the_instance_list_lags_behind_the_notices() {
+    let (cloud, api) = start_cloud().await;
+    let name = api.start(&order(1)).await.unwrap();
+    cloud.adjust(|params| params.list_lag_ms = 60_000);
+    assert!(cloud.reclaim(name.as_str(), Duration::from_secs(60)));
+    assert_eq!(api.notices().await.unwrap().len(), 1);
+    assert_eq!(api.instances().await.unwrap()[0].state, InstanceState::Live);
+}
+
+#[tokio::test]
+async fn a_stopped_instance_leaves_the_list() {
+    let (cloud, api) = start_cloud().await;
+    let name = api.start(&order(1)).await.unwrap();
+    api.stop(&name, FencingNumber(4)).await.unwrap();
+    api.stop(&name, FencingNumber(4)).await.unwrap();
+    assert_eq!(api.instances().await.unwrap(), Vec::new());
+    assert_eq!(cloud.counts().stopped, 1);
+}
+
+#[tokio::test]
+async fn the_weight_store_says_how_long_a_fetch_takes_and_when_it_is_at_its_limit() {
+    let params = WeightParams {
+        mib_per_second: 100,
+        model_mib: 1000,
+        max_fetches: 0,
+        ..WeightParams::default()
+    };
+    let limited = weights::start(params.clone()).await.unwrap();
+    let free = weights::start(WeightParams {
+        max_fetches: 1,
+        ..params
+    })
+    .await
+    .unwrap();
+    let store = HttpWeights::new(free.address(), &timing());
+    let time = store.fetch_time(&"assistant".into(), "v1").await.unwrap();
+    assert_eq!(time, Duration::from_secs(10));
+    let store = HttpWeights::new(limited.address(), &timing());
+    let refused = store.fetch_time(&"assistant".into(), "v1").await;
+    assert!(
+        matches!(refused, Err(WeightError::Limited(_))),
+        "{refused:?}"
+    );
+}
+
+fn load_order(fence: u64, version: &str) -> EngineOrder {
+    EngineOrder {
+        kind: OrderKind::Load {
+            model: "small".into(),
+            version: version.to_owned(),
+        },
+        fence: FencingNumber(fence),
+    }
+}
+
+#[tokio::test]
+async fn an_engine_that_checks_fencing_numbers_refuses_an_older_order() {
+    let engine = engine::start(EngineParams::default()).await.unwrap();
+    let upstreams = HttpUpstreams::new(&timing());
+    let target = target(engine.address());
+    let outcomes = [
+        upstreams
+            .order(&target, &load_order(5, "v2"))
+            .await
+            .unwrap(),
+        upstreams
+            .order(&target, &load_order(4, "v1"))
+            .await
+            .unwrap(),
+    ];
+    assert_eq!(outcomes, [OrderOutcome::Done, OrderOutcome::Fenced]);
+    let report = upstreams.load(&target).await.unwrap();
+    assert_eq!(report.fence, FencingNumber(5));
+    assert_eq!(report.models, ["assistant".into(), "small".into()]);
+    assert_eq!(engine.counts().orders.len(), 1);
+}
+
+#[tokio::test]
+async fn an_engine_that_ignores_fencing_numbers_carries_out_an_older_order() {
+    let params = EngineParams {
+        ignore_fence: true,
+        ..EngineParams::default()
+    };
+    let engine = engine::start(params).await.unwrap();
+    let upstreams = HttpUpstreams::new(&timing());
+    let target = target(engine.address());
+    upstreams
+        .order(&target, &load_order(5, "v2"))
+        .await
+        .unwrap();
+    upstreams
+        .order(&target, &load_order(4, "v1"))
+        .await
+        .unwrap();
+    let versions: Vec<_> = engine
+        .counts()
+        .orders
+        .into_iter()
+        .map(|order| order.version)
+        .collect();
+    assert_eq!(versions, [Some("v2".to_owned()), Some("v1".to_owned())]);
+}
+
+#[tokio::test]
+async fn exported_cache_spares_the_prefill_elsewhere() {
+    let prompt = "Stock of pile 3, by grade and moisture. ".repeat(40);
+    let first = engine::start(EngineParams::default()).await.unwrap();
+    let second = engine::start(EngineParams::default()).await.unwrap();
+    let upstreams = HttpUpstreams::new(&timing());
+    let (from, to) = (target(first.address()), target(second.address()));
+    let req = completion(&prompt, 100_000);
+    let stream = upstreams.generate(&from, &req).await.unwrap();
+    eventually("it has started", || first.counts().started == 1).await;
+    let cache = upstreams.export_cache(&from, req.id).await.unwrap();
+    upstreams.import_cache(&to, cache).await.unwrap();
+    drop(stream);
+    let (_, end) = read(&upstreams, &to, &completion(&prompt, 2)).await;
+    let end = end.unwrap();
+    assert_eq!((end.prompt_tokens, end.cached_tokens), (400, 384));
+    let events = upstreams.cache_events(&to, 0).await.unwrap();
+    assert_eq!((events.events.len(), events.gap), (6, false));
+    assert_eq!(events.next, 6);
+}
