Report all errors of a settings or intent file, also when required fields are broken

Broken required fields are replaced by placeholders, so that the rest is still checked; a rule is skipped only if a field it reads is broken itself. Ruled out: serde alone (stops at the first error) and stopping the cross checks at the first broken field (the operator would need two rounds).

--- a/src/settings/intent.rs
+++ b/src/settings/intent.rs
@@ -6,177 +6,12 @@
 
 use super::{
     FileError, Problem,
-    problem::read_value,
-    shape::{Field, Shape, check_object, is_sha256, optional, required},
+    problem::{Problems, read_value},
+    schema::{INTENT, METHODS},
+    shape::{check_object, is_sha256},
 };
 use crate::domain::{Intent, Operation, Service, ServiceKind};
 
-const HOUR_MS: u64 = 3600 * 1000;
-const COUNT: Shape = Shape::Integer {
-    min: 1,
-    max: 1 << 20,
-};
-const TARGET_MS: Shape = Shape::Integer {
-    min: 1,
-    max: HOUR_MS,
-};
-const PRICE: Shape = Shape::Integer {
-    min: 0,
-    max: 1 << 50,
-};
-const WEIGHT_MS: Shape = Shape::Decimal { min: 0.0, max: 1e6 };
-
-/// The HTTP methods that plain services may offer.
-const METHODS: &[&str] = &["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"];
-
-const ZONE: &[Field] = &[
-    required("name", Shape::Text),
-    required("region", Shape::Text),
-];
-
-const TIER: &[Field] = &[
-    required("name", Shape::Text),
-    required("paying", Shape::Bool),
-    required("first_token_ms", TARGET_MS),
-    required("between_tokens_ms", TARGET_MS),
-];
-
-const ACCOUNT: &[Field] = &[
-    required("name", Shape::Text),
-    required("tier", Shape::Text),
-    required("token_sha256", Shape::Sha256),
-    optional("weight", COUNT),
-];
-
-const MODEL: &[Field] = &[
-    required("name", Shape::Text),
-    required("version", Shape::Text),
-    required(
-        "weights_mib",
-        Shape::Integer {
-            min: 1,
-            max: 1 << 30,
-        },
-    ),
-];
-
-const OPERATION: &[Field] = &[
-    required("method", Shape::OneOf(METHODS)),
-    required("path", Shape::Text),
-    required("idempotent", Shape::Bool),
-];
-
-const ENGINES: &[Field] = &[
-    required(
-        "models",
-        Shape::List {
-            of: &Shape::Text,
-            min: 1,
-        },
-    ),
-    required("fencing", Shape::OneOf(&["checked", "ignored"])),
-];
-
-const PLAIN: &[Field] = &[required(
-    "operations",
-    Shape::List {
-        of: &Shape::Object(OPERATION),
-        min: 1,
-    },
-)];
-
-const KIND: &[Field] = &[
-    required("engines", Shape::Object(ENGINES)),
-    required("plain", Shape::Object(PLAIN)),
-];
-
-const SERVICE: &[Field] = &[
-    required("name", Shape::Text),
-    required("kind", Shape::Choice(KIND)),
-    required(
-        "zones",
-        Shape::List {
-            of: &Shape::Text,
-            min: 1,
-        },
-    ),
-    required("class", Shape::Text),
-    required("slots_per_instance", COUNT),
-    required("expected_concurrency", COUNT),
-];
-
-const PRICES: &[Field] = &[
-    required("zone", Shape::Text),
-    required("class", Shape::Text),
-    required("on_demand_micros_per_hour", PRICE),
-    required("reclaimable_micros_per_hour", PRICE),
-    required(
-        "reclaims_per_day",
-        Shape::Decimal {
-            min: 0.0,
-            max: 86400.0,
-        },
-    ),
-];
-
-const ROUTING: &[Field] = &[
-    optional("ms_per_thousand_uncached_tokens", WEIGHT_MS),
-    optional("ms_per_zone_crossing", WEIGHT_MS),
-    optional("ms_per_queued_request", WEIGHT_MS),
-];
-
-const CHANGE_LIMITS: &[Field] = &[
-    optional("max_instances", COUNT),
-    optional("max_micros_per_hour", PRICE),
-];
-
-const INTENT: &[Field] = &[
-    required(
-        "zones",
-        Shape::List {
-            of: &Shape::Object(ZONE),
-            min: 1,
-        },
-    ),
-    required(
-        "tiers",
-        Shape::List {
-            of: &Shape::Object(TIER),
-            min: 1,
-        },
-    ),
-    required(
-        "accounts",
-        Shape::List {
-            of: &Shape::Object(ACCOUNT),
-            min: 1,
-        },
-    ),
-    required(
-        "models",
-        Shape::List {
-            of: &Shape::Object(MODEL),
-            min: 0,
-        },
-    ),
-    required(
-        "services",
-        Shape::List {
-            of: &Shape::Object(SERVICE),
-            min: 1,
-        },
-    ),
-    required(
-        "prices",
-        Shape::List {
-            of: &Shape::Object(PRICES),
-            min: 0,
-        },
-    ),
-    optional("routing", Shape::Object(ROUTING)),
-    optional("limits", Shape::Object(CHANGE_LIMITS)),
-];
-
 /// Reads and checks an intent file.
 pub fn read_intent(file: &Path) -> Result<Intent, FileError> {
     parse_intent(read_value(file)?).map_err(|problems| FileError::Invalid {
@@ -187,57 +22,44 @@
 
 /// Checks an intent in JSON.
 pub fn parse_intent(mut value: Value) -> Result<Intent, Vec<Problem>> {
-    let mut problems = Vec::new();
-    if !check_object(INTENT, "", &mut value, &mut problems) {
-        return Err(problems);
-    }
-    let intent: Intent = match serde_json::from_value(value) {
-        Ok(intent) => intent,
-        Err(e) => {
-            problems.push(Problem::new(
-                "the file",
-                e,
-                "correct the field that it names",
-            ));
-            return Err(problems);
-        }
-    };
-    if let Err(found) = check_intent(&intent) {
-        problems.extend(found);
-    }
-    if problems.is_empty() {
-        Ok(intent)
-    } else {
-        Err(problems)
-    }
+    let mut problems = Problems::default();
+    check_object(INTENT, "", &mut value, &mut problems);
+    let intent = problems.deserialize(value)?;
+    let problems = Check::run(&intent, problems);
+    problems.finish(intent)
 }
 
 /// Checks that the parts of an intent fit together.
 pub fn check_intent(intent: &Intent) -> Result<(), Vec<Problem>> {
-    let mut check = Check {
-        intent,
-        problems: Vec::new(),
-    };
-    check.names();
-    check.targets();
-    check.accounts();
-    check.services();
-    check.prices();
-    if check.problems.is_empty() {
-        Ok(())
-    } else {
-        Err(check.problems)
-    }
+    Check::run(intent, Problems::default()).finish(())
 }
 
 struct Check<'a> {
     intent: &'a Intent,
-    problems: Vec<Problem>,
+    problems: Problems,
 }
 
-impl Check<'_> {
+impl<'a> Check<'a> {
+    fn run(intent: &'a Intent, problems: Problems) -> Problems {
+        let mut check = Self { intent, problems };
+        check.names();
+        check.targets();
+        check.accounts();
+        check.services();
+        check.prices();
+        check.problems
+    }
+
+    /// Reports a problem, unless the field is known to be broken already.
     fn report(&mut self, field: String, value: impl Display, remedy: impl Into<String>) {
-        self.problems.push(Problem::new(field, value, remedy));
+        if self.problems.is_intact(&field) {
+            self.problems.add(field, value, remedy);
+        }
+    }
+
+    /// Returns whether a field has no problem in any entry of a list.
+    fn are_intact(&self, list: &str, count: usize, field: &str) -> bool {
+        (0..count).all(|i| self.problems.is_intact(&format!("{list}[{i}].{field}")))
     }
 
     fn names(&mut self) {
@@ -272,7 +94,7 @@
         self.unique("services", "name", services);
     }
 
-    fn unique<'a>(&mut self, list: &str, field: &str, values: impl Iterator<Item = &'a str>) {
+    fn unique<'b>(&mut self, list: &str, field: &str, values: impl Iterator<Item = &'b str>) {
         let mut seen = HashSet::new();
         for (i, value) in values.enumerate() {
             let field = format!("{list}[{i}].{field}");
@@ -322,15 +144,16 @@
         }
     }
 
-    fn refers<'a>(
+    fn refers<'b>(
         &mut self,
         field: String,
         name: &str,
         list: &str,
-        known: impl Iterator<Item = &'a str>,
+        known: impl Iterator<Item = &'b str>,
     ) {
         let known: Vec<&str> = known.collect();
-        if !known.contains(&name) {
+        let are_names_intact = !known.is_empty() && self.are_intact(list, known.len(), "name");
+        if !known.contains(&name) && are_names_intact {
             let remedy = format!("add it to {list}, or write one of {}", known.join(", "));
             self.report(field, name, remedy);
         }
@@ -361,7 +184,10 @@
                 .prices
                 .iter()
                 .any(|price| price.zone == *zone && price.class == service.class);
-            if !is_priced {
+            let prices = intent.prices.len();
+            let are_prices_intact = self.are_intact("prices", prices, "zone")
+                && self.are_intact("prices", prices, "class");
+            if !is_priced && are_prices_intact {
                 let remedy = format!("add a price for class {} in this zone", service.class.0);
                 self.report(field, zone, remedy);
             }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -4,6 +4,7 @@
 pub mod intent;
 mod problem;
 mod read;
+mod schema;
 mod shape;
 
 pub use problem::{FileError, Problem, read_value};
--- a/src/settings/problem.rs
+++ b/src/settings/problem.rs
@@ -1,10 +1,11 @@
 //! What is wrong with a file, all of it at once.
 
 use std::{
-    fmt, io,
+    fmt, io, mem,
     path::{Path, PathBuf},
 };
 
+use serde::de::DeserializeOwned;
 use serde_json::Value;
 
 /// Longest part of a value that a message shows, in characters.
@@ -21,25 +22,73 @@
     pub remedy: String,
 }
 
-impl Problem {
-    /// Makes a problem with a value that can be shown.
-    pub(super) fn new(
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} is {}: {}", self.field, self.value, self.remedy)
+    }
+}
+
+/// The problems found so far. It knows which fields are broken, so that nothing is reported that
+/// only follows from another problem.
+#[derive(Debug, Default)]
+pub(super) struct Problems {
+    list: Vec<Problem>,
+}
+
+impl Problems {
+    /// Reports a problem.
+    pub(super) fn add(
+        &mut self,
         field: impl Into<String>,
         value: impl fmt::Display,
         remedy: impl Into<String>,
-    ) -> Self {
-        Self {
+    ) {
+        self.list.push(Problem {
             field: field.into(),
             value: shorten(&value.to_string()),
             remedy: remedy.into(),
+        });
+    }
+
+    /// Returns whether no problem is known of a field, of its parts and of what holds it.
+    pub(super) fn is_intact(&self, field: &str) -> bool {
+        !self
+            .list
+            .iter()
+            .any(|problem| holds(&problem.field, field) || holds(field, &problem.field))
+    }
+
+    /// Returns whether no problem is known of any of some fields.
+    pub(super) fn are_intact(&self, fields: &[&str]) -> bool {
+        fields.iter().all(|field| self.is_intact(field))
+    }
+
+    /// Reads a checked and repaired value. An error says that its table of fields is incomplete.
+    pub(super) fn deserialize<T: DeserializeOwned>(
+        &mut self,
+        value: Value,
+    ) -> Result<T, Vec<Problem>> {
+        serde_json::from_value(value).map_err(|e| {
+            self.add("the file", e, "correct the field that it names");
+            mem::take(&mut self.list)
+        })
+    }
+
+    /// Returns the value if there are no problems.
+    pub(super) fn finish<T>(self, value: T) -> Result<T, Vec<Problem>> {
+        if self.list.is_empty() {
+            Ok(value)
+        } else {
+            Err(self.list)
         }
     }
 }
 
-impl fmt::Display for Problem {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{} is {}: {}", self.field, self.value, self.remedy)
-    }
+/// Returns whether a field is another one or a part of it.
+fn holds(outer: &str, inner: &str) -> bool {
+    inner
+        .strip_prefix(outer)
+        .is_some_and(|rest| rest.is_empty() || rest.starts_with(['.', '[']))
 }
 
 fn shorten(text: &str) -> String {
--- a/src/settings/shape.rs
+++ b/src/settings/shape.rs
@@ -5,7 +5,7 @@
 
 use serde_json::{Map, Value};
 
-use super::Problem;
+use super::problem::Problems;
 
 /// What a field may hold.
 #[derive(Debug)]
@@ -73,64 +73,58 @@
     }
 }
 
-/// Checks an object. Unknown fields and wrong optional ones are taken out, so that what depends on
-/// the other fields can be checked as well. Returns whether the rest can be deserialised.
+/// Checks an object and repairs it, so that it can be deserialised and what depends on its valid
+/// fields can be checked as well: unknown fields and wrong optional ones are taken out, and wrong
+/// or missing required ones are replaced by placeholders.
 pub(super) fn check_object(
     fields: &[Field],
     path: &str,
     value: &mut Value,
-    problems: &mut Vec<Problem>,
-) -> bool {
+    problems: &mut Problems,
+) {
     let Value::Object(map) = value else {
-        problems.push(Problem::new(
-            place(path),
-            &*value,
-            "write an object in braces",
-        ));
-        return false;
+        problems.add(place(path), &*value, "write an object in braces");
+        *value = Shape::placeholders(fields);
+        return;
     };
     remove_unknown(fields, path, map, problems);
-    let mut is_valid = true;
     for field in fields {
-        is_valid &= check_field(field, path, map, problems);
+        check_field(field, path, map, problems);
     }
-    is_valid
 }
 
-fn check_field(
-    field: &Field,
-    path: &str,
-    map: &mut Map<String, Value>,
-    problems: &mut Vec<Problem>,
-) -> bool {
+fn check_field(field: &Field, path: &str, map: &mut Map<String, Value>, problems: &mut Problems) {
     let path = join(path, field.name);
-    let Some(value) = map.get_mut(field.name) else {
-        if field.is_required {
+    let is_valid = match map.get_mut(field.name) {
+        Some(value) => field.shape.check(&path, value, problems),
+        None if field.is_required => {
             let remedy = format!("add it; it takes {}", field.shape.describe());
-            problems.push(Problem::new(path, "missing", remedy));
+            problems.add(path, "missing", remedy);
+            false
         }
-        return !field.is_required;
+        None => true,
     };
-    if field.shape.check(&path, value, problems) {
-        return true;
+    if is_valid {
+        return;
     }
-    if !field.is_required {
+    if field.is_required {
+        map.insert(field.name.to_owned(), field.shape.placeholder());
+    } else {
         map.remove(field.name);
     }
-    !field.is_required
 }
 
 fn remove_unknown(
     fields: &[Field],
     path: &str,
     map: &mut Map<String, Value>,
-    problems: &mut Vec<Problem>,
+    problems: &mut Problems,
 ) {
     map.retain(|name, value| {
         let is_known = fields.iter().any(|field| field.name == name);
         if !is_known {
             let remedy = format!("remove it, or use one of {}", names(fields));
-            problems.push(Problem::new(join(path, name), &*value, remedy));
+            problems.add(join(path, name), &*value, remedy);
         }
         is_known
     });
@@ -154,20 +148,23 @@
 }
 
 impl Shape {
-    fn check(&self, path: &str, value: &mut Value, problems: &mut Vec<Problem>) -> bool {
-        match self {
-            Self::Object(fields) => check_object(fields, path, value, problems),
-            Self::Choice(fields) => check_choice(fields, path, value, problems),
-            Self::List { of, min } => check_list(of, *min, path, value, problems),
-            leaf => {
-                let is_valid = leaf.accepts(value);
-                if !is_valid {
-                    let remedy = format!("write {}", leaf.describe());
-                    problems.push(Problem::new(path, &*value, remedy));
-                }
-                is_valid
+    /// Checks a value and repairs its parts. Returns whether the value as a whole will do.
+    fn check(&self, path: &str, value: &mut Value, problems: &mut Problems) -> bool {
+        if !self.accepts(value) {
+            problems.add(path, &*value, format!("write {}", self.describe()));
+            return false;
+        }
+        match (self, value) {
+            (Self::Object(fields), value) => check_object(fields, path, value, problems),
+            (Self::Choice(fields), Value::Object(map)) => {
+                return check_choice(fields, path, map, problems);
             }
+            (Self::List { of, .. }, Value::Array(elements)) => {
+                check_elements(of, path, elements, problems);
+            }
+            _ => {}
         }
+        true
     }
 
     fn accepts(&self, value: &Value) -> bool {
@@ -185,7 +182,7 @@
                 value.as_f64().is_some_and(|n| (*min..=*max).contains(&n))
             }
             Self::OneOf(words) => value.as_str().is_some_and(|text| words.contains(&text)),
-            Self::List { .. } => value.is_array(),
+            Self::List { min, .. } => value.as_array().is_some_and(|list| list.len() >= *min),
             Self::Object(_) | Self::Choice(_) => value.is_object(),
         }
     }
@@ -207,63 +204,64 @@
             Self::Choice(fields) => format!("an object with one of the fields {}", names(fields)),
         }
     }
+
+    /// Returns a valid value to go on with after the real one was reported.
+    fn placeholder(&self) -> Value {
+        match self {
+            Self::Text => "?".into(),
+            Self::Address => "0.0.0.0:0".into(),
+            Self::Bool => false.into(),
+            Self::Sha256 => "0".repeat(SHA256_DIGITS).into(),
+            Self::Integer { min, .. } => (*min).into(),
+            Self::Decimal { min, .. } => (*min).into(),
+            Self::OneOf(words) => words[0].into(),
+            Self::List { of, min } => (0..*min).map(|_| of.placeholder()).collect(),
+            Self::Object(fields) => Self::placeholders(fields),
+            Self::Choice(fields) => Self::placeholders(&fields[..1]),
+        }
+    }
+
+    fn placeholders(fields: &[Field]) -> Value {
+        fields
+            .iter()
+            .filter(|field| field.is_required)
+            .map(|field| (field.name, field.shape.placeholder()))
+            .collect()
+    }
 }
 
+const SHA256_DIGITS: usize = 64;
+
 /// Returns whether a text is a SHA-256 hash in hexadecimal.
 pub(super) fn is_sha256(text: &str) -> bool {
-    const DIGITS: usize = 64;
-    text.len() == DIGITS && text.bytes().all(|byte| byte.is_ascii_hexdigit())
+    text.len() == SHA256_DIGITS && text.bytes().all(|byte| byte.is_ascii_hexdigit())
 }
 
-fn check_list(
-    of: &Shape,
-    min: usize,
-    path: &str,
-    value: &mut Value,
-    problems: &mut Vec<Problem>,
-) -> bool {
-    let Value::Array(elements) = value else {
-        problems.push(Problem::new(path, &*value, "write a list in brackets"));
-        return false;
-    };
-    if elements.len() < min {
-        let remedy = format!("list at least {min}");
-        problems.push(Problem::new(path, "too short", remedy));
-        return false;
-    }
-    let mut is_valid = true;
+fn check_elements(of: &Shape, path: &str, elements: &mut [Value], problems: &mut Problems) {
     for (i, element) in elements.iter_mut().enumerate() {
-        is_valid &= of.check(&format!("{path}[{i}]"), element, problems);
+        if !of.check(&format!("{path}[{i}]"), element, problems) {
+            *element = of.placeholder();
+        }
     }
-    is_valid
 }
 
 fn check_choice(
     fields: &[Field],
     path: &str,
-    value: &mut Value,
-    problems: &mut Vec<Problem>,
+    map: &mut Map<String, Value>,
+    problems: &mut Problems,
 ) -> bool {
-    let Value::Object(map) = value else {
-        let remedy = format!("write an object with one of {}", names(fields));
-        problems.push(Problem::new(path, &*value, remedy));
-        return false;
-    };
     remove_unknown(fields, path, map, problems);
-    let chosen: Vec<&Field> = fields
-        .iter()
-        .filter(|field| map.contains_key(field.name))
-        .collect();
-    match chosen.as_slice() {
-        [field] => check_field(field, path, map, problems),
-        _ => {
-            let remedy = format!("write exactly one of {}", names(fields));
-            problems.push(Problem::new(
-                path,
-                format!("{} of them", chosen.len()),
-                remedy,
-            ));
-            false
-        }
+    let mut chosen = fields.iter().filter(|field| map.contains_key(field.name));
+    if let (Some(field), None) = (chosen.next(), chosen.next()) {
+        check_field(field, path, map, problems);
+        return true;
     }
+    let value = format!("{} of them", map.len());
+    problems.add(
+        path,
+        value,
+        format!("write exactly one of {}", names(fields)),
+    );
+    false
 }
