Record metrics with atomics and export them by OpenTelemetry

The SDK's histograms lock a mutex for each recording and look the labels up: 104 ns with 1 thread and 3303 ns with 8 threads on one account, on a busy machine. Recording into sharded atomics costs 22 and 59 ns; a thread hands the counts to the SDK once a second and at each scrape, so that the exporter stays OpenTelemetry's. Ruled out: the SDK's experimental bound instruments, which save the look-up but keep the mutex. RefusalKind gets ALL and name(), so that every kind is shown from the start.

--- a/src/domain/refusal.rs
+++ b/src/domain/refusal.rs
@@ -59,6 +59,52 @@
 }
 
 impl RefusalKind {
+    /// All kinds, in the order of their declaration.
+    pub const ALL: [Self; 18] = [
+        Self::BadRequest,
+        Self::Unauthorized,
+        Self::NotFound,
+        Self::MethodNotAllowed,
+        Self::TooLarge,
+        Self::TooSlow,
+        Self::KeyRequired,
+        Self::KeyExpired,
+        Self::KeyConflict,
+        Self::InProgress,
+        Self::OverShare,
+        Self::Overloaded,
+        Self::Leaving,
+        Self::NoLease,
+        Self::NoUpstream,
+        Self::NoQuorum,
+        Self::UpstreamFailed,
+        Self::DeadlineExceeded,
+    ];
+
+    /// Returns the name of the kind in answers and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::BadRequest => "bad_request",
+            Self::Unauthorized => "unauthorized",
+            Self::NotFound => "not_found",
+            Self::MethodNotAllowed => "method_not_allowed",
+            Self::TooLarge => "too_large",
+            Self::TooSlow => "too_slow",
+            Self::KeyRequired => "key_required",
+            Self::KeyExpired => "key_expired",
+            Self::KeyConflict => "key_conflict",
+            Self::InProgress => "in_progress",
+            Self::OverShare => "over_share",
+            Self::Overloaded => "overloaded",
+            Self::Leaving => "leaving",
+            Self::NoLease => "no_lease",
+            Self::NoUpstream => "no_upstream",
+            Self::NoQuorum => "no_quorum",
+            Self::UpstreamFailed => "upstream_failed",
+            Self::DeadlineExceeded => "deadline_exceeded",
+        }
+    }
+
     /// Returns the HTTP status code.
     pub fn status(self) -> u16 {
         match self {
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -1,74 +1,91 @@
-//! Logs and metrics of a process.
+//! Logs and metrics of a process. docs/METRICS.md lists the metrics.
 
+mod cells;
+mod export;
+mod histogram;
 mod logging;
 
 pub use logging::start_logging;
 
-use std::time::Duration;
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use crate::domain::{AccountName, Money, RefusalKind, TierName};
-
-/// The metrics of a process; clones share them.
-#[derive(Clone, Debug, Default)]
-pub struct Metrics {}
+use cells::{AccountCells, Cells};
+use export::Exporter;
+
+/// The metrics of a process; clones share them. Recording takes no lock.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    cells: Arc<Cells>,
+    exporter: Arc<Exporter>,
+}
 
 impl Metrics {
     /// Makes the metrics of a process.
     pub fn new() -> anyhow::Result<Self> {
-        Ok(Self::default())
+        let cells = Arc::default();
+        let exporter = Arc::new(Exporter::start(&cells)?);
+        Ok(Self { cells, exporter })
     }
 
     /// Returns handles for an account, made once and kept beside the account, so that recording
     /// looks nothing up.
     pub fn account(&self, account: &AccountName, tier: &TierName) -> AccountMetrics {
-        let _ = (account, tier);
-        AccountMetrics::default()
+        AccountMetrics(self.cells.account(account, tier))
     }
 
     /// Counts a refusal.
     pub fn refusal(&self, kind: RefusalKind) {
-        let _ = kind;
+        self.cells.refusal(kind);
     }
 
     /// Records how long an entry took from proposal to commit.
     pub fn commit(&self, duration: Duration) {
-        let _ = duration;
+        self.cells.commit.record(duration);
     }
 
     /// Returns the text for `GET /metrics`.
     pub fn render(&self) -> String {
-        String::new()
+        self.exporter.render(&self.cells).unwrap_or_else(|e| {
+            log::warn!("metrics: {e:#}.");
+            String::new()
+        })
     }
 }
 
-/// The metrics of one account.
-#[derive(Clone, Debug, Default)]
-pub struct AccountMetrics {}
+/// The metrics of one account; clones share them.
+#[derive(Clone, Debug)]
+pub struct AccountMetrics(Arc<AccountCells>);
 
 impl AccountMetrics {
     /// Records the time from a request's arrival to its first token.
     pub fn first_token(&self, duration: Duration) {
-        let _ = duration;
+        self.0.first_token.record(duration);
     }
 
     /// Records the time between two tokens.
     pub fn between_tokens(&self, duration: Duration) {
-        let _ = duration;
+        self.0.between_tokens.record(duration);
     }
 
     /// Records the time that a request waited for admission.
     pub fn queue_wait(&self, duration: Duration) {
-        let _ = duration;
+        self.0.queue_wait.record(duration);
     }
 
     /// Counts prompt and answer tokens that an engine computed again because cached work was lost
     /// or elsewhere.
     pub fn recomputed_tokens(&self, count: u64) {
-        let _ = count;
+        self.0.recomputed_tokens.fetch_add(count, Ordering::Relaxed);
     }
 
-    /// Adds to the account's spending.
+    /// Adds to the account's spending. A negative amount adds nothing, since the counter only
+    /// grows.
     pub fn spending(&self, amount: Money) {
-        let _ = amount;
+        let micros = u64::try_from(amount.0).unwrap_or(0);
+        self.0.spent_micros.fetch_add(micros, Ordering::Relaxed);
     }
 }
--- /dev/null
+++ b/tests/telemetry.rs
@@ -0,0 +1,87 @@
+//! The metrics as a scrape sees them.
+
+use std::{thread, time::Duration};
+
+use flamingocroft::{
+    domain::{Money, RefusalKind},
+    telemetry::Metrics,
+};
+
+/// Returns the value of a line of the text format.
+fn value(text: &str, line: &str) -> f64 {
+    let found = text
+        .lines()
+        .find_map(|l| l.strip_prefix(line)?.strip_prefix(' '));
+    let found = found.unwrap_or_else(|| panic!("no line {line} in\n{text}"));
+    found.parse().unwrap()
+}
+
+#[test]
+fn refusal_kinds_are_listed_in_order_with_the_names_of_their_answers() {
+    for (i, kind) in RefusalKind::ALL.into_iter().enumerate() {
+        assert_eq!(kind as usize, i);
+        assert_eq!(serde_json::to_value(kind).unwrap(), kind.name());
+    }
+}
+
+#[test]
+fn a_scrape_shows_what_was_recorded() {
+    let metrics = Metrics::new().unwrap();
+    let depot = metrics.account(&"depot".into(), &"paying".into());
+    depot.first_token(Duration::from_millis(640));
+    depot.first_token(Duration::from_millis(641));
+    depot.between_tokens(Duration::from_millis(26));
+    depot.queue_wait(Duration::from_micros(50));
+    depot.recomputed_tokens(300);
+    depot.spending(Money(1500));
+    depot.spending(Money(-7));
+    metrics
+        .account(&"depot".into(), &"paying".into())
+        .spending(Money(500));
+    metrics
+        .account(&"guest".into(), &"free".into())
+        .queue_wait(Duration::from_secs(60));
+    metrics.refusal(RefusalKind::OverShare);
+    metrics.commit(Duration::from_millis(3));
+    insta::assert_snapshot!(metrics.render());
+}
+
+#[test]
+fn counts_are_exact_over_threads_and_scrapes() {
+    const THREADS: u64 = 8;
+    const EACH: u64 = 10_000;
+    let metrics = Metrics::new().unwrap();
+    let depot = metrics.account(&"depot".into(), &"paying".into());
+    thread::scope(|scope| {
+        for thread in 0..THREADS {
+            let depot = depot.clone();
+            scope.spawn(move || {
+                (0..EACH).for_each(|_| depot.between_tokens(Duration::from_millis(1 + thread)));
+            });
+        }
+        (0..20).for_each(|_| drop(metrics.render()));
+    });
+    let text = metrics.render();
+    let name = "flamingocroft_between_tokens_seconds";
+    let labels = r#"account="depot",tier="paying""#;
+    let count = value(&text, &format!("{name}_count{{{labels}}}"));
+    let sum = value(&text, &format!("{name}_sum{{{labels}}}"));
+    let at_most_2_ms = value(&text, &format!("{name}_bucket{{{labels},le=\"0.002\"}}"));
+    assert_eq!(count, (THREADS * EACH) as f64);
+    assert_eq!(at_most_2_ms, (2 * EACH) as f64);
+    assert!((sum - 360.0).abs() < 0.5, "{sum}");
+}
+
+#[test]
+fn a_finished_process_part_ends_its_thread() {
+    let threads = || std::fs::read_dir("/proc/self/task").unwrap().count();
+    // Other tests of this file start threads of their own, so many are made and dropped here.
+    let before = threads();
+    (0..200).for_each(|_| drop(Metrics::new().unwrap()));
+    let ended = (0..1000).any(|_| {
+        thread::yield_now();
+        thread::sleep(Duration::from_millis(1));
+        threads() < before + 100
+    });
+    assert!(ended);
+}
