--- a/src/cmd/client.rs
+++ b/src/cmd/client.rs
@@ -44,10 +44,11 @@
 impl OperatorClient {
     /// Makes a client for some controllers.
     pub(super) fn new(
-        controllers: &[SocketAddr],
+        controllers: &[String],
         token_file: Option<&Path>,
         limit: Duration,
     ) -> Result<Self, CmdError> {
+        let controllers = addresses(controllers)?;
         if controllers.is_empty() {
             let message = "no controller is named; give --controller ADDR or set \
                            FLAMINGOCROFT_CONTROLLERS";
@@ -62,7 +63,7 @@
             CmdError::Usage(format!("could not read the token file {file}: {e}"))
         })?;
         Ok(Self {
-            controllers: controllers.to_vec(),
+            controllers,
             token: token.trim().to_owned(),
             limit,
         })
@@ -112,29 +113,30 @@
         body: Bytes,
     ) -> Result<T, CmdError> {
         let deadline = Instant::now() + self.limit;
-        let mut next: VecDeque<SocketAddr> = servers.iter().copied().collect();
-        let mut hinted = None;
         loop {
-            let Some(server) = hinted.take().or_else(|| next.pop_front()) else {
-                next = servers.iter().copied().collect();
-                sleep(RETRY_DELAY).await;
-                continue;
-            };
-            let message = match self
-                .attempt(server, method.clone(), path, body.clone())
-                .await
-            {
-                Attempt::Done(body) => return decode(&body),
-                Attempt::Final(e) => return Err(e),
-                Attempt::Elsewhere(leader, message) => {
-                    hinted = leader.filter(|leader| *leader != server);
-                    message
+            let mut next: VecDeque<SocketAddr> = servers.iter().copied().collect();
+            // One hint a round is followed, so that two followers that name each other are not
+            // asked without a pause.
+            let mut may_follow = true;
+            while let Some(server) = next.pop_front() {
+                let attempt = self.attempt(server, method.clone(), path, body.clone());
+                let message = match attempt.await {
+                    Attempt::Done(body) => return decode(&body),
+                    Attempt::Final(e) => return Err(e),
+                    Attempt::Again(message) => message,
+                    Attempt::Elsewhere(leader, message) => {
+                        if let Some(leader) = leader.filter(|_| may_follow) {
+                            next.push_front(leader);
+                            may_follow = false;
+                        }
+                        message
+                    }
+                };
+                if Instant::now() >= deadline {
+                    return Err(self.gave_up(&message));
                 }
-                Attempt::Again(message) => message,
-            };
-            if Instant::now() >= deadline {
-                return Err(self.gave_up(&message));
             }
+            sleep(RETRY_DELAY).await;
         }
     }
 
@@ -196,6 +198,20 @@
     }
 }
 
+/// Reads the controllers' addresses. An empty environment variable names none.
+fn addresses(texts: &[String]) -> Result<Vec<SocketAddr>, CmdError> {
+    let texts = texts.iter().map(|text| text.trim());
+    texts
+        .filter(|text| !text.is_empty())
+        .map(|text| {
+            text.parse().map_err(|_| {
+                let message = format!("{text} is not an address such as 10.0.0.1:7200");
+                CmdError::Usage(message)
+            })
+        })
+        .collect()
+}
+
 fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, CmdError> {
     serde_json::from_slice(body).map_err(|e| CmdError::Refused {
         kind: "protocol".to_owned(),
--- a/src/cmd/confirm.rs
+++ b/src/cmd/confirm.rs
@@ -34,7 +34,7 @@
             .map_err(|e| CmdError::Usage(format!("could not read the plan {file}: {e}")))?;
         serde_json::from_str(&text).map_err(|e| {
             CmdError::Usage(format!(
-                "{file} is not a plan ({e}); make one with `flamingocroft plan FILE -o {file}`"
+                "{file} is not a plan ({e}); make one with `flamingocroft plan FILE -o PLAN`"
             ))
         })
     }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -24,7 +24,7 @@
 
 pub use error::CmdError;
 
-use std::{net::SocketAddr, path::PathBuf, process::ExitCode, time::Duration};
+use std::{path::PathBuf, process::ExitCode, time::Duration};
 
 use clap::{Args, Parser, Subcommand};
 
@@ -52,7 +52,7 @@
         value_delimiter = ',',
         global = true
     )]
-    controllers: Vec<SocketAddr>,
+    controllers: Vec<String>,
     /// File with the operators' bearer token.
     #[arg(
         long,
