Read settings that a program wrote, with null for absent optional fields

A daemon refused the settings that the tests of processes write, since the field table took null for a wrong value. The test writes settings back and failed first.

--- a/src/settings/shape.rs
+++ b/src/settings/shape.rs
@@ -96,6 +96,10 @@
 fn check_field(field: &Field, path: &str, map: &mut Map<String, Value>, problems: &mut Problems) {
     let path = join(path, field.name);
     let is_valid = match map.get_mut(field.name) {
+        Some(Value::Null) if !field.is_required => {
+            map.remove(field.name);
+            true
+        }
         Some(value) => field.shape.check(&path, value, problems),
         None if field.is_required => {
             let remedy = format!("add it; it takes {}", field.shape.describe());
--- a/tests/settings_read.rs
+++ b/tests/settings_read.rs
@@ -61,6 +61,7 @@
     let folder = TempDir::new().unwrap();
     let mut value = valid(&folder);
     value["timing"] = json!({ "view_lease_ms": 1500 });
+    value["advertised_address"] = Value::Null;
     let text = format!("// The first controller.\n{value}\n/* the end */");
     let settings = read(&folder, &text).unwrap();
     assert_eq!(settings.role, Role::Controller);
@@ -68,6 +69,8 @@
     assert_eq!(settings.timing.gateway_heartbeat.as_millis(), 400);
     assert_eq!(settings.limits, Default::default());
     assert!(folder.path().join("data").is_dir());
+    let written = serde_json::to_string(&settings).unwrap();
+    assert_eq!(read(&folder, &written).unwrap(), settings);
 }
 
 #[test]
