Run the daemon and the stand-ins as processes in tests; let late orders reach engines

An order that has arrived is now carried out even if its sender gives up, as a late order of a deposed leader would be, and an engine that checks numbers looks again when a slow order takes effect. Before, hyper dropped the order with its connection and no test could show a late one.

--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -178,15 +178,21 @@
     /// Turns an error status into an error.
     pub(super) fn success(self) -> Result<Self, UpstreamError> {
         if self.status.is_success() {
-            return Ok(self);
+            Ok(self)
+        } else {
+            Err(self.into_error())
         }
+    }
+
+    /// Makes an error of an error answer.
+    pub(super) fn into_error(self) -> UpstreamError {
         let reply: Option<ErrorReply> = serde_json::from_slice(&self.body).ok();
         let kind = error_kind(self.status, reply.as_ref());
         let message = match reply {
             Some(reply) => format!("{}: {}", self.status, reply.error.message),
             None => self.status.to_string(),
         };
-        Err(UpstreamError::new(kind, Sent::Maybe, message))
+        UpstreamError::new(kind, Sent::Maybe, message)
     }
 
     /// Reads the body as JSON.
--- a/src/adapters/http/upstreams.rs
+++ b/src/adapters/http/upstreams.rs
@@ -69,10 +69,7 @@
             .exchange(target, post, Reuse::Allowed, deadline)
             .await?;
         if !answer.res.status().is_success() {
-            answer.whole(deadline).await?.success()?;
-            return Err(super::client::protocol(
-                "an error without a cause".to_owned(),
-            ));
+            return Err(answer.whole(deadline).await?.into_error());
         }
         let first = req.prefix.len() as u32;
         let generation = Generation::new(answer, req.id, first, deadline, self.token_timeout);
--- a/standin/src/engine/api.rs
+++ b/standin/src/engine/api.rs
@@ -12,7 +12,10 @@
     generate::{CompletionRequest, generate},
     state::{OrderRecord, Shared, State},
 };
-use crate::http::{Body, Reply, apply, error, json, parse, sleep_ms, stream};
+use crate::{
+    Faults,
+    http::{Body, Fault, Reply, apply, error, json, parse, sleep_ms, stream},
+};
 
 /// The exported cache of a request.
 #[derive(Debug, Serialize, Deserialize)]
@@ -29,11 +32,16 @@
         let counts = shared.lock().counts.clone();
         return Ok(json(StatusCode::OK, &counts));
     }
-    let faults = shared.lock().params.faults;
-    if faults.silent {
-        pending::<()>().await;
+    if let (&Method::POST, ["orders"]) = (req.method(), parts.as_slice()) {
+        // An order that has arrived is carried out even if its sender gives up meanwhile.
+        let order = tokio::spawn(async move {
+            let faults = begin(&shared).await;
+            let res = order(&shared, req.body()).await;
+            apply(faults, res).await
+        });
+        return order.await.map_err(|_| Fault)?;
     }
-    sleep_ms(faults.execute_delay_ms).await;
+    let faults = begin(&shared).await;
     let body = req.body();
     let res = match (req.method(), parts.as_slice()) {
         (&Method::POST, ["v1", "completions"]) => complete(shared, body),
@@ -42,12 +50,21 @@
         (&Method::POST, ["v1", "cache"]) => import(&mut shared.lock(), body),
         (&Method::GET, ["load"]) => json(StatusCode::OK, &shared.lock().reported_load()),
         (&Method::GET, ["cache-events"]) => cache_events(&shared.lock(), req.uri().query()),
-        (&Method::POST, ["orders"]) => order(&shared, body).await,
         _ => error(StatusCode::NOT_FOUND, "not_found", "no such path"),
     };
     apply(faults, res).await
 }
 
+/// Shows the faults that come before the execution and returns the others.
+async fn begin(shared: &Shared) -> Faults {
+    let faults = shared.lock().params.faults;
+    if faults.silent {
+        pending::<()>().await;
+    }
+    sleep_ms(faults.execute_delay_ms).await;
+    faults
+}
+
 fn complete(shared: Arc<Shared>, body: &[u8]) -> Response<Body> {
     let req: CompletionRequest = match parse(body) {
         Ok(req) => req,
@@ -127,22 +144,36 @@
         Ok(order) => order,
         Err(res) => return *res,
     };
+    if let Some(res) = check_fence(&mut shared.lock(), &order) {
+        return res;
+    }
     if order.kind == "load" {
         let delay = shared.lock().params.load_model_ms;
         sleep_ms(delay).await;
     }
-    carry_out(&mut shared.lock(), order)
+    let mut state = shared.lock();
+    // A newer order may have come while the model was loaded.
+    match check_fence(&mut state, &order) {
+        Some(res) => res,
+        None => carry_out(&mut state, order),
+    }
 }
 
-fn carry_out(state: &mut State, order: OrderRecord) -> Response<Body> {
-    if !state.params.ignore_fence {
-        if order.fence < state.fence {
-            state.counts.fenced += 1;
-            let reply = json!({ "outcome": "fenced", "fence": state.fence });
-            return json(StatusCode::CONFLICT, &reply);
-        }
-        state.fence = order.fence;
+/// Refuses an order whose number is older than one seen before.
+fn check_fence(state: &mut State, order: &OrderRecord) -> Option<Response<Body>> {
+    if state.params.ignore_fence {
+        return None;
+    }
+    if order.fence < state.fence {
+        state.counts.fenced += 1;
+        let reply = json!({ "outcome": "fenced", "fence": state.fence });
+        return Some(json(StatusCode::CONFLICT, &reply));
     }
+    state.fence = order.fence;
+    None
+}
+
+fn carry_out(state: &mut State, order: OrderRecord) -> Response<Body> {
     match (order.kind.as_str(), &order.model) {
         ("load", Some(model)) if !state.models.contains(model) => {
             state.models.push(model.clone());
--- a/tests/adapters_platform.rs
+++ b/tests/adapters_platform.rs
@@ -9,9 +9,10 @@
     adapters::{HttpCloud, HttpUpstreams, HttpWeights},
     domain::{FencingNumber, InstanceState, MachineClass, OperationId, Purchase},
     ports::{
-        CloudApi, CloudError, EngineOrder, OrderKind, OrderOutcome, StartRequest, Upstreams,
-        WeightError, WeightStore,
+        CloudApi, CloudError, EngineOrder, OrderKind, OrderOutcome, StartRequest,
+        UpstreamErrorKind, Upstreams, WeightError, WeightStore,
     },
+    settings::Timing,
 };
 use standin::{
     Faults,
@@ -190,6 +191,54 @@
     assert_eq!(engine.counts().orders.len(), 1);
 }
 
+#[tokio::test]
+async fn a_slow_order_that_a_newer_one_overtakes_has_no_effect() {
+    let params = EngineParams {
+        load_model_ms: 200,
+        ..EngineParams::default()
+    };
+    let engine = engine::start(params).await.unwrap();
+    let upstreams = HttpUpstreams::new(&timing());
+    let target = target(engine.address());
+    let old_order = load_order(4, "v1");
+    let old = upstreams.order(&target, &old_order);
+    let new = async {
+        eventually("the old order has arrived", || {
+            engine.load().fence == FencingNumber(4).0
+        })
+        .await;
+        let drain = EngineOrder {
+            kind: OrderKind::Drain,
+            fence: FencingNumber(5),
+        };
+        upstreams.order(&target, &drain).await
+    };
+    let (old, new) = tokio::join!(old, new);
+    assert_eq!(
+        (old.unwrap(), new.unwrap()),
+        (OrderOutcome::Fenced, OrderOutcome::Done)
+    );
+    assert_eq!(engine.counts().orders.len(), 1);
+}
+
+#[tokio::test]
+async fn an_order_that_was_given_up_is_still_carried_out() {
+    let engine = engine::start(EngineParams::default()).await.unwrap();
+    engine.set_faults(Faults {
+        execute_delay_ms: 200,
+        ..Faults::default()
+    });
+    let upstreams = HttpUpstreams::new(&Timing {
+        request_timeout: Duration::from_millis(50),
+        ..timing()
+    });
+    let target = target(engine.address());
+    let given_up = upstreams.order(&target, &load_order(4, "v1")).await;
+    assert_eq!(given_up.unwrap_err().kind, UpstreamErrorKind::Silent);
+    assert_eq!(engine.counts().orders.len(), 0);
+    eventually("it is carried out", || engine.counts().orders.len() == 1).await;
+}
+
 #[tokio::test]
 async fn an_engine_that_ignores_fencing_numbers_carries_out_an_older_order() {
     let params = EngineParams {
--- /dev/null
+++ b/tests/daemon.rs
@@ -0,0 +1,101 @@
+//! The daemon as a process: it reports wrong settings, and a signal stops it.
+
+use std::{fs, path::Path, time::Duration};
+
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use serde_json::{Value, json};
+use tempfile::TempDir;
+use tokio::{
+    io::{AsyncBufReadExt, BufReader, Lines},
+    process::{Child, ChildStderr, Command},
+    time::timeout,
+};
+
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Returns an address of this process and test alone.
+fn host(test: u8) -> String {
+    let id = std::process::id();
+    format!("127.{}.{}.{test}", 64 + id / 256 % 64, id % 256)
+}
+
+fn settings(folder: &Path, role: &str, host: &str) -> Value {
+    let key = folder.join("peer.key");
+    fs::write(&key, "0123456789abcdef0123456789abcdef").unwrap();
+    let own = if role == "controller" { 7 } else { 8 };
+    json!({
+        "name": role,
+        "role": role,
+        "zone": "a",
+        "http_address": format!("{host}:{own}200"),
+        "peer_address": format!("{host}:{own}100"),
+        "peer_key_file": key,
+        "controllers": [{
+            "name": "controller",
+            "zone": "a",
+            "peer_address": format!("{host}:7100"),
+            "http_address": format!("{host}:7200"),
+        }],
+        "data_folder": folder.join("data"),
+        "operator_token_sha256": "a".repeat(64),
+        "timing": { "shutdown_ms": 1000 },
+    })
+}
+
+fn start(folder: &Path, settings: &Value) -> (Child, Lines<BufReader<ChildStderr>>) {
+    let file = folder.join("settings.jsonc");
+    fs::write(&file, settings.to_string()).unwrap();
+    let mut child = Command::new(env!("CARGO_BIN_EXE_flamingocroftd"))
+        .arg("--settings")
+        .arg(file)
+        .stderr(std::process::Stdio::piped())
+        .kill_on_drop(true)
+        .spawn()
+        .unwrap();
+    let lines = BufReader::new(child.stderr.take().unwrap()).lines();
+    (child, lines)
+}
+
+async fn wait_for_line(lines: &mut Lines<BufReader<ChildStderr>>, part: &str) {
+    let found = timeout(PATIENCE, async {
+        while let Some(line) = lines.next_line().await.unwrap() {
+            if line.contains(part) {
+                return;
+            }
+        }
+        panic!("the daemon ended without the line {part}");
+    });
+    assert!(found.await.is_ok(), "the line {part} did not come");
+}
+
+#[tokio::test]
+async fn both_roles_stop_with_code_0_on_a_signal() {
+    let cases = [("controller", Signal::SIGTERM), ("gateway", Signal::SIGINT)];
+    for (i, (role, signal)) in cases.into_iter().enumerate() {
+        let folder = TempDir::new().unwrap();
+        let settings = settings(folder.path(), role, &host(i as u8 + 1));
+        let (mut child, mut lines) = start(folder.path(), &settings);
+        wait_for_line(&mut lines, &format!("{role} serves HTTP on")).await;
+        kill(Pid::from_raw(child.id().unwrap() as i32), signal).unwrap();
+        wait_for_line(&mut lines, &format!("{role} has stopped")).await;
+        let status = timeout(PATIENCE, child.wait()).await.unwrap().unwrap();
+        assert_eq!(status.code(), Some(0), "{role}");
+    }
+}
+
+#[tokio::test]
+async fn wrong_settings_end_it_with_code_1_and_all_errors() {
+    let folder = TempDir::new().unwrap();
+    let mut settings = settings(folder.path(), "gateway", &host(3));
+    settings["zone"] = json!(7);
+    settings["timing"]["view_lease_ms"] = json!(1);
+    let (mut child, mut lines) = start(folder.path(), &settings);
+    wait_for_line(&mut lines, "has 2 problems").await;
+    wait_for_line(&mut lines, "zone is 7: write a text").await;
+    wait_for_line(&mut lines, "timing.view_lease_ms is 1: make it longer than").await;
+    let status = timeout(PATIENCE, child.wait()).await.unwrap().unwrap();
+    assert_eq!(status.code(), Some(1));
+}
