--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,5 +1,5 @@
 //! The settings file of one process: JSON with comments, turned into checked structs.
-//! docs/OPERATIONS.md explains each field.
+//! docs/SETTINGS.md explains each field.
 
 pub mod intent;
 mod problem;
--- a/tests/adapters_platform.rs
+++ b/tests/adapters_platform.rs
@@ -8,6 +8,7 @@
 use flamingocroft::{
     adapters::{HttpCloud, HttpUpstreams, HttpWeights},
     domain::{FencingNumber, InstanceState, MachineClass, OperationId, Purchase},
+    policy::prefix::{PrefixIndex, prefixes},
     ports::{
         CloudApi, CloudError, EngineOrder, OrderKind, OrderOutcome, StartRequest,
         UpstreamErrorKind, Upstreams, WeightError, WeightStore,
@@ -284,4 +285,7 @@
     let events = upstreams.cache_events(&to, 0).await.unwrap();
     assert_eq!((events.events.len(), events.gap), (6, false));
     assert_eq!(events.next, 6);
+    let mut index = PrefixIndex::default();
+    index.apply(&events);
+    assert_eq!(index.cached_tokens(&prefixes(&prompt)), 384);
 }
