Add the experiment: a queue model in virtual time that calls the decisions

Cause: the constants of the decisions were chosen without a measurement.

Change: examples/experiment drives route, admit, allocate, retry and place, and their naive versions, on the same open-loop arrivals at both sites, under five scenarios; a table and a plot for each decision.

--- /dev/null
+++ b/examples/experiment.rs
@@ -0,0 +1,12 @@
+//! Compares each decision with its naive version on the same arrivals. See docs/DECISIONS.md.
+//!
+//! `cargo run --release --example experiment -- target/experiment`
+
+#[path = "experiment/mod.rs"]
+mod experiment;
+
+use clap::Parser;
+
+fn main() -> anyhow::Result<()> {
+    experiment::run(&experiment::Args::parse())
+}
--- /dev/null
+++ b/examples/experiment/gateway.rs
@@ -0,0 +1,171 @@
+//! A gateway in the model: what it knows, its queue and its shares.
+
+use std::{collections::VecDeque, time::Duration};
+
+use flamingocroft::{
+    domain::Priority,
+    policy::{
+        admit::AdmitRequest,
+        prefix::{Prefix, PrefixIndex},
+        retry::RetryBudget,
+        route::{Candidate, Report},
+    },
+};
+
+use super::{
+    engine::Load,
+    site::{FIRST_TOKEN_TARGET, ZONES},
+};
+
+/// Older cache events are not trusted.
+const MAX_EVENT_AGE: Duration = Duration::from_secs(2);
+
+/// For this long after a gap, an index is not trusted.
+const AFTER_GAP: Duration = Duration::from_secs(5);
+
+/// Part of the newest observation in the mean service time.
+const NEWEST: f64 = 0.05;
+
+/// What a gateway knows of one engine.
+#[derive(Debug, Default)]
+pub struct Known {
+    pub report: Option<Load>,
+    pub sent: VecDeque<Duration>,
+    pub in_progress: u32,
+    pub index: PrefixIndex,
+    pub read_events: usize,
+    pub gap_at: Option<Duration>,
+    pub suspect_until: Duration,
+    pub leaving: bool,
+}
+
+/// A gateway.
+#[derive(Debug)]
+pub struct Gateway {
+    pub zone: usize,
+    pub engines: Vec<Known>,
+    /// Waiting requests, in the order in which they are asked.
+    pub queue: Vec<usize>,
+    pub in_progress: Vec<u32>,
+    pub refused: Vec<u32>,
+    pub shares: Vec<u32>,
+    pub service_time: Duration,
+    pub budget: RetryBudget,
+    pub turn: u64,
+}
+
+/// A waiting request as the queue sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct Waiting {
+    pub account: usize,
+    pub paying: bool,
+    pub arrived: Duration,
+}
+
+impl Gateway {
+    /// Makes an idle gateway.
+    pub fn new(zone: usize, engines: usize, accounts: usize) -> Self {
+        Self {
+            zone,
+            engines: (0..engines).map(|_| Known::default()).collect(),
+            queue: Vec::new(),
+            in_progress: vec![0; accounts],
+            refused: vec![0; accounts],
+            shares: vec![0; accounts],
+            service_time: Duration::from_secs(3),
+            budget: RetryBudget::default(),
+            turn: 0,
+        }
+    }
+
+    /// Returns the instances that may take a request, with their numbers.
+    pub fn candidates(
+        &self,
+        now: Duration,
+        names: &[(flamingocroft::domain::InstanceName, usize, u32)],
+        prompt: &[Prefix],
+        event_age: Duration,
+    ) -> (Vec<usize>, Vec<Candidate>) {
+        self.engines
+            .iter()
+            .zip(names)
+            .enumerate()
+            .filter(|(_, (known, _))| !known.leaving)
+            .map(|(i, (known, (name, zone, slots)))| {
+                let candidate = Candidate {
+                    instance: name.clone(),
+                    zone: ZONES[*zone].into(),
+                    slots: *slots,
+                    report: known.report.map(|load| Report {
+                        running: load.running,
+                        queued: load.queued,
+                        age: now.saturating_sub(load.at),
+                    }),
+                    sent_since_report: known.sent_since_report(),
+                    in_progress: known.in_progress,
+                    cached_tokens: known.cached_tokens(now, prompt, event_age),
+                    suspect: known.suspect_until > now,
+                };
+                (i, candidate)
+            })
+            .unzip()
+    }
+
+    /// Describes a request to admission; `ahead` requests wait before it.
+    pub fn admit_request(
+        &self,
+        now: Duration,
+        req: Waiting,
+        ahead: usize,
+        others: impl Iterator<Item = Waiting> + Clone,
+    ) -> AdmitRequest {
+        let below = |w: &Waiting| self.in_progress[w.account] < self.shares[w.account];
+        let waited = now - req.arrived;
+        AdmitRequest {
+            priority: if req.paying {
+                Priority::Paying
+            } else {
+                Priority::Free
+            },
+            account_in_progress: self.in_progress[req.account],
+            share: Some(self.shares[req.account]),
+            service_in_progress: self.in_progress.iter().sum(),
+            service_capacity: self.shares.iter().sum(),
+            paying_waiting: others.clone().filter(|w| w.paying).count() as u32,
+            waiting_ahead: ahead as u32,
+            under_share_waiting: others
+                .filter(|w| w.paying == req.paying && below(w))
+                .count() as u32,
+            waited,
+            service_time: self.service_time,
+            until_due: FIRST_TOKEN_TARGET.saturating_sub(waited),
+        }
+    }
+
+    /// Takes in how long a request was in progress.
+    pub fn observe(&mut self, time: Duration) {
+        self.service_time = self.service_time.mul_f64(1.0 - NEWEST) + time.mul_f64(NEWEST);
+    }
+}
+
+impl Known {
+    /// Takes in a report and forgets what was sent before it.
+    pub fn read_report(&mut self, report: Option<Load>) {
+        self.report = report;
+        if let Some(load) = report {
+            self.sent.retain(|&at| at > load.at);
+        }
+    }
+
+    fn sent_since_report(&self) -> u32 {
+        self.sent.len() as u32
+    }
+
+    fn cached_tokens(&self, now: Duration, prompt: &[Prefix], event_age: Duration) -> Option<u32> {
+        let after_gap = self.gap_at.is_some_and(|at| now < at + AFTER_GAP);
+        if event_age > MAX_EVENT_AGE || after_gap {
+            return None;
+        }
+        Some(self.index.cached_tokens(prompt))
+    }
+}
--- /dev/null
+++ b/examples/experiment/mod.rs
@@ -0,0 +1,110 @@
+//! The experiment: arrivals, a queue model of the engines in virtual time, tables and plots.
+
+mod arrivals;
+mod decision;
+mod dispatch;
+mod engine;
+mod events;
+mod gateway;
+mod measure;
+mod model;
+mod naive;
+mod placement;
+mod plot;
+mod scenario;
+mod site;
+mod table;
+mod upkeep;
+
+use std::{path::PathBuf, thread};
+
+use clap::Parser;
+
+use decision::Decision;
+use measure::Figures;
+use scenario::Scenario;
+use site::Site;
+
+/// Compares each decision with its naive version on the same arrivals.
+#[derive(Debug, Parser)]
+pub struct Args {
+    /// Folder for the plots; it is made if it does not exist.
+    folder: PathBuf,
+    /// Only this decision.
+    #[arg(long)]
+    decision: Option<Decision>,
+    /// How many seeds, from 1, to add up.
+    #[arg(long, default_value_t = 3)]
+    seeds: u64,
+    /// Only this scenario.
+    #[arg(long)]
+    scenario: Option<Scenario>,
+    /// How many runs at once.
+    #[arg(long, default_value_t = 3)]
+    threads: usize,
+}
+
+/// Figures of one variant under one scenario at one site.
+struct Row {
+    site: &'static str,
+    scenario: Scenario,
+    variant: &'static str,
+    figures: Figures,
+}
+
+/// Runs the experiment, prints the tables and writes the plots.
+pub fn run(args: &Args) -> anyhow::Result<()> {
+    println!("Mode: queue model of the engines in virtual time; the decisions are the product's.");
+    for decision in Decision::ALL {
+        if args.decision.is_some_and(|only| only != decision) {
+            continue;
+        }
+        if decision == Decision::Place {
+            placement::print_table();
+        }
+        let rows = measure_all(decision, args);
+        table::print(decision, &rows);
+        plot::write(&args.folder, decision, &rows)?;
+    }
+    Ok(())
+}
+
+/// Measures all variants, a few at once; the order and the figures do not depend on how many.
+fn measure_all(decision: Decision, args: &Args) -> Vec<Row> {
+    let runs: Vec<_> = Site::all()
+        .into_iter()
+        .flat_map(|site| Scenario::ALL.map(|scenario| (site.clone(), scenario)))
+        .filter(|(_, scenario)| args.scenario.is_none_or(|only| only == *scenario))
+        .collect();
+    let each = runs.len().div_ceil(args.threads.max(1));
+    thread::scope(|scope| {
+        let parts: Vec<_> = runs
+            .chunks(each)
+            .map(|part| scope.spawn(move || measure(decision, args.seeds, part)))
+            .collect();
+        parts
+            .into_iter()
+            .flat_map(|part| part.join().expect("a run ends"))
+            .collect()
+    })
+}
+
+fn measure(decision: Decision, seeds: u64, runs: &[(Site, Scenario)]) -> Vec<Row> {
+    let mut rows = Vec::new();
+    for (site, scenario) in runs {
+        for (variant, policies) in decision.variants() {
+            let mut figures = Figures::default();
+            for seed in 1..=seeds {
+                let arrivals = arrivals::generate(site, *scenario, seed);
+                figures.add(model::run(site, *scenario, policies, &arrivals, seed));
+            }
+            rows.push(Row {
+                site: site.name,
+                scenario: *scenario,
+                variant,
+                figures,
+            });
+        }
+    }
+    rows
+}
--- /dev/null
+++ b/examples/experiment/model.rs
@@ -0,0 +1,326 @@
+//! The queue model: requests pass gateways and engines in virtual time.
+
+use std::{collections::HashSet, time::Duration};
+
+use flamingocroft::{
+    domain::{InstanceName, RoutingWeights},
+    ports::{Sent, UpstreamErrorKind},
+};
+use rand::{SeedableRng, rngs::StdRng};
+
+use super::{
+    arrivals::Arrival,
+    decision::{Admitting, Policies},
+    engine::{Engine, Job},
+    events::EventQueue,
+    gateway::Gateway,
+    measure::{AccountFigures, Figures},
+    placement,
+    scenario::{RUN, Scenario},
+    site::{BETWEEN_TOKENS, FIRST_TOKEN_TARGET, GATEWAYS, Site},
+    upkeep::Upkeep,
+};
+
+/// Between processes in one zone, one way.
+const SAME_ZONE: Duration = Duration::from_micros(500);
+
+/// A connection to an instance that is gone gets no answer for this long.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// What happens.
+#[derive(Clone, Copy, Debug)]
+pub enum Event {
+    Arrive(usize),
+    ReachEngine(usize, Job),
+    FirstToken(usize, Job),
+    Finish(usize, Job),
+    Fail(usize, Job, UpstreamErrorKind, Sent),
+    Repeat(usize),
+    Upkeep(Upkeep),
+}
+
+/// A request on its way.
+#[derive(Debug)]
+pub struct Request<'a> {
+    pub arrival: &'a Arrival,
+    pub paying: bool,
+    pub attempts: u32,
+    /// The engine and the attempt in progress.
+    pub at: Option<(usize, Job)>,
+    pub dispatched_at: Duration,
+    pub first_token: Option<Duration>,
+    pub tokens_left: u32,
+    /// Whether it had to wait while free work held a slot.
+    pub behind_free: bool,
+    pub done: bool,
+}
+
+/// The state of a run.
+pub struct World<'a> {
+    pub site: &'a Site,
+    pub scenario: Scenario,
+    pub policies: Policies,
+    pub weights: RoutingWeights,
+    pub now: Duration,
+    pub events: EventQueue<Event>,
+    pub rng: StdRng,
+    pub requests: Vec<Request<'a>>,
+    pub engines: Vec<Engine>,
+    /// Name, zone and slots of each engine.
+    pub names: Vec<(InstanceName, usize, u32)>,
+    pub gateways: Vec<Gateway>,
+    pub held: Vec<flamingocroft::policy::allocate::Allocation>,
+    pub computed: HashSet<u64>,
+    pub figures: Figures,
+}
+
+/// Runs one variant on arrivals.
+pub fn run(
+    site: &Site,
+    scenario: Scenario,
+    policies: Policies,
+    arrivals: &[Arrival],
+    seed: u64,
+) -> Figures {
+    let mut world = World::new(site, scenario, policies, arrivals, seed);
+    world.start_upkeep();
+    while let Some((at, event)) = world.events.pop() {
+        // Requests that are under way at the end of the run may finish.
+        if at > RUN + Duration::from_secs(20) {
+            break;
+        }
+        world.now = at;
+        world.handle(event);
+    }
+    world.finish()
+}
+
+impl<'a> World<'a> {
+    fn new(
+        site: &'a Site,
+        scenario: Scenario,
+        policies: Policies,
+        arrivals: &'a [Arrival],
+        seed: u64,
+    ) -> Self {
+        let engines = placement::engines(site, policies.placing);
+        let accounts = site.accounts.len();
+        let mut events = EventQueue::new();
+        for (i, arrival) in arrivals.iter().enumerate() {
+            events.push(arrival.at + SAME_ZONE * 2, Event::Arrive(i));
+        }
+        let request = |arrival: &'a Arrival| Request {
+            arrival,
+            paying: site.accounts[arrival.account].paying,
+            attempts: 0,
+            at: None,
+            dispatched_at: Duration::ZERO,
+            first_token: None,
+            tokens_left: arrival.answer_tokens,
+            behind_free: false,
+            done: false,
+        };
+        Self {
+            names: engines
+                .iter()
+                .map(|e| (e.name.clone(), e.zone, e.slots))
+                .collect(),
+            gateways: (0..GATEWAYS)
+                .map(|i| Gateway::new(Site::zone(i), engines.len(), accounts))
+                .collect(),
+            figures: Figures {
+                hours: RUN.as_secs_f64() / 3600.0,
+                cost_micros: placement::cost_micros(site, policies.placing),
+                ..Figures::default()
+            },
+            requests: arrivals.iter().map(request).collect(),
+            rng: StdRng::seed_from_u64(seed ^ 0xfeed),
+            weights: RoutingWeights {
+                ms_per_queued_request: policies
+                    .queued_ms
+                    .unwrap_or(site.weights.ms_per_queued_request),
+                ..site.weights.clone()
+            },
+            now: Duration::ZERO,
+            held: Vec::new(),
+            computed: HashSet::new(),
+            site,
+            scenario,
+            policies,
+            events,
+            engines,
+        }
+    }
+
+    /// Adds an event after a delay.
+    pub fn after(&mut self, delay: Duration, event: Event) {
+        self.events.push(self.now + delay, event);
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive(request) => self.arrive(request),
+            Event::ReachEngine(engine, job) => self.reach_engine(engine, job),
+            Event::FirstToken(engine, job) => self.first_token(engine, job),
+            Event::Finish(engine, job) => self.finish_job(engine, job),
+            Event::Fail(engine, job, kind, sent) => self.fail(engine, job, kind, sent),
+            Event::Repeat(request) => self.dispatch(request),
+            Event::Upkeep(upkeep) => self.upkeep(upkeep),
+        }
+    }
+
+    /// Returns the time one way between a gateway and an engine.
+    pub fn distance(&self, gateway: usize, engine: usize) -> Duration {
+        if self.gateways[gateway].zone == self.engines[engine].zone {
+            SAME_ZONE
+        } else {
+            self.site.zone_crossing
+        }
+    }
+
+    /// Returns whether free work holds a slot of any engine.
+    pub fn free_holds_slot(&self) -> bool {
+        let free = |job: &Job| !self.requests[job.request].paying;
+        self.engines.iter().any(|e| e.running.iter().any(free))
+    }
+
+    /// Makes the job of a request's next attempt.
+    pub fn next_job(&mut self, request: usize) -> Job {
+        let req = &mut self.requests[request];
+        req.attempts += 1;
+        Job {
+            request,
+            attempt: req.attempts,
+            first: req.paying && self.policies.admitting != Admitting::AcceptAll,
+        }
+    }
+
+    fn is_current(&self, engine: usize, job: Job) -> bool {
+        self.requests[job.request].at == Some((engine, job))
+    }
+
+    fn reach_engine(&mut self, engine: usize, job: Job) {
+        if !self.is_current(engine, job) {
+            return;
+        }
+        let back = self.distance(self.requests[job.request].arrival.gateway, engine);
+        if !self.engines[engine].alive {
+            let failed = Event::Fail(engine, job, UpstreamErrorKind::Connect, Sent::No);
+            return self.after(CONNECT_TIMEOUT, failed);
+        }
+        if self.engines[engine].busy() {
+            let failed = Event::Fail(engine, job, UpstreamErrorKind::Busy, Sent::Maybe);
+            return self.after(back, failed);
+        }
+        self.engines[engine].enqueue(job);
+        self.start_jobs(engine);
+        let waits = self.engines[engine].queue.contains(&job);
+        if waits && self.requests[job.request].paying {
+            self.requests[job.request].behind_free |= self.free_holds_slot();
+        }
+    }
+
+    /// Starts what fits into an engine.
+    pub fn start_jobs(&mut self, engine: usize) {
+        while let Some(job) = self.engines[engine].next() {
+            let req = &self.requests[job.request];
+            let (arrival, tokens) = (req.arrival, req.tokens_left);
+            let (prefilled, again) = self.engines[engine].prefill(
+                self.now,
+                &arrival.prefixes,
+                arrival.prompt_tokens,
+                &mut self.computed,
+            );
+            self.figures.recomputed_tokens += u64::from(again);
+            let back = self.distance(arrival.gateway, engine);
+            let end = prefilled + BETWEEN_TOKENS * tokens;
+            self.events
+                .push(prefilled + back, Event::FirstToken(engine, job));
+            self.events.push(end + back, Event::Finish(engine, job));
+        }
+        let now = self.now;
+        self.engines[engine].record(now);
+    }
+
+    fn first_token(&mut self, engine: usize, job: Job) {
+        let req = &mut self.requests[job.request];
+        if req.at != Some((engine, job)) || req.first_token.is_some() {
+            return;
+        }
+        req.first_token = Some(self.now + SAME_ZONE * 2);
+    }
+
+    fn finish_job(&mut self, engine: usize, job: Job) {
+        if !self.is_current(engine, job) {
+            return;
+        }
+        self.engines[engine].remove(job);
+        self.start_jobs(engine);
+        self.requests[job.request].done = true;
+        let time = self.now - self.requests[job.request].dispatched_at;
+        let gateway = self.requests[job.request].arrival.gateway;
+        self.gateways[gateway].observe(time);
+        self.leave_engine(job.request);
+        self.ask_queue(gateway);
+    }
+
+    /// Cancels a free request in progress, which waits to be resumed.
+    pub fn cancel(&mut self, request: usize) {
+        let Some((engine, job)) = self.requests[request].at else {
+            return;
+        };
+        self.engines[engine].remove(job);
+        self.keep_tokens(request);
+        self.leave_engine(request);
+        self.start_jobs(engine);
+    }
+
+    /// Keeps the tokens that were relayed before a stream stopped.
+    pub fn keep_tokens(&mut self, request: usize) {
+        let now = self.now;
+        let req = &mut self.requests[request];
+        let since = req
+            .first_token
+            .map_or(Duration::ZERO, |at| now.saturating_sub(at));
+        let relayed = (since.as_millis() / BETWEEN_TOKENS.as_millis()) as u32;
+        let left = req.arrival.answer_tokens.saturating_sub(relayed).max(1);
+        req.tokens_left = req.tokens_left.min(left);
+    }
+
+    /// Ends a request's stay at an engine, as its gateway counts it.
+    pub fn leave_engine(&mut self, request: usize) {
+        let req = &mut self.requests[request];
+        let gateway = &mut self.gateways[req.arrival.gateway];
+        if let Some((engine, _)) = req.at.take() {
+            gateway.engines[engine].in_progress -= 1;
+            gateway.in_progress[req.arrival.account] -= 1;
+        }
+    }
+
+    fn finish(mut self) -> Figures {
+        for req in &self.requests {
+            let account = &self.site.accounts[req.arrival.account];
+            let latency = req.first_token.map(|at| at - req.arrival.at);
+            let in_target = req.done && latency.is_some_and(|l| l <= FIRST_TOKEN_TARGET);
+            let sums = self
+                .figures
+                .accounts
+                .entry(account.name)
+                .or_insert_with(|| AccountFigures {
+                    paying: account.paying,
+                    ..AccountFigures::default()
+                });
+            sums.arrived += 1;
+            sums.in_target += u64::from(in_target);
+            if let Some(latency) = latency.filter(|_| req.paying) {
+                self.figures.record_first_token(latency);
+            }
+            let missed = req.paying && !in_target;
+            self.figures.displaced += u64::from(missed && req.behind_free);
+            self.figures.dispatched += u64::from(req.attempts > 0);
+            self.figures.attempts += u64::from(req.attempts);
+            self.figures.lost += u64::from(req.attempts > 0 && !req.done);
+        }
+        self.figures
+    }
+}
--- /dev/null
+++ b/examples/experiment/naive.rs
@@ -0,0 +1,11 @@
+//! The naive versions, as the tests use them.
+
+#[path = "../../tests/naive/admit.rs"]
+pub mod admit;
+#[path = "../../tests/naive/place.rs"]
+#[allow(dead_code, reason = "the tests use what the experiment does not")]
+pub mod place;
+#[path = "../../tests/naive/retry.rs"]
+pub mod retry;
+#[path = "../../tests/naive/route.rs"]
+pub mod route;
