Price a queued request at 300 ms by default

Cause: with 30 ms, routing stacked requests on full engines; one slot of eight ends about every 375 ms at three seconds a request. This changes a default in src/domain only.

Operators may still set it.

--- a/src/domain/intent.rs
+++ b/src/domain/intent.rs
@@ -185,7 +185,7 @@
         Self {
             ms_per_thousand_uncached_tokens: 120.0,
             ms_per_zone_crossing: 12.0,
-            ms_per_queued_request: 30.0,
+            ms_per_queued_request: 300.0,
         }
     }
 }
