Keep conversations at their home and estimate others' requests from the own ones

Change: costs within half a queued request count as equal and are ordered by the conversation's hash; prefix::home hashes the opening of a conversation instead of its first block; without a fresh report, the load is estimated from the gateway's own requests, since all gateways send a conversation to the same home.

--- a/src/policy/prefix.rs
+++ b/src/policy/prefix.rs
@@ -12,6 +12,9 @@
 /// Bytes that count as one prompt token in estimates.
 pub const BYTES_PER_TOKEN: usize = 4;
 
+/// Bytes of a conversation's opening that decide its home.
+pub const HOME_BYTES: usize = 12 * BLOCK_BYTES;
+
 /// A prefix of a prompt: all of its blocks up to one of them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Prefix {
@@ -42,6 +45,21 @@
         .collect()
 }
 
+/// Returns the hash that every gateway finds a conversation's home by.
+///
+/// The opening is what stays the same over its turns and differs between conversations: the prompt up
+/// to the end of the caller's first message, or the prompt itself where messages are not told apart.
+/// Only its first [`HOME_BYTES`] count, since a prompt without messages grows at its end. A hash of
+/// the first block alone would give all conversations of an account with a fixed preamble one home.
+pub fn home(opening: &str) -> u64 {
+    let bytes = opening.as_bytes();
+    let digest = Sha256::digest(&bytes[..bytes.len().min(HOME_BYTES)]);
+    let (head, _) = digest
+        .split_first_chunk::<8>()
+        .expect("a digest has 32 bytes");
+    u64::from_be_bytes(*head)
+}
+
 /// Estimates the tokens of a prompt.
 pub fn count_tokens(prompt: &str) -> u32 {
     prompt.len().div_ceil(BYTES_PER_TOKEN) as u32
--- a/src/policy/route.rs
+++ b/src/policy/route.rs
@@ -13,8 +13,12 @@
 /// After this age a report counts for little more than a third of its distance from the mean.
 const REPORT_TRUST: Duration = Duration::from_millis(1000);
 
-/// Costs that differ by less than this part of a queued request count as equal.
-const EQUAL_COST_QUEUED_REQUESTS: f64 = 0.25;
+/// Costs that differ by less than this part of a queued request count as equal. What an engine holds of
+/// a shared preamble is then no reason to leave a conversation's home.
+const EQUAL_COST_QUEUED_REQUESTS: f64 = 0.5;
+
+/// Requests of its own by which a gateway doubts that its sample shows what the others send.
+const SAMPLE_PRIOR: f64 = 4.0;
 
 /// An instance filled to this part of its slots costs as much as one with a request queued.
 const MS_AT_FULL_BATCH_QUEUED_REQUESTS: f64 = 1.0;
@@ -62,7 +66,7 @@
     pub zone: ZoneName,
     /// Estimated tokens of the prompt.
     pub prompt_tokens: u32,
-    /// Hash that is the same for all requests of a conversation: of its first prefix.
+    /// Hash that is the same for all requests of a conversation; see `super::prefix::home`.
     pub home: u64,
 }
 
@@ -76,7 +80,7 @@
 ) -> Option<usize> {
     let all_suspect = candidates.iter().all(|c| c.suspect);
     let usable = |c: &Candidate| all_suspect || !c.suspect;
-    let mean = mean_load(candidates.iter().filter(|c| usable(c)));
+    let mean = Means::of(candidates.iter().filter(|c| usable(c)));
     let home = candidates
         .iter()
         .enumerate()
@@ -121,7 +125,7 @@
 fn rate(
     req: &RouteRequest,
     weights: &RoutingWeights,
-    mean: f64,
+    mean: Means,
     position: usize,
     candidate: &Candidate,
     is_home: bool,
@@ -143,7 +147,7 @@
 
 /// Returns the queue that a request would meet, in requests: none up to a half-full batch, one at a
 /// full batch, and one for each request above it.
-fn queued_requests(candidate: &Candidate, mean: f64) -> f64 {
+fn queued_requests(candidate: &Candidate, mean: Means) -> f64 {
     let slots = f64::from(candidate.slots.max(1));
     let load = load(candidate, mean) * slots;
     let batch = ((load / slots).min(1.0) - FREE_LOAD).max(0.0) / (1.0 - FREE_LOAD);
@@ -151,16 +155,17 @@
 }
 
 /// Estimates the load of a candidate in parts of its slots. An old report says less and less, so it
-/// is drawn to the mean as it ages; what this gateway did itself is certain.
-fn load(candidate: &Candidate, mean: f64) -> f64 {
+/// is drawn to what is usual as it ages; what this gateway did itself is certain.
+fn load(candidate: &Candidate, mean: Means) -> f64 {
     let slots = f64::from(candidate.slots.max(1));
     let own = f64::from(candidate.in_progress) / slots;
+    let usual = mean.usual_load(candidate);
     let Some(report) = candidate.report else {
-        return mean.max(own);
+        return usual.max(own);
     };
     let sent = f64::from(candidate.sent_since_report) / slots;
     let trust = (-report.age.as_secs_f64() / REPORT_TRUST.as_secs_f64()).exp();
-    let estimate = mean + (reported_load(report, candidate.slots) - mean) * trust + sent;
+    let estimate = usual + (reported_load(report, candidate.slots) - usual) * trust + sent;
     estimate.max(own)
 }
 
@@ -168,10 +173,36 @@
     f64::from(report.running + report.queued) / f64::from(slots.max(1))
 }
 
-fn mean_load<'a>(candidates: impl Iterator<Item = &'a Candidate>) -> f64 {
-    let (sum, count) = candidates
-        .filter_map(|c| Some(reported_load(c.report?, c.slots)))
-        .fold((0.0, 0.0), |(sum, count), load| (sum + load, count + 1.0));
+/// Means over the candidates.
+#[derive(Clone, Copy)]
+struct Means {
+    /// Reported load, in parts of the slots.
+    load: f64,
+    /// This gateway's requests in progress.
+    own: f64,
+}
+
+impl Means {
+    fn of<'a>(candidates: impl Iterator<Item = &'a Candidate> + Clone) -> Self {
+        let load = candidates
+            .clone()
+            .filter_map(|c| Some(reported_load(c.report?, c.slots)));
+        Self {
+            load: mean(load),
+            own: mean(candidates.map(|c| f64::from(c.in_progress))),
+        }
+    }
+
+    /// Returns the load to expect without a report. All gateways send a conversation to the same
+    /// home, so what this one has in progress there is a sample of what the others have.
+    fn usual_load(self, candidate: &Candidate) -> f64 {
+        let own = f64::from(candidate.in_progress);
+        self.load * (own + SAMPLE_PRIOR) / (self.own + SAMPLE_PRIOR)
+    }
+}
+
+fn mean(values: impl Iterator<Item = f64>) -> f64 {
+    let (sum, count) = values.fold((0.0, 0.0), |(sum, count), value| (sum + value, count + 1.0));
     if count == 0.0 { 0.0 } else { sum / count }
 }
 
