--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,7 +1,14 @@
 //! The settings file of one process: JSON with comments, turned into checked structs.
 //! docs/OPERATIONS.md explains each field.
 
-use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
+pub mod intent;
+mod problem;
+mod read;
+mod shape;
+
+pub use problem::{FileError, Problem, read_value};
+
+use std::{fmt, net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
@@ -57,6 +64,15 @@
     Gateway,
 }
 
+impl fmt::Display for Role {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Controller => "controller",
+            Self::Gateway => "gateway",
+        })
+    }
+}
+
 /// One controller, as all processes know it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -141,6 +157,10 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "token_timeout_ms")]
     pub token_timeout: Duration,
+    /// Longest time for a caller to send the head or the body of a request.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "caller_timeout_ms")]
+    pub caller_timeout: Duration,
     /// Longest time of a whole request.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "request_timeout_ms")]
@@ -171,6 +191,7 @@
             connect_timeout: Duration::from_millis(300),
             first_byte_timeout: Duration::from_millis(5000),
             token_timeout: Duration::from_millis(2000),
+            caller_timeout: Duration::from_secs(10),
             request_timeout: Duration::from_secs(120),
             address_ttl: Duration::from_secs(5),
             shutdown: Duration::from_secs(30),
