--- a/src/state/instances.rs
+++ b/src/state/instances.rs
@@ -121,7 +121,7 @@
         match fact.incarnation().cmp(&notice.incarnation) {
             Ordering::Greater => true,
             Ordering::Equal => fact.left || fact.state() == GONE,
-            Ordering::Less => false,
+            Ordering::Less => self.ahead.get(&notice.instance) >= Some(&notice.incarnation),
         }
     }
 
@@ -162,7 +162,7 @@
         let same = known.filter(|fact| fact.incarnation() == record.incarnation);
         let left = same.is_some_and(|fact| fact.left)
             || record.state == LEAVING
-            || self.ahead.get(name) == Some(&record.incarnation);
+            || self.ahead.get(name) >= Some(&record.incarnation);
         let state = if left { LEAVING } else { LIVE };
         let next = InstanceRecord {
             state,
@@ -191,16 +191,20 @@
             self.announce(notice);
             return false;
         };
-        if fact.incarnation() < notice.incarnation {
-            self.announce(notice);
-            return false;
+        // A notice for a later incarnation says that this one was replaced.
+        if fact.incarnation() <= notice.incarnation && !fact.left {
+            fact.left = true;
+            if fact.state() != GONE {
+                let what = format!("Incarnation {} is leaving: {reason}.", fact.incarnation());
+                fact.change(at, LEAVING, what);
+                self.changed_index = at.index;
+            }
         }
-        if fact.incarnation() == notice.incarnation && !fact.left && fact.state() != GONE {
-            let what = format!("Incarnation {} is leaving: {reason}.", notice.incarnation);
-            fact.change(at, LEAVING, what);
-            self.changed_index = at.index;
+        let known = fact.incarnation() >= notice.incarnation;
+        if !known {
+            self.announce(notice);
         }
-        true
+        known
     }
 
     fn announce(&mut self, notice: &LeavingNotice) {
--- /dev/null
+++ b/tests/controller_confirm.rs
@@ -0,0 +1,225 @@
+//! Confirmed configurations: races, resent orders, lost leaders, isolation, restarts, lost disks.
+
+mod controllers;
+
+use std::{
+    sync::atomic::Ordering,
+    time::{Duration, Instant},
+};
+
+use controllers::{Cluster, FakeGateway, order, request};
+use flamingocroft::{
+    domain::{ChangeLimits, Intent, MemberId, Ran},
+    operator::{Confirmed, HistoryEntry, MemberChanged, MemberRequest},
+};
+use hyper::{Method, StatusCode};
+
+fn intent(max_instances: u32) -> Intent {
+    Intent {
+        limits: ChangeLimits {
+            max_instances,
+            ..ChangeLimits::default()
+        },
+        ..Intent::default()
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_of_two_operators_with_equal_revisions_wins() {
+    let cluster = Cluster::start(3).await;
+    let (leader, _) = cluster.leader().await;
+    let plans = [
+        cluster.plan(leader, &intent(1)).await,
+        cluster.plan(leader, &intent(2)).await,
+    ];
+    let (a, b) = tokio::join!(
+        cluster.confirm(leader, &plans[0]),
+        cluster.confirm(leader, &plans[1])
+    );
+    let (won, lost) = if a.status == StatusCode::OK {
+        (a, b)
+    } else {
+        (b, a)
+    };
+    assert_eq!(won.read::<Confirmed>().revision.0, 1);
+    assert_eq!(lost.status, StatusCode::CONFLICT);
+    assert_eq!(&*lost.error().error.kind, "conflict");
+    assert_eq!(lost.error().error.ran, Ran::No);
+    assert_eq!(cluster.leader().await.1.revision.0, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_resent_confirm_gets_the_first_answer_also_from_a_new_leader() {
+    let mut cluster = Cluster::start(3).await;
+    let (leader, _) = cluster.leader().await;
+    let plan = cluster.plan(leader, &intent(1)).await;
+    let first: Confirmed = cluster.confirm(leader, &plan).await.read();
+    let second: Confirmed = cluster.confirm(leader, &plan).await.read();
+    assert_eq!(first, second);
+    cluster.put(&intent(2)).await;
+    cluster.stop(leader).await;
+    let (leader, _) = cluster.leader().await;
+    let third: Confirmed = cluster.confirm(leader, &plan).await.read();
+    assert_eq!((third.revision, third.index), (first.revision, first.index));
+    let history: Vec<HistoryEntry> = cluster.get(leader, "history").await.read();
+    assert_eq!(history.len(), 2, "{history:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_that_stops_between_commit_and_answer_leaves_one_effect() {
+    let mut cluster = Cluster::start(3).await;
+    let gateway = FakeGateway::start(&cluster, "g0", "z0", 1);
+    gateway.holds(|held| held.lease.is_some()).await;
+    // The answer waits for a gateway that fetches no views, so the stop falls before it.
+    gateway.shared.blind.store(true, Ordering::Relaxed);
+    let (leader, _) = cluster.leader().await;
+    let plan = cluster.plan(leader, &intent(1)).await;
+    let address = cluster.controllers[leader].settings.http_address;
+    let lost = tokio::spawn(controllers::post_to(address, "confirm", request(&plan)));
+    cluster.status_where(|status| status.revision.0 == 1).await;
+    assert!(!lost.is_finished());
+    lost.abort();
+    cluster.stop(leader).await;
+    let (next, _) = cluster.leader().await;
+    let answer: Confirmed = cluster.confirm(next, &plan).await.read();
+    assert_eq!(answer.revision.0, 1);
+    let history: Vec<HistoryEntry> = cluster.get(next, "history").await.read();
+    assert_eq!(history.len(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_controller_without_a_quorum_answers_503_and_confirms_nothing() {
+    let mut cluster = Cluster::start(3).await;
+    cluster.put(&intent(1)).await;
+    let (leader, _) = cluster.leader().await;
+    for index in (0..3).filter(|index| *index != leader) {
+        cluster.stop(index).await;
+    }
+    let request = order(1, intent(2));
+    let answer = cluster.post(leader, "confirm", &request).await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(&*answer.error().error.kind, "no_quorum");
+    for call in ["status", "history"] {
+        let answer = cluster.get(leader, call).await;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{call}");
+        assert_eq!(&*answer.error().error.kind, "no_quorum");
+        assert_eq!(answer.error().error.ran, Ran::No);
+    }
+    let answer = cluster.post(leader, "plan", &intent(3)).await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_controller_that_does_not_lead_names_the_leader() {
+    let cluster = Cluster::start(3).await;
+    let (leader, _) = cluster.leader().await;
+    let other = (leader + 1) % 3;
+    let until = Instant::now() + Duration::from_secs(10);
+    loop {
+        let answer = cluster.get(other, "status").await;
+        if answer.status == StatusCode::MISDIRECTED_REQUEST {
+            let address = cluster.controllers[leader].settings.http_address;
+            assert_eq!(answer.error().error.leader, Some(address));
+            return;
+        }
+        assert!(Instant::now() < until, "{:?}", answer.body);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restart_of_all_controllers_keeps_everything() {
+    let mut cluster = Cluster::start(3).await;
+    let gateway = FakeGateway::start(&cluster, "g0", "z0", 1);
+    cluster.put(&intent(1)).await;
+    let last = cluster.put(&intent(2)).await;
+    let key = uuid::Uuid::now_v7();
+    let granted = gateway.shared.claim(&gateway.request(key, 1, 1)).await;
+    assert_eq!(granted.status(), flamingocroft::wire::ClaimStatus::Granted);
+    drop(gateway);
+    cluster.stop_all().await;
+    for index in 0..3 {
+        cluster.run(index).await;
+    }
+    let (_, status) = cluster.leader().await;
+    assert_eq!(status.revision, last.revision);
+    let gateway = FakeGateway::start(&cluster, "g1", "z0", 1);
+    gateway.holds(|held| held.revision == 2).await;
+    let other = gateway.shared.claim(&gateway.request(key, 1, 1)).await;
+    assert_ne!(other.status(), flamingocroft::wire::ClaimStatus::Granted);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_disk_is_a_new_member_that_must_be_added() {
+    let mut cluster = Cluster::start(3).await;
+    cluster.put(&intent(1)).await;
+    let (leader, status) = cluster.leader().await;
+    let lost = (leader + 1) % 3;
+    let name = cluster.controllers[lost].settings.name.clone();
+    let old = cluster
+        .status_where(|status| status.members.iter().any(|m| m.name == name))
+        .await
+        .members
+        .into_iter()
+        .find(|member| member.name == name)
+        .unwrap()
+        .member;
+    cluster.stop(lost).await;
+    std::fs::remove_dir_all(cluster.data_folder(lost)).unwrap();
+    cluster.run(lost).await;
+    let new = cluster.member(lost).await;
+    assert_ne!(new, old);
+    assert!(!status.members.iter().any(|member| member.member == new));
+    for request in [
+        MemberRequest::AddLearner(new),
+        MemberRequest::Promote(new),
+        MemberRequest::Remove(old),
+    ] {
+        change(&cluster, leader, request).await;
+    }
+    let status = cluster
+        .status_where(|status| status.members.iter().all(|m| m.voter && m.member != old))
+        .await;
+    assert_eq!(status.members.len(), 3);
+    cluster.stop((leader + 2) % 3).await;
+    assert_eq!(cluster.put(&intent(5)).await.revision.0, 2);
+}
+
+/// A learner must catch up before it may vote, so a refused change is asked again.
+async fn change(cluster: &Cluster, leader: usize, request: MemberRequest) -> MemberChanged {
+    let until = Instant::now() + Duration::from_secs(10);
+    loop {
+        let answer = cluster.post(leader, "members", &request).await;
+        if answer.status == StatusCode::OK {
+            return answer.read();
+        }
+        assert_eq!(answer.status, StatusCode::CONFLICT, "{:?}", answer.body);
+        assert!(Instant::now() < until, "{request:?} is refused for ever");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn malformed_calls_and_wrong_tokens_are_refused() {
+    let cluster = Cluster::start(1).await;
+    cluster.leader().await;
+    let send = |method, call: &'static str, token: &'static str, body: &'static [u8]| {
+        cluster.send(0, method, call, token, body.into())
+    };
+    let token = controllers::TOKEN;
+    let table = [
+        (Method::GET, "status", "wrong", &b""[..], 401),
+        (Method::GET, "status", "", b"", 401),
+        (Method::POST, "confirm", token, b"{", 400),
+        (Method::POST, "plan", token, br#"{"unknown": 1}"#, 400),
+        (Method::GET, "nothing", token, b"", 404),
+        (Method::GET, "explain/revision/7", token, b"", 404),
+        (Method::GET, "explain/revision/x", token, b"", 400),
+        (Method::GET, "explain/instance/x", token, b"", 404),
+        (Method::POST, "plan", token, &[b' '; 1024 * 1024 + 1], 413),
+    ];
+    for (method, call, token, body, status) in table {
+        let answer = send(method, call, token, body).await;
+        assert_eq!(answer.status.as_u16(), status, "{call}");
+        assert_eq!(answer.error().error.ran, Ran::No);
+    }
+    let _: MemberId = cluster.member(0).await;
+}
--- /dev/null
+++ b/tests/controller_gateways.rs
@@ -0,0 +1,178 @@
+//! Gateways at the leader: leases, views, loss, new incarnations, shares and leaving instances.
+
+mod controllers;
+
+use std::{
+    sync::atomic::Ordering,
+    time::{Duration, Instant},
+};
+
+use controllers::{Cluster, FakeCloud, FakeGateway, listing};
+use flamingocroft::{
+    domain::{Incarnation, Intent},
+    operator::Explanation,
+    ports::ReclaimNotice,
+    settings::Timing,
+    wire::{Body, ClaimStatus, GatewayHeartbeat, LeavingNotice, OutcomeRequest, StoredOutcome},
+};
+
+fn names(list: &[&str]) -> Vec<String> {
+    list.iter().map(ToString::to_string).collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_gateway_is_lost_and_its_claims_become_unknown() {
+    let cluster = Cluster::start(3).await;
+    let lost = FakeGateway::start(&cluster, "g0", "z0", 1);
+    let other = FakeGateway::start(&cluster, "g1", "z1", 1);
+    other
+        .holds(|held| held.gateways == names(&["g0", "g1"]))
+        .await;
+    let key = uuid::Uuid::now_v7();
+    let claim = lost.request(key, 1, 1);
+    assert_eq!(
+        lost.shared.claim(&claim).await.status(),
+        ClaimStatus::Granted
+    );
+    let asked = other.request(key, 1, 1);
+    assert_eq!(
+        other.shared.claim(&asked).await.status(),
+        ClaimStatus::InProgress
+    );
+    lost.shared.silent.store(true, Ordering::Relaxed);
+    let silent_since = Instant::now();
+    other.holds(|held| held.gateways == names(&["g1"])).await;
+    let lease = cluster.controllers[0].settings.timing.view_lease;
+    let heartbeat = cluster.controllers[0].settings.timing.gateway_heartbeat;
+    assert!(
+        silent_since.elapsed() + heartbeat >= lease,
+        "lost before its lease ended"
+    );
+    let until = Instant::now() + Duration::from_secs(10);
+    while other.shared.claim(&asked).await.status() != ClaimStatus::Unknown {
+        assert!(Instant::now() < until, "the claim stays open");
+    }
+    let outcome = OutcomeRequest {
+        claim: Some(claim),
+        outcome: Some(StoredOutcome::default()),
+    };
+    lost.shared.ask(Body::Outcome(outcome)).await;
+    assert_eq!(other.shared.claim(&asked).await.status(), ClaimStatus::Done);
+    lost.shared.silent.store(false, Ordering::Relaxed);
+    other
+        .holds(|held| held.gateways == names(&["g0", "g1"]))
+        .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_older_incarnation_is_refused_and_its_claims_become_unknown() {
+    let cluster = Cluster::start(1).await;
+    let old = FakeGateway::start(&cluster, "g0", "z0", 1);
+    old.holds(|held| held.lease.is_some()).await;
+    let claim = old.request(uuid::Uuid::now_v7(), 1, 1);
+    assert_eq!(
+        old.shared.claim(&claim).await.status(),
+        ClaimStatus::Granted
+    );
+    let new = FakeGateway::start(&cluster, "g0", "z0", 2);
+    new.holds(|held| held.lease.is_some()).await;
+    let heartbeat = Body::Heartbeat(GatewayHeartbeat {
+        gateway: Some(old.record.clone()),
+        ..GatewayHeartbeat::default()
+    });
+    let answer = old
+        .shared
+        .link()
+        .call(heartbeat, Duration::from_secs(2))
+        .await;
+    assert!(
+        answer
+            .unwrap_err()
+            .to_string()
+            .contains("newer incarnation")
+    );
+    let until = Instant::now() + Duration::from_secs(10);
+    let asked = new.request(uuid::Uuid::from_slice(&claim.key).unwrap(), 1, 1);
+    while new.shared.claim(&asked).await.status() != ClaimStatus::Unknown {
+        assert!(Instant::now() < until, "the claim stays open");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_leader_keeps_the_addresses_of_gateways() {
+    let mut cluster = Cluster::start(3).await;
+    let gateways = ["g0", "g1", "g2"].map(|name| FakeGateway::start(&cluster, name, "z0", 1));
+    let all = names(&["g0", "g1", "g2"]);
+    for gateway in &gateways {
+        gateway.holds(|held| held.gateways == all).await;
+    }
+    let (leader, before) = cluster.leader().await;
+    cluster.stop(leader).await;
+    let term = cluster
+        .status_where(|status| status.term > before.term)
+        .await
+        .term;
+    let mut held = gateways[0].shared.held.subscribe();
+    let seen = held.wait_for(|held| held.gateways != all || held.term >= term && held.sequence > 0);
+    let seen = tokio::time::timeout(Duration::from_secs(20), seen)
+        .await
+        .unwrap();
+    assert_eq!(seen.unwrap().gateways, all);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gateway_on_an_old_view_is_told_the_index_it_needs() {
+    let cluster = Cluster::start(1).await;
+    let gateway = FakeGateway::start(&cluster, "g0", "z0", 1);
+    gateway.holds(|held| held.lease.is_some()).await;
+    gateway.shared.blind.store(true, Ordering::Relaxed);
+    let confirmed = cluster.put(&Intent::default()).await;
+    // The lease that allowed the old view has run out; the next ones ask for the new one.
+    assert!(confirmed.everywhere, "{confirmed:?}");
+    assert_eq!(confirmed.in_force, 0);
+    let held = gateway.shared.held.borrow().clone();
+    assert_eq!(held.lease.unwrap().required_index, confirmed.index);
+    gateway.shared.blind.store(false, Ordering::Relaxed);
+    gateway.holds(|held| held.index >= confirmed.index).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_and_gone_instances_reach_gateways_and_are_explained() {
+    let list = ["i-1", "i-2", "i-3"].map(|name| listing(name, "manifest", "z0"));
+    let cloud = FakeCloud::with(list.to_vec());
+    let cluster = Cluster::start_with(3, Timing::default(), Some(cloud)).await;
+    let gateway = FakeGateway::start(&cluster, "g0", "z0", 1);
+    gateway.holds(|held| held.instances.len() == 3).await;
+    cluster.cloud.change(|cloud| {
+        cloud.notices.push(ReclaimNotice {
+            instance: "i-1".into(),
+            incarnation: Incarnation(1),
+            remaining: Duration::from_secs(30),
+        });
+        cloud.list.retain(|listing| listing.name.as_str() != "i-3");
+    });
+    gateway.shared.leaving.lock().unwrap().push(LeavingNotice {
+        instance: "i-2".into(),
+        incarnation: 1,
+    });
+    let expected = [("i-1", 1), ("i-2", 1), ("i-3", 2)];
+    gateway
+        .holds(|held| {
+            let has = |(name, state): &(&str, u32)| {
+                held.instances.iter().any(|(n, s)| n == name && s == state)
+            };
+            expected.iter().all(has)
+        })
+        .await;
+    let (leader, _) = cluster.leader().await;
+    for (name, why) in [
+        ("i-1", "takes it back"),
+        ("i-2", "g0 learned it"),
+        ("i-3", "lack it"),
+    ] {
+        let call = format!("explain/instance/{name}");
+        let explanation: Explanation = cluster.get(leader, &call).await.read();
+        let last = &explanation.events.last().unwrap().what;
+        assert!(last.contains(why), "{last}");
+    }
+}
--- a/tests/controllers/gateway.rs
+++ b/tests/controllers/gateway.rs
@@ -47,7 +47,10 @@
     pub held: watch::Sender<Held>,
     pub leaving: std::sync::Mutex<Vec<LeavingNotice>>,
     pub demand: std::sync::Mutex<Vec<Demand>>,
+    /// Sends no heartbeats.
     pub silent: AtomicBool,
+    /// Fetches no views.
+    pub blind: AtomicBool,
 }
 
 impl Shared {
@@ -74,6 +77,11 @@
         }
     }
 
+    /// The link to the first controller.
+    pub fn link(&self) -> &Link {
+        &self.links[0].1
+    }
+
     pub async fn claim(&self, request: &ClaimRequest) -> ClaimReply {
         match self.ask(Body::Claim(request.clone())).await {
             Body::ClaimReply(reply) => reply,
@@ -123,6 +131,7 @@
             leaving: std::sync::Mutex::default(),
             demand: std::sync::Mutex::default(),
             silent: AtomicBool::new(false),
+            blind: AtomicBool::new(false),
         });
         let record = GatewayRecord {
             name: name.into(),
@@ -203,7 +212,9 @@
             held_sequence: held.sequence,
             wait_ms: 1000,
         };
-        if let Body::View(reply) = shared.ask(Body::ViewRequest(request)).await {
+        if let Body::View(reply) = shared.ask(Body::ViewRequest(request)).await
+            && !shared.blind.load(Ordering::Relaxed)
+        {
             shared.take(&reply);
         }
     }
--- a/tests/controllers/mod.rs
+++ b/tests/controllers/mod.rs
@@ -1,6 +1,6 @@
 //! Controllers in this process, with real links and disks, and fakes at the ports.
 
-#![allow(dead_code, reason = "each test file uses a part")]
+#![allow(dead_code, unused_imports, reason = "each test file uses a part")]
 
 mod cloud;
 mod gateway;
@@ -23,11 +23,13 @@
 use bytes::Bytes;
 use flamingocroft::{
     Running, controller,
-    domain::{Intent, OperationId, Revision},
+    domain::{Incarnation, Intent, MemberId, OperationId, Revision},
+    link::{Identity, Link, LinkSettings, PeerKey},
     operator::{ConfirmRequest, Confirmed, ErrorBody, Plan, Status},
     ports::{Clock, Ports},
     settings::{ControllerEntry, Limits, Role, Settings, Timing},
     telemetry::Metrics,
+    wire::{Body, MemberQuery},
 };
 use http_body_util::{BodyExt, Full};
 use hyper::{Method, Request, StatusCode};
@@ -224,22 +226,26 @@
         body: Bytes,
     ) -> Answer {
         let address = self.controllers[index].settings.http_address;
-        let request = Request::builder()
-            .method(method)
-            .uri(format!("http://{address}/v1/{call}"))
-            .header("authorization", format!("Bearer {token}"))
-            .body(Full::new(body))
-            .unwrap();
-        let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
-        match client.request(request).await {
-            Ok(response) => Answer {
-                status: response.status(),
-                body: response.into_body().collect().await.unwrap().to_bytes(),
-            },
-            Err(_) => Answer {
-                status: StatusCode::BAD_GATEWAY,
-                body: Bytes::new(),
-            },
+        send_to(address, method, call, token, body).await
+    }
+
+    /// Asks a controller for the member id of its data folder.
+    pub async fn member(&self, index: usize) -> MemberId {
+        let own = Identity {
+            name: "asking".into(),
+            incarnation: Incarnation(1),
+        };
+        let address = self.controllers[index].settings.peer_address;
+        let key = PeerKey::new(KEY).unwrap();
+        let link = Link::connect(address, key, own, LinkSettings::default());
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let query = Body::MemberQuery(MemberQuery {});
+            if let Ok(Body::MemberReport(report)) = link.call(query, PATIENCE).await {
+                return MemberId(report.member);
+            }
+            assert!(Instant::now() < until, "no report in time");
+            tokio::task::yield_now().await;
         }
     }
 
@@ -259,6 +265,42 @@
     }
 }
 
+async fn send_to(
+    address: SocketAddr,
+    method: Method,
+    call: &str,
+    token: &str,
+    body: Bytes,
+) -> Answer {
+    let request = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}/v1/{call}"))
+        .header("authorization", format!("Bearer {token}"))
+        .body(Full::new(body))
+        .unwrap();
+    let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
+    let lost = Answer {
+        status: StatusCode::BAD_GATEWAY,
+        body: Bytes::new(),
+    };
+    let Ok(response) = client.request(request).await else {
+        return lost;
+    };
+    let status = response.status();
+    match response.into_body().collect().await {
+        Ok(body) => Answer {
+            status,
+            body: body.to_bytes(),
+        },
+        Err(_) => lost,
+    }
+}
+
+pub async fn post_to(address: SocketAddr, call: &'static str, body: impl Serialize) -> Answer {
+    let body = serde_json::to_vec(&body).unwrap();
+    send_to(address, Method::POST, call, TOKEN, body.into()).await
+}
+
 pub fn request(plan: &Plan) -> ConfirmRequest {
     ConfirmRequest {
         operation: plan.operation,
