Order engines under fencing numbers from the log

Cause: a confirmed model version must reach every engine, and a late order of an earlier leader or round must not undo it. Each round of orders has its own number, allocated by the log; one number for a whole term was weighed, but then a late order of the same leader would pass the engine's check. Engines that ignore the number get nothing before the earlier leader's lease and its longest order are over, and an unanswered order is waited out and the state read back before the next. What cannot be excluded: an engine that ignores the number and is frozen for longer than the longest order may carry out what it had already received.

--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -14,6 +14,8 @@
 mod leader;
 mod log;
 mod operators;
+mod order_runner;
+pub mod orders;
 mod peers;
 mod shares;
 mod token;
@@ -113,6 +115,11 @@
             stop.clone(),
         ));
     }
+    tasks.spawn(order_runner::run(
+        Arc::clone(&core),
+        Arc::clone(&ports.upstreams),
+        stop.clone(),
+    ));
     let begin = Begin {
         settings,
         store,
