Check intents before a plan and a confirm; measure the controllers

Cause: an intent whose parts do not fit together could be confirmed through HTTP, because only the tool checked files. The leader now refuses it with all problems.

--- /dev/null
+++ b/examples/measure_control.rs
@@ -0,0 +1,211 @@
+//! Measures the controllers: confirm to in force, claims, and the cost of views.
+//! Run `cargo run --release --example measure_control`; it takes about three minutes.
+
+#[path = "../tests/controllers/mod.rs"]
+mod controllers;
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use controllers::{Cluster, FakeCloud, FakeGateway, intent, listing, request};
+use flamingocroft::{domain::InstanceState, settings::Timing, wire::ClaimStatus};
+use tokio::task::JoinSet;
+
+const CONFIRMS: u32 = 60;
+const LEADER_STOPS: u32 = 12;
+const CLAIM_TIME: Duration = Duration::from_secs(4);
+const VIEW_TIME: Duration = Duration::from_secs(4);
+
+#[tokio::main]
+async fn main() {
+    println!(
+        "{} cores",
+        std::thread::available_parallelism().map_or(0, usize::from)
+    );
+    println!("confirm sent to in force at every gateway, ms");
+    println!(
+        "{:>9} {:>12} {:>7} {:>7} {:>7} {:>7}",
+        "gateways", "leader", "rounds", "p50", "p99", "worst"
+    );
+    for gateways in [8, 64] {
+        confirm(gateways, false, CONFIRMS).await;
+        confirm(gateways, true, LEADER_STOPS).await;
+    }
+    println!("claims with synced logs, three controllers; latency in ms");
+    println!(
+        "{:>9} {:>9} {:>7} {:>7} {:>7}",
+        "at once", "a second", "p50", "p99", "worst"
+    );
+    for concurrency in [1, 16, 64, 256] {
+        claims(concurrency).await;
+    }
+    println!("views and leases, one instance replaced a second; CPU of all parts in one process");
+    println!(
+        "{:>9} {:>9} {:>14} {:>16} {:>16}",
+        "gateways", "instances", "bytes/s each", "CPU ms/s in all", "CPU ms/s each"
+    );
+    for gateways in [4, 16, 64] {
+        for instances in [20, 100, 400, 950] {
+            views(gateways, instances).await;
+        }
+    }
+}
+
+fn percentiles(mut times: Vec<Duration>) -> [f64; 3] {
+    times.sort();
+    let at = |part: f64| {
+        let index = ((times.len() as f64 * part).ceil() as usize).clamp(1, times.len()) - 1;
+        times[index].as_secs_f64() * 1000.0
+    };
+    [at(0.5), at(0.99), at(1.0)]
+}
+
+fn start_gateways(cluster: &Cluster, count: usize) -> Vec<FakeGateway> {
+    (0..count)
+        .map(|i| FakeGateway::start(cluster, &format!("g{i:03}"), &format!("z{}", i % 3), 1))
+        .collect()
+}
+
+async fn all_hold(gateways: &[FakeGateway], revision: u64) {
+    for gateway in gateways {
+        gateway.holds(|held| held.revision >= revision).await;
+    }
+}
+
+async fn confirm(count: usize, stops_leader: bool, rounds: u32) {
+    let mut cluster = Cluster::start(3).await;
+    cluster.put(&intent(1)).await;
+    let gateways = start_gateways(&cluster, count);
+    all_hold(&gateways, 1).await;
+    let mut times = Vec::new();
+    for round in 0..rounds {
+        let (leader, status) = cluster.leader().await;
+        let plan = cluster.plan(leader, &intent(2 + round)).await;
+        let order = request(&plan);
+        let began = Instant::now();
+        if stops_leader {
+            let address = cluster.controllers[leader].settings.http_address;
+            let lost = tokio::spawn(controllers::post_to(address, "confirm", order.clone()));
+            tokio::task::yield_now().await;
+            cluster.stop(leader).await;
+            lost.abort();
+        }
+        let resent = async {
+            loop {
+                let (leader, _) = cluster.leader().await;
+                let answer = cluster.post(leader, "confirm", &order).await;
+                if answer.status.is_success() {
+                    return;
+                }
+            }
+        };
+        let wanted = status.revision.0 + 1;
+        let in_force = async {
+            all_hold(&gateways, wanted).await;
+            began.elapsed()
+        };
+        let ((), time) = tokio::join!(resent, in_force);
+        times.push(time);
+        if stops_leader {
+            cluster.run(leader).await;
+        }
+    }
+    let [p50, p99, worst] = percentiles(times);
+    let leader = if stops_leader { "stopped" } else { "stays" };
+    println!("{count:>9} {leader:>12} {rounds:>7} {p50:>7.1} {p99:>7.1} {worst:>7.1}");
+    drop(gateways);
+    cluster.stop_all().await;
+}
+
+async fn claims(concurrency: u64) {
+    let mut cluster = Cluster::start(3).await;
+    let gateway = FakeGateway::start(&cluster, "g0", "z0", 1);
+    gateway.holds(|held| held.lease.is_some()).await;
+    let until = Instant::now() + CLAIM_TIME;
+    let attempts = Arc::new(AtomicU64::new(1));
+    let mut workers = JoinSet::new();
+    for _ in 0..concurrency {
+        let shared = Arc::clone(&gateway.shared);
+        let attempts = Arc::clone(&attempts);
+        let template = gateway.request(uuid::Uuid::nil(), 1, 0);
+        workers.spawn(async move {
+            let mut times = Vec::new();
+            while Instant::now() < until {
+                let mut claim = template.clone();
+                claim.key = uuid::Uuid::now_v7().as_bytes().to_vec();
+                claim.attempt = attempts.fetch_add(1, Ordering::Relaxed);
+                let began = Instant::now();
+                let reply = shared.claim(&claim).await;
+                assert_eq!(reply.status(), ClaimStatus::Granted);
+                times.push(began.elapsed());
+            }
+            times
+        });
+    }
+    let times: Vec<Duration> = workers.join_all().await.into_iter().flatten().collect();
+    let rate = times.len() as f64 / CLAIM_TIME.as_secs_f64();
+    let [p50, p99, worst] = percentiles(times);
+    println!("{concurrency:>9} {rate:>9.0} {p50:>7.2} {p99:>7.2} {worst:>7.2}");
+    drop(gateway);
+    cluster.stop_all().await;
+}
+
+async fn views(count: usize, instances: usize) {
+    let list = (0..instances).map(|i| listing(&format!("i-{i:04}"), "manifest", "z0"));
+    let cloud = FakeCloud::with(list.collect());
+    let mut cluster = Cluster::start_with(3, Timing::default(), Some(cloud)).await;
+    let gateways = start_gateways(&cluster, count);
+    for gateway in &gateways {
+        let whole =
+            gateway.holds(|held| held.instances.len() == instances && held.gateways.len() == count);
+        whole.await;
+    }
+    let bytes = || -> u64 {
+        gateways
+            .iter()
+            .map(|g| g.shared.bytes.load(Ordering::Relaxed))
+            .sum()
+    };
+    let (bytes_before, cpu_before, began) = (bytes(), cpu_ms(), Instant::now());
+    let mut tick = tokio::time::interval(Duration::from_secs(1));
+    let mut replaced = 0;
+    while began.elapsed() < VIEW_TIME {
+        tick.tick().await;
+        cluster.cloud.change(|cloud| {
+            let row = &mut cloud.list[replaced % instances];
+            row.incarnation.0 += 1;
+            row.state = InstanceState::Live;
+        });
+        replaced += 1;
+    }
+    let seconds = began.elapsed().as_secs_f64();
+    let each = (bytes() - bytes_before) as f64 / seconds / count as f64;
+    let cpu = (cpu_ms() - cpu_before) / seconds;
+    println!(
+        "{count:>9} {instances:>9} {each:>14.0} {cpu:>16.1} {:>16.2}",
+        cpu / count as f64
+    );
+    drop(gateways);
+    cluster.stop_all().await;
+}
+
+/// CPU time of this process; the kernel counts it in hundredths of a second.
+fn cpu_ms() -> f64 {
+    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let fields = stat
+        .rsplit(')')
+        .next()
+        .unwrap_or_default()
+        .split_whitespace();
+    let ticks: u64 = fields
+        .skip(11)
+        .take(2)
+        .filter_map(|f| f.parse::<u64>().ok())
+        .sum();
+    ticks as f64 * 10.0
+}
--- a/src/controller/operators.rs
+++ b/src/controller/operators.rs
@@ -17,6 +17,7 @@
     policy::place::{self, Placement},
     ports::Clock,
     replication::MemberChange,
+    settings::intent::check_intent,
     state::{
         Action, ConfirmIntent, ConfirmOutcome, Observation, ObserveInstances, Reply,
         RevisionRecord, Sighting,
@@ -89,6 +90,7 @@
 
     /// What confirming an intent would change.
     pub async fn plan(&self, intent: Intent) -> Answer<Plan> {
+        checked(&intent)?;
         self.read().await?;
         let (base_revision, before, instances) = {
             let state = self.core.log.state();
@@ -114,6 +116,7 @@
 
     /// Puts an intent in force.
     pub async fn confirm(&self, request: ConfirmRequest) -> Answer<Confirmed> {
+        checked(&request.intent)?;
         let intent = serde_json::to_vec(&request.intent).map_err(|e| {
             let message = format!("the intent cannot be encoded: {e}");
             ApiError::new(StatusCode::BAD_REQUEST, "bad_request", message)
@@ -259,6 +262,14 @@
     }
 }
 
+fn checked(intent: &Intent) -> Answer<()> {
+    check_intent(intent).map_err(|problems| {
+        let lines: Vec<_> = problems.iter().map(ToString::to_string).collect();
+        let message = format!("the intent is not valid: {}", lines.join("; "));
+        ApiError::new(StatusCode::BAD_REQUEST, "bad_intent", message)
+    })
+}
+
 fn confirmed(outcome: ConfirmOutcome, base: Revision) -> Answer<(u64, u64)> {
     match outcome {
         ConfirmOutcome::Confirmed { revision, index } => Ok((revision, index)),
--- a/tests/controller_confirm.rs
+++ b/tests/controller_confirm.rs
@@ -7,23 +7,13 @@
     time::{Duration, Instant},
 };
 
-use controllers::{Cluster, FakeGateway, order, request};
+use controllers::{Cluster, FakeGateway, intent, order, request};
 use flamingocroft::{
-    domain::{ChangeLimits, Intent, MemberId, Ran},
+    domain::{Intent, MemberId, Ran},
     operator::{Confirmed, HistoryEntry, MemberChanged, MemberRequest},
 };
 use hyper::{Method, StatusCode};
 
-fn intent(max_instances: u32) -> Intent {
-    Intent {
-        limits: ChangeLimits {
-            max_instances,
-            ..ChangeLimits::default()
-        },
-        ..Intent::default()
-    }
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn one_of_two_operators_with_equal_revisions_wins() {
     let cluster = Cluster::start(3).await;
@@ -201,6 +191,8 @@
 async fn malformed_calls_and_wrong_tokens_are_refused() {
     let cluster = Cluster::start(1).await;
     cluster.leader().await;
+    let answer = cluster.post(0, "plan", &Intent::default()).await;
+    assert_eq!(&*answer.error().error.kind, "bad_intent");
     let send = |method, call: &'static str, token: &'static str, body: &'static [u8]| {
         cluster.send(0, method, call, token, body.into())
     };
--- a/tests/controller_gateways.rs
+++ b/tests/controller_gateways.rs
@@ -7,9 +7,9 @@
     time::{Duration, Instant},
 };
 
-use controllers::{Cluster, FakeCloud, FakeGateway, listing};
+use controllers::{Cluster, FakeCloud, FakeGateway, intent, listing};
 use flamingocroft::{
-    domain::{Incarnation, Intent},
+    domain::Incarnation,
     operator::Explanation,
     ports::ReclaimNotice,
     settings::Timing,
@@ -126,7 +126,7 @@
     let gateway = FakeGateway::start(&cluster, "g0", "z0", 1);
     gateway.holds(|held| held.lease.is_some()).await;
     gateway.shared.blind.store(true, Ordering::Relaxed);
-    let confirmed = cluster.put(&Intent::default()).await;
+    let confirmed = cluster.put(&intent(1)).await;
     // The lease that allowed the old view has run out; the next ones ask for the new one.
     assert!(confirmed.everywhere, "{confirmed:?}");
     assert_eq!(confirmed.in_force, 0);
--- a/tests/controller_orders.rs
+++ b/tests/controller_orders.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use controllers::{Cluster, FakeCloud, listing};
+use controllers::{Cluster, FakeCloud, listing, serving};
 use flamingocroft::{
     controller::orders::{Action, Desk, Engine, OrderTiming, Outcome},
     domain::{
@@ -133,29 +133,6 @@
     assert_eq!(at(&desk, 4, &leaving), None);
 }
 
-fn intent(version: &str) -> Intent {
-    Intent {
-        zones: vec![],
-        models: vec![Model {
-            name: "gull".into(),
-            version: version.into(),
-            weights_mib: 1,
-        }],
-        services: vec![Service {
-            name: "manifest".into(),
-            kind: ServiceKind::Engines {
-                models: vec!["gull".into()],
-                fencing: Fencing::Checked,
-            },
-            zones: vec![],
-            class: MachineClass("gpu-1".into()),
-            slots_per_instance: 4,
-            expected_concurrency: 0,
-        }],
-        ..Intent::default()
-    }
-}
-
 async fn until_loaded(cluster: &Cluster, version: &str) -> Vec<(Target, EngineOrder)> {
     let until = Instant::now() + Duration::from_secs(20);
     loop {
@@ -175,11 +152,11 @@
 async fn a_changed_version_is_loaded_under_growing_fences_and_a_late_order_is_refused() {
     let cloud = FakeCloud::with(vec![listing("i-1", "manifest", "z0")]);
     let mut cluster = Cluster::start_with(3, Timing::default(), Some(cloud)).await;
-    cluster.put(&intent("1")).await;
+    cluster.put(&serving("1", 4)).await;
     let first = until_loaded(&cluster, "1").await;
     let (leader, _) = cluster.leader().await;
     cluster.stop(leader).await;
-    cluster.put(&intent("2")).await;
+    cluster.put(&serving("2", 4)).await;
     let orders = until_loaded(&cluster, "2").await;
     let fences: Vec<FencingNumber> = orders.iter().map(|(_, order)| order.fence).collect();
     assert!(fences.is_sorted(), "{fences:?}");
--- a/tests/controller_thin.rs
+++ b/tests/controller_thin.rs
@@ -2,13 +2,13 @@
 
 mod controllers;
 
-use controllers::{Cluster, FakeCloud, FakeGateway};
-use flamingocroft::{domain::Intent, settings::Timing};
+use controllers::{Cluster, FakeCloud, FakeGateway, intent};
+use flamingocroft::settings::Timing;
 
 #[tokio::test(flavor = "multi_thread")]
 async fn one_controller_confirms_an_intent() {
     let cluster = Cluster::start(1).await;
-    let confirmed = cluster.put(&Intent::default()).await;
+    let confirmed = cluster.put(&intent(1)).await;
     assert_eq!(confirmed.revision.0, 1);
     assert_eq!(cluster.leader().await.1.revision.0, 1);
 }
@@ -24,7 +24,7 @@
             .await;
         assert_eq!(held.instances, [("i-1".to_owned(), 0)]);
     }
-    let confirmed = cluster.put(&Intent::default()).await;
+    let confirmed = cluster.put(&intent(1)).await;
     assert!(confirmed.everywhere, "{confirmed:?}");
     assert_eq!(confirmed.gateways, 2);
 }
--- a/tests/controllers/gateway.rs
+++ b/tests/controllers/gateway.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -47,6 +47,8 @@
     pub held: watch::Sender<Held>,
     pub leaving: std::sync::Mutex<Vec<LeavingNotice>>,
     pub demand: std::sync::Mutex<Vec<Demand>>,
+    /// Bytes sent and received, frames without their length.
+    pub bytes: AtomicU64,
     /// Sends no heartbeats.
     pub silent: AtomicBool,
     /// Fetches no views.
@@ -54,11 +56,21 @@
 }
 
 impl Shared {
+    fn count(&self, body: &Body) {
+        let bytes = body.encoded_len() as u64;
+        self.bytes.fetch_add(bytes, Ordering::Relaxed);
+    }
+
     /// Asks the leader, following `NotLeader`, until one answers.
     pub async fn ask(&self, body: Body) -> Body {
         loop {
             let at = self.preferred.load(Ordering::Relaxed) % self.links.len();
-            match self.links[at].1.call(body.clone(), CALL).await {
+            self.count(&body);
+            let answer = self.links[at].1.call(body.clone(), CALL).await;
+            if let Ok(reply) = &answer {
+                self.count(reply);
+            }
+            match answer {
                 Ok(Body::NotLeader(other)) => {
                     let named = self
                         .links
@@ -130,6 +142,7 @@
             held: watch::channel(Held::default()).0,
             leaving: std::sync::Mutex::default(),
             demand: std::sync::Mutex::default(),
+            bytes: AtomicU64::new(0),
             silent: AtomicBool::new(false),
             blind: AtomicBool::new(false),
         });
--- a/tests/controllers/mod.rs
+++ b/tests/controllers/mod.rs
@@ -23,7 +23,10 @@
 use bytes::Bytes;
 use flamingocroft::{
     Running, controller,
-    domain::{Incarnation, Intent, MemberId, OperationId, Revision},
+    domain::{
+        ChangeLimits, Fencing, Incarnation, Intent, MachineClass, MemberId, Model, Money,
+        OperationId, Price, Revision, Service, ServiceKind, Zone,
+    },
     link::{Identity, Link, LinkSettings, PeerKey},
     operator::{ConfirmRequest, Confirmed, ErrorBody, Plan, Status},
     ports::{Clock, Ports},
@@ -301,6 +304,52 @@
     send_to(address, Method::POST, call, TOKEN, body.into()).await
 }
 
+/// A valid intent that differs by a limit.
+pub fn intent(max_instances: u32) -> Intent {
+    Intent {
+        zones: vec![Zone {
+            name: "z0".into(),
+            region: "north".into(),
+        }],
+        limits: ChangeLimits {
+            max_instances,
+            ..ChangeLimits::default()
+        },
+        ..Intent::default()
+    }
+}
+
+/// A valid intent with engines.
+pub fn serving(version: &str, expected_concurrency: u32) -> Intent {
+    let class = MachineClass("gpu-1".into());
+    Intent {
+        models: vec![Model {
+            name: "gull".into(),
+            version: version.into(),
+            weights_mib: 1,
+        }],
+        services: vec![Service {
+            name: "manifest".into(),
+            kind: ServiceKind::Engines {
+                models: vec!["gull".into()],
+                fencing: Fencing::Checked,
+            },
+            zones: vec!["z0".into()],
+            class: class.clone(),
+            slots_per_instance: 4,
+            expected_concurrency,
+        }],
+        prices: vec![Price {
+            zone: "z0".into(),
+            class,
+            on_demand_micros_per_hour: Money(3_000_000),
+            reclaimable_micros_per_hour: Money(1_000_000),
+            reclaims_per_day: 2.0,
+        }],
+        ..intent(8)
+    }
+}
+
 pub fn request(plan: &Plan) -> ConfirmRequest {
     ConfirmRequest {
         operation: plan.operation,
