--- a/tests/controller_orders.rs
+++ b/tests/controller_orders.rs
@@ -10,9 +10,7 @@
 use controllers::{Cluster, FakeCloud, listing, serving};
 use flamingocroft::{
     controller::orders::{Action, Desk, Engine, OrderTiming, Outcome},
-    domain::{
-        Fencing, FencingNumber, Incarnation, Intent, MachineClass, Model, Service, ServiceKind,
-    },
+    domain::{Fencing, FencingNumber, Incarnation},
     ports::{EngineLoad, EngineOrder, OrderKind, OrderOutcome, Target},
     settings::Timing,
 };
