--- a/src/controller/cloud.rs
+++ b/src/controller/cloud.rs
@@ -167,7 +167,9 @@
     match list {
         Ok(Ok(list)) => {
             let observations = watcher.compare(core.log.state().instances(), &list);
+            let term = core.fleet().term();
             commit(core, observations).await;
+            core.note_list(term);
         }
         Ok(Err(e)) => log::warn!("controller: the instance list cannot be read: {e}."),
         Err(_) => log::warn!("controller: the instance list did not come in time."),
--- a/src/controller/core.rs
+++ b/src/controller/core.rs
@@ -1,7 +1,10 @@
 //! What all parts of a controller share.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -38,6 +41,7 @@
     fleet: Mutex<Fleet>,
     fleet_changed: watch::Sender<u64>,
     heard: watch::Sender<u64>,
+    listed_term: AtomicU64,
 }
 
 impl<T: Clock> Core<T> {
@@ -61,6 +65,7 @@
             fleet: Mutex::new(fleet),
             fleet_changed: watch::channel(0).0,
             heard: watch::channel(0).0,
+            listed_term: AtomicU64::new(0),
         }
     }
 
@@ -89,6 +94,17 @@
         self.heard.subscribe()
     }
 
+    /// Notes that the instance list was read and recorded in a term.
+    pub fn note_list(&self, term: u64) {
+        self.listed_term.store(term, Ordering::Release);
+    }
+
+    /// Returns whether this controller leads and has recorded the instance list in its term.
+    /// Placement waits for it, so that it does not order what runs already.
+    pub fn leads_with_list(&self) -> bool {
+        self.leads() && self.listed_term.load(Ordering::Acquire) == self.fleet().term()
+    }
+
     /// Returns the time by the monotonic clock.
     pub fn now(&self) -> Duration {
         self.clock.monotonic()
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -17,6 +17,8 @@
 mod order_runner;
 pub mod orders;
 mod peers;
+pub mod placement;
+mod placer;
 mod shares;
 mod token;
 pub mod view;
@@ -109,6 +111,12 @@
     tasks.spawn(http::serve(http, http_listener, stop.clone()));
     tasks.spawn(leader::run(Arc::clone(&core), stop.clone()));
     if let Some(cloud) = &ports.cloud {
+        tasks.spawn(placer::run(
+            Arc::clone(&core),
+            Arc::clone(cloud),
+            Arc::clone(&ports.upstreams),
+            stop.clone(),
+        ));
         tasks.spawn(cloud::run(
             Arc::clone(&core),
             Arc::clone(cloud),
--- a/src/state/command.rs
+++ b/src/state/command.rs
@@ -12,7 +12,7 @@
     #[prost(uint64, tag = "1")]
     pub at_unix_ms: u64,
     /// What to do; a command without an action changes nothing.
-    #[prost(oneof = "Action", tags = "10, 11, 12, 13, 14, 15, 16, 17")]
+    #[prost(oneof = "Action", tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19")]
     pub action: Option<Action>,
 }
 
@@ -43,6 +43,12 @@
     /// Allocates a fencing number.
     #[prost(message, tag = "17")]
     AllocateFence(AllocateFence),
+    /// Opens an order to start an instance.
+    #[prost(message, tag = "18")]
+    OrderStart(StartOrder),
+    /// Notes the answer to such an order.
+    #[prost(message, tag = "19")]
+    SettleStart(SettleStart),
 }
 
 /// A compare-and-set of the intent.
@@ -131,3 +137,31 @@
 /// Allocates the next fencing number.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
 pub struct AllocateFence {}
+
+/// An instance to start.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct StartOrder {
+    /// The service that it will belong to.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Where to start it.
+    #[prost(string, tag = "2")]
+    pub zone: String,
+    /// Its machine class.
+    #[prost(string, tag = "3")]
+    pub class: String,
+    /// Whether it can be reclaimed.
+    #[prost(bool, tag = "4")]
+    pub reclaimable: bool,
+}
+
+/// The answer to an order to start an instance.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct SettleStart {
+    /// The log index of the order.
+    #[prost(uint64, tag = "1")]
+    pub index: u64,
+    /// The cloud's name for the instance; empty if none comes of the order.
+    #[prost(string, tag = "2")]
+    pub instance: String,
+}
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -5,17 +5,20 @@
 mod command;
 mod configuration;
 mod instances;
+mod starts;
 
 pub use claims::{ClaimRecord, Claims, Standing};
 pub use command::{
     Action, AllocateFence, ClaimCommand, Command, ConfirmIntent, ExpireClaims, MarkUnknown,
-    Observation, ObserveInstances, Sighting,
+    Observation, ObserveInstances, SettleStart, Sighting, StartOrder,
 };
 pub use configuration::{Configuration, ConfirmOutcome, OperationRecord, RevisionRecord};
 pub use instances::{
     At, EventRecord, GONE, InstanceFact, Instances, InstancesRecord, LEAVING, LIVE,
 };
 
+pub use starts::{StartRecord, Starts};
+
 use bytes::Bytes;
 use prost::Message;
 
@@ -52,6 +55,7 @@
     configuration: Configuration,
     claims: Claims,
     instances: Instances,
+    starts: Starts,
     fence: u64,
 }
 
@@ -76,6 +80,11 @@
         &self.instances
     }
 
+    /// Returns the open orders to start instances.
+    pub fn starts(&self) -> &Starts {
+        &self.starts
+    }
+
     /// Returns the log index of the last change that gateways must see.
     pub fn view_index(&self) -> u64 {
         self.configuration
@@ -116,6 +125,13 @@
                 self.fence += 1;
                 Reply::Fence(FencingNumber(self.fence))
             }
+            Action::OrderStart(order) => {
+                Reply::Accepted(self.starts.order(index, at.unix_ms, order))
+            }
+            Action::SettleStart(settle) => {
+                let listed = self.instances.get(&settle.instance).is_some();
+                Reply::Accepted(self.starts.settle(settle, listed))
+            }
         }
     }
 
@@ -123,6 +139,9 @@
         let mut known = true;
         for observation in &observe.observations {
             known &= self.instances.observe(at, observation);
+            if let Some(Sighting::Seen(record)) = &observation.sighting {
+                self.starts.listed(&record.name);
+            }
         }
         known
     }
@@ -140,6 +159,7 @@
             expired_before: self.claims.expired_before(),
             instances: Some(self.instances.to_record()),
             fence: self.fence,
+            starts: self.starts.open().cloned().collect(),
         };
         record.encode_to_vec().into()
     }
@@ -162,6 +182,7 @@
             )?,
             claims: Claims::from_records(record.claims, record.expired_before)?,
             instances: Instances::from_record(record.instances.unwrap_or_default())?,
+            starts: Starts::from_records(record.starts),
             fence: record.fence,
         })
     }
@@ -189,4 +210,6 @@
     instances: Option<InstancesRecord>,
     #[prost(uint64, tag = "10")]
     fence: u64,
+    #[prost(message, repeated, tag = "11")]
+    starts: Vec<StartRecord>,
 }
--- /dev/null
+++ b/src/state/starts.rs
@@ -0,0 +1,79 @@
+//! Orders to start instances. They are in the log before they are sent, so that a new leader resends
+//! them under the same operation id and no instance is started twice.
+
+use std::collections::BTreeMap;
+
+use super::command::{SettleStart, StartOrder};
+
+/// Orders that may be open at once.
+const MOST_OPEN: usize = 1024;
+
+/// An order whose instance is not in the instance list yet.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct StartRecord {
+    /// The log index of the order.
+    #[prost(uint64, tag = "1")]
+    pub index: u64,
+    /// The leader's time at the order.
+    #[prost(uint64, tag = "2")]
+    pub at_unix_ms: u64,
+    /// What is ordered.
+    #[prost(message, optional, tag = "3")]
+    pub order: Option<StartOrder>,
+    /// The cloud's name for the instance; empty until the order was answered.
+    #[prost(string, tag = "4")]
+    pub instance: String,
+}
+
+/// The open orders.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Starts {
+    records: BTreeMap<u64, StartRecord>,
+}
+
+impl Starts {
+    /// Returns the open orders, oldest first.
+    pub fn open(&self) -> impl Iterator<Item = &StartRecord> {
+        self.records.values()
+    }
+
+    /// Opens an order. Returns whether there was room for it.
+    pub fn order(&mut self, index: u64, at_unix_ms: u64, order: &StartOrder) -> bool {
+        if self.records.len() >= MOST_OPEN {
+            return false;
+        }
+        let record = StartRecord {
+            index,
+            at_unix_ms,
+            order: Some(order.clone()),
+            instance: String::new(),
+        };
+        self.records.insert(index, record);
+        true
+    }
+
+    /// Notes the answer to an order; without a name, or if the instance is listed, it is closed.
+    pub fn settle(&mut self, settle: &SettleStart, listed: bool) -> bool {
+        if listed || settle.instance.is_empty() {
+            return self.records.remove(&settle.index).is_some();
+        }
+        let Some(record) = self.records.get_mut(&settle.index) else {
+            return false;
+        };
+        record.instance.clone_from(&settle.instance);
+        true
+    }
+
+    /// Closes the order of an instance that is listed now.
+    pub fn listed(&mut self, instance: &str) {
+        self.records.retain(|_, record| record.instance != instance);
+    }
+
+    /// Builds the orders from a snapshot.
+    pub fn from_records(records: Vec<StartRecord>) -> Self {
+        let records = records.into_iter().map(|record| (record.index, record));
+        Self {
+            records: records.collect(),
+        }
+    }
+}
--- a/tests/naive/mod.rs
+++ b/tests/naive/mod.rs
@@ -49,6 +49,7 @@
     fence: u64,
     instances: Vec<InstanceRecord>,
     notices: Vec<LeavingNotice>,
+    starts: Vec<(u64, String)>,
 }
 
 impl Naive {
@@ -60,6 +61,10 @@
         self.claims.len()
     }
 
+    pub fn starts(&self) -> &[(u64, String)] {
+        &self.starts
+    }
+
     pub fn present(&self) -> Vec<InstanceRecord> {
         let mut present = self.instances.clone();
         present.retain(|record| record.state != 2);
@@ -89,6 +94,21 @@
                     .collect();
                 Reply::Known(known.into_iter().all(|known| known))
             }
+            Action::OrderStart(_) => {
+                self.starts.push((index, String::new()));
+                Reply::Accepted(true)
+            }
+            Action::SettleStart(settle) => {
+                let known = self.starts.iter().position(|(at, _)| *at == settle.index);
+                if let Some(at) = known {
+                    self.starts[at].1.clone_from(&settle.instance);
+                    let listed = self.instances.iter().any(|i| i.name == settle.instance);
+                    if listed || settle.instance.is_empty() {
+                        self.starts.remove(at);
+                    }
+                }
+                Reply::Accepted(known.is_some())
+            }
             Action::AllocateFence(_) => {
                 self.fence += 1;
                 Reply::Fence(flamingocroft::domain::FencingNumber(self.fence))
@@ -251,6 +271,7 @@
     }
 
     fn seen(&mut self, record: &InstanceRecord) {
+        self.starts.retain(|(_, name)| *name != record.name);
         let newer =
             |i: &InstanceRecord| i.name == record.name && i.incarnation > record.incarnation;
         if self.instances.iter().any(newer) {
--- a/tests/state_differential.rs
+++ b/tests/state_differential.rs
@@ -7,7 +7,7 @@
 use flamingocroft::{
     state::{
         Action, AllocateFence, ClaimCommand, Command, ConfirmIntent, ExpireClaims, MarkUnknown,
-        Observation, ObserveInstances, Sighting, State,
+        Observation, ObserveInstances, SettleStart, Sighting, StartOrder, State,
     },
     wire::{
         ClaimRequest, InstanceRecord, LeavingNotice, OutcomeRequest, ReleaseRequest, StoredOutcome,
@@ -111,6 +111,10 @@
         })),
         2 => mark,
         3 => observe,
+        1 => Just(Action::OrderStart(StartOrder::default())),
+        2 => (0..40u64, "(i-[0-2])?").prop_map(|(index, instance)| {
+            Action::SettleStart(SettleStart { index, instance })
+        }),
         1 => Just(Action::AllocateFence(AllocateFence {})),
     ]
 }
@@ -143,6 +147,8 @@
             prop_assert_eq!(state.claims().len(), naive.claims());
             let present: Vec<_> = state.instances().present().cloned().collect();
             prop_assert_eq!(present, naive.present());
+            let starts = state.starts().open().map(|start| (start.index, start.instance.clone()));
+            prop_assert_eq!(starts.collect::<Vec<_>>(), naive.starts());
         }
     }
 }
