Count what instances executed that the cloud started by order

Cause: the placement starts further plain servers, whose executions the test did not see, so a release that ran once was counted as never run. Ruled out: a lost execution (the answer carried the execution's number). The stand-ins that the cloud launches are now kept and counted.

--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -26,8 +26,8 @@
         installation.controllers.len(),
         status.controller,
         installation.gateways.len(),
-        installation.engines.len(),
-        installation.services.len(),
+        installation.upstreams.engines.len(),
+        installation.upstreams.services.len(),
     );
 
     confirm_first_intent(&installation, &shape).await?;
@@ -112,11 +112,7 @@
         second.status,
         second.text()
     );
-    let executed: u64 = installation
-        .services
-        .iter()
-        .map(|s| s.counts().executed)
-        .sum();
+    let executed: u32 = installation.upstreams.executions().values().sum();
     println!("the depot executed it {executed} time(s)");
     ensure!(executed == 1, "a release must run once");
     ensure!(first.body == second.body, "both must get the same answer");
--- a/examples/support/installation.rs
+++ b/examples/support/installation.rs
@@ -2,10 +2,11 @@
 //! controllers and gateways.
 
 use std::{
+    collections::BTreeMap,
     net::{IpAddr, Ipv4Addr, SocketAddr},
     path::Path,
     sync::{
-        Arc,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU16, Ordering},
     },
     time::Duration,
@@ -29,6 +30,7 @@
 use futures_util::FutureExt;
 use sha2::{Digest, Sha256};
 use standin::{
+    Faults,
     cloud::{Cloud, CloudParams, Listing},
     engine::{Engine, EngineParams},
     service::ServiceParams,
@@ -103,12 +105,8 @@
 
 /// Everything that was started; dropping it stops the daemons.
 pub struct Installation {
-    /// The cloud API with the instance list.
-    pub cloud: Cloud,
-    /// The engines, as the cloud names them: `engine-0`, `engine-1`, and so on.
-    pub engines: Vec<Arc<Engine>>,
-    /// The plain servers, as the cloud names them: `depot-0`, and so on.
-    pub services: Vec<Arc<standin::service::Service>>,
+    /// The stand-ins. The cloud names them `engine-0`, `depot-0` and so on.
+    pub upstreams: Upstreams,
     /// The controllers.
     pub controllers: Vec<Daemon>,
     /// The gateways.
@@ -286,19 +284,61 @@
 pub struct Upstreams {
     /// The cloud API.
     pub cloud: Cloud,
-    /// The engines.
+    /// The engines that were there from the start.
     pub engines: Vec<Arc<Engine>>,
-    /// The plain servers.
+    /// The plain servers that were there from the start.
     pub services: Vec<Arc<standin::service::Service>>,
+    launched: Arc<Launched>,
+}
+
+/// What the cloud started by order.
+#[derive(Default)]
+struct Launched {
+    engines: Mutex<Vec<Arc<Engine>>>,
+    services: Mutex<Vec<Arc<standin::service::Service>>>,
+}
+
+impl Upstreams {
+    /// Returns how often each key was executed by any plain server.
+    pub fn executions(&self) -> BTreeMap<String, u32> {
+        let launched = lock(&self.launched.services);
+        let mut by_key = BTreeMap::new();
+        for service in self.services.iter().chain(launched.iter()) {
+            for (key, count) in service.counts().by_key {
+                *by_key.entry(key).or_insert(0) += count;
+            }
+        }
+        by_key
+    }
+
+    /// Returns how many generations any engine began.
+    pub fn generations(&self) -> u64 {
+        let launched = lock(&self.launched.engines);
+        let engines = self.engines.iter().chain(launched.iter());
+        engines.map(|engine| engine.counts().started).sum()
+    }
+
+    /// Sets the faults of all plain servers.
+    pub fn set_service_faults(&self, faults: &Faults) {
+        let launched = lock(&self.launched.services);
+        for service in self.services.iter().chain(launched.iter()) {
+            service.set_faults(*faults);
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 /// Starts the stand-ins. The cloud starts further engines and servers by order.
 pub async fn start_upstreams(shape: &Shape) -> anyhow::Result<Upstreams> {
-    let params = shape.engine.clone();
-    let launch = Arc::new(move |order: standin::cloud::StartOrder| {
-        let params = params.clone();
-        launch(order, params).boxed()
-    });
+    let launched = Arc::new(Launched::default());
+    let launch = {
+        let params = shape.engine.clone();
+        let launched = Arc::clone(&launched);
+        Arc::new(move |order| launch(order, params.clone(), Arc::clone(&launched)).boxed())
+    };
     let cloud = standin::cloud::start(shape.cloud.clone(), launch).await?;
     let mut engines = Vec::new();
     for i in 0..shape.engines {
@@ -323,21 +363,25 @@
         cloud,
         engines,
         services,
+        launched,
     })
 }
 
 async fn launch(
     order: standin::cloud::StartOrder,
     params: EngineParams,
+    launched: Arc<Launched>,
 ) -> anyhow::Result<standin::cloud::Started> {
     if order.service == "assistant" {
-        let engine = standin::engine::start(params).await?;
+        let engine = Arc::new(standin::engine::start(params).await?);
+        lock(&launched.engines).push(Arc::clone(&engine));
         return Ok(standin::cloud::Started {
             address: engine.address(),
             stop: Box::new(move || engine.stop()),
         });
     }
-    let service = standin::service::start(ServiceParams::default()).await?;
+    let service = Arc::new(standin::service::start(ServiceParams::default()).await?);
+    lock(&launched.services).push(Arc::clone(&service));
     Ok(standin::cloud::Started {
         address: service.address(),
         stop: Box::new(move || service.stop()),
@@ -363,9 +407,7 @@
         let upstreams = start_upstreams(shape).await?;
         let plans = plan_settings(shape, folder, upstreams.cloud.address())?;
         let mut installation = Self {
-            cloud: upstreams.cloud,
-            engines: upstreams.engines,
-            services: upstreams.services,
+            upstreams,
             controllers: Vec::new(),
             gateways: Vec::new(),
             plans,
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -94,13 +94,7 @@
 }
 
 fn executions(processes: &Processes) -> BTreeMap<String, u32> {
-    let mut by_key = BTreeMap::new();
-    for service in &processes.upstreams.services {
-        for (key, count) in service.counts().by_key {
-            *by_key.entry(key).or_insert(0) += count;
-        }
-    }
-    by_key
+    processes.upstreams.executions()
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -143,7 +137,7 @@
     let _alone = ONE_AT_A_TIME.acquire().await.unwrap();
     let folder = tempfile::tempdir().unwrap();
     let mut processes = start(&Shape::default(), folder.path()).await;
-    processes.upstreams.services[0].set_faults(Faults {
+    processes.upstreams.set_service_faults(&Faults {
         answer_delay_ms: 30_000,
         ..Faults::default()
     });
@@ -156,7 +150,7 @@
     .await;
     processes.gateways[0].kill().unwrap();
     assert!(lost.await.unwrap().is_err(), "the answer was lost");
-    processes.upstreams.services[0].set_faults(Faults::default());
+    processes.upstreams.set_service_faults(&Faults::default());
     let known = release_until_final(&[processes.gateway(1)], key).await;
     assert_eq!(known, Known::Unknown);
     processes.gateways[0].restart().unwrap();
@@ -202,7 +196,7 @@
     let call = Call::post("/v1/completions", FREE_TOKEN, &body);
     let answer = send(processes.gateway(1), &call).await.unwrap();
     assert_eq!(answer.status, StatusCode::OK);
-    let executed_before = executed_completions(&processes);
+    let executed_before = processes.upstreams.generations();
 
     processes.gateways[1].signal(Signal::SIGSTOP).unwrap();
     let frozen = processes.gateway(1);
@@ -224,7 +218,7 @@
     assert_eq!(ran(&during), "no");
     let after = send(frozen, &call).await.unwrap();
     assert!(!after.status.is_success(), "{}", after.text());
-    assert_eq!(executed_completions(&processes), executed_before);
+    assert_eq!(processes.upstreams.generations(), executed_before);
     processes.wait_ready().await.unwrap();
     let paying = Call::post("/v1/completions", PAYING_TOKEN, &body);
     let answer = send(frozen, &paying).await.unwrap();
@@ -239,11 +233,6 @@
     intent
 }
 
-fn executed_completions(processes: &Processes) -> u64 {
-    let engines = processes.upstreams.engines.iter();
-    engines.map(|engine| engine.counts().started).sum()
-}
-
 /// What a caller holds of one streamed answer.
 #[derive(Clone, Debug, Default)]
 struct Received {
@@ -368,7 +357,10 @@
     let shape = slow_shape(Duration::from_millis(300));
     let mut processes = start(&shape, folder.path()).await;
     let callers = start_streams(&processes, 40, TOKENS);
-    until("the streams run", || executed_completions(&processes) >= 40).await;
+    until("the streams run", || {
+        processes.upstreams.generations() >= 40
+    })
+    .await;
     processes.gateways[0].signal(Signal::SIGTERM).unwrap();
     check_streams(callers, TOKENS).await;
     let status = processes.gateways[0].wait().await.unwrap();
@@ -383,7 +375,10 @@
     let shape = slow_shape(Duration::from_millis(300));
     let mut processes = start(&shape, folder.path()).await;
     let callers = start_streams(&processes, 40, TOKENS);
-    until("the streams run", || executed_completions(&processes) >= 40).await;
+    until("the streams run", || {
+        processes.upstreams.generations() >= 40
+    })
+    .await;
     processes.gateways[0].signal(Signal::SIGTERM).unwrap();
     sleep(Duration::from_millis(310)).await;
     processes.gateways[0].kill().unwrap();
@@ -398,7 +393,10 @@
     let shape = slow_shape(Duration::from_millis(300));
     let mut processes = start(&shape, folder.path()).await;
     let callers = start_streams(&processes, 40, TOKENS);
-    until("the streams run", || executed_completions(&processes) >= 40).await;
+    until("the streams run", || {
+        processes.upstreams.generations() >= 40
+    })
+    .await;
     // Engines 0 and 3, gateway 0 and controller 0 are in the zone that is taken back.
     for engine in ["engine-0", "engine-3"] {
         assert!(
