Let only the caller's end close the attempt in its test

With the cancellation switched off the test still passed: the engine's silence ended the attempt before the look at it. The silence may now last a minute.

--- a/tests/gateway_streams.rs
+++ b/tests/gateway_streams.rs
@@ -7,6 +7,7 @@
 
 use flamingocroft::{
     ports::{Sent, UpstreamErrorKind},
+    settings::Timing,
     wire::ShareRecord,
 };
 use gateway_support::{
@@ -104,7 +105,16 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_that_leaves_before_the_first_token_costs_no_more() {
-    let bench = Bench::start(Options::default()).await;
+    // Only the caller's end, not a silent engine, may end the attempt.
+    let timing = Timing {
+        first_byte_timeout: Duration::from_secs(60),
+        ..Options::default().timing
+    };
+    let bench = Bench::start(Options {
+        timing,
+        ..Options::default()
+    })
+    .await;
     bench.upstreams.release(0);
     let address = bench.address(0);
     let caller = tokio::spawn(async move { Call::complete("p", 4, true).send(address).await });
