Send no list of gateways before the first one is registered

(In the controller, outside the gateway's part.) Cause: a gateway whose first view request came before any heartbeat got an empty list with sequence zero, which stands for the list of an earlier leader, so that the next list was withheld for a lease. The request now waits for the first registration, which is the asker's own. The new test failed before (0 listed after g0).

--- a/src/controller/view.rs
+++ b/src/controller/view.rs
@@ -19,6 +19,11 @@
 ) -> Option<ViewReply> {
     let index = state.view_index();
     let first = held.held_term == 0;
+    if first && fleet.members().next().is_none() {
+        // The asker's own heartbeat is on its way. A list without anyone would be taken for one of
+        // an earlier leader, and the next one withheld for a lease.
+        return None;
+    }
     let gateways = gateways(fleet, now, held);
     if index <= held.held_index && gateways.is_none() && !first {
         return None;
