Resume in the abrupt-end test before the backup has generated anything

With the offsets of resumed readers switched off the test could pass, because the probe before the resumption had let the backup finish. The first answer of the backup is now the one that is read, and generates only then.

--- a/tests/gateway_hand_over.rs
+++ b/tests/gateway_hand_over.rs
@@ -152,31 +152,30 @@
         upstreams.open_streams() == 0
     })
     .await;
-    bench.upstreams.release(u32::MAX);
     for (caller, _) in &mut callers {
         let last = caller.read_on().await;
         let whole = last.is_some_and(|event| event.data.contains("finish_reason\":\"length"));
         assert!(!whole, "the stream of a dead gateway does not look whole");
+        let last = caller.texts.len() as u32 - 1;
+        let call = Call::resume(&caller.events.request_id, Some(last));
+        // The backup generates from the start, and only once its reader is there.
+        bench.upstreams.release(0);
         let mut resumed = None;
         for at in [1, 2] {
-            let call = Call::resume(
-                &caller.events.request_id,
-                Some(caller.texts.len() as u32 - 1),
-            );
             let stolen = call
                 .clone()
                 .token(Some(OTHER))
                 .send(bench.address(at))
                 .await;
             assert_eq!(stolen.status, 404, "another account gets nothing");
-            if call.open(bench.address(at)).await.status() == 200 {
-                resumed = Some(bench.address(at));
+            let response = call.open(bench.address(at)).await;
+            if response.status() == 200 {
+                resumed = Some(Events::of(response));
                 break;
             }
         }
-        caller
-            .resume(resumed.expect("a backup knows the request"))
-            .await;
+        caller.events = resumed.expect("a backup knows the request");
+        bench.upstreams.release(u32::MAX);
         caller.check_whole().await;
     }
 }
--- a/tests/gateway_support/http.rs
+++ b/tests/gateway_support/http.rs
@@ -165,7 +165,10 @@
 
 impl Events {
     pub async fn open(call: &Call, address: SocketAddr) -> Self {
-        let response = call.open(address).await;
+        Self::of(call.open(address).await)
+    }
+
+    pub fn of(response: Response<Incoming>) -> Self {
         assert_eq!(response.status(), 200, "the stream is accepted");
         let header = |name| {
             let value = response.headers().get(name)?;
