Give each conversation a home of its own

The home was the hash of the first block, so that all conversations with one preamble went to one engine. It is now policy::prefix::home of the prompt up to the end of the caller's first message. A test of chat turns checks that they stay together and that conversations spread.

--- a/src/gateway/generate/pump.rs
+++ b/src/gateway/generate/pump.rs
@@ -43,6 +43,8 @@
 pub(crate) struct Accepted {
     /// The request; its prefix holds the tokens that exist already.
     pub(crate) completion: Completion,
+    /// Bytes of the prompt that stay the same over the turns of its conversation.
+    pub(crate) opening_bytes: usize,
     /// Whether the caller spoke the chat form.
     pub(crate) chat: bool,
     /// The account.
@@ -53,6 +55,14 @@
     pub(crate) taken_from: Option<String>,
 }
 
+impl Accepted {
+    fn routed_prompt(&self) -> Prompt {
+        let prompt = &self.completion.prompt;
+        let opening = prompt.get(..self.opening_bytes).unwrap_or(prompt);
+        Prompt::new(prompt, opening)
+    }
+}
+
 /// What a new request holds until it is done.
 #[derive(Debug)]
 pub(crate) struct Place {
@@ -99,7 +109,7 @@
         let taken = request.taken_from.is_some();
         let pump = Self {
             gateway: Arc::clone(gateway),
-            prompt: Prompt::new(&request.completion.prompt),
+            prompt: request.routed_prompt(),
             request,
             attach,
             audience: match taken {
--- a/src/gateway/http/completions.rs
+++ b/src/gateway/http/completions.rs
@@ -55,6 +55,7 @@
     let shape = Shape::new(id, generation.model.clone(), chat, gateway.clock.unix_ms());
     let stream = generation.stream;
     let request = Accepted {
+        opening_bytes: generation.prompt.opening_bytes,
         completion: completion(id, &account, generation),
         chat,
         account: Arc::clone(&account),
@@ -124,7 +125,7 @@
         id,
         account: account.name.clone(),
         model: generation.model,
-        prompt: generation.prompt,
+        prompt: generation.prompt.text,
         max_tokens: generation.max_tokens,
         seed: generation.seed.unwrap_or_else(rand::random),
         priority: account.priority(),
--- a/src/gateway/http/parse.rs
+++ b/src/gateway/http/parse.rs
@@ -11,13 +11,16 @@
 /// Tokens to generate if the caller does not say.
 const DEFAULT_MAX_TOKENS: u32 = 256;
 
+/// The role of the caller's own messages.
+const USER_ROLE: &str = "user";
+
 /// A checked generation request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Generation {
     /// The model.
     pub(super) model: ModelName,
     /// The rendered prompt.
-    pub(super) prompt: String,
+    pub(super) prompt: Prompt,
     /// Most tokens to generate.
     pub(super) max_tokens: u32,
     /// Whether the answer is streamed.
@@ -26,6 +29,16 @@
     pub(super) seed: Option<u64>,
 }
 
+/// A rendered prompt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Prompt {
+    /// Its text.
+    pub(super) text: String,
+    /// Bytes of it that stay the same over the turns of its conversation: all up to the end of the
+    /// caller's first message.
+    pub(super) opening_bytes: usize,
+}
+
 /// Reads a request.
 pub(super) fn generation(body: &[u8], chat: bool, limits: &Limits) -> Result<Generation, Refusal> {
     let body: Value = serde_json::from_slice(body).map_err(|e| {
@@ -40,7 +53,7 @@
         true => messages(&fields)?,
         false => prompt(&fields)?,
     };
-    if prompt.len() as u64 > limits.prompt_bytes {
+    if prompt.text.len() as u64 > limits.prompt_bytes {
         return Err(Refusal::not_run(
             RefusalKind::TooLarge,
             format!(
@@ -66,7 +79,15 @@
     }
 }
 
-fn prompt(fields: &Map<String, Value>) -> Result<String, Refusal> {
+fn prompt(fields: &Map<String, Value>) -> Result<Prompt, Refusal> {
+    let text = prompt_text(fields)?;
+    Ok(Prompt {
+        opening_bytes: text.len(),
+        text,
+    })
+}
+
+fn prompt_text(fields: &Map<String, Value>) -> Result<String, Refusal> {
     let wrong = || field("prompt", "a text, or a list of one text");
     match fields.get("prompt") {
         Some(Value::String(prompt)) => Ok(prompt.clone()),
@@ -78,12 +99,13 @@
     }
 }
 
-fn messages(fields: &Map<String, Value>) -> Result<String, Refusal> {
+fn messages(fields: &Map<String, Value>) -> Result<Prompt, Refusal> {
     let messages = match fields.get("messages") {
         Some(Value::Array(messages)) if !messages.is_empty() => messages,
         _ => return Err(field("messages", "a list of messages that is not empty")),
     };
     let mut prompt = String::new();
+    let mut opening_bytes = None;
     for (at, message) in messages.iter().enumerate() {
         let role = match message.get("role") {
             Some(Value::String(role)) => role,
@@ -93,9 +115,15 @@
         prompt.push_str(": ");
         content(message.get("content"), at, &mut prompt)?;
         prompt.push('\n');
+        if role == USER_ROLE {
+            opening_bytes.get_or_insert(prompt.len());
+        }
     }
     prompt.push_str("assistant:");
-    Ok(prompt)
+    Ok(Prompt {
+        opening_bytes: opening_bytes.unwrap_or(prompt.len()),
+        text: prompt,
+    })
 }
 
 fn content(content: Option<&Value>, at: usize, prompt: &mut String) -> Result<(), Refusal> {
--- a/src/gateway/journal/held.rs
+++ b/src/gateway/journal/held.rs
@@ -126,6 +126,8 @@
     };
     gateway.counters.taken_over.add();
     let request = Accepted {
+        // Which part is the opening is not known here; the whole prompt stands for it.
+        opening_bytes: completion.prompt.len(),
         completion,
         chat: held.request.chat,
         account: Arc::clone(account),
--- a/src/gateway/route.rs
+++ b/src/gateway/route.rs
@@ -1,16 +1,12 @@
 //! Chooses the instance for a request from the view, the load reports and this gateway's counters.
 
-use std::{
-    hash::{DefaultHasher, Hash, Hasher},
-    sync::Arc,
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use super::view::{Member, ServiceEntry};
 use crate::{
     domain::{InstanceName, RoutingWeights, ZoneName},
     policy::{
-        prefix::{Prefix, count_tokens, prefixes},
+        prefix::{Prefix, count_tokens, home, prefixes},
         route::{self, Candidate, Report, RouteRequest},
     },
 };
@@ -27,19 +23,13 @@
 }
 
 impl Prompt {
-    /// Cuts a prompt into prefixes.
-    pub(crate) fn new(prompt: &str) -> Self {
-        let prefixes = prefixes(prompt);
-        let tokens = count_tokens(prompt);
-        // A prompt without a whole block has nothing cached anywhere; its own hash spreads it.
-        let home = match prefixes.first() {
-            Some(prefix) => prefix.hash,
-            None => hash(prompt),
-        };
+    /// Cuts a prompt into prefixes. The opening is the part that stays the same over the turns of a
+    /// conversation.
+    pub(crate) fn new(prompt: &str, opening: &str) -> Self {
         Self {
-            prefixes,
-            tokens,
-            home,
+            prefixes: prefixes(prompt),
+            tokens: count_tokens(prompt),
+            home: home(opening),
         }
     }
 
@@ -130,9 +120,3 @@
     let age = now.saturating_sub(cache.read_at?);
     (age <= CACHE_EVENTS_MAX_AGE).then(|| cache.index.cached_tokens(&prompt.prefixes))
 }
-
-fn hash(prompt: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    prompt.hash(&mut hasher);
-    hasher.finish()
-}
--- a/tests/gateway_streams.rs
+++ b/tests/gateway_streams.rs
@@ -3,7 +3,7 @@
 
 mod gateway_support;
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::atomic::Ordering, time::Duration};
 
 use flamingocroft::{
     ports::{Sent, UpstreamErrorKind},
@@ -13,7 +13,7 @@
 use gateway_support::{
     Bench, Options, eventually,
     http::{Call, Events, FREE, OTHER},
-    intent,
+    instance, intent,
     upstreams::{Fault, answer_text, token_text},
 };
 
@@ -285,3 +285,43 @@
         "{resumed:?}"
     );
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_turns_of_a_conversation_share_an_engine_and_conversations_spread() {
+    let bench = Bench::start(Options::default()).await;
+    let engines = ["e0", "e1", "e2"];
+    let instances = engines.iter().enumerate();
+    let instances = instances.map(|(at, name)| instance(name, "chat", "a", at));
+    bench.leader.set_instances(instances.collect());
+    let ask = async |messages: &serde_json::Value| {
+        let body = serde_json::json!({"model": "m", "max_tokens": 1, "messages": messages});
+        let call = Call::post("/v1/chat/completions", body.to_string());
+        assert_eq!(call.send(bench.address(0)).await.status, 200);
+        bench.upstreams.attempts().pop().unwrap().instance
+    };
+    let preamble = "You help dispatchers. ".repeat(40);
+    let begin = |at: usize| {
+        serde_json::json!([
+            {"role": "system", "content": preamble},
+            {"role": "user", "content": format!("question {at}")},
+        ])
+    };
+    let other = std::sync::atomic::AtomicUsize::new(1000);
+    eventually("the third engine is in use", || async {
+        ask(&begin(other.fetch_add(1, Ordering::Relaxed))).await == "e2"
+    })
+    .await;
+    let mut homes = std::collections::HashSet::new();
+    for at in 0..12 {
+        let mut messages = begin(at);
+        let home = ask(&messages).await;
+        for turn in 0..3 {
+            let list = messages.as_array_mut().unwrap();
+            list.push(serde_json::json!({"role": "assistant", "content": "an answer"}));
+            list.push(serde_json::json!({"role": "user", "content": format!("and {turn}?")}));
+            assert_eq!(ask(&messages).await, home, "conversation {at}, turn {turn}");
+        }
+        homes.insert(home);
+    }
+    assert!(homes.len() > 1, "all went to {homes:?}");
+}
