Measure what a gateway adds; wait until a stopped gateway has stopped

The test of a frozen gateway failed once in four runs on a machine with load 22: a request sent right after SIGSTOP was answered. Suspected: the signal had not yet stopped all threads. The test now reads the threads' states first; it stays as strict.

--- /dev/null
+++ b/benches/gateway.rs
@@ -0,0 +1,255 @@
+//! What a gateway adds: latency and requests a second over a direct call to the stand-in engine,
+//! processor time for each request and token, and memory for each open stream. The controllers and
+//! the gateway are processes of their own; docs/MEASUREMENTS.md holds the figures.
+
+#[path = "../examples/support/mod.rs"]
+mod support;
+
+use std::{
+    net::SocketAddr,
+    path::Path,
+    time::{Duration, Instant},
+};
+
+use anyhow::{Context, ensure};
+use flamingocroft::domain::Intent;
+use hdrhistogram::Histogram;
+use serde_json::json;
+use standin::engine::EngineParams;
+use support::{
+    http::{Call, Connection},
+    installation::{MODEL, PAYING_TOKEN, Shape, intent},
+    processes::Processes,
+};
+use tokio::task::JoinSet;
+use uuid::Uuid;
+
+const ROUNDS: u32 = 3;
+const ROUND: Duration = Duration::from_secs(2);
+const CONCURRENCIES: [usize; 3] = [1, 64, 512];
+const STREAMS: usize = 1000;
+const STREAM_TOKENS: u32 = 300;
+const SLOTS: u32 = 4096;
+/// Clock ticks a second in `/proc/PID/stat`, fixed by the kernel's interface.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+#[tokio::main]
+async fn main() -> anyhow::Result<()> {
+    println!("cores: {}", std::thread::available_parallelism()?);
+    measure_latency().await?;
+    measure_streams().await
+}
+
+fn shape(token_interval_us: u64) -> Shape {
+    let base = Shape::default();
+    Shape {
+        gateways: 1,
+        engines: 1,
+        engine: EngineParams {
+            slots: SLOTS,
+            queue: SLOTS,
+            token_interval_us,
+            ..base.engine.clone()
+        },
+        ..base
+    }
+}
+
+async fn start(shape: &Shape, folder: &Path) -> anyhow::Result<Processes> {
+    let program = Path::new(env!("CARGO_BIN_EXE_flamingocroftd"));
+    let processes = Processes::start(shape, program, folder).await?;
+    processes.confirm(&one_engine(shape)).await?;
+    processes.wait_ready().await?;
+    Ok(processes)
+}
+
+/// Keeps the one engine that runs, so that direct calls and the gateway's reach the same one.
+fn one_engine(shape: &Shape) -> Intent {
+    let mut intent = intent(shape);
+    intent.limits.max_instances = 2;
+    intent
+}
+
+async fn measure_latency() -> anyhow::Result<()> {
+    let folder = tempfile::tempdir()?;
+    let processes = start(&shape(0), folder.path()).await?;
+    let engine = processes.upstreams.engines[0].address();
+    let gateway = processes.gateway(0);
+    println!("\nanswers of one token, whole; {ROUNDS} rounds of {ROUND:?} each way, in turn");
+    println!(
+        "concurrency | way     | requests/s |  p50 us |  p99 us | failed | gateway CPU us/request"
+    );
+    for concurrency in CONCURRENCIES {
+        let mut direct = Measured::default();
+        let mut routed = Measured::default();
+        let mut cpu = 0.0;
+        for _ in 0..ROUNDS {
+            direct.add(load(engine, concurrency, direct_call).await?);
+            let before = cpu_seconds(processes.gateways[0].pid())?;
+            routed.add(load(gateway, concurrency, gateway_call).await?);
+            cpu += cpu_seconds(processes.gateways[0].pid())? - before;
+        }
+        direct.print(concurrency, "direct", None);
+        routed.print(concurrency, "gateway", Some(cpu));
+        let added = |q| routed.at(q) as i64 - direct.at(q) as i64;
+        println!(
+            "{concurrency:>11} | added   |            | {:>7} | {:>7} |",
+            added(0.5),
+            added(0.99)
+        );
+    }
+    Ok(())
+}
+
+struct Measured {
+    latency: Histogram<u64>,
+    failed: u64,
+    elapsed: Duration,
+}
+
+impl Default for Measured {
+    fn default() -> Self {
+        Self {
+            latency: Histogram::new(3).expect("three digits are supported"),
+            failed: 0,
+            elapsed: Duration::ZERO,
+        }
+    }
+}
+
+impl Measured {
+    fn add(&mut self, other: Self) {
+        self.latency += other.latency;
+        self.failed += other.failed;
+        self.elapsed += other.elapsed;
+    }
+
+    fn at(&self, quantile: f64) -> u64 {
+        self.latency.value_at_quantile(quantile)
+    }
+
+    fn print(&self, concurrency: usize, way: &str, cpu: Option<f64>) {
+        let requests = self.latency.len() as f64;
+        let cpu = cpu.map_or(String::new(), |s| format!("{:.0}", s * 1e6 / requests));
+        println!(
+            "{concurrency:>11} | {way:<7} | {:>10.0} | {:>7} | {:>7} | {:>6} | {cpu}",
+            requests / self.elapsed.as_secs_f64(),
+            self.at(0.5),
+            self.at(0.99),
+            self.failed,
+        );
+    }
+}
+
+fn direct_call() -> Call {
+    let body = json!({
+        "request_id": Uuid::now_v7(), "model": MODEL, "prompt": "hello", "max_tokens": 1,
+        "priority": "paying", "stream": true,
+    });
+    Call::post("/v1/completions", "", &body)
+}
+
+fn gateway_call() -> Call {
+    let body = json!({"model": MODEL, "prompt": "hello", "max_tokens": 1});
+    Call::post("/v1/completions", PAYING_TOKEN, &body)
+}
+
+/// Keeps `concurrency` requests in progress for a round.
+async fn load(
+    address: SocketAddr,
+    concurrency: usize,
+    call: fn() -> Call,
+) -> anyhow::Result<Measured> {
+    let start = Instant::now();
+    let mut workers = JoinSet::new();
+    for _ in 0..concurrency {
+        workers.spawn(async move {
+            let mut measured = Measured::default();
+            let mut connection = Connection::open(address).await?;
+            while start.elapsed() < ROUND {
+                let call = call();
+                let sent = Instant::now();
+                let answer = connection.exchange(&call).await?;
+                let micros = sent.elapsed().as_micros().try_into()?;
+                match answer.status.is_success() {
+                    true => measured.latency.record(micros)?,
+                    false => measured.failed += 1,
+                }
+            }
+            anyhow::Ok(measured)
+        });
+    }
+    let mut all = Measured::default();
+    while let Some(measured) = workers.join_next().await {
+        all.add(measured??);
+    }
+    all.elapsed = start.elapsed();
+    Ok(all)
+}
+
+async fn measure_streams() -> anyhow::Result<()> {
+    let folder = tempfile::tempdir()?;
+    let processes = start(&shape(20_000), folder.path()).await?;
+    let pid = processes.gateways[0].pid();
+    let rss_before = rss_bytes(pid)?;
+    let cpu_before = cpu_seconds(pid)?;
+    let body = json!({
+        "model": MODEL, "prompt": "hello", "max_tokens": STREAM_TOKENS, "stream": true,
+    });
+    let mut streams = Vec::new();
+    for _ in 0..STREAMS {
+        let mut connection = Connection::open(processes.gateway(0)).await?;
+        let call = Call::post("/v1/completions", PAYING_TOKEN, &body);
+        let response = connection.start(&call).await?;
+        ensure!(
+            response.status().is_success(),
+            "status {}",
+            response.status()
+        );
+        streams.push((connection, response));
+    }
+    let rss = rss_bytes(pid)?.saturating_sub(rss_before);
+    let mut readers = JoinSet::new();
+    for (connection, response) in streams {
+        readers.spawn(async move {
+            let mut events = support::http::Events::new(response);
+            let mut last = String::new();
+            while let Some(event) = events.next().await? {
+                last = event.data;
+            }
+            drop(connection);
+            ensure!(last == "[DONE]", "a stream ended without its end mark");
+            Ok(())
+        });
+    }
+    while let Some(result) = readers.join_next().await {
+        result??;
+    }
+    let cpu = cpu_seconds(pid)? - cpu_before;
+    let tokens = STREAMS as f64 * f64::from(STREAM_TOKENS);
+    println!("\n{STREAMS} streams open at once through one gateway, {STREAM_TOKENS} tokens each");
+    println!(
+        "memory for each open stream: {:.1} KiB",
+        rss as f64 / STREAMS as f64 / 1024.0
+    );
+    println!("gateway CPU for each token:  {:.1} us", cpu * 1e6 / tokens);
+    Ok(())
+}
+
+fn rss_bytes(pid: u32) -> anyhow::Result<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
+    let line = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmRSS:"))
+        .context("no VmRSS in the status")?;
+    let kib: u64 = line.trim().trim_end_matches("kB").trim().parse()?;
+    Ok(kib * 1024)
+}
+
+fn cpu_seconds(pid: u32) -> anyhow::Result<f64> {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat"))?;
+    let (_, fields) = stat.rsplit_once(')').context("no name in the stat")?;
+    let fields: Vec<&str> = fields.split_whitespace().collect();
+    let ticks = |i: usize| -> anyhow::Result<f64> { Ok(fields[i].parse()?) };
+    Ok((ticks(11)? + ticks(12)?) / TICKS_PER_SECOND)
+}
--- a/examples/support/http.rs
+++ b/examples/support/http.rs
@@ -79,41 +79,17 @@
     }
 }
 
-/// Sends a request and reads the whole answer.
+/// Sends a request on a connection of its own and reads the whole answer.
 pub async fn send(address: SocketAddr, call: &Call) -> anyhow::Result<Answer> {
-    let exchange = async {
-        let response = open(address, call).await?;
-        let status = response.status();
-        let headers = response.headers().clone();
-        let body = response.into_body().collect().await?.to_bytes();
-        Ok(Answer {
-            status,
-            headers,
-            body,
-        })
-    };
+    let exchange = async { Connection::open(address).await?.exchange(call).await };
     timeout(TIMEOUT, exchange)
         .await
         .with_context(|| format!("{} {} took too long", call.method, call.path))?
 }
 
-/// Sends a request and returns the answer before its body has arrived.
+/// Sends a request on a connection of its own and returns the answer before its body has arrived.
 pub async fn open(address: SocketAddr, call: &Call) -> anyhow::Result<hyper::Response<Incoming>> {
-    let stream = TcpStream::connect(address).await?;
-    stream.set_nodelay(true)?;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    tokio::spawn(connection);
-    let mut builder = Request::builder()
-        .method(call.method)
-        .uri(&call.path)
-        .header(header::HOST, address.to_string())
-        .header(header::CONTENT_TYPE, "application/json")
-        .header(header::AUTHORIZATION, format!("Bearer {}", call.token));
-    for (name, value) in &call.headers {
-        builder = builder.header(*name, value);
-    }
-    let req = builder.body(Full::new(Bytes::from(call.body.clone())))?;
-    Ok(sender.send_request(req).await?)
+    Connection::open(address).await?.start(call).await
 }
 
 /// One server-sent event.
@@ -175,3 +151,56 @@
         Some(event)
     }
 }
+
+/// A connection that is used for one request after another.
+#[derive(Debug)]
+pub struct Connection {
+    address: SocketAddr,
+    sender: http1::SendRequest<Full<Bytes>>,
+}
+
+impl Connection {
+    /// Connects.
+    pub async fn open(address: SocketAddr) -> anyhow::Result<Self> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        tokio::spawn(connection);
+        Ok(Self { address, sender })
+    }
+
+    /// Sends a request and returns the answer before its body has arrived.
+    pub async fn start(&mut self, call: &Call) -> anyhow::Result<hyper::Response<Incoming>> {
+        self.sender.ready().await?;
+        Ok(self
+            .sender
+            .send_request(request(self.address, call)?)
+            .await?)
+    }
+
+    /// Sends a request and reads the whole answer.
+    pub async fn exchange(&mut self, call: &Call) -> anyhow::Result<Answer> {
+        let response = self.start(call).await?;
+        let status = response.status();
+        let headers = response.headers().clone();
+        let body = response.into_body().collect().await?.to_bytes();
+        Ok(Answer {
+            status,
+            headers,
+            body,
+        })
+    }
+}
+
+fn request(address: SocketAddr, call: &Call) -> anyhow::Result<Request<Full<Bytes>>> {
+    let mut builder = Request::builder()
+        .method(call.method)
+        .uri(&call.path)
+        .header(header::HOST, address.to_string())
+        .header(header::CONTENT_TYPE, "application/json")
+        .header(header::AUTHORIZATION, format!("Bearer {}", call.token));
+    for (name, value) in &call.headers {
+        builder = builder.header(*name, value);
+    }
+    Ok(builder.body(Full::new(Bytes::from(call.body.clone())))?)
+}
--- a/examples/support/processes.rs
+++ b/examples/support/processes.rs
@@ -52,12 +52,28 @@
         })
     }
 
+    /// Returns the process's id.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) -> anyhow::Result<()> {
         let pid = Pid::from_raw(self.child.id().try_into()?);
         kill(pid, signal).with_context(|| format!("sending {signal} to {}", self.settings.name))
     }
 
+    /// Stops the process and waits until none of its threads runs any more.
+    pub async fn freeze(&self) -> anyhow::Result<()> {
+        self.signal(Signal::SIGSTOP)?;
+        let start = Instant::now();
+        while !is_stopped(self.pid())? {
+            ensure!(start.elapsed() < PATIENCE, "{} goes on", self.settings.name);
+            sleep(POLL).await;
+        }
+        Ok(())
+    }
+
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) -> anyhow::Result<()> {
         self.child.kill()?;
@@ -96,6 +112,18 @@
     }
 }
 
+/// Reads whether all threads of a process are stopped.
+fn is_stopped(pid: u32) -> anyhow::Result<bool> {
+    for thread in std::fs::read_dir(format!("/proc/{pid}/task"))? {
+        let stat = std::fs::read_to_string(thread?.path().join("stat"))?;
+        let (_, state) = stat.rsplit_once(") ").context("no name in the stat")?;
+        if !state.starts_with('T') {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
 fn spawn(program: &Path, file: &Path) -> anyhow::Result<Child> {
     let log = std::fs::File::options()
         .create(true)
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -198,7 +198,7 @@
     assert_eq!(answer.status, StatusCode::OK);
     let executed_before = processes.upstreams.generations();
 
-    processes.gateways[1].signal(Signal::SIGSTOP).unwrap();
+    processes.gateways[1].freeze().await.unwrap();
     let frozen = processes.gateway(1);
     let during = {
         let call = call.clone();
