--- a/src/cmd/error.rs
+++ b/src/cmd/error.rs
@@ -1,6 +1,6 @@
 //! Errors of the operator tool, by exit code.
 
-use crate::settings::FileError;
+use crate::settings::{FileError, Problem};
 
 /// Why a sub-command failed.
 #[derive(Debug, thiserror::Error)]
@@ -16,6 +16,9 @@
     /// An argument or a file is wrong.
     #[error("{0}")]
     Usage(String),
+    /// A file is wrong.
+    #[error(transparent)]
+    File(#[from] FileError),
     /// Another change came first.
     #[error("{0}")]
     Conflict(String),
@@ -37,7 +40,7 @@
     pub fn exit_code(&self) -> u8 {
         match self {
             Self::Refused { .. } | Self::Write { .. } => 1,
-            Self::Usage(_) => 2,
+            Self::Usage(_) | Self::File(_) => 2,
             Self::Conflict(_) => 3,
             Self::Unreachable(_) => 4,
         }
@@ -48,15 +51,18 @@
         match self {
             Self::Refused { kind, .. } => kind,
             Self::Usage(_) => "usage",
+            Self::File(_) => "file",
             Self::Conflict(_) => "conflict",
             Self::Unreachable(_) => "unreachable",
             Self::Write { .. } => "write",
         }
     }
-}
 
-impl From<FileError> for CmdError {
-    fn from(e: FileError) -> Self {
-        Self::Usage(e.to_string())
+    /// Returns what is wrong with the fields of a file, if that is the error.
+    pub fn problems(&self) -> &[Problem] {
+        match self {
+            Self::File(FileError::Invalid { problems, .. }) => problems,
+            _ => &[],
+        }
     }
 }
--- a/src/cmd/output.rs
+++ b/src/cmd/output.rs
@@ -39,7 +39,7 @@
     /// Prints an error.
     pub(super) fn error(self, e: &CmdError) {
         let text = if self.is_json {
-            json!({ "error": { "kind": e.kind(), "message": e.to_string() } }).to_string()
+            error_as_json(e)
         } else {
             format!("error: {e}")
         };
@@ -48,6 +48,14 @@
     }
 }
 
+fn error_as_json(e: &CmdError) -> String {
+    let mut error = json!({ "kind": e.kind(), "message": e.to_string() });
+    if !e.problems().is_empty() {
+        error["problems"] = json!(e.problems());
+    }
+    json!({ "error": error }).to_string()
+}
+
 /// Lays out rows in columns that are as wide as their widest cell.
 pub(super) fn table(rows: &[Vec<String>]) -> String {
     let columns = rows.iter().map(Vec::len).max().unwrap_or(0);
--- a/src/settings/problem.rs
+++ b/src/settings/problem.rs
@@ -5,14 +5,14 @@
     path::{Path, PathBuf},
 };
 
-use serde::de::DeserializeOwned;
+use serde::{Serialize, de::DeserializeOwned};
 use serde_json::Value;
 
 /// Longest part of a value that a message shows, in characters.
 const SHOWN_CHARS: usize = 60;
 
 /// One thing that is wrong with a file.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Problem {
     /// The field, as a path such as `timing.view_lease_ms` or `zones[1].name`.
     pub field: String,
--- a/src/settings/read.rs
+++ b/src/settings/read.rs
@@ -2,7 +2,6 @@
 
 use std::{
     collections::{HashMap, HashSet, hash_map::Entry},
-    fs,
     net::SocketAddr,
     path::Path,
     time::Duration,
@@ -293,8 +292,14 @@
     let Some(folder) = &settings.data_folder else {
         return;
     };
-    if fs::create_dir_all(folder).is_err() {
-        let remedy = "name a folder that this process may make and write";
+    if !can_hold_folder(folder) {
+        let remedy = "name a folder, or a path whose last existing part is one";
         problems.add("data_folder", folder.display(), remedy);
     }
 }
+
+/// Returns whether a path is a folder or could be made one. The folder itself is made by the store.
+fn can_hold_folder(path: &Path) -> bool {
+    let existing = path.ancestors().find(|ancestor| ancestor.exists());
+    existing.is_none_or(Path::is_dir)
+}
