--- a/src/telemetry/export.rs
+++ b/src/telemetry/export.rs
@@ -23,6 +23,7 @@
 #[derive(Debug)]
 pub(super) struct Exporter {
     registry: Registry,
+    meter: Meter,
     histograms: Arc<Histograms>,
     _provider: SdkMeterProvider,
     _alive: mpsc::Sender<()>,
@@ -65,12 +66,41 @@
             .context("could not start the thread for metrics")?;
         Ok(Self {
             registry,
+            meter,
             histograms,
             _provider: provider,
             _alive: alive,
         })
     }
 
+    /// Exports a counter.
+    pub(super) fn counter(
+        &self,
+        name: &'static str,
+        help: &'static str,
+        read: impl Fn() -> u64 + Send + Sync + 'static,
+    ) {
+        self.meter
+            .u64_observable_counter(name)
+            .with_description(help)
+            .with_callback(move |observer| observer.observe(read(), &[]))
+            .build();
+    }
+
+    /// Exports a value that goes up and down.
+    pub(super) fn gauge(
+        &self,
+        name: &'static str,
+        help: &'static str,
+        read: impl Fn() -> u64 + Send + Sync + 'static,
+    ) {
+        self.meter
+            .u64_observable_gauge(name)
+            .with_description(help)
+            .with_callback(move |observer| observer.observe(read(), &[]))
+            .build();
+    }
+
     /// Returns all metrics as text.
     pub(super) fn render(&self, cells: &Cells) -> anyhow::Result<String> {
         self.histograms.transfer(cells);
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -8,7 +8,10 @@
 pub use logging::start_logging;
 
 use std::{
-    sync::{Arc, atomic::Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -47,6 +50,25 @@
         self.cells.commit.record(duration);
     }
 
+    /// Makes a counter of rare events. Make each name once in a process.
+    pub fn counter(&self, name: &'static str, help: &'static str) -> Counter {
+        let counter = Counter::default();
+        let cell = Arc::clone(&counter.0);
+        self.exporter
+            .counter(name, help, move || cell.load(Ordering::Relaxed));
+        counter
+    }
+
+    /// Shows a value that goes up and down, read at each scrape. Make each name once in a process.
+    pub fn gauge(
+        &self,
+        name: &'static str,
+        help: &'static str,
+        read: impl Fn() -> u64 + Send + Sync + 'static,
+    ) {
+        self.exporter.gauge(name, help, read);
+    }
+
     /// Returns the text for `GET /metrics`.
     pub fn render(&self) -> String {
         self.exporter.render(&self.cells).unwrap_or_else(|e| {
@@ -56,6 +78,17 @@
     }
 }
 
+/// A counter that only grows; clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct Counter(Arc<AtomicU64>);
+
+impl Counter {
+    /// Counts one event.
+    pub fn add(&self) {
+        self.0.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
 /// The metrics of one account; clones share them.
 #[derive(Clone, Debug)]
 pub struct AccountMetrics(Arc<AccountCells>);
--- a/tests/telemetry.rs
+++ b/tests/telemetry.rs
@@ -46,6 +46,18 @@
     insta::assert_snapshot!(metrics.render());
 }
 
+#[test]
+fn rare_events_and_values_of_the_moment_are_shown() {
+    let metrics = Metrics::new().unwrap();
+    let lost = metrics.counter("flamingocroft.lost", "Frames lost.");
+    metrics.gauge("flamingocroft.term", "The term.", || 7);
+    lost.add();
+    lost.clone().add();
+    let text = metrics.render();
+    assert_eq!(value(&text, "flamingocroft_lost_total"), 2.0);
+    assert_eq!(value(&text, "flamingocroft_term"), 7.0);
+}
+
 #[test]
 fn counts_are_exact_over_threads_and_scrapes() {
     const THREADS: u64 = 8;
