--- a/src/gateway/counters.rs
+++ b/src/gateway/counters.rs
@@ -1,24 +1,9 @@
 //! Counters of a gateway's rare events, for `GET /metrics`.
 
-use std::sync::atomic::{AtomicU64, Ordering};
-
-/// A counter that only grows.
-#[derive(Debug, Default)]
-pub(crate) struct Counter(AtomicU64);
-
-impl Counter {
-    /// Counts one event.
-    pub(crate) fn add(&self) {
-        self.0.fetch_add(1, Ordering::Relaxed);
-    }
-
-    fn get(&self) -> u64 {
-        self.0.load(Ordering::Relaxed)
-    }
-}
+use crate::telemetry::{Counter, Metrics};
 
 /// The counters.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Counters {
     /// Frames dropped because they came from an older incarnation or in another's name.
     pub(crate) dropped_frames: Counter,
@@ -33,20 +18,29 @@
 }
 
 impl Counters {
-    /// Returns the counters in the text format of Prometheus.
-    pub(crate) fn render(&self) -> String {
-        let rows = [
-            ("dropped_frames", &self.dropped_frames),
-            ("accepted_alone", &self.accepted_alone),
-            ("handed_over", &self.handed_over),
-            ("taken_over", &self.taken_over),
-            ("late_outcomes", &self.late_outcomes),
-        ];
-        rows.iter()
-            .map(|(name, counter)| {
-                let name = format!("flamingocroft_gateway_{name}_total");
-                format!("# TYPE {name} counter\n{name} {}\n", counter.get())
-            })
-            .collect()
+    /// Makes the counters of a gateway.
+    pub(crate) fn new(metrics: &Metrics) -> Self {
+        Self {
+            dropped_frames: metrics.counter(
+                "flamingocroft.gateway.dropped_frames",
+                "Frames dropped as those of an older incarnation or in another's name.",
+            ),
+            accepted_alone: metrics.counter(
+                "flamingocroft.gateway.accepted_alone",
+                "Requests accepted without a backup.",
+            ),
+            handed_over: metrics.counter(
+                "flamingocroft.gateway.handed_over",
+                "Requests handed to another gateway.",
+            ),
+            taken_over: metrics.counter(
+                "flamingocroft.gateway.taken_over",
+                "Requests taken over from another gateway.",
+            ),
+            late_outcomes: metrics.counter(
+                "flamingocroft.gateway.late_outcomes",
+                "Outcomes of claims not committed within the caller's wait.",
+            ),
+        }
     }
 }
--- a/src/gateway/http/routes.rs
+++ b/src/gateway/http/routes.rs
@@ -165,8 +165,7 @@
 }
 
 fn metrics<U: Upstreams, T: Clock>(gateway: &Gateway<U, T>) -> Response {
-    let text = gateway.metrics.render() + &gateway.counters.render();
-    Response::new(text.into())
+    Response::new(gateway.metrics.render().into())
 }
 
 async fn explain<U: Upstreams, T: Clock>(
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -132,7 +132,7 @@
         closed: CancellationToken::new(),
         work: TaskTracker::new(),
         reclaimed_in: watch::Sender::new(None),
-        counters: Counters::default(),
+        counters: Counters::new(&ports.metrics),
         attempts: Default::default(),
         identity,
         settings,
