--- a/tests/settings_examples.rs
+++ b/tests/settings_examples.rs
@@ -123,6 +123,11 @@
         assert_eq!(controller.role, Role::Controller);
         assert_eq!(gateway.role, Role::Gateway);
         assert_eq!(controller.controllers, gateway.controllers);
+        assert!(gateway.operator_token_sha256.is_some());
+        assert_eq!(
+            controller.operator_token_sha256,
+            gateway.operator_token_sha256
+        );
         let intent = read_intent(&example(&format!("{}/intent.jsonc", size.user))).unwrap();
         let zones: Vec<_> = intent.zones.iter().map(|zone| &zone.name).collect();
         let placed: Vec<_> = controller
