Let free work borrow idle slots and yield them to paying work

Change: free work borrows within its gateway above a reserve; a paying request for which a slot of free work can be cancelled waits instead of being refused, also above its share; after a gateway's capacity shrank, excess_free says how much free work to cancel. AdmitRequest gains free_in_progress, and the gateway fills it (one line in src/gateway/admission.rs).

--- a/examples/experiment/dispatch.rs
+++ b/examples/experiment/dispatch.rs
@@ -106,7 +106,7 @@
     }
 
     /// Cancels the free request that was dispatched last; it goes to the end of the queue.
-    fn cancel_free(&mut self, gateway: usize) -> bool {
+    pub fn cancel_free(&mut self, gateway: usize) -> bool {
         let ours = |&i: &usize| {
             let req = &self.requests[i];
             !req.paying && req.arrival.gateway == gateway && req.at.is_some()
@@ -148,6 +148,7 @@
         gateway.engines[engine].sent.push_back(self.now);
         gateway.in_progress[arrival.account] += 1;
         let req = &mut self.requests[request];
+        gateway.free_in_progress += u32::from(!req.paying);
         req.at = Some((engine, job));
         req.dispatched_at = self.now;
         let way = self.distance(arrival.gateway, engine);
--- a/examples/experiment/gateway.rs
+++ b/examples/experiment/gateway.rs
@@ -47,6 +47,7 @@
     /// Waiting requests, in the order in which they are asked.
     pub queue: Vec<usize>,
     pub in_progress: Vec<u32>,
+    pub free_in_progress: u32,
     pub refused: Vec<u32>,
     pub shares: Vec<u32>,
     pub service_time: Duration,
@@ -70,6 +71,7 @@
             engines: (0..engines).map(|_| Known::default()).collect(),
             queue: Vec::new(),
             in_progress: vec![0; accounts],
+            free_in_progress: 0,
             refused: vec![0; accounts],
             shares: vec![0; accounts],
             service_time: Duration::from_secs(3),
@@ -130,6 +132,7 @@
             account_in_progress: self.in_progress[req.account],
             share: Some(self.shares[req.account]),
             service_in_progress: self.in_progress.iter().sum(),
+            free_in_progress: self.free_in_progress,
             service_capacity: self.shares.iter().sum(),
             paying_waiting: others.clone().filter(|w| w.paying).count() as u32,
             waiting_ahead: ahead as u32,
--- a/examples/experiment/model.rs
+++ b/examples/experiment/model.rs
@@ -294,6 +294,7 @@
         if let Some((engine, _)) = req.at.take() {
             gateway.engines[engine].in_progress -= 1;
             gateway.in_progress[req.arrival.account] -= 1;
+            gateway.free_in_progress -= u32::from(!req.paying);
         }
     }
 
--- a/examples/experiment/upkeep.rs
+++ b/examples/experiment/upkeep.rs
@@ -3,12 +3,16 @@
 use std::time::Duration;
 
 use flamingocroft::{
-    policy::allocate::{self, Allocation, Capacity, DemandRow},
+    policy::{
+        admit,
+        allocate::{self, Allocation, Capacity, DemandRow},
+    },
     ports::{CacheEvents, Sent, UpstreamErrorKind},
 };
 use rand::Rng;
 
 use super::{
+    decision::Admitting,
     model::{Event, World},
     scenario::{NOTICE, RECLAIM_AT, RUN, Scenario},
     site::SERVICE,
@@ -180,9 +184,24 @@
         let ours = |allocation: &&Allocation| allocation.gateway.as_str() == name;
         let shares = self.held.iter().filter(ours).map(|a| a.slots).collect();
         self.gateways[gateway].shares = shares;
+        self.cancel_excess(gateway);
         self.ask_queue(gateway);
     }
 
+    /// Cancels free work for which the shares that are left have no slot.
+    fn cancel_excess(&mut self, gateway: usize) {
+        if self.policies.admitting != Admitting::Preempting {
+            return;
+        }
+        let state = &self.gateways[gateway];
+        let capacity = state.shares.iter().sum();
+        let in_progress = state.in_progress.iter().sum();
+        let excess = admit::excess_free(capacity, in_progress, state.free_in_progress);
+        for _ in 0..excess {
+            self.cancel_free(gateway);
+        }
+    }
+
     fn notice(&mut self, gateway: usize) {
         for (i, engine) in self.engines.iter().enumerate() {
             if engine.zone == 0 && engine.reclaimable {
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -215,6 +215,7 @@
             account_in_progress: account,
             share: self.account.share(),
             service_in_progress: service,
+            free_in_progress: self.service.free_in_progress.load(Ordering::Relaxed),
             service_capacity: self.service.capacity.load(Ordering::Relaxed),
             paying_waiting: self.service.paying_waiting.load(Ordering::Relaxed),
             waiting_ahead: line.ahead,
--- a/src/policy/admit.rs
+++ b/src/policy/admit.rs
@@ -1,9 +1,10 @@
 //! Decides whether a request is taken, waits or is refused.
 //!
 //! A request that cannot get its first token in time is refused at once, so that the caller can turn
-//! elsewhere. Free work uses its own share only, and only while no paying work waits. An account
-//! above its share borrows what the others of its tier leave unused, and yields as soon as one of
-//! them, below its own share, waits. See docs/DECISIONS.md, "Admission".
+//! elsewhere. An account above its share borrows what the others leave unused, and is passed over as
+//! soon as one of its tier, below its own share, waits. Free work borrows too, but leaves a reserve,
+//! never goes before waiting paying work, and is cancelled, to be resumed, when paying work lacks a
+//! slot. See docs/DECISIONS.md, "Admission".
 
 use std::time::Duration;
 
@@ -13,11 +14,14 @@
 pub const UNLEASED_SLOTS: u32 = 4;
 
 /// One slot in this many stays free of free work, for the next paying request.
-const SLOTS_PER_RESERVED_SLOT: u32 = 16;
+const SLOTS_PER_RESERVED_SLOT: u32 = 8;
 
 /// Shortest time after which a refused caller is asked to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
+/// Time within which a cancelled free request has left its slot.
+const YIELD_TIME: Duration = Duration::from_millis(50);
+
 /// What admission looks at.
 #[derive(Clone, Debug)]
 pub struct AdmitRequest {
@@ -29,6 +33,8 @@
     pub share: Option<u32>,
     /// Requests of all accounts in progress at this gateway for this service.
     pub service_in_progress: u32,
+    /// Those of them that belong to free accounts and may be cancelled to be resumed later.
+    pub free_in_progress: u32,
     /// This gateway's capacity for the service: the sum of its shares.
     pub service_capacity: u32,
     /// Requests of paying accounts waiting at this gateway for this service.
@@ -70,10 +76,17 @@
     }
 }
 
-/// Returns whether a free request in progress may be cancelled for this one: it pays, it is below
-/// its share, and only the lack of a slot makes it wait.
+/// Returns whether a free request in progress is to be cancelled for this one, which pays and which
+/// only the lack of a slot makes wait.
 pub fn preempts(req: &AdmitRequest) -> bool {
-    req.priority == Priority::Paying && below_share(req) && full(req)
+    let turn = below_share(req) || req.under_share_waiting == 0;
+    req.priority == Priority::Paying && full(req) && turn && req.free_in_progress > 0
+}
+
+/// Returns how many free requests in progress are to be cancelled after a gateway's capacity shrank,
+/// because paying work at another gateway was given it.
+pub fn excess_free(capacity: u32, in_progress: u32, free_in_progress: u32) -> u32 {
+    in_progress.saturating_sub(capacity).min(free_in_progress)
 }
 
 fn decide_paying(req: &AdmitRequest) -> Admission {
@@ -81,29 +94,38 @@
     if !full(req) && (below_share || req.under_share_waiting == 0) {
         return Admission::Accept;
     }
-    if below_share {
+    let (ahead, kind) = if below_share {
         let ahead = req.waiting_ahead.min(req.under_share_waiting);
-        return wait_or_refuse(req, ahead, RefusalKind::Overloaded);
+        (ahead, RefusalKind::Overloaded)
+    } else {
+        let ahead = req.waiting_ahead.max(req.under_share_waiting);
+        (ahead, RefusalKind::OverShare)
+    };
+    let yields = ahead < req.free_in_progress;
+    if yields && YIELD_TIME < req.until_due {
+        return Admission::Wait;
     }
     // A request above its share would wait behind every request below it, however many come.
-    if req.under_share_waiting > 0 {
-        return refuse(req, req.waiting_ahead, RefusalKind::OverShare);
+    if !below_share && req.under_share_waiting > 0 {
+        return refuse(req, ahead, kind);
     }
-    wait_or_refuse(req, req.waiting_ahead, RefusalKind::OverShare)
+    wait_or_refuse(req, ahead, kind)
 }
 
 fn decide_free(req: &AdmitRequest) -> Admission {
-    if !below_share(req) {
-        return refuse(req, req.waiting_ahead, RefusalKind::OverShare);
-    }
     if req.paying_waiting > 0 {
         return refuse(req, req.waiting_ahead, RefusalKind::Overloaded);
     }
+    let below_share = below_share(req);
     let reserve = capacity(req) / SLOTS_PER_RESERVED_SLOT;
-    if req.service_in_progress + reserve < capacity(req) {
+    let spare = req.service_in_progress + reserve < capacity(req);
+    if spare && (below_share || req.under_share_waiting == 0) {
         return Admission::Accept;
     }
-    wait_or_refuse(req, req.waiting_ahead, RefusalKind::Overloaded)
+    if below_share {
+        return wait_or_refuse(req, req.waiting_ahead, RefusalKind::Overloaded);
+    }
+    refuse(req, req.waiting_ahead, RefusalKind::OverShare)
 }
 
 /// Returns the gateway's capacity; a small constant before the first lease.
--- a/src/policy/route.rs
+++ b/src/policy/route.rs
@@ -21,7 +21,7 @@
 const SAMPLE_PRIOR: f64 = 4.0;
 
 /// An instance filled to this part of its slots costs as much as one with a request queued.
-const MS_AT_FULL_BATCH_QUEUED_REQUESTS: f64 = 1.0;
+const FULL_BATCH_QUEUED_REQUESTS: f64 = 1.0;
 
 /// Part of the load below which an instance costs nothing: a batch that is half full is fast.
 const FREE_LOAD: f64 = 0.5;
@@ -151,7 +151,7 @@
     let slots = f64::from(candidate.slots.max(1));
     let load = load(candidate, mean) * slots;
     let batch = ((load / slots).min(1.0) - FREE_LOAD).max(0.0) / (1.0 - FREE_LOAD);
-    batch * MS_AT_FULL_BATCH_QUEUED_REQUESTS + (load - slots).max(0.0)
+    batch * FULL_BATCH_QUEUED_REQUESTS + (load - slots).max(0.0)
 }
 
 /// Estimates the load of a candidate in parts of its slots. An old report says less and less, so it
