Lend slots to free work only while paying work leaves some anywhere

Change: above its share, free work leaves a quarter of the slots instead of an eighth, and a free account without any share borrows nothing, since shares are given to paying demand of all gateways first.

--- a/src/policy/admit.rs
+++ b/src/policy/admit.rs
@@ -16,6 +16,9 @@
 /// One slot in this many stays free of free work, for the next paying request.
 const SLOTS_PER_RESERVED_SLOT: u32 = 8;
 
+/// One slot in this many is not lent to free work above its share.
+const SLOTS_PER_SLOT_NOT_LENT: u32 = 4;
+
 /// Shortest time after which a refused caller is asked to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -117,9 +120,16 @@
         return refuse(req, req.waiting_ahead, RefusalKind::Overloaded);
     }
     let below_share = below_share(req);
-    let reserve = capacity(req) / SLOTS_PER_RESERVED_SLOT;
+    let slots_per_reserved_slot = if below_share {
+        SLOTS_PER_RESERVED_SLOT
+    } else {
+        SLOTS_PER_SLOT_NOT_LENT
+    };
+    let reserve = capacity(req) / slots_per_reserved_slot;
     let spare = req.service_in_progress + reserve < capacity(req);
-    if spare && (below_share || req.under_share_waiting == 0) {
+    // Without any share, paying work needs the whole capacity, here or at other gateways.
+    let may_borrow = req.share != Some(0) && req.under_share_waiting == 0;
+    if spare && (below_share || may_borrow) {
         return Admission::Accept;
     }
     if below_share {
--- a/tests/policy_admit.rs
+++ b/tests/policy_admit.rs
@@ -168,6 +168,33 @@
             None,
             Some(RefusalKind::OverShare),
         ),
+        (
+            "free work does not borrow where its account has no share",
+            AdmitRequest {
+                share: Some(0),
+                ..free(above_share.clone())
+            },
+            None,
+            Some(RefusalKind::OverShare),
+        ),
+        (
+            "free work borrows less than its own share reaches to",
+            AdmitRequest {
+                service_in_progress: 24,
+                ..free(above_share.clone())
+            },
+            None,
+            Some(RefusalKind::OverShare),
+        ),
+        (
+            "free work reaches its own share",
+            AdmitRequest {
+                service_in_progress: 24,
+                ..free(idle())
+            },
+            accept,
+            None,
+        ),
         (
             "a long wait is short where free work yields",
             AdmitRequest {
