--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,9 +1,10 @@
 //! The settings file of one process: JSON with comments, turned into checked structs.
-//! docs/OPERATIONS.md explains each field.
+//! docs/SETTINGS.md explains each field.
 
 pub mod intent;
 mod problem;
 mod read;
+mod schema;
 mod shape;
 
 pub use problem::{FileError, Problem, read_value};
