Require only confirms and leaving instances of a gateway's view; refuse claims without a lease

Cause: every change of an instance raised the index that gateways must hold, so a new instance stopped new work at all gateways for the time of one view. Only a confirm and a leaving instance do so now.

--- a/src/controller/driver.rs
+++ b/src/controller/driver.rs
@@ -33,7 +33,7 @@
 
 /// Most inputs that share one sync.
 const BATCH: usize = 1024;
-/// Entries applied between two snapshots.
+/// Fewest entries applied between two snapshots.
 const SNAPSHOT_ENTRIES: u64 = 16 * 1024;
 
 type Answer<R> = oneshot::Sender<Result<R, Rejection>>;
@@ -237,7 +237,9 @@
     async fn compact(&mut self) -> anyhow::Result<()> {
         let (index, state) = {
             let state = self.state();
-            if state.index() < self.snapshot_index + SNAPSHOT_ENTRIES {
+            // A snapshot costs as much as there are claims, so its cost for each entry stays level.
+            let between = SNAPSHOT_ENTRIES.max(state.claims().len() as u64);
+            if state.index() < self.snapshot_index + between {
                 return Ok(());
             }
             (state.index(), state.encode())
--- a/src/controller/handler.rs
+++ b/src/controller/handler.rs
@@ -80,7 +80,7 @@
             let before = fleet.sequence();
             // The index is read under the registry's lock, so that a confirm that looks at the
             // registry after its commit sees every lease granted on an older index.
-            let required = self.core.log.state().view_index();
+            let required = self.core.log.state().required_index();
             let reply = fleet.hear(self.core.now(), &heartbeat, required);
             let changed = fleet.sequence() != before;
             drop(fleet);
@@ -157,6 +157,9 @@
         if request.gateway != *peer.name {
             return foreign();
         }
+        if !self.may_claim(&request) {
+            return failure("the gateway holds no lease; renew it before the next claim");
+        }
         if IdempotencyKey::from_bytes(&request.key).is_err() {
             return failure("the key of the claim is not a version 7 UUID");
         }
@@ -169,6 +172,13 @@
         self.commit(action).await
     }
 
+    /// A claim of a gateway without a lease would be marked unknown at once, although it cannot be
+    /// dispatched. A new leader does not know all leases yet and takes every claim.
+    fn may_claim(&self, request: &ClaimRequest) -> bool {
+        let fleet = self.core.fleet();
+        !fleet.is_complete(self.core.now()) || fleet.holds(&request.gateway, request.incarnation)
+    }
+
     async fn settle(&self, action: Action) -> Body {
         self.commit(action).await
     }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -1,5 +1,5 @@
 //! The role `controller`: drives a replica, serves operators and gateways, and issues orders.
-//! See docs/DESIGN.md, "Controllers".
+//! See docs/DESIGN.md, "Replication" and "Configuration".
 
 mod api_error;
 pub mod changes;
@@ -69,6 +69,7 @@
     let folder = settings.data_folder.as_deref();
     let folder = folder.context("data_folder is missing; a controller needs one")?;
     let (store, recovered, member) = open(folder).await?;
+    ::log::info!("controller: the data folder is member {member}.");
     let identity = Identity {
         name: Arc::clone(&settings.name),
         incarnation: Incarnation(ports.clock.unix_ms()),
--- a/src/state/instances.rs
+++ b/src/state/instances.rs
@@ -92,6 +92,7 @@
     ahead: BTreeMap<String, u64>,
     forgotten_index: u64,
     changed_index: u64,
+    leaving_index: u64,
 }
 
 impl Instances {
@@ -100,6 +101,11 @@
         self.changed_index
     }
 
+    /// Returns the log index at which an instance last became leaving.
+    pub fn leaving_index(&self) -> u64 {
+        self.leaving_index
+    }
+
     /// Returns the instances that are not gone.
     pub fn present(&self) -> impl Iterator<Item = &InstanceRecord> {
         self.facts
@@ -184,6 +190,9 @@
         self.ahead
             .retain(|ahead, incarnation| ahead != name || *incarnation > record.incarnation);
         self.changed_index = at.index;
+        if left {
+            self.leaving_index = at.index;
+        }
     }
 
     fn leaving(&mut self, at: At, notice: &LeavingNotice, reason: &str) -> bool {
@@ -198,6 +207,7 @@
                 let what = format!("Incarnation {} is leaving: {reason}.", fact.incarnation());
                 fact.change(at, LEAVING, what);
                 self.changed_index = at.index;
+                self.leaving_index = at.index;
             }
         }
         let known = fact.incarnation() >= notice.incarnation;
@@ -254,6 +264,7 @@
                 .collect(),
             forgotten_index: self.forgotten_index,
             changed_index: self.changed_index,
+            leaving_index: self.leaving_index,
         }
     }
 
@@ -274,6 +285,7 @@
             ahead: ahead.collect(),
             forgotten_index: record.forgotten_index,
             changed_index: record.changed_index,
+            leaving_index: record.leaving_index,
         })
     }
 }
@@ -296,4 +308,7 @@
     /// Index of the last change.
     #[prost(uint64, tag = "5")]
     pub changed_index: u64,
+    /// Index at which an instance last became leaving.
+    #[prost(uint64, tag = "6")]
+    pub leaving_index: u64,
 }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -92,6 +92,15 @@
             .max(self.instances.changed_index())
     }
 
+    /// Returns the log index that a gateway's view must include for it to take new work: the last
+    /// confirm or leaving instance. A new or a gone instance is no reason to refuse work until the
+    /// next view arrives.
+    pub fn required_index(&self) -> u64 {
+        self.configuration
+            .index()
+            .max(self.instances.leaving_index())
+    }
+
     /// Notes an entry that is not a command.
     pub fn skip(&mut self, index: u64) {
         self.index = index;
--- a/tests/controller_confirm.rs
+++ b/tests/controller_confirm.rs
@@ -99,6 +99,29 @@
     assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_isolated_follower_soon_answers_503_and_never_shows_state() {
+    let mut cluster = Cluster::start(3).await;
+    cluster.put(&intent(1)).await;
+    let (leader, _) = cluster.leader().await;
+    let left = (leader + 1) % 3;
+    cluster.stop((leader + 2) % 3).await;
+    cluster.stop(leader).await;
+    let until = Instant::now() + Duration::from_secs(10);
+    loop {
+        let answer = cluster.get(left, "status").await;
+        match answer.status {
+            StatusCode::SERVICE_UNAVAILABLE => break,
+            // It may not have missed the leader yet, but what it knows is not shown as current.
+            status => assert_eq!(status, StatusCode::MISDIRECTED_REQUEST),
+        }
+        assert!(Instant::now() < until, "still names a leader");
+    }
+    let answer = cluster.post(left, "confirm", &order(1, intent(2))).await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(&*answer.error().error.kind, "no_quorum");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_controller_that_does_not_lead_names_the_leader() {
     let cluster = Cluster::start(3).await;
@@ -122,6 +145,7 @@
     let gateway = FakeGateway::start(&cluster, "g0", "z0", 1);
     cluster.put(&intent(1)).await;
     let last = cluster.put(&intent(2)).await;
+    gateway.holds(|held| held.lease.is_some()).await;
     let key = uuid::Uuid::now_v7();
     let granted = gateway.shared.claim(&gateway.request(key, 1, 1)).await;
     assert_eq!(granted.status(), flamingocroft::wire::ClaimStatus::Granted);
--- a/tests/controller_gateways.rs
+++ b/tests/controller_gateways.rs
@@ -58,6 +58,13 @@
     };
     lost.shared.ask(Body::Outcome(outcome)).await;
     assert_eq!(other.shared.claim(&asked).await.status(), ClaimStatus::Done);
+    let late = lost.request(uuid::Uuid::now_v7(), 1, 2);
+    let answer = lost
+        .shared
+        .leader_link()
+        .call(Body::Claim(late), Duration::from_secs(2))
+        .await;
+    assert!(answer.unwrap_err().to_string().contains("no lease"));
     lost.shared.silent.store(false, Ordering::Relaxed);
     other
         .holds(|held| held.gateways == names(&["g0", "g1"]))
--- a/tests/controllers/gateway.rs
+++ b/tests/controllers/gateway.rs
@@ -94,6 +94,12 @@
         &self.links[0].1
     }
 
+    /// The link that last reached the leader.
+    pub fn leader_link(&self) -> &Link {
+        let at = self.preferred.load(Ordering::Relaxed) % self.links.len();
+        &self.links[at].1
+    }
+
     pub async fn claim(&self, request: &ClaimRequest) -> ClaimReply {
         match self.ask(Body::Claim(request.clone())).await {
             Body::ClaimReply(reply) => reply,
