--- a/src/replication/mod.rs
+++ b/src/replication/mod.rs
@@ -6,11 +6,14 @@
 mod election;
 mod follower;
 mod leader;
+mod lease;
 mod log;
 mod membership;
 mod progress;
 mod read;
+mod receive;
 mod replica;
+mod sending;
 mod snapshot;
 
 pub use batch::{Batch, Write};
@@ -114,7 +117,8 @@
         /// The change.
         change: MemberChange,
     },
-    /// Everything asked for by `Effect::Persist` up to this index is synced.
+    /// Everything asked for by `Effect::Persist` up to this index is synced. Step it before any
+    /// later `Persist` is begun, because a later one may replace the entry.
     Persisted {
         /// The last synced entry.
         index: u64,
--- /dev/null
+++ b/tests/replication_commit.rs
@@ -0,0 +1,185 @@
+//! What a leader may count as committed, and what a member may claim to have synced.
+
+mod replication_support;
+
+use flamingocroft::{
+    domain::MemberId,
+    replication::{Batch, Effect, Input, Snapshot},
+    wire::{Entry, EntryKind, InstallSnapshot, MembershipRecord, ReplicaMessage, ReplicaPayload},
+};
+use prost::Message;
+use replication_support::single::{
+    START, append, entry, lead, receive, replica, reply, sent, vote,
+};
+
+const LATER: std::time::Duration = START.saturating_mul(2);
+
+/// Entry 2 of term 2 reaches a majority under the leader of term 4, but a member with an entry of
+/// term 3 could still be elected and replace it.
+#[test]
+fn an_older_terms_entry_on_a_majority_is_not_committed_by_counting() {
+    let mut replica = replica(3, vec![entry(2, 2)]);
+    lead(&mut replica, LATER);
+    for (from, index, commit) in [(2, 2, 1), (3, 2, 1), (2, 3, 1), (3, 3, 3)] {
+        receive(&mut replica, LATER, from, 4, reply(true, index, 1));
+        assert_eq!(replica.commit(), commit);
+        // Before that it may not know the newest state.
+        assert_eq!(replica.lease_until().is_some(), commit == 3);
+    }
+}
+
+fn claimed(effects: &[Effect]) -> Vec<u64> {
+    let claim = |payload: &ReplicaPayload| match payload {
+        ReplicaPayload::AppendReply(reply) if reply.matched => Some(reply.index),
+        _ => None,
+    };
+    sent(effects).into_iter().filter_map(claim).collect()
+}
+
+/// A heartbeat's answer is not held back by a write of an earlier step, so it claims less.
+#[test]
+fn only_synced_entries_are_claimed() {
+    let mut replica = replica(2, vec![entry(2, 2)]);
+    let two = || append(entry(2, 2), vec![entry(3, 2)]);
+    let effects = receive(&mut replica, LATER, 2, 2, two());
+    let [Effect::Persist { entries, .. }, Effect::Send(_)] = effects.as_slice() else {
+        panic!("{effects:?}");
+    };
+    assert_eq!(entries, &[entry(3, 2)]);
+    assert_eq!(claimed(&effects), [3]);
+    let heartbeat = || append(entry(3, 2), Vec::new());
+    let effects = receive(&mut replica, LATER, 2, 2, heartbeat());
+    assert_eq!(claimed(&effects), [2]);
+    let effects = receive(&mut replica, LATER, 2, 2, two());
+    assert_eq!(claimed(&effects), [2], "the doubled message writes nothing");
+    replica.step(LATER, Input::Persisted { index: 3, term: 2 });
+    let effects = receive(&mut replica, LATER, 2, 2, heartbeat());
+    assert_eq!(claimed(&effects), [3]);
+    // A newer leader replaces it; the old entry's sync says nothing of the new one.
+    let newer = append(entry(2, 2), vec![entry(3, 3)]);
+    receive(&mut replica, LATER, 3, 3, newer);
+    replica.step(LATER, Input::Persisted { index: 3, term: 2 });
+    let heartbeat = append(entry(3, 3), Vec::new());
+    let effects = receive(&mut replica, LATER, 3, 3, heartbeat);
+    assert_eq!(claimed(&effects), [2]);
+}
+
+#[test]
+fn a_change_of_members_is_in_force_until_it_is_replaced() {
+    let mut replica = replica(2, vec![entry(2, 2)]);
+    let record = MembershipRecord {
+        voters: vec![1, 2, 3],
+        learners: vec![4],
+    };
+    let change = Entry {
+        kind: EntryKind::Membership as i32,
+        data: record.encode_to_vec().into(),
+        ..entry(3, 2)
+    };
+    receive(&mut replica, LATER, 2, 2, append(entry(2, 2), vec![change]));
+    assert_eq!(replica.membership(), &record);
+    let other = vec![entry(3, 3), entry(4, 3)];
+    receive(&mut replica, LATER, 3, 3, append(entry(2, 2), other));
+    assert_eq!(replica.membership().voters, [1, 2, 3, 4, 5]);
+}
+
+#[test]
+fn an_installed_snapshot_is_claimed_only_once_it_is_synced() {
+    let mut replica = replica(2, vec![entry(2, 1), entry(3, 1)]);
+    let install = ReplicaPayload::InstallSnapshot(InstallSnapshot {
+        index: 5,
+        term: 2,
+        ..InstallSnapshot::default()
+    });
+    let effects = receive(&mut replica, LATER, 2, 2, install);
+    assert!(matches!(
+        effects.as_slice(),
+        [
+            Effect::Persist {
+                snapshot: Some(_),
+                ..
+            },
+            Effect::Restore(_),
+            Effect::Send(_)
+        ]
+    ));
+    let heartbeat = || append(entry(5, 2), Vec::new());
+    let effects = receive(&mut replica, LATER, 2, 2, heartbeat());
+    assert_eq!(claimed(&effects), [1], "only what was committed before");
+    replica.step(LATER, Input::Persisted { index: 5, term: 2 });
+    let effects = receive(&mut replica, LATER, 2, 2, heartbeat());
+    assert_eq!(claimed(&effects), [5]);
+}
+
+#[test]
+fn entries_that_do_not_follow_each_other_are_ignored() {
+    for entries in [vec![entry(3, 1)], vec![entry(2, 1), entry(4, 1)]] {
+        let mut replica = replica(1, Vec::new());
+        let effects = receive(&mut replica, LATER, 2, 1, append(entry(1, 1), entries));
+        assert_eq!(effects, []);
+        assert_eq!(replica.last_index(), 1);
+    }
+}
+
+#[test]
+fn a_doubled_vote_request_waits_for_a_sync_each_time() {
+    let mut replica = replica(1, Vec::new());
+    for _ in 0..2 {
+        let effects = receive(&mut replica, LATER, 2, 2, vote(false));
+        let persisted = matches!(
+            effects.as_slice(),
+            [Effect::Persist { hard_state: Some(state), .. }, Effect::Send(_)]
+                if state.vote == Some(MemberId(2))
+        );
+        assert!(persisted, "{effects:?}");
+    }
+}
+
+fn persist(entries: Vec<Entry>, snapshot: Option<Snapshot>) -> Effect {
+    Effect::Persist {
+        hard_state: None,
+        entries,
+        snapshot,
+    }
+}
+
+#[test]
+fn a_batch_merges_writes_and_holds_only_what_follows_one() {
+    let message = |to| ReplicaMessage {
+        to,
+        ..ReplicaMessage::default()
+    };
+    let send = |to| Effect::Send(message(to));
+    let mut batch = Batch::default();
+    let entries = vec![entry(1, 1), entry(2, 1)];
+    batch.add(vec![send(1), persist(entries, None), send(2)]);
+    batch.add(vec![send(3)]);
+    batch.add(vec![persist(vec![entry(2, 2)], None)]);
+    assert_eq!(batch.take_ready(), [message(1), message(3)]);
+    assert_eq!(batch.take_held(), [message(2)]);
+    let writes = batch.take_writes();
+    assert_eq!(writes.len(), 1);
+    assert_eq!(writes[0].entries, [entry(1, 1), entry(2, 2)]);
+    let persisted = batch.take_persisted();
+    assert!(matches!(
+        persisted.as_slice(),
+        [Input::Persisted { index: 2, term: 2 }]
+    ));
+    assert!(batch.take_persisted().is_empty());
+}
+
+#[test]
+fn a_batch_keeps_the_order_around_a_snapshot() {
+    let snapshot = Snapshot {
+        index: 5,
+        term: 2,
+        ..Snapshot::default()
+    };
+    let mut batch = Batch::default();
+    batch.add(vec![persist(vec![entry(1, 1)], None)]);
+    batch.add(vec![persist(Vec::new(), Some(snapshot.clone()))]);
+    batch.add(vec![persist(vec![entry(6, 2)], None)]);
+    let writes = batch.take_writes();
+    let parts = writes.iter().map(|w| (w.entries.len(), w.snapshot.clone()));
+    assert_eq!(parts.collect::<Vec<_>>(), [(1, Some(snapshot)), (1, None)]);
+}
