Report a data folder as used before its first vote leaves

Cause: the folder's report changed only after the batch whose sends held the vote; a controller that asked in between could have counted the folder as blank when it formed the first cluster.

--- a/src/controller/driver.rs
+++ b/src/controller/driver.rs
@@ -140,6 +140,8 @@
             batch.add(self.parts.replica.step(now, input));
         }
         loop {
+            // Before a vote leaves, so that a folder never reports itself blank after one.
+            self.parts.card.set_blank(self.parts.replica.is_blank());
             let peers = &self.parts.peers;
             batch.take_ready().into_iter().for_each(|m| peers.send(m));
             self.write(batch.take_writes()).await?;
@@ -268,7 +270,6 @@
             matched: matched.collect(),
             membership,
         };
-        self.parts.card.set_blank(replica.is_blank());
         let led = leads.then_some(standing.term);
         self.parts.inbox.standing.send_replace(standing);
         let replace = |last: &mut Option<u64>| mem::replace(last, led) != led;
