--- a/examples/measure_log.rs
+++ b/examples/measure_log.rs
@@ -2,7 +2,7 @@
 //! with a real sync for each batch. Usage: `measure_log [FOLDER] [SECONDS]`.
 
 use std::{
-    env,
+    env, fs,
     path::PathBuf,
     time::{Duration, Instant},
 };
@@ -20,6 +20,8 @@
 
 const COMMAND_BYTES: usize = 200;
 const BATCHES: [usize; 3] = [1, 16, 256];
+/// Batches over which the growth of the log is measured.
+const SIZE_BATCHES: usize = 10;
 /// Entries after which the log is compacted to an empty state, to bound the file.
 const COMPACT_AFTER: u64 = 100_000;
 
@@ -31,7 +33,7 @@
         "{COMMAND_BYTES}-byte commands, {seconds} s each, in {}",
         folder.display()
     );
-    println!("batch  entries/s  syncs/s  p50 us  p99 us  worst us");
+    println!("batch  entries/s  syncs/s  p50 us  p99 us  worst us  disk bytes/entry");
     for batch in BATCHES {
         let folder = tempfile::tempdir_in(&folder).context("cannot make a folder")?;
         let mut member = Member::open(folder)?;
@@ -63,13 +65,17 @@
         member.compact()?;
     }
     let elapsed = begin.elapsed().as_secs_f64();
+    let before = member.log_bytes()?;
+    (0..SIZE_BATCHES).try_for_each(|_| member.commit(batch, &command))?;
+    let growth = member.log_bytes()? - before;
     println!(
-        "{batch:5}  {:9.0}  {:7.0}  {:6}  {:6}  {:8}",
+        "{batch:5}  {:9.0}  {:7.0}  {:6}  {:6}  {:8}  {:16.1}",
         entries as f64 / elapsed,
         f64::from(syncs) / elapsed,
         latency.value_at_quantile(0.5),
         latency.value_at_quantile(0.99),
         latency.max(),
+        growth as f64 / (SIZE_BATCHES * batch) as f64,
     );
     Ok(())
 }
@@ -79,7 +85,7 @@
     store: LogStore,
     start: Instant,
     compacted: u64,
-    _folder: tempfile::TempDir,
+    folder: tempfile::TempDir,
 }
 
 impl Member {
@@ -98,13 +104,32 @@
             // It stands for election at once.
             start: Instant::now() - Duration::from_secs(1),
             compacted: 0,
-            _folder: folder,
+            folder,
         };
         member.handle([])?;
         anyhow::ensure!(member.replica.role() == Role::Leader, "it does not lead");
         Ok(member)
     }
 
+    fn commit(&mut self, batch: usize, command: &Bytes) -> anyhow::Result<()> {
+        let proposals = (0..batch).map(|number| Input::Propose {
+            ticket: Ticket(number as u64),
+            command: command.clone(),
+        });
+        let committed = self.handle(proposals)?;
+        anyhow::ensure!(
+            committed == batch,
+            "{committed} of {batch} entries committed"
+        );
+        Ok(())
+    }
+
+    fn log_bytes(&self) -> anyhow::Result<u64> {
+        fs::read_dir(self.folder.path())?
+            .map(|file| Ok(file?.metadata()?.len()))
+            .sum()
+    }
+
     /// Steps a batch, syncs it, and returns how many proposals were committed.
     fn handle(&mut self, inputs: impl IntoIterator<Item = Input>) -> anyhow::Result<usize> {
         let now = self.start.elapsed();
