--- a/tests/replication_commit.rs
+++ b/tests/replication_commit.rs
@@ -83,15 +83,32 @@
     assert_eq!(replica.membership().voters, [1, 2, 3, 4, 5]);
 }
 
+fn install(index: u64) -> ReplicaPayload {
+    ReplicaPayload::InstallSnapshot(InstallSnapshot {
+        index,
+        term: 2,
+        ..InstallSnapshot::default()
+    })
+}
+
+/// The member may have claimed them, so a late snapshot must not drop them.
+#[test]
+fn entries_after_a_late_snapshot_are_kept_if_they_match() {
+    let mut replica = self::replica(2, vec![entry(2, 2), entry(3, 2), entry(4, 2)]);
+    receive(&mut replica, LATER, 2, 2, install(3));
+    assert_eq!((replica.commit(), replica.last_index()), (3, 4));
+    let effects = receive(&mut replica, LATER, 2, 2, append(entry(4, 2), Vec::new()));
+    assert_eq!(claimed(&effects), [4]);
+    // An entry of another term at the snapshot's index was never committed, nor what follows it.
+    let mut replica = self::replica(2, vec![entry(2, 1), entry(3, 1), entry(4, 1)]);
+    receive(&mut replica, LATER, 2, 2, install(3));
+    assert_eq!((replica.commit(), replica.last_index()), (3, 3));
+}
+
 #[test]
 fn an_installed_snapshot_is_claimed_only_once_it_is_synced() {
     let mut replica = replica(2, vec![entry(2, 1), entry(3, 1)]);
-    let install = ReplicaPayload::InstallSnapshot(InstallSnapshot {
-        index: 5,
-        term: 2,
-        ..InstallSnapshot::default()
-    });
-    let effects = receive(&mut replica, LATER, 2, 2, install);
+    let effects = receive(&mut replica, LATER, 2, 2, install(5));
     assert!(matches!(
         effects.as_slice(),
         [
--- a/tests/replication_support/mod.rs
+++ b/tests/replication_support/mod.rs
@@ -356,7 +356,12 @@
             let held = &self.checks.committed[index].data;
             assert_eq!(held, data, "an acknowledged entry was lost");
         }
-        self.voters().for_each(|node| self.checks.state(node));
+        let leader = self.leader().expect("a settled group has a leader");
+        let record = self.nodes[leader].replica.membership();
+        for node in self.voters() {
+            self.checks.state(node);
+            assert_eq!(node.replica.membership(), record);
+        }
     }
 
     fn voters(&self) -> impl Iterator<Item = &Node> {
