Send nothing as leader before the own term is synced

Cause, found by reading: the only voter of a group with a learner leads in the step in which it votes for itself. Entries sent in a later step of the same batch left before that vote was on the disk; after a crash it led the same term again and could give the learner's place and term to other entries. With more voters the requests for votes already wait for the sync. Its test failed before this change.

Conclusion: a leader sends only in the step whose messages wait for the write that opens its term, or after that write is synced.

--- a/src/replication/leader.rs
+++ b/src/replication/leader.rs
@@ -30,7 +30,7 @@
     pub(super) round: u64,
     starts: VecDeque<(u64, Duration)>,
     next_heartbeat: Duration,
-    opened_at: u64,
+    pub(super) opened_at: u64,
     since: Duration,
 }
 
--- a/src/replication/replica.rs
+++ b/src/replication/replica.rs
@@ -54,7 +54,7 @@
     pub(super) deadline: Duration,
     pub(super) incoming: Option<Incoming>,
     hard_changed: bool,
-    persisting: bool,
+    pub(super) persisting: bool,
     restored: bool,
     rng: StdRng,
     effects: Vec<Effect>,
--- a/src/replication/sending.rs
+++ b/src/replication/sending.rs
@@ -20,6 +20,9 @@
     /// Sends what a member may get now; returns whether anything was sent.
     pub(super) fn send_to(&mut self, to: u64) -> bool {
         let mut sent = false;
+        if !self.may_send() {
+            return sent;
+        }
         while let Some(progress) = self.leadership().and_then(|l| l.progress.get(&to)) {
             let (next, ready) = (progress.next, progress.ready());
             if !ready {
@@ -44,8 +47,18 @@
         sent
     }
 
+    /// Says whether this leader's term is on the disk, or will be when this step's messages leave.
+    /// Otherwise it could crash, lead the same term again and give it other entries.
+    fn may_send(&self) -> bool {
+        let opened_at = self.leadership().map_or(u64::MAX, |l| l.opened_at);
+        self.persisting || self.persisted >= opened_at
+    }
+
     /// Sends no entries, only a place to compare and a round to echo.
     pub(super) fn send_heartbeat(&mut self, to: u64) {
+        if !self.may_send() {
+            return;
+        }
         let Some(progress) = self.leadership().and_then(|l| l.progress.get(&to)) else {
             return;
         };
--- a/tests/replication_commit.rs
+++ b/tests/replication_commit.rs
@@ -2,14 +2,16 @@
 
 mod replication_support;
 
+use bytes::Bytes;
 use flamingocroft::{
     domain::MemberId,
-    replication::{Batch, Effect, Input, Snapshot},
+    replication::{Batch, Effect, Input, Replica, ReplicaSettings, Snapshot, Ticket},
     wire::{Entry, EntryKind, InstallSnapshot, MembershipRecord, ReplicaMessage, ReplicaPayload},
 };
 use prost::Message;
-use replication_support::single::{
-    START, append, entry, lead, receive, replica, reply, sent, vote,
+use replication_support::{
+    first_state,
+    single::{START, append, entry, lead, receive, replica, reply, sent, vote},
 };
 
 const LATER: std::time::Duration = START.saturating_mul(2);
@@ -83,6 +85,30 @@
     assert_eq!(replica.membership().voters, [1, 2, 3, 4, 5]);
 }
 
+/// Alone it leads before its vote for itself is on the disk. If it crashed then, it would lead the
+/// same term again with other entries.
+#[test]
+fn a_leader_sends_nothing_before_its_term_is_synced() {
+    let mut recovered = first_state([1]);
+    recovered.snapshot.membership.learners = vec![2];
+    let settings = ReplicaSettings::default();
+    let mut replica = Replica::new(MemberId(1), recovered, settings, 1, START);
+    let effects = replica.step(LATER, Input::Tick);
+    let first = |wanted: fn(&Effect) -> bool| effects.iter().position(wanted);
+    let persist = first(|effect| matches!(effect, Effect::Persist { .. }));
+    let send = first(|effect| matches!(effect, Effect::Send(_)));
+    assert!(persist < send, "{effects:?}");
+    let command = Bytes::from("early");
+    let ticket = Ticket(1);
+    replica.step(LATER, Input::Propose { ticket, command });
+    let later = LATER + START;
+    assert!(sent(&replica.step(later, Input::Tick)).is_empty());
+    let effects = receive(&mut replica, later, 2, 2, reply(true, 1, 1));
+    assert!(sent(&effects).is_empty());
+    let effects = replica.step(later, Input::Persisted { index: 3, term: 2 });
+    assert!(!sent(&effects).is_empty());
+}
+
 fn install(index: u64) -> ReplicaPayload {
     ReplicaPayload::InstallSnapshot(InstallSnapshot {
         index,
