--- a/src/controller/driver.rs
+++ b/src/controller/driver.rs
@@ -33,7 +33,7 @@
 
 /// Most inputs that share one sync.
 const BATCH: usize = 1024;
-/// Entries applied between two snapshots.
+/// Fewest entries applied between two snapshots.
 const SNAPSHOT_ENTRIES: u64 = 16 * 1024;
 
 type Answer<R> = oneshot::Sender<Result<R, Rejection>>;
@@ -140,6 +140,8 @@
             batch.add(self.parts.replica.step(now, input));
         }
         loop {
+            // Before a vote leaves, so that a folder never reports itself blank after one.
+            self.parts.card.set_blank(self.parts.replica.is_blank());
             let peers = &self.parts.peers;
             batch.take_ready().into_iter().for_each(|m| peers.send(m));
             self.write(batch.take_writes()).await?;
@@ -237,7 +239,9 @@
     async fn compact(&mut self) -> anyhow::Result<()> {
         let (index, state) = {
             let state = self.state();
-            if state.index() < self.snapshot_index + SNAPSHOT_ENTRIES {
+            // A snapshot costs as much as there are claims, so its cost for each entry stays level.
+            let between = SNAPSHOT_ENTRIES.max(state.claims().len() as u64);
+            if state.index() < self.snapshot_index + between {
                 return Ok(());
             }
             (state.index(), state.encode())
@@ -266,7 +270,6 @@
             matched: matched.collect(),
             membership,
         };
-        self.parts.card.set_blank(replica.is_blank());
         let led = leads.then_some(standing.term);
         self.parts.inbox.standing.send_replace(standing);
         let replace = |last: &mut Option<u64>| mem::replace(last, led) != led;
