--- a/examples/measure_control.rs
+++ b/examples/measure_control.rs
@@ -13,7 +13,12 @@
 };
 
 use controllers::{Cluster, FakeCloud, FakeGateway, intent, listing, request};
-use flamingocroft::{domain::InstanceState, settings::Timing, wire::ClaimStatus};
+use flamingocroft::{
+    domain::InstanceState,
+    settings::Timing,
+    state::{Action, ClaimCommand, Command, State},
+    wire::{ClaimRequest, ClaimStatus, OutcomeRequest, StoredOutcome},
+};
 use tokio::task::JoinSet;
 
 const CONFIRMS: u32 = 60;
@@ -44,6 +49,14 @@
     for concurrency in [1, 16, 64, 256] {
         claims(concurrency).await;
     }
+    println!("snapshots of claims with outcomes of 256 bytes");
+    println!(
+        "{:>9} {:>9} {:>10} {:>10}",
+        "claims", "MiB", "encode ms", "decode ms"
+    );
+    for count in [1_000, 10_000, 100_000, 500_000] {
+        snapshot(count);
+    }
     println!("views and leases, one instance replaced a second; CPU of all parts in one process");
     println!(
         "{:>9} {:>9} {:>14} {:>16} {:>16}",
@@ -155,6 +168,49 @@
     cluster.stop_all().await;
 }
 
+fn snapshot(count: u64) {
+    let mut state = State::default();
+    for index in 1..=count {
+        let request = ClaimRequest {
+            account: "office".into(),
+            key: uuid::Uuid::now_v7().as_bytes().to_vec(),
+            digest: vec![1; 32],
+            gateway: "g000".into(),
+            incarnation: 1,
+            attempt: index,
+        };
+        let claim = Action::Claim(ClaimCommand {
+            request: Some(request.clone()),
+            retention_ms: u64::MAX,
+            skew_ms: u64::MAX,
+        });
+        let outcome = Action::RecordOutcome(OutcomeRequest {
+            claim: Some(request),
+            outcome: Some(StoredOutcome {
+                status: 200,
+                content_type: "application/json".into(),
+                body: vec![1; 256].into(),
+            }),
+        });
+        for action in [claim, outcome] {
+            let command = Command {
+                at_unix_ms: 1,
+                action: Some(action),
+            };
+            state.apply(index, &command);
+        }
+    }
+    assert_eq!(state.claims().len() as u64, count);
+    let began = Instant::now();
+    let bytes = state.encode();
+    let encode = began.elapsed().as_secs_f64() * 1000.0;
+    let began = Instant::now();
+    assert!(State::decode(&bytes).is_ok());
+    let decode = began.elapsed().as_secs_f64() * 1000.0;
+    let mib = bytes.len() as f64 / 1024.0 / 1024.0;
+    println!("{count:>9} {mib:>9.1} {encode:>10.1} {decode:>10.1}");
+}
+
 async fn views(count: usize, instances: usize) {
     let list = (0..instances).map(|i| listing(&format!("i-{i:04}"), "manifest", "z0"));
     let cloud = FakeCloud::with(list.collect());
