--- a/examples/measure_control.rs
+++ b/examples/measure_control.rs
@@ -24,6 +24,8 @@
 const CONFIRMS: u32 = 60;
 const LEADER_STOPS: u32 = 12;
 const CLAIM_TIME: Duration = Duration::from_secs(4);
+/// Long enough for several snapshots of many claims.
+const MANY_CLAIMS_TIME: Duration = Duration::from_secs(20);
 const VIEW_TIME: Duration = Duration::from_secs(4);
 
 #[tokio::main]
@@ -43,12 +45,13 @@
     }
     println!("claims with synced logs, three controllers; latency in ms");
     println!(
-        "{:>9} {:>9} {:>7} {:>7} {:>7}",
-        "at once", "a second", "p50", "p99", "worst"
+        "{:>9} {:>9} {:>7} {:>7} {:>7} {:>8} {:>9}",
+        "at once", "a second", "p50", "p99", "worst", "claims", "elections"
     );
     for concurrency in [1, 16, 64, 256] {
-        claims(concurrency).await;
+        claims(concurrency, CLAIM_TIME).await;
     }
+    claims(256, MANY_CLAIMS_TIME).await;
     println!("snapshots of claims with outcomes of 256 bytes");
     println!(
         "{:>9} {:>9} {:>10} {:>10}",
@@ -135,11 +138,12 @@
     cluster.stop_all().await;
 }
 
-async fn claims(concurrency: u64) {
+async fn claims(concurrency: u64, time: Duration) {
     let mut cluster = Cluster::start(3).await;
     let gateway = FakeGateway::start(&cluster, "g0", "z0", 1);
     gateway.holds(|held| held.lease.is_some()).await;
-    let until = Instant::now() + CLAIM_TIME;
+    let until = Instant::now() + time;
+    let term = cluster.leader().await.1.term;
     let attempts = Arc::new(AtomicU64::new(1));
     let mut workers = JoinSet::new();
     for _ in 0..concurrency {
@@ -161,9 +165,13 @@
         });
     }
     let times: Vec<Duration> = workers.join_all().await.into_iter().flatten().collect();
-    let rate = times.len() as f64 / CLAIM_TIME.as_secs_f64();
+    let elections = cluster.leader().await.1.term - term;
+    let count = times.len();
+    let rate = times.len() as f64 / time.as_secs_f64();
     let [p50, p99, worst] = percentiles(times);
-    println!("{concurrency:>9} {rate:>9.0} {p50:>7.2} {p99:>7.2} {worst:>7.2}");
+    println!(
+        "{concurrency:>9} {rate:>9.0} {p50:>7.2} {p99:>7.2} {worst:>7.2} {count:>8} {elections:>9}"
+    );
     drop(gateway);
     cluster.stop_all().await;
 }
--- a/src/controller/driver.rs
+++ b/src/controller/driver.rs
@@ -9,10 +9,12 @@
 };
 
 use anyhow::Context;
+use bytes::Bytes;
 use prost::Message;
 use tokio::{
     sync::oneshot,
-    time::{MissedTickBehavior, interval},
+    task::JoinHandle,
+    time::{Interval, MissedTickBehavior, interval},
 };
 use tokio_util::sync::CancellationToken;
 
@@ -28,7 +30,7 @@
     replication::{Batch, Effect, Input, Rejection, Replica, Role, Snapshot, Ticket, Write},
     state::{Command, Reply, State},
     telemetry::Metrics,
-    wire::{Entry, EntryKind},
+    wire::{Entry, EntryKind, ReplicaMessage},
 };
 
 /// Most inputs that share one sync.
@@ -65,23 +67,33 @@
     pending: HashMap<Ticket, Pending>,
     next_ticket: u64,
     snapshot_index: u64,
+    encoding: Option<JoinHandle<Encoded>>,
+    ticks: Interval,
+}
+
+/// A state that was encoded apart from the driver.
+struct Encoded {
+    index: u64,
+    state: Bytes,
 }
 
 impl<T: Clock> Driver<T> {
     /// Makes a driver.
     pub fn new(parts: Parts<T>) -> Self {
+        let mut ticks = interval(parts.tick);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         Self {
             snapshot_index: parts.replica.applied(),
+            ticks,
             parts,
             pending: HashMap::new(),
             next_ticket: 1,
+            encoding: None,
         }
     }
 
     /// Runs until the token is cancelled or the disk fails.
     pub async fn run(mut self, stop: CancellationToken) -> anyhow::Result<()> {
-        let mut tick = interval(self.parts.tick);
-        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             let mut inputs = Vec::new();
             tokio::select! {
@@ -89,22 +101,28 @@
                     Some(request) => inputs.push(self.input(request)),
                     None => return Ok(()),
                 },
-                _ = tick.tick() => {}
+                _ = self.ticks.tick() => {}
+                encoded = finished(&mut self.encoding) => inputs.push(encoded?),
                 () = stop.cancelled() => return Ok(()),
             }
-            while inputs.len() < BATCH
-                && let Ok(request) = self.parts.inbox.rx.try_recv()
-            {
-                inputs.push(self.input(request));
-            }
-            // The tick sends new entries of all proposals in one message.
-            inputs.push(Input::Tick);
-            self.step(inputs).await?;
-            self.compact().await?;
+            self.gather(&mut inputs);
+            let batch = self.advance(inputs);
+            self.settle(batch).await?;
+            self.start_encoding();
             self.publish();
         }
     }
 
+    /// Adds what waits, and a tick, which sends the new entries of all proposals in one message.
+    fn gather(&mut self, inputs: &mut Vec<Input>) {
+        while inputs.len() < BATCH
+            && let Ok(request) = self.parts.inbox.rx.try_recv()
+        {
+            inputs.push(self.input(request));
+        }
+        inputs.push(Input::Tick);
+    }
+
     fn input(&mut self, request: Request) -> Input {
         match request {
             Request::Receive(message) => Input::Receive(message),
@@ -132,53 +150,88 @@
         ticket
     }
 
-    async fn step(&mut self, inputs: Vec<Input>) -> anyhow::Result<()> {
+    fn advance(&mut self, inputs: Vec<Input>) -> Batch {
         // The time is read after the inputs were gathered: what is heard must not be dated earlier.
         let now = self.parts.clock.monotonic();
         let mut batch = Batch::default();
         for input in inputs {
             batch.add(self.parts.replica.step(now, input));
         }
+        // Before a vote leaves, so that a folder never reports itself blank after one.
+        self.parts.card.set_blank(self.parts.replica.is_blank());
+        batch
+    }
+
+    /// Writes and sends until nothing is left to do.
+    async fn settle(&mut self, mut batch: Batch) -> anyhow::Result<()> {
         loop {
-            // Before a vote leaves, so that a folder never reports itself blank after one.
-            self.parts.card.set_blank(self.parts.replica.is_blank());
-            let peers = &self.parts.peers;
-            batch.take_ready().into_iter().for_each(|m| peers.send(m));
-            self.write(batch.take_writes()).await?;
-            let peers = &self.parts.peers;
-            batch.take_held().into_iter().for_each(|m| peers.send(m));
+            self.send(batch.take_ready());
+            let writes = batch.take_writes();
+            let mut next = match writes.is_empty() {
+                true => None,
+                false => self.write(writes).await?,
+            };
+            self.send(batch.take_held());
             for effect in batch.take_rest() {
                 self.perform(effect)?;
             }
             let persisted = batch.take_persisted();
-            if persisted.is_empty() {
+            if persisted.is_empty() && next.is_none() {
                 return Ok(());
             }
             let now = self.parts.clock.monotonic();
+            let next = next.get_or_insert_default();
             for input in persisted {
-                batch.add(self.parts.replica.step(now, input));
+                next.add(self.parts.replica.step(now, input));
             }
+            batch = mem::take(next);
         }
     }
 
-    async fn write(&mut self, writes: Vec<Write>) -> anyhow::Result<()> {
-        if writes.is_empty() {
-            return Ok(());
+    fn send(&self, messages: Vec<ReplicaMessage>) {
+        for message in messages {
+            self.parts.peers.send(message);
         }
+    }
+
+    /// Writes and syncs. During a long write, such as a large snapshot's, the replica goes on, so
+    /// that heartbeats are not held up; what it wants written then is returned for the next round.
+    async fn write(&mut self, writes: Vec<Write>) -> anyhow::Result<Option<Batch>> {
         let store = self.parts.store.take();
         let mut store = store.context("the log is being written already")?;
-        let written = tokio::task::spawn_blocking(move || {
+        let mut written = tokio::task::spawn_blocking(move || {
             for write in writes {
                 store.persist(write.hard_state, &write.entries, write.snapshot.as_ref())?;
             }
             Ok::<_, StoreError>(store)
         });
-        let store = written
-            .await
-            .context("the thread that writes the log ended")?
-            .context("the log cannot be synced; free or replace the disk, then restart")?;
-        self.parts.store = Some(store);
-        Ok(())
+        let mut next: Option<Batch> = None;
+        self.ticks.reset();
+        loop {
+            tokio::select! {
+                written = &mut written => {
+                    let store = written
+                        .context("the thread that writes the log ended")?
+                        .context("the log cannot be synced; free or replace the disk, then restart")?;
+                    self.parts.store = Some(store);
+                    return Ok(next);
+                }
+                _ = self.ticks.tick() => {
+                    let mut inputs = Vec::new();
+                    self.gather(&mut inputs);
+                    let now = self.parts.clock.monotonic();
+                    let batch = next.get_or_insert_default();
+                    for input in inputs {
+                        batch.add(self.parts.replica.step(now, input));
+                    }
+                    self.parts.card.set_blank(self.parts.replica.is_blank());
+                    for message in batch.take_ready() {
+                        self.parts.peers.send(message);
+                    }
+                    self.publish();
+                }
+            }
+        }
     }
 
     fn perform(&mut self, effect: Effect) -> anyhow::Result<()> {
@@ -236,18 +289,25 @@
         }
     }
 
-    async fn compact(&mut self) -> anyhow::Result<()> {
-        let (index, state) = {
+    /// Encodes the state on another thread when a snapshot is due. Copying it shares the claims.
+    fn start_encoding(&mut self) {
+        if self.encoding.is_some() {
+            return;
+        }
+        let state = {
             let state = self.state();
             // A snapshot costs as much as there are claims, so its cost for each entry stays level.
             let between = SNAPSHOT_ENTRIES.max(state.claims().len() as u64);
             if state.index() < self.snapshot_index + between {
-                return Ok(());
+                return;
             }
-            (state.index(), state.encode())
+            state.clone()
         };
-        self.snapshot_index = index;
-        self.step(vec![Input::Compact { index, state }]).await
+        self.snapshot_index = state.index();
+        self.encoding = Some(tokio::task::spawn_blocking(move || Encoded {
+            index: state.index(),
+            state: state.encode(),
+        }));
     }
 
     fn publish(&self) {
@@ -292,3 +352,14 @@
         state.write().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Waits for the encoded state; never returns while there is none.
+async fn finished(encoding: &mut Option<JoinHandle<Encoded>>) -> anyhow::Result<Input> {
+    let Some(handle) = encoding else {
+        return std::future::pending().await;
+    };
+    let encoded = handle.await;
+    *encoding = None;
+    let Encoded { index, state } = encoded.context("the thread that encodes the state ended")?;
+    Ok(Input::Compact { index, state })
+}
--- a/src/state/claims.rs
+++ b/src/state/claims.rs
@@ -1,6 +1,9 @@
 //! Claims: the right to dispatch one non-idempotent call, given to one attempt only.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use super::command::ClaimCommand;
 use crate::{
@@ -37,7 +40,7 @@
 }
 
 /// The key comes first, because its leading bytes are its time: expiry removes a prefix.
-type Place = (IdempotencyKey, String);
+type Place = (IdempotencyKey, Arc<str>);
 type Holder = (String, u64);
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -50,7 +53,8 @@
 /// All claims within the retention window.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Claims {
-    records: BTreeMap<Place, Claim>,
+    /// Shared, so that a copy of the state for a snapshot copies no claim.
+    records: BTreeMap<Place, Arc<Claim>>,
     open: BTreeMap<Holder, BTreeSet<Place>>,
     /// Keys before this time were forgotten. It only grows, so that a leader whose clock is behind
     /// cannot grant a forgotten key again.
@@ -120,11 +124,11 @@
             .insert(place.clone());
         self.records.insert(
             place,
-            Claim {
+            Arc::new(Claim {
                 request: request.clone(),
                 standing: Standing::Open,
                 outcome: None,
-            },
+            }),
         );
         reply(ClaimStatus::Granted)
     }
@@ -182,7 +186,7 @@
             standing: Standing::Released,
             outcome: None,
         };
-        self.records.insert(place, claim);
+        self.records.insert(place, Arc::new(claim));
         true
     }
 
@@ -194,7 +198,7 @@
             .unwrap_or_default();
         for place in &places {
             if let Some(claim) = self.records.get_mut(place) {
-                claim.standing = Standing::Unknown;
+                Arc::make_mut(claim).standing = Standing::Unknown;
             }
         }
         places.len() as u64
@@ -219,7 +223,7 @@
         let asked = asked?;
         let place = place(asked)?;
         let claim = self.records.get_mut(&place)?;
-        same_attempt(&claim.request, asked).then_some((place, claim))
+        same_attempt(&claim.request, asked).then(|| (place, Arc::make_mut(claim)))
     }
 
     fn close(&mut self, request: Option<&ClaimRequest>, place: &Place) {
@@ -266,7 +270,7 @@
                 standing,
                 outcome: record.outcome,
             };
-            claims.records.insert(place, claim);
+            claims.records.insert(place, Arc::new(claim));
         }
         Some(claims)
     }
@@ -274,7 +278,7 @@
 
 fn place(request: &ClaimRequest) -> Option<Place> {
     let key = IdempotencyKey::from_bytes(&request.key).ok()?;
-    Some((key, request.account.clone()))
+    Some((key, request.account.as_str().into()))
 }
 
 fn holder(request: &ClaimRequest) -> Holder {
