--- a/examples/experiment/dispatch.rs
+++ b/examples/experiment/dispatch.rs
@@ -52,6 +52,7 @@
             match self.decide(gateway, place) {
                 Admission::Accept => {
                     self.gateways[gateway].queue.remove(place);
+                    self.gateways[gateway].budget.earn();
                     self.dispatch(request);
                 }
                 Admission::Refuse { kind, .. } => {
