--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -11,7 +11,7 @@
 const EARNED_PER_REQUEST: f64 = 0.1;
 
 /// Most repeated attempts that a budget can save up.
-const MAX_SAVED: f64 = 50.0;
+const MAX_SAVED: f64 = 20.0;
 
 /// Repeated attempts that a new budget holds, so that the first failure can be repeated.
 const INITIAL_SAVED: f64 = 3.0;
