--- a/src/gateway/generate/mod.rs
+++ b/src/gateway/generate/mod.rs
@@ -2,10 +2,11 @@
 //! answer. See docs/DESIGN.md, "The path of a request".
 
 mod audience;
+mod finish;
 mod pace;
 mod piece;
 mod pump;
 mod relay;
 
 pub(crate) use piece::{Answer, Attach, Piece, Reader};
-pub(crate) use pump::{Accepted, Pump, attach_channel};
+pub(crate) use pump::{Accepted, Place, Pump, attach_channel};
--- a/src/gateway/http/services.rs
+++ b/src/gateway/http/services.rs
@@ -9,14 +9,18 @@
     reply::Response,
 };
 
-use super::{completions::applicant, routes::Head};
+use super::{
+    completions::applicant,
+    error,
+    routes::{Caller, Head},
+};
 use crate::{
     domain::{IdempotencyKey, Refusal, RefusalKind, RequestId, ServiceName},
     gateway::{
         core::Gateway,
         explain::DecisionKind,
         services::{PlainAnswer, PlainCall},
-        view::{AccountEntry, ServiceEntry},
+        view::ServiceEntry,
     },
     ports::{Clock, ServiceCall, Upstreams},
 };
@@ -26,15 +30,13 @@
 /// Marks an answer that comes from the record of an earlier call.
 const REPLAYED: HeaderName = HeaderName::from_static("x-replayed");
 
-const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
-
 /// Path segments before a service's own path.
 const PREFIX_SEGMENTS: usize = 4;
 
 /// A call that fits a declared operation.
 #[derive(Debug)]
 pub(super) struct Prepared {
-    account: Arc<AccountEntry>,
+    caller: Caller,
     service: Arc<ServiceEntry>,
     path: String,
     /// The key of a call that may run only once; nothing for an idempotent call.
@@ -46,7 +48,7 @@
 pub(super) fn prepare<U: Upstreams, T: Clock>(
     gateway: &Gateway<U, T>,
     head: &Head,
-    account: Arc<AccountEntry>,
+    caller: Caller,
     service: ServiceName,
 ) -> Result<Prepared, Refusal> {
     let service = gateway.snapshot.load().service(&service).cloned();
@@ -64,7 +66,7 @@
         false => format!("{path}?{}", head.query),
     };
     Ok(Prepared {
-        account,
+        caller,
         service,
         path,
         key,
@@ -95,9 +97,7 @@
     prepared: Prepared,
     body: Bytes,
 ) -> Result<Response, Refusal> {
-    let Prepared {
-        account, service, ..
-    } = &prepared;
+    let (account, service) = (&prepared.caller.account, &prepared.service);
     let due = prepared.arrived + gateway.settings.timing.first_byte_timeout;
     let applicant = applicant(service, account, prepared.arrived, due)?;
     service.retries.earn();
@@ -112,6 +112,7 @@
         call: service_call(gateway, head, &prepared, body),
         arrived: prepared.arrived,
         _permit: permit,
+        _in_flight: prepared.caller.in_flight,
     };
     let admitted = DecisionKind::Admitted(account.name.clone());
     gateway
@@ -121,13 +122,18 @@
         None => gateway.call_idempotent(&call).await,
         Some(key) => gateway.call_once(call, key).await,
     };
-    if let Err(refusal) = &answer {
-        let refused = DecisionKind::Refused(refusal.kind, refusal.ran);
-        gateway
-            .decisions
-            .record(id, gateway.clock.unix_ms(), refused);
-    }
-    Ok(respond(id, answer?))
+    let mut response = match answer {
+        Ok(answer) => respond(answer),
+        Err(refusal) => {
+            let refused = DecisionKind::Refused(refusal.kind, refusal.ran);
+            gateway
+                .decisions
+                .record(id, gateway.clock.unix_ms(), refused);
+            error::refuse(gateway, &refusal)
+        }
+    };
+    error::name_request(&mut response, id);
+    Ok(response)
 }
 
 fn service_call<U: Upstreams, T: Clock>(
@@ -147,7 +153,7 @@
     }
 }
 
-fn respond(id: RequestId, answer: PlainAnswer) -> Response {
+fn respond(answer: PlainAnswer) -> Response {
     let replayed = matches!(answer, PlainAnswer::Replayed(_));
     let (status, content_type, body) = match answer {
         PlainAnswer::Fresh(reply) => (reply.status, reply.content_type, reply.body),
@@ -162,9 +168,6 @@
     if let Ok(content_type) = HeaderValue::from_str(&content_type) {
         headers.insert(header::CONTENT_TYPE, content_type);
     }
-    if let Ok(id) = HeaderValue::from_str(&id.to_string()) {
-        headers.insert(REQUEST_ID, id);
-    }
     if replayed {
         headers.insert(REPLAYED, HeaderValue::from_static("true"));
     }
