--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -16,6 +16,7 @@
 mod error;
 mod explain;
 mod history;
+mod key;
 mod members;
 mod output;
 mod plan;
@@ -100,6 +101,7 @@
     Drain(drain::Drain),
     Members(members::Members),
     Token(token::MakeToken),
+    Key(key::MakeKey),
     Completions(completions::Completions),
 }
 
@@ -115,6 +117,7 @@
             Self::Drain(command) => command.run(options).await,
             Self::Members(command) => command.run(options).await,
             Self::Token(command) => command.run(options).await,
+            Self::Key(command) => command.run(options).await,
             Self::Completions(command) => command.run(options).await,
         }
     }
--- a/tests/settings_examples.rs
+++ b/tests/settings_examples.rs
@@ -181,3 +181,18 @@
         }
     }
 }
+
+#[test]
+fn the_files_of_the_installation_by_hand_are_valid() {
+    read_intent(&example("local/intent.jsonc")).unwrap();
+    for name in [
+        "controller-a",
+        "controller-b",
+        "controller-c",
+        "gateway-a",
+        "gateway-b",
+    ] {
+        let settings = Settings::read(&example(&format!("local/{name}.jsonc"))).unwrap();
+        assert_eq!(&*settings.name, name);
+    }
+}
