--- a/benches/gateway.rs
+++ b/benches/gateway.rs
@@ -15,7 +15,7 @@
 use flamingocroft::domain::Intent;
 use hdrhistogram::Histogram;
 use serde_json::json;
-use standin::engine::EngineParams;
+use standin::{Faults, engine::EngineParams};
 use support::{
     http::{Call, Connection},
     installation::{MODEL, PAYING_TOKEN, Shape, intent},
@@ -27,6 +27,8 @@
 const ROUNDS: u32 = 3;
 const ROUND: Duration = Duration::from_secs(2);
 const CONCURRENCIES: [usize; 3] = [1, 64, 512];
+/// A short answer time of an engine, at which the processors are not the limit.
+const ENGINE_TIME: Duration = Duration::from_millis(20);
 const STREAMS: usize = 1000;
 const STREAM_TOKENS: u32 = 300;
 const SLOTS: u32 = 4096;
@@ -36,7 +38,8 @@
 #[tokio::main]
 async fn main() -> anyhow::Result<()> {
     println!("cores: {}", std::thread::available_parallelism()?);
-    measure_latency().await?;
+    measure_latency(Duration::ZERO).await?;
+    measure_latency(ENGINE_TIME).await?;
     measure_streams().await
 }
 
@@ -70,12 +73,18 @@
     intent
 }
 
-async fn measure_latency() -> anyhow::Result<()> {
+async fn measure_latency(engine_time: Duration) -> anyhow::Result<()> {
     let folder = tempfile::tempdir()?;
     let processes = start(&shape(0), folder.path()).await?;
+    processes.upstreams.engines[0].set_faults(Faults {
+        answer_delay_ms: engine_time.as_millis().try_into()?,
+        ..Faults::default()
+    });
     let engine = processes.upstreams.engines[0].address();
     let gateway = processes.gateway(0);
-    println!("\nanswers of one token, whole; {ROUNDS} rounds of {ROUND:?} each way, in turn");
+    println!(
+        "\nanswers of one token, whole, by an engine that takes {engine_time:?}; {ROUNDS} rounds of {ROUND:?} each way, in turn"
+    );
     println!(
         "concurrency | way     | requests/s |  p50 us |  p99 us | failed | gateway CPU us/request"
     );
