--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -413,30 +413,88 @@
     check_streams(callers, TOKENS).await;
 }
 
+/// How an upstream's end becomes known.
+#[derive(Clone, Copy, Debug)]
+enum Source {
+    Notice,
+    LateList,
+    OwnReport,
+}
+
+const LIST_LAG: Duration = Duration::from_secs(1);
+
+impl Source {
+    fn announce(self, processes: &Processes, server: usize) {
+        let cloud = &processes.upstreams.cloud;
+        let name = format!("depot-{server}");
+        match self {
+            Self::Notice => assert!(cloud.reclaim(&name, PATIENCE)),
+            Self::LateList => {
+                cloud.adjust(|params| params.hide_notices = true);
+                assert!(cloud.reclaim(&name, PATIENCE));
+            }
+            Self::OwnReport => processes.upstreams.services[server].set_leaving(),
+        }
+    }
+
+    /// Returns how long after the announcement new work may still come.
+    fn bound(self) -> Duration {
+        match self {
+            Self::LateList => LIST_LAG + NO_NEW_WORK,
+            Self::Notice | Self::OwnReport => NO_NEW_WORK,
+        }
+    }
+}
+
+/// An upstream that is leaving gets no new work after this time.
+const NO_NEW_WORK: Duration = Duration::from_secs(3);
+
 #[tokio::test(flavor = "multi_thread")]
-async fn a_leaving_engine_gets_no_new_work_after_three_seconds() {
+async fn a_leaving_upstream_gets_no_new_work_after_three_seconds() {
     let _alone = ONE_AT_A_TIME.acquire().await.unwrap();
-    const NO_NEW_WORK: Duration = Duration::from_secs(3);
     let folder = tempfile::tempdir().unwrap();
-    let processes = start(&Shape::default(), folder.path()).await;
-    assert!(processes.upstreams.cloud.reclaim("engine-0", PATIENCE));
-    let noticed = Instant::now();
-    let mut last_new = Duration::ZERO;
-    let mut before = processes.upstreams.engines[0].counts().started;
-    let mut seed = 0;
-    while noticed.elapsed() < NO_NEW_WORK * 2 {
-        seed += 1;
-        let body = json!({
-            "model": MODEL, "prompt": format!("question {seed}"), "max_tokens": 1, "seed": seed,
-        });
-        let call = Call::post("/v1/completions", PAYING_TOKEN, &body);
-        let answer = send(processes.gateway(seed % 2), &call).await.unwrap();
-        assert_eq!(answer.status, StatusCode::OK, "{}", answer.text());
-        let now = processes.upstreams.engines[0].counts().started;
+    let base = Shape::default();
+    let shape = Shape {
+        services: 4,
+        cloud: standin::cloud::CloudParams {
+            list_lag_ms: LIST_LAG.as_millis() as u64,
+            ..base.cloud.clone()
+        },
+        ..base
+    };
+    let processes = start(&shape, folder.path()).await;
+    let sources = [Source::OwnReport, Source::Notice, Source::LateList];
+    for (server, source) in sources.into_iter().enumerate() {
+        let last = last_new_work(&processes, server, source).await;
+        println!("{source:?}: the last new work came after {last:?}");
+        assert!(last < source.bound(), "{source:?}: new work after {last:?}");
+    }
+}
+
+/// Sends calls for a while after the announcement and returns when the last one arrived at the
+/// server that is leaving.
+async fn last_new_work(processes: &Processes, server: usize, source: Source) -> Duration {
+    let service = &processes.upstreams.services[server];
+    let call = Call::get("/v1/services/depot/piles", PAYING_TOKEN);
+    let start = Instant::now();
+    while service.counts().executed == 0 {
+        assert!(start.elapsed() < PATIENCE, "server {server} is never used");
+        send(processes.gateway(0), &call).await.unwrap();
+    }
+    source.announce(processes, server);
+    let announced = Instant::now();
+    let mut last = Duration::ZERO;
+    let mut before = service.counts().executed;
+    while announced.elapsed() < source.bound() + Duration::from_secs(1) {
+        for gateway in [0, 1] {
+            let answer = send(processes.gateway(gateway), &call).await.unwrap();
+            assert_eq!(answer.status, StatusCode::OK, "{}", answer.text());
+        }
+        let now = service.counts().executed;
         if now > before {
-            last_new = noticed.elapsed();
+            last = announced.elapsed();
             before = now;
         }
     }
-    assert!(last_new < NO_NEW_WORK, "new work after {last_new:?}");
+    last
 }
