Test that the tests of the replica fail when a rule is switched off

Each rule was switched off alone on a scratch copy.

New here: the directed tests for the leader's own sync and for early reads.

--- a/tests/replication_commit.rs
+++ b/tests/replication_commit.rs
@@ -30,6 +30,48 @@
     }
 }
 
+#[test]
+fn a_leader_counts_its_own_entry_only_once_it_is_synced() {
+    let mut replica = replica(1, Vec::new());
+    lead(&mut replica, LATER);
+    let command = Bytes::from("late");
+    let ticket = Ticket(1);
+    replica.step(LATER, Input::Propose { ticket, command });
+    for from in [2, 3] {
+        receive(&mut replica, LATER, from, 2, reply(true, 3, 1));
+    }
+    assert_eq!(
+        replica.commit(),
+        2,
+        "two of five have it, and the leader's sync is open"
+    );
+    replica.step(LATER, Input::Persisted { index: 3, term: 2 });
+    assert_eq!(replica.commit(), 3);
+}
+
+/// A new leader may not know what its predecessor committed until its own first entry commits.
+#[test]
+fn a_new_leader_answers_no_read_before_its_first_entry_commits() {
+    let mut replica = replica(1, Vec::new());
+    lead(&mut replica, LATER);
+    let ticket = Ticket(1);
+    let ready = |effects: &[Effect]| effects.contains(&Effect::ReadReady(ticket));
+    assert!(!ready(&replica.step(LATER, Input::Read { ticket })));
+    for (from, round) in [(2, 1), (3, 1), (2, 2), (3, 2), (4, 2)] {
+        let effects = receive(&mut replica, LATER, from, 2, reply(false, 1, round));
+        assert!(
+            !ready(&effects),
+            "echoes show that it leads, not what is committed"
+        );
+    }
+    let mut answered = false;
+    for (from, round) in [(2, 2), (3, 2), (2, 3), (3, 3)] {
+        let effects = receive(&mut replica, LATER, from, 2, reply(true, 2, round));
+        answered |= ready(&effects);
+    }
+    assert!(answered);
+}
+
 fn claimed(effects: &[Effect]) -> Vec<u64> {
     let claim = |payload: &ReplicaPayload| match payload {
         ReplicaPayload::AppendReply(reply) if reply.matched => Some(reply.index),
