--- a/examples/experiment/upkeep.rs
+++ b/examples/experiment/upkeep.rs
@@ -3,14 +3,18 @@
 use std::time::Duration;
 
 use flamingocroft::{
-    policy::allocate::{self, Allocation, Capacity, DemandRow},
+    policy::{
+        admit,
+        allocate::{self, Allocation, Capacity, DemandRow},
+    },
     ports::{CacheEvents, Sent, UpstreamErrorKind},
 };
 use rand::Rng;
 
 use super::{
+    decision::Admitting,
     model::{Event, World},
-    scenario::{NOTICE, RECLAIM_AT, RUN, Scenario},
+    scenario::{RECLAIM_AT, RUN},
     site::SERVICE,
 };
 
@@ -50,12 +54,13 @@
             }
         }
         self.after(Duration::ZERO, Event::Upkeep(Upkeep::Divide));
-        if self.scenario == Scenario::ZoneReclaimed {
+        if let Some(notice) = self.scenario.zone_notice() {
             for gateway in 0..self.gateways.len() {
                 let lag = Duration::from_millis(self.rng.random_range(NOTICE_LAG_MS));
-                self.after(RECLAIM_AT + lag, Event::Upkeep(Upkeep::Notice(gateway)));
+                let at = RECLAIM_AT + lag + self.scenario.list_lag();
+                self.after(at, Event::Upkeep(Upkeep::Notice(gateway)));
             }
-            self.after(RECLAIM_AT + NOTICE, Event::Upkeep(Upkeep::EndZone));
+            self.after(RECLAIM_AT + notice, Event::Upkeep(Upkeep::EndZone));
         }
     }
 
@@ -135,8 +140,8 @@
     }
 
     fn divide(&mut self) {
-        let lost =
-            self.scenario == Scenario::ZoneReclaimed && self.now > RECLAIM_AT + CONTROLLER_LAG;
+        let learned = RECLAIM_AT + CONTROLLER_LAG + self.scenario.list_lag();
+        let lost = self.scenario.zone_notice().is_some() && self.now > learned;
         let live = self
             .engines
             .iter()
@@ -180,9 +185,24 @@
         let ours = |allocation: &&Allocation| allocation.gateway.as_str() == name;
         let shares = self.held.iter().filter(ours).map(|a| a.slots).collect();
         self.gateways[gateway].shares = shares;
+        self.cancel_excess(gateway);
         self.ask_queue(gateway);
     }
 
+    /// Cancels free work for which the shares that are left have no slot.
+    fn cancel_excess(&mut self, gateway: usize) {
+        if self.policies.admitting != Admitting::Preempting {
+            return;
+        }
+        let state = &self.gateways[gateway];
+        let capacity = state.shares.iter().sum();
+        let in_progress = state.in_progress.iter().sum();
+        let excess = admit::excess_free(capacity, in_progress, state.free_in_progress);
+        for _ in 0..excess {
+            self.cancel_free(gateway);
+        }
+    }
+
     fn notice(&mut self, gateway: usize) {
         for (i, engine) in self.engines.iter().enumerate() {
             if engine.zone == 0 && engine.reclaimable {
--- a/examples/measure_control.rs
+++ b/examples/measure_control.rs
@@ -13,12 +13,19 @@
 };
 
 use controllers::{Cluster, FakeCloud, FakeGateway, intent, listing, request};
-use flamingocroft::{domain::InstanceState, settings::Timing, wire::ClaimStatus};
+use flamingocroft::{
+    domain::InstanceState,
+    settings::Timing,
+    state::{Action, ClaimCommand, Command, State},
+    wire::{ClaimRequest, ClaimStatus, OutcomeRequest, StoredOutcome},
+};
 use tokio::task::JoinSet;
 
 const CONFIRMS: u32 = 60;
 const LEADER_STOPS: u32 = 12;
 const CLAIM_TIME: Duration = Duration::from_secs(4);
+/// Long enough for several snapshots of many claims.
+const MANY_CLAIMS_TIME: Duration = Duration::from_secs(20);
 const VIEW_TIME: Duration = Duration::from_secs(4);
 
 #[tokio::main]
@@ -38,11 +45,20 @@
     }
     println!("claims with synced logs, three controllers; latency in ms");
     println!(
-        "{:>9} {:>9} {:>7} {:>7} {:>7}",
-        "at once", "a second", "p50", "p99", "worst"
+        "{:>9} {:>9} {:>7} {:>7} {:>7} {:>8} {:>9}",
+        "at once", "a second", "p50", "p99", "worst", "claims", "elections"
     );
     for concurrency in [1, 16, 64, 256] {
-        claims(concurrency).await;
+        claims(concurrency, CLAIM_TIME).await;
+    }
+    claims(256, MANY_CLAIMS_TIME).await;
+    println!("snapshots of claims with outcomes of 256 bytes");
+    println!(
+        "{:>9} {:>9} {:>10} {:>10}",
+        "claims", "MiB", "encode ms", "decode ms"
+    );
+    for count in [1_000, 10_000, 100_000, 500_000] {
+        snapshot(count);
     }
     println!("views and leases, one instance replaced a second; CPU of all parts in one process");
     println!(
@@ -122,11 +138,12 @@
     cluster.stop_all().await;
 }
 
-async fn claims(concurrency: u64) {
+async fn claims(concurrency: u64, time: Duration) {
     let mut cluster = Cluster::start(3).await;
     let gateway = FakeGateway::start(&cluster, "g0", "z0", 1);
     gateway.holds(|held| held.lease.is_some()).await;
-    let until = Instant::now() + CLAIM_TIME;
+    let until = Instant::now() + time;
+    let term = cluster.leader().await.1.term;
     let attempts = Arc::new(AtomicU64::new(1));
     let mut workers = JoinSet::new();
     for _ in 0..concurrency {
@@ -148,13 +165,60 @@
         });
     }
     let times: Vec<Duration> = workers.join_all().await.into_iter().flatten().collect();
-    let rate = times.len() as f64 / CLAIM_TIME.as_secs_f64();
+    let elections = cluster.leader().await.1.term - term;
+    let count = times.len();
+    let rate = times.len() as f64 / time.as_secs_f64();
     let [p50, p99, worst] = percentiles(times);
-    println!("{concurrency:>9} {rate:>9.0} {p50:>7.2} {p99:>7.2} {worst:>7.2}");
+    println!(
+        "{concurrency:>9} {rate:>9.0} {p50:>7.2} {p99:>7.2} {worst:>7.2} {count:>8} {elections:>9}"
+    );
     drop(gateway);
     cluster.stop_all().await;
 }
 
+fn snapshot(count: u64) {
+    let mut state = State::default();
+    for index in 1..=count {
+        let request = ClaimRequest {
+            account: "office".into(),
+            key: uuid::Uuid::now_v7().as_bytes().to_vec(),
+            digest: vec![1; 32],
+            gateway: "g000".into(),
+            incarnation: 1,
+            attempt: index,
+        };
+        let claim = Action::Claim(ClaimCommand {
+            request: Some(request.clone()),
+            retention_ms: u64::MAX,
+            skew_ms: u64::MAX,
+        });
+        let outcome = Action::RecordOutcome(OutcomeRequest {
+            claim: Some(request),
+            outcome: Some(StoredOutcome {
+                status: 200,
+                content_type: "application/json".into(),
+                body: vec![1; 256].into(),
+            }),
+        });
+        for action in [claim, outcome] {
+            let command = Command {
+                at_unix_ms: 1,
+                action: Some(action),
+            };
+            state.apply(index, &command);
+        }
+    }
+    assert_eq!(state.claims().len() as u64, count);
+    let began = Instant::now();
+    let bytes = state.encode();
+    let encode = began.elapsed().as_secs_f64() * 1000.0;
+    let began = Instant::now();
+    assert!(State::decode(&bytes).is_ok());
+    let decode = began.elapsed().as_secs_f64() * 1000.0;
+    let mib = bytes.len() as f64 / 1024.0 / 1024.0;
+    println!("{count:>9} {mib:>9.1} {encode:>10.1} {decode:>10.1}");
+}
+
 async fn views(count: usize, instances: usize) {
     let list = (0..instances).map(|i| listing(&format!("i-{i:04}"), "manifest", "z0"));
     let cloud = FakeCloud::with(list.collect());
--- a/src/gateway/generate/pump.rs
+++ b/src/gateway/generate/pump.rs
@@ -9,21 +9,19 @@
 };
 
 use super::{
-    Answer, Attach, Piece,
+    Attach, Piece,
     audience::Audience,
+    finish::Finish,
     pace::Pace,
     relay::{Ended, Relay},
 };
 use crate::{
-    domain::{
-        Completion, FinishReason, GatewayEntry, InstanceName, Priority, Refusal, RefusalKind, Token,
-    },
+    domain::{Completion, FinishReason, InstanceName, Priority, Refusal, Token},
     gateway::{
         admission::{Applicant, Permit},
-        core::Gateway,
+        core::{Gateway, InFlight},
         explain::DecisionKind,
-        journal::{Backup, Held},
-        refusals::{no_upstream, ran, upstream_failed},
+        journal::Backup,
         route::{self, Choice, Prompt},
         view::{AccountEntry, ServiceEntry},
     },
@@ -45,6 +43,8 @@
 pub(crate) struct Accepted {
     /// The request; its prefix holds the tokens that exist already.
     pub(crate) completion: Completion,
+    /// Bytes of the prompt that stay the same over the turns of its conversation.
+    pub(crate) opening_bytes: usize,
     /// Whether the caller spoke the chat form.
     pub(crate) chat: bool,
     /// The account.
@@ -55,12 +55,21 @@
     pub(crate) taken_from: Option<String>,
 }
 
-/// How a request ended at this gateway.
-enum Finish {
-    Whole(StreamEnd),
-    Failed(Refusal),
-    Moved(Box<GatewayEntry>),
-    Abandoned,
+impl Accepted {
+    fn routed_prompt(&self) -> Prompt {
+        let prompt = &self.completion.prompt;
+        let opening = prompt.get(..self.opening_bytes).unwrap_or(prompt);
+        Prompt::new(prompt, opening)
+    }
+}
+
+/// What a new request holds until it is done.
+#[derive(Debug)]
+pub(crate) struct Place {
+    /// Its place in the service.
+    pub(crate) permit: Permit,
+    /// Counts it at this gateway.
+    pub(crate) _in_flight: InFlight,
 }
 
 /// The task of one request.
@@ -74,16 +83,18 @@
     /// Whether a reader may have got a token, or another gateway accepted the request before.
     pub(super) accepted: bool,
     permit: Option<Permit>,
-    backup: Backup,
+    _in_flight: Option<InFlight>,
+    pub(super) backup: Backup,
     tried: Vec<InstanceName>,
     attempts: u32,
-    may_have_arrived: bool,
-    last_error: Option<UpstreamError>,
+    pub(super) may_have_arrived: bool,
+    pub(super) last_error: Option<UpstreamError>,
     resumed: bool,
     /// Where the cached work of this request was moved to.
     prefer: Option<InstanceName>,
     /// Whether no other gateway would take the request, so that it ends here.
     stays: bool,
+    was_preempted: bool,
 }
 
 impl<U: Upstreams, T: Clock> Pump<U, T> {
@@ -91,13 +102,14 @@
     pub(crate) fn start(
         gateway: &Arc<Gateway<U, T>>,
         request: Accepted,
-        permit: Option<Permit>,
+        place: Option<Place>,
         attach: mpsc::Receiver<Attach>,
     ) {
+        let (permit, in_flight) = place.map(|p| (p.permit, p._in_flight)).unzip();
         let taken = request.taken_from.is_some();
         let pump = Self {
             gateway: Arc::clone(gateway),
-            prompt: Prompt::new(&request.completion.prompt),
+            prompt: request.routed_prompt(),
             request,
             attach,
             audience: match taken {
@@ -107,6 +119,7 @@
             pace: Pace::default(),
             accepted: taken,
             permit,
+            _in_flight: in_flight,
             backup: Backup::none(),
             tried: Vec::new(),
             attempts: 0,
@@ -115,6 +128,7 @@
             resumed: taken,
             prefer: None,
             stays: false,
+            was_preempted: false,
         };
         let closed = gateway.closed.clone();
         gateway
@@ -133,55 +147,23 @@
         self.finish(finish).await;
     }
 
-    async fn finish(mut self, finish: Finish) {
-        let id = self.request.completion.id;
-        let journal = self.gateway.journal.clone();
-        match &finish {
-            Finish::Whole(end) => journal.finish(id, Some(self.answer(*end))).await,
-            Finish::Abandoned if self.accepted => {
-                let held = Held::of(&self.gateway.identity.name, &self.request);
-                journal.park(id, held).await;
-            }
-            _ => journal.finish(id, None).await,
-        }
-        // Readers that came in between are fed before the last piece.
-        self.add_waiting_readers();
-        let backup = std::mem::replace(&mut self.backup, Backup::none());
-        match finish {
-            Finish::Whole(end) => self.audience.send(&Piece::End(end)),
-            Finish::Failed(refusal) => {
-                self.record(DecisionKind::Refused(refusal.kind, refusal.ran));
-                if self.accepted {
-                    // A refusal before that is counted where it is answered.
-                    self.gateway.metrics.refusal(refusal.kind);
-                }
-                self.audience.send(&Piece::Failed(refusal));
-            }
-            Finish::Moved(entry) => {
-                self.gateway.counters.handed_over.add();
-                self.record(DecisionKind::HandedOver(entry.name.to_string()));
-                self.audience.send(&Piece::Moved(entry));
-                return;
-            }
-            Finish::Abandoned if self.accepted => return,
-            Finish::Abandoned => {}
-        }
-        backup.remove(&self.gateway, id).await;
-    }
-
     async fn drive(&mut self) -> Finish {
         loop {
             if let Some(end) = self.completed() {
                 return self.whole(end);
             }
             if self.remaining().is_zero() {
-                return Finish::Failed(self.refusal(
-                    RefusalKind::DeadlineExceeded,
-                    "the deadline passed; ask again with fewer tokens",
-                ));
+                return Finish::Failed(self.late());
+            }
+            if self.must_hand_over()
+                && let Some(finish) = self.hand_over().await
+            {
+                return finish;
             }
-            if let Err(refusal) = self.check_permit().await {
-                return Finish::Failed(refusal);
+            match self.check_permit().await {
+                Ok(true) => {}
+                Ok(false) => continue,
+                Err(refusal) => return Finish::Failed(refusal),
             }
             let Some(choice) = self.choose() else {
                 if self.accepted {
@@ -203,6 +185,9 @@
     /// Decides what follows an attempt: nothing means another attempt.
     async fn after(&mut self, choice: &Choice, ended: Ended) -> Option<Finish> {
         let instance = &choice.member.instance.name;
+        if !matches!(ended, Ended::Failed(_)) {
+            self.may_have_arrived = true;
+        }
         match ended {
             Ended::Whole(end) => {
                 let recomputed = match self.resumed {
@@ -224,6 +209,7 @@
             Ended::Preempted => {
                 self.resumed = true;
                 self.permit = None;
+                self.was_preempted = true;
                 self.record(DecisionKind::Preempted);
                 None
             }
@@ -249,8 +235,11 @@
             (Retry::After(delay), _) => sleep(delay).await,
             // An accepted request is answered as long as there is time, whatever the budget says.
             (Retry::GiveUp, true) => sleep(self.resume_pause()).await,
+            (Retry::GiveUp, false) if self.remaining().is_zero() => {
+                return Some(Finish::Failed(self.late()));
+            }
             (Retry::GiveUp, false) => {
-                return Some(Finish::Failed(upstream_failed(e, self.may_have_arrived)));
+                return Some(Finish::Failed(self.failure(e)));
             }
         }
         None
@@ -290,25 +279,37 @@
         }
     }
 
+    fn must_hand_over(&self) -> bool {
+        self.may_hand_over() && self.gateway.hand_over.is_cancelled()
+    }
+
     pub(super) fn may_hand_over(&self) -> bool {
         self.accepted && !self.stays
     }
 
-    /// Takes a place again after it was given to paying work.
-    async fn check_permit(&mut self) -> Result<(), Refusal> {
-        while self.permit.is_none() {
-            let Some((service, applicant)) = self.application() else {
-                return Err(self.no_upstream());
-            };
-            match service.queue.admit(applicant).await {
-                Ok(permit) => self.permit = Some(permit),
-                Err(refusal) if !self.accepted || self.remaining().is_zero() => {
-                    return Err(refusal);
-                }
-                Err(_) => sleep(RESUME_PAUSE).await,
-            }
+    /// Takes a place again after it was given to paying work. Returns whether there is one now.
+    async fn check_permit(&mut self) -> Result<bool, Refusal> {
+        if self.permit.is_some() {
+            return Ok(true);
+        }
+        let Some((service, applicant)) = self.application() else {
+            return Err(self.no_upstream());
+        };
+        if self.request.taken_from.is_some() && !self.was_preempted {
+            self.permit = Some(applicant.take_over());
+            return Ok(true);
+        }
+        let gateway = Arc::clone(&self.gateway);
+        let admitted = tokio::select! {
+            admitted = service.queue.admit(applicant) => admitted,
+            () = gateway.hand_over.cancelled(), if self.may_hand_over() => return Ok(false),
+        };
+        match admitted {
+            Ok(permit) => self.permit = Some(permit),
+            Err(refusal) if !self.accepted => return Err(refusal),
+            Err(_) => sleep(RESUME_PAUSE).await,
         }
-        Ok(())
+        Ok(self.permit.is_some())
     }
 
     fn application(&self) -> Option<(Arc<ServiceEntry>, Applicant)> {
@@ -365,6 +366,7 @@
             let holder = holder.map(|peer| Box::new(peer.entry.clone()));
             self.audience.send(&Piece::Accepted(holder));
         }
+        self.backup.renew(&self.gateway.peers, &self.request);
     }
 
     /// Keeps a token and feeds it to the readers.
@@ -415,23 +417,6 @@
         })
     }
 
-    fn whole(&self, end: StreamEnd) -> Finish {
-        let tokens = self.request.completion.prefix.len() as u32;
-        self.record(DecisionKind::Finished(tokens));
-        Finish::Whole(end)
-    }
-
-    fn answer(&self, end: StreamEnd) -> Answer {
-        let request = &self.request;
-        Answer {
-            account: request.account.name.clone(),
-            model: request.completion.model.clone(),
-            chat: request.chat,
-            tokens: request.completion.prefix.clone(),
-            end,
-        }
-    }
-
     fn spend(&self, choice: &Choice, taken: Duration) {
         let snapshot = self.gateway.snapshot.load();
         let Some(service) = snapshot.model(&self.request.completion.model) else {
@@ -440,32 +425,6 @@
         let amount = service.cost(&choice.member.instance, taken, &snapshot.view.intent);
         self.request.account.metrics.spending(amount);
     }
-
-    /// Refuses because there is nowhere left to try.
-    fn no_choice(&self) -> Refusal {
-        match &self.last_error {
-            Some(e) => upstream_failed(e, self.may_have_arrived),
-            None => self.no_upstream(),
-        }
-    }
-
-    fn no_upstream(&self) -> Refusal {
-        let refusal = match self.gateway.check_lease() {
-            Ok(()) => no_upstream(),
-            Err(refusal) => refusal,
-        };
-        Refusal {
-            ran: ran(self.may_have_arrived),
-            ..refusal
-        }
-    }
-
-    fn refusal(&self, kind: RefusalKind, message: impl Into<String>) -> Refusal {
-        Refusal {
-            ran: ran(self.may_have_arrived),
-            ..Refusal::not_run(kind, message)
-        }
-    }
 }
 
 /// Opens the channel by which readers are attached to a request.
--- a/src/gateway/http/completions.rs
+++ b/src/gateway/http/completions.rs
@@ -6,8 +6,10 @@
 use warp::reply::Response;
 
 use super::{
+    error,
     parse::{self, Generation},
     render::Shape,
+    routes::Caller,
     stream::Outgoing,
 };
 use crate::{
@@ -15,7 +17,7 @@
     gateway::{
         admission::Applicant,
         core::Gateway,
-        generate::{Accepted, Attach, Pump, attach_channel},
+        generate::{Accepted, Attach, Place, Pump, attach_channel},
         journal::Running,
         view::{AccountEntry, ServiceEntry},
     },
@@ -25,11 +27,12 @@
 /// Answers a generation request.
 pub(super) async fn answer<U: Upstreams, T: Clock>(
     gateway: &Arc<Gateway<U, T>>,
-    account: Arc<AccountEntry>,
+    caller: Caller,
     body: &[u8],
     chat: bool,
 ) -> Result<Response, Refusal> {
     let arrived = Instant::now();
+    let account = caller.account;
     let generation = parse::generation(body, chat, &gateway.settings.limits)?;
     let service = gateway.snapshot.load().model(&generation.model).cloned();
     let service = service.ok_or_else(|| {
@@ -52,6 +55,7 @@
     let shape = Shape::new(id, generation.model.clone(), chat, gateway.clock.unix_ms());
     let stream = generation.stream;
     let request = Accepted {
+        opening_bytes: generation.prompt.opening_bytes,
         completion: completion(id, &account, generation),
         chat,
         account: Arc::clone(&account),
@@ -69,7 +73,11 @@
         attach,
     };
     gateway.journal.register(id, running).await;
-    Pump::start(gateway, request, Some(permit), attached);
+    let place = Place {
+        permit,
+        _in_flight: caller.in_flight,
+    };
+    Pump::start(gateway, request, Some(place), attached);
     let outgoing = Outgoing {
         id,
         shape,
@@ -77,10 +85,15 @@
         from: 0,
         backup: None,
     };
-    match stream {
+    let answer = match stream {
         true => outgoing.events().await,
         false => outgoing.whole().await,
-    }
+    };
+    Ok(answer.unwrap_or_else(|refusal| {
+        let mut response = error::refuse(gateway, &refusal);
+        error::name_request(&mut response, id);
+        response
+    }))
 }
 
 /// Builds an application for a place.
@@ -112,7 +125,7 @@
         id,
         account: account.name.clone(),
         model: generation.model,
-        prompt: generation.prompt,
+        prompt: generation.prompt.text,
         max_tokens: generation.max_tokens,
         seed: generation.seed.unwrap_or_else(rand::random),
         priority: account.priority(),
--- a/src/gateway/route.rs
+++ b/src/gateway/route.rs
@@ -6,7 +6,7 @@
 use crate::{
     domain::{InstanceName, RoutingWeights, ZoneName},
     policy::{
-        prefix::{Prefix, count_tokens, prefixes},
+        prefix::{Prefix, count_tokens, home, prefixes},
         route::{self, Candidate, Report, RouteRequest},
     },
 };
@@ -23,15 +23,13 @@
 }
 
 impl Prompt {
-    /// Cuts a prompt into prefixes.
-    pub(crate) fn new(prompt: &str) -> Self {
-        let prefixes = prefixes(prompt);
-        let tokens = count_tokens(prompt);
-        let home = prefixes.first().map_or(0, |prefix| prefix.hash);
+    /// Cuts a prompt into prefixes. The opening is the part that stays the same over the turns of a
+    /// conversation.
+    pub(crate) fn new(prompt: &str, opening: &str) -> Self {
         Self {
-            prefixes,
-            tokens,
-            home,
+            prefixes: prefixes(prompt),
+            tokens: count_tokens(prompt),
+            home: home(opening),
         }
     }
 
