Take no request over on a view that does not know it

Cause: a gateway acknowledged a hand-over before it looked the account and model up. With a view that is older than the sender's, or before the first one, it then dropped the request, while the sender told the caller to resume there: an accepted request was lost. Ruled out: copies (no take-over) are only gone on with when their caller asks, and that asks the same view. Change: a hand-over of an account or model that the view does not know is refused, so that the sender tries its next neighbour or finishes the request itself. Conclusion: the new test got an acknowledgement for an unknown account before, and passes now.

--- a/src/gateway/journal/handler.rs
+++ b/src/gateway/journal/handler.rs
@@ -8,7 +8,7 @@
     gateway::core::Gateway,
     link::{Handler, Peer},
     ports::{Clock, Upstreams},
-    wire::{Body, JournalAck, LeavingNotice},
+    wire::{Body, JournalAck, JournalPut, LeavingNotice},
 };
 
 /// Answers the gateways that this one is a backup for.
@@ -48,6 +48,18 @@
         same
     }
 
+    /// Says whether the view here lets this gateway go on with a request. It may be older than the
+    /// sender's, or not have come yet.
+    fn serves(&self, put: &JournalPut) -> bool {
+        let snapshot = self.gateway.snapshot.load();
+        put.request.as_ref().is_some_and(|request| {
+            let account = request.account.as_str().into();
+            let service = snapshot.model(&request.model.as_str().into());
+            snapshot.account_named(&account).is_some()
+                && service.is_some_and(|service| service.account(&account).is_some())
+        })
+    }
+
     fn note_leaving(&self, notice: &LeavingNotice) {
         let snapshot = self.gateway.snapshot.load();
         let member = snapshot.members().find(|m| {
@@ -65,7 +77,7 @@
         let journal = &self.gateway.journal;
         match body {
             Body::JournalPut(put) if self.is_from(peer, &put.owner, put.incarnation) => {
-                if self.gateway.leaving.is_cancelled() {
+                if self.gateway.leaving.is_cancelled() || (put.take_over && !self.serves(&put)) {
                     return Some(Body::JournalAck(JournalAck::default()));
                 }
                 self.answer(journal.put(put).await).await
--- a/tests/gateway_hand_over.rs
+++ b/tests/gateway_hand_over.rs
@@ -361,3 +361,24 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_is_not_taken_over_on_a_view_that_does_not_know_it() {
+    let bench = bench(1).await;
+    let neighbour = Neighbour::connect(&bench, 7).await;
+    let put = |account: &str, model: &str| {
+        let mut put = neighbour.put(Uuid::now_v7(), "g9", &["a"]);
+        let request = put.request.as_mut().unwrap();
+        (request.account, request.model) = (account.to_owned(), model.to_owned());
+        put.take_over = true;
+        put
+    };
+    for (account, model, taken) in [
+        ("new", "m", false),
+        ("paying", "new", false),
+        ("paying", "m", true),
+    ] {
+        let reply = neighbour.send(put(account, model)).await;
+        assert_eq!(reply, ack(taken, u32::from(taken)), "{account} {model}");
+    }
+}
