Say everywhere only from the registry of the term that is led

Cause: a confirm needs a leading replica only, while the registry of gateways is renewed a little later, by the leader's own task. A controller that was elected again, or for the first time, could commit the confirm and judge it by the registry of an earlier term: empty, or with leases that ended long ago. It answered `everywhere: true` while gateways still held leases of the last leader on the older revision. Ruled out: heartbeats and views check the term already; losing gateways is judged after the registry is renewed. Change: the progress is asked for with the term that this controller leads under its own lease; with a registry of another term nothing is everywhere. A deposed leader now answers false after its wait.

--- a/src/controller/fleet.rs
+++ b/src/controller/fleet.rs
@@ -248,14 +248,18 @@
         }
     }
 
-    /// Returns how far an index has come.
-    pub fn progress(&self, now: Duration, index: u64) -> Progress {
+    /// Returns how far an index has come. `led_term` is the term that this controller leads with a
+    /// lease of its own. The registry of another term knows nothing of the leases that were granted
+    /// since, so that nothing is in force everywhere by it.
+    pub fn progress(&self, now: Duration, index: u64, led_term: Option<u64>) -> Progress {
         let count = |members: usize| u32::try_from(members).unwrap_or(u32::MAX);
         let in_force = self.members().filter(|m| m.view_index >= index).count();
         Progress {
             in_force: count(in_force),
             gateways: count(self.members.len()),
-            everywhere: self.is_complete(now) && self.members().all(|m| m.settled(now, index)),
+            everywhere: led_term == Some(self.term)
+                && self.is_complete(now)
+                && self.members().all(|m| m.settled(now, index)),
         }
     }
 }
--- a/src/controller/operators.rs
+++ b/src/controller/operators.rs
@@ -141,7 +141,9 @@
     async fn in_force(&self, revision: u64, index: u64) -> Confirmed {
         let deadline = Instant::now() + IN_FORCE_TIMEOUT;
         loop {
-            let progress = self.core.fleet().progress(self.core.now(), index);
+            let now = self.core.now();
+            let led_term = self.core.log.led_term(now);
+            let progress = self.core.fleet().progress(now, index, led_term);
             if progress.everywhere || Instant::now() >= deadline {
                 return Confirmed {
                     revision: Revision(revision),
--- a/tests/controller_fleet.rs
+++ b/tests/controller_fleet.rs
@@ -43,11 +43,11 @@
     let mut fleet = led(1, 0);
     fleet.hear(ms(3000), &beat("g0", 1, 5), 5).unwrap();
     fleet.hear(ms(3000), &beat("g1", 1, 5), 5).unwrap();
-    let everywhere = |fleet: &Fleet, now| fleet.progress(ms(now), 9).everywhere;
+    let everywhere = |fleet: &Fleet, now| fleet.progress(ms(now), 9, Some(1)).everywhere;
     assert!(!everywhere(&fleet, 3001));
     fleet.hear(ms(3400), &beat("g0", 1, 9), 9).unwrap();
     fleet.hear(ms(3400), &beat("g1", 1, 5), 9).unwrap();
-    assert_eq!(fleet.progress(ms(3400), 9).in_force, 1);
+    assert_eq!(fleet.progress(ms(3400), 9, Some(1)).in_force, 1);
     // The lease of 3000 still lets g1 work on the old view; the one of 3400 does not.
     assert!(!everywhere(&fleet, 4999));
     assert!(everywhere(&fleet, 5000));
@@ -56,8 +56,18 @@
 #[test]
 fn a_new_leader_says_nothing_of_everywhere_before_earlier_leases_have_ended() {
     let fleet = led(2, 1000);
-    assert!(!fleet.progress(ms(2999), 1).everywhere);
-    assert!(fleet.progress(ms(3000), 1).everywhere);
+    assert!(!fleet.progress(ms(2999), 1, Some(2)).everywhere);
+    assert!(fleet.progress(ms(3000), 1, Some(2)).everywhere);
+}
+
+#[test]
+fn a_registry_of_another_term_says_nothing_of_everywhere() {
+    // It was not taken up in term 4 yet, or this controller leads no more.
+    for led_term in [Some(4), None] {
+        assert!(!led(2, 1000).progress(ms(9000), 1, led_term).everywhere);
+        let never_led = Fleet::new(ms(LEASE));
+        assert!(!never_led.progress(ms(9000), 1, led_term).everywhere);
+    }
 }
 
 #[test]
