--- a/benches/gateway.rs
+++ b/benches/gateway.rs
@@ -18,8 +18,9 @@
 use standin::{Faults, engine::EngineParams};
 use support::{
     http::{Call, Connection},
-    installation::{MODEL, PAYING_TOKEN, Shape, intent},
+    intent::intent,
     processes::Processes,
+    shape::{MODEL, PAYING_TOKEN, Shape},
 };
 use tokio::task::JoinSet;
 use uuid::Uuid;
--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -10,7 +10,9 @@
 use serde_json::{Value, json};
 use support::{
     http::{Call, Events, open, send},
-    installation::{FREE_TOKEN, Installation, MODEL, PAYING_TOKEN, Shape, intent},
+    installation::Installation,
+    intent::intent,
+    shape::{FREE_TOKEN, MODEL, PAYING_TOKEN, Shape},
 };
 use uuid::Uuid;
 
--- a/examples/support/mod.rs
+++ b/examples/support/mod.rs
@@ -1,7 +1,11 @@
-//! Shared by examples and tests: an installation on loopback and a small HTTP client.
+//! Shared by examples, benches and tests: installations on loopback and a small HTTP client.
 
 #![allow(dead_code, reason = "each example and test uses a part of it")]
 
 pub mod http;
 pub mod installation;
+pub mod intent;
+pub mod operators;
 pub mod processes;
+pub mod shape;
+pub mod upstreams;
--- a/examples/support/processes.rs
+++ b/examples/support/processes.rs
@@ -11,19 +11,19 @@
 use anyhow::{Context, ensure};
 use flamingocroft::{
     domain::Intent,
-    operator::{ConfirmRequest, Confirmed, Plan, Status},
+    operator::{Confirmed, Status},
     settings::Settings,
 };
 use nix::{
     sys::signal::{Signal, kill},
     unistd::Pid,
 };
-use serde::de::DeserializeOwned;
 use tokio::time::{Instant, sleep};
 
 use super::{
-    http::{Call, send},
-    installation::{OPERATOR_TOKEN, Shape, Upstreams, plan_settings, start_upstreams, wait_ready},
+    operators,
+    shape::{Shape, plan_settings},
+    upstreams::{Upstreams, start_upstreams},
 };
 
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -185,45 +185,27 @@
 
     /// Returns the leader's status.
     pub async fn status(&self) -> anyhow::Result<Status> {
-        self.operate(&Call::get("/v1/status", OPERATOR_TOKEN)).await
+        operators::status(&self.controllers()).await
     }
 
-    /// Plans and confirms an intent and waits until the running gateways serve.
+    /// Plans and confirms an intent.
     pub async fn confirm(&self, intent: &Intent) -> anyhow::Result<Confirmed> {
-        let plan: Plan = self
-            .operate(&Call::post("/v1/plan", OPERATOR_TOKEN, intent))
-            .await?;
-        let req = ConfirmRequest {
-            operation: plan.operation,
-            base_revision: plan.base_revision,
-            intent: plan.intent,
-        };
-        self.operate(&Call::post("/v1/confirm", OPERATOR_TOKEN, &req))
-            .await
+        let (_, confirmed) = operators::confirm(&self.controllers(), intent).await?;
+        Ok(confirmed)
     }
 
     /// Waits until every gateway serves.
     pub async fn wait_ready(&self) -> anyhow::Result<()> {
         for gateway in &self.gateways {
-            wait_ready(gateway.settings.http_address).await?;
+            operators::wait_ready(gateway.settings.http_address).await?;
         }
         Ok(())
     }
 
-    /// Sends an operator's call to whichever controller leads.
-    pub async fn operate<T: DeserializeOwned>(&self, call: &Call) -> anyhow::Result<T> {
-        let start = Instant::now();
-        loop {
-            let mut last = String::new();
-            for controller in &self.controllers {
-                match send(controller.settings.http_address, call).await {
-                    Ok(answer) if answer.status.is_success() => return answer.json(),
-                    Ok(answer) => last = format!("status {}: {}", answer.status, answer.text()),
-                    Err(e) => last = format!("{e:#}"),
-                }
-            }
-            ensure!(start.elapsed() < PATIENCE, "no leader answered: {last}");
-            sleep(POLL).await;
-        }
+    fn controllers(&self) -> Vec<SocketAddr> {
+        self.controllers
+            .iter()
+            .map(|controller| controller.settings.http_address)
+            .collect()
     }
 }
--- /dev/null
+++ b/examples/support/upstreams.rs
@@ -0,0 +1,138 @@
+//! The stand-ins of an installation on loopback.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use futures_util::FutureExt;
+use standin::{
+    Faults,
+    cloud::{Cloud, Listing},
+    engine::{Engine, EngineParams},
+    service::ServiceParams,
+};
+
+use super::shape::{CLASS, Shape, zone};
+
+/// The upstreams and the cloud, without any daemon.
+pub struct Upstreams {
+    /// The cloud API.
+    pub cloud: Cloud,
+    /// The engines that were there from the start.
+    pub engines: Vec<Arc<Engine>>,
+    /// The plain servers that were there from the start.
+    pub services: Vec<Arc<standin::service::Service>>,
+    launched: Arc<Launched>,
+}
+
+/// What the cloud started by order.
+#[derive(Default)]
+struct Launched {
+    engines: Mutex<Vec<Arc<Engine>>>,
+    services: Mutex<Vec<Arc<standin::service::Service>>>,
+}
+
+impl Upstreams {
+    /// Returns how often each key was executed by any plain server.
+    pub fn executions(&self) -> BTreeMap<String, u32> {
+        let launched = lock(&self.launched.services);
+        let mut by_key = BTreeMap::new();
+        for service in self.services.iter().chain(launched.iter()) {
+            for (key, count) in service.counts().by_key {
+                *by_key.entry(key).or_insert(0) += count;
+            }
+        }
+        by_key
+    }
+
+    /// Returns how many generations any engine began.
+    pub fn generations(&self) -> u64 {
+        let launched = lock(&self.launched.engines);
+        let engines = self.engines.iter().chain(launched.iter());
+        engines.map(|engine| engine.counts().started).sum()
+    }
+
+    /// Sets the faults of all plain servers.
+    pub fn set_service_faults(&self, faults: &Faults) {
+        let launched = lock(&self.launched.services);
+        for service in self.services.iter().chain(launched.iter()) {
+            service.set_faults(*faults);
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Starts the stand-ins. The cloud starts further engines and servers by order.
+pub async fn start_upstreams(shape: &Shape) -> anyhow::Result<Upstreams> {
+    let launched = Arc::new(Launched::default());
+    let launch = {
+        let params = shape.engine.clone();
+        let launched = Arc::clone(&launched);
+        Arc::new(move |order| launch(order, params.clone(), Arc::clone(&launched)).boxed())
+    };
+    let cloud = standin::cloud::start(shape.cloud.clone(), launch).await?;
+    let mut engines = Vec::new();
+    for i in 0..shape.engines {
+        let engine = Arc::new(standin::engine::start(shape.engine.clone()).await?);
+        let stop = Arc::clone(&engine);
+        cloud.register(
+            listing("engine", "assistant", i, engine.address()),
+            move || stop.stop(),
+        );
+        engines.push(engine);
+    }
+    let mut services = Vec::new();
+    for i in 0..shape.services {
+        let service = Arc::new(standin::service::start(ServiceParams::default()).await?);
+        let stop = Arc::clone(&service);
+        cloud.register(listing("depot", "depot", i, service.address()), move || {
+            stop.stop();
+        });
+        services.push(service);
+    }
+    Ok(Upstreams {
+        cloud,
+        engines,
+        services,
+        launched,
+    })
+}
+
+async fn launch(
+    order: standin::cloud::StartOrder,
+    params: EngineParams,
+    launched: Arc<Launched>,
+) -> anyhow::Result<standin::cloud::Started> {
+    if order.service == "assistant" {
+        let engine = Arc::new(standin::engine::start(params).await?);
+        lock(&launched.engines).push(Arc::clone(&engine));
+        return Ok(standin::cloud::Started {
+            address: engine.address(),
+            stop: Box::new(move || engine.stop()),
+        });
+    }
+    let service = Arc::new(standin::service::start(ServiceParams::default()).await?);
+    lock(&launched.services).push(Arc::clone(&service));
+    Ok(standin::cloud::Started {
+        address: service.address(),
+        stop: Box::new(move || service.stop()),
+    })
+}
+
+fn listing(prefix: &str, service: &str, i: u8, address: SocketAddr) -> Listing {
+    Listing {
+        name: format!("{prefix}-{i}"),
+        incarnation: 1,
+        service: service.to_owned(),
+        zone: zone(i).to_string(),
+        class: CLASS.to_owned(),
+        purchase: "reclaimable".to_owned(),
+        address,
+        state: "live".to_owned(),
+    }
+}
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -16,8 +16,9 @@
 };
 use support::{
     http::{Answer, Call, Events, open, send},
-    installation::{FREE_TOKEN, MODEL, PAYING_TOKEN, Shape, intent},
+    intent::intent,
     processes::Processes,
+    shape::{FREE_TOKEN, MODEL, PAYING_TOKEN, Shape},
 };
 use tokio::{
     sync::{Barrier, Semaphore},
@@ -304,9 +305,14 @@
     (0..tokens).map(|i| answer_token(answer, i)).collect()
 }
 
-fn slow_shape(shutdown: Duration) -> Shape {
+const STREAMS: u64 = 40;
+const STREAM_TOKENS: u32 = 200;
+
+/// Starts three gateways, of which the first one serves streams that last for two seconds, longer
+/// than its graceful shutdown may.
+async fn start_with_streams(folder: &Path) -> (Processes, JoinSet<(u64, Received)>) {
     let base = Shape::default();
-    Shape {
+    let shape = Shape {
         gateways: 3,
         engines: 6,
         engine: EngineParams {
@@ -315,35 +321,49 @@
             ..base.engine.clone()
         },
         timing: flamingocroft::settings::Timing {
-            shutdown,
+            shutdown: Duration::from_millis(300),
             ..base.timing.clone()
         },
         ..base
-    }
+    };
+    let processes = start(&shape, folder).await;
+    let callers = start_streams(&processes);
+    until("the streams run", || {
+        processes.upstreams.generations() >= STREAMS
+    })
+    .await;
+    (processes, callers)
 }
 
 /// Starts streams at gateway 0 with different prompts and returns what the callers got.
-fn start_streams(processes: &Processes, count: u64, tokens: u32) -> JoinSet<(u64, Received)> {
+fn start_streams(processes: &Processes) -> JoinSet<(u64, Received)> {
     let gateways: Vec<_> = (0..processes.gateways.len())
         .map(|i| processes.gateway(i))
         .collect();
     let mut callers = JoinSet::new();
-    for seed in 0..count {
+    for seed in 0..STREAMS {
         let gateways = gateways.clone();
         callers.spawn(async move {
             let prompt = format!("draft number {seed}");
-            (seed, read_whole(&gateways, &prompt, tokens, seed).await)
+            (
+                seed,
+                read_whole(&gateways, &prompt, STREAM_TOKENS, seed).await,
+            )
         });
     }
     callers
 }
 
-async fn check_streams(mut callers: JoinSet<(u64, Received)>, tokens: u32) {
+async fn check_streams(mut callers: JoinSet<(u64, Received)>) {
     let all = async {
         while let Some(result) = callers.join_next().await {
             let (seed, received) = result.unwrap();
             let prompt = format!("draft number {seed}");
-            assert_eq!(received.texts, expected(&prompt, tokens, seed), "{prompt}");
+            assert_eq!(
+                received.texts,
+                expected(&prompt, STREAM_TOKENS, seed),
+                "{prompt}"
+            );
         }
     };
     timeout(PATIENCE, all).await.unwrap();
@@ -352,17 +372,10 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_graceful_shutdown_hands_streams_over_whole() {
     let _alone = ONE_AT_A_TIME.acquire().await.unwrap();
-    const TOKENS: u32 = 200;
     let folder = tempfile::tempdir().unwrap();
-    let shape = slow_shape(Duration::from_millis(300));
-    let mut processes = start(&shape, folder.path()).await;
-    let callers = start_streams(&processes, 40, TOKENS);
-    until("the streams run", || {
-        processes.upstreams.generations() >= 40
-    })
-    .await;
+    let (mut processes, callers) = start_with_streams(folder.path()).await;
     processes.gateways[0].signal(Signal::SIGTERM).unwrap();
-    check_streams(callers, TOKENS).await;
+    check_streams(callers).await;
     let status = processes.gateways[0].wait().await.unwrap();
     assert!(status.success(), "{status}");
 }
@@ -370,33 +383,19 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_outlive_a_gateway_killed_in_the_middle_of_its_hand_over() {
     let _alone = ONE_AT_A_TIME.acquire().await.unwrap();
-    const TOKENS: u32 = 200;
     let folder = tempfile::tempdir().unwrap();
-    let shape = slow_shape(Duration::from_millis(300));
-    let mut processes = start(&shape, folder.path()).await;
-    let callers = start_streams(&processes, 40, TOKENS);
-    until("the streams run", || {
-        processes.upstreams.generations() >= 40
-    })
-    .await;
+    let (mut processes, callers) = start_with_streams(folder.path()).await;
     processes.gateways[0].signal(Signal::SIGTERM).unwrap();
     sleep(Duration::from_millis(310)).await;
     processes.gateways[0].kill().unwrap();
-    check_streams(callers, TOKENS).await;
+    check_streams(callers).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_outlive_the_reclaim_of_a_whole_zone() {
     let _alone = ONE_AT_A_TIME.acquire().await.unwrap();
-    const TOKENS: u32 = 200;
     let folder = tempfile::tempdir().unwrap();
-    let shape = slow_shape(Duration::from_millis(300));
-    let mut processes = start(&shape, folder.path()).await;
-    let callers = start_streams(&processes, 40, TOKENS);
-    until("the streams run", || {
-        processes.upstreams.generations() >= 40
-    })
-    .await;
+    let (mut processes, callers) = start_with_streams(folder.path()).await;
     // Engines 0 and 3, gateway 0 and controller 0 are in the zone that is taken back.
     for engine in ["engine-0", "engine-3"] {
         assert!(
@@ -410,7 +409,7 @@
     processes.controllers[0].kill().unwrap();
     sleep(Duration::from_millis(400)).await;
     processes.gateways[0].kill().unwrap();
-    check_streams(callers, TOKENS).await;
+    check_streams(callers).await;
 }
 
 /// How an upstream's end becomes known.
