--- a/examples/experiment/mod.rs
+++ b/examples/experiment/mod.rs
@@ -6,6 +6,7 @@
 mod engine;
 mod events;
 mod gateway;
+mod loopback;
 mod measure;
 mod model;
 mod naive;
@@ -13,6 +14,8 @@
 mod plot;
 mod scenario;
 mod site;
+#[path = "../support/mod.rs"]
+mod support;
 mod table;
 mod upkeep;
 
@@ -42,6 +45,9 @@
     /// How many runs at once.
     #[arg(long, default_value_t = 3)]
     threads: usize,
+    /// Drives real gateways and stand-in engines over loopback instead of the queue model.
+    #[arg(long)]
+    loopback: bool,
 }
 
 /// Figures of one variant under one scenario at one site.
@@ -54,6 +60,9 @@
 
 /// Runs the experiment, prints the tables and writes the plots.
 pub fn run(args: &Args) -> anyhow::Result<()> {
+    if args.loopback {
+        return loopback::run();
+    }
     println!("Mode: queue model of the engines in virtual time; the decisions are the product's.");
     for decision in Decision::ALL {
         if args.decision.is_some_and(|only| only != decision) {
