--- a/examples/experiment/loopback.rs
+++ b/examples/experiment/loopback.rs
@@ -19,7 +19,9 @@
     site::{BETWEEN_TOKENS, FIRST_TOKEN_TARGET, GATEWAYS, PREFILL_PER_THOUSAND, SERVICE, Site},
     support::{
         http::{Call, Events, open},
-        installation::{FREE_TOKEN, Installation, MODEL, PAYING_TOKEN, Shape, intent},
+        installation::Installation,
+        intent::intent,
+        shape::{FREE_TOKEN, MODEL, PAYING_TOKEN, Shape},
     },
 };
 
