--- a/src/controller/order_runner.rs
+++ b/src/controller/order_runner.rs
@@ -21,6 +21,8 @@
 const LOOK: Duration = Duration::from_millis(100);
 /// Pause before an engine that failed or refused is tried again.
 const RETRY: Duration = Duration::from_secs(1);
+/// Time after which an engine's state is read again.
+const READ_BACK: Duration = Duration::from_secs(5);
 /// Engines that are ordered at once.
 const AT_ONCE: usize = 32;
 
@@ -59,6 +61,7 @@
         longest_order: timing.election_timeout / 2,
         leader_lease: timing.election_timeout,
         retry: RETRY,
+        read_back: READ_BACK,
     }
 }
 
@@ -91,7 +94,14 @@
         if actions.is_empty() {
             return;
         }
-        let Some(fence) = self.fence().await else {
+        let orders = actions
+            .iter()
+            .any(|(_, action)| matches!(action, Action::Order(_)));
+        let fence = match orders {
+            true => self.fence().await,
+            false => Some(FencingNumber::default()),
+        };
+        let Some(fence) = fence else {
             return;
         };
         let this = &*self;
--- a/src/controller/orders.rs
+++ b/src/controller/orders.rs
@@ -25,6 +25,8 @@
     pub leader_lease: Duration,
     /// Pause before an engine that failed or refused is tried again.
     pub retry: Duration,
+    /// Time after which an engine's state is read again, to find what a late order changed.
+    pub read_back: Duration,
 }
 
 /// An engine and what it should have.
@@ -41,7 +43,7 @@
 /// What to do with an engine next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
-    /// Read its state back before the first order.
+    /// Read its state back.
     Read,
     /// Give it these orders, one after the other, in this order.
     Order(Vec<OrderKind>),
@@ -62,7 +64,8 @@
 
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 struct Known {
-    read: bool,
+    /// When its state was read; nothing while what it has is not known.
+    read_at: Option<Duration>,
     loaded: BTreeMap<String, Option<String>>,
     drained: bool,
     not_before: Duration,
@@ -99,7 +102,7 @@
         if known.is_some_and(|known| now < known.not_before) || !self.is_past(now, engine) {
             return None;
         }
-        let Some(known) = known.filter(|known| known.read) else {
+        let Some((known, read_at)) = known.and_then(|known| Some((known, known.read_at?))) else {
             return Some(Action::Read);
         };
         let Some(wanted) = &engine.wanted else {
@@ -120,7 +123,10 @@
                 version: version.clone(),
             });
         let orders: Vec<_> = unloads.chain(loads).collect();
-        (!orders.is_empty()).then_some(Action::Order(orders))
+        if orders.is_empty() {
+            return (now >= read_at + self.timing.read_back).then_some(Action::Read);
+        }
+        Some(Action::Order(orders))
     }
 
     /// Whether all orders of earlier leaders have ended or cannot matter.
@@ -139,19 +145,24 @@
         let known = self.known.entry(key(target)).or_default();
         match outcome {
             Outcome::Read(load) => {
-                known.read = true;
-                // The report names no versions, so what is loaded is ordered again once.
-                let models = load.models.iter();
-                known.loaded = models.map(|model| (model.to_string(), None)).collect();
+                // The report names no versions: those of acknowledged orders stand, and what else
+                // is loaded is ordered again once.
+                let trusted = known.read_at.is_some();
+                let models = load.models.iter().map(|model| {
+                    let version = known.loaded.get(model.as_str()).filter(|_| trusted);
+                    (model.to_string(), version.cloned().flatten())
+                });
+                known.loaded = models.collect();
+                known.read_at = Some(now);
             }
             Outcome::Answered(kind, OrderOutcome::Done) => known.apply(kind),
             // A newer leader ordered, or an earlier round came late: look again.
             Outcome::Answered(_, OrderOutcome::Fenced) => {
-                known.read = false;
+                known.read_at = None;
                 known.not_before = now + timing.retry;
             }
             Outcome::Unanswered => {
-                known.read = false;
+                known.read_at = None;
                 known.not_before = now + timing.retry.max(timing.longest_order);
             }
             Outcome::NotSent => known.not_before = now + timing.retry,
--- a/tests/controller_orders.rs
+++ b/tests/controller_orders.rs
@@ -19,6 +19,7 @@
     longest_order: Duration::from_millis(150),
     leader_lease: Duration::from_millis(300),
     retry: Duration::from_millis(1000),
+    read_back: Duration::from_millis(5000),
 };
 
 fn ms(millis: u64) -> Duration {
@@ -111,6 +112,33 @@
     assert_eq!(at(&desk, 2008, &two), Some(Action::Read));
 }
 
+#[test]
+fn what_a_late_order_loaded_or_unloaded_is_found_and_repaired() {
+    let ignoring = engine(Fencing::Ignored, "1");
+    for (found, repair) in [
+        (report(&["gull"]), None),
+        (report(&[]), Some(vec![load("1")])),
+        (
+            report(&["gull", "old"]),
+            Some(vec![OrderKind::Unload {
+                model: "old".into(),
+            }]),
+        ),
+    ] {
+        let mut desk = Desk::new(TIMING, ms(0));
+        desk.note(ms(500), &target(), report(&[]));
+        desk.note(
+            ms(501),
+            &target(),
+            Outcome::Answered(load("1"), OrderOutcome::Done),
+        );
+        assert_eq!(at(&desk, 5499, &ignoring), None);
+        assert_eq!(at(&desk, 5500, &ignoring), Some(Action::Read));
+        desk.note(ms(5501), &target(), found);
+        assert_eq!(at(&desk, 5502, &ignoring), repair.map(Action::Order));
+    }
+}
+
 #[test]
 fn a_leaving_engine_is_drained_once() {
     let mut desk = Desk::new(TIMING, ms(0));
