--- a/src/gateway/generate/mod.rs
+++ b/src/gateway/generate/mod.rs
@@ -1,5 +1,5 @@
 //! Generations: one task drives each request through the engines and feeds everyone who reads its
-//! answer. See docs/DESIGN.md, "The path of a request".
+//! answer. See docs/DESIGN.md, "Accepted requests".
 
 mod audience;
 mod finish;
--- a/src/gateway/view/mod.rs
+++ b/src/gateway/view/mod.rs
@@ -1,4 +1,4 @@
-//! Keeps the gateway's view and lease up to date. See docs/DESIGN.md, "Views and leases".
+//! Keeps the gateway's view and lease up to date. See docs/DESIGN.md, "Configuration".
 
 mod account;
 mod decode;
--- a/tests/gateway_hand_over.rs
+++ b/tests/gateway_hand_over.rs
@@ -361,3 +361,22 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn copies_are_kept_for_a_bounded_time() {
+    let mut options = Options::default();
+    options.limits.requests = 1;
+    options.timing.request_timeout = Duration::from_millis(300);
+    options.timing.shutdown = Duration::from_millis(200);
+    let bench = Bench::start(options).await;
+    let neighbour = Neighbour::connect(&bench, 7).await;
+    let first = neighbour.put(Uuid::now_v7(), "g9", &[]);
+    assert_eq!(neighbour.send(first).await, ack(true, 0));
+    let second = neighbour.put(Uuid::now_v7(), "g9", &[]);
+    assert_eq!(neighbour.send(second.clone()).await, ack(false, 0));
+    let (neighbour, second) = (&neighbour, &second);
+    eventually("the first copy is too old", || async move {
+        neighbour.send(second.clone()).await == ack(true, 0)
+    })
+    .await;
+}
--- a/tests/gateway_refusals.rs
+++ b/tests/gateway_refusals.rs
@@ -8,11 +8,12 @@
     domain::RefusalKind,
     ports::{Sent, UpstreamErrorKind},
     settings::Timing,
+    wire::ShareRecord,
 };
 use gateway_support::{
     Bench, LEASE, Options, eventually,
     http::{Call, Events, FREE, Reply},
-    instance,
+    instance, intent,
     upstreams::Fault,
 };
 use uuid::Uuid;
@@ -139,15 +140,24 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn work_beyond_the_share_is_refused_with_a_time_to_come_back() {
-    let bench = Bench::start(Options {
+    let bench = Bench::start(Options::default()).await;
+    // All of the gateway's capacity is one slot of the free account, so that nothing can be borrowed.
+    let share = ShareRecord {
+        service: "chat".to_owned(),
+        account: "free".to_owned(),
         slots: 1,
-        ..Options::default()
-    })
-    .await;
+    };
+    bench.leader.set_intent(&intent(), vec![share]);
     bench.upstreams.release(1);
     let call = Call::complete("p", 2, true).token(Some(FREE));
     let mut running = Events::open(&call, bench.address(0)).await;
     running.tokens(1).await;
+    let address = bench.address(0);
+    eventually("the share is in force", || async move {
+        let probe = Call::complete("probe", 1, false).token(Some(FREE));
+        probe.send(address).await.status != 200
+    })
+    .await;
     let reached = bench.upstreams.reached();
     let reply = call.send(bench.address(0)).await;
     check("over share", &reply, 0);
@@ -211,3 +221,28 @@
     let reply = Call::complete("p", 1, false).send(address).await;
     assert_eq!(reply.status, 200);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gateway_takes_a_bounded_number_of_requests() {
+    let mut options = Options::default();
+    options.limits.requests = 1;
+    let bench = Bench::start(options).await;
+    bench.upstreams.release(1);
+    let call = Call::complete("p", 2, true);
+    let mut running = Events::open(&call, bench.address(0)).await;
+    running.tokens(1).await;
+    for call in [call.clone(), Call::get("/v1/services/depot/piles")] {
+        let reply = call.send(bench.address(0)).await;
+        assert_eq!(reply.error(), ("overloaded".to_owned(), "no".to_owned()));
+        assert_eq!(reply.header("retry-after"), Some("1"));
+    }
+    assert_eq!(bench.upstreams.reached(), 1);
+    bench.upstreams.release(2);
+    while running.next().await.is_some() {}
+    let address = bench.address(0);
+    eventually("there is room again", || async move {
+        let call = Call::get("/v1/services/depot/piles");
+        call.send(address).await.status == 200
+    })
+    .await;
+}
