Let free streams yield when their capacity is given to another gateway

Uses policy::admit::excess_free when the shares change. The test of preemption waits in another way for its shares, since a free account may now borrow; what it checks is the same. An accepted request that asks for its place again does so less often, because each refusal counts as demand.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -98,10 +98,16 @@
 }
 
 impl ServiceUsage {
-    /// Sets this gateway's capacity for the service and wakes the queue.
+    /// Sets this gateway's capacity for the service and wakes the queue. Free streams beyond a
+    /// capacity that shrank are asked to yield.
     pub(crate) fn set_capacity(&self, slots: u32) {
         self.capacity.store(slots, Ordering::Relaxed);
         self.freed.notify_one();
+        let in_progress = self.in_progress.load(Ordering::Relaxed);
+        let free = self.free_in_progress.load(Ordering::Relaxed);
+        for _ in 0..admit::excess_free(slots, in_progress, free) {
+            self.preempt.notify_one();
+        }
     }
 
     /// Returns the requests that wait.
@@ -110,10 +116,11 @@
     }
 
     /// Says whether a free stream should give its place up now.
-    pub(crate) fn is_short_for_paying(&self) -> bool {
-        let full =
-            self.in_progress.load(Ordering::Relaxed) >= self.capacity.load(Ordering::Relaxed);
-        full && self.paying_waiting.load(Ordering::Relaxed) > 0
+    pub(crate) fn is_short(&self) -> bool {
+        let in_progress = self.in_progress.load(Ordering::Relaxed);
+        let capacity = self.capacity.load(Ordering::Relaxed);
+        let paying_waits = self.paying_waiting.load(Ordering::Relaxed) > 0;
+        in_progress > capacity || (in_progress == capacity && paying_waits)
     }
 
     fn service_time(&self) -> Duration {
--- a/src/gateway/generate/pump.rs
+++ b/src/gateway/generate/pump.rs
@@ -35,6 +35,9 @@
 /// Pause before an accepted request is tried again when no instance can take it.
 const RESUME_PAUSE: Duration = Duration::from_millis(50);
 
+/// Pause before an accepted free request asks for a place again; each refusal counts as demand.
+const REQUEUE_PAUSE: Duration = Duration::from_millis(250);
+
 /// The pause grows to this power of two times [`RESUME_PAUSE`].
 const MAX_PAUSE_DOUBLINGS: u32 = 4;
 
@@ -307,7 +310,7 @@
         match admitted {
             Ok(permit) => self.permit = Some(permit),
             Err(refusal) if !self.accepted => return Err(refusal),
-            Err(_) => sleep(RESUME_PAUSE).await,
+            Err(_) => sleep(REQUEUE_PAUSE).await,
         }
         Ok(self.permit.is_some())
     }
--- a/src/gateway/generate/relay.rs
+++ b/src/gateway/generate/relay.rs
@@ -213,10 +213,7 @@
 
     fn preempted(&self) -> Option<Ended> {
         let service = self.service.as_ref()?;
-        service
-            .usage
-            .is_short_for_paying()
-            .then_some(Ended::Preempted)
+        service.usage.is_short().then_some(Ended::Preempted)
     }
 
     fn limit(&self) -> Duration {
--- a/tests/gateway_streams.rs
+++ b/tests/gateway_streams.rs
@@ -13,7 +13,7 @@
 use gateway_support::{
     Bench, Options, eventually,
     http::{Call, Events, FREE, OTHER},
-    instance, intent,
+    instance, intent, shares,
     upstreams::{Fault, answer_text, token_text},
 };
 
@@ -245,8 +245,8 @@
         account: account.to_owned(),
         slots,
     };
-    let shares = vec![share("paying", 2), share("other", 0), share("free", 1)];
-    bench.leader.set_intent(&intent(), shares);
+    let own = vec![share("paying", 2), share("other", 0), share("free", 1)];
+    bench.leader.set_intent(&intent(), own);
     let address = bench.address(0);
     bench.upstreams.release(3);
     let open = |prompt: &'static str, token| async move {
@@ -255,12 +255,12 @@
     };
     let mut free = open("free", FREE).await;
     let (first, _) = free.tokens(3).await;
-    eventually("the free share is one", || async move {
+    let mut borrowed = [open("b0", OTHER).await, open("b1", OTHER).await];
+    eventually("the shares are in force and used up", || async move {
         let probe = Call::complete("probe", 1, false).token(Some(FREE));
         probe.send(address).await.error().0 == "over_share"
     })
     .await;
-    let mut borrowed = [open("b0", OTHER).await, open("b1", OTHER).await];
     // The service is full; the paying account is below its share.
     let paying = tokio::spawn(async move {
         let call = Call::complete("paying", TOKENS, true);
@@ -325,3 +325,36 @@
     }
     assert!(homes.len() > 1, "all went to {homes:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_free_stream_yields_when_its_capacity_is_given_to_another_gateway() {
+    // Only yielding, not a silent engine, may end the attempt.
+    let timing = Timing {
+        token_timeout: Duration::from_secs(60),
+        ..Options::default().timing
+    };
+    let bench = Bench::start(Options {
+        timing,
+        ..Options::default()
+    })
+    .await;
+    bench.upstreams.release(3);
+    let call = Call::complete("free", TOKENS, true).token(Some(FREE));
+    let mut free = Events::open(&call, bench.address(0)).await;
+    free.tokens(3).await;
+    let none = ShareRecord {
+        service: "chat".to_owned(),
+        account: "free".to_owned(),
+        slots: 0,
+    };
+    bench.leader.set_intent(&intent(), vec![none]);
+    let upstreams = &bench.upstreams;
+    eventually("the stream gives its place up", || async {
+        upstreams.open_streams() == 0
+    })
+    .await;
+    bench.upstreams.release(u32::MAX);
+    assert_eq!(bench.upstreams.attempts().len(), 1);
+    bench.leader.set_intent(&intent(), shares(64));
+    check_whole(&mut free, "free", 3).await;
+}
