--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -16,8 +16,9 @@
 };
 use support::{
     http::{Answer, Call, Events, open, send},
-    installation::{FREE_TOKEN, MODEL, PAYING_TOKEN, Shape, intent},
+    intent::intent,
     processes::Processes,
+    shape::{FREE_TOKEN, MODEL, PAYING_TOKEN, Shape},
 };
 use tokio::{
     sync::{Barrier, Semaphore},
@@ -304,9 +305,14 @@
     (0..tokens).map(|i| answer_token(answer, i)).collect()
 }
 
-fn slow_shape(shutdown: Duration) -> Shape {
+const STREAMS: u64 = 40;
+const STREAM_TOKENS: u32 = 200;
+
+/// Starts three gateways, of which the first one serves streams that last for two seconds, longer
+/// than its graceful shutdown may.
+async fn start_with_streams(folder: &Path) -> (Processes, JoinSet<(u64, Received)>) {
     let base = Shape::default();
-    Shape {
+    let shape = Shape {
         gateways: 3,
         engines: 6,
         engine: EngineParams {
@@ -315,35 +321,49 @@
             ..base.engine.clone()
         },
         timing: flamingocroft::settings::Timing {
-            shutdown,
+            shutdown: Duration::from_millis(300),
             ..base.timing.clone()
         },
         ..base
-    }
+    };
+    let processes = start(&shape, folder).await;
+    let callers = start_streams(&processes);
+    until("the streams run", || {
+        processes.upstreams.generations() >= STREAMS
+    })
+    .await;
+    (processes, callers)
 }
 
 /// Starts streams at gateway 0 with different prompts and returns what the callers got.
-fn start_streams(processes: &Processes, count: u64, tokens: u32) -> JoinSet<(u64, Received)> {
+fn start_streams(processes: &Processes) -> JoinSet<(u64, Received)> {
     let gateways: Vec<_> = (0..processes.gateways.len())
         .map(|i| processes.gateway(i))
         .collect();
     let mut callers = JoinSet::new();
-    for seed in 0..count {
+    for seed in 0..STREAMS {
         let gateways = gateways.clone();
         callers.spawn(async move {
             let prompt = format!("draft number {seed}");
-            (seed, read_whole(&gateways, &prompt, tokens, seed).await)
+            (
+                seed,
+                read_whole(&gateways, &prompt, STREAM_TOKENS, seed).await,
+            )
         });
     }
     callers
 }
 
-async fn check_streams(mut callers: JoinSet<(u64, Received)>, tokens: u32) {
+async fn check_streams(mut callers: JoinSet<(u64, Received)>) {
     let all = async {
         while let Some(result) = callers.join_next().await {
             let (seed, received) = result.unwrap();
             let prompt = format!("draft number {seed}");
-            assert_eq!(received.texts, expected(&prompt, tokens, seed), "{prompt}");
+            assert_eq!(
+                received.texts,
+                expected(&prompt, STREAM_TOKENS, seed),
+                "{prompt}"
+            );
         }
     };
     timeout(PATIENCE, all).await.unwrap();
@@ -352,17 +372,10 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_graceful_shutdown_hands_streams_over_whole() {
     let _alone = ONE_AT_A_TIME.acquire().await.unwrap();
-    const TOKENS: u32 = 200;
     let folder = tempfile::tempdir().unwrap();
-    let shape = slow_shape(Duration::from_millis(300));
-    let mut processes = start(&shape, folder.path()).await;
-    let callers = start_streams(&processes, 40, TOKENS);
-    until("the streams run", || {
-        processes.upstreams.generations() >= 40
-    })
-    .await;
+    let (mut processes, callers) = start_with_streams(folder.path()).await;
     processes.gateways[0].signal(Signal::SIGTERM).unwrap();
-    check_streams(callers, TOKENS).await;
+    check_streams(callers).await;
     let status = processes.gateways[0].wait().await.unwrap();
     assert!(status.success(), "{status}");
 }
@@ -370,33 +383,19 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_outlive_a_gateway_killed_in_the_middle_of_its_hand_over() {
     let _alone = ONE_AT_A_TIME.acquire().await.unwrap();
-    const TOKENS: u32 = 200;
     let folder = tempfile::tempdir().unwrap();
-    let shape = slow_shape(Duration::from_millis(300));
-    let mut processes = start(&shape, folder.path()).await;
-    let callers = start_streams(&processes, 40, TOKENS);
-    until("the streams run", || {
-        processes.upstreams.generations() >= 40
-    })
-    .await;
+    let (mut processes, callers) = start_with_streams(folder.path()).await;
     processes.gateways[0].signal(Signal::SIGTERM).unwrap();
     sleep(Duration::from_millis(310)).await;
     processes.gateways[0].kill().unwrap();
-    check_streams(callers, TOKENS).await;
+    check_streams(callers).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_outlive_the_reclaim_of_a_whole_zone() {
     let _alone = ONE_AT_A_TIME.acquire().await.unwrap();
-    const TOKENS: u32 = 200;
     let folder = tempfile::tempdir().unwrap();
-    let shape = slow_shape(Duration::from_millis(300));
-    let mut processes = start(&shape, folder.path()).await;
-    let callers = start_streams(&processes, 40, TOKENS);
-    until("the streams run", || {
-        processes.upstreams.generations() >= 40
-    })
-    .await;
+    let (mut processes, callers) = start_with_streams(folder.path()).await;
     // Engines 0 and 3, gateway 0 and controller 0 are in the zone that is taken back.
     for engine in ["engine-0", "engine-3"] {
         assert!(
@@ -410,33 +409,91 @@
     processes.controllers[0].kill().unwrap();
     sleep(Duration::from_millis(400)).await;
     processes.gateways[0].kill().unwrap();
-    check_streams(callers, TOKENS).await;
+    check_streams(callers).await;
+}
+
+/// How an upstream's end becomes known.
+#[derive(Clone, Copy, Debug)]
+enum Source {
+    Notice,
+    LateList,
+    OwnReport,
+}
+
+const LIST_LAG: Duration = Duration::from_secs(1);
+
+impl Source {
+    fn announce(self, processes: &Processes, server: usize) {
+        let cloud = &processes.upstreams.cloud;
+        let name = format!("depot-{server}");
+        match self {
+            Self::Notice => assert!(cloud.reclaim(&name, PATIENCE)),
+            Self::LateList => {
+                cloud.adjust(|params| params.hide_notices = true);
+                assert!(cloud.reclaim(&name, PATIENCE));
+            }
+            Self::OwnReport => processes.upstreams.services[server].set_leaving(),
+        }
+    }
+
+    /// Returns how long after the announcement new work may still come.
+    fn bound(self) -> Duration {
+        match self {
+            Self::LateList => LIST_LAG + NO_NEW_WORK,
+            Self::Notice | Self::OwnReport => NO_NEW_WORK,
+        }
+    }
 }
 
+/// An upstream that is leaving gets no new work after this time.
+const NO_NEW_WORK: Duration = Duration::from_secs(3);
+
 #[tokio::test(flavor = "multi_thread")]
-async fn a_leaving_engine_gets_no_new_work_after_three_seconds() {
+async fn a_leaving_upstream_gets_no_new_work_after_three_seconds() {
     let _alone = ONE_AT_A_TIME.acquire().await.unwrap();
-    const NO_NEW_WORK: Duration = Duration::from_secs(3);
     let folder = tempfile::tempdir().unwrap();
-    let processes = start(&Shape::default(), folder.path()).await;
-    assert!(processes.upstreams.cloud.reclaim("engine-0", PATIENCE));
-    let noticed = Instant::now();
-    let mut last_new = Duration::ZERO;
-    let mut before = processes.upstreams.engines[0].counts().started;
-    let mut seed = 0;
-    while noticed.elapsed() < NO_NEW_WORK * 2 {
-        seed += 1;
-        let body = json!({
-            "model": MODEL, "prompt": format!("question {seed}"), "max_tokens": 1, "seed": seed,
-        });
-        let call = Call::post("/v1/completions", PAYING_TOKEN, &body);
-        let answer = send(processes.gateway(seed % 2), &call).await.unwrap();
-        assert_eq!(answer.status, StatusCode::OK, "{}", answer.text());
-        let now = processes.upstreams.engines[0].counts().started;
+    let base = Shape::default();
+    let shape = Shape {
+        services: 4,
+        cloud: standin::cloud::CloudParams {
+            list_lag_ms: LIST_LAG.as_millis() as u64,
+            ..base.cloud.clone()
+        },
+        ..base
+    };
+    let processes = start(&shape, folder.path()).await;
+    let sources = [Source::OwnReport, Source::Notice, Source::LateList];
+    for (server, source) in sources.into_iter().enumerate() {
+        let last = last_new_work(&processes, server, source).await;
+        println!("{source:?}: the last new work came after {last:?}");
+        assert!(last < source.bound(), "{source:?}: new work after {last:?}");
+    }
+}
+
+/// Sends calls for a while after the announcement and returns when the last one arrived at the
+/// server that is leaving.
+async fn last_new_work(processes: &Processes, server: usize, source: Source) -> Duration {
+    let service = &processes.upstreams.services[server];
+    let call = Call::get("/v1/services/depot/piles", PAYING_TOKEN);
+    let start = Instant::now();
+    while service.counts().executed == 0 {
+        assert!(start.elapsed() < PATIENCE, "server {server} is never used");
+        send(processes.gateway(0), &call).await.unwrap();
+    }
+    source.announce(processes, server);
+    let announced = Instant::now();
+    let mut last = Duration::ZERO;
+    let mut before = service.counts().executed;
+    while announced.elapsed() < source.bound() + Duration::from_secs(1) {
+        for gateway in [0, 1] {
+            let answer = send(processes.gateway(gateway), &call).await.unwrap();
+            assert_eq!(answer.status, StatusCode::OK, "{}", answer.text());
+        }
+        let now = service.counts().executed;
         if now > before {
-            last_new = noticed.elapsed();
+            last = announced.elapsed();
             before = now;
         }
     }
-    assert!(last_new < NO_NEW_WORK, "new work after {last_new:?}");
+    last
 }
