Refuse a request whose account was revoked while it arrived or waited

Cause: the account was looked up at the head of a request. Its body may take 10 s and the queue 5 s more, so that a request of an account that a confirm had revoked was dispatched long after the confirm said `everywhere`. Ruled out: the instance and the service are chosen from the newest view already; requests that were accepted go on. Change: after the body and the queue the account and its token are compared with the view in force; a request whose account is gone or has another token gets `unauthorized`, ran: no. Conclusion: the new test, with a body that is held back until the account is revoked, did not get 401 before and gets it now, with nothing sent to an upstream.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -17,7 +17,7 @@
     explain::Decisions,
     journal::{Journal, Peers},
     route::Place,
-    view::{Leader, Lease, Snapshot},
+    view::{AccountEntry, Leader, Lease, Snapshot},
 };
 use crate::{
     domain::{GatewayEntry, Refusal, RefusalKind, ViewVersion},
@@ -84,6 +84,21 @@
         self.check_lease()
     }
 
+    /// Refuses new work of an account that was revoked, or whose token was replaced, while its request
+    /// arrived or waited. What a confirm says to be in force everywhere holds for these too.
+    pub(crate) fn check_still_open(&self, account: &AccountEntry) -> Result<(), Refusal> {
+        self.check_open()?;
+        let snapshot = self.snapshot.load();
+        let now = snapshot.account_named(&account.name);
+        if now.is_some_and(|now| now.has_token_of(account)) {
+            return Ok(());
+        }
+        Err(Refusal::not_run(
+            RefusalKind::Unauthorized,
+            "the account or its token was revoked meanwhile; ask the operator for a new token",
+        ))
+    }
+
     /// Counts a request, before its body is read, or refuses it if there are too many.
     pub(crate) fn enter(&self) -> Result<InFlight, Refusal> {
         let before = self.requests.fetch_add(1, Ordering::AcqRel);
--- a/src/gateway/http/completions.rs
+++ b/src/gateway/http/completions.rs
@@ -49,8 +49,8 @@
     service.retries.earn();
     let permit = service.queue.admit(applicant).await?;
     account.metrics.queue_wait(arrived.elapsed());
-    // Waiting may have outlasted the lease.
-    gateway.check_open()?;
+    // Waiting may have outlasted the lease or the account.
+    gateway.check_still_open(&account)?;
     let id = RequestId::generate();
     let shape = Shape::new(id, generation.model.clone(), chat, gateway.clock.unix_ms());
     let stream = generation.stream;
--- a/src/gateway/http/services.rs
+++ b/src/gateway/http/services.rs
@@ -103,7 +103,7 @@
     service.retries.earn();
     let permit = service.queue.admit(applicant).await?;
     account.metrics.queue_wait(prepared.arrived.elapsed());
-    gateway.check_open()?;
+    gateway.check_still_open(account)?;
     let id = RequestId::generate();
     let call = PlainCall {
         id,
--- a/src/gateway/view/account.rs
+++ b/src/gateway/view/account.rs
@@ -28,6 +28,11 @@
             false => Priority::Free,
         }
     }
+
+    /// Says whether another entry has the same bearer token.
+    pub(crate) fn has_token_of(&self, other: &Self) -> bool {
+        self.token_hash == other.token_hash
+    }
 }
 
 /// Builds the accounts of a view, with the metrics of those before.
--- a/tests/gateway_refusals.rs
+++ b/tests/gateway_refusals.rs
@@ -10,11 +10,15 @@
     settings::Timing,
 };
 use gateway_support::{
-    Bench, LEASE, Options, eventually,
-    http::{Call, Events, FREE, Reply},
-    instance,
+    Bench, LEASE, Options, eventually, hash,
+    http::{Call, Events, FREE, PAYING, Reply},
+    instance, intent, shares,
     upstreams::Fault,
 };
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 use uuid::Uuid;
 
 /// Checks what every refusal must satisfy.
@@ -216,3 +220,43 @@
     let reply = Call::complete("p", 1, false).send(address).await;
     assert_eq!(reply.status, 200);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_account_that_is_revoked_while_its_request_arrives_is_refused() {
+    let mut options = Options::default();
+    options.limits.requests = 1;
+    options.timing.caller_timeout = Duration::from_secs(20);
+    let bench = Bench::start(options).await;
+    let address = bench.address(0);
+    let body = r#"{"model": "m", "prompt": "p", "max_tokens": 1}"#;
+    for (path, body) in [("completions", body), ("services/depot/piles", "x")] {
+        let method = if path == "completions" { "POST" } else { "GET" };
+        bench.leader.set_intent(&intent(), shares(64));
+        let probe = Call::get("/v1/services/depot/piles");
+        let answers = |status| {
+            let probe = probe.clone();
+            move || {
+                let probe = probe.clone();
+                async move { probe.send(address).await.status == status }
+            }
+        };
+        eventually("the account is there", answers(200)).await;
+        let mut caller = TcpStream::connect(address).await.unwrap();
+        let length = body.len();
+        let head = format!(
+            "{method} /v1/{path} HTTP/1.1\r\nhost: g\r\nauthorization: Bearer {PAYING}\r\n\
+             connection: close\r\ncontent-length: {length}\r\n\r\n"
+        );
+        caller.write_all(head.as_bytes()).await.unwrap();
+        eventually("the request is in progress", answers(503)).await;
+        let before = bench.upstreams.reached();
+        let revoked = intent().replace(&hash(PAYING), &hash("another token"));
+        bench.leader.set_intent(&revoked, shares(64));
+        eventually("the account is revoked", answers(401)).await;
+        caller.write_all(body.as_bytes()).await.unwrap();
+        let mut reply = String::new();
+        caller.read_to_string(&mut reply).await.unwrap();
+        assert!(reply.starts_with("HTTP/1.1 401"), "{reply}");
+        assert_eq!(bench.upstreams.reached(), before, "{path}");
+    }
+}
