Refuse service paths with segments of dots

Cause: the declared operation is found by the start of the path, and the path is sent on as it came. A call of `/piles/../releases` under an idempotent operation was sent, and after a failure sent again, without a claim, while a service that resolves the dots runs the operation that may run only once. Ruled out: resolving the path here, since services differ in how they do it. Change: a segment `.` or `..`, also percent-encoded, is refused as bad_request, ran: no.

--- a/src/gateway/http/services.rs
+++ b/src/gateway/http/services.rs
@@ -54,6 +54,7 @@
     let service = gateway.snapshot.load().service(&service).cloned();
     let service = service.ok_or_else(unknown)?;
     let path = own_path(&head.path);
+    check_path(&path)?;
     let operation = service
         .operation(head.method.as_str(), &path)
         .ok_or_else(unknown)?;
@@ -79,6 +80,22 @@
     format!("/{}", own.join("/"))
 }
 
+/// Refuses segments that a server may resolve, since the call could then be another operation than the
+/// one that it was taken for, and one that may run only once would be repeated.
+fn check_path(path: &str) -> Result<(), Refusal> {
+    let is_dots = |segment: &str| {
+        let plain = segment.to_ascii_lowercase().replace("%2e", ".");
+        plain == "." || plain == ".."
+    };
+    if !path.split('/').any(is_dots) {
+        return Ok(());
+    }
+    Err(Refusal::not_run(
+        RefusalKind::BadRequest,
+        "the path has a segment of dots only; send the path that the service declares",
+    ))
+}
+
 fn key(head: &Head) -> Result<IdempotencyKey, Refusal> {
     let text = head.header(IDEMPOTENCY_KEY).ok_or_else(|| {
         Refusal::not_run(
--- a/tests/gateway_refusals.rs
+++ b/tests/gateway_refusals.rs
@@ -260,3 +260,15 @@
         assert_eq!(bench.upstreams.reached(), before, "{path}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_path_that_leads_out_of_its_operation_is_refused() {
+    let bench = Bench::start(Options::default()).await;
+    for path in ["piles/../releases", "piles/%2e%2E/releases", "./piles"] {
+        let call = Call::get(format!("/v1/services/depot/{path}"));
+        let reply = call.send(bench.address(0)).await;
+        assert_eq!(reply.status, 400, "{path}: {}", reply.text);
+        check(path, &reply, 0);
+    }
+    assert_eq!(bench.upstreams.reached(), 0);
+}
