Say unknown of a keyed call that is refused before its claim is settled

Cause: a caller whose first attempt ran and whose answer was lost sends the key again. If that retry met a gateway without a lease, a leaving or full one, or no quorum, the answer was ran: no. The caller could take the release for not done and order it anew under another key: a doubled release. The claim alone tells. Ruled out: asking for the claim first (there is none to be had without the quorum); leaving `no` as a statement about the one attempt, since the key stands for the call and key_expired already says unknown for this reason. Change: refusals for passing reasons before the claim is settled say unknown, name the remedy (the same key again) and carry a Retry-After, which tells them from a lost answer, which is final and has none. Refusals that every attempt of the call meets alike (bad key, conflict, not found, too large) and those after the claim was granted still say no.

--- a/src/gateway/claims.rs
+++ b/src/gateway/claims.rs
@@ -248,9 +248,10 @@
 }
 
 fn no_quorum() -> Refusal {
-    Refusal::not_run(
+    Refusal::unknown(
         RefusalKind::NoQuorum,
-        "the controllers did not confirm the claim in time; ask again with the same key",
+        "the controllers did not confirm the claim in time, so that this request was not sent on, but \
+         an earlier one with the key may have run; ask again with the same key",
     )
     .retry_after(NO_QUORUM_RETRY_AFTER)
 }
--- a/src/gateway/http/routes.rs
+++ b/src/gateway/http/routes.rs
@@ -14,7 +14,7 @@
 
 use super::{addresses, body, completions, error, requests, services};
 use crate::{
-    domain::{Refusal, RefusalKind, RequestId},
+    domain::{Refusal, RefusalKind, RequestId, ServiceName},
     gateway::{
         core::{Gateway, InFlight},
         view::{AccountEntry, decode_hex},
@@ -123,17 +123,26 @@
             completions::answer(gateway, caller, &body, true).await
         }
         (["v1", "services", service, ..], _) => {
-            let caller = admit_caller(gateway, head)?;
-            let service = (*service).into();
-            let call = services::prepare(gateway, head, caller, service)?;
-            let body = body::read(gateway, head, body).await?;
-            services::answer(gateway, head, call, body).await
+            let answer = call_service(gateway, head, (*service).into(), body).await;
+            answer.map_err(|refusal| services::doubt(head, refusal))
         }
         (known, _) if is_known(known) => Err(method_not_allowed()),
         _ => Err(not_found()),
     }
 }
 
+async fn call_service<U: Upstreams, T: Clock, B: Buf>(
+    gateway: &Arc<Gateway<U, T>>,
+    head: &Head,
+    service: ServiceName,
+    body: impl Stream<Item = Result<B, warp::Error>> + Send + 'static,
+) -> Result<Response, Refusal> {
+    let caller = admit_caller(gateway, head)?;
+    let call = services::prepare(gateway, head, caller, service)?;
+    let body = body::read(gateway, head, body).await?;
+    services::answer(gateway, head, call, body).await
+}
+
 fn is_known(segments: &[&str]) -> bool {
     matches!(
         segments,
--- a/src/gateway/http/services.rs
+++ b/src/gateway/http/services.rs
@@ -1,6 +1,6 @@
 //! `/v1/services/{service}/{path}`: calls of plain services.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use tokio::time::Instant;
@@ -15,7 +15,7 @@
     routes::{Caller, Head},
 };
 use crate::{
-    domain::{IdempotencyKey, Refusal, RefusalKind, RequestId, ServiceName},
+    domain::{IdempotencyKey, Ran, Refusal, RefusalKind, RequestId, ServiceName},
     gateway::{
         core::Gateway,
         explain::DecisionKind,
@@ -30,6 +30,9 @@
 /// Marks an answer that comes from the record of an earlier call.
 const REPLAYED: HeaderName = HeaderName::from_static("x-replayed");
 
+/// Time to come back with a key whose claim was not settled.
+const DOUBT_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Path segments before a service's own path.
 const PREFIX_SEGMENTS: usize = 4;
 
@@ -96,6 +99,33 @@
     ))
 }
 
+/// Takes back that a call with a key did not run, if it was refused for a passing reason before its
+/// claim was settled: an earlier attempt with the key may have run, at any gateway.
+pub(super) fn doubt(head: &Head, refusal: Refusal) -> Refusal {
+    let passing = matches!(
+        refusal.kind,
+        RefusalKind::Leaving
+            | RefusalKind::NoLease
+            | RefusalKind::OverShare
+            | RefusalKind::Overloaded
+            | RefusalKind::TooSlow
+    );
+    if !passing || head.header(IDEMPOTENCY_KEY).is_none() {
+        return refusal;
+    }
+    // A time to come back marks that asking again is of use; a lost answer has none.
+    Refusal {
+        ran: Ran::Unknown,
+        retry_after: refusal.retry_after.or(Some(DOUBT_RETRY_AFTER)),
+        message: format!(
+            "{}; this request was not sent on, but an earlier one with its Idempotency-Key may have \
+             run, so use the same key again",
+            refusal.message
+        ),
+        ..refusal
+    }
+}
+
 fn key(head: &Head) -> Result<IdempotencyKey, Refusal> {
     let text = head.header(IDEMPOTENCY_KEY).ok_or_else(|| {
         Refusal::not_run(
