Give the restarted server of the link test an address of its own

Cause: the test listened again on a port of 127.0.0.1 that it had let go; meanwhile an outgoing connection had taken it (address in use, once in about 20 runs). Ruled out: SO_REUSEADDR, which is set. Change: an address per process outside 127.0.0.1, where no outgoing connection takes ports.

--- a/tests/link.rs
+++ b/tests/link.rs
@@ -1,7 +1,7 @@
 //! Links under failure: a wrong key, a silent peer, a peer that dies and a late reply.
 
 use std::{
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr},
     sync::{
         Arc,
         atomic::{AtomicU32, Ordering},
@@ -76,8 +76,22 @@
     })
 }
 
+/// Returns an address that no other process takes while nobody listens on it: ports of outgoing
+/// connections are taken on 127.0.0.1 only.
+fn own_address() -> SocketAddr {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    (Ipv4Addr::new(127, 1 | high, low, 200), 7000).into()
+}
+
 async fn start_server(handler: Arc<Echo>) -> (SocketAddr, CancellationToken) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    start_server_at("127.0.0.1:0".parse().unwrap(), handler).await
+}
+
+async fn start_server_at(
+    address: SocketAddr,
+    handler: Arc<Echo>,
+) -> (SocketAddr, CancellationToken) {
+    let listener = TcpListener::bind(address).await.unwrap();
     let address = listener.local_addr().unwrap();
     let stop = CancellationToken::new();
     tokio::spawn(serve(
@@ -170,7 +184,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_restarted_peer_is_connected_anew() {
-    let (address, stop) = start_server(Echo::new()).await;
+    let (address, stop) = start_server_at(own_address(), Echo::new()).await;
     let link = connect(address, "a shared key of some length");
     call_until_answered(&link, "first").await;
     stop.cancel();
@@ -182,15 +196,7 @@
         }
     };
     timeout(PATIENCE, down).await.unwrap();
-    let listener = TcpListener::bind(address).await.unwrap();
-    tokio::spawn(serve(
-        listener,
-        key("a shared key of some length"),
-        identity("server"),
-        LinkSettings::default(),
-        Echo::new(),
-        CancellationToken::new(),
-    ));
+    let (_, _stop) = start_server_at(address, Echo::new()).await;
     call_until_answered(&link, "again").await;
 }
 
