--- a/benches/gateway.rs
+++ b/benches/gateway.rs
@@ -39,9 +39,23 @@
 #[tokio::main]
 async fn main() -> anyhow::Result<()> {
     println!("cores: {}", std::thread::available_parallelism()?);
-    measure_latency(Duration::ZERO).await?;
-    measure_latency(ENGINE_TIME).await?;
-    measure_streams().await
+    if is_wanted("latency") {
+        measure_latency(Duration::ZERO).await?;
+        measure_latency(ENGINE_TIME).await?;
+    }
+    if is_wanted("streams") {
+        measure_streams().await?;
+    }
+    Ok(())
+}
+
+/// Returns whether a part was named on the command line; all parts run if none was.
+fn is_wanted(part: &str) -> bool {
+    let mut named = std::env::args()
+        .skip(1)
+        .filter(|arg| !arg.starts_with("--"));
+    let first = named.next();
+    first.as_deref().is_none_or(|first| first == part) || named.any(|arg| arg == part)
 }
 
 fn shape(token_interval_us: u64) -> Shape {
