Move streams without a first token as well when their gateway leaves

Cause: only accepted requests were handed over, so that one which still waited for its first token at the end of a shutdown was cut off with 502. It is now handed over like the others, and its stream begins with the event that says where to resume. The new test got 502 before and passes now.

--- a/src/gateway/generate/pump.rs
+++ b/src/gateway/generate/pump.rs
@@ -286,8 +286,10 @@
         self.may_hand_over() && self.gateway.hand_over.is_cancelled()
     }
 
+    /// Says whether the request goes to another gateway when this one's time is up. One without a
+    /// token yet does so too, since its caller is not to be cut off either.
     pub(super) fn may_hand_over(&self) -> bool {
-        self.accepted && !self.stays
+        !self.stays
     }
 
     /// Takes a place again after it was given to paying work. Returns whether there is one now.
--- a/tests/gateway_hand_over.rs
+++ b/tests/gateway_hand_over.rs
@@ -57,7 +57,8 @@
 
     async fn resume(&mut self, address: SocketAddr) {
         let last = self.texts.len().checked_sub(1).map(|at| at as u32);
-        let call = Call::resume(&self.events.request_id, last);
+        let call =
+            Call::resume(&self.events.request_id, last).header("accept", "text/event-stream");
         self.events = Events::open(&call, address).await;
     }
 
@@ -223,6 +224,31 @@
     bench.gateways[0].ended().await.unwrap();
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_without_its_first_token_moves_too() {
+    let mut bench = bench(2).await;
+    bench.upstreams.release(0);
+    let address = bench.address(0);
+    let call = Call::complete("early", TOKENS, true);
+    let caller = tokio::spawn(async move { Events::open(&call, address).await });
+    let upstreams = &bench.upstreams;
+    eventually("it is generated", || async {
+        upstreams.open_streams() == 1
+    })
+    .await;
+    bench.gateways[0].stop.cancel();
+    let mut caller = Caller {
+        prompt: "early".to_owned(),
+        events: caller.await.unwrap(),
+        texts: Vec::new(),
+    };
+    let last = caller.read_on().await.expect("an event says where to go");
+    caller.resume(moved_to(&last)).await;
+    bench.upstreams.release(u32::MAX);
+    caller.check_whole().await;
+    bench.gateways[0].ended().await.unwrap();
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_gateway_without_others_finishes_what_it_can() {
     let mut bench = bench(1).await;
