--- a/tests/gateway_refusals.rs
+++ b/tests/gateway_refusals.rs
@@ -8,6 +8,7 @@
     domain::RefusalKind,
     ports::{Sent, UpstreamErrorKind},
     settings::Timing,
+    wire::ShareRecord,
 };
 use gateway_support::{
     Bench, LEASE, Options, eventually, hash,
@@ -143,20 +144,24 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn work_beyond_the_share_is_refused_with_a_time_to_come_back() {
-    let bench = Bench::start(Options {
+    let bench = Bench::start(Options::default()).await;
+    // All of the gateway's capacity is one slot of the free account, so that nothing can be borrowed.
+    let share = ShareRecord {
+        service: "chat".to_owned(),
+        account: "free".to_owned(),
         slots: 1,
-        ..Options::default()
-    })
-    .await;
+    };
+    bench.leader.set_intent(&intent(), vec![share]);
     bench.upstreams.release(1);
     let call = Call::complete("p", 2, true).token(Some(FREE));
-    // One in its share, and two in slots that nobody else uses.
-    let mut running = Vec::new();
-    for _ in 0..3 {
-        let mut events = Events::open(&call, bench.address(0)).await;
-        events.tokens(1).await;
-        running.push(events);
-    }
+    let mut running = Events::open(&call, bench.address(0)).await;
+    running.tokens(1).await;
+    let address = bench.address(0);
+    eventually("the share is in force", || async move {
+        let probe = Call::complete("probe", 1, false).token(Some(FREE));
+        probe.send(address).await.status != 200
+    })
+    .await;
     let reached = bench.upstreams.reached();
     let reply = call.send(bench.address(0)).await;
     check("over share", &reply, 0);
@@ -272,3 +277,28 @@
     }
     assert_eq!(bench.upstreams.reached(), 0);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gateway_takes_a_bounded_number_of_requests() {
+    let mut options = Options::default();
+    options.limits.requests = 1;
+    let bench = Bench::start(options).await;
+    bench.upstreams.release(1);
+    let call = Call::complete("p", 2, true);
+    let mut running = Events::open(&call, bench.address(0)).await;
+    running.tokens(1).await;
+    for call in [call.clone(), Call::get("/v1/services/depot/piles")] {
+        let reply = call.send(bench.address(0)).await;
+        assert_eq!(reply.error(), ("overloaded".to_owned(), "no".to_owned()));
+        assert_eq!(reply.header("retry-after"), Some("1"));
+    }
+    assert_eq!(bench.upstreams.reached(), 1);
+    bench.upstreams.release(2);
+    while running.next().await.is_some() {}
+    let address = bench.address(0);
+    eventually("there is room again", || async move {
+        let call = Call::get("/v1/services/depot/piles");
+        call.send(address).await.status == 200
+    })
+    .await;
+}
