Count the lease of a replaced incarnation until it ends

Cause: when a gateway registered under a new incarnation, the registry forgot the leases of the one before. A process that was stopped, not dead, while its replacement started goes on under its old lease for up to 2 s, so that a confirm could answer `everywhere: true` while it still took work on the older revision. Ruled out: a lost gateway leaves the registry only after its lease; claims of the old incarnation are marked unknown at once, which stays safe since an unknown claim is never granted again. Change: the leases of replaced incarnations are kept until they end and count for `everywhere`. Conclusion: the new test was answered everywhere at once before; now it is when the lease has ended. A confirm right after a gateway's restart waits up to one lease longer.

--- a/src/controller/fleet.rs
+++ b/src/controller/fleet.rs
@@ -18,6 +18,13 @@
     until: Duration,
 }
 
+impl Grant {
+    /// Whether it allows work on a view before an index.
+    fn allows(&self, now: Duration, index: u64) -> bool {
+        self.required_index < index && self.until > now
+    }
+}
+
 /// A registered gateway.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Member {
@@ -45,8 +52,7 @@
 
     /// Whether it takes no new work on a view before an index.
     fn settled(&self, now: Duration, index: u64) -> bool {
-        let stale = |grant: &Grant| grant.required_index < index && grant.until > now;
-        self.view_index >= index || !self.grants.iter().any(stale)
+        self.view_index >= index || !self.grants.iter().any(|grant| grant.allows(now, index))
     }
 
     fn reply(&mut self, lease: Duration, required_index: u64) -> LeaseReply {
@@ -107,6 +113,8 @@
     sequence: u64,
     members: BTreeMap<String, Member>,
     replaced: Vec<Lost>,
+    /// Leases of replaced incarnations, whose processes may have been stopped and go on.
+    former: Vec<Grant>,
 }
 
 impl Fleet {
@@ -207,6 +215,8 @@
             replies_since_change: 0,
         };
         if let Some(old) = self.members.insert(record.name.clone(), member) {
+            self.former.retain(|grant| grant.until > now);
+            self.former.extend(old.grants);
             self.replaced.push(Lost {
                 gateway: old.record.name,
                 incarnation: old.record.incarnation,
@@ -259,7 +269,8 @@
             gateways: count(self.members.len()),
             everywhere: led_term == Some(self.term)
                 && self.is_complete(now)
-                && self.members().all(|m| m.settled(now, index)),
+                && self.members().all(|m| m.settled(now, index))
+                && !self.former.iter().any(|grant| grant.allows(now, index)),
         }
     }
 }
--- a/tests/controller_fleet.rs
+++ b/tests/controller_fleet.rs
@@ -60,6 +60,16 @@
     assert!(fleet.progress(ms(3000), 1, Some(2)).everywhere);
 }
 
+#[test]
+fn a_replaced_incarnation_counts_until_its_lease_has_ended() {
+    let mut fleet = led(1, 0);
+    fleet.hear(ms(3000), &beat("g0", 1, 5), 5).unwrap();
+    // The old process may be stopped, not dead, and go on where it was.
+    fleet.hear(ms(3500), &beat("g0", 2, 9), 9).unwrap();
+    assert!(!fleet.progress(ms(4999), 9, Some(1)).everywhere);
+    assert!(fleet.progress(ms(5000), 9, Some(1)).everywhere);
+}
+
 #[test]
 fn a_registry_of_another_term_says_nothing_of_everywhere() {
     // It was not taken up in term 4 yet, or this controller leads no more.
