--- a/tests/gateway_refusals.rs
+++ b/tests/gateway_refusals.rs
@@ -226,6 +226,31 @@
     assert_eq!(reply.status, 200);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gateway_takes_a_bounded_number_of_requests() {
+    let mut options = Options::default();
+    options.limits.requests = 1;
+    let bench = Bench::start(options).await;
+    bench.upstreams.release(1);
+    let call = Call::complete("p", 2, true);
+    let mut running = Events::open(&call, bench.address(0)).await;
+    running.tokens(1).await;
+    for call in [call.clone(), Call::get("/v1/services/depot/piles")] {
+        let reply = call.send(bench.address(0)).await;
+        assert_eq!(reply.error(), ("overloaded".to_owned(), "no".to_owned()));
+        assert_eq!(reply.header("retry-after"), Some("1"));
+    }
+    assert_eq!(bench.upstreams.reached(), 1);
+    bench.upstreams.release(2);
+    while running.next().await.is_some() {}
+    let address = bench.address(0);
+    eventually("there is room again", || async move {
+        let call = Call::get("/v1/services/depot/piles");
+        call.send(address).await.status == 200
+    })
+    .await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_account_that_is_revoked_while_its_request_arrives_is_refused() {
     let mut options = Options::default();
@@ -277,28 +302,3 @@
     }
     assert_eq!(bench.upstreams.reached(), 0);
 }
-
-#[tokio::test(flavor = "multi_thread")]
-async fn a_gateway_takes_a_bounded_number_of_requests() {
-    let mut options = Options::default();
-    options.limits.requests = 1;
-    let bench = Bench::start(options).await;
-    bench.upstreams.release(1);
-    let call = Call::complete("p", 2, true);
-    let mut running = Events::open(&call, bench.address(0)).await;
-    running.tokens(1).await;
-    for call in [call.clone(), Call::get("/v1/services/depot/piles")] {
-        let reply = call.send(bench.address(0)).await;
-        assert_eq!(reply.error(), ("overloaded".to_owned(), "no".to_owned()));
-        assert_eq!(reply.header("retry-after"), Some("1"));
-    }
-    assert_eq!(bench.upstreams.reached(), 1);
-    bench.upstreams.release(2);
-    while running.next().await.is_some() {}
-    let address = bench.address(0);
-    eventually("there is room again", || async move {
-        let call = Call::get("/v1/services/depot/piles");
-        call.send(address).await.status == 200
-    })
-    .await;
-}
