Say unknown of a confirm that a controller without the log refuses

Cause: an operator whose confirm was carried out, but whose answer was lost, sends it again. A controller that does not lead answered ran: no, as it does for a first order, and the operator could take the plan for not confirmed. Ruled out: a conflict is recorded under its operation, so it says no truthfully; reads change nothing. Change: a confirm that the log did not decide says unknown; one too large for the log still says no. Conclusion: the test of the isolated controller got no before and unknown now. Resending the same plan is safe.

--- a/src/controller/api_error.rs
+++ b/src/controller/api_error.rs
@@ -74,6 +74,14 @@
         }
     }
 
+    /// Marks it as the answer to an order that may have been carried out when it was sent before.
+    pub fn perhaps_before(self) -> Self {
+        Self {
+            ran: Ran::Unknown,
+            ..self
+        }
+    }
+
     /// Turns it into the answer.
     pub fn response(self) -> warp::reply::Response {
         let waits = self.status == StatusCode::SERVICE_UNAVAILABLE;
--- a/src/controller/operators.rs
+++ b/src/controller/operators.rs
@@ -129,7 +129,11 @@
             changes: changes::describe(&before, &request.intent),
         });
         let applied = self.core.propose(action).await;
-        let applied = applied.map_err(|e| self.log_error(e))?;
+        let applied = applied.map_err(|e| match e {
+            LogError::TooLarge => self.log_error(e),
+            // Only the log knows whether the operation was confirmed when it was sent before.
+            _ => self.log_error(e).perhaps_before(),
+        })?;
         let Reply::Confirm(outcome) = applied.reply else {
             return Err(unexpected());
         };
--- a/tests/controller_confirm.rs
+++ b/tests/controller_confirm.rs
@@ -120,6 +120,8 @@
     let answer = cluster.post(left, "confirm", &order(1, intent(2))).await;
     assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
     assert_eq!(&*answer.error().error.kind, "no_quorum");
+    // The order may have been carried out when it was sent before; only the log knows its operation.
+    assert_eq!(answer.error().error.ran, Ran::Unknown);
 }
 
 #[tokio::test(flavor = "multi_thread")]
