Measure the slopes that the capacity page needs

The existing examples give views, claims and confirm times with all parts in one process, so they don't part the leader's cost from the gateways'.

It also gives the memory of claims and of believed prefixes, and the sizes of messages.

Ruled out: wall time (the machine is shared, so it would measure the others), and bytes from /proc/PID/io, which does not count what sockets send; the servers count HTTP bytes instead.

--- /dev/null
+++ b/examples/measure_scale/state.rs
@@ -0,0 +1,122 @@
+//! The replicated state with many claims, and what a gateway believes of the engines' caches.
+
+use bytes::Bytes;
+use flamingocroft::{
+    policy::prefix::{MAX_PREFIXES, PrefixIndex},
+    ports::{CacheEvent, CacheEvents},
+    state::{Action, ClaimCommand, Command, State},
+    wire::{ClaimRequest, OutcomeRequest, StoredOutcome},
+};
+use uuid::Uuid;
+
+use crate::usage;
+
+const CLAIMS: [u64; 3] = [1_000, 10_000, 100_000];
+const OUTCOME_BYTES: usize = 200;
+const RETENTION_MS: u64 = 24 * 3600 * 1000;
+const PREFIXES: [usize; 3] = [1024, 8192, MAX_PREFIXES];
+const ENGINES: usize = 32;
+/// Repetitions of what is too short for the kernel's count of processor time.
+const REPETITIONS: usize = 20;
+
+/// Prints the size of the state and its snapshot for some numbers of claims.
+pub fn measure_claims() -> anyhow::Result<()> {
+    println!("\nstate with recorded claims, outcomes of {OUTCOME_BYTES} bytes");
+    println!("claims | memory bytes/claim | snapshot bytes/claim | apply us/claim | encode ms");
+    for count in CLAIMS {
+        let before = usage::of(std::process::id())?;
+        let cpu = usage::thread_cpu_seconds()?;
+        let state = filled(count);
+        let applied = usage::thread_cpu_seconds()? - cpu;
+        let memory = usage::of(std::process::id())?.rss_mib - before.rss_mib;
+        let cpu = usage::thread_cpu_seconds()?;
+        let snapshots: Vec<usize> = (0..REPETITIONS).map(|_| state.encode().len()).collect();
+        let encoded = (usage::thread_cpu_seconds()? - cpu) / REPETITIONS as f64;
+        println!(
+            "{count:>6} | {:>18.0} | {:>20.0} | {:>14.1} | {:>9.2}",
+            memory * 1024.0 * 1024.0 / count as f64,
+            snapshots[0] as f64 / count as f64,
+            applied * 1e6 / count as f64,
+            encoded * 1e3,
+        );
+        // Kept until the end, so that the next state does not reuse its memory unseen.
+        std::mem::forget(state);
+    }
+    Ok(())
+}
+
+fn filled(count: u64) -> State {
+    let mut state = State::default();
+    for i in 0..count {
+        let key = Uuid::now_v7();
+        let created_ms = key.as_u64_pair().0 >> 16;
+        let request = ClaimRequest {
+            account: "sabkha-depots-south".to_owned(),
+            key: key.as_bytes().to_vec(),
+            digest: vec![7; 32],
+            gateway: format!("gateway-{:03}", i % 330),
+            incarnation: 1_796_000_000_000,
+            attempt: i,
+        };
+        let claim = Action::Claim(ClaimCommand {
+            request: Some(request.clone()),
+            retention_ms: RETENTION_MS,
+            skew_ms: 60_000,
+        });
+        let outcome = Action::RecordOutcome(OutcomeRequest {
+            claim: Some(request),
+            outcome: Some(StoredOutcome {
+                status: 200,
+                content_type: "application/json".to_owned(),
+                body: Bytes::from(vec![7; OUTCOME_BYTES]),
+            }),
+        });
+        for (index, action) in [(2 * i + 1, claim), (2 * i + 2, outcome)] {
+            let command = Command {
+                at_unix_ms: created_ms,
+                action: Some(action),
+            };
+            state.apply(index, &command);
+        }
+    }
+    assert_eq!(state.claims().len() as u64, count);
+    state
+}
+
+/// Prints memory and the cost of a copy, which each poll with its events makes.
+pub fn measure_prefixes() -> anyhow::Result<()> {
+    println!("\na gateway's belief of one engine's cache, mean of {ENGINES} engines");
+    println!("prefixes | KiB/engine | copy us");
+    for count in PREFIXES {
+        let before = usage::of(std::process::id())?.rss_mib;
+        let believed: Vec<PrefixIndex> = (0..ENGINES).map(|_| index(count)).collect();
+        let memory = usage::of(std::process::id())?.rss_mib - before;
+        let cpu = usage::thread_cpu_seconds()?;
+        let copies = believed.iter().cycle().take(ENGINES * REPETITIONS);
+        let copied: usize = copies.map(|index| index.clone().len()).sum();
+        let copy = usage::thread_cpu_seconds()? - cpu;
+        println!(
+            "{:>8} | {:>10.0} | {:>7.0}",
+            copied / ENGINES / REPETITIONS,
+            memory * 1024.0 / ENGINES as f64,
+            copy * 1e6 / (ENGINES * REPETITIONS) as f64,
+        );
+        std::mem::forget(believed);
+    }
+    Ok(())
+}
+
+fn index(count: usize) -> PrefixIndex {
+    let events = (0..count as u64).map(|i| CacheEvent {
+        prefix: (i + 1).wrapping_mul(0x9E37_79B9_7F4A_7C15),
+        tokens: 64,
+        stored: true,
+    });
+    let mut index = PrefixIndex::default();
+    index.apply(&CacheEvents {
+        events: events.collect(),
+        next: count as u64,
+        gap: false,
+    });
+    index
+}
