--- a/examples/measure_scale.rs
+++ b/examples/measure_scale.rs
@@ -34,6 +34,7 @@
     }
     if runs("state") {
         state::measure_claims()?;
+        state::measure_changes()?;
     }
     if runs("prefixes") {
         state::measure_prefixes()?;
--- a/examples/measure_scale/sizes.rs
+++ b/examples/measure_scale/sizes.rs
@@ -131,7 +131,8 @@
     }
 }
 
-fn intent_json(accounts: usize) -> Vec<u8> {
+/// Returns an intent as JSON.
+pub fn intent_json(accounts: usize) -> Vec<u8> {
     let mut intent = intent(&Shape::default());
     let template = intent.accounts[0].clone();
     intent.accounts = (0..accounts)
--- a/examples/measure_scale/state.rs
+++ b/examples/measure_scale/state.rs
@@ -4,14 +4,16 @@
 use flamingocroft::{
     policy::prefix::{MAX_PREFIXES, PrefixIndex},
     ports::{CacheEvent, CacheEvents},
-    state::{Action, ClaimCommand, Command, State},
+    state::{Action, ClaimCommand, Command, ConfirmIntent, State},
     wire::{ClaimRequest, OutcomeRequest, StoredOutcome},
 };
 use uuid::Uuid;
 
-use crate::usage;
+use crate::{sizes::intent_json, usage};
 
 const CLAIMS: [u64; 3] = [1_000, 10_000, 100_000];
+const CHANGES: [u64; 4] = [1, 100, 1_000, 2_400];
+const ACCOUNTS: usize = 500;
 const OUTCOME_BYTES: usize = 200;
 const RETENTION_MS: u64 = 24 * 3600 * 1000;
 const PREFIXES: [usize; 3] = [1024, 8192, MAX_PREFIXES];
@@ -45,6 +47,41 @@
     Ok(())
 }
 
+/// Prints the size of the state after some numbers of confirmed changes.
+pub fn measure_changes() -> anyhow::Result<()> {
+    let intent = Bytes::from(intent_json(ACCOUNTS));
+    println!(
+        "\nstate after changes of an intent of {} bytes",
+        intent.len()
+    );
+    println!("changes | snapshot bytes | apply us/change");
+    for count in CHANGES {
+        let mut state = State::default();
+        let cpu = usage::thread_cpu_seconds()?;
+        for i in 0..count {
+            let confirm = ConfirmIntent {
+                operation: Uuid::now_v7().as_bytes().to_vec(),
+                base_revision: i,
+                intent: intent.clone(),
+                changes: vec!["account account-000 has the weight 2 in place of 1".to_owned()],
+            };
+            let command = Command {
+                at_unix_ms: i,
+                action: Some(Action::Confirm(confirm)),
+            };
+            state.apply(i + 1, &command);
+        }
+        let applied = usage::thread_cpu_seconds()? - cpu;
+        assert_eq!(state.configuration().revision(), count);
+        println!(
+            "{count:>7} | {:>14} | {:>15.0}",
+            state.encode().len(),
+            applied * 1e6 / count as f64,
+        );
+    }
+    Ok(())
+}
+
 fn filled(count: u64) -> State {
     let mut state = State::default();
     for i in 0..count {
