--- a/examples/measure_scale/claims.rs
+++ b/examples/measure_scale/claims.rs
@@ -9,8 +9,9 @@
 use crate::{
     support::{
         http::{Call, Connection},
-        installation::{PAYING_TOKEN, Shape, intent},
+        intent::intent,
         processes::Processes,
+        shape::{PAYING_TOKEN, Shape},
     },
     usage,
 };
--- a/examples/measure_scale/polls.rs
+++ b/examples/measure_scale/polls.rs
@@ -15,8 +15,9 @@
 use crate::{
     servers::Servers,
     support::{
-        installation::{Shape, ZONES, intent, next_host},
+        intent::intent,
         processes::Processes,
+        shape::{Shape, ZONES, next_host},
     },
     usage,
 };
--- a/examples/measure_scale/sizes.rs
+++ b/examples/measure_scale/sizes.rs
@@ -10,7 +10,7 @@
 };
 use prost::Message;
 
-use crate::support::installation::{Shape, intent};
+use crate::support::{intent::intent, shape::Shape};
 
 /// Bytes that tell a frame's length.
 const LENGTH_BYTES: usize = 4;
--- a/examples/measure_scale/state.rs
+++ b/examples/measure_scale/state.rs
@@ -24,7 +24,9 @@
 /// Prints the size of the state and its snapshot for some numbers of claims.
 pub fn measure_claims() -> anyhow::Result<()> {
     println!("\nstate with recorded claims, outcomes of {OUTCOME_BYTES} bytes");
-    println!("claims | memory bytes/claim | snapshot bytes/claim | apply us/claim | encode ms");
+    println!(
+        "claims | memory bytes/claim | snapshot bytes/claim | apply us/claim | copy ms | encode ms"
+    );
     for count in CLAIMS {
         let before = usage::of(std::process::id())?;
         let cpu = usage::thread_cpu_seconds()?;
@@ -34,11 +36,16 @@
         let cpu = usage::thread_cpu_seconds()?;
         let snapshots: Vec<usize> = (0..REPETITIONS).map(|_| state.encode().len()).collect();
         let encoded = (usage::thread_cpu_seconds()? - cpu) / REPETITIONS as f64;
+        let cpu = usage::thread_cpu_seconds()?;
+        // The copies are kept, so that dropping them is not counted.
+        let copies: Vec<State> = (0..REPETITIONS).map(|_| state.clone()).collect();
+        let copied = (usage::thread_cpu_seconds()? - cpu) / copies.len() as f64;
         println!(
-            "{count:>6} | {:>18.0} | {:>20.0} | {:>14.1} | {:>9.2}",
+            "{count:>6} | {:>18.0} | {:>20.0} | {:>14.1} | {:>7.2} | {:>9.2}",
             memory * 1024.0 * 1024.0 / count as f64,
             snapshots[0] as f64 / count as f64,
             applied * 1e6 / count as f64,
+            copied * 1e3,
             encoded * 1e3,
         );
         // Kept until the end, so that the next state does not reuse its memory unseen.
