--- a/benches/gateway.rs
+++ b/benches/gateway.rs
@@ -128,6 +128,8 @@
 struct Measured {
     latency: Histogram<u64>,
     failed: u64,
+    /// The text of one failed answer.
+    failure: String,
     elapsed: Duration,
 }
 
@@ -136,6 +138,7 @@
         Self {
             latency: Histogram::new(3).expect("three digits are supported"),
             failed: 0,
+            failure: String::new(),
             elapsed: Duration::ZERO,
         }
     }
@@ -145,6 +148,9 @@
     fn add(&mut self, other: Self) {
         self.latency += other.latency;
         self.failed += other.failed;
+        if !other.failure.is_empty() {
+            self.failure = other.failure;
+        }
         self.elapsed += other.elapsed;
     }
 
@@ -162,6 +168,9 @@
             self.at(0.99),
             self.failed,
         );
+        if !self.failure.is_empty() {
+            println!("            | one failure: {}", self.failure);
+        }
     }
 }
 
@@ -197,7 +206,10 @@
                 let micros = sent.elapsed().as_micros().try_into()?;
                 match answer.status.is_success() {
                     true => measured.latency.record(micros)?,
-                    false => measured.failed += 1,
+                    false => {
+                        measured.failed += 1;
+                        measured.failure = answer.text();
+                    }
                 }
             }
             anyhow::Ok(measured)
