Let capacity move between gateways only after its user gave it up

Cause: the leader sent larger shares to one gateway before another had confirmed smaller ones; a lost reply let both use the same slots for up to a lease. Ruled out: the division itself, whose sums never exceed the capacity. Not covered: shares of an earlier leader, which the new one does not know until a gateway confirms its first ones, about one heartbeat after an election.

--- a/examples/measure_scale/sizes.rs
+++ b/examples/measure_scale/sizes.rs
@@ -156,6 +156,7 @@
         view_index: 1_000_000,
         demand: vec![demand; demands],
         leaving: Vec::new(),
+        shares_version: 1 << 36,
     }))
 }
 
@@ -170,6 +171,7 @@
         required_index: 1_000_000,
         shares: vec![share; shares],
         shares_changed: true,
+        shares_version: 1 << 36,
     }))
 }
 
--- a/src/controller/fleet.rs
+++ b/src/controller/fleet.rs
@@ -4,12 +4,18 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use crate::wire::{Demand, GatewayHeartbeat, GatewayRecord, LeaseReply, ShareRecord};
+use super::held::HeldShares;
+use crate::{
+    policy::allocate::Allocation,
+    wire::{Demand, GatewayHeartbeat, GatewayRecord, LeaseReply, ShareRecord},
+};
 
 /// Replies in a row that repeat changed shares, because a reply can be lost.
 const SHARE_REPEATS: u32 = 3;
 /// Replies after which unchanged shares are sent again.
 const SHARE_REFRESH: u32 = 16;
+/// Versions of shares that one term has room for, in bits.
+const SHARE_VERSION_BITS: u32 = 32;
 
 /// A lease that may still be in force at a gateway.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,7 +42,7 @@
     pub demand: Vec<Demand>,
     heard_at: Duration,
     grants: Vec<Grant>,
-    shares: Vec<ShareRecord>,
+    shares: HeldShares,
     replies_since_change: u32,
 }
 
@@ -59,8 +65,9 @@
         let count = self.replies_since_change;
         self.replies_since_change += 1;
         let shares_changed = count < SHARE_REPEATS || count.is_multiple_of(SHARE_REFRESH);
+        let (shares_version, newest) = self.shares.newest();
         let shares = if shares_changed {
-            self.shares.clone()
+            newest.to_vec()
         } else {
             Vec::new()
         };
@@ -69,6 +76,7 @@
             required_index,
             shares,
             shares_changed,
+            shares_version,
         }
     }
 }
@@ -111,6 +119,7 @@
     term: u64,
     led_since: Duration,
     sequence: u64,
+    shares_sent: u64,
     members: BTreeMap<String, Member>,
     replaced: Vec<Lost>,
     /// Leases of replaced incarnations, whose processes may have been stopped and go on.
@@ -186,6 +195,7 @@
         member.heard_at = now;
         member.view_index = heartbeat.view_index;
         member.demand = heartbeat.demand.clone();
+        member.shares.confirm(heartbeat.shares_version);
         member.grant(now, lease, required_index);
         Ok(member.reply(lease, required_index))
     }
@@ -211,7 +221,7 @@
             demand: Vec::new(),
             heard_at: now,
             grants: Vec::new(),
-            shares: Vec::new(),
+            shares: HeldShares::default(),
             replies_since_change: 0,
         };
         if let Some(old) = self.members.insert(record.name.clone(), member) {
@@ -252,10 +262,22 @@
         let Some(member) = self.members.get_mut(gateway) else {
             return;
         };
-        if member.shares != shares {
-            member.shares = shares;
-            member.replies_since_change = 0;
+        let (_, newest) = member.shares.newest();
+        if newest == shares {
+            return;
         }
+        self.shares_sent += 1;
+        let version = (self.term << SHARE_VERSION_BITS) + self.shares_sent;
+        member.shares.send(version, shares);
+        member.replies_since_change = 0;
+    }
+
+    /// Returns the shares that gateways with a lease may still use, the largest where a smaller one
+    /// is not confirmed yet.
+    pub fn held_shares(&self) -> Vec<Allocation> {
+        self.members()
+            .flat_map(|member| member.shares.allocations(&member.record.name))
+            .collect()
     }
 
     /// Returns how far an index has come. `led_term` is the term that this controller leads with a
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -10,6 +10,7 @@
 pub mod fleet;
 mod form;
 mod handler;
+mod held;
 mod http;
 mod leader;
 mod log;
--- a/src/controller/shares.rs
+++ b/src/controller/shares.rs
@@ -10,7 +10,8 @@
     wire::{Demand, ShareRecord},
 };
 
-/// Divides the capacity of every service among the registered gateways.
+/// Divides the capacity of every service among the registered gateways. A share grows only into
+/// capacity that no gateway may still use.
 pub fn divide(
     intent: &Intent,
     instances: &Instances,
@@ -21,7 +22,9 @@
         .members()
         .map(|member| (member.record.name.clone(), Vec::new()))
         .collect();
-    for share in allocate::shares(&rows, &capacities(intent, instances)) {
+    let capacities = capacities(intent, instances);
+    let wanted = allocate::shares(&rows, &capacities);
+    for share in allocate::hold_back(wanted, &fleet.held_shares(), &capacities) {
         let record = ShareRecord {
             service: share.service.to_string(),
             account: share.account.to_string(),
--- a/src/domain/view.rs
+++ b/src/domain/view.rs
@@ -63,4 +63,6 @@
     pub gateways: Vec<GatewayEntry>,
     /// This gateway's shares.
     pub shares: Vec<Share>,
+    /// The leader's version of the shares; zero before the first ones.
+    pub shares_version: u64,
 }
--- a/src/gateway/view/decode.rs
+++ b/src/gateway/view/decode.rs
@@ -40,6 +40,7 @@
         instances: instances(held, reply),
         gateways,
         shares: held.shares.clone(),
+        shares_version: held.shares_version,
     })
 }
 
--- a/src/gateway/view/keeper.rs
+++ b/src/gateway/view/keeper.rs
@@ -114,7 +114,7 @@
 
     fn apply_lease(&mut self, sent_at: Duration, reply: &LeaseReply) {
         if reply.shares_changed {
-            self.apply_shares(&reply.shares);
+            self.apply_shares(&reply.shares, reply.shares_version);
         }
         self.pending = Some(PendingLease {
             until: sent_at + Duration::from_millis(reply.lease_ms),
@@ -123,11 +123,12 @@
         self.activate_lease();
     }
 
-    fn apply_shares(&mut self, records: &[ShareRecord]) {
+    fn apply_shares(&mut self, records: &[ShareRecord], shares_version: u64) {
         let shares = decode::shares(records);
-        if shares != self.view.shares {
+        if shares != self.view.shares || shares_version != self.view.shares_version {
             let view = View {
                 shares,
+                shares_version,
                 ..self.view.clone()
             };
             self.publish(view);
@@ -209,6 +210,7 @@
         view_index: snapshot.view.version.index,
         demand: demand(&snapshot),
         leaving: leaving(&snapshot),
+        shares_version: snapshot.view.shares_version,
     }
 }
 
--- a/src/wire/fleet.rs
+++ b/src/wire/fleet.rs
@@ -15,6 +15,10 @@
     /// Instances that the sender learned to be leaving.
     #[prost(message, repeated, tag = "4")]
     pub leaving: Vec<LeavingNotice>,
+    /// Version of the shares that the sender uses; zero before the first ones. The leader gives
+    /// capacity to others only once its former user confirms smaller shares.
+    #[prost(uint64, tag = "5")]
+    pub shares_version: u64,
 }
 
 /// A gateway that callers may connect to.
@@ -73,6 +77,9 @@
     /// Whether `shares` replaces those that the gateway holds.
     #[prost(bool, tag = "4")]
     pub shares_changed: bool,
+    /// Version of `shares`; unique over all leaders.
+    #[prost(uint64, tag = "5")]
+    pub shares_version: u64,
 }
 
 /// Capacity leased to one gateway.
--- a/tests/controller_gateways.rs
+++ b/tests/controller_gateways.rs
@@ -7,13 +7,15 @@
     time::{Duration, Instant},
 };
 
-use controllers::{Cluster, FakeCloud, FakeGateway, intent, listing};
+use controllers::{Cluster, FakeCloud, FakeGateway, intent, listing, serving};
 use flamingocroft::{
-    domain::Incarnation,
+    domain::{Account, Incarnation, Intent, Tier},
     operator::Explanation,
     ports::ReclaimNotice,
     settings::Timing,
-    wire::{Body, ClaimStatus, GatewayHeartbeat, LeavingNotice, OutcomeRequest, StoredOutcome},
+    wire::{
+        Body, ClaimStatus, Demand, GatewayHeartbeat, LeavingNotice, OutcomeRequest, StoredOutcome,
+    },
 };
 
 fn names(list: &[&str]) -> Vec<String> {
@@ -184,3 +186,56 @@
         assert!(last.contains(why), "{last}");
     }
 }
+
+/// Two engines of four slots and one paying account.
+fn one_account() -> Intent {
+    Intent {
+        tiers: vec![Tier {
+            name: "paying".into(),
+            paying: true,
+            first_token: Duration::from_millis(640),
+            between_tokens: Duration::from_millis(26),
+        }],
+        accounts: vec![Account {
+            name: "office".into(),
+            tier: "paying".into(),
+            token_sha256: "0".repeat(64),
+            weight: 1,
+        }],
+        limits: intent(2).limits,
+        ..serving("1", 4)
+    }
+}
+
+fn wants(gateway: &FakeGateway, waiting: u32) {
+    *gateway.shared.demand.lock().unwrap() = vec![Demand {
+        service: "manifest".into(),
+        account: "office".into(),
+        running: 0,
+        waiting,
+    }];
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn capacity_moves_only_after_its_user_gave_it_up() {
+    const SLOTS: u32 = 8;
+    const HEARTBEATS: u32 = 20;
+    let list = ["m-0", "m-1"].map(|name| listing(name, "manifest", "z0"));
+    let cloud = FakeCloud::with(list.to_vec());
+    let cluster = Cluster::start_with(1, Timing::default(), Some(cloud)).await;
+    cluster.put(&one_account()).await;
+    let first = FakeGateway::start(&cluster, "g0", "z0", 1);
+    wants(&first, SLOTS);
+    first.holds(|held| held.slots == SLOTS).await;
+    first.shared.keeps_shares.store(true, Ordering::Relaxed);
+    let second = FakeGateway::start(&cluster, "g1", "z0", 1);
+    wants(&second, SLOTS);
+    let mut heard = second.shared.held.subscribe();
+    for _ in 0..HEARTBEATS {
+        heard.changed().await.unwrap();
+        let sum = first.shared.held.borrow().slots + heard.borrow().slots;
+        assert!(sum <= SLOTS, "{sum} slots are in use");
+    }
+    first.shared.keeps_shares.store(false, Ordering::Relaxed);
+    second.holds(|held| held.slots > 0).await;
+}
--- a/tests/controllers/gateway.rs
+++ b/tests/controllers/gateway.rs
@@ -33,6 +33,7 @@
     pub instances: Vec<(String, u32)>,
     pub lease: Option<LeaseReply>,
     pub slots: u32,
+    pub shares_version: u64,
 }
 
 pub struct FakeGateway {
@@ -53,6 +54,8 @@
     pub silent: AtomicBool,
     /// Fetches no views.
     pub blind: AtomicBool,
+    /// Loses the shares in the answers to its heartbeats.
+    pub keeps_shares: AtomicBool,
 }
 
 impl Shared {
@@ -151,6 +154,7 @@
             bytes: AtomicU64::new(0),
             silent: AtomicBool::new(false),
             blind: AtomicBool::new(false),
+            keeps_shares: AtomicBool::new(false),
         });
         let record = GatewayRecord {
             name: name.into(),
@@ -210,10 +214,12 @@
         view_index: shared.held.borrow().index,
         demand: shared.demand.lock().unwrap().clone(),
         leaving: shared.leaving.lock().unwrap().clone(),
+        shares_version: shared.held.borrow().shares_version,
     };
     if let Body::Lease(lease) = shared.ask(Body::Heartbeat(heartbeat)).await {
         shared.held.send_modify(|held| {
-            if lease.shares_changed {
+            if lease.shares_changed && !shared.keeps_shares.load(Ordering::Relaxed) {
+                held.shares_version = lease.shares_version;
                 held.slots = lease.shares.iter().map(|share| share.slots).sum();
             }
             held.lease = Some(lease);
--- a/tests/gateway_support/leader.rs
+++ b/tests/gateway_support/leader.rs
@@ -214,6 +214,7 @@
                 required_index: state.view.index + state.index_ahead,
                 shares: state.shares.clone(),
                 shares_changed: true,
+                shares_version: 1,
             };
             (news, lease)
         });
