Let the test of a revoked account begin its request again where a probe was first

Ruled out: the revocation itself, which was not reached. The test now sends the head again until it holds the place.

--- a/tests/gateway_refusals.rs
+++ b/tests/gateway_refusals.rs
@@ -2,7 +2,7 @@
 
 mod gateway_support;
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use flamingocroft::{
     domain::RefusalKind,
@@ -19,6 +19,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
+    time::timeout,
 };
 use uuid::Uuid;
 
@@ -251,6 +252,22 @@
     .await;
 }
 
+/// Sends a head whose body is still to come and waits until it takes the gateway's only place. A probe
+/// that has the place at this moment gets the head refused, which is then sent again.
+async fn begin(address: SocketAddr, head: &str, probe: &Call) -> TcpStream {
+    const TRIES: u32 = 100;
+    const REFUSED_WITHIN: Duration = Duration::from_millis(100);
+    for _ in 0..TRIES {
+        let mut caller = TcpStream::connect(address).await.unwrap();
+        caller.write_all(head.as_bytes()).await.unwrap();
+        let refused = timeout(REFUSED_WITHIN, caller.peek(&mut [0])).await.is_ok();
+        if !refused && probe.send(address).await.status == 503 {
+            return caller;
+        }
+    }
+    panic!("the request never takes the only place");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_account_that_is_revoked_while_its_request_arrives_is_refused() {
     let mut options = Options::default();
@@ -271,14 +288,12 @@
             }
         };
         eventually("the account is there", answers(200)).await;
-        let mut caller = TcpStream::connect(address).await.unwrap();
         let length = body.len();
         let head = format!(
             "{method} /v1/{path} HTTP/1.1\r\nhost: g\r\nauthorization: Bearer {PAYING}\r\n\
              connection: close\r\ncontent-length: {length}\r\n\r\n"
         );
-        caller.write_all(head.as_bytes()).await.unwrap();
-        eventually("the request is in progress", answers(503)).await;
+        let mut caller = begin(address, &head, &probe).await;
         let before = bench.upstreams.reached();
         let revoked = intent().replace(&hash(PAYING), &hash("another token"));
         bench.leader.set_intent(&revoked, shares(64));
