Bound a controller's stop by shutdown_ms

Cause: the HTTP server waits for every open connection when it stops gracefully; a caller that had sent half a request held it up for ever. Ruled out by reading: a cycle of locks, waits without a timeout in the confirm, the poll of views and the driver. Change: connections still open after shutdown_ms are closed; requests and stops in the tests of the controllers have a time limit. Before: the new test waits for ever; after: 0.2 s.

--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -28,7 +28,7 @@
 
 use anyhow::Context;
 use rand::Rng;
-use tokio::{net::TcpListener, task::JoinHandle};
+use tokio::{net::TcpListener, task::JoinHandle, time::timeout};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use self::{
@@ -93,6 +93,7 @@
     // Everything ends together: a controller whose disk failed must not go on answering.
     let stop = stop.child_token();
     let tasks = TaskTracker::new();
+    let closed = CancellationToken::new();
     let handler = Arc::new(PeerHandler {
         core: Arc::clone(&core),
     });
@@ -110,7 +111,8 @@
         },
         token,
     });
-    tasks.spawn(http::serve(http, http_listener, stop.clone()));
+    let served = http::serve(http, http_listener, stop.clone());
+    tasks.spawn(closed.clone().run_until_cancelled_owned(served));
     tasks.spawn(leader::run(Arc::clone(&core), stop.clone()));
     if let Some(cloud) = &ports.cloud {
         tasks.spawn(placer::run(
@@ -130,6 +132,7 @@
         Arc::clone(&ports.upstreams),
         stop.clone(),
     ));
+    let shutdown = settings.timing.shutdown;
     let begin = Begin {
         settings,
         store,
@@ -146,6 +149,11 @@
         }
         stop.cancel();
         tasks.close();
+        // A caller that never completes its request must not hold up the stop.
+        if timeout(shutdown, tasks.wait()).await.is_err() {
+            ::log::warn!("controller: connections still open after shutdown_ms are closed.");
+        }
+        closed.cancel();
         tasks.wait().await;
         result
     });
--- a/tests/controller_confirm.rs
+++ b/tests/controller_confirm.rs
@@ -11,8 +11,10 @@
 use flamingocroft::{
     domain::{Intent, MemberId, Ran},
     operator::{Confirmed, HistoryEntry, MemberChanged, MemberRequest},
+    settings::Timing,
 };
 use hyper::{Method, StatusCode};
+use tokio::{io::AsyncWriteExt, net::TcpStream};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn one_of_two_operators_with_equal_revisions_wins() {
@@ -241,3 +243,22 @@
     }
     let _: MemberId = cluster.member(0).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_half_sent_request_does_not_hold_up_a_stop() {
+    let timing = Timing {
+        shutdown: Duration::from_millis(200),
+        ..Timing::default()
+    };
+    let mut cluster = Cluster::start_with(1, timing, None).await;
+    cluster.leader().await;
+    let address = cluster.controllers[0].settings.http_address;
+    let mut caller = TcpStream::connect(address).await.unwrap();
+    caller
+        .write_all(b"GET /v1/status HTTP/1.1\r\n")
+        .await
+        .unwrap();
+    // An answer to a later request shows that the connection was accepted before.
+    cluster.leader().await;
+    cluster.stop(0).await;
+}
--- a/tests/controllers/mod.rs
+++ b/tests/controllers/mod.rs
@@ -40,11 +40,14 @@
 use serde::{Serialize, de::DeserializeOwned};
 use sha2::{Digest, Sha256};
 use tempfile::TempDir;
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 pub const TOKEN: &str = "operators-token-for-tests";
 pub const KEY: &[u8] = b"a-shared-key-for-the-tests-only";
 const PATIENCE: Duration = Duration::from_secs(20);
+/// Longer than a confirm may wait for gateways.
+const SHUTDOWN: Duration = Duration::from_secs(5);
 
 /// The machine's clock.
 #[derive(Debug)]
@@ -108,7 +111,11 @@
 
 impl Cluster {
     pub async fn start(count: usize) -> Self {
-        Self::start_with(count, Timing::default(), None).await
+        let timing = Timing {
+            shutdown: SHUTDOWN,
+            ..Timing::default()
+        };
+        Self::start_with(count, timing, None).await
     }
 
     pub async fn start_with(count: usize, timing: Timing, cloud: Option<FakeCloud>) -> Self {
@@ -162,7 +169,9 @@
             return;
         };
         stop.cancel();
-        running.task.await.unwrap().unwrap();
+        let stopped = timeout(PATIENCE, running.task).await;
+        let result = stopped.expect("the controller stops in time");
+        result.unwrap().unwrap();
     }
 
     pub async fn stop_all(&mut self) {
@@ -286,17 +295,16 @@
         status: StatusCode::BAD_GATEWAY,
         body: Bytes::new(),
     };
-    let Ok(response) = client.request(request).await else {
-        return lost;
+    let exchange = async {
+        let response = client.request(request).await.ok()?;
+        let status = response.status();
+        let body = response.into_body().collect().await.ok()?.to_bytes();
+        Some(Answer { status, body })
     };
-    let status = response.status();
-    match response.into_body().collect().await {
-        Ok(body) => Answer {
-            status,
-            body: body.to_bytes(),
-        },
-        Err(_) => lost,
-    }
+    let answer = timeout(PATIENCE, exchange).await;
+    answer
+        .unwrap_or_else(|_| panic!("{call} is not answered in time"))
+        .unwrap_or(lost)
 }
 
 pub async fn post_to(address: SocketAddr, call: &'static str, body: impl Serialize) -> Answer {
