Let the fake gateway of the controllers' tests look at what it holds once

Cause: since heartbeats confirm shares, one expression held two read guards of the same watch channel; with a writer waiting in between, the test stopped for ever.

--- a/tests/controllers/gateway.rs
+++ b/tests/controllers/gateway.rs
@@ -209,12 +209,13 @@
 }
 
 async fn beat(shared: &Shared, record: &GatewayRecord) {
+    let held = shared.held.borrow().clone();
     let heartbeat = GatewayHeartbeat {
         gateway: Some(record.clone()),
-        view_index: shared.held.borrow().index,
+        view_index: held.index,
         demand: shared.demand.lock().unwrap().clone(),
         leaving: shared.leaving.lock().unwrap().clone(),
-        shares_version: shared.held.borrow().shares_version,
+        shares_version: held.shares_version,
     };
     if let Body::Lease(lease) = shared.ask(Body::Heartbeat(heartbeat)).await {
         shared.held.send_modify(|held| {
