Send both orders to the cloud API through one method

Starting and stopping an instance repeated the same exchange: one connection of its own, one deadline, one mapping of a lost answer.

--- a/src/adapters/http/cloud.rs
+++ b/src/adapters/http/cloud.rs
@@ -2,11 +2,11 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use serde::de::DeserializeOwned;
+use serde::{Serialize, de::DeserializeOwned};
 use tokio::time::Instant;
 
 use super::{
-    client::{Client, Reuse, get, post},
+    client::{Client, Reuse, Whole, get, post},
     messages::{ListingReply, NoticeReply, StartBody, StartReply, StopBody},
 };
 use crate::{
@@ -50,6 +50,16 @@
             .await
             .map_err(unanswered)
     }
+
+    /// Sends an order once, on a connection of its own, and returns whatever was answered.
+    async fn order(&self, path: &str, body: &impl Serialize) -> Result<Whole, CloudError> {
+        let req = post(&self.target, path, body).map_err(unanswered)?;
+        let deadline = Instant::now() + self.order_timeout;
+        self.client
+            .whole(&self.target, req, Reuse::Forbidden, deadline)
+            .await
+            .map_err(unanswered)
+    }
 }
 
 impl CloudApi for HttpCloud {
@@ -72,13 +82,7 @@
             purchase: req.purchase,
             fence: req.fence,
         };
-        let post = post(&self.target, "/instances", &body).map_err(unanswered)?;
-        let deadline = Instant::now() + self.order_timeout;
-        let whole = self
-            .client
-            .whole(&self.target, post, Reuse::Forbidden, deadline)
-            .await
-            .map_err(unanswered)?;
+        let whole = self.order("/instances", &body).await?;
         let reply: StartReply = whole
             .success()
             .and_then(|whole| whole.json())
@@ -88,13 +92,7 @@
 
     async fn stop(&self, instance: &InstanceName, fence: FencingNumber) -> Result<(), CloudError> {
         let path = format!("/instances/{instance}/stop");
-        let post = post(&self.target, &path, &StopBody { fence }).map_err(unanswered)?;
-        let deadline = Instant::now() + self.order_timeout;
-        let whole = self
-            .client
-            .whole(&self.target, post, Reuse::Forbidden, deadline)
-            .await
-            .map_err(unanswered)?;
+        let whole = self.order(&path, &StopBody { fence }).await?;
         whole.success().map(drop).map_err(answered)
     }
 }
