--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -24,7 +24,7 @@
 
 /// Whether a request may go over a connection that was used before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Reuse {
+pub(crate) enum Reuse {
     /// An idle connection will do. If it has died unseen, the request fails.
     Allowed,
     /// A new one is made, so that a dead one cannot leave the outcome unknown.
@@ -33,21 +33,21 @@
 
 /// Makes exchanges.
 #[derive(Debug)]
-pub(super) struct Client {
+pub(crate) struct Client {
     pool: Pool,
     connect_timeout: Duration,
 }
 
 /// The head of an answer, with the connection that the body comes from.
 #[derive(Debug)]
-pub(super) struct Answer {
-    pub(super) res: Response<Incoming>,
-    pub(super) connection: Lease,
+pub(crate) struct Answer {
+    pub(crate) res: Response<Incoming>,
+    pub(crate) connection: Lease,
 }
 
 /// A connection in use. Unless it is given back, dropping it closes it.
 #[derive(Debug)]
-pub(super) struct Lease {
+pub(crate) struct Lease {
     connection: Connection,
     idle: std::sync::Arc<Idle>,
     reused: bool,
@@ -55,13 +55,13 @@
 
 impl Lease {
     /// Keeps the connection for the next exchange. The answer must have been read to its end.
-    pub(super) fn give_back(self) {
+    pub(crate) fn give_back(self) {
         self.idle.put(self.connection);
     }
 
     /// Makes an error of a silence. What silenced a reused connection may have done so to all idle
     /// ones, so they are closed too.
-    pub(super) fn silent(&self, message: &str) -> UpstreamError {
+    pub(crate) fn silent(&self, message: &str) -> UpstreamError {
         if self.reused {
             self.idle.clear();
         }
@@ -71,7 +71,7 @@
 
 /// A whole answer.
 #[derive(Debug)]
-pub(super) struct Whole {
+pub(crate) struct Whole {
     pub(super) status: StatusCode,
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
@@ -79,7 +79,7 @@
 
 impl Client {
     /// Makes a client without connections.
-    pub(super) fn new(connect_timeout: Duration) -> Self {
+    pub(crate) fn new(connect_timeout: Duration) -> Self {
         Self {
             pool: Pool::default(),
             connect_timeout,
@@ -87,7 +87,7 @@
     }
 
     /// Sends a request once and returns the head of its answer.
-    pub(super) async fn exchange(
+    pub(crate) async fn exchange(
         &self,
         target: &Target,
         req: Request<Full<Bytes>>,
@@ -103,7 +103,7 @@
     }
 
     /// Sends a request once and reads the whole answer.
-    pub(super) async fn whole(
+    pub(crate) async fn whole(
         &self,
         target: &Target,
         req: Request<Full<Bytes>>,
@@ -115,7 +115,7 @@
     }
 
     /// Makes an idempotent call with JSON on both sides.
-    pub(super) async fn json<T: DeserializeOwned>(
+    pub(crate) async fn json<T: DeserializeOwned>(
         &self,
         target: &Target,
         req: Request<Full<Bytes>>,
@@ -156,7 +156,7 @@
 
 impl Answer {
     /// Reads the body to its end.
-    pub(super) async fn whole(self, deadline: Instant) -> Result<Whole, UpstreamError> {
+    pub(crate) async fn whole(self, deadline: Instant) -> Result<Whole, UpstreamError> {
         let (head, body) = self.res.into_parts();
         let body = Limited::new(body, ANSWER_LIMIT_BYTES);
         let collected = timeout_at(deadline, body.collect()).await;
@@ -176,7 +176,7 @@
 
 impl Whole {
     /// Turns an error status into an error.
-    pub(super) fn success(self) -> Result<Self, UpstreamError> {
+    pub(crate) fn success(self) -> Result<Self, UpstreamError> {
         if self.status.is_success() {
             Ok(self)
         } else {
@@ -203,12 +203,12 @@
 }
 
 /// Makes a request without a body.
-pub(super) fn get(target: &Target, path: &str) -> Result<Request<Full<Bytes>>, UpstreamError> {
+pub(crate) fn get(target: &Target, path: &str) -> Result<Request<Full<Bytes>>, UpstreamError> {
     request(target, Method::GET, path, None, Bytes::new())
 }
 
 /// Makes a request with a JSON body.
-pub(super) fn post(
+pub(crate) fn post(
     target: &Target,
     path: &str,
     body: &impl Serialize,
@@ -219,7 +219,7 @@
 }
 
 /// Makes a request.
-pub(super) fn request(
+pub(crate) fn request(
     target: &Target,
     method: Method,
     path: &str,
--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -10,9 +10,12 @@
 mod generation;
 mod messages;
 mod pool;
+mod server;
 mod upstreams;
 mod weights;
 
+pub(crate) use client::{Answer, Client, Lease, Reuse, get, post};
 pub use cloud::HttpCloud;
+pub use server::{ServerOptions, serve};
 pub use upstreams::HttpUpstreams;
 pub use weights::HttpWeights;
--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -2,7 +2,7 @@
 
 mod clock;
 pub mod disk;
-mod http;
+pub(crate) mod http;
 
 pub use clock::SystemClock;
 pub use http::{HttpCloud, HttpUpstreams, HttpWeights};
--- a/src/bin/flamingocroftd.rs
+++ b/src/bin/flamingocroftd.rs
@@ -5,7 +5,7 @@
 use clap::Parser;
 use flamingocroft::daemon::Daemon;
 
-#[tokio::main]
+#[tokio::main(flavor = "current_thread")]
 async fn main() -> ExitCode {
     match Daemon::parse().run().await {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/controller/core.rs
+++ b/src/controller/core.rs
@@ -12,6 +12,7 @@
 
 use super::{
     fleet::Fleet,
+    followers::Followers,
     form::Card,
     log::{Applied, Log, LogError},
     peers::Peers,
@@ -39,6 +40,8 @@
     /// What this controller says of its data folder.
     pub card: Arc<Card>,
     fleet: Mutex<Fleet>,
+    followers: Mutex<Followers>,
+    followers_changed: watch::Sender<u64>,
     fleet_changed: watch::Sender<u64>,
     heard: watch::Sender<u64>,
     listed_term: AtomicU64,
@@ -63,6 +66,8 @@
             peers,
             card,
             fleet: Mutex::new(fleet),
+            followers: Mutex::default(),
+            followers_changed: watch::channel(0).0,
             fleet_changed: watch::channel(0).0,
             heard: watch::channel(0).0,
             listed_term: AtomicU64::new(0),
@@ -84,6 +89,23 @@
         self.fleet_changed.subscribe()
     }
 
+    /// Returns the ingress gateways that follow, for a short look or change.
+    pub fn followers(&self) -> MutexGuard<'_, Followers> {
+        self.followers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Wakes those that wait for a change of what followers are told.
+    pub fn note_followers_change(&self) {
+        self.followers_changed.send_modify(|count| *count += 1);
+    }
+
+    /// Returns a receiver that is woken when what followers are told changes.
+    pub fn watch_followers(&self) -> watch::Receiver<u64> {
+        self.followers_changed.subscribe()
+    }
+
     /// Wakes those that wait for heartbeats.
     pub fn note_heartbeat(&self) {
         self.heard.send_modify(|count| *count += 1);
@@ -116,14 +138,13 @@
         self.log.led_term(self.now()) == Some(self.fleet().term())
     }
 
-    /// Returns the leader's entry in the settings, if it is known.
-    pub fn leader(&self) -> Option<&ControllerEntry> {
+    /// Returns the leader's entry, if it is known.
+    pub fn leader(&self) -> Option<ControllerEntry> {
         let leader = self.log.standing().leader?;
-        let name = self.peers.name(leader)?;
-        self.settings
-            .controllers
-            .iter()
-            .find(|entry| entry.name == name)
+        if leader == self.card.member() {
+            return self.peers.entry(&self.settings.name);
+        }
+        self.peers.entry(&self.peers.name(leader)?)
     }
 
     /// Commits a command with the present time.
--- /dev/null
+++ b/src/controller/followers.rs
@@ -0,0 +1,208 @@
+//! Ingress gateways that follow this controller, what they are told, and the usage that they count.
+//! Every controller hears every gateway, so that none of this is lost with a leader.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    hash::{DefaultHasher, Hash, Hasher},
+    sync::Arc,
+    time::Duration,
+};
+
+use tokio::time::{Instant, timeout_at};
+
+use super::core::Core;
+use crate::{
+    link::Peer,
+    ports::Clock,
+    wire::{
+        AccountCount, Body, Document, Follow, FollowReply, IngressRecord, ListVersion, Roster,
+        UpstreamList, WindowCount,
+    },
+};
+
+/// Silence after which a gateway is no longer named to callers. Gateways ask at least every
+/// `ingress::FOLLOW_WAIT`, so two questions are missed by then.
+const GONE_AFTER: Duration = Duration::from_millis(2000);
+/// Longest time that a question waits for a change.
+const LONGEST_WAIT: Duration = Duration::from_secs(5);
+/// Windows of usage kept for each gateway; older ones are committed or not due any more.
+const KEPT_WINDOWS: usize = 4;
+
+/// What is known of the gateways that follow.
+#[derive(Debug, Default)]
+pub struct Followers {
+    gateways: HashMap<String, Follower>,
+    list: UpstreamList,
+}
+
+#[derive(Debug)]
+struct Follower {
+    record: IngressRecord,
+    heard: Duration,
+    usage: BTreeMap<u64, Vec<AccountCount>>,
+}
+
+impl Followers {
+    /// Notes a question. Returns whether the roster changed by it.
+    pub fn hear(&mut self, now: Duration, record: &IngressRecord, usage: &[WindowCount]) -> bool {
+        let before = self.gateways.get(&record.name);
+        let changed = before.is_none_or(|known| {
+            known.record != *record || now.saturating_sub(known.heard) > GONE_AFTER
+        });
+        let follower = self
+            .gateways
+            .entry(record.name.clone())
+            .or_insert_with(|| Follower {
+                record: record.clone(),
+                heard: now,
+                usage: BTreeMap::new(),
+            });
+        follower.record = record.clone();
+        follower.heard = now;
+        for window in usage {
+            follower.usage.insert(window.window, window.counts.clone());
+        }
+        while follower.usage.len() > KEPT_WINDOWS {
+            follower.usage.pop_first();
+        }
+        changed
+    }
+
+    /// Returns the gateways heard of lately, by name.
+    pub fn roster(&self, now: Duration) -> Roster {
+        let mut gateways: Vec<_> = self
+            .gateways
+            .values()
+            .filter(|known| now.saturating_sub(known.heard) <= GONE_AFTER)
+            .map(|known| known.record.clone())
+            .collect();
+        gateways.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+        let mut hasher = DefaultHasher::new();
+        gateways.hash(&mut hasher);
+        Roster {
+            version: hasher.finish(),
+            gateways,
+        }
+    }
+
+    /// Returns what all gateways counted in a window.
+    pub fn usage(&self, window: u64) -> Vec<AccountCount> {
+        let mut sums: BTreeMap<&str, u64> = BTreeMap::new();
+        for follower in self.gateways.values() {
+            for count in follower.usage.get(&window).into_iter().flatten() {
+                *sums.entry(&count.account).or_default() += count.count;
+            }
+        }
+        sums.into_iter()
+            .map(|(account, count)| AccountCount {
+                account: account.to_owned(),
+                count,
+            })
+            .collect()
+    }
+
+    /// Keeps a list of upstreams that was read now. Returns whether it differs from the last one.
+    pub fn take_list(&mut self, term: u64, rows: Vec<crate::wire::UpstreamRow>) -> bool {
+        let held = self.list.version.unwrap_or_default();
+        let same = held.term == term && same_rows(&self.list.rows, &rows);
+        if same {
+            return false;
+        }
+        let sequence = if held.term == term {
+            held.sequence + 1
+        } else {
+            1
+        };
+        self.list = UpstreamList {
+            version: Some(ListVersion { term, sequence }),
+            rows,
+        };
+        true
+    }
+
+    /// Returns the list of upstreams read last.
+    pub fn list(&self) -> &UpstreamList {
+        &self.list
+    }
+}
+
+/// Compares all but the time for which upstreams stay slow, which runs down by itself.
+fn same_rows(held: &[crate::wire::UpstreamRow], read: &[crate::wire::UpstreamRow]) -> bool {
+    let fixed = |row: &crate::wire::UpstreamRow| crate::wire::UpstreamRow {
+        cold_ms: u32::from(row.cold_ms > 0),
+        ..row.clone()
+    };
+    held.len() == read.len() && held.iter().zip(read).all(|(a, b)| fixed(a) == fixed(b))
+}
+
+/// Answers a gateway's question when something changed, or when its wait is over.
+pub(super) async fn follow<T: Clock>(
+    core: &Arc<Core<T>>,
+    peer: &Peer,
+    follow: Follow,
+) -> Option<Body> {
+    let record = follow.gateway.as_ref()?;
+    if record.name != *peer.name {
+        return None;
+    }
+    if core.followers().hear(core.now(), record, &follow.usage) {
+        log::info!(
+            "controller: gateway {} in zone {} follows; open to callers: {}.",
+            record.name,
+            record.zone,
+            record.open
+        );
+        core.note_followers_change();
+    }
+    let wait = Duration::from_millis(follow.wait_ms).min(LONGEST_WAIT);
+    let deadline = Instant::now() + wait;
+    let mut viewed = core.log.watch_view();
+    let mut changed = core.watch_followers();
+    loop {
+        viewed.mark_unchanged();
+        changed.mark_unchanged();
+        let reply = answer(core, &follow);
+        if reply.version > follow.held_version || reply.list.is_some() || reply.roster.is_some() {
+            return Some(Body::FollowReply(reply));
+        }
+        let change = async {
+            tokio::select! {
+                result = viewed.changed() => result.is_ok(),
+                result = changed.changed() => result.is_ok(),
+            }
+        };
+        match timeout_at(deadline, change).await {
+            Ok(true) => {}
+            Ok(false) | Err(_) => return Some(Body::FollowReply(answer(core, &follow))),
+        }
+    }
+}
+
+fn answer<T: Clock>(core: &Core<T>, follow: &Follow) -> FollowReply {
+    let version = core.log.state().published().version;
+    let leads = core.leads();
+    let followers = core.followers();
+    let roster = followers.roster(core.now());
+    let held = follow.held_list.unwrap_or_default();
+    let newer = followers
+        .list()
+        .version
+        .is_some_and(|version| version > held);
+    FollowReply {
+        leads,
+        version,
+        list: newer.then(|| followers.list().clone()),
+        roster: (roster.version != follow.held_roster).then_some(roster),
+        controllers: core.peers.records(),
+    }
+}
+
+/// Returns the published document as this controller has it.
+pub(super) fn document<T: Clock>(core: &Core<T>) -> Body {
+    let state = core.log.state();
+    let published = state.published();
+    Body::Document(Document {
+        version: published.version,
+        document: published.document.clone(),
+    })
+}
--- a/src/controller/form.rs
+++ b/src/controller/form.rs
@@ -60,6 +60,7 @@
             member: self.member.0,
             blank: self.blank.load(Ordering::Acquire),
             controllers: self.controllers.iter().map(ToString::to_string).collect(),
+            known: Vec::new(),
         }
     }
 }
@@ -77,6 +78,11 @@
     recovered: &Recovered,
     peers: &Peers,
 ) -> Option<Recovered> {
+    let host = settings.peer_address.ip();
+    let is_seed = settings.seeds.is_empty() || settings.seeds.iter().any(|seed| seed.ip() == host);
+    if !settings.bootstrap || !is_seed {
+        return None;
+    }
     let name = Arc::clone(&settings.name);
     let mut bootstrap = Bootstrap::new(member, name, names(settings), recovered);
     loop {
--- a/src/controller/handler.rs
+++ b/src/controller/handler.rs
@@ -6,6 +6,7 @@
 
 use super::{
     core::Core,
+    followers,
     log::{Applied, LogError},
     view,
 };
@@ -15,8 +16,8 @@
     ports::Clock,
     state::{Action, ClaimCommand, Observation, ObserveInstances, Reply, Sighting},
     wire::{
-        Body, ClaimRequest, Failure, GatewayHeartbeat, LeavingNotice, NotLeader, OutcomeReply,
-        ViewRequest,
+        Body, ClaimRequest, Failure, GatewayHeartbeat, LeavingNotice, MemberReport, NotLeader,
+        OutcomeReply, ViewRequest,
     },
 };
 
@@ -39,7 +40,12 @@
                 self.core.log.receive(message).await;
                 None
             }
-            Body::MemberQuery(_) => Some(Body::MemberReport(self.core.card.report())),
+            Body::MemberQuery(_) => Some(Body::MemberReport(MemberReport {
+                known: self.core.peers.records(),
+                ..self.core.card.report()
+            })),
+            Body::Follow(follow) => followers::follow(&self.core, peer, follow).await,
+            Body::DocumentRequest(_) => Some(followers::document(&self.core)),
             Body::Heartbeat(heartbeat) => Some(self.heartbeat(peer, heartbeat).await),
             Body::ViewRequest(held) => Some(self.view(&held).await),
             Body::Claim(request) => Some(self.claim(peer, request).await),
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -8,11 +8,13 @@
 mod core;
 mod driver;
 pub mod fleet;
+pub mod followers;
 mod form;
 mod handler;
 mod held;
 mod http;
 mod leader;
+mod lister;
 mod log;
 mod operators;
 mod order_runner;
@@ -20,8 +22,10 @@
 mod peers;
 pub mod placement;
 mod placer;
+pub mod publisher;
 mod shares;
 mod token;
+mod usage;
 pub mod view;
 
 use std::{net::SocketAddr, path::Path, sync::Arc};
@@ -39,6 +43,7 @@
     http::Http,
     operators::Operators,
     peers::Peers,
+    publisher::Publisher,
     token::TokenHash,
 };
 use crate::{
@@ -46,7 +51,7 @@
     adapters::disk::LogStore,
     domain::Incarnation,
     link::{self, Identity, LinkSettings, PeerKey},
-    ports::{Clock, CloudApi, Ports, Upstreams},
+    ports::{Clock, CloudApi, Platform, Ports, Upstreams},
     replication::{Recovered, Replica, ReplicaSettings},
     settings::Settings,
 };
@@ -61,6 +66,53 @@
     settings: Arc<Settings>,
     ports: Ports<U, C, T>,
     stop: CancellationToken,
+) -> anyhow::Result<Running> {
+    start_with(settings, ports, stop, |_, _, _| {}).await
+}
+
+/// Starts a controller that also publishes routes, reads the platform's list and reports usage.
+///
+/// # Errors
+///
+/// As [`start`], and if the settings say nothing of published routes.
+pub async fn start_publishing<U: Upstreams, C: CloudApi, T: Clock, P: Platform>(
+    settings: Arc<Settings>,
+    ports: Ports<U, C, T>,
+    platform: Arc<P>,
+    stop: CancellationToken,
+) -> anyhow::Result<(Running, Publisher<T, P>)> {
+    let ingress = settings.ingress.clone();
+    let ingress = ingress.context("ingress is missing; a controller that publishes needs it")?;
+    let mut publisher = None;
+    let running = start_with(settings, ports, stop, |core, tasks, stop| {
+        let every = ingress.list_interval;
+        tasks.spawn(lister::run(
+            Arc::clone(core),
+            Arc::clone(&platform),
+            every,
+            stop.clone(),
+        ));
+        tasks.spawn(usage::run(
+            Arc::clone(core),
+            Arc::clone(&platform),
+            ingress,
+            stop.clone(),
+        ));
+        publisher = Some(Publisher {
+            core: Arc::clone(core),
+            platform,
+        });
+    })
+    .await?;
+    let publisher = publisher.context("the controller started without its publisher")?;
+    Ok((running, publisher))
+}
+
+async fn start_with<U: Upstreams, C: CloudApi, T: Clock>(
+    settings: Arc<Settings>,
+    ports: Ports<U, C, T>,
+    stop: CancellationToken,
+    start_more: impl FnOnce(&Arc<Core<T>>, &TaskTracker, &CancellationToken),
 ) -> anyhow::Result<Running> {
     let token = token(&settings)?;
     let key = PeerKey::read(&settings.peer_key_file).with_context(|| {
@@ -132,6 +184,7 @@
         Arc::clone(&ports.upstreams),
         stop.clone(),
     ));
+    start_more(&core, &tasks, &stop);
     let shutdown = settings.timing.shutdown;
     let begin = Begin {
         settings,
--- a/src/controller/peers.rs
+++ b/src/controller/peers.rs
@@ -1,7 +1,7 @@
 //! Links to the other controllers, and which data folder is behind which name.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     sync::{Arc, PoisonError, RwLock},
     time::Duration,
 };
@@ -9,37 +9,87 @@
 use crate::{
     domain::MemberId,
     link::{Identity, Link, LinkError, LinkSettings, PeerKey},
-    settings::Settings,
-    wire::{Body, ReplicaMessage},
+    settings::{ControllerEntry, Settings},
+    wire::{Body, ControllerRecord, ReplicaMessage},
 };
 
 /// Links to the other controllers.
 #[derive(Debug)]
 pub struct Peers {
-    links: HashMap<Arc<str>, Link>,
+    key: PeerKey,
+    own: Identity,
+    /// All controllers that are known, this one included.
+    entries: RwLock<BTreeMap<Arc<str>, ControllerEntry>>,
+    links: RwLock<HashMap<Arc<str>, Link>>,
     names: RwLock<HashMap<MemberId, Arc<str>>>,
 }
 
 impl Peers {
     /// Starts a link to every other controller in the settings.
     pub fn connect(settings: &Settings, key: &PeerKey, own: &Identity) -> Self {
-        let others = settings
-            .controllers
-            .iter()
-            .filter(|entry| entry.name != settings.name);
-        let links = others.map(|entry| {
+        let peers = Self {
+            key: key.clone(),
+            own: own.clone(),
+            entries: RwLock::default(),
+            links: RwLock::default(),
+            names: RwLock::default(),
+        };
+        for entry in &settings.controllers {
+            peers.meet(entry);
+        }
+        peers
+    }
+
+    /// Links to a controller that was not known before. Returns whether it is new.
+    pub fn meet(&self, entry: &ControllerEntry) -> bool {
+        let mut entries = self.entries.write().unwrap_or_else(PoisonError::into_inner);
+        if entries.contains_key(&entry.name) {
+            return false;
+        }
+        entries.insert(Arc::clone(&entry.name), entry.clone());
+        drop(entries);
+        if entry.name != self.own.name {
             let link = Link::connect(
                 entry.peer_address,
-                key.clone(),
-                own.clone(),
+                self.key.clone(),
+                self.own.clone(),
                 LinkSettings::default(),
             );
-            (Arc::clone(&entry.name), link)
-        });
-        Self {
-            links: links.collect(),
-            names: RwLock::default(),
+            let mut links = self.links.write().unwrap_or_else(PoisonError::into_inner);
+            links.insert(Arc::clone(&entry.name), link);
         }
+        true
+    }
+
+    /// Returns what is known of a controller.
+    pub fn entry(&self, name: &str) -> Option<ControllerEntry> {
+        let entries = self.entries.read().unwrap_or_else(PoisonError::into_inner);
+        entries.get(name).cloned()
+    }
+
+    /// Returns all controllers that are known.
+    pub fn records(&self) -> Vec<ControllerRecord> {
+        let entries = self.entries.read().unwrap_or_else(PoisonError::into_inner);
+        let record = |entry: &ControllerEntry| ControllerRecord {
+            name: entry.name.to_string(),
+            peer_address: entry.peer_address.to_string(),
+            http_address: entry.http_address.to_string(),
+        };
+        entries.values().map(record).collect()
+    }
+
+    /// Returns the links to the other controllers, by name.
+    pub fn links(&self) -> Vec<(Arc<str>, Link)> {
+        let links = self.links.read().unwrap_or_else(PoisonError::into_inner);
+        links
+            .iter()
+            .map(|(name, link)| (Arc::clone(name), link.clone()))
+            .collect()
+    }
+
+    fn link(&self, name: &str) -> Option<Link> {
+        let links = self.links.read().unwrap_or_else(PoisonError::into_inner);
+        links.get(name).cloned()
     }
 
     /// Notes which controller a member runs in; an emptied data folder comes back as a new member.
@@ -59,7 +109,7 @@
 
     /// Asks another controller and waits for its reply.
     pub async fn ask(&self, name: &str, body: Body, deadline: Duration) -> Result<Body, LinkError> {
-        let link = self.links.get(name).ok_or(LinkError::NotSent)?;
+        let link = self.link(name).ok_or(LinkError::NotSent)?;
         link.call(body, deadline).await
     }
 
@@ -67,12 +117,13 @@
     /// that it is not meant for drop it.
     pub fn send(&self, message: ReplicaMessage) {
         let name = self.name(MemberId(message.to));
-        match name.and_then(|name| self.links.get(&name)) {
+        match name.and_then(|name| self.link(&name)) {
             Some(link) => link.send(Body::Replica(message)),
-            None => self
-                .links
-                .values()
-                .for_each(|link| link.send(Body::Replica(message.clone()))),
+            None => {
+                for (_, link) in self.links() {
+                    link.send(Body::Replica(message.clone()));
+                }
+            }
         }
     }
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,18 +1,22 @@
 //! The daemon: reads its settings, joins the ports with their adapters, and runs one role until it
 //! is told to stop.
 
-use std::{path::PathBuf, sync::Arc};
+use std::{net::SocketAddr, path::PathBuf, sync::Arc};
 
 use anyhow::Context;
 use clap::Parser;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    Running,
     adapters::{HttpCloud, HttpUpstreams, SystemClock},
-    controller, gateway,
+    controller, gateway, ingress, platform,
     ports::Ports,
-    settings::{Role, Settings},
+    settings::{Ingress, Role, Settings},
     telemetry::{self, Metrics},
 };
 
@@ -21,7 +25,7 @@
 #[command(name = "flamingocroftd", version)]
 pub struct Daemon {
     /// The settings file, JSON with comments.
-    #[arg(long, value_name = "FILE")]
+    #[arg(long, value_name = "FILE", env = platform::SETTINGS_VARIABLE)]
     settings: PathBuf,
 }
 
@@ -33,9 +37,15 @@
         let stop = CancellationToken::new();
         stop_on_signal(stop.clone())?;
         let ports = ports(&settings)?;
-        let running = match settings.role {
-            Role::Controller => controller::start(Arc::clone(&settings), ports, stop).await,
-            Role::Gateway => gateway::start(Arc::clone(&settings), ports, stop).await,
+        let running = match (settings.role, &settings.ingress) {
+            (Role::Controller, None) => controller::start(Arc::clone(&settings), ports, stop).await,
+            (Role::Gateway, None) => gateway::start(Arc::clone(&settings), ports, stop).await,
+            (Role::Controller, Some(ingress)) => {
+                publish(Arc::clone(&settings), ingress, ports, stop).await
+            }
+            (Role::Gateway, Some(ingress)) => {
+                serve_routes(Arc::clone(&settings), ingress, &ports.clock, stop).await
+            }
         };
         let running = running.with_context(|| format!("the {} did not start", settings.role))?;
         log::info!(
@@ -51,7 +61,60 @@
     }
 }
 
-fn ports(settings: &Settings) -> anyhow::Result<Ports<HttpUpstreams, HttpCloud, SystemClock>> {
+type DaemonPorts = Ports<HttpUpstreams, HttpCloud, SystemClock>;
+
+/// Starts a controller that publishes routes on the users' platform.
+async fn publish(
+    settings: Arc<Settings>,
+    ingress: &Ingress,
+    ports: DaemonPorts,
+    stop: CancellationToken,
+) -> anyhow::Result<Running> {
+    let api = Arc::new(platform::Api::new(
+        ingress.platform_address,
+        &settings.timing,
+    ));
+    let listener = bind(ingress.address).await?;
+    let started = controller::start_publishing(settings, ports, api, stop.clone()).await;
+    let (running, publisher) = started?;
+    tokio::spawn(platform::serve_control(Arc::new(publisher), listener, stop));
+    Ok(running)
+}
+
+/// Starts a gateway that serves published routes on the users' platform.
+async fn serve_routes(
+    settings: Arc<Settings>,
+    ingress: &Ingress,
+    clock: &Arc<SystemClock>,
+    stop: CancellationToken,
+) -> anyhow::Result<Running> {
+    let api = Arc::new(platform::Api::new(
+        ingress.platform_address,
+        &settings.timing,
+    ));
+    let ended = CancellationToken::new();
+    let (ready, directory) = (ingress.ready_address, ingress.directory_address);
+    let started = ingress::start(settings, api, Arc::clone(clock), stop).await;
+    let (running, addresses) = started?;
+    if let Some(address) = ready {
+        let listener = bind(address).await?;
+        let served = platform::serve_ready(addresses.clone(), listener, ended.clone());
+        tokio::spawn(served);
+    }
+    if let Some(address) = directory {
+        let listener = bind(address).await?;
+        tokio::spawn(platform::serve_directory(addresses, listener, ended));
+    }
+    Ok(running)
+}
+
+async fn bind(address: SocketAddr) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address).await.with_context(|| {
+        format!("{address} cannot be bound; choose an address of this machine that is free")
+    })
+}
+
+fn ports(settings: &Settings) -> anyhow::Result<DaemonPorts> {
     let timing = &settings.timing;
     let cloud = settings
         .cloud_address
--- a/src/domain/mod.rs
+++ b/src/domain/mod.rs
@@ -7,6 +7,7 @@
 mod names;
 mod refusal;
 mod request;
+mod routes;
 mod view;
 
 pub use ids::{
@@ -24,4 +25,8 @@
 };
 pub use refusal::{Ran, Refusal, RefusalKind};
 pub use request::{BodyDigest, Completion, FinishReason, Priority, Token};
+pub use routes::{
+    CallerLimits, EngineFacts, InvalidTable, KeyedAccount, Quota, QuotaUnit, RequestClass, Route,
+    RouteIndex, RouteTable, RoutedService, ScalingFacts,
+};
 pub use view::{GatewayEntry, Share, View, ViewVersion};
--- /dev/null
+++ b/src/domain/routes.rs
@@ -0,0 +1,339 @@
+//! Routes by host and path prefix: which service answers a request, and how the request may be
+//! treated. A table is published whole; the one with the highest version is in force.
+
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use super::{AccountName, ServiceName, ZoneName};
+
+/// What may be done with a request more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum RequestClass {
+    /// May run more than once.
+    Idempotent,
+    /// Runs at most once.
+    NonIdempotent,
+    /// Answered by a series of events; runs at most once.
+    Stream,
+    /// Answered by a series of events; may be continued at another upstream.
+    ResumableStream,
+}
+
+impl RequestClass {
+    /// Returns whether a request may reach a second upstream after the first may have run it.
+    pub fn may_repeat(self) -> bool {
+        matches!(self, Self::Idempotent | Self::ResumableStream)
+    }
+
+    /// Returns whether the answer is a series of events.
+    pub fn is_stream(self) -> bool {
+        matches!(self, Self::Stream | Self::ResumableStream)
+    }
+}
+
+/// One route.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Its name.
+    pub name: Arc<str>,
+    /// The host, in lower case and without a port.
+    pub host: Arc<str>,
+    /// The prefix of the path; it begins and ends with a slash.
+    pub prefix: Arc<str>,
+    /// What may be repeated.
+    pub class: RequestClass,
+    /// Longest time that a request is kept waiting for the end of its answer.
+    pub timeout: Duration,
+    /// Time to the first byte of the answer within which it is on time.
+    pub target: Duration,
+    /// Rank against other routes; zero is the most urgent.
+    pub priority: u8,
+    /// The services that answer, with their weights.
+    pub services: Vec<(ServiceName, u32)>,
+    /// Most upstreams that one request may be sent to.
+    pub max_attempts: u32,
+    /// Whether requests need no key.
+    pub public: bool,
+}
+
+/// A service that routes name.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RoutedService {
+    /// Its name.
+    pub name: ServiceName,
+    /// Where it tells its health.
+    pub health_path: Arc<str>,
+    /// Connections that one upstream accepts from all gateways together.
+    pub max_connections: u32,
+    /// What is known of it if its upstreams are model engines.
+    pub engine: Option<EngineFacts>,
+    /// How many upstreams may be ordered, if that is ours to decide.
+    pub scaling: Option<ScalingFacts>,
+}
+
+/// What a table says of the model engines of a service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EngineFacts {
+    /// Requests that one engine runs at once.
+    pub slots: u32,
+    /// Tokens that one engine's memory holds.
+    pub memory_tokens: u64,
+}
+
+/// Within which bounds, and at what price, a service's upstreams may be ordered.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ScalingFacts {
+    /// Fewest upstreams in one zone.
+    pub min: u32,
+    /// Most upstreams in one zone.
+    pub max: u32,
+    /// Time from an order until the upstream serves.
+    pub boot: Duration,
+    /// Price of one upstream for a second, by zone.
+    pub zone_prices: Vec<(ZoneName, f64)>,
+}
+
+/// Limits on what callers may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Largest head, in bytes.
+    pub head_bytes: usize,
+    /// Largest body, in bytes.
+    pub body_bytes: usize,
+    /// Longest time for a head to arrive.
+    pub head_timeout: Duration,
+    /// Longest time that a connection stays open without a request.
+    pub idle_timeout: Duration,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            head_bytes: 16 * 1024,
+            body_bytes: 4 * 1024 * 1024,
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
+
+/// A client account with its keys.
+#[derive(Clone, Debug, PartialEq)]
+pub struct KeyedAccount {
+    /// Its name.
+    pub name: AccountName,
+    /// The keys that its callers send.
+    pub keys: Vec<Arc<str>>,
+    /// Rank that goes before the route's, if there is one.
+    pub priority: Option<u8>,
+    /// What it may use.
+    pub quota: Option<Quota>,
+}
+
+/// What an account may use, over all gateways together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Quota {
+    /// Units that it gains in a second.
+    pub per_second: f64,
+    /// Units that it can save up.
+    pub burst: f64,
+    /// What a unit is.
+    pub unit: QuotaUnit,
+}
+
+/// What a quota counts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum QuotaUnit {
+    /// Each request is one unit.
+    Requests,
+    /// A request is as many units as it has tokens.
+    Tokens {
+        /// Units of a request that does not say how many tokens it has.
+        plain: f64,
+    },
+}
+
+/// A published table of routes.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct RouteTable {
+    /// Its version; the highest is in force.
+    pub version: u64,
+    /// The routes.
+    pub routes: Vec<Route>,
+    /// The services that they name.
+    pub services: Vec<RoutedService>,
+    /// Limits on what callers may send.
+    pub limits: CallerLimits,
+    /// The client accounts; if there is none, requests need no key.
+    pub accounts: Vec<KeyedAccount>,
+}
+
+/// Why a table cannot be put in force.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum InvalidTable {
+    /// A document that is not a table.
+    #[error("the document cannot be read: {0}; correct it and publish it again")]
+    Unreadable(String),
+    /// A route without a service that answers.
+    #[error("route {route} names the unknown service {service}; add the service or correct it")]
+    UnknownService {
+        /// The route.
+        route: Arc<str>,
+        /// The service.
+        service: ServiceName,
+    },
+    /// Two routes that would answer the same requests.
+    #[error("two routes have host {host} and prefix {prefix}; remove one of them")]
+    SamePlace {
+        /// The host.
+        host: Arc<str>,
+        /// The prefix.
+        prefix: Arc<str>,
+    },
+    /// A route whose weights add up to zero.
+    #[error("the weights of route {0} add up to zero; give one service a weight")]
+    NoWeight(Arc<str>),
+    /// A route without time.
+    #[error("route {0} has a timeout of zero; give it at least a millisecond")]
+    NoTimeout(Arc<str>),
+    /// Two accounts with one key.
+    #[error("accounts {0} and {1} share a key; give each its own")]
+    SharedKey(AccountName, AccountName),
+}
+
+impl RouteTable {
+    /// Returns the first reason why this table cannot be put in force.
+    pub fn check(&self) -> Result<(), InvalidTable> {
+        let known: HashSet<&ServiceName> = self.services.iter().map(|s| &s.name).collect();
+        let mut places = HashSet::new();
+        for route in &self.routes {
+            let unknown = route
+                .services
+                .iter()
+                .find(|(name, _)| !known.contains(name));
+            if let Some((service, _)) = unknown {
+                return Err(InvalidTable::UnknownService {
+                    route: Arc::clone(&route.name),
+                    service: service.clone(),
+                });
+            }
+            if route.services.iter().all(|(_, weight)| *weight == 0) {
+                return Err(InvalidTable::NoWeight(Arc::clone(&route.name)));
+            }
+            if route.timeout.is_zero() {
+                return Err(InvalidTable::NoTimeout(Arc::clone(&route.name)));
+            }
+            if !places.insert((&route.host, &route.prefix)) {
+                return Err(InvalidTable::SamePlace {
+                    host: Arc::clone(&route.host),
+                    prefix: Arc::clone(&route.prefix),
+                });
+            }
+        }
+        self.check_keys()
+    }
+
+    fn check_keys(&self) -> Result<(), InvalidTable> {
+        let mut holders: HashMap<&str, &AccountName> = HashMap::new();
+        for account in &self.accounts {
+            for key in &account.keys {
+                let before = holders.insert(key, &account.name);
+                if let Some(other) = before.filter(|other| **other != account.name) {
+                    return Err(InvalidTable::SharedKey(other.clone(), account.name.clone()));
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+/// A table prepared for looking up routes and keys.
+#[derive(Debug, Default)]
+pub struct RouteIndex {
+    /// The table.
+    pub table: RouteTable,
+    /// Positions of routes by host, then by prefix.
+    places: HashMap<Arc<str>, HashMap<Arc<str>, usize>>,
+    /// Positions of accounts by key.
+    keys: HashMap<Arc<str>, usize>,
+}
+
+impl RouteIndex {
+    /// Prepares a table that was checked.
+    pub fn new(table: RouteTable) -> Self {
+        let mut places: HashMap<_, HashMap<_, _>> = HashMap::new();
+        for (i, route) in table.routes.iter().enumerate() {
+            let host = places.entry(Arc::clone(&route.host)).or_default();
+            host.insert(Arc::clone(&route.prefix), i);
+        }
+        let keys = table
+            .accounts
+            .iter()
+            .enumerate()
+            .flat_map(|(i, account)| account.keys.iter().map(move |key| (Arc::clone(key), i)))
+            .collect();
+        Self {
+            table,
+            places,
+            keys,
+        }
+    }
+
+    /// Returns the route of a host with the longest prefix that begins a path.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let prefixes = match self.places.get(host) {
+            Some(prefixes) => prefixes,
+            None => self.places.get(host.to_ascii_lowercase().as_str())?,
+        };
+        let mut rest = path;
+        loop {
+            let end = rest.rfind('/')?;
+            if let Some(i) = prefixes.get(&rest[..=end]) {
+                return self.table.routes.get(*i);
+            }
+            rest = &rest[..end];
+        }
+    }
+
+    /// Returns whether a host has any route.
+    pub fn knows_host(&self, host: &str) -> bool {
+        self.places.contains_key(host)
+    }
+
+    /// Returns the account that holds a key.
+    pub fn account(&self, key: &str) -> Option<&KeyedAccount> {
+        self.table.accounts.get(*self.keys.get(key)?)
+    }
+
+    /// Returns a service by its name.
+    pub fn service(&self, name: &ServiceName) -> Option<&RoutedService> {
+        self.table.services.iter().find(|s| s.name == *name)
+    }
+}
+
+impl Route {
+    /// Returns the service for a number drawn evenly from zero to one.
+    pub fn pick_service(&self, draw: f64) -> Option<&ServiceName> {
+        let total: u64 = self
+            .services
+            .iter()
+            .map(|(_, weight)| u64::from(*weight))
+            .sum();
+        let mut left = (draw.clamp(0.0, 1.0) * total as f64) as u64;
+        for (service, weight) in &self.services {
+            let weight = u64::from(*weight);
+            if left < weight {
+                return Some(service);
+            }
+            left -= weight;
+        }
+        self.services
+            .iter()
+            .rfind(|(_, weight)| *weight > 0)
+            .map(|(service, _)| service)
+    }
+}
--- /dev/null
+++ b/src/ingress/follow.rs
@@ -0,0 +1,248 @@
+//! Follows the controllers: each one is asked for what is new, and the newest of all answers counts. A
+//! gateway that reaches none of them serves on from what it has.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use tokio::{
+    sync::Notify,
+    time::{Instant, sleep},
+};
+use tokio_util::sync::CancellationToken;
+
+use super::Core;
+use crate::{
+    domain::RouteIndex,
+    link::{Identity, Link, LinkSettings, PeerKey},
+    ports::{Clock, Platform},
+    wire::{Body, ControllerRecord, DocumentRequest, Follow, FollowReply, IngressRecord, Roster},
+};
+
+/// Longest wait for a change, after which a controller answers as a sign of life. It is a third of
+/// the silence after which a controller drops a gateway from the roster.
+pub(super) const FOLLOW_WAIT: Duration = Duration::from_millis(700);
+/// Time that an answer may take beyond the wait.
+const ANSWER_SLACK: Duration = Duration::from_millis(800);
+/// Longest time for a document to arrive.
+const DOCUMENT_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Pause after a controller did not answer.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Age after which a controller's roster does not count if another one is younger.
+const ROSTER_AGE: Duration = Duration::from_millis(2500);
+
+/// Follows the controllers of the settings, and those that they name, until the token is cancelled.
+pub(super) async fn run<P: Platform, T: Clock>(
+    core: Arc<Core<P, T>>,
+    key: PeerKey,
+    own: Identity,
+    stop: CancellationToken,
+) {
+    let follower = Arc::new(Follower {
+        core,
+        key,
+        own,
+        fetching: AtomicBool::new(false),
+        list: Mutex::default(),
+        controllers: Mutex::default(),
+        changed: Notify::new(),
+        announced: AtomicU64::new(0),
+    });
+    for entry in &follower.core.settings.controllers {
+        follower.meet(entry.name.as_ref(), entry.peer_address, &stop);
+    }
+    stop.cancelled().await;
+}
+
+struct Follower<P, T> {
+    core: Arc<Core<P, T>>,
+    key: PeerKey,
+    own: Identity,
+    /// Whether a document is on its way.
+    fetching: AtomicBool,
+    list: Mutex<crate::wire::ListVersion>,
+    /// What each controller said last of the gateways, by the controller's name.
+    controllers: Mutex<HashMap<String, Heard>>,
+    changed: Notify,
+    announced: AtomicU64,
+}
+
+struct Heard {
+    roster: Roster,
+    at: Option<Instant>,
+}
+
+impl<P: Platform, T: Clock> Follower<P, T> {
+    /// Starts to follow a controller that was not known before.
+    fn meet(self: &Arc<Self>, name: &str, address: SocketAddr, stop: &CancellationToken) {
+        let mut controllers = self
+            .controllers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if controllers.contains_key(name) {
+            return;
+        }
+        let heard = Heard {
+            roster: Roster::default(),
+            at: None,
+        };
+        controllers.insert(name.to_owned(), heard);
+        let settings = LinkSettings::default();
+        let link = Link::connect(address, self.key.clone(), self.own.clone(), settings);
+        let (follower, name, stop) = (Arc::clone(self), name.to_owned(), stop.clone());
+        tokio::spawn(async move {
+            let followed = follower.follow(&name, &link, &stop);
+            stop.run_until_cancelled(followed).await;
+        });
+    }
+
+    async fn follow(self: &Arc<Self>, name: &str, link: &Link, stop: &CancellationToken) {
+        let mut in_touch = false;
+        loop {
+            let question = Body::Follow(self.question(name));
+            let answer = link.call(question, FOLLOW_WAIT + ANSWER_SLACK).await;
+            let answered = matches!(answer, Ok(Body::FollowReply(_)));
+            if answered != in_touch {
+                in_touch = answered;
+                let table = self.core.routes.load();
+                match in_touch {
+                    true => log::info!("ingress: controller {name} answers."),
+                    false => log::warn!(
+                        "ingress: controller {name} does not answer; version {} stays in force.",
+                        table.table.version
+                    ),
+                }
+            }
+            match answer {
+                Ok(Body::FollowReply(reply)) => self.take(name, link, reply, stop).await,
+                Ok(other) => {
+                    log::warn!("ingress: controller {name} answered something else: {other:?}.");
+                    sleep(RETRY_PAUSE).await;
+                }
+                Err(_) => sleep(RETRY_PAUSE).await,
+            }
+        }
+    }
+
+    fn question(&self, name: &str) -> Follow {
+        let controllers = self
+            .controllers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let held_roster = controllers
+            .get(name)
+            .map_or(0, |heard| heard.roster.version);
+        drop(controllers);
+        let record = self.core.record();
+        let announced = u64::from(record.open);
+        // Every controller must hear of a change at once, not when its question comes around.
+        if self.announced.swap(announced, Ordering::Relaxed) != announced {
+            self.changed.notify_waiters();
+        }
+        Follow {
+            gateway: Some(record),
+            held_version: self.core.routes.load().table.version,
+            held_list: Some(*self.list.lock().unwrap_or_else(PoisonError::into_inner)),
+            held_roster,
+            wait_ms: FOLLOW_WAIT.as_millis() as u64,
+            usage: self.core.usage.newest(self.core.clock.unix_ms()),
+        }
+    }
+
+    async fn take(
+        self: &Arc<Self>,
+        name: &str,
+        link: &Link,
+        reply: FollowReply,
+        stop: &CancellationToken,
+    ) {
+        for record in &reply.controllers {
+            self.meet_record(record, stop);
+        }
+        if let Some(list) = reply.list {
+            let mut held = self.list.lock().unwrap_or_else(PoisonError::into_inner);
+            let version = list.version.unwrap_or_default();
+            if version > *held {
+                *held = version;
+                self.core.upstreams.replace(&list);
+            }
+        }
+        self.note_roster(name, reply.roster);
+        if reply.version > self.core.routes.load().table.version {
+            self.fetch(name, link).await;
+        }
+    }
+
+    fn meet_record(self: &Arc<Self>, record: &ControllerRecord, stop: &CancellationToken) {
+        match record.peer_address.parse() {
+            Ok(address) => self.meet(&record.name, address, stop),
+            Err(e) => log::warn!("ingress: controller {} has no address: {e}.", record.name),
+        }
+    }
+
+    /// Takes a controller's roster, and tells callers all gateways that the controllers in touch name.
+    fn note_roster(&self, name: &str, roster: Option<Roster>) {
+        let now = Instant::now();
+        let mut controllers = self
+            .controllers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let Some(heard) = controllers.get_mut(name) else {
+            return;
+        };
+        heard.at = Some(now);
+        let Some(roster) = roster else {
+            return;
+        };
+        heard.roster = roster;
+        let is_young = |heard: &&Heard| heard.at.is_some_and(|at| now - at <= ROSTER_AGE);
+        let mut gateways: Vec<IngressRecord> = controllers
+            .values()
+            .filter(is_young)
+            .flat_map(|heard| heard.roster.gateways.iter().cloned())
+            .collect();
+        // Of two answers about one gateway, the one that it is closed is the newer one more often:
+        // gateways start rarely, and callers lose little by missing one for a moment.
+        gateways.sort_by(|a, b| a.name.cmp(&b.name).then(a.open.cmp(&b.open)));
+        gateways.dedup_by(|a, b| a.name == b.name);
+        self.core.quotas.set_gateways(gateways.len());
+        self.core.roster.store(Arc::new(gateways));
+    }
+
+    async fn fetch(&self, name: &str, link: &Link) {
+        if self.fetching.swap(true, Ordering::Acquire) {
+            // Another controller is sending it; the next question shows whether it came.
+            sleep(RETRY_PAUSE / 4).await;
+            return;
+        }
+        let asked = Body::DocumentRequest(DocumentRequest {});
+        let answer = link.call(asked, DOCUMENT_TIMEOUT).await;
+        self.fetching.store(false, Ordering::Release);
+        let document = match answer {
+            Ok(Body::Document(document)) => document,
+            Ok(_) => return log::warn!("ingress: controller {name} sent no document."),
+            Err(e) => return log::warn!("ingress: controller {name} sent no document: {e}."),
+        };
+        match self.core.platform.read_table(&document.document) {
+            Ok(table) if table.version > self.core.routes.load().table.version => {
+                log::info!(
+                    "ingress: version {} is in force, from controller {name}, {} routes.",
+                    table.version,
+                    table.routes.len()
+                );
+                self.core
+                    .quotas
+                    .set_accounts(&table.accounts, Instant::now());
+                self.core.routes.store(Arc::new(RouteIndex::new(table)));
+            }
+            Ok(_) => {}
+            Err(e) => log::error!("ingress: version {} of {name}: {e}.", document.version),
+        }
+    }
+}
--- /dev/null
+++ b/src/ingress/forward.rs
@@ -0,0 +1,397 @@
+//! The path of one request: route, account, body, quota, then attempts at upstreams until one answers.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::{
+    HeaderMap, Method, Request, Response, StatusCode, Uri, Version,
+    body::Incoming,
+    header::{self, HeaderName, HeaderValue},
+};
+use tokio::time::{Instant, sleep_until, timeout_at};
+
+use super::{
+    Core,
+    answer::{Ended, Failure, NotRun, respond},
+    relay::Relay,
+    upstreams::Flight,
+};
+use crate::{
+    adapters::http::{Answer, Reuse},
+    domain::{AccountName, InstanceName, Route, RouteIndex, ServiceName},
+    policy::route::RouteRequest,
+    ports::{
+        Clock, Forwarding, Platform, PromptFacts, RequestFacts, Sent, UpstreamError,
+        UpstreamErrorKind,
+    },
+};
+
+/// Headers that concern one connection only.
+const CONNECTION_HEADERS: [HeaderName; 8] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    header::PROXY_AUTHENTICATE,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Upstreams that have no room or no connection and are tried for one request. Such an attempt does
+/// not run, so this bounds the search only.
+const MOST_REFUSED: usize = 3;
+
+/// Answers one request.
+pub(super) async fn answer<P: Platform, T: Clock>(
+    core: Arc<Core<P, T>>,
+    req: Request<Incoming>,
+) -> Response<Relay> {
+    let arrived = Instant::now();
+    let facts = core.platform.read_request(req.headers());
+    let id = facts.id.clone().unwrap_or_default();
+    let mut res = match Passage::begin(&core, req, facts, arrived).await {
+        Ok(mut passage) => match passage.run().await {
+            Ok(res) => res,
+            Err(ended) => passage.give_up(ended),
+        },
+        Err(ended) => {
+            log::info!("ingress: request {id} is not taken: {ended:?}.");
+            respond(&*core.platform, &id, ended)
+        }
+    };
+    if core.leaving.load(std::sync::atomic::Ordering::Relaxed) {
+        let close = HeaderValue::from_static("close");
+        res.headers_mut().insert(header::CONNECTION, close);
+    }
+    res
+}
+
+/// A request that was taken.
+struct Passage<'a, P, T> {
+    core: &'a Core<P, T>,
+    table: Arc<RouteIndex>,
+    /// Its position in the table's routes.
+    route: Route,
+    service: ServiceName,
+    account: Option<AccountName>,
+    facts: RequestFacts,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+    arrived: Instant,
+    /// When the caller, or the route's time, gives up.
+    deadline: Instant,
+    tried: Vec<InstanceName>,
+    /// Attempts that may have run.
+    attempts: u32,
+}
+
+/// How one attempt ended without an answer for the caller.
+enum Attempt {
+    /// It has not run there.
+    NotRun(NotRun),
+    /// It may have run there.
+    MayHaveRun(Failure),
+}
+
+impl<'a, P: Platform, T: Clock> Passage<'a, P, T> {
+    /// Finds the route and the account, reads the body and takes the quota.
+    async fn begin(
+        core: &'a Core<P, T>,
+        req: Request<Incoming>,
+        facts: RequestFacts,
+        arrived: Instant,
+    ) -> Result<Self, Ended> {
+        let table = core.routes.load_full();
+        if table.table.version == 0 {
+            return Err(NotRun::NoTable.into());
+        }
+        let host = host(&req).unwrap_or_default();
+        let route = table
+            .route(host, req.uri().path())
+            .ok_or(Failure::NoRoute)?;
+        let route = route.clone();
+        let account = account(&table, &route, &facts)?;
+        let draw = rand::random();
+        let service = route.pick_service(draw).ok_or(Failure::NoRoute)?.clone();
+        let patience = facts.patience.unwrap_or(route.timeout).min(route.timeout);
+        let deadline = arrived + patience;
+        let (head, body) = req.into_parts();
+        let limit = table.table.limits.body_bytes;
+        let body = timeout_at(deadline, Limited::new(body, limit).collect())
+            .await
+            .map_err(|_| NotRun::BodySlow)?
+            .map_err(|e| match e.is::<LengthLimitError>() {
+                true => Failure::BodyTooLarge,
+                false => Failure::BodyCut,
+            })?;
+        if let Some(account) = &account {
+            core.quotas
+                .take(account, facts.prompt.as_ref(), Instant::now())
+                .map_err(NotRun::OverQuota)?;
+        }
+        Ok(Self {
+            core,
+            table,
+            service,
+            account,
+            facts,
+            method: head.method,
+            uri: head.uri,
+            headers: without_connection_headers(head.headers),
+            body: body.to_bytes(),
+            arrived,
+            deadline,
+            tried: Vec::new(),
+            attempts: 0,
+            route,
+        })
+    }
+
+    /// Sends the request to upstreams until one answers for the caller.
+    async fn run(&mut self) -> Result<Response<Relay>, Ended> {
+        self.core.budgets.earn(&self.service, Instant::now());
+        let mut refused = 0;
+        loop {
+            // Lets the connection notice that the caller has left, above all after the process stood
+            // still: this request is then dropped here.
+            tokio::task::yield_now().await;
+            let now = Instant::now();
+            if now >= self.deadline {
+                return Err(self.unless_run(NotRun::TooLate));
+            }
+            let Some(flight) = self.choose(now) else {
+                return Err(self.unless_run(NotRun::NoUpstream));
+            };
+            let repeats = !self.tried.is_empty();
+            if repeats && !self.core.budgets.spend(&self.service, now) {
+                return Err(self.unless_run(NotRun::Busy));
+            }
+            self.tried.push(flight.upstream.target.instance.clone());
+            match self.attempt(flight).await {
+                Ok(res) => return Ok(res),
+                Err(Attempt::NotRun(reason)) => {
+                    refused += 1;
+                    if refused >= MOST_REFUSED || self.is_exhausted() {
+                        return Err(self.unless_run(reason));
+                    }
+                }
+                Err(Attempt::MayHaveRun(failure)) => {
+                    self.attempts += 1;
+                    if !self.route.class.may_repeat() || self.is_exhausted() {
+                        return Err(failure.into());
+                    }
+                }
+            }
+        }
+    }
+
+    fn is_exhausted(&self) -> bool {
+        self.tried.len() >= self.route.max_attempts as usize
+    }
+
+    /// "Not run" holds for the whole request only if no attempt may have run.
+    fn unless_run(&self, reason: NotRun) -> Ended {
+        match self.attempts {
+            0 => reason.into(),
+            _ => Failure::Unclear.into(),
+        }
+    }
+
+    fn choose(&self, now: Instant) -> Option<Flight> {
+        let prompt = self.facts.prompt.as_ref();
+        let req = RouteRequest {
+            zone: self.core.settings.zone.clone(),
+            prompt_tokens: prompt.map_or(0, |prompt| prompt.tokens_in as u32),
+            home: prompt.map_or_else(rand::random, home),
+        };
+        self.core
+            .upstreams
+            .choose(&self.service, &req, &self.tried, now)
+    }
+
+    async fn attempt(&self, flight: Flight) -> Result<Response<Relay>, Attempt> {
+        let now = Instant::now();
+        let left = self.deadline.saturating_duration_since(now);
+        let upstream = &flight.upstream;
+        let req = self.request(upstream.target.instance.clone(), left);
+        let client = &self.core.client;
+        let sent = client.exchange(&upstream.target, req, Reuse::Allowed, self.deadline);
+        let answer = match sent.await {
+            Ok(answer) => answer,
+            Err(e) => return Err(self.failed(&flight, &e)),
+        };
+        self.judge(flight, answer)
+    }
+
+    fn failed(&self, flight: &Flight, e: &UpstreamError) -> Attempt {
+        let upstream = &flight.upstream;
+        upstream.suspect(Instant::now());
+        log::info!(
+            "ingress: request {} failed at {} after {} ms: {e}.",
+            self.id(),
+            upstream.target.instance,
+            self.arrived.elapsed().as_millis()
+        );
+        match (e.sent, e.kind) {
+            (Sent::No, _) => Attempt::NotRun(NotRun::Unreachable),
+            (Sent::Maybe, UpstreamErrorKind::Silent) => Attempt::MayHaveRun(Failure::Unanswered),
+            (Sent::Maybe, _) => Attempt::MayHaveRun(Failure::Unclear),
+        }
+    }
+
+    /// Decides whether an answer is the caller's.
+    fn judge(&self, flight: Flight, answer: Answer) -> Result<Response<Relay>, Attempt> {
+        let status = answer.res.status();
+        let facts = self.core.platform.read_answer(status, answer.res.headers());
+        let upstream = &flight.upstream;
+        let now = Instant::now();
+        let is_foreign = facts.id.as_deref().is_some_and(|id| id != self.id());
+        if is_foreign || (status.is_success() && !facts.signed) {
+            upstream.suspect(now);
+            log::warn!(
+                "ingress: request {} got an answer from {} that is not its own, status {status}.",
+                self.id(),
+                upstream.target.instance
+            );
+            return Err(Attempt::MayHaveRun(Failure::Unclear));
+        }
+        if let Some(load) = facts.load {
+            upstream.report(load, now);
+        }
+        if facts.not_executed {
+            log::info!(
+                "ingress: request {} is not executed by {}, status {status}.",
+                self.id(),
+                upstream.target.instance
+            );
+            return Err(Attempt::NotRun(NotRun::Busy));
+        }
+        if promises_not_run(status) {
+            // Without the upstream's own word, such a status would promise too much.
+            return Err(Attempt::MayHaveRun(Failure::Unclear));
+        }
+        if status.is_server_error() && self.route.class.may_repeat() && !self.is_exhausted() {
+            return Err(Attempt::MayHaveRun(Failure::Unclear));
+        }
+        if let Some(account) = &self.account {
+            self.core.usage.count(account, self.core.clock.unix_ms());
+        }
+        log::info!(
+            "ingress: request {} on route {} answered {status} by {} after {} ms, attempt {}.",
+            self.id(),
+            self.route.name,
+            upstream.target.instance,
+            self.arrived.elapsed().as_millis(),
+            self.tried.len()
+        );
+        Ok(self.pass(flight, answer))
+    }
+
+    fn pass(&self, flight: Flight, answer: Answer) -> Response<Relay> {
+        let (head, body) = answer.res.into_parts();
+        let deadline = sleep_until(self.deadline);
+        let relay = Relay::new(
+            body,
+            answer.connection,
+            flight,
+            deadline,
+            self.id().to_owned(),
+        );
+        let mut res = Response::new(relay);
+        *res.status_mut() = head.status;
+        *res.headers_mut() = without_connection_headers(head.headers);
+        res
+    }
+
+    fn request(&self, instance: InstanceName, left: Duration) -> Request<Full<Bytes>> {
+        let mut headers = self.headers.clone();
+        let forwarding = Forwarding {
+            left: Some(left),
+            instance: &instance,
+            account: self.account.as_ref(),
+            resume_after: None,
+        };
+        self.core
+            .platform
+            .forward_request(&mut headers, &forwarding);
+        headers.remove(header::CONTENT_LENGTH);
+        headers.remove(header::EXPECT);
+        let mut req = Request::new(Full::new(self.body.clone()));
+        *req.method_mut() = self.method.clone();
+        *req.uri_mut() = self.uri.clone();
+        *req.version_mut() = Version::HTTP_11;
+        *req.headers_mut() = headers;
+        req
+    }
+
+    fn give_up(&self, ended: Ended) -> Response<Relay> {
+        log::info!(
+            "ingress: request {} on route {} of version {} ends after {} ms and {} upstreams: {ended:?}.",
+            self.id(),
+            self.route.name,
+            self.table.table.version,
+            self.arrived.elapsed().as_millis(),
+            self.tried.len()
+        );
+        respond(&*self.core.platform, self.id(), ended)
+    }
+
+    fn id(&self) -> &str {
+        self.facts.id.as_deref().unwrap_or_default()
+    }
+}
+
+/// Returns the account that holds the request's key, or nothing if the route needs none.
+fn account(
+    table: &RouteIndex,
+    route: &Route,
+    facts: &RequestFacts,
+) -> Result<Option<AccountName>, Ended> {
+    if route.public || table.table.accounts.is_empty() {
+        return Ok(None);
+    }
+    let key = facts.key.as_deref().ok_or(Failure::UnknownKey)?;
+    let account = table.account(key).ok_or(Failure::UnknownKey)?;
+    Ok(Some(account.name.clone()))
+}
+
+/// Requests that share all but the last part of their prompts have one home.
+fn home(prompt: &PromptFacts) -> u64 {
+    let shared = prompt.parts.len().saturating_sub(2);
+    prompt.parts.get(shared).map_or(0, |part| part.hash)
+}
+
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
+fn host<B>(req: &Request<B>) -> Option<&str> {
+    match req.headers().get(header::HOST) {
+        Some(host) => host.to_str().ok(),
+        None => req.uri().host(),
+    }
+}
+
+fn without_connection_headers(mut headers: HeaderMap) -> HeaderMap {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&CONNECTION_HEADERS) {
+        headers.remove(name);
+    }
+    headers
+}
--- /dev/null
+++ b/src/ingress/mod.rs
@@ -0,0 +1,166 @@
+//! A gateway that serves published routes: it passes requests to the upstreams of their route's service
+//! and the answers back, both unchanged. See docs/PLATFORM.md.
+
+mod answer;
+mod budget;
+mod directory;
+mod follow;
+mod forward;
+mod quota;
+mod relay;
+mod upstreams;
+mod usage;
+
+pub use directory::Directory;
+
+use std::{
+    convert::Infallible,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use anyhow::Context;
+use arc_swap::ArcSwap;
+use hyper::service::service_fn;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use self::{budget::Budgets, quota::Quotas, upstreams::Upstreams, usage::UsageCounter};
+use crate::{
+    Running,
+    adapters::http::{Client, ServerOptions, serve},
+    domain::{Incarnation, RouteIndex},
+    link::{Identity, PeerKey},
+    ports::{Clock, Platform},
+    settings::{Ingress, Settings},
+    wire::IngressRecord,
+};
+
+/// Time before the end of a stop at which connections are closed, so that the process ends in time.
+const CLOSE_BEFORE_END: Duration = Duration::from_millis(1200);
+
+/// What all parts of an ingress gateway share.
+#[derive(Debug)]
+struct Core<P, T> {
+    settings: Arc<Settings>,
+    ingress: Ingress,
+    platform: Arc<P>,
+    clock: Arc<T>,
+    /// The routes in force; version zero before the first ones arrived.
+    routes: ArcSwap<RouteIndex>,
+    /// The gateways, as the controllers name them to callers.
+    roster: ArcSwap<Vec<IngressRecord>>,
+    upstreams: Upstreams,
+    client: Client,
+    quotas: Quotas,
+    budgets: Budgets,
+    usage: UsageCounter,
+    /// Whether the process is being stopped.
+    leaving: AtomicBool,
+}
+
+impl<P, T> Core<P, T> {
+    /// Returns whether callers should connect here.
+    fn is_open(&self) -> bool {
+        !self.leaving.load(Ordering::Relaxed) && self.routes.load().table.version > 0
+    }
+
+    /// Returns what this gateway tells of itself.
+    fn record(&self) -> IngressRecord {
+        IngressRecord {
+            name: self.settings.name.to_string(),
+            zone: self.settings.zone.to_string(),
+            caller_address: self.ingress.address.to_string(),
+            open: self.is_open(),
+        }
+    }
+}
+
+/// Starts an ingress gateway. When the token is cancelled it leaves the addresses that callers get,
+/// answers those that still come, and ends within `timing.shutdown`.
+///
+/// # Errors
+///
+/// Fails if the settings say nothing of published routes, if the peer key cannot be read, or if the
+/// address cannot be bound.
+pub async fn start<P: Platform, T: Clock>(
+    settings: Arc<Settings>,
+    platform: Arc<P>,
+    clock: Arc<T>,
+    stop: CancellationToken,
+) -> anyhow::Result<(Running, Directory)> {
+    let ingress = settings.ingress.clone();
+    let ingress = ingress.context("ingress is missing; a gateway that serves routes needs it")?;
+    let key = PeerKey::read(&settings.peer_key_file).with_context(|| {
+        let path = settings.peer_key_file.display();
+        format!("the peer key file {path} cannot be read; make it or correct peer_key_file")
+    })?;
+    let identity = Identity {
+        name: Arc::clone(&settings.name),
+        incarnation: Incarnation(clock.unix_ms()),
+    };
+    let listener = TcpListener::bind(ingress.address).await.with_context(|| {
+        let address = ingress.address;
+        format!("ingress.address {address} cannot be bound; choose a free one of this machine")
+    })?;
+    let http_address = listener.local_addr()?;
+    let core = Arc::new(Core {
+        routes: ArcSwap::default(),
+        roster: ArcSwap::default(),
+        upstreams: Upstreams::default(),
+        client: Client::new(settings.timing.connect_timeout),
+        quotas: Quotas::default(),
+        budgets: Budgets::new(&ingress),
+        usage: UsageCounter::new(ingress.usage_window),
+        leaving: AtomicBool::new(false),
+        ingress,
+        platform,
+        clock,
+        settings: Arc::clone(&settings),
+    });
+    let closing = CancellationToken::new();
+    tokio::spawn(follow::run(
+        Arc::clone(&core),
+        key,
+        identity,
+        closing.clone(),
+    ));
+    let service = {
+        let core = Arc::clone(&core);
+        service_fn(move |req| {
+            let core = Arc::clone(&core);
+            async move { Ok::<_, Infallible>(forward::answer(core, req).await) }
+        })
+    };
+    let options = ServerOptions {
+        close_timeout: CLOSE_BEFORE_END / 2,
+        ..ServerOptions::default()
+    };
+    let mut served = tokio::spawn(serve(listener, options, service, closing.clone()));
+    let directory = Directory::new(&core);
+    let task = tokio::spawn(async move {
+        tokio::select! {
+            () = stop.cancelled() => {}
+            _ = &mut served => anyhow::bail!("callers are not served any more"),
+        }
+        core.leaving.store(true, Ordering::Relaxed);
+        // Callers keep an old answer for a while and use open connections until the end.
+        let patience = core
+            .settings
+            .timing
+            .shutdown
+            .saturating_sub(CLOSE_BEFORE_END);
+        core.upstreams.wait_until_idle(patience).await;
+        closing.cancel();
+        served.await.context("serving callers failed")
+    });
+    let running = Running {
+        http_address,
+        peer_address: settings.peer_address,
+        task,
+    };
+    Ok((running, directory))
+}
--- /dev/null
+++ b/src/ingress/usage.rs
@@ -0,0 +1,66 @@
+//! Counts the requests of each account that began to run, by window.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
+
+use crate::{
+    domain::AccountName,
+    wire::{AccountCount, WindowCount},
+};
+
+/// Windows that are told to the controllers: the one that runs and those that may not be committed yet.
+const TOLD_WINDOWS: usize = 3;
+
+/// Counts of the newest windows.
+#[derive(Debug)]
+pub(super) struct UsageCounter {
+    window_ms: Option<u64>,
+    windows: Mutex<BTreeMap<u64, BTreeMap<AccountName, u64>>>,
+}
+
+impl UsageCounter {
+    pub(super) fn new(window: Option<Duration>) -> Self {
+        Self {
+            window_ms: window.map(|window| (window.as_millis() as u64).max(1)),
+            windows: Mutex::default(),
+        }
+    }
+
+    /// Counts a request that began to run now.
+    pub(super) fn count(&self, account: &AccountName, unix_ms: u64) {
+        let Some(length) = self.window_ms else {
+            return;
+        };
+        let mut windows = self.windows.lock().unwrap_or_else(PoisonError::into_inner);
+        let window = windows.entry(unix_ms / length).or_default();
+        *window.entry(account.clone()).or_default() += 1;
+        while windows.len() > TOLD_WINDOWS {
+            windows.pop_first();
+        }
+    }
+
+    /// Returns the counts of the newest windows.
+    pub(super) fn newest(&self, unix_ms: u64) -> Vec<WindowCount> {
+        let Some(length) = self.window_ms else {
+            return Vec::new();
+        };
+        let oldest = (unix_ms / length).saturating_sub(TOLD_WINDOWS as u64);
+        let windows = self.windows.lock().unwrap_or_else(PoisonError::into_inner);
+        windows
+            .range(oldest..)
+            .map(|(window, counts)| WindowCount {
+                window: *window,
+                counts: counts
+                    .iter()
+                    .map(|(account, count)| AccountCount {
+                        account: account.to_string(),
+                        count: *count,
+                    })
+                    .collect(),
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/platform/control.rs
@@ -0,0 +1,101 @@
+//! The operator's calls of a controller.
+
+use std::{convert::Infallible, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    Method, Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONTENT_TYPE, HeaderValue, LOCATION},
+    service::service_fn,
+};
+use tokio::{net::TcpListener, time::timeout};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    adapters::http::{ServerOptions, serve},
+    controller::publisher::{PublishError, Publisher},
+    ports::{Clock, Platform},
+};
+
+const PUT: &str = "/api/config/put";
+const GET: &str = "/api/config/get";
+
+/// Largest configuration document, in bytes; the log takes no larger entry.
+const DOCUMENT_LIMIT_BYTES: usize = 4 * 1024 * 1024;
+/// Longest time for a document to arrive.
+const DOCUMENT_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Serves the operator's calls until the token is cancelled.
+pub async fn serve_control<T: Clock, P: Platform>(
+    publisher: Arc<Publisher<T, P>>,
+    listener: TcpListener,
+    stop: CancellationToken,
+) {
+    let service = service_fn(move |req| {
+        let publisher = Arc::clone(&publisher);
+        async move { Ok::<_, Infallible>(answer(&publisher, req).await) }
+    });
+    serve(listener, ServerOptions::default(), service, stop).await;
+}
+
+async fn answer<T: Clock, P: Platform>(
+    publisher: &Publisher<T, P>,
+    req: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    let path = req.uri().path().to_owned();
+    match (req.method(), path.as_str()) {
+        (&Method::POST, PUT) => {
+            let body = Limited::new(req.into_body(), DOCUMENT_LIMIT_BYTES).collect();
+            let document = match timeout(DOCUMENT_TIMEOUT, body).await {
+                Ok(Ok(body)) => body.to_bytes(),
+                Ok(Err(e)) => {
+                    log::info!("controller: a document did not arrive whole: {e}.");
+                    return reply(StatusCode::BAD_REQUEST, "the document did not arrive whole");
+                }
+                Err(_) => {
+                    return reply(StatusCode::REQUEST_TIMEOUT, "the document came too slowly");
+                }
+            };
+            match publisher.publish(document).await {
+                Ok(_) => reply(StatusCode::OK, "{}"),
+                Err(e) => refusal(&e, PUT),
+            }
+        }
+        (&Method::GET, GET) => match publisher.newest().await {
+            Ok(document) => {
+                let mut res = Response::new(Full::new(document));
+                let json = HeaderValue::from_static("application/json");
+                res.headers_mut().insert(CONTENT_TYPE, json);
+                res
+            }
+            Err(e) => refusal(&e, GET),
+        },
+        _ => reply(StatusCode::NOT_FOUND, "there is no such call"),
+    }
+}
+
+fn refusal(e: &PublishError, path: &str) -> Response<Full<Bytes>> {
+    log::info!("controller: {path} is not done: {e}.");
+    let message = e.to_string();
+    match e {
+        PublishError::Invalid(_) => reply(StatusCode::BAD_REQUEST, message),
+        PublishError::Elsewhere(leader) => {
+            let mut res = reply(StatusCode::TEMPORARY_REDIRECT, message);
+            if let Ok(place) = HeaderValue::from_str(&format!("http://{leader}{path}")) {
+                res.headers_mut().insert(LOCATION, place);
+            }
+            res
+        }
+        PublishError::Unavailable(_) | PublishError::Nothing => {
+            reply(StatusCode::SERVICE_UNAVAILABLE, message)
+        }
+    }
+}
+
+fn reply(status: StatusCode, body: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut res = Response::new(Full::new(body.into()));
+    *res.status_mut() = status;
+    res
+}
--- /dev/null
+++ b/src/platform/directory.rs
@@ -0,0 +1,91 @@
+//! What callers and the platform ask of a gateway besides requests: where to connect, and whether it is
+//! ready.
+
+use std::{convert::Infallible, net::SocketAddr, sync::Arc};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONTENT_TYPE, HeaderValue},
+    service::service_fn,
+};
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    adapters::http::{ServerOptions, serve},
+    ingress::Directory,
+};
+
+/// Asks where to connect. The caller's zone stands in `Zone`; its `Name` is a host of some route,
+/// which all gateways serve alike.
+const RESOLVE: &str = "/api/resolve";
+const READY: &str = "/api/readiness";
+
+#[derive(Serialize)]
+#[serde(rename_all = "PascalCase")]
+struct Resolved {
+    addresses: Vec<SocketAddr>,
+    ttl_s: f64,
+}
+
+/// Answers callers that ask where to connect, until the token is cancelled.
+pub async fn serve_directory(directory: Directory, listener: TcpListener, stop: CancellationToken) {
+    let directory = Arc::new(directory);
+    let service = service_fn(move |req| {
+        let res = resolve(&directory, &req);
+        async move { Ok::<_, Infallible>(res) }
+    });
+    serve(listener, ServerOptions::default(), service, stop).await;
+}
+
+/// Answers the platform's question whether this gateway is ready, until the token is cancelled.
+pub async fn serve_ready(directory: Directory, listener: TcpListener, stop: CancellationToken) {
+    let directory = Arc::new(directory);
+    let service = service_fn(move |req: Request<Incoming>| {
+        let status = match (req.uri().path(), directory.is_open()) {
+            (READY, true) => StatusCode::OK,
+            (READY, false) => StatusCode::SERVICE_UNAVAILABLE,
+            _ => StatusCode::NOT_FOUND,
+        };
+        async move { Ok::<_, Infallible>(empty(status)) }
+    });
+    serve(listener, ServerOptions::default(), service, stop).await;
+}
+
+fn resolve(directory: &Directory, req: &Request<Incoming>) -> Response<Full<Bytes>> {
+    if req.uri().path() != RESOLVE {
+        return empty(StatusCode::NOT_FOUND);
+    }
+    let query = req.uri().query().unwrap_or_default();
+    let zone = query.split('&').find_map(|pair| pair.strip_prefix("Zone="));
+    let addresses = directory.addresses(zone.unwrap_or_default());
+    if addresses.is_empty() {
+        return empty(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let resolved = Resolved {
+        addresses,
+        ttl_s: directory.ttl().as_secs_f64(),
+    };
+    match serde_json::to_vec(&resolved) {
+        Ok(body) => {
+            let mut res = Response::new(Full::new(body.into()));
+            let json = HeaderValue::from_static("application/json");
+            res.headers_mut().insert(CONTENT_TYPE, json);
+            res
+        }
+        Err(e) => {
+            log::error!("platform: the addresses cannot be written as JSON: {e}.");
+            empty(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
+
+fn empty(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut res = Response::new(Full::default());
+    *res.status_mut() = status;
+    res
+}
--- /dev/null
+++ b/src/platform/heads.rs
@@ -0,0 +1,144 @@
+//! Headers of requests and answers.
+
+use std::time::Duration;
+
+use hyper::{
+    HeaderMap, StatusCode,
+    header::{AUTHORIZATION, CONTENT_ENCODING, HeaderName, HeaderValue, RETRY_AFTER},
+};
+
+use crate::ports::{AnswerFacts, Forwarding, PromptFacts, PromptPart, ReportedLoad, RequestFacts};
+
+const REQUEST_ID: HeaderName = HeaderName::from_static("x-flamingocroft-request-id");
+/// From a caller: how long it waits. To a server: how long it may work.
+const DEADLINE_MS: HeaderName = HeaderName::from_static("x-flamingocroft-deadline-ms");
+/// The number of the last event that the sender has; the answer goes on after it.
+const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+const MODEL: HeaderName = HeaderName::from_static("x-flamingocroft-model");
+/// Not one count: the prompt's tokens and the most tokens of the answer, with a comma between.
+const TOKEN_COUNT: HeaderName = HeaderName::from_static("x-flamingocroft-token-count");
+/// Not a hash: all parts of the prompt in order, each as a hexadecimal name and its tokens.
+const PREFIX_HASH: HeaderName = HeaderName::from_static("x-flamingocroft-prefix-hash");
+/// The name of the account that holds the caller's key.
+const TENANT: HeaderName = HeaderName::from_static("x-flamingocroft-tenant");
+const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("x-flamingocroft-expect-instance");
+/// The server's signature; a success without it is not the server's.
+const RESPONSE_SEAL: HeaderName = HeaderName::from_static("x-flamingocroft-response-seal");
+/// Present if the server has not run the request and never will.
+const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-flamingocroft-not-executed");
+/// Requests running, requests waiting, and slots, with commas between.
+const SERVER_LOAD: HeaderName = HeaderName::from_static("x-flamingocroft-server-load");
+
+/// Headers that are ours to set, and never taken from a caller.
+const OWN: [HeaderName; 11] = [
+    TENANT,
+    EXPECT_INSTANCE,
+    HeaderName::from_static("x-flamingocroft-expect-version"),
+    HeaderName::from_static("x-flamingocroft-hold"),
+    HeaderName::from_static("x-flamingocroft-pin-ms"),
+    HeaderName::from_static("x-flamingocroft-kv-backup"),
+    HeaderName::from_static("x-flamingocroft-request-priority"),
+    HeaderName::from_static("kv-from"),
+    HeaderName::from_static("kv-fetch"),
+    HeaderName::from_static("x-flamingocroft-duty-holder"),
+    HeaderName::from_static("x-flamingocroft-fencing-token"),
+];
+
+/// Reads the head of a caller's request.
+pub(super) fn read_request(headers: &HeaderMap) -> RequestFacts {
+    let key = text(headers, &AUTHORIZATION).and_then(|value| {
+        let (scheme, key) = value.split_once(' ')?;
+        scheme
+            .eq_ignore_ascii_case("bearer")
+            .then(|| key.trim().to_owned())
+    });
+    RequestFacts {
+        id: text(headers, &REQUEST_ID).map(str::to_owned),
+        key,
+        patience: number(headers, &DEADLINE_MS).map(Duration::from_millis),
+        resume_after: number(headers, &LAST_EVENT_ID),
+        prompt: read_prompt(headers),
+    }
+}
+
+fn read_prompt(headers: &HeaderMap) -> Option<PromptFacts> {
+    headers.get(&MODEL)?;
+    let (tokens_in, tokens_out) = text(headers, &TOKEN_COUNT)?.split_once(',')?;
+    let parts = text(headers, &PREFIX_HASH).unwrap_or_default();
+    Some(PromptFacts {
+        tokens_in: tokens_in.trim().parse().ok()?,
+        tokens_out: tokens_out.trim().parse().ok()?,
+        parts: parts.split(',').filter_map(read_part).collect(),
+    })
+}
+
+fn read_part(part: &str) -> Option<PromptPart> {
+    let (hash, tokens) = part.trim().split_once(':')?;
+    Some(PromptPart {
+        hash: u64::from_str_radix(hash, 16).ok()?,
+        tokens: tokens.parse().ok()?,
+    })
+}
+
+/// Turns a caller's head into the one that a server gets.
+pub(super) fn forward_request(headers: &mut HeaderMap, forwarding: &Forwarding<'_>) {
+    for name in &OWN {
+        headers.remove(name);
+    }
+    headers.remove(AUTHORIZATION);
+    set(headers, EXPECT_INSTANCE, forwarding.instance.as_str());
+    if let Some(account) = forwarding.account {
+        set(headers, TENANT, account.as_str());
+    }
+    if let Some(left) = forwarding.left {
+        set(headers, DEADLINE_MS, &left.as_millis().max(1).to_string());
+    }
+    if let Some(event) = forwarding.resume_after {
+        set(headers, LAST_EVENT_ID, &event.to_string());
+    }
+}
+
+/// Reads the head of a server's answer.
+pub(super) fn read_answer(status: StatusCode, headers: &HeaderMap) -> AnswerFacts {
+    // Bodies are never asked for with an encoding, so one that has it is not the server's.
+    let is_encoded = headers.contains_key(CONTENT_ENCODING);
+    AnswerFacts {
+        id: text(headers, &REQUEST_ID).map(str::to_owned),
+        not_executed: headers.contains_key(&NOT_EXECUTED)
+            || status == StatusCode::MISDIRECTED_REQUEST,
+        signed: headers.contains_key(&RESPONSE_SEAL) && !is_encoded,
+        load: text(headers, &SERVER_LOAD).and_then(read_load),
+    }
+}
+
+fn read_load(value: &str) -> Option<ReportedLoad> {
+    let mut numbers = value.split(',').map(|number| number.trim().parse().ok());
+    Some(ReportedLoad {
+        running: numbers.next()??,
+        waiting: numbers.next()??,
+        slots: numbers.next()??,
+    })
+}
+
+/// Marks a refusal with the request that it answers and the time after which to come back.
+pub(super) fn mark_refusal(headers: &mut HeaderMap, id: &str, retry_after: Option<Duration>) {
+    set(headers, REQUEST_ID, id);
+    if let Some(after) = retry_after {
+        set(headers, RETRY_AFTER, &format!("{:.3}", after.as_secs_f64()));
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    text(headers, name)?.trim().parse().ok()
+}
+
+fn set(headers: &mut HeaderMap, name: HeaderName, value: &str) {
+    match HeaderValue::from_str(value) {
+        Ok(value) => drop(headers.insert(name, value)),
+        Err(_) => log::warn!("platform: {name} is left out, because its value is no header text."),
+    }
+}
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,15 @@
+//! The users' platform: the names, formats and calls that its pages define, translated into types of
+//! ours. Nothing here decides, repeats or waits; see docs/PLATFORM.md.
+
+mod api;
+mod control;
+mod directory;
+mod heads;
+mod table;
+
+pub use api::Api;
+pub use control::serve_control;
+pub use directory::{serve_directory, serve_ready};
+
+/// The environment variable that holds the path of the settings file.
+pub const SETTINGS_VARIABLE: &str = "FLAMINGOCROFT_SETTINGS";
--- /dev/null
+++ b/src/platform/table.rs
@@ -0,0 +1,229 @@
+//! The operator's configuration document.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use serde::Deserialize;
+
+use crate::domain::{
+    CallerLimits, EngineFacts, InvalidTable, KeyedAccount, Quota, QuotaUnit, RequestClass, Route,
+    RouteTable, RoutedService, ScalingFacts, ServiceName, ZoneName,
+};
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Document {
+    version: u64,
+    routes: Vec<RouteBody>,
+    services: Vec<ServiceBody>,
+    #[serde(default)]
+    limits: Option<LimitsBody>,
+    #[serde(default)]
+    tenants: Vec<TenantBody>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct RouteBody {
+    name: String,
+    host: String,
+    path_prefix: String,
+    kind: Kind,
+    timeout_ms: f64,
+    #[serde(default)]
+    target_latency_ms: f64,
+    #[serde(default)]
+    priority: u8,
+    /// The only service that answers; `traffic_split` stands instead where there are several.
+    #[serde(default)]
+    service: Option<String>,
+    #[serde(default)]
+    traffic_split: Vec<SplitBody>,
+    #[serde(default = "one")]
+    max_attempts: u32,
+    #[serde(default)]
+    public: bool,
+    /// Whether a stream may go on at another server.
+    #[serde(default)]
+    stream_resume: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Kind {
+    Idempotent,
+    NonIdempotent,
+    Stream,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct SplitBody {
+    service: String,
+    weight: u32,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct ServiceBody {
+    name: String,
+    #[serde(default)]
+    health_path: String,
+    #[serde(default)]
+    max_conns: u32,
+    #[serde(default)]
+    engine: Option<EngineBody>,
+    #[serde(default)]
+    scaling: Option<ScalingBody>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct EngineBody {
+    slots: u32,
+    /// Tokens that fit into one server's memory.
+    kv_capacity: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct ScalingBody {
+    min: u32,
+    max: u32,
+    boot_s: f64,
+    #[serde(default)]
+    zone_prices: BTreeMap<String, f64>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct LimitsBody {
+    max_header_bytes: usize,
+    max_body_bytes: usize,
+    header_timeout_ms: f64,
+    idle_timeout_ms: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct TenantBody {
+    name: String,
+    #[serde(default)]
+    api_keys: Vec<String>,
+    #[serde(default)]
+    priority: Option<u8>,
+    /// What `rate_per_s` and `burst` count: `tokens`, or requests if it is left out.
+    #[serde(default)]
+    unit: Option<String>,
+    /// Tokens that a request without a count of its own stands for.
+    #[serde(default)]
+    plain_tokens: f64,
+    #[serde(default)]
+    rate_per_s: f64,
+    #[serde(default)]
+    burst: f64,
+}
+
+fn one() -> u32 {
+    1
+}
+
+/// Reads a configuration document.
+pub(super) fn read(document: &[u8]) -> Result<RouteTable, InvalidTable> {
+    let document: Document =
+        serde_json::from_slice(document).map_err(|e| InvalidTable::Unreadable(e.to_string()))?;
+    let routes = document.routes.into_iter().map(route);
+    Ok(RouteTable {
+        version: document.version,
+        routes: routes.collect::<Result<_, _>>()?,
+        services: document.services.into_iter().map(service).collect(),
+        limits: document.limits.map(limits).unwrap_or_default(),
+        accounts: document.tenants.into_iter().map(account).collect(),
+    })
+}
+
+fn route(body: RouteBody) -> Result<Route, InvalidTable> {
+    let services = match body.service {
+        Some(service) => vec![(ServiceName::from(service), 1)],
+        None => body
+            .traffic_split
+            .into_iter()
+            .map(|split| (ServiceName::from(split.service), split.weight))
+            .collect(),
+    };
+    let is_prefix = body.path_prefix.starts_with('/') && body.path_prefix.ends_with('/');
+    if !is_prefix {
+        let message = format!("route {} has a prefix without slashes around it", body.name);
+        return Err(InvalidTable::Unreadable(message));
+    }
+    Ok(Route {
+        class: match (body.kind, body.stream_resume) {
+            (Kind::Idempotent, _) => RequestClass::Idempotent,
+            (Kind::NonIdempotent, _) => RequestClass::NonIdempotent,
+            (Kind::Stream, false) => RequestClass::Stream,
+            (Kind::Stream, true) => RequestClass::ResumableStream,
+        },
+        name: body.name.into(),
+        host: body.host.to_ascii_lowercase().into(),
+        prefix: body.path_prefix.into(),
+        timeout: millis(body.timeout_ms),
+        target: millis(body.target_latency_ms),
+        priority: body.priority,
+        services,
+        max_attempts: body.max_attempts.max(1),
+        public: body.public,
+    })
+}
+
+fn service(body: ServiceBody) -> RoutedService {
+    RoutedService {
+        name: body.name.into(),
+        health_path: body.health_path.into(),
+        max_connections: body.max_conns,
+        engine: body.engine.map(|engine| EngineFacts {
+            slots: engine.slots,
+            memory_tokens: engine.kv_capacity,
+        }),
+        scaling: body.scaling.map(|scaling| ScalingFacts {
+            min: scaling.min,
+            max: scaling.max,
+            boot: millis(scaling.boot_s * 1000.0),
+            zone_prices: scaling
+                .zone_prices
+                .into_iter()
+                .map(|(zone, price)| (ZoneName::from(zone), price))
+                .collect(),
+        }),
+    }
+}
+
+fn limits(body: LimitsBody) -> CallerLimits {
+    CallerLimits {
+        head_bytes: body.max_header_bytes,
+        body_bytes: body.max_body_bytes,
+        head_timeout: millis(body.header_timeout_ms),
+        idle_timeout: millis(body.idle_timeout_ms),
+    }
+}
+
+fn account(body: TenantBody) -> KeyedAccount {
+    let unit = match body.unit.as_deref() {
+        Some("tokens") => QuotaUnit::Tokens {
+            plain: body.plain_tokens,
+        },
+        _ => QuotaUnit::Requests,
+    };
+    KeyedAccount {
+        name: body.name.into(),
+        keys: body.api_keys.into_iter().map(Into::into).collect(),
+        priority: body.priority,
+        quota: (body.rate_per_s > 0.0).then_some(Quota {
+            per_second: body.rate_per_s,
+            burst: body.burst,
+            unit,
+        }),
+    }
+}
+
+fn millis(ms: f64) -> Duration {
+    Duration::try_from_secs_f64(ms / 1000.0).unwrap_or_default()
+}
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -3,11 +3,16 @@
 
 mod clock;
 mod cloud;
+mod platform;
 mod upstream;
 mod weights;
 
 pub use clock::Clock;
 pub use cloud::{CloudApi, CloudError, InstanceListing, ReclaimNotice, StartRequest};
+pub use platform::{
+    AnswerFacts, DutyHolder, Forwarding, ListedUpstream, Platform, PromptFacts, PromptPart,
+    ReportedLoad, RequestFacts, WindowUsage,
+};
 pub use upstream::{
     CacheEvent, CacheEvents, EngineLoad, EngineOrder, OrderKind, OrderOutcome, Sent, ServiceCall,
     ServiceReply, StreamEnd, StreamItem, Target, TokenStream, UpstreamError, UpstreamErrorKind,
--- /dev/null
+++ b/src/ports/platform.rs
@@ -0,0 +1,150 @@
+//! The platform that an installation runs on: its list of upstreams, its duties, and the names that
+//! requests, answers and published documents bear there.
+
+use std::{future::Future, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use hyper::{HeaderMap, StatusCode};
+
+use super::CloudError;
+use crate::domain::{
+    AccountName, FencingNumber, InstanceName, InvalidTable, RouteTable, ServiceName, ZoneName,
+};
+
+/// One upstream in the platform's list, which may be seconds old.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListedUpstream {
+    /// The platform's name for this start of the upstream.
+    pub instance: InstanceName,
+    /// The service that it belongs to.
+    pub service: ServiceName,
+    /// Where it accepts connections.
+    pub address: SocketAddr,
+    /// Where it runs.
+    pub zone: ZoneName,
+    /// Requests that it serves at once.
+    pub slots: u32,
+    /// Whether it gets no new work.
+    pub leaving: bool,
+    /// How much longer it is slow after its start, in milliseconds.
+    pub cold_ms: u32,
+}
+
+/// Requests of each account that began to run in one window.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WindowUsage {
+    /// The window's number, counted from the Unix epoch.
+    pub window: u64,
+    /// Requests by account.
+    pub counts: Vec<(AccountName, u64)>,
+}
+
+/// What is known of a request from its head.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct RequestFacts {
+    /// The caller's identifier of this attempt.
+    pub id: Option<String>,
+    /// The caller's key.
+    pub key: Option<String>,
+    /// How long the caller waits, from when it sent the request.
+    pub patience: Option<Duration>,
+    /// The last event that the caller has, if it continues a stream.
+    pub resume_after: Option<u64>,
+    /// Sizes of a request to a model.
+    pub prompt: Option<PromptFacts>,
+}
+
+/// Sizes of a request to a model.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PromptFacts {
+    /// Tokens of the prompt.
+    pub tokens_in: u64,
+    /// Most tokens of the answer.
+    pub tokens_out: u64,
+    /// Parts of the prompt in order: a hash and how many tokens it has. The last one belongs to this
+    /// request or its session, the ones before may be shared with other requests.
+    pub parts: Vec<PromptPart>,
+}
+
+/// One part of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PromptPart {
+    /// Names the part.
+    pub hash: u64,
+    /// Its tokens.
+    pub tokens: u64,
+}
+
+/// What a gateway adds to a request on its way to an upstream.
+#[derive(Clone, Debug)]
+pub struct Forwarding<'a> {
+    /// Time left until the caller gives up.
+    pub left: Option<Duration>,
+    /// The upstream that the request is meant for.
+    pub instance: &'a InstanceName,
+    /// The account that holds the caller's key.
+    pub account: Option<&'a AccountName>,
+    /// Continues after this event, if a stream is taken up again.
+    pub resume_after: Option<u64>,
+}
+
+/// What is known of an answer from its head.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct AnswerFacts {
+    /// The request that it answers, if it says so.
+    pub id: Option<String>,
+    /// Whether the upstream says that it has not run the request and never will.
+    pub not_executed: bool,
+    /// Whether it bears the upstream's signature.
+    pub signed: bool,
+    /// The upstream's load when it answered.
+    pub load: Option<ReportedLoad>,
+}
+
+/// An upstream's own account of its load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReportedLoad {
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+    /// Requests that it runs at once.
+    pub slots: u32,
+}
+
+/// Who acts towards the platform for one duty.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DutyHolder {
+    /// The holder's name.
+    pub name: std::sync::Arc<str>,
+    /// Grows whenever the holder changes.
+    pub fence: FencingNumber,
+}
+
+/// The platform as controllers and gateways use it.
+pub trait Platform: Send + Sync + 'static {
+    /// Reads the whole list of upstreams.
+    fn upstreams(&self) -> impl Future<Output = Result<Vec<ListedUpstream>, CloudError>> + Send;
+
+    /// Reports the usage of one window.
+    fn report_usage(
+        &self,
+        holder: &DutyHolder,
+        usage: &WindowUsage,
+    ) -> impl Future<Output = Result<(), CloudError>> + Send;
+
+    /// Reads a published document.
+    fn read_table(&self, document: &Bytes) -> Result<RouteTable, InvalidTable>;
+
+    /// Reads the head of a caller's request.
+    fn read_request(&self, headers: &HeaderMap) -> RequestFacts;
+
+    /// Turns a caller's head into the one that an upstream gets.
+    fn forward_request(&self, headers: &mut HeaderMap, forwarding: &Forwarding<'_>);
+
+    /// Reads the head of an upstream's answer.
+    fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerFacts;
+
+    /// Returns the identifier that answers to a request bear, as a header of a refusal.
+    fn mark_refusal(&self, headers: &mut HeaderMap, id: &str, retry_after: Option<Duration>);
+}
--- a/src/replication/bootstrap.rs
+++ b/src/replication/bootstrap.rs
@@ -116,6 +116,7 @@
             member: self.own.0,
             blank,
             controllers: self.controllers.iter().map(ToString::to_string).collect(),
+            known: Vec::new(),
         }
     }
 
--- /dev/null
+++ b/src/settings/ingress.rs
@@ -0,0 +1,63 @@
+//! Settings of what serves published routes: at a gateway, where callers connect and ask for
+//! addresses; at a controller, where documents are published. docs/SETTINGS.md explains each field.
+
+use std::{net::SocketAddr, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+
+/// How a process takes part in serving published routes.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Ingress {
+    /// Where callers connect to a gateway, or operators publish at a controller.
+    pub address: SocketAddr,
+    /// Where a gateway answers whether it is ready.
+    #[serde(default)]
+    pub ready_address: Option<SocketAddr>,
+    /// Where a gateway tells callers which addresses to use.
+    #[serde(default)]
+    pub directory_address: Option<SocketAddr>,
+    /// The platform's API.
+    pub platform_address: SocketAddr,
+    /// Time between two readings of the platform's list by the leader.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "list_interval_ms", default = "list_interval")]
+    pub list_interval: Duration,
+    /// Length of a window of usage; no usage is reported without it.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    #[serde(rename = "usage_window_ms", default)]
+    pub usage_window: Option<Duration>,
+    /// How long a new leader waits before it acts towards the platform, so that duties do not pass
+    /// back and forth within this time.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "duty_lease_ms", default = "duty_lease")]
+    pub duty_lease: Duration,
+    /// Further attempts that a service may get, as a part of the requests for it.
+    #[serde(default = "retry_ratio")]
+    pub retry_ratio: f64,
+    /// Further attempts that a service may get besides, over all gateways, in each retry window.
+    #[serde(default)]
+    pub retry_slack: f64,
+    /// The window over which further attempts are counted.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "retry_window_ms", default = "retry_window")]
+    pub retry_window: Duration,
+}
+
+fn list_interval() -> Duration {
+    Duration::from_millis(500)
+}
+
+fn duty_lease() -> Duration {
+    Duration::from_secs(3)
+}
+
+fn retry_ratio() -> f64 {
+    0.1
+}
+
+fn retry_window() -> Duration {
+    Duration::from_secs(10)
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,12 +1,15 @@
 //! The settings file of one process: JSON with comments, turned into checked structs.
 //! docs/SETTINGS.md explains each field.
 
+mod ingress;
 pub mod intent;
 mod problem;
 mod read;
 mod schema;
+pub(crate) mod seeds;
 mod shape;
 
+pub use ingress::Ingress;
 pub use problem::{FileError, Problem, read_value};
 
 use std::{fmt, net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
@@ -17,7 +20,7 @@
 use crate::domain::ZoneName;
 
 /// Settings of a daemon.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// The process's name, unique in the installation.
@@ -36,8 +39,20 @@
     pub advertised_address: Option<SocketAddr>,
     /// File with the key that all processes share.
     pub peer_key_file: PathBuf,
-    /// All controllers, this one included.
+    /// All controllers, this one included; may be left out if there are seeds.
+    #[serde(default)]
     pub controllers: Vec<ControllerEntry>,
+    /// Addresses of some controllers. Each controller is then named by its host, and all use the
+    /// same ports.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Whether a controller with an empty data folder may form the first cluster; otherwise it
+    /// joins the one that there is.
+    #[serde(default = "may_bootstrap")]
+    pub bootstrap: bool,
+    /// How this process serves published routes, if it does.
+    #[serde(default)]
+    pub ingress: Option<Ingress>,
     /// Folder for durable state; needed by a controller.
     #[serde(default)]
     pub data_folder: Option<PathBuf>,
@@ -55,6 +70,10 @@
     pub timing: Timing,
 }
 
+fn may_bootstrap() -> bool {
+    true
+}
+
 /// What a process does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/src/settings/read.rs
+++ b/src/settings/read.rs
@@ -13,6 +13,7 @@
     ControllerEntry, FileError, Problem, Role, Settings, Timing,
     problem::{Problems, read_value},
     schema::SETTINGS,
+    seeds,
     shape::check_object,
 };
 use crate::link::PeerKey;
@@ -45,7 +46,12 @@
 ) -> Result<Settings, Vec<Problem>> {
     let mut problems = Problems::default();
     check_object(SETTINGS, "", &mut value, &mut problems);
-    let settings: Settings = problems.deserialize(value)?;
+    let mut settings: Settings = problems.deserialize(value)?;
+    if settings.controllers.is_empty() && settings.seeds.is_empty() {
+        let remedy = "list the controllers, or some of their addresses in seeds";
+        problems.add("controllers", "missing", remedy);
+    }
+    seeds::expand(&mut settings);
     check_roles(&settings, &mut problems);
     check_controllers(&settings, &mut problems);
     check_addresses(&settings, &mut problems);
@@ -86,6 +92,7 @@
             let remedy = "add an entry of this name to controllers";
             problems.add("name", &settings.name, remedy);
         }
+        (Role::Controller, Some(_)) if !settings.seeds.is_empty() => {}
         (Role::Controller, Some(own)) => check_own_entry(settings, own, problems),
         (Role::Gateway, Some(_)) => {
             let remedy = "choose a name that no controller has";
@@ -141,7 +148,8 @@
 fn check_zone_majority(settings: &Settings, problems: &mut Problems) {
     const SPREAD_FROM: usize = 3;
     let count = settings.controllers.len();
-    if count < SPREAD_FROM || !are_entries_intact(settings, "zone", problems) {
+    let zones_known = settings.seeds.is_empty();
+    if count < SPREAD_FROM || !zones_known || !are_entries_intact(settings, "zone", problems) {
         return;
     }
     let mut by_zone = HashMap::new();
--- a/src/settings/schema.rs
+++ b/src/settings/schema.rs
@@ -66,6 +66,19 @@
     optional("claim_retention_ms", DURATION),
 ];
 
+const INGRESS: &[Field] = &[
+    required("address", Shape::Address),
+    optional("ready_address", Shape::Address),
+    optional("directory_address", Shape::Address),
+    required("platform_address", Shape::Address),
+    optional("list_interval_ms", DURATION),
+    optional("usage_window_ms", DURATION),
+    optional("duty_lease_ms", DURATION),
+    optional("retry_ratio", Shape::Decimal { min: 0.0, max: 1.0 }),
+    optional("retry_slack", Shape::Decimal { min: 0.0, max: 1e6 }),
+    optional("retry_window_ms", DURATION),
+];
+
 /// The settings file of a daemon.
 pub(super) const SETTINGS: &[Field] = &[
     required("name", Shape::Text),
@@ -75,13 +88,22 @@
     required("peer_address", Shape::Address),
     optional("advertised_address", Shape::Address),
     required("peer_key_file", Shape::Text),
-    required(
+    optional(
         "controllers",
         Shape::List {
             of: &Shape::Object(CONTROLLER),
             min: 1,
         },
     ),
+    optional(
+        "seeds",
+        Shape::List {
+            of: &Shape::Address,
+            min: 1,
+        },
+    ),
+    optional("bootstrap", Shape::Bool),
+    optional("ingress", Shape::Object(INGRESS)),
     optional("data_folder", Shape::Text),
     optional("operator_token_sha256", Shape::Sha256),
     optional("cloud_address", Shape::Address),
--- /dev/null
+++ b/src/settings/seeds.rs
@@ -0,0 +1,40 @@
+//! Controllers that are known by the addresses of a few of them. All controllers then use the same
+//! ports, and each is named by its host; the others are learnt from those that answer.
+
+use std::net::{IpAddr, SocketAddr};
+
+use super::{ControllerEntry, Role, Settings};
+
+/// Returns the entry of a controller that is known by its host alone.
+pub(crate) fn entry(host: IpAddr, peer_port: u16, http_port: u16) -> ControllerEntry {
+    ControllerEntry {
+        name: host.to_string().into(),
+        zone: "".into(),
+        peer_address: SocketAddr::new(host, peer_port),
+        http_address: SocketAddr::new(host, http_port),
+    }
+}
+
+/// Fills the list of controllers from the seeds, and with this process if it is a controller.
+pub(super) fn expand(settings: &mut Settings) {
+    if settings.seeds.is_empty() || !settings.controllers.is_empty() {
+        return;
+    }
+    let peer_port = settings.peer_address.port();
+    let mut hosts: Vec<(IpAddr, u16)> = settings
+        .seeds
+        .iter()
+        .map(|seed| (seed.ip(), seed.port()))
+        .collect();
+    let own = settings.peer_address.ip();
+    let port = hosts[0].1;
+    if settings.role == Role::Controller && !hosts.iter().any(|(host, _)| *host == own) {
+        hosts.push((own, port));
+    }
+    hosts.sort_unstable();
+    hosts.dedup();
+    settings.controllers = hosts
+        .into_iter()
+        .map(|(host, port)| entry(host, peer_port, port))
+        .collect();
+}
--- a/src/state/command.rs
+++ b/src/state/command.rs
@@ -3,6 +3,7 @@
 
 use bytes::Bytes;
 
+use super::usage::UsageRecord;
 use crate::wire::{ClaimRequest, InstanceRecord, LeavingNotice, OutcomeRequest, ReleaseRequest};
 
 /// One command and the time at which the leader proposed it.
@@ -12,7 +13,10 @@
     #[prost(uint64, tag = "1")]
     pub at_unix_ms: u64,
     /// What to do; a command without an action changes nothing.
-    #[prost(oneof = "Action", tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19")]
+    #[prost(
+        oneof = "Action",
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
+    )]
     pub action: Option<Action>,
 }
 
@@ -49,6 +53,12 @@
     /// Notes the answer to such an order.
     #[prost(message, tag = "19")]
     SettleStart(SettleStart),
+    /// Publishes a document, if its version is the highest.
+    #[prost(message, tag = "20")]
+    Publish(Publish),
+    /// Keeps the usage of a window.
+    #[prost(message, tag = "21")]
+    RecordUsage(UsageRecord),
 }
 
 /// A compare-and-set of the intent.
@@ -165,3 +175,14 @@
     #[prost(string, tag = "2")]
     pub instance: String,
 }
+
+/// A document to publish.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Publish {
+    /// Its version; it takes effect if it is higher than the one in force.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// The document, as it was sent.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub document: Bytes,
+}
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -5,19 +5,22 @@
 mod command;
 mod configuration;
 mod instances;
+mod published;
 mod starts;
+mod usage;
 
 pub use claims::{ClaimRecord, Claims, Standing};
 pub use command::{
     Action, AllocateFence, ClaimCommand, Command, ConfirmIntent, ExpireClaims, MarkUnknown,
-    Observation, ObserveInstances, SettleStart, Sighting, StartOrder,
+    Observation, ObserveInstances, Publish, SettleStart, Sighting, StartOrder,
 };
 pub use configuration::{Configuration, ConfirmOutcome, OperationRecord, RevisionRecord};
 pub use instances::{
     At, EventRecord, GONE, InstanceFact, Instances, InstancesRecord, LEAVING, LIVE,
 };
-
+pub use published::Published;
 pub use starts::{StartRecord, Starts};
+pub use usage::{Usage, UsageRecord};
 
 use bytes::Bytes;
 use prost::Message;
@@ -57,6 +60,8 @@
     instances: Instances,
     starts: Starts,
     fence: u64,
+    published: Published,
+    usage: Usage,
 }
 
 impl State {
@@ -85,11 +90,22 @@
         &self.starts
     }
 
+    /// Returns the published document.
+    pub fn published(&self) -> &Published {
+        &self.published
+    }
+
+    /// Returns the usage of the newest windows.
+    pub fn usage(&self) -> &Usage {
+        &self.usage
+    }
+
     /// Returns the log index of the last change that gateways must see.
     pub fn view_index(&self) -> u64 {
         self.configuration
             .index()
             .max(self.instances.changed_index())
+            .max(self.published.index)
     }
 
     /// Returns the log index that a gateway's view must include for it to take new work: the last
@@ -141,6 +157,8 @@
                 let listed = self.instances.get(&settle.instance).is_some();
                 Reply::Accepted(self.starts.settle(settle, listed))
             }
+            Action::Publish(publish) => Reply::Accepted(self.published.publish(index, publish)),
+            Action::RecordUsage(record) => Reply::Accepted(self.usage.record(record)),
         }
     }
 
@@ -169,6 +187,8 @@
             instances: Some(self.instances.to_record()),
             fence: self.fence,
             starts: self.starts.open().cloned().collect(),
+            published: Some(self.published.clone()),
+            usage: self.usage.records(),
         };
         record.encode_to_vec().into()
     }
@@ -193,6 +213,8 @@
             instances: Instances::from_record(record.instances.unwrap_or_default())?,
             starts: Starts::from_records(record.starts),
             fence: record.fence,
+            published: record.published.unwrap_or_default(),
+            usage: Usage::from_records(record.usage),
         })
     }
 }
@@ -221,4 +243,8 @@
     fence: u64,
     #[prost(message, repeated, tag = "11")]
     starts: Vec<StartRecord>,
+    #[prost(message, optional, tag = "12")]
+    published: Option<Published>,
+    #[prost(message, repeated, tag = "13")]
+    usage: Vec<UsageRecord>,
 }
--- /dev/null
+++ b/src/state/usage.rs
@@ -0,0 +1,61 @@
+//! Usage of windows, committed before it is reported, so that whoever reports it again after a change
+//! of leaders reports the same counts.
+
+use std::collections::VecDeque;
+
+/// Windows kept; a report that is older is not due any more.
+const KEPT_WINDOWS: usize = 32;
+
+/// The usage of one window.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct UsageRecord {
+    /// The window's number, counted from the Unix epoch.
+    #[prost(uint64, tag = "1")]
+    pub window: u64,
+    /// Requests that began to run in it, by account.
+    #[prost(message, repeated, tag = "2")]
+    pub counts: Vec<crate::wire::AccountCount>,
+}
+
+/// The newest committed windows.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Usage {
+    windows: VecDeque<UsageRecord>,
+}
+
+impl Usage {
+    /// Keeps the usage of a window; the first record of a window stays. Returns whether it is the first.
+    pub fn record(&mut self, record: &UsageRecord) -> bool {
+        let newest = self.windows.back().map(|known| known.window);
+        if newest.is_some_and(|newest| record.window <= newest) {
+            return false;
+        }
+        self.windows.push_back(record.clone());
+        if self.windows.len() > KEPT_WINDOWS {
+            self.windows.pop_front();
+        }
+        true
+    }
+
+    /// Returns the newest committed window.
+    pub fn newest(&self) -> Option<u64> {
+        self.windows.back().map(|record| record.window)
+    }
+
+    /// Returns the committed windows after one, oldest first.
+    pub fn after(&self, window: u64) -> impl Iterator<Item = &UsageRecord> {
+        self.windows
+            .iter()
+            .filter(move |record| record.window > window)
+    }
+
+    pub(super) fn records(&self) -> Vec<UsageRecord> {
+        self.windows.iter().cloned().collect()
+    }
+
+    pub(super) fn from_records(records: Vec<UsageRecord>) -> Self {
+        Self {
+            windows: records.into(),
+        }
+    }
+}
--- /dev/null
+++ b/src/wire/follow.rs
@@ -0,0 +1,174 @@
+//! Messages between ingress gateways and controllers. A gateway asks every controller that it knows;
+//! an answer comes when something changed, and otherwise after a while as a sign of life.
+
+use bytes::Bytes;
+
+/// A gateway's question, and what it holds already.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Follow {
+    /// The gateway.
+    #[prost(message, optional, tag = "1")]
+    pub gateway: Option<IngressRecord>,
+    /// Version of the published document that it holds.
+    #[prost(uint64, tag = "2")]
+    pub held_version: u64,
+    /// The list of upstreams that it holds.
+    #[prost(message, optional, tag = "3")]
+    pub held_list: Option<ListVersion>,
+    /// Version of this controller's roster that it holds.
+    #[prost(uint64, tag = "4")]
+    pub held_roster: u64,
+    /// Longest wait for a change, in milliseconds.
+    #[prost(uint64, tag = "5")]
+    pub wait_ms: u64,
+    /// Requests that began to run at this gateway, for the newest windows.
+    #[prost(message, repeated, tag = "6")]
+    pub usage: Vec<WindowCount>,
+}
+
+/// A controller's answer.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct FollowReply {
+    /// Whether the controller leads.
+    #[prost(bool, tag = "1")]
+    pub leads: bool,
+    /// Version of the published document that the controller holds.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// The list of upstreams, if it is newer than the one held.
+    #[prost(message, optional, tag = "3")]
+    pub list: Option<UpstreamList>,
+    /// The gateways, if they changed.
+    #[prost(message, optional, tag = "4")]
+    pub roster: Option<Roster>,
+    /// The controllers that this one knows.
+    #[prost(message, repeated, tag = "5")]
+    pub controllers: Vec<ControllerRecord>,
+}
+
+/// Asks a controller for the published document.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct DocumentRequest {}
+
+/// The published document.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Document {
+    /// Its version; zero before the first one.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// The document as it was published.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub document: Bytes,
+}
+
+/// An ingress gateway.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct IngressRecord {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Its availability zone.
+    #[prost(string, tag = "2")]
+    pub zone: String,
+    /// Where callers connect.
+    #[prost(string, tag = "3")]
+    pub caller_address: String,
+    /// Whether callers should connect now: it is ready and not leaving.
+    #[prost(bool, tag = "4")]
+    pub open: bool,
+}
+
+/// The gateways that a controller has heard of lately.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Roster {
+    /// Changes with every change of the gateways; only equal or not equal means something.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// The gateways.
+    #[prost(message, repeated, tag = "2")]
+    pub gateways: Vec<IngressRecord>,
+}
+
+/// Orders lists of upstreams: a later term's list is newer, then the higher number.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Message)]
+pub struct ListVersion {
+    /// The term of the leader that read the list.
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    /// Grows with every change that the leader saw.
+    #[prost(uint64, tag = "2")]
+    pub sequence: u64,
+}
+
+/// The list of upstreams as the leader read it.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct UpstreamList {
+    /// Its version.
+    #[prost(message, optional, tag = "1")]
+    pub version: Option<ListVersion>,
+    /// The upstreams.
+    #[prost(message, repeated, tag = "2")]
+    pub rows: Vec<UpstreamRow>,
+}
+
+/// One upstream.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct UpstreamRow {
+    /// The platform's name for this start of it.
+    #[prost(string, tag = "1")]
+    pub instance: String,
+    /// Its service.
+    #[prost(string, tag = "2")]
+    pub service: String,
+    /// Where it accepts connections.
+    #[prost(string, tag = "3")]
+    pub address: String,
+    /// Its availability zone.
+    #[prost(string, tag = "4")]
+    pub zone: String,
+    /// Requests that it serves at once.
+    #[prost(uint32, tag = "5")]
+    pub slots: u32,
+    /// Whether it gets no new work.
+    #[prost(bool, tag = "6")]
+    pub leaving: bool,
+    /// How much longer it was slow when the list was read, in milliseconds.
+    #[prost(uint32, tag = "7")]
+    pub cold_ms: u32,
+}
+
+/// A controller and where it is reached.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct ControllerRecord {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Where other processes connect.
+    #[prost(string, tag = "2")]
+    pub peer_address: String,
+    /// Where operators connect.
+    #[prost(string, tag = "3")]
+    pub http_address: String,
+}
+
+/// Requests of one gateway in one window.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WindowCount {
+    /// The window's number, counted from the Unix epoch.
+    #[prost(uint64, tag = "1")]
+    pub window: u64,
+    /// Requests that began to run, by account.
+    #[prost(message, repeated, tag = "2")]
+    pub counts: Vec<AccountCount>,
+}
+
+/// Requests of one account.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct AccountCount {
+    /// The account.
+    #[prost(string, tag = "1")]
+    pub account: String,
+    /// How many.
+    #[prost(uint64, tag = "2")]
+    pub count: u64,
+}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -4,6 +4,7 @@
 
 mod claims;
 mod fleet;
+mod follow;
 mod journal;
 mod replica;
 
@@ -15,6 +16,10 @@
     Demand, GatewayHeartbeat, GatewayRecord, InstanceRecord, LeaseReply, LeavingNotice, NotLeader,
     ShareRecord, ViewReply, ViewRequest,
 };
+pub use follow::{
+    AccountCount, ControllerRecord, Document, DocumentRequest, Follow, FollowReply, IngressRecord,
+    ListVersion, Roster, UpstreamList, UpstreamRow, WindowCount,
+};
 pub use journal::{
     JournalAck, JournalAppend, JournalPut, JournalRemove, JournalTokens, JournaledRequest,
 };
@@ -39,7 +44,7 @@
     /// The message; a frame without one is dropped.
     #[prost(
         oneof = "Body",
-        tags = "10, 11, 12, 13, 14, 20, 21, 22, 23, 24, 25, 26, 27, 30, 31, 32, 33, 34, 40, 41, 42, 43, 44"
+        tags = "10, 11, 12, 13, 14, 20, 21, 22, 23, 24, 25, 26, 27, 30, 31, 32, 33, 34, 40, 41, 42, 43, 44, 50, 51, 52, 53"
     )]
     pub body: Option<Body>,
 }
@@ -116,6 +121,18 @@
     /// Spreads a reclaim notice between processes.
     #[prost(message, tag = "44")]
     LeavingNotice(LeavingNotice),
+    /// From an ingress gateway to every controller, answered when there is something new.
+    #[prost(message, tag = "50")]
+    Follow(Follow),
+    /// The controller's answer.
+    #[prost(message, tag = "51")]
+    FollowReply(FollowReply),
+    /// Asks a controller for the published document.
+    #[prost(message, tag = "52")]
+    DocumentRequest(DocumentRequest),
+    /// The published document.
+    #[prost(message, tag = "53")]
+    Document(Document),
 }
 
 /// A random number that the peer must authenticate with the shared key.
--- a/src/wire/replica.rs
+++ b/src/wire/replica.rs
@@ -159,6 +159,10 @@
     /// The names of all controllers in its settings.
     #[prost(string, repeated, tag = "4")]
     pub controllers: Vec<String>,
+    /// The controllers that it knows of, with their addresses; more than its settings name where
+    /// controllers were replaced.
+    #[prost(message, repeated, tag = "5")]
+    pub known: Vec<super::ControllerRecord>,
 }
 
 /// One entry of the log.
--- a/tests/naive/mod.rs
+++ b/tests/naive/mod.rs
@@ -2,7 +2,8 @@
 
 use flamingocroft::{
     state::{
-        Action, ClaimCommand, Command, ConfirmIntent, ConfirmOutcome, Observation, Reply, Sighting,
+        Action, ClaimCommand, Command, ConfirmIntent, ConfirmOutcome, Observation, Publish, Reply,
+        Sighting, UsageRecord,
     },
     wire::{ClaimReply, ClaimRequest, ClaimStatus, InstanceRecord, LeavingNotice, StoredOutcome},
 };
@@ -50,6 +51,8 @@
     instances: Vec<InstanceRecord>,
     notices: Vec<LeavingNotice>,
     starts: Vec<(u64, String)>,
+    published: Vec<Publish>,
+    usage: Vec<UsageRecord>,
 }
 
 impl Naive {
@@ -65,6 +68,18 @@
         &self.starts
     }
 
+    /// The document with the highest version; of equal versions the first one.
+    pub fn published(&self) -> Option<&Publish> {
+        let highest = self.published.iter().map(|publish| publish.version).max()?;
+        self.published
+            .iter()
+            .find(|publish| publish.version == highest)
+    }
+
+    pub fn usage(&self) -> &[UsageRecord] {
+        &self.usage
+    }
+
     pub fn present(&self) -> Vec<InstanceRecord> {
         let mut present = self.instances.clone();
         present.retain(|record| record.state != 2);
@@ -109,6 +124,18 @@
                 }
                 Reply::Accepted(known.is_some())
             }
+            Action::Publish(publish) => {
+                let highest = self.published().map_or(0, |publish| publish.version);
+                self.published.push(publish.clone());
+                Reply::Accepted(publish.version > highest)
+            }
+            Action::RecordUsage(record) => {
+                let is_newer = self.usage.iter().all(|known| known.window < record.window);
+                if is_newer {
+                    self.usage.push(record.clone());
+                }
+                Reply::Accepted(is_newer)
+            }
             Action::AllocateFence(_) => {
                 self.fence += 1;
                 Reply::Fence(flamingocroft::domain::FencingNumber(self.fence))
--- a/tests/state_differential.rs
+++ b/tests/state_differential.rs
@@ -7,10 +7,12 @@
 use flamingocroft::{
     state::{
         Action, AllocateFence, ClaimCommand, Command, ConfirmIntent, ExpireClaims, MarkUnknown,
-        Observation, ObserveInstances, SettleStart, Sighting, StartOrder, State,
+        Observation, ObserveInstances, Publish, SettleStart, Sighting, StartOrder, State,
+        UsageRecord,
     },
     wire::{
-        ClaimRequest, InstanceRecord, LeavingNotice, OutcomeRequest, ReleaseRequest, StoredOutcome,
+        AccountCount, ClaimRequest, InstanceRecord, LeavingNotice, OutcomeRequest, ReleaseRequest,
+        StoredOutcome,
     },
 };
 use naive::Naive;
@@ -116,6 +118,14 @@
             Action::SettleStart(SettleStart { index, instance })
         }),
         1 => Just(Action::AllocateFence(AllocateFence {})),
+        2 => (1..9u64, 0..3u8).prop_map(|(version, content)| Action::Publish(Publish {
+            version,
+            document: Bytes::from(vec![content]),
+        })),
+        2 => (1..9u64, 0..3u64).prop_map(|(window, count)| Action::RecordUsage(UsageRecord {
+            window,
+            counts: vec![AccountCount { account: "a".into(), count }],
+        })),
     ]
 }
 
@@ -145,6 +155,11 @@
             }
             prop_assert_eq!(state.configuration().revision(), naive.revision());
             prop_assert_eq!(state.claims().len(), naive.claims());
+            let published = state.published();
+            let held = naive.published().map(|p| (p.version, p.document.clone()));
+            prop_assert_eq!((published.version, published.document.clone()), held.unwrap_or_default());
+            let usage: Vec<_> = state.usage().after(0).cloned().collect();
+            prop_assert_eq!(usage, naive.usage());
             let present: Vec<_> = state.instances().present().cloned().collect();
             prop_assert_eq!(present, naive.present());
             let starts = state.starts().open().map(|start| (start.index, start.instance.clone()));
