Read the settings again on SIGHUP instead of ending

Change: the daemon reads its settings again on the signal, and when the file changes without one. New seeds are linked to; the rest needs a restart.

--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -53,7 +53,7 @@
     link::{self, Identity, LinkSettings, PeerKey},
     ports::{Clock, CloudApi, Platform, Ports, Upstreams},
     replication::{Recovered, Replica, ReplicaSettings},
-    settings::Settings,
+    settings::{Reloaded, Settings},
 };
 
 /// Starts a controller; it stops when the token is cancelled or its disk fails.
@@ -77,6 +77,7 @@
 /// As [`start`], and if the settings say nothing of published routes.
 pub async fn start_publishing<U: Upstreams, C: CloudApi, T: Clock, P: Platform>(
     settings: Arc<Settings>,
+    reloaded: Reloaded,
     ports: Ports<U, C, T>,
     platform: Arc<P>,
     stop: CancellationToken,
@@ -98,6 +99,7 @@
             ingress,
             stop.clone(),
         ));
+        tasks.spawn(meet_seeds(Arc::clone(core), reloaded, stop.clone()));
         publisher = Some(Publisher {
             core: Arc::clone(core),
             platform,
@@ -108,6 +110,22 @@
     Ok((running, publisher))
 }
 
+/// Links to the controllers that changed settings name.
+async fn meet_seeds<T: Clock>(core: Arc<Core<T>>, mut reloaded: Reloaded, stop: CancellationToken) {
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => return,
+            Ok(()) = reloaded.changed() => {}
+        }
+        let settings = Arc::clone(&reloaded.borrow_and_update());
+        for entry in &settings.controllers {
+            if core.peers.meet(entry) {
+                ::log::info!("controller: the settings name controller {}.", entry.name);
+            }
+        }
+    }
+}
+
 async fn start_with<U: Upstreams, C: CloudApi, T: Clock>(
     settings: Arc<Settings>,
     ports: Ports<U, C, T>,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -16,7 +16,7 @@
     adapters::{HttpCloud, HttpUpstreams, SystemClock},
     controller, gateway, ingress, platform,
     ports::Ports,
-    settings::{Ingress, Role, Settings},
+    settings::{Ingress, Reloaded, Reloader, Role, Settings},
     telemetry::{self, Metrics},
 };
 
@@ -36,15 +36,17 @@
         let _logger = telemetry::start_logging().context("could not start logging")?;
         let stop = CancellationToken::new();
         stop_on_signal(stop.clone())?;
+        let (reloader, reloaded) = Reloader::new(self.settings, Arc::clone(&settings))?;
+        tokio::spawn(reloader.run());
         let ports = ports(&settings)?;
         let running = match (settings.role, &settings.ingress) {
             (Role::Controller, None) => controller::start(Arc::clone(&settings), ports, stop).await,
             (Role::Gateway, None) => gateway::start(Arc::clone(&settings), ports, stop).await,
             (Role::Controller, Some(ingress)) => {
-                publish(Arc::clone(&settings), ingress, ports, stop).await
+                publish(Arc::clone(&settings), reloaded, ingress, ports, stop).await
             }
             (Role::Gateway, Some(ingress)) => {
-                serve_routes(Arc::clone(&settings), ingress, &ports.clock, stop).await
+                serve_routes(Arc::clone(&settings), reloaded, ingress, &ports.clock, stop).await
             }
         };
         let running = running.with_context(|| format!("the {} did not start", settings.role))?;
@@ -66,6 +68,7 @@
 /// Starts a controller that publishes routes on the users' platform.
 async fn publish(
     settings: Arc<Settings>,
+    reloaded: Reloaded,
     ingress: &Ingress,
     ports: DaemonPorts,
     stop: CancellationToken,
@@ -75,7 +78,7 @@
         &settings.timing,
     ));
     let listener = bind(ingress.address).await?;
-    let started = controller::start_publishing(settings, ports, api, stop.clone()).await;
+    let started = controller::start_publishing(settings, reloaded, ports, api, stop.clone()).await;
     let (running, publisher) = started?;
     tokio::spawn(platform::serve_control(Arc::new(publisher), listener, stop));
     Ok(running)
@@ -84,6 +87,7 @@
 /// Starts a gateway that serves published routes on the users' platform.
 async fn serve_routes(
     settings: Arc<Settings>,
+    reloaded: Reloaded,
     ingress: &Ingress,
     clock: &Arc<SystemClock>,
     stop: CancellationToken,
@@ -94,7 +98,7 @@
     ));
     let ended = CancellationToken::new();
     let (ready, directory) = (ingress.ready_address, ingress.directory_address);
-    let started = ingress::start(settings, api, Arc::clone(clock), stop).await;
+    let started = ingress::start(settings, reloaded, api, Arc::clone(clock), stop).await;
     let (running, addresses) = started?;
     if let Some(address) = ready {
         let listener = bind(address).await?;
--- a/src/ingress/follow.rs
+++ b/src/ingress/follow.rs
@@ -22,6 +22,7 @@
     domain::RouteIndex,
     link::{Identity, Link, LinkSettings, PeerKey},
     ports::{Clock, Platform},
+    settings::Reloaded,
     wire::{Body, ControllerRecord, DocumentRequest, Follow, FollowReply, IngressRecord, Roster},
 };
 
@@ -42,6 +43,7 @@
     core: Arc<Core<P, T>>,
     key: PeerKey,
     own: Identity,
+    mut reloaded: Reloaded,
     stop: CancellationToken,
 ) {
     let follower = Arc::new(Follower {
@@ -54,10 +56,16 @@
         changed: Notify::new(),
         announced: AtomicU64::new(0),
     });
-    for entry in &follower.core.settings.controllers {
-        follower.meet(entry.name.as_ref(), entry.peer_address, &stop);
+    loop {
+        let settings = Arc::clone(&reloaded.borrow_and_update());
+        for entry in &settings.controllers {
+            follower.meet(entry.name.as_ref(), entry.peer_address, &stop);
+        }
+        tokio::select! {
+            () = stop.cancelled() => return,
+            Ok(()) = reloaded.changed() => {}
+        }
     }
-    stop.cancelled().await;
 }
 
 struct Follower<P, T> {
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -35,7 +35,7 @@
     domain::{Incarnation, RouteIndex},
     link::{Identity, PeerKey},
     ports::{Clock, Platform},
-    settings::{Ingress, Settings},
+    settings::{Ingress, Reloaded, Settings},
     wire::IngressRecord,
 };
 
@@ -88,6 +88,7 @@
 /// address cannot be bound.
 pub async fn start<P: Platform, T: Clock>(
     settings: Arc<Settings>,
+    reloaded: Reloaded,
     platform: Arc<P>,
     clock: Arc<T>,
     stop: CancellationToken,
@@ -126,6 +127,7 @@
         Arc::clone(&core),
         key,
         identity,
+        reloaded,
         closing.clone(),
     ));
     let service = {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -5,12 +5,14 @@
 pub mod intent;
 mod problem;
 mod read;
+mod reload;
 mod schema;
 pub(crate) mod seeds;
 mod shape;
 
 pub use ingress::Ingress;
 pub use problem::{FileError, Problem, read_value};
+pub use reload::{Reloaded, Reloader};
 
 use std::{fmt, net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
--- a/src/settings/read.rs
+++ b/src/settings/read.rs
@@ -104,6 +104,9 @@
 
 /// Returns whether a field has no problem in any entry of the controllers.
 fn are_entries_intact(settings: &Settings, field: &str, problems: &Problems) -> bool {
+    if settings.controllers.is_empty() {
+        return false;
+    }
     (0..settings.controllers.len())
         .all(|i| problems.is_intact(&format!("controllers[{i}].{field}")))
 }
--- a/src/settings/schema.rs
+++ b/src/settings/schema.rs
@@ -99,7 +99,7 @@
         "seeds",
         Shape::List {
             of: &Shape::Address,
-            min: 1,
+            min: 0,
         },
     ),
     optional("bootstrap", Shape::Bool),
--- a/tests/daemon.rs
+++ b/tests/daemon.rs
@@ -99,3 +99,22 @@
     let status = timeout(PATIENCE, child.wait()).await.unwrap().unwrap();
     assert_eq!(status.code(), Some(1));
 }
+
+#[tokio::test]
+async fn a_hangup_reads_the_settings_again_and_ends_nothing() {
+    let folder = TempDir::new().unwrap();
+    let settings = settings(folder.path(), "gateway", &host(4));
+    let (mut child, mut lines) = start(folder.path(), &settings);
+    wait_for_line(&mut lines, "gateway serves HTTP on").await;
+    kill(Pid::from_raw(child.id().unwrap() as i32), Signal::SIGHUP).unwrap();
+    wait_for_line(&mut lines, "settings: read again; changed: false").await;
+    let mut longer = settings.clone();
+    longer["timing"]["shutdown_ms"] = json!(1500);
+    fs::write(folder.path().join("settings.jsonc"), longer.to_string()).unwrap();
+    wait_for_line(&mut lines, "settings: read again; changed: true").await;
+    fs::write(folder.path().join("settings.jsonc"), "{").unwrap();
+    wait_for_line(&mut lines, "settings: the last ones stay in force").await;
+    kill(Pid::from_raw(child.id().unwrap() as i32), Signal::SIGTERM).unwrap();
+    let status = timeout(PATIENCE, child.wait()).await.unwrap().unwrap();
+    assert_eq!(status.code(), Some(0));
+}
