Divide quotas by demand and order upstreams for the load

Quotas: gateways see unequal parts of an account's requests. Parts by demand, leased for 3 s, keep the sum.

A list entry says whether it may be taken back; a duty has a type of its own.

--- a/src/controller/followers.rs
+++ b/src/controller/followers.rs
@@ -13,16 +13,22 @@
 use super::core::Core;
 use crate::{
     link::Peer,
+    policy::quota,
     ports::Clock,
     wire::{
-        AccountCount, Body, Document, Follow, FollowReply, IngressRecord, ListVersion, Roster,
-        UpstreamList, WindowCount,
+        AccountCount, Body, Document, Follow, FollowReply, IngressRecord, ListVersion, QuotaPart,
+        Roster, ServiceLoad, UpstreamList,
     },
 };
 
 /// Silence after which a gateway is no longer named to callers. Gateways ask at least every
 /// `ingress::FOLLOW_WAIT`, so two questions are missed by then.
 const GONE_AFTER: Duration = Duration::from_millis(2000);
+/// Silence up to which a gateway may still use the part of a quota that it was given; longer than
+/// `ingress::quota::PART_LEASE`, which counts from the gateway's question.
+const SHARE_COUNTED: Duration = Duration::from_millis(3500);
+/// Silence after which a gateway's floor of a quota is free again.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(60);
 /// Longest time that a question waits for a change.
 const LONGEST_WAIT: Duration = Duration::from_secs(5);
 /// Windows of usage kept for each gateway; older ones are committed or not due any more.
@@ -39,12 +45,17 @@
 struct Follower {
     record: IngressRecord,
     heard: Duration,
+    demands: Vec<QuotaPart>,
+    loads: Vec<ServiceLoad>,
     usage: BTreeMap<u64, Vec<AccountCount>>,
 }
 
 impl Followers {
     /// Notes a question. Returns whether the roster changed by it.
-    pub fn hear(&mut self, now: Duration, record: &IngressRecord, usage: &[WindowCount]) -> bool {
+    pub fn hear(&mut self, now: Duration, follow: &Follow) -> bool {
+        let Some(record) = &follow.gateway else {
+            return false;
+        };
         let before = self.gateways.get(&record.name);
         let changed = before.is_none_or(|known| {
             known.record != *record || now.saturating_sub(known.heard) > GONE_AFTER
@@ -55,11 +66,15 @@
             .or_insert_with(|| Follower {
                 record: record.clone(),
                 heard: now,
+                demands: Vec::new(),
+                loads: Vec::new(),
                 usage: BTreeMap::new(),
             });
         follower.record = record.clone();
         follower.heard = now;
-        for window in usage {
+        follower.demands.clone_from(&follow.demands);
+        follower.loads.clone_from(&follow.loads);
+        for window in &follow.usage {
             follower.usage.insert(window.window, window.counts.clone());
         }
         while follower.usage.len() > KEPT_WINDOWS {
@@ -85,6 +100,51 @@
         }
     }
 
+    /// Returns a gateway's part of each quota. Gateways that were silent for too long use no more than
+    /// their floor, which stays theirs until they are forgotten.
+    pub fn shares(&self, now: Duration, name: &str) -> Vec<QuotaPart> {
+        let silence = |follower: &Follower| now.saturating_sub(follower.heard);
+        let mut demands: BTreeMap<&str, Vec<f64>> = BTreeMap::new();
+        let known: Vec<_> = self
+            .gateways
+            .iter()
+            .filter(|(_, follower)| silence(follower) <= FORGOTTEN_AFTER)
+            .collect();
+        for (place, (_, follower)) in known.iter().enumerate() {
+            let counted = silence(follower) <= SHARE_COUNTED;
+            for demand in follower.demands.iter().filter(|_| counted) {
+                let all = demands.entry(&demand.account).or_default();
+                all.resize(known.len(), 0.0);
+                all[place] = demand.value;
+            }
+        }
+        let Some(own) = known.iter().position(|(other, _)| *other == name) else {
+            return Vec::new();
+        };
+        demands
+            .into_iter()
+            .map(|(account, demands)| QuotaPart {
+                account: account.to_owned(),
+                value: quota::divide(&demands)[own],
+            })
+            .collect()
+    }
+
+    /// Returns how much all gateways heard of lately use each service.
+    pub fn loads(&self, now: Duration) -> BTreeMap<&str, ServiceLoad> {
+        let mut sums: BTreeMap<&str, ServiceLoad> = BTreeMap::new();
+        let heard = self
+            .gateways
+            .values()
+            .filter(|known| now.saturating_sub(known.heard) <= GONE_AFTER);
+        for load in heard.flat_map(|known| &known.loads) {
+            let sum = sums.entry(&load.service).or_default();
+            sum.in_flight += load.in_flight;
+            sum.prompt_tokens += load.prompt_tokens;
+        }
+        sums
+    }
+
     /// Returns what all gateways counted in a window.
     pub fn usage(&self, window: u64) -> Vec<AccountCount> {
         let mut sums: BTreeMap<&str, u64> = BTreeMap::new();
@@ -145,7 +205,7 @@
     if record.name != *peer.name {
         return None;
     }
-    if core.followers().hear(core.now(), record, &follow.usage) {
+    if core.followers().hear(core.now(), &follow) {
         log::info!(
             "controller: gateway {} in zone {} follows; open to callers: {}.",
             record.name,
@@ -194,6 +254,10 @@
         list: newer.then(|| followers.list().clone()),
         roster: (roster.version != follow.held_roster).then_some(roster),
         controllers: core.peers.records(),
+        shares: match (leads, &follow.gateway) {
+            (true, Some(gateway)) => followers.shares(core.now(), &gateway.name),
+            _ => Vec::new(),
+        },
     }
 }
 
--- a/src/controller/lister.rs
+++ b/src/controller/lister.rs
@@ -87,5 +87,6 @@
         slots: listed.slots,
         leaving: listed.leaving,
         cold_ms: listed.cold_ms,
+        reclaimable: listed.reclaimable,
     }
 }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -7,6 +7,7 @@
 mod convert;
 mod core;
 mod driver;
+mod duty;
 pub mod fleet;
 pub mod followers;
 mod form;
@@ -23,6 +24,7 @@
 pub mod placement;
 mod placer;
 pub mod publisher;
+mod scaler;
 mod shares;
 mod token;
 mod usage;
@@ -93,6 +95,12 @@
             every,
             stop.clone(),
         ));
+        tasks.spawn(scaler::run(
+            Arc::clone(core),
+            Arc::clone(&platform),
+            ingress.clone(),
+            stop.clone(),
+        ));
         tasks.spawn(usage::run(
             Arc::clone(core),
             Arc::clone(&platform),
--- /dev/null
+++ b/src/controller/scaler.rs
@@ -0,0 +1,255 @@
+//! Orders upstreams while this controller leads, as `policy::scale` says.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use tokio::time::{MissedTickBehavior, interval, timeout};
+use tokio_util::sync::CancellationToken;
+
+use super::{core::Core, duty::Duty};
+use crate::{
+    domain::{EngineFacts, RouteTable, RoutedService, ScalingFacts, ServiceName, ZoneName},
+    policy::scale::{self, EngineSize, NeedMeter, Use, Wanted, ZoneMarket},
+    ports::{Clock, CloudError, DutyHolder, Platform, UpstreamOrder},
+    settings::Ingress,
+};
+
+/// Time between two looks at the use of services.
+const LOOK: Duration = Duration::from_millis(500);
+/// Longest time for the platform to take an order.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time of traffic after which its use is believed; before, as many upstreams as there are are kept.
+const BELIEVED_AFTER: Duration = Duration::from_secs(5);
+/// Pause after an order that was refused or not answered.
+const ORDER_PAUSE: Duration = Duration::from_secs(1);
+
+/// Orders upstreams until the token is cancelled.
+pub(super) async fn run<T: Clock, P: Platform>(
+    core: Arc<Core<T>>,
+    platform: Arc<P>,
+    ingress: Ingress,
+    stop: CancellationToken,
+) {
+    let Some(speed) = ingress.engine_tokens_per_ms else {
+        return;
+    };
+    let mut scaler = Scaler {
+        core,
+        platform,
+        speed,
+        duty: Duty::new("ordering upstreams", ingress.duty_lease),
+        term: 0,
+        table: RouteTable::default(),
+        services: HashMap::new(),
+    };
+    let mut tick = interval(LOOK);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = tick.tick() => {}
+            () = stop.cancelled() => return,
+        }
+        tokio::select! {
+            () = scaler.look() => {}
+            () = stop.cancelled() => return,
+        }
+    }
+}
+
+struct Scaler<T, P> {
+    core: Arc<Core<T>>,
+    platform: Arc<P>,
+    /// Prompt tokens that an engine reads in a millisecond.
+    speed: f64,
+    duty: Duty,
+    term: u64,
+    table: RouteTable,
+    services: HashMap<ServiceName, Scaled>,
+}
+
+/// What is known of one service in this term.
+#[derive(Debug, Default)]
+struct Scaled {
+    meter: NeedMeter,
+    used_since: Option<Duration>,
+    zones: HashMap<ZoneName, Ordered>,
+}
+
+/// What was ordered in one zone in this term.
+#[derive(Debug, Default)]
+struct Ordered {
+    reclaimable: Option<u32>,
+    on_demand: Option<u32>,
+    paused_until: Duration,
+}
+
+impl<T: Clock, P: Platform> Scaler<T, P> {
+    async fn look(&mut self) {
+        let Some((term, holder)) = self.duty.hold(&self.core).await else {
+            return;
+        };
+        if self.term != term {
+            self.term = term;
+            self.services.clear();
+        }
+        self.read_table();
+        let services = self.table.services.clone();
+        for service in &services {
+            if let (Some(scaling), Some(engine)) = (&service.scaling, service.engine) {
+                self.scale(&holder, service, scaling, engine).await;
+            }
+        }
+    }
+
+    fn read_table(&mut self) {
+        let published = self.core.log.state().published().clone();
+        if published.version <= self.table.version {
+            return;
+        }
+        match self.platform.read_table(&published.document) {
+            Ok(table) => self.table = table,
+            Err(e) => log::error!("controller: version {} in force: {e}.", published.version),
+        }
+    }
+
+    async fn scale(
+        &mut self,
+        holder: &DutyHolder,
+        service: &RoutedService,
+        scaling: &ScalingFacts,
+        engine: EngineFacts,
+    ) {
+        let now = self.core.now();
+        let present = self.present(&service.name);
+        if present.is_empty() {
+            return;
+        }
+        let used = self.used(&service.name);
+        let scaled = self.services.entry(service.name.clone()).or_default();
+        if used.in_flight > 0.0 && scaled.used_since.is_none() {
+            scaled.used_since = Some(now);
+        }
+        let size = EngineSize {
+            slots: engine.slots,
+            prompt_tokens: self.speed * 1000.0,
+        };
+        let believed = scaled
+            .used_since
+            .is_some_and(|since| now >= since + BELIEVED_AFTER);
+        let needed = scaled.meter.take(now, scale::need(used, size));
+        if !believed {
+            return;
+        }
+        for wanted in scale::orders(needed, &markets(scaling)) {
+            let here = present.get(&wanted.zone).copied().unwrap_or_default();
+            if let Some(order) = self.next_order(&service.name, &wanted, here) {
+                log::info!(
+                    "controller: orders {} upstreams of {} in {}, reclaimable: {}; {needed:?} for {used:?}.",
+                    order.count,
+                    order.service,
+                    order.zone,
+                    order.reclaimable
+                );
+                self.order(holder, &order).await;
+            }
+        }
+    }
+
+    /// Returns the upstreams of a service that are not leaving, by zone.
+    fn present(&self, service: &ServiceName) -> HashMap<ZoneName, Present> {
+        let followers = self.core.followers();
+        let mut zones: HashMap<ZoneName, Present> = HashMap::new();
+        let rows = followers.list().rows.iter();
+        for row in rows.filter(|row| row.service == service.as_str() && !row.leaving) {
+            let here = zones.entry(row.zone.as_str().into()).or_default();
+            match row.reclaimable {
+                true => here.reclaimable += 1,
+                false => here.on_demand += 1,
+            }
+        }
+        zones
+    }
+
+    fn used(&self, service: &ServiceName) -> Use {
+        let followers = self.core.followers();
+        let loads = followers.loads(self.core.now());
+        loads
+            .get(service.as_str())
+            .map_or_else(Use::default, |load| Use {
+                in_flight: load.in_flight,
+                prompt_tokens: load.prompt_tokens,
+            })
+    }
+
+    /// Returns the next order that brings a zone nearer to what is wanted there.
+    fn next_order(
+        &mut self,
+        service: &ServiceName,
+        wanted: &Wanted,
+        here: Present,
+    ) -> Option<UpstreamOrder> {
+        let now = self.core.now();
+        let zones = &mut self.services.get_mut(service)?.zones;
+        let ordered = zones.entry(wanted.zone.clone()).or_default();
+        if now < ordered.paused_until {
+            return None;
+        }
+        let held = ordered.on_demand.unwrap_or(here.on_demand);
+        // Upstreams that are not wanted for good go only after the reclaimable ones have come.
+        let missing = wanted.reclaimable.saturating_sub(here.reclaimable);
+        let kept = held.min(wanted.on_demand + missing).max(wanted.on_demand);
+        let (count, reclaimable) = match ordered.reclaimable {
+            _ if kept > held => (kept, false),
+            Some(before) if before == wanted.reclaimable && kept == held => return None,
+            Some(before) if before == wanted.reclaimable => (kept, false),
+            _ => (wanted.reclaimable, true),
+        };
+        Some(UpstreamOrder {
+            service: service.clone(),
+            zone: wanted.zone.clone(),
+            count,
+            reclaimable,
+        })
+    }
+
+    async fn order(&mut self, holder: &DutyHolder, order: &UpstreamOrder) {
+        let sent = timeout(ORDER_TIMEOUT, self.platform.order_upstreams(holder, order)).await;
+        let now = self.core.now();
+        let zones = self.services.get_mut(&order.service).map(|s| &mut s.zones);
+        let Some(ordered) = zones.and_then(|zones| zones.get_mut(&order.zone)) else {
+            return;
+        };
+        let failure = match sent {
+            Ok(Ok(())) if order.reclaimable => return ordered.reclaimable = Some(order.count),
+            Ok(Ok(())) => return ordered.on_demand = Some(order.count),
+            Ok(Err(e)) => e,
+            Err(_) => CloudError::Unanswered("no answer in time".into()),
+        };
+        ordered.paused_until = now + ORDER_PAUSE;
+        log::warn!(
+            "controller: the order of {} upstreams in {} is not taken: {failure}.",
+            order.count,
+            order.zone
+        );
+    }
+}
+
+/// Upstreams of one service in one zone that are not leaving.
+#[derive(Clone, Copy, Debug, Default)]
+struct Present {
+    reclaimable: u32,
+    on_demand: u32,
+}
+
+fn markets(scaling: &ScalingFacts) -> Vec<ZoneMarket> {
+    scaling
+        .zone_prices
+        .iter()
+        .map(|(zone, price)| ZoneMarket {
+            zone: zone.clone(),
+            price: *price,
+            reclaimable_price: scaling.reclaimable_part.map(|part| price * part),
+            min: scaling.min,
+            max: scaling.max,
+        })
+        .collect()
+}
--- a/src/controller/usage.rs
+++ b/src/controller/usage.rs
@@ -6,12 +6,11 @@
 use tokio::time::{MissedTickBehavior, interval, timeout};
 use tokio_util::sync::CancellationToken;
 
-use super::core::Core;
+use super::{core::Core, duty::Duty};
 use crate::{
-    domain::FencingNumber,
     ports::{Clock, DutyHolder, Platform, WindowUsage},
     settings::Ingress,
-    state::{Action, AllocateFence, Reply, UsageRecord},
+    state::{Action, UsageRecord},
 };
 
 /// Time between two looks at the windows.
@@ -38,8 +37,8 @@
         core,
         platform,
         window,
-        lease: ingress.duty_lease,
-        office: None,
+        duty: Duty::new("usage reports", ingress.duty_lease),
+        sent: None,
     };
     let mut tick = interval(LOOK);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -59,46 +58,28 @@
     core: Arc<Core<T>>,
     platform: Arc<P>,
     window: Duration,
-    lease: Duration,
-    office: Option<Office>,
-}
-
-/// The duty in one term of leadership.
-struct Office {
-    term: u64,
-    since: Duration,
-    fence: Option<FencingNumber>,
-    sent: u64,
+    duty: Duty,
+    /// The term, and the last window that was sent in it.
+    sent: Option<(u64, u64)>,
 }
 
 impl<T: Clock, P: Platform> Reporter<T, P> {
     async fn look(&mut self) {
-        if !self.core.leads() {
-            self.office = None;
+        let Some((term, holder)) = self.duty.hold(&self.core).await else {
             return;
-        }
-        let term = self.core.fleet().term();
-        let now = self.core.now();
-        let newest = self.core.log.state().usage().newest();
-        let office = match &mut self.office {
-            Some(office) if office.term == term => office,
-            _ => self.office.insert(Office {
-                term,
-                since: now,
-                fence: None,
-                sent: newest.unwrap_or_default().saturating_sub(SENT_AGAIN),
-            }),
         };
-        // The holder before this one may still act until its own lease ends.
-        if now < office.since + self.lease {
-            return;
-        }
+        let newest = self.core.log.state().usage().newest();
         self.commit(newest).await;
-        self.send().await;
+        let sent = match self.sent {
+            Some((held, sent)) if held == term => sent,
+            _ => newest.unwrap_or_default().saturating_sub(SENT_AGAIN),
+        };
+        let sent = self.send(&holder, sent).await;
+        self.sent = Some((term, sent));
     }
 
     /// Commits the newest window whose counts have arrived.
-    async fn commit(&mut self, newest: Option<u64>) {
+    async fn commit(&self, newest: Option<u64>) {
         let published = self.core.log.state().published().version;
         let length = millis(self.window);
         let past = self.core.clock.unix_ms().saturating_sub(millis(GATHER));
@@ -123,30 +104,21 @@
         }
     }
 
-    async fn send(&mut self) {
-        let Some(fence) = self.fence().await else {
-            return;
-        };
-        let Some(office) = &mut self.office else {
-            return;
-        };
-        let holder = DutyHolder {
-            name: Arc::clone(&self.core.settings.name),
-            fence,
-        };
+    /// Sends the committed windows after one, and returns the last that was sent.
+    async fn send(&self, holder: &DutyHolder, mut sent: u64) -> u64 {
         let due: Vec<UsageRecord> = {
             let state = self.core.log.state();
-            state.usage().after(office.sent).cloned().collect()
+            state.usage().after(sent).cloned().collect()
         };
         for record in due {
             if !self.core.leads() {
-                return;
+                break;
             }
             let usage = usage(&record);
-            let sent = timeout(SEND_TIMEOUT, self.platform.report_usage(&holder, &usage)).await;
-            let failure = match sent {
+            let answer = timeout(SEND_TIMEOUT, self.platform.report_usage(holder, &usage)).await;
+            let failure = match answer {
                 Ok(Ok(())) => {
-                    office.sent = record.window;
+                    sent = record.window;
                     continue;
                 }
                 Ok(Err(e)) => e.to_string(),
@@ -156,33 +128,9 @@
                 "controller: the usage of window {} is not reported yet: {failure}.",
                 record.window
             );
-            return;
-        }
-    }
-
-    async fn fence(&mut self) -> Option<FencingNumber> {
-        if let Some(fence) = self.office.as_ref()?.fence {
-            return Some(fence);
-        }
-        match self
-            .core
-            .propose(Action::AllocateFence(AllocateFence {}))
-            .await
-        {
-            Ok(applied) => {
-                let Reply::Fence(fence) = applied.reply else {
-                    log::warn!("controller: the log gave no fencing number for the usage reports.");
-                    return None;
-                };
-                log::info!("controller: reports usage with fencing number {fence}.");
-                self.office.as_mut()?.fence = Some(fence);
-                Some(fence)
-            }
-            Err(e) => {
-                log::warn!("controller: no fencing number for the usage reports yet: {e}.");
-                None
-            }
+            break;
         }
+        sent
     }
 }
 
--- a/src/domain/routes.rs
+++ b/src/domain/routes.rs
@@ -92,6 +92,8 @@
     pub max: u32,
     /// Time from an order until the upstream serves.
     pub boot: Duration,
+    /// Price of a reclaimable upstream, as a part of another one's, if there are any.
+    pub reclaimable_part: Option<f64>,
     /// Price of one upstream for a second, by zone.
     pub zone_prices: Vec<(ZoneName, f64)>,
 }
--- a/src/ingress/follow.rs
+++ b/src/ingress/follow.rs
@@ -113,6 +113,7 @@
     async fn follow(self: &Arc<Self>, name: &str, link: &Link, stop: &CancellationToken) {
         let mut in_touch = false;
         loop {
+            let asked = Instant::now();
             let question = Body::Follow(self.question(name));
             let answer = link.call(question, FOLLOW_WAIT + ANSWER_SLACK).await;
             let answered = matches!(answer, Ok(Body::FollowReply(_)));
@@ -128,7 +129,12 @@
                 }
             }
             match answer {
-                Ok(Body::FollowReply(reply)) => self.take(name, link, reply, stop).await,
+                Ok(Body::FollowReply(reply)) => {
+                    if reply.leads {
+                        self.core.quotas.lease(&reply.shares, asked);
+                    }
+                    self.take(name, link, reply, stop).await;
+                }
                 Ok(other) => {
                     log::warn!("ingress: controller {name} answered something else: {other:?}.");
                     sleep(RETRY_PAUSE).await;
@@ -160,6 +166,8 @@
             held_roster,
             wait_ms: FOLLOW_WAIT.as_millis() as u64,
             usage: self.core.usage.newest(self.core.clock.unix_ms()),
+            demands: self.core.quotas.demands(Instant::now()),
+            loads: self.core.upstreams.loads(Instant::now()),
         }
     }
 
--- a/src/ingress/forward.rs
+++ b/src/ingress/forward.rs
@@ -208,9 +208,10 @@
             prompt_tokens: prompt.map_or(0, |prompt| prompt.tokens_in as u32),
             home: prompt.map_or_else(rand::random, home),
         };
-        self.core
-            .upstreams
-            .choose(&self.service, &req, &self.tried, now)
+        let own = prompt.and_then(|prompt| prompt.parts.last());
+        let new_tokens = own.map_or(req.prompt_tokens, |part| part.tokens as u32);
+        let upstreams = &self.core.upstreams;
+        upstreams.choose(&self.service, &req, new_tokens, &self.tried, now)
     }
 
     async fn attempt(&self, flight: Flight) -> Result<Response<Relay>, Attempt> {
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -53,7 +53,7 @@
     routes: ArcSwap<RouteIndex>,
     /// The gateways, as the controllers name them to callers.
     roster: ArcSwap<Vec<IngressRecord>>,
-    upstreams: Upstreams,
+    upstreams: Arc<Upstreams>,
     client: Client,
     quotas: Quotas,
     budgets: Budgets,
@@ -111,7 +111,7 @@
     let core = Arc::new(Core {
         routes: ArcSwap::default(),
         roster: ArcSwap::default(),
-        upstreams: Upstreams::default(),
+        upstreams: Arc::default(),
         client: Client::new(settings.timing.connect_timeout),
         quotas: Quotas::default(),
         budgets: Budgets::new(&ingress),
--- a/src/ingress/upstreams.rs
+++ b/src/ingress/upstreams.rs
@@ -19,7 +19,7 @@
     domain::{Incarnation, InstanceName, RoutingWeights, ServiceName, ZoneName},
     policy::route::{self, Candidate, Report, RouteRequest},
     ports::{ReportedLoad, Target},
-    wire::{UpstreamList, UpstreamRow},
+    wire::{ServiceLoad, UpstreamList, UpstreamRow},
 };
 
 /// Time for which an upstream that failed gets requests only if all others failed too.
@@ -27,11 +27,15 @@
 /// Time for which callers may still use the addresses that they got before a stop.
 const OLD_ADDRESSES: Duration = Duration::from_millis(3500);
 
+/// Time over which a service's use is averaged.
+const METER_SPAN: Duration = Duration::from_secs(1);
+
 /// One upstream.
 #[derive(Debug)]
 pub(super) struct Upstream {
     /// Where to send requests.
     pub(super) target: Target,
+    service: ServiceName,
     zone: ZoneName,
     slots: u32,
     leaving: AtomicBool,
@@ -98,7 +102,38 @@
 #[derive(Debug, Default)]
 pub(super) struct Upstreams {
     services: ArcSwap<ByService>,
-    in_flight: Arc<InFlight>,
+    in_flight: InFlight,
+    meters: Mutex<HashMap<ServiceName, Meter>>,
+}
+
+/// Measures how much a service is used.
+#[derive(Debug)]
+struct Meter {
+    /// Requests in progress now.
+    count: u32,
+    /// Requests in progress and prompt tokens in a second, averaged over [`METER_SPAN`].
+    in_flight: f64,
+    prompt_tokens: f64,
+    at: Instant,
+}
+
+impl Meter {
+    fn new(now: Instant) -> Self {
+        Self {
+            count: 0,
+            in_flight: 0.0,
+            prompt_tokens: 0.0,
+            at: now,
+        }
+    }
+
+    fn advance(&mut self, now: Instant) {
+        let passed = now.duration_since(self.at).as_secs_f64();
+        let kept = (-passed / METER_SPAN.as_secs_f64()).exp();
+        self.in_flight = self.in_flight * kept + f64::from(self.count) * (1.0 - kept);
+        self.prompt_tokens *= kept;
+        self.at = now;
+    }
 }
 
 #[derive(Debug, Default)]
@@ -111,14 +146,16 @@
 #[derive(Debug)]
 pub(super) struct Flight {
     pub(super) upstream: Arc<Upstream>,
-    all: Arc<InFlight>,
+    all: Arc<Upstreams>,
 }
 
 impl Drop for Flight {
     fn drop(&mut self) {
+        self.all
+            .meter(&self.upstream.service, |meter| meter.count -= 1);
         self.upstream.in_flight.fetch_sub(1, Ordering::Relaxed);
-        if self.all.count.fetch_sub(1, Ordering::Relaxed) == 1 {
-            self.all.idle.notify_waiters();
+        if self.all.in_flight.count.fetch_sub(1, Ordering::Relaxed) == 1 {
+            self.all.in_flight.idle.notify_waiters();
         }
     }
 }
@@ -148,11 +185,13 @@
         self.services.store(Arc::new(services));
     }
 
-    /// Chooses an upstream of a service that was not tried before, and counts the request there.
+    /// Chooses an upstream of a service that was not tried before, and counts the request there;
+    /// `new_tokens` of its prompt are held by no upstream.
     pub(super) fn choose(
-        &self,
+        self: &Arc<Self>,
         service: &ServiceName,
         req: &RouteRequest,
+        new_tokens: u32,
         tried: &[InstanceName],
         now: Instant,
     ) -> Option<Flight> {
@@ -172,12 +211,42 @@
         upstream.in_flight.fetch_add(1, Ordering::Relaxed);
         upstream.load().sent_since_report += 1;
         self.in_flight.count.fetch_add(1, Ordering::Relaxed);
+        self.meter(service, |meter| {
+            meter.count += 1;
+            meter.prompt_tokens += f64::from(new_tokens) / METER_SPAN.as_secs_f64();
+        });
         Some(Flight {
             upstream,
-            all: Arc::clone(&self.in_flight),
+            all: Arc::clone(self),
         })
     }
 
+    /// Returns how much this gateway uses each service.
+    pub(super) fn loads(&self, now: Instant) -> Vec<ServiceLoad> {
+        let mut meters = self.meters.lock().unwrap_or_else(PoisonError::into_inner);
+        let load = |(service, meter): (&ServiceName, &mut Meter)| {
+            meter.advance(now);
+            ServiceLoad {
+                service: service.to_string(),
+                in_flight: meter.in_flight,
+                prompt_tokens: meter.prompt_tokens,
+            }
+        };
+        meters.iter_mut().map(load).collect()
+    }
+
+    fn meter(&self, service: &ServiceName, change: impl FnOnce(&mut Meter)) {
+        let now = Instant::now();
+        let mut meters = self.meters.lock().unwrap_or_else(PoisonError::into_inner);
+        if !meters.contains_key(service) {
+            meters.insert(service.clone(), Meter::new(now));
+        }
+        if let Some(meter) = meters.get_mut(service) {
+            meter.advance(now);
+            change(meter);
+        }
+    }
+
     /// Waits until callers know that this gateway leaves and no request is in progress, or until
     /// the patience ends.
     pub(super) async fn wait_until_idle(&self, patience: Duration) {
@@ -214,6 +283,7 @@
             incarnation: Incarnation(0),
             address: row.address.parse().ok()?,
         },
+        service: row.service.as_str().into(),
         zone: row.zone.as_str().into(),
         slots: row.slots,
         leaving: AtomicBool::new(row.leaving),
--- a/src/platform/api.rs
+++ b/src/platform/api.rs
@@ -14,7 +14,7 @@
     domain::{Incarnation, InvalidTable, RouteTable},
     ports::{
         AnswerFacts, CloudError, DutyHolder, Forwarding, ListedUpstream, Platform, RequestFacts,
-        Target, UpstreamError, WindowUsage,
+        Target, UpstreamError, UpstreamOrder, WindowUsage,
     },
     settings::Timing,
 };
@@ -53,6 +53,9 @@
     slots: u32,
     state: State,
     cold_left_ms: f64,
+    /// Whether it may be taken back; only those that may say so.
+    #[serde(default)]
+    spot: bool,
 }
 
 #[derive(Deserialize, PartialEq)]
@@ -69,6 +72,17 @@
     counts: BTreeMap<&'a str, u64>,
 }
 
+#[derive(Serialize)]
+#[serde(rename_all = "PascalCase")]
+struct ScaleBody<'a> {
+    service: &'a str,
+    zone: &'a str,
+    desired_count: u32,
+    /// Whether the order is for servers that may be taken back; each kind is counted by itself.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    spot: bool,
+}
+
 impl Api {
     /// Makes a client without connections.
     pub fn new(address: SocketAddr, timing: &Timing) -> Self {
@@ -83,6 +97,30 @@
         }
     }
 
+    /// Makes a call that only the holder of a duty may make.
+    async fn act(
+        &self,
+        path: &str,
+        body: &impl Serialize,
+        holder: &DutyHolder,
+    ) -> Result<(), CloudError> {
+        let mut req = post(&self.target, path, body).map_err(unanswered)?;
+        let name = HeaderValue::from_str(&holder.name)
+            .map_err(|_| CloudError::Refused("the holder's name is no header text".into()))?;
+        req.headers_mut().insert(DUTY_HOLDER, name);
+        req.headers_mut()
+            .insert(FENCING_TOKEN, HeaderValue::from(holder.fence.0));
+        let deadline = Instant::now() + self.timeout;
+        let whole = self
+            .client
+            .whole(&self.target, req, Reuse::Allowed, deadline);
+        let whole = whole.await.map_err(unanswered)?;
+        whole
+            .success()
+            .map(drop)
+            .map_err(|e| CloudError::Refused(e.to_string()))
+    }
+
     async fn page(&self, token: Option<&str>) -> Result<ListPage, CloudError> {
         let path = match token {
             Some(token) => format!("/instances?PageToken={token}"),
@@ -120,22 +158,21 @@
                 .map(|(name, count)| (name.as_str(), *count))
                 .collect(),
         };
-        let mut req = post(&self.target, "/usage", &body).map_err(unanswered)?;
-        let name = HeaderValue::from_str(&holder.name)
-            .map_err(|_| CloudError::Refused("the holder's name is no header text".into()))?;
-        req.headers_mut().insert(DUTY_HOLDER, name);
-        req.headers_mut()
-            .insert(FENCING_TOKEN, HeaderValue::from(holder.fence.0));
-        let deadline = Instant::now() + self.timeout;
-        let whole = self
-            .client
-            .whole(&self.target, req, Reuse::Allowed, deadline)
-            .await;
-        let whole = whole.map_err(unanswered)?;
-        whole
-            .success()
-            .map(drop)
-            .map_err(|e| CloudError::Refused(e.to_string()))
+        self.act("/usage", &body, holder).await
+    }
+
+    async fn order_upstreams(
+        &self,
+        holder: &DutyHolder,
+        order: &UpstreamOrder,
+    ) -> Result<(), CloudError> {
+        let body = ScaleBody {
+            service: order.service.as_str(),
+            zone: order.zone.as_str(),
+            desired_count: order.count,
+            spot: order.reclaimable,
+        };
+        self.act("/scale", &body, holder).await
     }
 
     fn read_table(&self, document: &Bytes) -> Result<RouteTable, InvalidTable> {
@@ -174,6 +211,7 @@
         zone: entry.zone.into(),
         slots: entry.slots,
         leaving: entry.state == State::Draining,
+        reclaimable: entry.spot,
         cold_ms: entry.cold_left_ms as u32,
     })
 }
--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -90,6 +90,9 @@
     min: u32,
     max: u32,
     boot_s: f64,
+    /// Not a price: the part of an ordinary server's price that a reclaimable one costs.
+    #[serde(default)]
+    spot_price: Option<f64>,
     #[serde(default)]
     zone_prices: BTreeMap<String, f64>,
 }
@@ -187,6 +190,7 @@
             min: scaling.min,
             max: scaling.max,
             boot: millis(scaling.boot_s * 1000.0),
+            reclaimable_part: scaling.spot_price,
             zone_prices: scaling
                 .zone_prices
                 .into_iter()
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -7,6 +7,8 @@
 mod max_min;
 pub mod place;
 pub mod prefix;
+pub mod quota;
 pub mod retry;
 pub mod route;
+pub mod scale;
 mod spread;
--- /dev/null
+++ b/src/policy/scale.rs
@@ -0,0 +1,214 @@
+//! How many upstreams a service needs, and where to order them.
+//!
+//! The need follows from what callers use now, at a filling at which first events are still quick; it is
+//! kept for a while, since an upstream takes seconds to start. Enough are ordered for good, and
+//! cheaper reclaimable ones on top. See docs/DECISIONS.md, "Ordering upstreams".
+
+use std::{collections::VecDeque, time::Duration};
+
+use super::spread::{self, Offer, ZoneOffer};
+use crate::domain::ZoneName;
+
+/// Part of the slots in use, and of the time spent on reading prompts, at which callers are still
+/// served in time. What this needs is ordered for good: reclaimable upstreams may all be taken back
+/// within seconds, and none be there for a while.
+const SUFFICIENT: Filling = Filling {
+    slots: 0.65,
+    reading: 0.6,
+};
+/// The same at which first events are quick and a burst finds room. Reclaimable upstreams make up the
+/// difference.
+const COMFORTABLE: Filling = Filling {
+    slots: 0.4,
+    reading: 0.35,
+};
+/// Prompt tokens read for each one that is new to all engines, since shared parts are read again on
+/// engines that do not hold them.
+const READ_AGAIN: f64 = 1.25;
+/// How long a need is kept after it was seen.
+const KEPT_FOR: Duration = Duration::from_secs(20);
+/// Needs that differ by less are not worth the lost caches of a change downwards.
+const WORTH_LOWERING: u32 = 2;
+
+/// How full engines may be.
+#[derive(Clone, Copy, Debug)]
+struct Filling {
+    slots: f64,
+    reading: f64,
+}
+
+/// How many engines a service needs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Need {
+    /// To serve callers in time.
+    pub sufficient: u32,
+    /// To serve them quickly, bursts included; at least as many.
+    pub comfortable: u32,
+}
+
+/// How much a service is used.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Use {
+    /// Requests in progress.
+    pub in_flight: f64,
+    /// New prompt tokens in a second.
+    pub prompt_tokens: f64,
+}
+
+/// What one engine can do.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EngineSize {
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Prompt tokens that it reads in a second.
+    pub prompt_tokens: f64,
+}
+
+/// Returns how many engines a use needs.
+pub fn need(used: Use, size: EngineSize) -> Need {
+    Need {
+        sufficient: engines(used, size, SUFFICIENT),
+        comfortable: engines(used, size, COMFORTABLE),
+    }
+}
+
+fn engines(used: Use, size: EngineSize, filling: Filling) -> u32 {
+    let slots = f64::from(size.slots.max(1)) * filling.slots;
+    let reading = size.prompt_tokens.max(1.0) * filling.reading;
+    let by_slots = used.in_flight / slots;
+    let by_reading = used.prompt_tokens * READ_AGAIN / reading;
+    by_slots.max(by_reading).ceil().max(1.0) as u32
+}
+
+/// The highest need of the last while.
+#[derive(Clone, Debug, Default)]
+pub struct NeedMeter {
+    sufficient: Peak,
+    comfortable: Peak,
+}
+
+impl NeedMeter {
+    /// Takes the need of now and returns the one to plan for.
+    pub fn take(&mut self, now: Duration, need: Need) -> Need {
+        let sufficient = self.sufficient.take(now, need.sufficient);
+        Need {
+            sufficient,
+            comfortable: self.comfortable.take(now, need.comfortable).max(sufficient),
+        }
+    }
+}
+
+/// The highest number of the last while.
+#[derive(Clone, Debug, Default)]
+struct Peak {
+    /// Numbers that no later one exceeds, the highest first.
+    peaks: VecDeque<(Duration, u32)>,
+    planned: Option<u32>,
+}
+
+impl Peak {
+    fn take(&mut self, now: Duration, need: u32) -> u32 {
+        while self.peaks.back().is_some_and(|(_, peak)| *peak <= need) {
+            self.peaks.pop_back();
+        }
+        self.peaks.push_back((now, need));
+        let is_old = |(at, _): &(Duration, u32)| now.saturating_sub(*at) > KEPT_FOR;
+        while self.peaks.front().is_some_and(is_old) {
+            self.peaks.pop_front();
+        }
+        let peak = self.peaks.front().map_or(need, |(_, peak)| *peak);
+        let planned = match self.planned {
+            Some(planned) if peak <= planned && planned - peak < WORTH_LOWERING => planned,
+            _ => peak,
+        };
+        self.planned = Some(planned);
+        planned
+    }
+}
+
+/// What one zone offers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ZoneMarket {
+    /// The zone.
+    pub zone: ZoneName,
+    /// Price of an upstream for a second.
+    pub price: f64,
+    /// Price of a reclaimable one, if there are any.
+    pub reclaimable_price: Option<f64>,
+    /// Fewest upstreams of both kinds together.
+    pub min: u32,
+    /// Most upstreams of both kinds together.
+    pub max: u32,
+}
+
+/// What to order in one zone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Wanted {
+    /// The zone.
+    pub zone: ZoneName,
+    /// Reclaimable upstreams.
+    pub reclaimable: u32,
+    /// Upstreams that are not taken back.
+    pub on_demand: u32,
+}
+
+/// Returns what to order: the sufficient engines for good, evenly over the zones, and the further ones
+/// that comfort needs as reclaimable ones, if there are any.
+pub fn orders(need: Need, markets: &[ZoneMarket]) -> Vec<Wanted> {
+    let has_reclaimable = markets.iter().any(|m| m.reclaimable_price.is_some());
+    let further = need.comfortable.saturating_sub(need.sufficient);
+    let (on_demand, reclaimable) = match has_reclaimable {
+        true => (need.sufficient, further),
+        false => (need.comfortable, 0),
+    };
+    let lasting: Vec<ZoneOffer> = markets
+        .iter()
+        .map(|market| offer(market, market.price, market.max, false))
+        .collect();
+    let lasting = spread::even(&lasting, on_demand);
+    let further: Vec<ZoneOffer> = markets
+        .iter()
+        .zip(&lasting)
+        .map(|(market, ordered)| {
+            let left = market.max.saturating_sub(ordered.total().max(market.min));
+            let price = market.reclaimable_price.unwrap_or(market.price);
+            offer(market, price, left, true)
+        })
+        .collect();
+    let further = spread::even(&further, reclaimable);
+    let counts = lasting.into_iter().zip(further);
+    markets
+        .iter()
+        .zip(counts)
+        .map(|(market, (lasting, further))| Wanted {
+            zone: market.zone.clone(),
+            reclaimable: further.reclaimable,
+            on_demand: lasting.on_demand.max(market.min),
+        })
+        .collect()
+}
+
+fn offer(market: &ZoneMarket, price: f64, most: u32, reclaimable: bool) -> ZoneOffer {
+    let none = Offer {
+        price: micros(market.price),
+        most: 0,
+    };
+    let some = Offer {
+        price: micros(price),
+        most,
+    };
+    let (reclaimable, on_demand) = match reclaimable {
+        true if market.reclaimable_price.is_some() => (some, none),
+        true => (none, none),
+        false => (none, some),
+    };
+    ZoneOffer {
+        reclaimable,
+        on_demand,
+        away: 0.0,
+    }
+}
+
+fn micros(price: f64) -> i64 {
+    (price * 1e6) as i64
+}
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -11,7 +11,7 @@
 pub use cloud::{CloudApi, CloudError, InstanceListing, ReclaimNotice, StartRequest};
 pub use platform::{
     AnswerFacts, DutyHolder, Forwarding, ListedUpstream, Platform, PromptFacts, PromptPart,
-    ReportedLoad, RequestFacts, WindowUsage,
+    ReportedLoad, RequestFacts, UpstreamOrder, WindowUsage,
 };
 pub use upstream::{
     CacheEvent, CacheEvents, EngineLoad, EngineOrder, OrderKind, OrderOutcome, Sent, ServiceCall,
--- a/src/ports/platform.rs
+++ b/src/ports/platform.rs
@@ -26,6 +26,8 @@
     pub slots: u32,
     /// Whether it gets no new work.
     pub leaving: bool,
+    /// Whether the platform may take it back.
+    pub reclaimable: bool,
     /// How much longer it is slow after its start, in milliseconds.
     pub cold_ms: u32,
 }
@@ -39,6 +41,19 @@
     pub counts: Vec<(AccountName, u64)>,
 }
 
+/// How many upstreams of one kind a service should have in a zone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UpstreamOrder {
+    /// The service.
+    pub service: ServiceName,
+    /// The zone.
+    pub zone: ZoneName,
+    /// How many.
+    pub count: u32,
+    /// Whether the platform may take them back.
+    pub reclaimable: bool,
+}
+
 /// What is known of a request from its head.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct RequestFacts {
@@ -133,6 +148,13 @@
         usage: &WindowUsage,
     ) -> impl Future<Output = Result<(), CloudError>> + Send;
 
+    /// Orders upstreams. `CloudError::Refused` says that there are none to be had now.
+    fn order_upstreams(
+        &self,
+        holder: &DutyHolder,
+        order: &UpstreamOrder,
+    ) -> impl Future<Output = Result<(), CloudError>> + Send;
+
     /// Reads a published document.
     fn read_table(&self, document: &Bytes) -> Result<RouteTable, InvalidTable>;
 
--- a/src/settings/ingress.rs
+++ b/src/settings/ingress.rs
@@ -34,6 +34,9 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "duty_lease_ms", default = "duty_lease")]
     pub duty_lease: Duration,
+    /// Prompt tokens that an engine reads in a millisecond; without it no upstreams are ordered.
+    #[serde(default)]
+    pub engine_tokens_per_ms: Option<f64>,
     /// Further attempts that a service may get, as a part of the requests for it.
     #[serde(default = "retry_ratio")]
     pub retry_ratio: f64,
--- a/src/settings/schema.rs
+++ b/src/settings/schema.rs
@@ -74,6 +74,13 @@
     optional("list_interval_ms", DURATION),
     optional("usage_window_ms", DURATION),
     optional("duty_lease_ms", DURATION),
+    optional(
+        "engine_tokens_per_ms",
+        Shape::Decimal {
+            min: 1e-3,
+            max: 1e9,
+        },
+    ),
     optional("retry_ratio", Shape::Decimal { min: 0.0, max: 1.0 }),
     optional("retry_slack", Shape::Decimal { min: 0.0, max: 1e6 }),
     optional("retry_window_ms", DURATION),
--- a/src/wire/follow.rs
+++ b/src/wire/follow.rs
@@ -24,6 +24,12 @@
     /// Requests that began to run at this gateway, for the newest windows.
     #[prost(message, repeated, tag = "6")]
     pub usage: Vec<WindowCount>,
+    /// Units of each quota that callers asked this gateway for, in a second.
+    #[prost(message, repeated, tag = "7")]
+    pub demands: Vec<QuotaPart>,
+    /// How much this gateway uses each service.
+    #[prost(message, repeated, tag = "8")]
+    pub loads: Vec<ServiceLoad>,
 }
 
 /// A controller's answer.
@@ -44,6 +50,10 @@
     /// The controllers that this one knows.
     #[prost(message, repeated, tag = "5")]
     pub controllers: Vec<ControllerRecord>,
+    /// From the leader: the gateway's part of each quota, from zero to one. An account that is left
+    /// out gives the part that every gateway has.
+    #[prost(message, repeated, tag = "6")]
+    pub shares: Vec<QuotaPart>,
 }
 
 /// Asks a controller for the published document.
@@ -135,6 +145,9 @@
     /// How much longer it was slow when the list was read, in milliseconds.
     #[prost(uint32, tag = "7")]
     pub cold_ms: u32,
+    /// Whether the platform may take it back.
+    #[prost(bool, tag = "8")]
+    pub reclaimable: bool,
 }
 
 /// A controller and where it is reached.
@@ -172,3 +185,28 @@
     #[prost(uint64, tag = "2")]
     pub count: u64,
 }
+
+/// A number that belongs to an account's quota.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct QuotaPart {
+    /// The account.
+    #[prost(string, tag = "1")]
+    pub account: String,
+    /// The number.
+    #[prost(double, tag = "2")]
+    pub value: f64,
+}
+
+/// One gateway's use of a service.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ServiceLoad {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Requests in progress, as a mean over the time since the last question.
+    #[prost(double, tag = "2")]
+    pub in_flight: f64,
+    /// Prompt tokens in a second that upstreams are not expected to hold.
+    #[prost(double, tag = "3")]
+    pub prompt_tokens: f64,
+}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -18,7 +18,7 @@
 };
 pub use follow::{
     AccountCount, ControllerRecord, Document, DocumentRequest, Follow, FollowReply, IngressRecord,
-    ListVersion, Roster, UpstreamList, UpstreamRow, WindowCount,
+    ListVersion, QuotaPart, Roster, ServiceLoad, UpstreamList, UpstreamRow, WindowCount,
 };
 pub use journal::{
     JournalAck, JournalAppend, JournalPut, JournalRemove, JournalTokens, JournaledRequest,
--- /dev/null
+++ b/tests/controller_followers.rs
@@ -0,0 +1,128 @@
+//! What a controller knows of the ingress gateways that follow it.
+
+use std::time::Duration;
+
+use flamingocroft::{
+    controller::followers::Followers,
+    wire::{AccountCount, Follow, IngressRecord, QuotaPart, UpstreamRow, WindowCount},
+};
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn follow(name: &str, open: bool, demand: f64) -> Follow {
+    Follow {
+        gateway: Some(IngressRecord {
+            name: name.into(),
+            zone: "a".into(),
+            caller_address: "10.0.0.1:80".into(),
+            open,
+        }),
+        demands: vec![QuotaPart {
+            account: "depot".into(),
+            value: demand,
+        }],
+        ..Follow::default()
+    }
+}
+
+fn part(followers: &Followers, now: Duration, name: &str) -> f64 {
+    let shares = followers.shares(now, name);
+    shares.first().map_or(0.0, |share| share.value)
+}
+
+#[test]
+fn a_silent_gateway_leaves_the_roster_and_comes_back() {
+    let mut followers = Followers::default();
+    assert!(followers.hear(at(0), &follow("g1", true, 0.0)));
+    assert!(!followers.hear(at(700), &follow("g1", true, 0.0)));
+    let roster = followers.roster(at(2700));
+    assert_eq!(roster.gateways.len(), 1);
+    let later = followers.roster(at(2701));
+    assert_eq!(later.gateways.len(), 0);
+    assert_ne!(later.version, roster.version);
+    assert!(followers.hear(at(4000), &follow("g1", true, 0.0)));
+    assert_eq!(followers.roster(at(4000)).version, roster.version);
+}
+
+#[test]
+fn a_gateway_that_closes_changes_the_roster_at_once() {
+    let mut followers = Followers::default();
+    followers.hear(at(0), &follow("g1", true, 0.0));
+    assert!(followers.hear(at(1), &follow("g1", false, 0.0)));
+    assert!(!followers.roster(at(1)).gateways[0].open);
+}
+
+#[test]
+fn parts_of_a_quota_follow_demand_and_add_up_to_the_whole() {
+    let mut followers = Followers::default();
+    followers.hear(at(0), &follow("g1", true, 300.0));
+    followers.hear(at(0), &follow("g2", true, 100.0));
+    let (first, second) = (part(&followers, at(1), "g1"), part(&followers, at(1), "g2"));
+    assert!((first + second - 1.0).abs() < 1e-9);
+    assert!((first - 0.7).abs() < 1e-9, "{first}");
+}
+
+#[test]
+fn the_part_of_a_gateway_that_was_cut_off_is_given_away_only_after_its_lease() {
+    let mut followers = Followers::default();
+    followers.hear(at(0), &follow("g1", true, 100.0));
+    followers.hear(at(0), &follow("g2", true, 100.0));
+    let at_first = part(&followers, at(1), "g2");
+    followers.hear(at(3400), &follow("g2", true, 100.0));
+    assert!((part(&followers, at(3400), "g2") - at_first).abs() < 1e-9);
+    followers.hear(at(3600), &follow("g2", true, 100.0));
+    let alone = part(&followers, at(3600), "g2");
+    assert!(
+        (alone - 0.9).abs() < 1e-9,
+        "the floor of the other stays its own: {alone}"
+    );
+    followers.hear(at(61_000), &follow("g2", true, 100.0));
+    assert!((part(&followers, at(61_000), "g2") - 1.0).abs() < 1e-9);
+}
+
+#[test]
+fn usage_is_summed_over_gateways_and_the_newest_count_of_each_counts() {
+    let mut followers = Followers::default();
+    let counted = |name: &str, count| Follow {
+        usage: vec![WindowCount {
+            window: 7,
+            counts: vec![AccountCount {
+                account: "depot".into(),
+                count,
+            }],
+        }],
+        ..follow(name, true, 0.0)
+    };
+    followers.hear(at(0), &counted("g1", 3));
+    followers.hear(at(1), &counted("g1", 5));
+    followers.hear(at(1), &counted("g2", 10));
+    assert_eq!(followers.usage(7)[0].count, 15);
+    assert!(followers.usage(8).is_empty());
+}
+
+#[test]
+fn only_a_list_that_differs_gets_a_new_version() {
+    let row = |leaving, cold_ms| UpstreamRow {
+        instance: "i-1".into(),
+        leaving,
+        cold_ms,
+        ..UpstreamRow::default()
+    };
+    let mut followers = Followers::default();
+    assert!(followers.take_list(3, vec![row(false, 900)]));
+    assert!(
+        !followers.take_list(3, vec![row(false, 400)]),
+        "it only warms up"
+    );
+    let first = followers.list().version;
+    assert!(followers.take_list(3, vec![row(true, 400)]));
+    assert!(followers.list().version > first);
+    let second = followers.list().version;
+    assert!(
+        followers.take_list(4, vec![row(true, 400)]),
+        "a new leader's list is newer"
+    );
+    assert!(followers.list().version > second);
+}
--- /dev/null
+++ b/tests/policy_scale.rs
@@ -0,0 +1,129 @@
+//! Ordering upstreams: what callers get when a zone takes its reclaimable upstreams back, and what it
+//! costs, against the naive order of as many upstreams as at the start.
+
+use std::time::Duration;
+
+use flamingocroft::policy::scale::{
+    EngineSize, Need, NeedMeter, Use, Wanted, ZoneMarket, need, orders,
+};
+use proptest::prelude::*;
+
+const ENGINE: EngineSize = EngineSize {
+    slots: 12,
+    prompt_tokens: 157_000.0,
+};
+
+fn markets(reclaimable: bool) -> Vec<ZoneMarket> {
+    [("zarzis", 0.85), ("gabes", 1.2), ("medenine", 1.0)]
+        .into_iter()
+        .map(|(zone, price)| ZoneMarket {
+            zone: zone.into(),
+            price,
+            reclaimable_price: reclaimable.then_some(price * 0.22),
+            min: 1,
+            max: 12,
+        })
+        .collect()
+}
+
+fn seconds(s: u64) -> Duration {
+    Duration::from_secs(s)
+}
+
+fn total(wanted: &[Wanted]) -> u32 {
+    wanted.iter().map(|w| w.reclaimable + w.on_demand).sum()
+}
+
+fn cost(wanted: &[Wanted]) -> f64 {
+    wanted
+        .iter()
+        .zip(markets(true))
+        .map(|(w, m)| {
+            f64::from(w.reclaimable) * m.reclaimable_price.unwrap()
+                + f64::from(w.on_demand) * m.price
+        })
+        .sum()
+}
+
+#[test]
+fn enough_are_left_when_all_zones_take_their_reclaimable_ones_back() {
+    let used = Use {
+        in_flight: 53.0,
+        prompt_tokens: 280_000.0,
+    };
+    let wanted = orders(need(used, ENGINE), &markets(true));
+    let left: u32 = wanted.iter().map(|w| w.on_demand).sum();
+    let filled = |engines: u32| used.in_flight / f64::from(engines * ENGINE.slots);
+    assert!(
+        filled(left) <= 0.7,
+        "{} of the slots are in use",
+        filled(left)
+    );
+    assert!(
+        filled(total(&wanted)) <= 0.4,
+        "{} with all of them",
+        filled(total(&wanted))
+    );
+    // The order that buys as much comfort without reclaimable ones, and the one of the start.
+    let comfortable = orders(need(used, ENGINE), &markets(false));
+    assert_eq!(total(&comfortable), total(&wanted));
+    assert!(cost(&wanted) < 0.75 * cost(&comfortable));
+    let naive: f64 = markets(true).iter().map(|m| 6.0 * m.price).sum();
+    assert!(
+        cost(&wanted) < naive / 2.0,
+        "{} against {naive}",
+        cost(&wanted)
+    );
+}
+
+#[test]
+fn reading_prompts_counts_where_slots_are_many() {
+    let used = Use {
+        in_flight: 50.0,
+        prompt_tokens: 217_000.0,
+    };
+    let many_slots = EngineSize {
+        slots: 128,
+        ..ENGINE
+    };
+    let needed = need(used, many_slots);
+    let reading = 217_000.0 / 157_000.0;
+    assert!(reading / f64::from(needed.sufficient) <= 0.6);
+    assert!(reading / f64::from(needed.comfortable) <= 0.35);
+}
+
+#[test]
+fn a_burst_raises_the_need_at_once_and_lowers_it_late() {
+    let mut meter = NeedMeter::default();
+    let mut take = |s, engines| {
+        let need = Need {
+            sufficient: engines,
+            comfortable: engines + 3,
+        };
+        let planned = meter.take(seconds(s), need);
+        assert_eq!(planned.comfortable, planned.sufficient + 3);
+        planned.sufficient
+    };
+    assert_eq!(take(0, 6), 6);
+    assert_eq!(take(1, 10), 10);
+    assert_eq!(take(20, 6), 10);
+    assert_eq!(take(22, 6), 6);
+    assert_eq!(take(43, 5), 6, "one less is not worth a change");
+}
+
+proptest! {
+    #[test]
+    fn each_zone_keeps_to_its_bounds(
+        sufficient in 1..40u32,
+        further in 0..40u32,
+        reclaimable: bool,
+    ) {
+        let needed = Need { sufficient, comfortable: sufficient + further };
+        let markets = markets(reclaimable);
+        for (wanted, market) in orders(needed, &markets).iter().zip(&markets) {
+            let total = wanted.reclaimable + wanted.on_demand;
+            prop_assert!(total >= market.min && total <= market.max, "{wanted:?}");
+            prop_assert!(reclaimable || wanted.reclaimable == 0);
+        }
+    }
+}
