Admit quotas by the operator's window, with a reserve at the leader

Change: an account may use RatePerS x window + Burst in any window; half of it is divided among gateways by demand, half is kept by the leader, whom a gateway asks when its own part is used up.

--- a/src/controller/followers.rs
+++ b/src/controller/followers.rs
@@ -13,11 +13,11 @@
 use super::core::Core;
 use crate::{
     link::Peer,
-    policy::quota,
+    policy::quota::{self, Bucket, Limit},
     ports::Clock,
     wire::{
         AccountCount, Body, Document, Follow, FollowReply, IngressRecord, ListVersion, QuotaPart,
-        Roster, ServiceLoad, UpstreamList,
+        ReserveReply, ReserveRequest, Roster, ServiceLoad, UpstreamList,
     },
 };
 
@@ -39,6 +39,9 @@
 pub struct Followers {
     gateways: HashMap<String, Follower>,
     list: UpstreamList,
+    reserves: HashMap<String, Bucket>,
+    /// The term in which the reserves are kept.
+    reserves_term: u64,
 }
 
 #[derive(Debug)]
@@ -161,6 +164,30 @@
             .collect()
     }
 
+    /// Takes units out of the reserve of an account's quota. The reserves of a new term begin empty,
+    /// because the leader before may have given them away.
+    pub fn reserve(
+        &mut self,
+        now: Duration,
+        term: u64,
+        request: &ReserveRequest,
+    ) -> Result<(), Duration> {
+        if self.reserves_term != term {
+            self.reserves_term = term;
+            self.reserves.clear();
+        }
+        let limit = Limit {
+            per_second: request.per_second,
+            saved: request.saved,
+        };
+        let account = request.account.clone();
+        let bucket = self
+            .reserves
+            .entry(account)
+            .or_insert_with(|| Bucket::new(0.0, now));
+        bucket.take(request.units, limit, now)
+    }
+
     /// Keeps a list of upstreams that was read now. Returns whether it differs from the last one.
     pub fn take_list(&mut self, term: u64, rows: Vec<crate::wire::UpstreamRow>) -> bool {
         let held = self.list.version.unwrap_or_default();
@@ -270,3 +297,17 @@
         document: published.document.clone(),
     })
 }
+
+/// Answers a gateway that asks for units of a reserve; only the leader has one.
+pub(super) fn reserve<T: Clock>(core: &Core<T>, request: &ReserveRequest) -> Option<Body> {
+    if !core.leads() {
+        return None;
+    }
+    let term = core.fleet().term();
+    let taken = core.followers().reserve(core.now(), term, request);
+    let wait = taken.err().unwrap_or_default();
+    Some(Body::ReserveReply(ReserveReply {
+        granted: taken.is_ok(),
+        wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
+    }))
+}
--- a/src/ingress/follow.rs
+++ b/src/ingress/follow.rs
@@ -132,6 +132,7 @@
                 Ok(Body::FollowReply(reply)) => {
                     if reply.leads {
                         self.core.quotas.lease(&reply.shares, asked);
+                        self.core.leader.store(Some(Arc::new(link.clone())));
                     }
                     self.take(name, link, reply, stop).await;
                 }
--- a/src/ingress/forward.rs
+++ b/src/ingress/forward.rs
@@ -25,6 +25,7 @@
         Clock, Forwarding, Platform, PromptFacts, RequestFacts, Sent, UpstreamError,
         UpstreamErrorKind,
     },
+    wire::{Body, ReserveRequest},
 };
 
 /// Headers that concern one connection only.
@@ -43,6 +44,9 @@
 /// not run, so this bounds the search only.
 const MOST_REFUSED: usize = 3;
 
+/// Longest wait for the leader's reserve of a quota; many times a round trip between zones.
+const RESERVE_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Answers one request.
 pub(super) async fn answer<P: Platform, T: Clock>(
     core: Arc<Core<P, T>>,
@@ -129,9 +133,7 @@
                 false => Failure::BodyCut,
             })?;
         if let Some(account) = &account {
-            core.quotas
-                .take(account, facts.prompt.as_ref(), Instant::now())
-                .map_err(NotRun::OverQuota)?;
+            take_quota(core, account, &facts).await?;
         }
         Ok(Self {
             core,
@@ -360,6 +362,37 @@
     Ok(Some(account.name.clone()))
 }
 
+/// Takes a request's units out of this gateway's part of the quota, or out of the leader's reserve.
+async fn take_quota<P: Platform, T: Clock>(
+    core: &Core<P, T>,
+    account: &AccountName,
+    facts: &RequestFacts,
+) -> Result<(), NotRun> {
+    let taken = core
+        .quotas
+        .take(account, facts.prompt.as_ref(), Instant::now());
+    let Err(short) = taken else {
+        return Ok(());
+    };
+    let Some(leader) = core.leader.load_full() else {
+        return Err(NotRun::OverQuota(short.wait));
+    };
+    let request = Body::ReserveRequest(ReserveRequest {
+        account: account.to_string(),
+        units: short.units,
+        per_second: short.reserve.per_second,
+        saved: short.reserve.saved,
+    });
+    match leader.call(request, RESERVE_TIMEOUT).await {
+        Ok(Body::ReserveReply(reply)) if reply.granted => Ok(()),
+        Ok(Body::ReserveReply(reply)) => {
+            let wait = short.wait.min(Duration::from_millis(reply.wait_ms));
+            Err(NotRun::OverQuota(wait))
+        }
+        Ok(_) | Err(_) => Err(NotRun::OverQuota(short.wait)),
+    }
+}
+
 /// Requests that share all but the last part of their prompts have one home.
 fn home(prompt: &PromptFacts) -> u64 {
     let shared = prompt.parts.len().saturating_sub(2);
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -23,7 +23,7 @@
 };
 
 use anyhow::Context;
-use arc_swap::ArcSwap;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use hyper::service::service_fn;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
@@ -33,7 +33,7 @@
     Running,
     adapters::http::{Client, ServerOptions, serve},
     domain::{Incarnation, RouteIndex},
-    link::{Identity, PeerKey},
+    link::{Identity, Link, PeerKey},
     ports::{Clock, Platform},
     settings::{Ingress, Reloaded, Settings},
     wire::IngressRecord,
@@ -58,6 +58,8 @@
     quotas: Quotas,
     budgets: Budgets,
     usage: UsageCounter,
+    /// The link to the controller that led last.
+    leader: ArcSwapOption<Link>,
     /// Whether the process is being stopped.
     leaving: AtomicBool,
 }
@@ -113,9 +115,10 @@
         roster: ArcSwap::default(),
         upstreams: Arc::default(),
         client: Client::new(settings.timing.connect_timeout),
-        quotas: Quotas::default(),
+        quotas: Quotas::new(ingress.quota_rule()),
         budgets: Budgets::new(&ingress),
         usage: UsageCounter::new(ingress.usage_window),
+        leader: ArcSwapOption::empty(),
         leaving: AtomicBool::new(false),
         ingress,
         platform,
--- a/src/ingress/quota.rs
+++ b/src/ingress/quota.rs
@@ -1,5 +1,6 @@
 //! Quotas of accounts. The leader leases each gateway a part of every quota; a gateway whose lease is
-//! over uses the floor that every gateway has.
+//! over uses the floor that every gateway has. When its own part does not suffice it asks the leader,
+//! who keeps a reserve of every quota.
 
 use std::{
     collections::HashMap,
@@ -10,8 +11,8 @@
 use tokio::time::Instant;
 
 use crate::{
-    domain::{AccountName, KeyedAccount, Quota, QuotaUnit},
-    policy::quota::floor,
+    domain::{AccountName, KeyedAccount, QuotaUnit},
+    policy::quota::{Admission, Bucket, Limit, QuotaRule, admission, floor, own},
     ports::PromptFacts,
     wire::QuotaPart,
 };
@@ -22,9 +23,11 @@
 /// Time over which what callers ask is averaged.
 const DEMAND_SPAN: Duration = Duration::from_secs(2);
 
-/// Buckets by account.
-#[derive(Debug, Default)]
+/// What this gateway may use of each account's quota.
+#[derive(Debug)]
 pub(super) struct Quotas {
+    rule: QuotaRule,
+    started: Instant,
     state: Mutex<State>,
 }
 
@@ -34,21 +37,40 @@
     /// The parts leased last, and until when.
     parts: HashMap<AccountName, f64>,
     leased_until: Option<Instant>,
-    buckets: HashMap<AccountName, Bucket>,
+    held: HashMap<AccountName, Held>,
 }
 
 #[derive(Debug)]
-struct Bucket {
-    quota: Quota,
+struct Held {
+    admission: Admission,
+    unit: QuotaUnit,
     /// Units that this gateway may use now.
-    left: f64,
-    filled: Instant,
+    bucket: Bucket,
     /// Units that callers ask for in a second, admitted or not.
     demand: f64,
     asked: Instant,
 }
 
+/// A request for which this gateway's part of the quota does not suffice.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Short {
+    /// Units of the request.
+    pub(super) units: f64,
+    /// What the leader keeps of the quota.
+    pub(super) reserve: Limit,
+    /// After which time this gateway's part may suffice.
+    pub(super) wait: Duration,
+}
+
 impl Quotas {
+    pub(super) fn new(rule: QuotaRule) -> Self {
+        Self {
+            rule,
+            started: Instant::now(),
+            state: Mutex::default(),
+        }
+    }
+
     /// Takes the number of gateways that share each quota.
     pub(super) fn set_gateways(&self, count: usize) {
         self.state().gateways = count;
@@ -67,71 +89,73 @@
     /// Takes the quotas of a new table; what is left of those that stay is kept.
     pub(super) fn set_accounts(&self, accounts: &[KeyedAccount], now: Instant) {
         let mut state = self.state();
-        let mut before = std::mem::take(&mut state.buckets);
+        let mut before = std::mem::take(&mut state.held);
         for account in accounts {
             let Some(quota) = account.quota else {
                 continue;
             };
-            let part = state.part(&account.name, now);
-            let fresh = Bucket {
-                quota,
-                left: quota.burst * part,
-                filled: now,
-                demand: 0.0,
-                asked: now,
-            };
-            let bucket = match before.remove(&account.name) {
-                Some(bucket) => Bucket {
-                    quota,
-                    left: bucket.left.min(quota.burst * part),
-                    ..bucket
+            let admission = admission(&quota, &self.rule);
+            let unit = quota.unit;
+            let held = match before.remove(&account.name) {
+                Some(held) => Held {
+                    admission,
+                    unit,
+                    ..held
                 },
-                None => fresh,
+                None => {
+                    let own = own(admission.gateways, state.part(&account.name, now));
+                    Held {
+                        admission,
+                        unit,
+                        bucket: Bucket::new(own.saved, self.since(now)),
+                        demand: 0.0,
+                        asked: now,
+                    }
+                }
             };
-            state.buckets.insert(account.name.clone(), bucket);
+            state.held.insert(account.name.clone(), held);
         }
     }
 
-    /// Takes a request's units out of its account's quota. If there are too few, returns after which
-    /// time there may be enough.
+    /// Takes a request's units out of this gateway's part of its account's quota.
     pub(super) fn take(
         &self,
         account: &AccountName,
         prompt: Option<&PromptFacts>,
         now: Instant,
-    ) -> Result<(), Duration> {
+    ) -> Result<(), Short> {
         let mut state = self.state();
         let part = state.part(account, now);
-        let Some(bucket) = state.buckets.get_mut(account) else {
+        let Some(held) = state.held.get_mut(account) else {
             return Ok(());
         };
-        let units = units(bucket.quota.unit, prompt);
-        bucket.ask(units, now);
-        bucket.fill(part, now);
-        // A request larger than the bucket passes once the bucket is full, and leaves a debt.
-        let needed = units.min(bucket.quota.burst * part);
-        if bucket.left < needed {
-            let gain = (bucket.quota.per_second * part).max(f64::MIN_POSITIVE);
-            let wait = (needed - bucket.left) / gain;
-            return Err(Duration::try_from_secs_f64(wait).unwrap_or(DEMAND_SPAN));
-        }
-        bucket.left -= units;
-        Ok(())
+        let units = units(held.unit, prompt);
+        held.ask(units, now);
+        let own = own(held.admission.gateways, part);
+        let taken = held.bucket.take(units, own, self.since(now));
+        taken.map_err(|wait| Short {
+            units,
+            reserve: held.admission.reserve,
+            wait,
+        })
     }
 
     /// Returns what callers ask of each quota in a second.
     pub(super) fn demands(&self, now: Instant) -> Vec<QuotaPart> {
         let mut state = self.state();
-        let buckets = state.buckets.iter_mut();
-        buckets
-            .map(|(account, bucket)| {
-                bucket.ask(0.0, now);
-                QuotaPart {
-                    account: account.to_string(),
-                    value: bucket.demand,
-                }
-            })
-            .collect()
+        let all = state.held.iter_mut();
+        all.map(|(account, held)| {
+            held.ask(0.0, now);
+            QuotaPart {
+                account: account.to_string(),
+                value: held.demand,
+            }
+        })
+        .collect()
+    }
+
+    fn since(&self, now: Instant) -> Duration {
+        now.duration_since(self.started)
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -147,19 +171,13 @@
     }
 }
 
-impl Bucket {
+impl Held {
     fn ask(&mut self, units: f64, now: Instant) {
         let passed = now.duration_since(self.asked).as_secs_f64();
         let span = DEMAND_SPAN.as_secs_f64();
         self.demand = self.demand * (-passed / span).exp() + units / span;
         self.asked = now;
     }
-
-    fn fill(&mut self, part: f64, now: Instant) {
-        let gained = now.duration_since(self.filled).as_secs_f64() * self.quota.per_second * part;
-        self.left = (self.left + gained).min(self.quota.burst * part);
-        self.filled = now;
-    }
 }
 
 fn units(unit: QuotaUnit, prompt: Option<&PromptFacts>) -> f64 {
--- a/src/policy/quota.rs
+++ b/src/policy/quota.rs
@@ -5,6 +5,121 @@
 //! small floor that it may always use, also when no controller answers; the rest follows demand.
 //! See docs/DECISIONS.md, "Quotas".
 
+use std::time::Duration;
+
+use crate::domain::Quota;
+
+/// Part of the tolerances that is used; the rest covers the moment in which parts change at different
+/// gateways at different times.
+const TOLERANCE_USED: f64 = 0.5;
+
+/// How exactly quotas must be kept.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct QuotaRule {
+    /// Over any such time an account may use what the time gains and its burst. Without it the burst
+    /// is gained only once.
+    pub window: Option<Duration>,
+    /// Part of that by which it may be exceeded.
+    pub overage: f64,
+    /// Units by which it may be exceeded besides.
+    pub slack: f64,
+}
+
+/// A rate of units and how many of them can be saved up.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limit {
+    /// Units gained in a second.
+    pub per_second: f64,
+    /// Units that can be saved up.
+    pub saved: f64,
+}
+
+impl Limit {
+    fn times(self, part: f64) -> Self {
+        Self {
+            per_second: self.per_second * part,
+            saved: self.saved * part,
+        }
+    }
+}
+
+/// A quota as it is admitted: one part by the gateways by themselves, the other by the leader, whom a
+/// gateway asks when its own part is used up. Many small parts alone would refuse requests that come
+/// close together at one gateway while others have units left.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Admission {
+    /// What the gateways divide among them.
+    pub gateways: Limit,
+    /// What the leader keeps.
+    pub reserve: Limit,
+}
+
+/// Units that are gained over time and taken out.
+#[derive(Clone, Debug)]
+pub struct Bucket {
+    left: f64,
+    filled: Duration,
+}
+
+impl Bucket {
+    /// Makes a bucket that holds some units.
+    pub fn new(left: f64, now: Duration) -> Self {
+        Self { left, filled: now }
+    }
+
+    /// Takes units out. A request larger than the bucket passes once the bucket is full, and leaves a
+    /// debt. If there are too few, returns after which time there may be enough.
+    pub fn take(&mut self, units: f64, limit: Limit, now: Duration) -> Result<(), Duration> {
+        let passed = now.saturating_sub(self.filled).as_secs_f64();
+        self.left = (self.left + passed * limit.per_second).min(limit.saved);
+        self.filled = now;
+        let needed = units.min(limit.saved);
+        if self.left < needed {
+            let wait = (needed - self.left) / limit.per_second.max(f64::MIN_POSITIVE);
+            return Err(Duration::try_from_secs_f64(wait)
+                .unwrap_or(LONGEST_WAIT)
+                .min(LONGEST_WAIT));
+        }
+        self.left -= units;
+        Ok(())
+    }
+}
+
+/// Part of a quota that gateways admit by themselves.
+const BY_GATEWAYS: f64 = 0.5;
+/// Longest time that a caller is told to wait for its quota.
+const LONGEST_WAIT: Duration = Duration::from_secs(60);
+
+/// Returns how a quota is admitted, so that what is admitted in any window keeps to the rule.
+pub fn admission(quota: &Quota, rule: &QuotaRule) -> Admission {
+    let slack = rule.slack * TOLERANCE_USED;
+    let limit = match rule.window {
+        None => Limit {
+            per_second: quota.per_second,
+            saved: quota.burst,
+        },
+        Some(window) => {
+            let seconds = window.as_secs_f64().max(1e-3);
+            let whole = quota.per_second * seconds + quota.burst;
+            Limit {
+                per_second: whole / seconds,
+                saved: whole * rule.overage * TOLERANCE_USED,
+            }
+        }
+    };
+    let mut reserve = limit.times(1.0 - BY_GATEWAYS);
+    reserve.saved += slack;
+    Admission {
+        gateways: limit.times(BY_GATEWAYS),
+        reserve,
+    }
+}
+
+/// Returns the part of the gateways' limit that one of them may use.
+pub fn own(limit: Limit, part: f64) -> Limit {
+    limit.times(part)
+}
+
 /// Part of a quota that is divided equally, so that a gateway without demand so far, or without
 /// contact, can admit some requests.
 const FLOOR: f64 = 0.2;
--- a/src/settings/ingress.rs
+++ b/src/settings/ingress.rs
@@ -6,6 +6,8 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
+use crate::policy::quota::QuotaRule;
+
 /// How a process takes part in serving published routes.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -37,6 +39,17 @@
     /// Prompt tokens that an engine reads in a millisecond; without it no upstreams are ordered.
     #[serde(default)]
     pub engine_tokens_per_ms: Option<f64>,
+    /// Over any such time an account may use what the time gains and its burst; without it the burst
+    /// is gained only once.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    #[serde(rename = "quota_window_ms", default)]
+    pub quota_window: Option<Duration>,
+    /// Part by which an account may exceed its quota in a window.
+    #[serde(default)]
+    pub quota_overage: f64,
+    /// Units by which an account may exceed its quota in a window besides.
+    #[serde(default)]
+    pub quota_slack: f64,
     /// Further attempts that a service may get, as a part of the requests for it.
     #[serde(default = "retry_ratio")]
     pub retry_ratio: f64,
@@ -49,6 +62,17 @@
     pub retry_window: Duration,
 }
 
+impl Ingress {
+    /// Returns how exactly quotas must be kept.
+    pub fn quota_rule(&self) -> QuotaRule {
+        QuotaRule {
+            window: self.quota_window,
+            overage: self.quota_overage,
+            slack: self.quota_slack,
+        }
+    }
+}
+
 fn list_interval() -> Duration {
     Duration::from_millis(500)
 }
--- a/src/settings/schema.rs
+++ b/src/settings/schema.rs
@@ -81,6 +81,15 @@
             max: 1e9,
         },
     ),
+    optional("quota_window_ms", DURATION),
+    optional("quota_overage", Shape::Decimal { min: 0.0, max: 1.0 }),
+    optional(
+        "quota_slack",
+        Shape::Decimal {
+            min: 0.0,
+            max: 1e12,
+        },
+    ),
     optional("retry_ratio", Shape::Decimal { min: 0.0, max: 1.0 }),
     optional("retry_slack", Shape::Decimal { min: 0.0, max: 1e6 }),
     optional("retry_window_ms", DURATION),
--- a/src/wire/follow.rs
+++ b/src/wire/follow.rs
@@ -210,3 +210,31 @@
     #[prost(double, tag = "3")]
     pub prompt_tokens: f64,
 }
+
+/// Asks the leader for units out of its reserve of a quota.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ReserveRequest {
+    /// The account.
+    #[prost(string, tag = "1")]
+    pub account: String,
+    /// How many units.
+    #[prost(double, tag = "2")]
+    pub units: f64,
+    /// Units that the reserve gains in a second.
+    #[prost(double, tag = "3")]
+    pub per_second: f64,
+    /// Units that the reserve can save up.
+    #[prost(double, tag = "4")]
+    pub saved: f64,
+}
+
+/// The leader's answer.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ReserveReply {
+    /// Whether the gateway may use the units.
+    #[prost(bool, tag = "1")]
+    pub granted: bool,
+    /// If not, after which time there may be enough, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub wait_ms: u64,
+}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -18,7 +18,8 @@
 };
 pub use follow::{
     AccountCount, ControllerRecord, Document, DocumentRequest, Follow, FollowReply, IngressRecord,
-    ListVersion, QuotaPart, Roster, ServiceLoad, UpstreamList, UpstreamRow, WindowCount,
+    ListVersion, QuotaPart, ReserveReply, ReserveRequest, Roster, ServiceLoad, UpstreamList,
+    UpstreamRow, WindowCount,
 };
 pub use journal::{
     JournalAck, JournalAppend, JournalPut, JournalRemove, JournalTokens, JournaledRequest,
@@ -44,7 +45,7 @@
     /// The message; a frame without one is dropped.
     #[prost(
         oneof = "Body",
-        tags = "10, 11, 12, 13, 14, 20, 21, 22, 23, 24, 25, 26, 27, 30, 31, 32, 33, 34, 40, 41, 42, 43, 44, 50, 51, 52, 53"
+        tags = "10, 11, 12, 13, 14, 20, 21, 22, 23, 24, 25, 26, 27, 30, 31, 32, 33, 34, 40, 41, 42, 43, 44, 50, 51, 52, 53, 54, 55"
     )]
     pub body: Option<Body>,
 }
@@ -133,6 +134,12 @@
     /// The published document.
     #[prost(message, tag = "53")]
     Document(Document),
+    /// Asks the leader for a part of its reserve of a quota.
+    #[prost(message, tag = "54")]
+    ReserveRequest(ReserveRequest),
+    /// The leader's answer.
+    #[prost(message, tag = "55")]
+    ReserveReply(ReserveReply),
 }
 
 /// A random number that the peer must authenticate with the shared key.
--- a/tests/controller_followers.rs
+++ b/tests/controller_followers.rs
@@ -4,7 +4,9 @@
 
 use flamingocroft::{
     controller::followers::Followers,
-    wire::{AccountCount, Follow, IngressRecord, QuotaPart, UpstreamRow, WindowCount},
+    wire::{
+        AccountCount, Follow, IngressRecord, QuotaPart, ReserveRequest, UpstreamRow, WindowCount,
+    },
 };
 
 fn at(ms: u64) -> Duration {
@@ -126,3 +128,19 @@
     );
     assert!(followers.list().version > second);
 }
+
+#[test]
+fn the_reserve_of_a_new_term_begins_empty() {
+    let mut followers = Followers::default();
+    let request = ReserveRequest {
+        account: "depot".into(),
+        units: 10.0,
+        per_second: 10.0,
+        saved: 20.0,
+    };
+    assert_eq!(followers.reserve(at(0), 1, &request), Err(at(1000)));
+    assert_eq!(followers.reserve(at(2000), 1, &request), Ok(()));
+    assert_eq!(followers.reserve(at(2000), 1, &request), Ok(()));
+    assert!(followers.reserve(at(2000), 1, &request).is_err());
+    assert_eq!(followers.reserve(at(60_000), 2, &request), Err(at(1000)));
+}
--- a/tests/policy_quota.rs
+++ b/tests/policy_quota.rs
@@ -1,8 +1,75 @@
 //! Quotas divided by demand admit what equal parts refuse, and never more than the whole.
 
-use flamingocroft::policy::quota::{divide, floor};
+use std::time::Duration;
+
+use flamingocroft::{
+    domain::{Quota, QuotaUnit},
+    policy::quota::{Admission, Bucket, QuotaRule, admission, divide, floor, own},
+};
 use proptest::prelude::*;
 
+const QUOTA: Quota = Quota {
+    per_second: 100_000.0,
+    burst: 360_000.0,
+    unit: QuotaUnit::Requests,
+};
+const RULE: QuotaRule = QuotaRule {
+    window: Some(Duration::from_secs(8)),
+    overage: 0.1,
+    slack: 110_000.0,
+};
+const GATEWAYS: usize = 8;
+const REQUEST: f64 = 9_000.0;
+
+/// Plays requests of one size that come at random gateways, `rate` in a second, for a minute. Returns
+/// the times at which units were admitted.
+fn play(admission: Admission, rate: u64) -> Vec<(f64, f64)> {
+    let part = own(admission.gateways, 1.0 / GATEWAYS as f64);
+    let mut buckets = vec![Bucket::new(part.saved, Duration::ZERO); GATEWAYS];
+    let mut reserve = Bucket::new(admission.reserve.saved, Duration::ZERO);
+    let (mut admitted, mut seed) = (Vec::new(), 7_u64);
+    for i in 0..rate * 60 {
+        let now = Duration::from_secs_f64(i as f64 / rate as f64);
+        seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        let bucket = &mut buckets[(seed >> 33) as usize % GATEWAYS];
+        let taken = bucket.take(REQUEST, part, now);
+        if taken.is_ok() || reserve.take(REQUEST, admission.reserve, now).is_ok() {
+            admitted.push((now.as_secs_f64(), REQUEST));
+        }
+    }
+    admitted
+}
+
+fn most_in_a_window(admitted: &[(f64, f64)], window: f64) -> f64 {
+    let from = |start: f64| {
+        let inside = admitted
+            .iter()
+            .filter(|(at, _)| (start..start + window).contains(at));
+        inside.map(|(_, units)| units).sum::<f64>()
+    };
+    admitted.iter().map(|(at, _)| from(*at)).fold(0.0, f64::max)
+}
+
+#[test]
+fn an_account_that_asks_for_more_gets_its_window_and_no_more_than_the_rule() {
+    let admitted = play(admission(&QUOTA, &RULE), 40);
+    let window = QUOTA.per_second * 8.0 + QUOTA.burst;
+    let most = most_in_a_window(&admitted, 8.0);
+    assert!(most <= window * (1.0 + RULE.overage) + RULE.slack, "{most}");
+    assert!(most >= window * 0.95, "{most} of {window}");
+    // A bucket that gains its burst once leaves a fifth of what is allowed unused.
+    let naive = play(admission(&QUOTA, &QuotaRule::default()), 40);
+    let sum = |admitted: &[(f64, f64)]| admitted.iter().map(|(_, units)| units).sum::<f64>();
+    assert!(sum(&admitted) > 1.2 * sum(&naive));
+}
+
+#[test]
+fn an_account_that_stays_below_its_quota_is_refused_little() {
+    // Ten requests a second ask for 90,000 of 100,000 units.
+    let admitted = play(admission(&QUOTA, &RULE), 10);
+    assert!(admitted.len() > 590, "{} of 600", admitted.len());
+}
+
 /// What gateways with these parts admit in a second, of what callers ask of each.
 fn admitted(parts: &[f64], asked: &[f64], quota: f64) -> f64 {
     parts
