Take streams up again at another upstream, and test the whole path

Cause: a stream that broke off midway was cut off towards its caller, also where the route allows it to go on elsewhere; and a request that may be repeated waited for a silent upstream until its deadline.

Change: on routes with resumable streams only whole events are passed on, and after a break, or a second of silence, the request goes to another upstream with the last whole event. Before the first byte, requests that may be repeated are sent on after three times the route's target. An upstream that has requests and gives no sign of life for 700 ms is chosen last.

The path is tested with a stand-in for the platform's API and scripted servers.

--- a/src/ingress/forward.rs
+++ b/src/ingress/forward.rs
@@ -3,23 +3,26 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use futures_util::future::BoxFuture;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode, Uri, Version,
     body::Incoming,
     header::{self, HeaderName, HeaderValue},
+    http::response::Parts,
 };
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 use super::{
     Core,
     answer::{Ended, Failure, NotRun, respond},
-    relay::Relay,
+    events::EventCutter,
+    relay::{Relay, Resumable, Resume, Resumed, Source},
     upstreams::Flight,
 };
 use crate::{
     adapters::http::{Answer, Reuse},
-    domain::{AccountName, InstanceName, Route, RouteIndex, ServiceName},
+    domain::{AccountName, InstanceName, RequestClass, Route, RouteIndex, ServiceName},
     policy::route::RouteRequest,
     ports::{
         Clock, Forwarding, Platform, PromptFacts, RequestFacts, Sent, UpstreamError,
@@ -44,6 +47,15 @@
 /// not run, so this bounds the search only.
 const MOST_REFUSED: usize = 3;
 
+/// Silence before the first byte, in times of the route's target, after which a request that may be
+/// repeated is sent to another upstream; answers that take longer are rare even under load.
+const FIRST_BYTE_TARGETS: u32 = 3;
+/// Shortest such silence.
+const FIRST_BYTE_LEAST: Duration = Duration::from_millis(800);
+/// Silence between events after which a stream is taken up again elsewhere. Callers leave after two
+/// seconds at the earliest.
+const EVENT_SILENCE: Duration = Duration::from_millis(1000);
+
 /// Longest wait for the leader's reserve of a quota; many times a round trip between zones.
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -55,9 +67,9 @@
     let arrived = Instant::now();
     let facts = core.platform.read_request(req.headers());
     let id = facts.id.clone().unwrap_or_default();
-    let mut res = match Passage::begin(&core, req, facts, arrived).await {
+    let mut res = match Passage::begin(Arc::clone(&core), req, facts, arrived).await {
         Ok(mut passage) => match passage.run().await {
-            Ok(res) => res,
+            Ok(accepted) => passage.pass(accepted),
             Err(ended) => passage.give_up(ended),
         },
         Err(ended) => {
@@ -73,10 +85,9 @@
 }
 
 /// A request that was taken.
-struct Passage<'a, P, T> {
-    core: &'a Core<P, T>,
+struct Passage<P, T> {
+    core: Arc<Core<P, T>>,
     table: Arc<RouteIndex>,
-    /// Its position in the table's routes.
     route: Route,
     service: ServiceName,
     account: Option<AccountName>,
@@ -93,6 +104,45 @@
     attempts: u32,
 }
 
+/// An upstream's answer that is the caller's.
+struct Accepted {
+    head: Parts,
+    source: Source,
+}
+
+impl<P: Platform, T: Clock> Resume for Passage<P, T> {
+    fn resume(mut self: Box<Self>, after: Option<u64>) -> BoxFuture<'static, Option<Resumed>> {
+        Box::pin(async move {
+            self.attempts += 1;
+            if self.is_exhausted() {
+                return None;
+            }
+            let found = self.search(after).await;
+            match found {
+                Ok(accepted) if accepted.head.status.is_success() => Some(Resumed {
+                    source: accepted.source,
+                    resume: self,
+                }),
+                Ok(accepted) => {
+                    let status = accepted.head.status;
+                    log::info!(
+                        "ingress: request {} is not taken up again: {status}.",
+                        self.id()
+                    );
+                    None
+                }
+                Err(ended) => {
+                    log::info!(
+                        "ingress: request {} is not taken up again: {ended:?}.",
+                        self.id()
+                    );
+                    None
+                }
+            }
+        })
+    }
+}
+
 /// How one attempt ended without an answer for the caller.
 enum Attempt {
     /// It has not run there.
@@ -101,10 +151,10 @@
     MayHaveRun(Failure),
 }
 
-impl<'a, P: Platform, T: Clock> Passage<'a, P, T> {
+impl<P: Platform, T: Clock> Passage<P, T> {
     /// Finds the route and the account, reads the body and takes the quota.
     async fn begin(
-        core: &'a Core<P, T>,
+        core: Arc<Core<P, T>>,
         req: Request<Incoming>,
         facts: RequestFacts,
         arrived: Instant,
@@ -133,7 +183,7 @@
                 false => Failure::BodyCut,
             })?;
         if let Some(account) = &account {
-            take_quota(core, account, &facts).await?;
+            take_quota(&core, account, &facts).await?;
         }
         Ok(Self {
             core,
@@ -154,8 +204,13 @@
     }
 
     /// Sends the request to upstreams until one answers for the caller.
-    async fn run(&mut self) -> Result<Response<Relay>, Ended> {
+    async fn run(&mut self) -> Result<Accepted, Ended> {
         self.core.budgets.earn(&self.service, Instant::now());
+        self.search(None).await
+    }
+
+    /// Tries upstreams; a stream that is taken up again goes on after an event.
+    async fn search(&mut self, resume_after: Option<u64>) -> Result<Accepted, Ended> {
         let mut refused = 0;
         loop {
             // Lets the connection notice that the caller has left, above all after the process stood
@@ -173,8 +228,8 @@
                 return Err(self.unless_run(NotRun::Busy));
             }
             self.tried.push(flight.upstream.target.instance.clone());
-            match self.attempt(flight).await {
-                Ok(res) => return Ok(res),
+            match self.attempt(flight, resume_after).await {
+                Ok(accepted) => return Ok(accepted),
                 Err(Attempt::NotRun(reason)) => {
                     refused += 1;
                     if refused >= MOST_REFUSED || self.is_exhausted() {
@@ -216,13 +271,17 @@
         upstreams.choose(&self.service, &req, new_tokens, &self.tried, now)
     }
 
-    async fn attempt(&self, flight: Flight) -> Result<Response<Relay>, Attempt> {
+    async fn attempt(
+        &self,
+        flight: Flight,
+        resume_after: Option<u64>,
+    ) -> Result<Accepted, Attempt> {
         let now = Instant::now();
         let left = self.deadline.saturating_duration_since(now);
         let upstream = &flight.upstream;
-        let req = self.request(upstream.target.instance.clone(), left);
+        let req = self.request(upstream.target.instance.clone(), left, resume_after);
         let client = &self.core.client;
-        let sent = client.exchange(&upstream.target, req, Reuse::Allowed, self.deadline);
+        let sent = client.exchange(&upstream.target, req, Reuse::Allowed, self.patience(now));
         let answer = match sent.await {
             Ok(answer) => answer,
             Err(e) => return Err(self.failed(&flight, &e)),
@@ -230,6 +289,17 @@
         self.judge(flight, answer)
     }
 
+    /// Returns until when an upstream may be silent. If the request may be repeated, some time is kept
+    /// for another one.
+    fn patience(&self, now: Instant) -> Instant {
+        let may_repeat = self.route.class.may_repeat();
+        if !may_repeat || self.tried.len() >= self.route.max_attempts as usize {
+            return self.deadline;
+        }
+        let patience = (self.route.target * FIRST_BYTE_TARGETS).max(FIRST_BYTE_LEAST);
+        self.deadline.min(now + patience)
+    }
+
     fn failed(&self, flight: &Flight, e: &UpstreamError) -> Attempt {
         let upstream = &flight.upstream;
         upstream.suspect(Instant::now());
@@ -247,7 +317,7 @@
     }
 
     /// Decides whether an answer is the caller's.
-    fn judge(&self, flight: Flight, answer: Answer) -> Result<Response<Relay>, Attempt> {
+    fn judge(&self, flight: Flight, answer: Answer) -> Result<Accepted, Attempt> {
         let status = answer.res.status();
         let facts = self.core.platform.read_answer(status, answer.res.headers());
         let upstream = &flight.upstream;
@@ -291,32 +361,49 @@
             self.arrived.elapsed().as_millis(),
             self.tried.len()
         );
-        Ok(self.pass(flight, answer))
+        upstream.hear(now);
+        let (head, body) = answer.res.into_parts();
+        Ok(Accepted {
+            head,
+            source: Source {
+                body,
+                lease: answer.connection,
+                flight,
+            },
+        })
     }
 
-    fn pass(&self, flight: Flight, answer: Answer) -> Response<Relay> {
-        let (head, body) = answer.res.into_parts();
-        let deadline = sleep_until(self.deadline);
-        let relay = Relay::new(
-            body,
-            answer.connection,
-            flight,
-            deadline,
-            self.id().to_owned(),
-        );
-        let mut res = Response::new(relay);
+    /// Makes the answer for the caller.
+    fn pass(self, accepted: Accepted) -> Response<Relay> {
+        let Accepted { head, source } = accepted;
+        let (deadline, id) = (self.deadline, self.id().to_owned());
+        // A length would not be that of a stream that is taken up again.
+        let can_resume = self.route.class == RequestClass::ResumableStream
+            && head.status.is_success()
+            && !head.headers.contains_key(header::CONTENT_LENGTH);
+        let resumable = can_resume.then(|| Resumable {
+            events: EventCutter::after(self.facts.resume_after),
+            silence: EVENT_SILENCE,
+            resume: Box::new(self),
+        });
+        let mut res = Response::new(Relay::new(source, resumable, deadline, id));
         *res.status_mut() = head.status;
         *res.headers_mut() = without_connection_headers(head.headers);
         res
     }
 
-    fn request(&self, instance: InstanceName, left: Duration) -> Request<Full<Bytes>> {
+    fn request(
+        &self,
+        instance: InstanceName,
+        left: Duration,
+        resume_after: Option<u64>,
+    ) -> Request<Full<Bytes>> {
         let mut headers = self.headers.clone();
         let forwarding = Forwarding {
             left: Some(left),
             instance: &instance,
             account: self.account.as_ref(),
-            resume_after: None,
+            resume_after,
         };
         self.core
             .platform
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -4,6 +4,7 @@
 mod answer;
 mod budget;
 mod directory;
+mod events;
 mod follow;
 mod forward;
 mod quota;
@@ -12,6 +13,7 @@
 mod usage;
 
 pub use directory::Directory;
+pub use events::{CutError, EventCutter};
 
 use std::{
     convert::Infallible,
--- a/src/ingress/relay.rs
+++ b/src/ingress/relay.rs
@@ -2,15 +2,18 @@
 
 use std::{
     error::Error,
+    fmt,
     pin::Pin,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
+    time::Duration,
 };
 
 use bytes::Bytes;
+use futures_util::future::BoxFuture;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use tokio::time::Sleep;
+use tokio::time::{Instant, Sleep, sleep_until};
 
-use super::upstreams::Flight;
+use super::{events::EventCutter, upstreams::Flight};
 use crate::adapters::http::Lease;
 
 /// Why a body ends early. The connection to the caller is then closed without its proper end.
@@ -23,12 +26,49 @@
 /// An upstream's body. Dropping it before its end closes the connection, which stops the upstream's
 /// work.
 #[derive(Debug)]
+pub(super) struct Source {
+    pub(super) body: Incoming,
+    pub(super) lease: Lease,
+    pub(super) flight: Flight,
+}
+
+/// A stream that can be taken up again at another upstream.
+pub(super) struct Resumable {
+    /// Whole events; what comes of an event that breaks off is not passed on.
+    pub(super) events: EventCutter,
+    /// Longest silence after which the upstream is taken to be lost.
+    pub(super) silence: Duration,
+    pub(super) resume: Box<dyn Resume>,
+}
+
+/// Takes a stream up again.
+pub(super) trait Resume: Send {
+    /// Sends the request to another upstream, to go on after an event. Returns nothing if there is no
+    /// other, or no time or budget left for one.
+    fn resume(self: Box<Self>, after: Option<u64>) -> BoxFuture<'static, Option<Resumed>>;
+}
+
+/// The rest of a stream, and what takes that up again.
+pub(super) struct Resumed {
+    pub(super) source: Source,
+    pub(super) resume: Box<dyn Resume>,
+}
+
 struct Passing {
-    body: Incoming,
-    lease: Option<Lease>,
-    flight: Flight,
-    deadline: Pin<Box<Sleep>>,
     id: String,
+    source: Option<Source>,
+    deadline: Pin<Box<Sleep>>,
+    resumable: Option<Resumable>,
+    silence: Option<Pin<Box<Sleep>>>,
+    resuming: Option<BoxFuture<'static, Option<Resumed>>>,
+}
+
+impl fmt::Debug for Passing {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Passing")
+            .field("id", &self.id)
+            .finish_non_exhaustive()
+    }
 }
 
 impl Relay {
@@ -39,18 +79,19 @@
 
     /// Passes an upstream's body on until the deadline.
     pub(super) fn new(
-        body: Incoming,
-        lease: Lease,
-        flight: Flight,
-        deadline: Sleep,
+        source: Source,
+        resumable: Option<Resumable>,
+        deadline: Instant,
         id: String,
     ) -> Self {
+        let silence = resumable.as_ref().map(|stream| stream.silence);
         Self(Some(Box::new(Passing {
-            body,
-            lease: Some(lease),
-            flight,
-            deadline: Box::pin(deadline),
             id,
+            source: Some(source),
+            deadline: Box::pin(sleep_until(deadline)),
+            silence: silence.map(|limit| Box::pin(sleep_until(Instant::now() + limit))),
+            resumable,
+            resuming: None,
         })))
     }
 }
@@ -66,65 +107,178 @@
         let Some(passing) = &mut self.0 else {
             return Poll::Ready(None);
         };
-        match Pin::new(&mut passing.body).poll_frame(cx) {
-            Poll::Ready(Some(Ok(frame))) => Poll::Ready(Some(Ok(frame))),
-            Poll::Ready(Some(Err(e))) => {
-                let instance = &passing.flight.upstream.target.instance;
-                log::info!(
-                    "ingress: request {} broke off at {instance}: {e}.",
-                    passing.id
-                );
-                passing.lease = None;
-                Poll::Ready(Some(Err(e.into())))
-            }
-            Poll::Ready(None) => {
-                passing.end();
-                Poll::Ready(None)
-            }
-            Poll::Pending => {
-                if passing.deadline.as_mut().poll(cx).is_pending() {
-                    return Poll::Pending;
-                }
-                let instance = &passing.flight.upstream.target.instance;
-                log::info!(
-                    "ingress: request {} ran out of time at {instance}.",
-                    passing.id
-                );
-                passing.lease = None;
-                Poll::Ready(Some(Err("the time for the answer is over".into())))
-            }
+        if let Poll::Ready(step) = passing.poll(cx) {
+            return Poll::Ready(step);
         }
+        ready!(passing.deadline.as_mut().poll(cx));
+        Poll::Ready(Some(
+            Err(passing.give_up("the time for the answer is over")),
+        ))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.0
-            .as_ref()
-            .is_none_or(|passing| passing.body.is_end_stream())
+        self.0.as_ref().is_none_or(|passing| passing.is_ended())
     }
 
     fn size_hint(&self) -> SizeHint {
         match &self.0 {
-            Some(passing) => passing.body.size_hint(),
+            // A stream that is taken up again may have another length.
+            Some(passing) if passing.resumable.is_some() => SizeHint::default(),
+            Some(passing) => passing
+                .source
+                .as_ref()
+                .map_or_else(SizeHint::default, |source| source.body.size_hint()),
             None => SizeHint::with_exact(0),
         }
     }
 }
 
 impl Passing {
-    /// Keeps the connection for the next request.
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        loop {
+            if let Some(resuming) = &mut self.resuming {
+                let resumed = ready!(resuming.as_mut().poll(cx));
+                self.resuming = None;
+                let Some(resumed) = resumed else {
+                    return Poll::Ready(Some(Err(self.give_up("no upstream takes it up again"))));
+                };
+                self.source = Some(resumed.source);
+                if let Some(stream) = &mut self.resumable {
+                    stream.resume = resumed.resume;
+                }
+                self.hear();
+            }
+            let Some(source) = &mut self.source else {
+                return Poll::Ready(None);
+            };
+            match Pin::new(&mut source.body).poll_frame(cx) {
+                Poll::Ready(Some(Ok(frame))) => {
+                    if let Some(step) = self.pass(frame) {
+                        return Poll::Ready(Some(step));
+                    }
+                }
+                Poll::Ready(Some(Err(e))) => {
+                    if !self.begin_resuming(&e.to_string()) {
+                        return Poll::Ready(Some(Err(self.give_up(&e.to_string()))));
+                    }
+                }
+                Poll::Ready(None) => return Poll::Ready(self.finish()),
+                Poll::Pending => {
+                    let Some(silence) = &mut self.silence else {
+                        return Poll::Pending;
+                    };
+                    ready!(silence.as_mut().poll(cx));
+                    if !self.begin_resuming("no event came for too long") {
+                        self.silence = None;
+                        return Poll::Pending;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Returns the frame to pass on, if there is anything whole in it.
+    fn pass(&mut self, frame: Frame<Bytes>) -> Option<Result<Frame<Bytes>, Broken>> {
+        self.hear();
+        let Some(stream) = &mut self.resumable else {
+            return Some(Ok(frame));
+        };
+        let piece = match frame.into_data() {
+            Ok(piece) => piece,
+            Err(trailers) => return Some(Ok(trailers)),
+        };
+        match stream.events.push(&piece) {
+            Ok(whole) if whole.is_empty() => None,
+            Ok(whole) => Some(Ok(Frame::data(whole))),
+            Err(e) => Some(Err(self.give_up(&e.to_string()))),
+        }
+    }
+
+    /// Notes that the upstream is alive.
+    fn hear(&mut self) {
+        if let Some(source) = &self.source {
+            source.flight.upstream.hear(Instant::now());
+        }
+        if let (Some(silence), Some(stream)) = (&mut self.silence, &self.resumable) {
+            silence.as_mut().reset(Instant::now() + stream.silence);
+        }
+    }
+
+    /// Returns whether the stream is being taken up again.
+    fn begin_resuming(&mut self, reason: &str) -> bool {
+        let Some(stream) = &mut self.resumable else {
+            return false;
+        };
+        stream.events.break_off();
+        let after = stream.events.last_id();
+        let spent: Box<dyn Resume> = Box::new(Spent);
+        let resume = std::mem::replace(&mut stream.resume, spent);
+        if let Some(source) = self.source.take() {
+            source.flight.upstream.suspect(Instant::now());
+            log::info!(
+                "ingress: request {} broke off at {} after event {after:?}: {reason}.",
+                self.id,
+                source.flight.upstream.target.instance
+            );
+        }
+        self.resuming = Some(resume.resume(after));
+        true
+    }
+
+    /// Ends the answer properly; the connection is kept for the next request.
+    fn finish(&mut self) -> Option<Result<Frame<Bytes>, Broken>> {
+        self.end();
+        let rest = self.resumable.as_mut()?.events.rest();
+        (!rest.is_empty()).then(|| Ok(Frame::data(rest)))
+    }
+
     fn end(&mut self) {
-        if let Some(lease) = self.lease.take() {
-            self.flight.upstream.trust();
-            lease.give_back();
+        if let Some(source) = self.source.take() {
+            source.flight.upstream.trust();
+            source.lease.give_back();
         }
     }
+
+    fn give_up(&mut self, reason: &str) -> Broken {
+        if let Some(source) = self.source.take() {
+            let instance = &source.flight.upstream.target.instance;
+            log::info!(
+                "ingress: request {} is cut off at {instance}: {reason}.",
+                self.id
+            );
+        } else {
+            log::info!("ingress: request {} is cut off: {reason}.", self.id);
+        }
+        self.resuming = None;
+        reason.to_owned().into()
+    }
+
+    fn is_ended(&self) -> bool {
+        let ended = |source: &Source| source.body.is_end_stream();
+        self.resuming.is_none()
+            && self.resumable.is_none()
+            && self.source.as_ref().is_none_or(ended)
+    }
 }
 
 impl Drop for Passing {
     fn drop(&mut self) {
         // A body of known length is not asked for more after its last byte.
-        if self.body.is_end_stream() {
+        if self
+            .source
+            .as_ref()
+            .is_some_and(|source| source.body.is_end_stream())
+        {
             self.end();
         }
     }
 }
+
+/// Stands in while a stream is being taken up again.
+struct Spent;
+
+impl Resume for Spent {
+    fn resume(self: Box<Self>, _after: Option<u64>) -> BoxFuture<'static, Option<Resumed>> {
+        Box::pin(std::future::ready(None))
+    }
+}
--- a/src/ingress/upstreams.rs
+++ b/src/ingress/upstreams.rs
@@ -24,6 +24,9 @@
 
 /// Time for which an upstream that failed gets requests only if all others failed too.
 const SUSPECT_FOR: Duration = Duration::from_millis(1500);
+/// Silence of an upstream with requests in progress after which others are preferred; several times
+/// the longest pause that the routes of engines aim at.
+const STALLED_AFTER: Duration = Duration::from_millis(700);
 /// Time for which callers may still use the addresses that they got before a stop.
 const OLD_ADDRESSES: Duration = Duration::from_millis(3500);
 
@@ -48,6 +51,8 @@
     reported: Option<(ReportedLoad, Instant)>,
     sent_since_report: u32,
     suspect_until: Option<Instant>,
+    /// Since when requests wait for a sign of life.
+    waiting_since: Option<Instant>,
 }
 
 impl Upstream {
@@ -63,6 +68,11 @@
         state.sent_since_report = 0;
     }
 
+    /// Notes a sign of life.
+    pub(super) fn hear(&self, now: Instant) {
+        self.load().waiting_since = Some(now);
+    }
+
     /// Notes that an exchange failed.
     pub(super) fn suspect(&self, now: Instant) {
         self.load().suspect_until = Some(now + SUSPECT_FOR);
@@ -73,6 +83,13 @@
         self.load().suspect_until = None;
     }
 
+    /// Returns whether requests are in progress and nothing has been heard for too long.
+    fn is_stalled(&self, load: &Load, now: Instant) -> bool {
+        let waits = self.in_flight.load(Ordering::Relaxed) > 0;
+        let silent = |since| now.duration_since(since) > STALLED_AFTER;
+        waits && load.waiting_since.is_some_and(silent)
+    }
+
     fn load(&self) -> MutexGuard<'_, Load> {
         self.load.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -91,7 +108,8 @@
             sent_since_report: load.sent_since_report,
             in_progress: self.in_flight.load(Ordering::Relaxed),
             cached_tokens: None,
-            suspect: load.suspect_until.is_some_and(|until| until > now),
+            suspect: load.suspect_until.is_some_and(|until| until > now)
+                || self.is_stalled(&load, now),
         }
     }
 }
@@ -208,8 +226,13 @@
             .collect();
         let chosen = route::choose(req, &candidates, &RoutingWeights::default())?;
         let upstream = Arc::clone(usable[chosen]);
-        upstream.in_flight.fetch_add(1, Ordering::Relaxed);
-        upstream.load().sent_since_report += 1;
+        let was_idle = upstream.in_flight.fetch_add(1, Ordering::Relaxed) == 0;
+        let mut load = upstream.load();
+        load.sent_since_report += 1;
+        if was_idle {
+            load.waiting_since = Some(now);
+        }
+        drop(load);
         self.in_flight.count.fetch_add(1, Ordering::Relaxed);
         self.meter(service, |meter| {
             meter.count += 1;
--- /dev/null
+++ b/tests/platform_support/mod.rs
@@ -0,0 +1,557 @@
+//! One controller and one gateway on the users' platform, with a stand-in for the platform's API and
+//! scripted servers, all on loopback.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::{
+    collections::HashMap,
+    convert::Infallible,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::Path,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use flamingocroft::{
+    adapters::{HttpUpstreams, SystemClock},
+    controller, ingress, platform,
+    ports::Ports,
+    settings::{Reloaded, Settings},
+    telemetry::Metrics,
+};
+use futures_util::{StreamExt, stream::BoxStream};
+use http_body_util::{BodyExt, Full, StreamBody, combinators::BoxBody};
+use hyper::{
+    HeaderMap, Method, Request, Response, StatusCode,
+    body::{Frame, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::{
+    client::legacy::Client,
+    rt::{TokioExecutor, TokioIo},
+};
+use serde_json::{Value, json};
+use tempfile::TempDir;
+use tokio::{
+    net::TcpListener,
+    sync::watch,
+    time::{sleep, timeout},
+};
+use tokio_util::sync::CancellationToken;
+
+pub const KEY: &str = "key-of-the-depot";
+pub const PATIENCE: Duration = Duration::from_secs(20);
+const PEER_KEY: &str = "a-shared-key-for-the-tests-only";
+
+pub type Body = BoxBody<Bytes, std::io::Error>;
+
+/// What a scripted server does with a request.
+pub enum Act {
+    /// Answers whole, with its signature.
+    Answer(StatusCode, Vec<u8>),
+    /// Says that it has not run the request.
+    NotExecuted,
+    /// Answers without its signature.
+    Unsigned,
+    /// Answers as if to another request.
+    Foreign,
+    /// Closes the connection without an answer.
+    Reset,
+    /// Never answers.
+    Silent,
+    /// Streams pieces, then ends well, or breaks off.
+    Stream { pieces: Vec<String>, whole: bool },
+}
+
+/// A request as a server saw it.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub server: usize,
+    pub method: Method,
+    pub path: String,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+type Script = dyn Fn(usize, &Seen) -> Act + Send + Sync;
+
+/// What all servers saw, and how many requests they are at.
+#[derive(Default)]
+pub struct Log {
+    pub seen: Mutex<Vec<Seen>>,
+    pub busy: AtomicUsize,
+}
+
+impl Log {
+    pub fn seen(&self) -> Vec<Seen> {
+        self.seen.lock().unwrap().clone()
+    }
+}
+
+/// A running installation.
+pub struct Site {
+    pub control: SocketAddr,
+    pub front: SocketAddr,
+    pub directory: SocketAddr,
+    pub ready: SocketAddr,
+    pub log: Arc<Log>,
+    pub usage: Arc<Mutex<Vec<Value>>>,
+    pub stop_gateway: CancellationToken,
+    stop: CancellationToken,
+    folder: TempDir,
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+fn own_host() -> Ipv4Addr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let (pid, count) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    Ipv4Addr::new(
+        127,
+        192 + (pid % 60) as u8,
+        (pid / 60 % 256) as u8,
+        1 + (count % 250) as u8,
+    )
+}
+
+impl Site {
+    /// Starts an installation with some servers of the one service.
+    pub async fn start(
+        servers: usize,
+        script: impl Fn(usize, &Seen) -> Act + Send + Sync + 'static,
+    ) -> Self {
+        // All controllers and gateways use the same ports, so each has a host of its own.
+        let (host, gateway_host) = (own_host(), own_host());
+        let at = |port| SocketAddr::new(IpAddr::V4(host), port);
+        let gateway_at = |port| SocketAddr::new(IpAddr::V4(gateway_host), port);
+        let log = Arc::new(Log::default());
+        let script: Arc<Script> = Arc::new(script);
+        let mut listed = Vec::new();
+        for server in 0..servers {
+            let address =
+                serve_upstream(at(0), server, Arc::clone(&script), Arc::clone(&log)).await;
+            listed.push(json!({
+                "Id": format!("i-{server}"), "Service": "app", "Address": address.to_string(),
+                "Zone": "a", "Version": "v1", "Slots": 4, "State": "ready", "ColdLeftMs": 0,
+            }));
+        }
+        // An entry of another writer names no server.
+        listed.push(json!({"Id": "i-odd", "Service": 7, "State": "ready"}));
+        let usage = Arc::default();
+        let api = serve_platform(at(0), listed, Arc::clone(&usage)).await;
+        let folder = TempDir::new().unwrap();
+        std::fs::write(folder.path().join("peer.key"), PEER_KEY).unwrap();
+        let stop = CancellationToken::new();
+        let stop_gateway = stop.child_token();
+        let seed = at(7201);
+        let controller = settings(folder.path(), host, "controller", seed, api);
+        start_controller(controller, stop.clone()).await;
+        let gateway = settings(folder.path(), gateway_host, "gateway", seed, api);
+        start_gateway(gateway, stop_gateway.clone(), stop.clone()).await;
+        Self {
+            control: seed,
+            front: gateway_at(7301),
+            directory: gateway_at(7302),
+            ready: gateway_at(7303),
+            log,
+            usage,
+            stop_gateway,
+            stop,
+            folder,
+        }
+    }
+
+    /// Publishes a document and waits until the gateway is ready with it.
+    pub async fn publish(&self, document: &Value) {
+        let put = || post(self.control, "/api/config/put", document.to_string());
+        until("the document is published", || async {
+            put().await.is_some_and(|res| res.status == StatusCode::OK)
+        })
+        .await;
+        until("the gateway is ready", || async {
+            let ready = call(self.ready, Method::GET, "/api/readiness", &[], "").await;
+            ready.is_some_and(|res| res.status == StatusCode::OK)
+        })
+        .await;
+        let probe = document["Routes"][0]["PathPrefix"].as_str().unwrap_or("/");
+        until("the gateway knows the servers", || async {
+            let res = self.send(Method::GET, probe, "probe", "").await;
+            res.status != StatusCode::SERVICE_UNAVAILABLE
+        })
+        .await;
+        self.log.seen.lock().unwrap().clear();
+    }
+
+    /// Sends a request with a key through the gateway.
+    pub async fn send(&self, method: Method, path: &str, id: &str, body: &str) -> Answer {
+        let key = format!("Bearer {KEY}");
+        let headers = [
+            ("host", "depot.example"),
+            ("x-flamingocroft-request-id", id),
+            ("x-flamingocroft-deadline-ms", "3000"),
+            ("authorization", &key),
+        ];
+        call(self.front, method, path, &headers, body)
+            .await
+            .expect("an answer")
+    }
+}
+
+/// An answer; without an error the body is whole.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Result<Bytes, String>,
+}
+
+impl Answer {
+    pub fn text(&self) -> String {
+        let body = self.body.as_ref().expect("a whole body");
+        String::from_utf8(body.to_vec()).unwrap()
+    }
+}
+
+/// Makes a call; nothing comes back if the connection ends before an answer.
+pub async fn call(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Option<Answer> {
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    let mut req = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"));
+    for (name, value) in headers {
+        req = req.header(*name, *value);
+    }
+    let req = req.body(Full::new(Bytes::from(body.to_owned()))).unwrap();
+    let res = timeout(PATIENCE, client.request(req))
+        .await
+        .expect("no answer in time")
+        .ok()?;
+    let (head, body) = res.into_parts();
+    let body = timeout(PATIENCE, body.collect())
+        .await
+        .expect("the body did not end");
+    Some(Answer {
+        status: head.status,
+        headers: head.headers,
+        body: body.map(|body| body.to_bytes()).map_err(|e| e.to_string()),
+    })
+}
+
+pub async fn post(address: SocketAddr, path: &str, body: String) -> Option<Answer> {
+    call(address, Method::POST, path, &[], &body).await
+}
+
+/// Waits until something holds.
+pub async fn until<F: Future<Output = bool>>(what: &str, holds: impl Fn() -> F) {
+    let waited = timeout(PATIENCE, async {
+        while !holds().await {
+            sleep(Duration::from_millis(20)).await;
+        }
+    });
+    assert!(waited.await.is_ok(), "not in time: {what}");
+}
+
+/// A document with one route of each kind on one service.
+pub fn document(version: u64) -> Value {
+    let route = |name: &str, kind: &str, resume: bool| {
+        json!({
+            "Name": name, "Host": "depot.example", "PathPrefix": format!("/{name}/"), "Kind": kind,
+            "TimeoutMs": 3000, "TargetLatencyMs": 300, "Priority": 0, "Service": "app",
+            "MaxAttempts": 2, "Public": false, "StreamResume": resume,
+        })
+    };
+    json!({
+        "Version": version,
+        "Routes": [
+            route("safe", "idempotent", false),
+            route("once", "non_idempotent", false),
+            route("stream", "stream", false),
+            route("resumed", "stream", true),
+        ],
+        "Services": [{"Name": "app", "HealthPath": "/health", "MaxConns": 100}],
+        "Limits": {
+            "MaxHeaderBytes": 16384, "MaxBodyBytes": 65536,
+            "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000,
+        },
+        "Tenants": [{"Name": "depot", "ApiKeys": [KEY]}],
+    })
+}
+
+fn settings(
+    folder: &Path,
+    host: Ipv4Addr,
+    role: &str,
+    seed: SocketAddr,
+    api: SocketAddr,
+) -> Arc<Settings> {
+    let first = if role == "controller" { 7200 } else { 7300 };
+    let text = json!({
+        "name": host.to_string(),
+        "role": role,
+        "zone": "a",
+        "http_address": format!("{host}:{}", first + 9),
+        "peer_address": format!("{host}:7200"),
+        "peer_key_file": folder.join("peer.key"),
+        "data_folder": folder.join(role),
+        "operator_token_sha256": "0".repeat(64),
+        "seeds": [seed.to_string()],
+        "ingress": {
+            "address": format!("{host}:{}", first + 1),
+            "directory_address": format!("{host}:{}", first + 2),
+            "ready_address": format!("{host}:{}", first + 3),
+            "platform_address": api.to_string(),
+            "list_interval_ms": 50,
+            "usage_window_ms": 1000,
+            "duty_lease_ms": 100,
+            "retry_ratio": 1.0,
+            "retry_slack": 1000.0,
+        },
+        "timing": { "shutdown_ms": 3000 },
+    });
+    let file = folder.join(format!("{role}.jsonc"));
+    std::fs::write(&file, text.to_string()).unwrap();
+    Arc::new(Settings::read(&file).unwrap())
+}
+
+fn reloaded(settings: &Arc<Settings>) -> Reloaded {
+    let (tx, rx) = watch::channel(Arc::clone(settings));
+    // The settings of a test never change, so the sender must only stay.
+    std::mem::forget(tx);
+    rx
+}
+
+async fn start_controller(settings: Arc<Settings>, stop: CancellationToken) {
+    let ingress = settings.ingress.clone().unwrap();
+    let ports = Ports {
+        upstreams: Arc::new(HttpUpstreams::new(&settings.timing)),
+        cloud: None::<Arc<flamingocroft::adapters::HttpCloud>>,
+        clock: Arc::new(SystemClock::new()),
+        metrics: Metrics::new().unwrap(),
+    };
+    let api = Arc::new(platform::Api::new(
+        ingress.platform_address,
+        &settings.timing,
+    ));
+    let reloaded = reloaded(&settings);
+    let started = controller::start_publishing(settings, reloaded, ports, api, stop.clone());
+    let (_, publisher) = started.await.unwrap();
+    let listener = TcpListener::bind(ingress.address).await.unwrap();
+    tokio::spawn(platform::serve_control(Arc::new(publisher), listener, stop));
+}
+
+async fn start_gateway(settings: Arc<Settings>, stop: CancellationToken, end: CancellationToken) {
+    let ingress = settings.ingress.clone().unwrap();
+    let api = Arc::new(platform::Api::new(
+        ingress.platform_address,
+        &settings.timing,
+    ));
+    let reloaded = reloaded(&settings);
+    let clock = Arc::new(SystemClock::new());
+    let started = ingress::start(settings, reloaded, api, clock, stop).await;
+    let (_, directory) = started.unwrap();
+    let ready = TcpListener::bind(ingress.ready_address.unwrap())
+        .await
+        .unwrap();
+    tokio::spawn(platform::serve_ready(directory.clone(), ready, end.clone()));
+    let listener = TcpListener::bind(ingress.directory_address.unwrap())
+        .await
+        .unwrap();
+    tokio::spawn(platform::serve_directory(directory, listener, end));
+}
+
+async fn serve_platform(
+    address: SocketAddr,
+    listed: Vec<Value>,
+    usage: Arc<Mutex<Vec<Value>>>,
+) -> SocketAddr {
+    let listener = TcpListener::bind(address).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let service = move |req: Request<Incoming>| {
+        let (listed, usage) = (listed.clone(), Arc::clone(&usage));
+        async move {
+            let path = req.uri().path().to_owned();
+            let headers = req.headers().clone();
+            let body = req.into_body().collect().await.unwrap().to_bytes();
+            if path == "/usage" {
+                let mut report: Value = serde_json::from_slice(&body).unwrap();
+                let text = |name: &str| headers[name].to_str().unwrap().to_owned();
+                report["holder"] = json!(text("x-flamingocroft-duty-holder"));
+                report["fence"] = json!(text("x-flamingocroft-fencing-token"));
+                usage.lock().unwrap().push(report);
+            }
+            let body = json!({"Instances": listed, "Next": null}).to_string();
+            Ok::<_, Infallible>(Response::new(Full::new(Bytes::from(body))))
+        }
+    };
+    tokio::spawn(accept(listener, move |io| {
+        let service = service.clone();
+        async move {
+            let _ = http1::Builder::new()
+                .serve_connection(io, service_fn(service))
+                .await;
+        }
+    }));
+    address
+}
+
+async fn serve_upstream(
+    address: SocketAddr,
+    server: usize,
+    script: Arc<Script>,
+    log: Arc<Log>,
+) -> SocketAddr {
+    let listener = TcpListener::bind(address).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(accept(listener, move |io| {
+        let (script, log) = (Arc::clone(&script), Arc::clone(&log));
+        async move {
+            let service = service_fn(|req| act(server, req, &*script, Arc::clone(&log)));
+            // A scripted reset ends the connection with this error.
+            let _ = http1::Builder::new().serve_connection(io, service).await;
+        }
+    }));
+    address
+}
+
+async fn accept<F: Future<Output = ()> + Send + 'static>(
+    listener: TcpListener,
+    serve: impl Fn(TokioIo<tokio::net::TcpStream>) -> F,
+) {
+    loop {
+        let (stream, _) = listener.accept().await.unwrap();
+        tokio::spawn(serve(TokioIo::new(stream)));
+    }
+}
+
+/// Counts a request as in progress until it is dropped.
+struct Busy(Arc<Log>);
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.busy.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn act(
+    server: usize,
+    req: Request<Incoming>,
+    script: &Script,
+    log: Arc<Log>,
+) -> Result<Response<Body>, std::io::Error> {
+    log.busy.fetch_add(1, Ordering::Relaxed);
+    let busy = Busy(Arc::clone(&log));
+    let (head, body) = req.into_parts();
+    let body = body
+        .collect()
+        .await
+        .map_err(std::io::Error::other)?
+        .to_bytes();
+    let seen = Seen {
+        server,
+        method: head.method,
+        path: head.uri.to_string(),
+        headers: head.headers,
+        body,
+    };
+    log.seen.lock().unwrap().push(seen.clone());
+    let id = seen.headers.get("x-flamingocroft-request-id").cloned();
+    let mut res = match script(server, &seen) {
+        Act::Reset => return Err(std::io::ErrorKind::ConnectionReset.into()),
+        Act::Silent => {
+            sleep(PATIENCE * 2).await;
+            return Err(std::io::ErrorKind::TimedOut.into());
+        }
+        Act::NotExecuted => {
+            let mut res = whole(StatusCode::SERVICE_UNAVAILABLE, Vec::new());
+            res.headers_mut()
+                .insert("x-flamingocroft-not-executed", "1".parse().unwrap());
+            res
+        }
+        Act::Answer(status, body) => signed(whole(status, body)),
+        Act::Unsigned => whole(StatusCode::OK, b"spoiled".to_vec()),
+        Act::Foreign => {
+            let mut res = signed(whole(StatusCode::OK, b"foreign".to_vec()));
+            res.headers_mut()
+                .insert("x-flamingocroft-request-id", "other".parse().unwrap());
+            return Ok(res);
+        }
+        Act::Stream { pieces, whole } => signed(Response::new(stream(pieces, whole, busy))),
+    };
+    if let Some(id) = id {
+        res.headers_mut().insert("x-flamingocroft-request-id", id);
+    }
+    Ok(res)
+}
+
+fn stream(pieces: Vec<String>, whole: bool, busy: Busy) -> Body {
+    let frames = pieces
+        .into_iter()
+        .map(|piece| Ok(Frame::data(Bytes::from(piece))));
+    let end: BoxStream<'static, _> = match whole {
+        true => futures_util::stream::empty().boxed(),
+        false => futures_util::stream::once(async {
+            // The pieces before must have left.
+            sleep(Duration::from_millis(50)).await;
+            Err(std::io::ErrorKind::ConnectionReset.into())
+        })
+        .boxed(),
+    };
+    let all = futures_util::stream::iter(frames)
+        .chain(end)
+        .map(move |frame| {
+            let _ = &busy;
+            frame
+        });
+    BodyExt::boxed(StreamBody::new(SyncStream(Mutex::new(all.boxed()))))
+}
+
+/// Makes a stream `Sync`, as the boxed body needs it.
+struct SyncStream(Mutex<BoxStream<'static, Result<Frame<Bytes>, std::io::Error>>>);
+
+impl futures_util::Stream for SyncStream {
+    type Item = Result<Frame<Bytes>, std::io::Error>;
+
+    fn poll_next(
+        self: std::pin::Pin<&mut Self>,
+        cx: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Self::Item>> {
+        self.0.lock().unwrap().poll_next_unpin(cx)
+    }
+}
+
+fn whole(status: StatusCode, body: Vec<u8>) -> Response<Body> {
+    let body = Full::new(Bytes::from(body)).map_err(|never| match never {});
+    let mut res = Response::new(BodyExt::boxed(body));
+    *res.status_mut() = status;
+    res
+}
+
+fn signed(mut res: Response<Body>) -> Response<Body> {
+    res.headers_mut()
+        .insert("x-flamingocroft-response-seal", "seal".parse().unwrap());
+    res
+}
+
+/// Counts how often each server saw a request.
+pub fn counts(seen: &[Seen]) -> HashMap<usize, usize> {
+    let mut counts = HashMap::new();
+    for seen in seen {
+        *counts.entry(seen.server).or_default() += 1;
+    }
+    counts
+}
