Keep parts of quotas longer, read the list at once, count unclear ends

Change: a part is kept for 10 s and the leader leaves a silent gateway's part alone for longer; the list is read when leadership begins; a plain call that may have run counts as run; dry zones are left out for 6 s; a gateway that knows no routes or upstreams yet says to come back after a second.

--- a/src/controller/followers.rs
+++ b/src/controller/followers.rs
@@ -2,7 +2,7 @@
 //! Every controller hears every gateway, so that none of this is lost with a leader.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     hash::{DefaultHasher, Hash, Hasher},
     sync::Arc,
     time::Duration,
@@ -13,7 +13,7 @@
 use super::core::Core;
 use crate::{
     link::Peer,
-    policy::quota::{self, Bucket, Limit},
+    policy::quota::{self, Bucket, Claim, Limit},
     ports::Clock,
     wire::{
         AccountCount, Body, Document, Follow, FollowReply, IngressRecord, ListVersion, QuotaPart,
@@ -26,7 +26,7 @@
 const GONE_AFTER: Duration = Duration::from_millis(2000);
 /// Silence up to which a gateway may still use the part of a quota that it was given; longer than
 /// `ingress::quota::PART_LEASE`, which counts from the gateway's question.
-const SHARE_COUNTED: Duration = Duration::from_millis(3500);
+const SHARE_COUNTED: Duration = Duration::from_millis(10_500);
 /// Silence after which a gateway's floor of a quota is free again.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(60);
 /// Longest time that a question waits for a change.
@@ -49,10 +49,33 @@
     record: IngressRecord,
     heard: Duration,
     demands: Vec<QuotaPart>,
+    held_shares: Vec<QuotaPart>,
     loads: Vec<ServiceLoad>,
     usage: BTreeMap<u64, Vec<AccountCount>>,
 }
 
+impl Follower {
+    fn silence(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.heard)
+    }
+
+    fn claim(&self, now: Duration, account: &str, least: f64) -> Claim {
+        let find = |parts: &[QuotaPart]| {
+            let part = parts.iter().find(|part| part.account == account);
+            part.map(|part| part.value)
+        };
+        match self.silence(now) {
+            silence if silence <= GONE_AFTER => {
+                Claim::Heard(find(&self.demands).unwrap_or_default())
+            }
+            silence if silence <= SHARE_COUNTED => {
+                Claim::Silent(find(&self.held_shares).unwrap_or_default().max(least))
+            }
+            _ => Claim::Silent(least),
+        }
+    }
+}
+
 impl Followers {
     /// Notes a question. Returns whether the roster changed by it.
     pub fn hear(&mut self, now: Duration, follow: &Follow) -> bool {
@@ -70,12 +93,14 @@
                 record: record.clone(),
                 heard: now,
                 demands: Vec::new(),
+                held_shares: Vec::new(),
                 loads: Vec::new(),
                 usage: BTreeMap::new(),
             });
         follower.record = record.clone();
         follower.heard = now;
         follower.demands.clone_from(&follow.demands);
+        follower.held_shares.clone_from(&follow.held_shares);
         follower.loads.clone_from(&follow.loads);
         for window in &follow.usage {
             follower.usage.insert(window.window, window.counts.clone());
@@ -103,34 +128,34 @@
         }
     }
 
-    /// Returns a gateway's part of each quota. Gateways that were silent for too long use no more than
-    /// their floor, which stays theirs until they are forgotten.
+    /// Returns a gateway's part of each quota. A silent gateway keeps the part that it had until that
+    /// can't be in use any more, and then its floor until it is forgotten.
     pub fn shares(&self, now: Duration, name: &str) -> Vec<QuotaPart> {
-        let silence = |follower: &Follower| now.saturating_sub(follower.heard);
-        let mut demands: BTreeMap<&str, Vec<f64>> = BTreeMap::new();
         let known: Vec<_> = self
             .gateways
             .iter()
-            .filter(|(_, follower)| silence(follower) <= FORGOTTEN_AFTER)
+            .filter(|(_, follower)| follower.silence(now) <= FORGOTTEN_AFTER)
             .collect();
-        for (place, (_, follower)) in known.iter().enumerate() {
-            let counted = silence(follower) <= SHARE_COUNTED;
-            for demand in follower.demands.iter().filter(|_| counted) {
-                let all = demands.entry(&demand.account).or_default();
-                all.resize(known.len(), 0.0);
-                all[place] = demand.value;
-            }
-        }
         let Some(own) = known.iter().position(|(other, _)| *other == name) else {
             return Vec::new();
         };
-        demands
-            .into_iter()
-            .map(|(account, demands)| QuotaPart {
+        let least = quota::floor(known.len());
+        let accounts: BTreeSet<&str> = known
+            .iter()
+            .flat_map(|(_, follower)| &follower.demands)
+            .map(|demand| demand.account.as_str())
+            .collect();
+        let share = |account: &str| {
+            let claims: Vec<_> = known
+                .iter()
+                .map(|(_, follower)| follower.claim(now, account, least))
+                .collect();
+            QuotaPart {
                 account: account.to_owned(),
-                value: quota::divide(&demands)[own],
-            })
-            .collect()
+                value: quota::divide(&claims)[own],
+            }
+        };
+        accounts.into_iter().map(share).collect()
     }
 
     /// Returns how much all gateways heard of lately use each service.
--- a/src/controller/lister.rs
+++ b/src/controller/lister.rs
@@ -25,9 +25,12 @@
     let mut tick = interval(every);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut failing = false;
+    // A new leader reads the list at once; gateways that were all started anew have none.
+    let mut took_up = core.watch_fleet();
     loop {
         tokio::select! {
             _ = tick.tick() => {}
+            Ok(()) = took_up.changed() => {}
             () = stop.cancelled() => return,
         }
         if !core.leads() {
--- a/src/controller/scaler.rs
+++ b/src/controller/scaler.rs
@@ -19,6 +19,8 @@
 const ORDER_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time of traffic after which its use is believed; before, as many upstreams as there are are kept.
 const BELIEVED_AFTER: Duration = Duration::from_secs(5);
+/// Time for which a zone that refused reclaimable upstreams gets no further order of them.
+const DRY_FOR: Duration = Duration::from_secs(6);
 /// Pause after an order that was refused or not answered.
 const ORDER_PAUSE: Duration = Duration::from_secs(1);
 
@@ -80,6 +82,8 @@
     reclaimable: Option<u32>,
     on_demand: Option<u32>,
     paused_until: Duration,
+    /// Until when no reclaimable upstreams are expected to be there.
+    dry_until: Duration,
 }
 
 impl<T: Clock, P: Platform> Scaler<T, P> {
@@ -139,7 +143,7 @@
         if !believed {
             return;
         }
-        for wanted in scale::orders(needed, &markets(scaling)) {
+        for wanted in scale::orders(needed, &scaled.markets(scaling, now)) {
             let here = present.get(&wanted.zone).copied().unwrap_or_default();
             if let Some(order) = self.next_order(&service.name, &wanted, here) {
                 log::info!(
@@ -225,6 +229,9 @@
             Err(_) => CloudError::Unanswered("no answer in time".into()),
         };
         ordered.paused_until = now + ORDER_PAUSE;
+        if order.reclaimable && matches!(failure, CloudError::Refused(_)) {
+            ordered.dry_until = now + DRY_FOR;
+        }
         log::warn!(
             "controller: the order of {} upstreams in {} is not taken: {failure}.",
             order.count,
@@ -240,16 +247,20 @@
     on_demand: u32,
 }
 
-fn markets(scaling: &ScalingFacts) -> Vec<ZoneMarket> {
-    scaling
-        .zone_prices
-        .iter()
-        .map(|(zone, price)| ZoneMarket {
+impl Scaled {
+    fn markets(&self, scaling: &ScalingFacts, now: Duration) -> Vec<ZoneMarket> {
+        let is_dry = |zone: &ZoneName| {
+            let ordered = self.zones.get(zone);
+            ordered.is_some_and(|ordered| now < ordered.dry_until)
+        };
+        let market = |(zone, price): &(ZoneName, f64)| ZoneMarket {
             zone: zone.clone(),
             price: *price,
             reclaimable_price: scaling.reclaimable_part.map(|part| price * part),
+            is_dry: is_dry(zone),
             min: scaling.min,
             max: scaling.max,
-        })
-        .collect()
+        };
+        scaling.zone_prices.iter().map(market).collect()
+    }
 }
--- a/src/ingress/answer.rs
+++ b/src/ingress/answer.rs
@@ -29,8 +29,11 @@
     TooLate,
 }
 
-/// Time after which a caller may come back if nothing better is known.
+/// Time after which a caller may come back to other upstreams, or to the same ones with room.
 const COME_BACK: Duration = Duration::from_millis(250);
+/// Time after which the gateways know routes and upstreams again when all controllers were started
+/// anew: an election and a reading of the list.
+const RECOVERY: Duration = Duration::from_millis(1000);
 
 impl NotRun {
     fn status(self) -> StatusCode {
@@ -46,7 +49,8 @@
     fn retry_after(self) -> Option<Duration> {
         match self {
             Self::OverQuota(after) => Some(after.max(COME_BACK)),
-            Self::NoTable | Self::NoUpstream | Self::Busy | Self::Unreachable => Some(COME_BACK),
+            Self::NoTable | Self::NoUpstream => Some(RECOVERY),
+            Self::Busy | Self::Unreachable => Some(COME_BACK),
             Self::BodySlow | Self::TooLate => None,
         }
     }
--- a/src/ingress/forward.rs
+++ b/src/ingress/forward.rs
@@ -102,6 +102,8 @@
     tried: Vec<InstanceName>,
     /// Attempts that may have run.
     attempts: u32,
+    /// Whether the account's usage includes it.
+    is_counted: bool,
 }
 
 /// An upstream's answer that is the caller's.
@@ -199,6 +201,7 @@
             deadline,
             tried: Vec::new(),
             attempts: 0,
+            is_counted: false,
             route,
         })
     }
@@ -229,7 +232,10 @@
             }
             self.tried.push(flight.upstream.target.instance.clone());
             match self.attempt(flight, resume_after).await {
-                Ok(accepted) => return Ok(accepted),
+                Ok(accepted) => {
+                    self.count_run();
+                    return Ok(accepted);
+                }
                 Err(Attempt::NotRun(reason)) => {
                     refused += 1;
                     if refused >= MOST_REFUSED || self.is_exhausted() {
@@ -238,6 +244,10 @@
                 }
                 Err(Attempt::MayHaveRun(failure)) => {
                     self.attempts += 1;
+                    // A plain service begins at once; an engine begins with its first event.
+                    if !self.route.class.is_stream() {
+                        self.count_run();
+                    }
                     if !self.route.class.may_repeat() || self.is_exhausted() {
                         return Err(failure.into());
                     }
@@ -246,6 +256,14 @@
         }
     }
 
+    /// Counts the request as run, once.
+    fn count_run(&mut self) {
+        if let Some(account) = self.account.as_ref().filter(|_| !self.is_counted) {
+            self.core.usage.count(account, self.core.clock.unix_ms());
+            self.is_counted = true;
+        }
+    }
+
     fn is_exhausted(&self) -> bool {
         self.tried.len() >= self.route.max_attempts as usize
     }
@@ -350,9 +368,6 @@
         if status.is_server_error() && self.route.class.may_repeat() && !self.is_exhausted() {
             return Err(Attempt::MayHaveRun(Failure::Unclear));
         }
-        if let Some(account) = &self.account {
-            self.core.usage.count(account, self.core.clock.unix_ms());
-        }
         log::info!(
             "ingress: request {} on route {} answered {status} by {} after {} ms, attempt {}.",
             self.id(),
--- a/src/ingress/quota.rs
+++ b/src/ingress/quota.rs
@@ -17,9 +17,9 @@
     wire::QuotaPart,
 };
 
-/// How long a part may be used after the question was asked that it answers. The leader counts it as
-/// used for longer than that.
-const PART_LEASE: Duration = Duration::from_secs(3);
+/// How long a part may be used after the question was asked that it answers: long enough for a new
+/// leader to be found and to hear of all gateways. The leader counts it as used for longer than that.
+const PART_LEASE: Duration = Duration::from_secs(10);
 /// Time over which what callers ask is averaged.
 const DEMAND_SPAN: Duration = Duration::from_secs(2);
 
@@ -140,6 +140,21 @@
         })
     }
 
+    /// Returns the parts that this gateway uses.
+    pub(super) fn parts(&self, now: Instant) -> Vec<QuotaPart> {
+        let state = self.state();
+        if state.leased_until.is_none_or(|until| now >= until) {
+            return Vec::new();
+        }
+        let parts = state.parts.iter();
+        parts
+            .map(|(account, part)| QuotaPart {
+                account: account.to_string(),
+                value: *part,
+            })
+            .collect()
+    }
+
     /// Returns what callers ask of each quota in a second.
     pub(super) fn demands(&self, now: Instant) -> Vec<QuotaPart> {
         let mut state = self.state();
--- a/src/policy/quota.rs
+++ b/src/policy/quota.rs
@@ -85,8 +85,8 @@
     }
 }
 
-/// Part of a quota that gateways admit by themselves.
-const BY_GATEWAYS: f64 = 0.5;
+/// Part of a quota that gateways admit by themselves, also while no controller leads.
+const BY_GATEWAYS: f64 = 0.6;
 /// Longest time that a caller is told to wait for its quota.
 const LONGEST_WAIT: Duration = Duration::from_secs(60);
 
@@ -129,16 +129,44 @@
     FLOOR / gateways.max(1) as f64
 }
 
-/// Returns each gateway's part of a quota, given what callers asked of it. The parts add up to one at
-/// most; without any demand they are equal.
-pub fn divide(demands: &[f64]) -> Vec<f64> {
-    let count = demands.len();
-    let total: f64 = demands.iter().sum();
-    if total <= 0.0 {
-        return vec![1.0 / count.max(1) as f64; count];
+/// What is known of a gateway when a quota is divided.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Claim {
+    /// It was heard of lately; callers ask it for this many units in a second.
+    Heard(f64),
+    /// It is silent, and may still use the part that it was given last.
+    Silent(f64),
+}
+
+/// Returns each gateway's part of a quota. The parts add up to one at most, with those that silent
+/// gateways keep; without any demand the others are equal.
+pub fn divide(claims: &[Claim]) -> Vec<f64> {
+    let kept: f64 = claims.iter().map(|claim| claim.kept()).sum();
+    let demands = || claims.iter().filter_map(|claim| claim.demand());
+    let (heard, total) = (demands().count().max(1) as f64, demands().sum::<f64>());
+    let left = (1.0 - kept).max(0.0);
+    let least = floor(claims.len()).min(left / heard);
+    let rest = left - least * heard;
+    let part = |claim: &Claim| match claim {
+        Claim::Silent(part) => *part,
+        Claim::Heard(_) if total <= 0.0 => left / heard,
+        Claim::Heard(demand) => least + rest * demand / total,
+    };
+    claims.iter().map(part).collect()
+}
+
+impl Claim {
+    fn kept(self) -> f64 {
+        match self {
+            Self::Heard(_) => 0.0,
+            Self::Silent(part) => part,
+        }
+    }
+
+    fn demand(self) -> Option<f64> {
+        match self {
+            Self::Heard(demand) => Some(demand),
+            Self::Silent(_) => None,
+        }
     }
-    demands
-        .iter()
-        .map(|demand| floor(count) + (1.0 - FLOOR) * demand / total)
-        .collect()
 }
--- a/src/policy/scale.rs
+++ b/src/policy/scale.rs
@@ -135,6 +135,8 @@
     pub price: f64,
     /// Price of a reclaimable one, if there are any.
     pub reclaimable_price: Option<f64>,
+    /// Whether no reclaimable ones are to be had now.
+    pub is_dry: bool,
     /// Fewest upstreams of both kinds together.
     pub min: u32,
     /// Most upstreams of both kinds together.
@@ -198,7 +200,7 @@
         most,
     };
     let (reclaimable, on_demand) = match reclaimable {
-        true if market.reclaimable_price.is_some() => (some, none),
+        true if market.reclaimable_price.is_some() && !market.is_dry => (some, none),
         true => (none, none),
         false => (none, some),
     };
--- a/src/wire/follow.rs
+++ b/src/wire/follow.rs
@@ -30,6 +30,9 @@
     /// How much this gateway uses each service.
     #[prost(message, repeated, tag = "8")]
     pub loads: Vec<ServiceLoad>,
+    /// The parts of quotas that the gateway was given last and still uses.
+    #[prost(message, repeated, tag = "9")]
+    pub held_shares: Vec<QuotaPart>,
 }
 
 /// A controller's answer.
--- a/tests/policy_scale.rs
+++ b/tests/policy_scale.rs
@@ -20,6 +20,7 @@
             zone: zone.into(),
             price,
             reclaimable_price: reclaimable.then_some(price * 0.22),
+            is_dry: false,
             min: 1,
             max: 12,
         })
@@ -76,6 +77,23 @@
     );
 }
 
+#[test]
+fn a_zone_without_reclaimable_ones_leaves_them_to_the_others() {
+    let needed = Need {
+        sufficient: 6,
+        comfortable: 10,
+    };
+    let mut markets = markets(true);
+    markets[0].is_dry = true;
+    let wanted = orders(needed, &markets);
+    let count = |wanted: &[Wanted]| wanted.iter().map(|w| w.reclaimable).sum::<u32>();
+    assert_eq!((wanted[0].reclaimable, count(&wanted)), (0, 4));
+    markets.iter_mut().for_each(|market| market.is_dry = true);
+    let wanted = orders(needed, &markets);
+    assert_eq!(count(&wanted), 0);
+    assert_eq!(total(&wanted), 6, "comfort alone is not bought for good");
+}
+
 #[test]
 fn reading_prompts_counts_where_slots_are_many() {
     let used = Use {
