Let new controllers take over the votes of lost ones

Cause: a controller that came back with an empty disk, or in place of another at a new address, was a stranger to the others and never voted; the loss of a second disk would then have lost what was acknowledged.

The leader admits strangers, promotes one that has caught up when a vote is free or lost, and then removes the lost member. Usage of plain calls is counted when they are sent, because a killed gateway or a caller that left lost the count.

--- a/examples/support/shape.rs
+++ b/examples/support/shape.rs
@@ -113,6 +113,7 @@
         controllers: entries.clone(),
         seeds: Vec::new(),
         bootstrap: true,
+        tolerated_losses: 1,
         ingress: None,
         data_folder: None,
         operator_token_sha256: Some(hash(OPERATOR_TOKEN)),
--- a/src/controller/form.rs
+++ b/src/controller/form.rs
@@ -92,7 +92,7 @@
             BootstrapStep::Ask(missing) => missing,
         };
         for name in missing {
-            let query = Body::MemberQuery(MemberQuery {});
+            let query = Body::MemberQuery(MemberQuery::default());
             if let Ok(Body::MemberReport(report)) = peers.ask(&name, query, ASK_TIMEOUT).await {
                 peers.learn(MemberId(report.member), &name);
                 bootstrap.receive(&report);
--- a/src/controller/handler.rs
+++ b/src/controller/handler.rs
@@ -16,8 +16,8 @@
     ports::Clock,
     state::{Action, ClaimCommand, Observation, ObserveInstances, Reply, Sighting},
     wire::{
-        Body, ClaimRequest, Failure, GatewayHeartbeat, LeavingNotice, MemberReport, NotLeader,
-        OutcomeReply, ViewRequest,
+        Body, ClaimRequest, Failure, GatewayHeartbeat, LeavingNotice, MemberQuery, MemberReport,
+        NotLeader, OutcomeReply, ViewRequest,
     },
 };
 
@@ -40,10 +40,7 @@
                 self.core.log.receive(message).await;
                 None
             }
-            Body::MemberQuery(_) => Some(Body::MemberReport(MemberReport {
-                known: self.core.peers.records(),
-                ..self.core.card.report()
-            })),
+            Body::MemberQuery(query) => Some(self.report(&query)),
             Body::Follow(follow) => followers::follow(&self.core, peer, follow).await,
             Body::ReserveRequest(request) => followers::reserve(&self.core, &request),
             Body::DocumentRequest(_) => Some(followers::document(&self.core)),
@@ -74,6 +71,16 @@
 }
 
 impl<T: Clock> PeerHandler<T> {
+    fn report(&self, query: &MemberQuery) -> Body {
+        if let Some(asking) = &query.own {
+            self.core.peers.meet_record(asking);
+        }
+        Body::MemberReport(MemberReport {
+            known: self.core.peers.records(),
+            ..self.core.card.report()
+        })
+    }
+
     async fn heartbeat(&self, peer: &Peer, heartbeat: GatewayHeartbeat) -> Body {
         let named = heartbeat.gateway.as_ref().map(|g| g.name.as_str());
         if named != Some(&*peer.name) {
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -24,6 +24,7 @@
 pub mod placement;
 mod placer;
 pub mod publisher;
+mod roll_call;
 mod scaler;
 mod shares;
 mod token;
@@ -107,6 +108,7 @@
             ingress,
             stop.clone(),
         ));
+        tasks.spawn(roll_call::run(Arc::clone(core), stop.clone()));
         tasks.spawn(meet_seeds(Arc::clone(core), reloaded, stop.clone()));
         publisher = Some(Publisher {
             core: Arc::clone(core),
--- a/src/controller/peers.rs
+++ b/src/controller/peers.rs
@@ -61,6 +61,27 @@
         true
     }
 
+    /// Links to a controller that another one knows.
+    pub fn meet_record(&self, record: &ControllerRecord) {
+        let addresses = (record.peer_address.parse(), record.http_address.parse());
+        let (Ok(peer_address), Ok(http_address)) = addresses else {
+            log::warn!("controller: {} has no address and is not met.", record.name);
+            return;
+        };
+        let is_new = self.meet(&ControllerEntry {
+            name: record.name.as_str().into(),
+            zone: "".into(),
+            peer_address,
+            http_address,
+        });
+        if is_new {
+            log::info!(
+                "controller: meets controller {} at {peer_address}.",
+                record.name
+            );
+        }
+    }
+
     /// Returns what is known of a controller.
     pub fn entry(&self, name: &str) -> Option<ControllerEntry> {
         let entries = self.entries.read().unwrap_or_else(PoisonError::into_inner);
@@ -70,12 +91,7 @@
     /// Returns all controllers that are known.
     pub fn records(&self) -> Vec<ControllerRecord> {
         let entries = self.entries.read().unwrap_or_else(PoisonError::into_inner);
-        let record = |entry: &ControllerEntry| ControllerRecord {
-            name: entry.name.to_string(),
-            peer_address: entry.peer_address.to_string(),
-            http_address: entry.http_address.to_string(),
-        };
-        entries.values().map(record).collect()
+        entries.values().map(ControllerEntry::record).collect()
     }
 
     /// Returns the links to the other controllers, by name.
--- a/src/ingress/forward.rs
+++ b/src/ingress/forward.rs
@@ -102,8 +102,8 @@
     tried: Vec<InstanceName>,
     /// Attempts that may have run.
     attempts: u32,
-    /// Whether the account's usage includes it.
-    is_counted: bool,
+    /// Since when the account's usage includes it, in milliseconds since the Unix epoch.
+    counted_at: Option<u64>,
 }
 
 /// An upstream's answer that is the caller's.
@@ -201,7 +201,7 @@
             deadline,
             tried: Vec::new(),
             attempts: 0,
-            is_counted: false,
+            counted_at: None,
             route,
         })
     }
@@ -231,12 +231,18 @@
                 return Err(self.unless_run(NotRun::Busy));
             }
             self.tried.push(flight.upstream.target.instance.clone());
+            // A plain service begins at once, also if its answer never comes; an engine begins with its
+            // first event.
+            if !self.route.class.is_stream() {
+                self.count_run();
+            }
             match self.attempt(flight, resume_after).await {
                 Ok(accepted) => {
                     self.count_run();
                     return Ok(accepted);
                 }
                 Err(Attempt::NotRun(reason)) => {
+                    self.uncount_run();
                     refused += 1;
                     if refused >= MOST_REFUSED || self.is_exhausted() {
                         return Err(self.unless_run(reason));
@@ -244,10 +250,7 @@
                 }
                 Err(Attempt::MayHaveRun(failure)) => {
                     self.attempts += 1;
-                    // A plain service begins at once; an engine begins with its first event.
-                    if !self.route.class.is_stream() {
-                        self.count_run();
-                    }
+
                     if !self.route.class.may_repeat() || self.is_exhausted() {
                         return Err(failure.into());
                     }
@@ -258,9 +261,18 @@
 
     /// Counts the request as run, once.
     fn count_run(&mut self) {
-        if let Some(account) = self.account.as_ref().filter(|_| !self.is_counted) {
-            self.core.usage.count(account, self.core.clock.unix_ms());
-            self.is_counted = true;
+        if let Some(account) = self.account.as_ref().filter(|_| self.counted_at.is_none()) {
+            let now = self.core.clock.unix_ms();
+            self.core.usage.count(account, now);
+            self.counted_at = Some(now);
+        }
+    }
+
+    /// Takes the count back if no attempt may have run.
+    fn uncount_run(&mut self) {
+        if let (Some(account), Some(at), 0) = (&self.account, self.counted_at, self.attempts) {
+            self.core.usage.uncount(account, at);
+            self.counted_at = None;
         }
     }
 
--- a/src/ingress/usage.rs
+++ b/src/ingress/usage.rs
@@ -42,6 +42,18 @@
         }
     }
 
+    /// Takes back a count made at a time.
+    pub(super) fn uncount(&self, account: &AccountName, unix_ms: u64) {
+        let Some(length) = self.window_ms else {
+            return;
+        };
+        let mut windows = self.windows.lock().unwrap_or_else(PoisonError::into_inner);
+        let window = windows.get_mut(&(unix_ms / length));
+        if let Some(count) = window.and_then(|window| window.get_mut(account)) {
+            *count = count.saturating_sub(1);
+        }
+    }
+
     /// Returns the counts of the newest windows.
     pub(super) fn newest(&self, unix_ms: u64) -> Vec<WindowCount> {
         let Some(length) = self.window_ms else {
--- /dev/null
+++ b/src/policy/members.rs
@@ -0,0 +1,92 @@
+//! Which controllers vote. A controller that comes back with an empty disk, or in place of one that is
+//! gone, is a new member; it takes over a vote once it has caught up. See docs/DESIGN.md,
+//! "Replacing controllers".
+
+use std::time::Duration;
+
+use crate::{domain::MemberId, replication::MemberChange};
+
+/// Silence after which a voter is given up if another member can take its place; a voter that comes
+/// back later joins again. A successor must vote before the next controller may be lost, which the
+/// users' pages allow 4 s after the successor's start.
+const GIVEN_UP_AFTER: Duration = Duration::from_secs(3);
+/// Silence after which a member without a vote is removed.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(30);
+/// Most members that catch up at once.
+const MOST_LEARNERS: usize = 2;
+
+/// A member of the replicated log as the leader sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// The member.
+    pub id: MemberId,
+    /// Time since it answered last.
+    pub silence: Duration,
+    /// Whether its controller answers as another member, so that its disk is gone.
+    pub is_replaced: bool,
+    /// Whether it holds nearly all of the log.
+    pub has_caught_up: bool,
+}
+
+impl Member {
+    fn is_lost(&self) -> bool {
+        self.is_replaced || self.silence >= GIVEN_UP_AFTER
+    }
+}
+
+/// The members, and the controllers that answer but are none.
+#[derive(Clone, Debug, Default)]
+pub struct Members {
+    /// Members that vote, the leader included.
+    pub voters: Vec<Member>,
+    /// Members that catch up.
+    pub learners: Vec<Member>,
+    /// Controllers that answer and are no members.
+    pub strangers: Vec<MemberId>,
+    /// How many members should vote.
+    pub wanted: usize,
+}
+
+impl Members {
+    /// Returns the next change, one at a time, or nothing if all is well.
+    pub fn next_change(&self) -> Option<MemberChange> {
+        self.drop_learner()
+            .or_else(|| self.drop_voter())
+            .or_else(|| self.promote())
+            .or_else(|| self.admit())
+    }
+
+    fn drop_learner(&self) -> Option<MemberChange> {
+        let gone = |m: &&Member| m.is_replaced || m.silence >= FORGOTTEN_AFTER;
+        let learner = self.learners.iter().find(gone)?;
+        Some(MemberChange::Remove(learner.id))
+    }
+
+    /// A vote is taken away only where more vote than are wanted, and if most of the others answer.
+    fn drop_voter(&self) -> Option<MemberChange> {
+        if self.voters.len() <= self.wanted {
+            return None;
+        }
+        let lost = self.voters.iter().find(|m| m.is_lost())?;
+        let others = self.voters.iter().filter(|m| m.id != lost.id);
+        let sound = others.filter(|m| !m.is_lost()).count();
+        let left = self.voters.len() - 1;
+        (sound * 2 > left).then_some(MemberChange::Remove(lost.id))
+    }
+
+    fn promote(&self) -> Option<MemberChange> {
+        let sound = self.voters.iter().filter(|m| !m.is_lost()).count();
+        if sound >= self.wanted || self.voters.len() > self.wanted {
+            return None;
+        }
+        let ready = |m: &&Member| m.has_caught_up && !m.is_lost();
+        let learner = self.learners.iter().find(ready)?;
+        Some(MemberChange::Promote(learner.id))
+    }
+
+    fn admit(&self) -> Option<MemberChange> {
+        let room = self.learners.len() < MOST_LEARNERS;
+        let stranger = self.strangers.first().filter(|_| room)?;
+        Some(MemberChange::AddLearner(*stranger))
+    }
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -5,6 +5,7 @@
 pub mod allocate;
 mod fit;
 mod max_min;
+pub mod members;
 pub mod place;
 pub mod prefix;
 pub mod quota;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -19,7 +19,7 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
-use crate::domain::ZoneName;
+use crate::{domain::ZoneName, wire::ControllerRecord};
 
 /// Settings of a daemon.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -52,6 +52,10 @@
     /// joins the one that there is.
     #[serde(default = "may_bootstrap")]
     pub bootstrap: bool,
+    /// Controllers that may be lost at once, if they are known by seeds; twice as many and one more
+    /// vote.
+    #[serde(default = "tolerated_losses")]
+    pub tolerated_losses: usize,
     /// How this process serves published routes, if it does.
     #[serde(default)]
     pub ingress: Option<Ingress>,
@@ -72,6 +76,10 @@
     pub timing: Timing,
 }
 
+fn tolerated_losses() -> usize {
+    1
+}
+
 fn may_bootstrap() -> bool {
     true
 }
@@ -109,6 +117,17 @@
     pub http_address: SocketAddr,
 }
 
+impl ControllerEntry {
+    /// Returns it as other processes are told.
+    pub fn record(&self) -> ControllerRecord {
+        ControllerRecord {
+            name: self.name.to_string(),
+            peer_address: self.peer_address.to_string(),
+            http_address: self.http_address.to_string(),
+        }
+    }
+}
+
 /// Limits towards callers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/src/settings/schema.rs
+++ b/src/settings/schema.rs
@@ -119,6 +119,7 @@
         },
     ),
     optional("bootstrap", Shape::Bool),
+    optional("tolerated_losses", Shape::Integer { min: 1, max: 8 }),
     optional("ingress", Shape::Object(INGRESS)),
     optional("data_folder", Shape::Text),
     optional("operator_token_sha256", Shape::Sha256),
--- a/src/wire/replica.rs
+++ b/src/wire/replica.rs
@@ -142,7 +142,11 @@
 
 /// Asks a controller which member it is. Every controller answers, also one that is no member.
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct MemberQuery {}
+pub struct MemberQuery {
+    /// The controller that asks, so that one which is new becomes known.
+    #[prost(message, optional, tag = "1")]
+    pub own: Option<super::ControllerRecord>,
+}
 
 /// Says which member a controller is; see `replication::Bootstrap`.
 #[derive(Clone, PartialEq, prost::Message)]
--- a/tests/controllers/mod.rs
+++ b/tests/controllers/mod.rs
@@ -252,7 +252,7 @@
         let link = Link::connect(address, key, own, LinkSettings::default());
         let until = Instant::now() + PATIENCE;
         loop {
-            let query = Body::MemberQuery(MemberQuery {});
+            let query = Body::MemberQuery(MemberQuery::default());
             if let Ok(Body::MemberReport(report)) = link.call(query, PATIENCE).await {
                 return MemberId(report.member);
             }
@@ -405,6 +405,7 @@
         controllers: entries.to_vec(),
         seeds: Vec::new(),
         bootstrap: true,
+        tolerated_losses: 1,
         ingress: None,
         data_folder: Some(folder.join(&*entry.name)),
         operator_token_sha256: Some(hash),
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -209,6 +209,7 @@
             }],
             seeds: Vec::new(),
             bootstrap: true,
+            tolerated_losses: 1,
             ingress: None,
             data_folder: None,
             operator_token_sha256: Some(hash("operator-token")),
--- /dev/null
+++ b/tests/policy_members.rs
@@ -0,0 +1,147 @@
+//! Which controllers vote, played step by step and against random losses.
+
+use std::time::Duration;
+
+use flamingocroft::{
+    domain::MemberId,
+    policy::members::{Member, Members},
+    replication::MemberChange,
+};
+use proptest::prelude::*;
+
+fn member(id: u64) -> Member {
+    Member {
+        id: MemberId(id),
+        silence: Duration::ZERO,
+        is_replaced: false,
+        has_caught_up: true,
+    }
+}
+
+fn silent(id: u64, seconds: u64) -> Member {
+    Member {
+        silence: Duration::from_secs(seconds),
+        ..member(id)
+    }
+}
+
+fn replaced(id: u64) -> Member {
+    Member {
+        is_replaced: true,
+        ..member(id)
+    }
+}
+
+fn members(voters: Vec<Member>) -> Members {
+    Members {
+        voters,
+        wanted: 3,
+        ..Members::default()
+    }
+}
+
+/// Applies changes until none is left, and returns them.
+fn settle(mut members: Members) -> (Members, Vec<MemberChange>) {
+    let mut changes = Vec::new();
+    while let Some(change) = members.next_change() {
+        changes.push(change);
+        match change {
+            MemberChange::AddLearner(id) => {
+                members.strangers.retain(|other| *other != id);
+                members.learners.push(member(id.0));
+            }
+            MemberChange::Promote(id) => {
+                members.learners.retain(|m| m.id != id);
+                members.voters.push(member(id.0));
+            }
+            MemberChange::Remove(id) => {
+                members.learners.retain(|m| m.id != id);
+                members.voters.retain(|m| m.id != id);
+            }
+        }
+        assert!(changes.len() < 50, "it never settles: {changes:?}");
+    }
+    (members, changes)
+}
+
+#[test]
+fn a_controller_with_an_emptied_disk_votes_again_as_a_new_member() {
+    let mut before = members(vec![member(1), member(2), replaced(3)]);
+    before.strangers = vec![MemberId(13)];
+    let (_, changes) = settle(before);
+    let expected = [
+        MemberChange::AddLearner(MemberId(13)),
+        MemberChange::Promote(MemberId(13)),
+        MemberChange::Remove(MemberId(3)),
+    ];
+    assert_eq!(changes, expected);
+}
+
+#[test]
+fn a_voter_that_is_only_away_for_a_while_keeps_its_vote() {
+    assert_eq!(
+        members(vec![member(1), member(2), silent(3, 5)]).next_change(),
+        None
+    );
+    // Nor does a longer absence help anyone as long as nobody can take its place.
+    assert_eq!(
+        members(vec![member(1), member(2), silent(3, 60)]).next_change(),
+        None
+    );
+}
+
+#[test]
+fn a_new_controller_waits_without_a_vote_until_one_is_free() {
+    let mut all = members(vec![member(1), member(2), member(3)]);
+    all.strangers = vec![MemberId(4)];
+    let (mut settled, changes) = settle(all);
+    assert_eq!(changes, [MemberChange::AddLearner(MemberId(4))]);
+    settled.voters[0] = silent(1, 7);
+    let (_, changes) = settle(settled);
+    let expected = [
+        MemberChange::Promote(MemberId(4)),
+        MemberChange::Remove(MemberId(1)),
+    ];
+    assert_eq!(changes, expected);
+}
+
+#[test]
+fn more_controllers_than_formed_the_cluster_get_the_votes_that_are_wanted() {
+    let mut all = members(vec![member(1), member(2), member(3)]);
+    all.wanted = 5;
+    all.strangers = vec![MemberId(4), MemberId(5), MemberId(6)];
+    let (settled, _) = settle(all);
+    assert_eq!((settled.voters.len(), settled.learners.len()), (5, 1));
+}
+
+#[test]
+fn a_learner_that_has_not_caught_up_gets_no_vote() {
+    let mut all = members(vec![member(1), member(2), replaced(3)]);
+    all.learners = vec![Member {
+        has_caught_up: false,
+        ..member(4)
+    }];
+    assert_eq!(all.next_change(), None);
+}
+
+proptest! {
+    /// Whatever is lost, each change leaves a majority of the voters answering if there was one.
+    #[test]
+    fn no_change_loses_the_majority(
+        lost in proptest::collection::vec(any::<bool>(), 3..6),
+        strangers in 0..4u64,
+    ) {
+        let voters = lost.iter().enumerate().map(|(i, lost)| {
+            let id = i as u64 + 1;
+            if *lost { silent(id, 60) } else { member(id) }
+        });
+        let mut all = members(voters.collect());
+        all.wanted = all.voters.len() / 2 * 2 + 1;
+        all.strangers = (0..strangers).map(|i| MemberId(100 + i)).collect();
+        let sound = |m: &Members| m.voters.iter().filter(|v| v.silence.is_zero()).count() * 2 > m.voters.len();
+        prop_assume!(sound(&all));
+        let (settled, _) = settle(all);
+        prop_assert!(sound(&settled));
+        prop_assert!(settled.voters.len() <= settled.wanted + 1);
+    }
+}
