Log JSON lines to standard output, serve metrics, leave lost engines sooner

Request lines carry event, request, route, upstream, attempt, status and ms.

Metrics: counters of requests by outcome, attempts and resumed streams, on the metrics address of the settings.

Now an engine that gives no sign of life of any request for 450 ms is left, and the time until the next look doubles.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -39,6 +39,15 @@
         let (reloader, reloaded) = Reloader::new(self.settings, Arc::clone(&settings))?;
         tokio::spawn(reloader.run());
         let ports = ports(&settings)?;
+        if let Some(address) = settings.ingress.as_ref().and_then(|i| i.metrics_address) {
+            let listener = bind(address).await?;
+            let end = CancellationToken::new();
+            tokio::spawn(telemetry::serve_metrics(
+                ports.metrics.clone(),
+                listener,
+                end,
+            ));
+        }
         let running = match (settings.role, &settings.ingress) {
             (Role::Controller, None) => controller::start(Arc::clone(&settings), ports, stop).await,
             (Role::Gateway, None) => gateway::start(Arc::clone(&settings), ports, stop).await,
@@ -46,7 +55,7 @@
                 publish(Arc::clone(&settings), reloaded, ingress, ports, stop).await
             }
             (Role::Gateway, Some(ingress)) => {
-                serve_routes(Arc::clone(&settings), reloaded, ingress, &ports.clock, stop).await
+                serve_routes(Arc::clone(&settings), reloaded, ingress, &ports, stop).await
             }
         };
         let running = running.with_context(|| format!("the {} did not start", settings.role))?;
@@ -89,7 +98,7 @@
     settings: Arc<Settings>,
     reloaded: Reloaded,
     ingress: &Ingress,
-    clock: &Arc<SystemClock>,
+    ports: &DaemonPorts,
     stop: CancellationToken,
 ) -> anyhow::Result<Running> {
     let api = Arc::new(platform::Api::new(
@@ -98,7 +107,15 @@
     ));
     let ended = CancellationToken::new();
     let (ready, directory) = (ingress.ready_address, ingress.directory_address);
-    let started = ingress::start(settings, reloaded, api, Arc::clone(clock), stop).await;
+    let started = ingress::start(
+        settings,
+        reloaded,
+        api,
+        Arc::clone(&ports.clock),
+        &ports.metrics,
+        stop,
+    )
+    .await;
     let (running, addresses) = started?;
     if let Some(address) = ready {
         let listener = bind(address).await?;
--- a/src/ingress/forward.rs
+++ b/src/ingress/forward.rs
@@ -11,13 +11,13 @@
     header::{self, HeaderName, HeaderValue},
     http::response::Parts,
 };
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, interval_at, timeout_at};
 
 use super::{
     Core,
     answer::{Ended, Failure, NotRun, respond},
     events::EventCutter,
-    relay::{Relay, Resumable, Resume, Resumed, Source},
+    relay::{FIRST_LOOK, NEXT_LOOKS, Relay, Resumable, Resume, Resumed, Source},
     upstreams::Flight,
 };
 use crate::{
@@ -52,10 +52,6 @@
 const FIRST_BYTE_TARGETS: u32 = 3;
 /// Shortest such silence.
 const FIRST_BYTE_LEAST: Duration = Duration::from_millis(800);
-/// Silence between events after which a stream is taken up again elsewhere. Callers leave after two
-/// seconds at the earliest.
-const EVENT_SILENCE: Duration = Duration::from_millis(1000);
-
 /// Longest wait for the leader's reserve of a quota; many times a round trip between zones.
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -73,7 +69,12 @@
             Err(ended) => passage.give_up(ended),
         },
         Err(ended) => {
-            log::info!("ingress: request {id} is not taken: {ended:?}.");
+            log::warn!(
+                event = "request.ended", request = id.as_str(), outcome:? = ended, attempts = 0,
+                ms = millis(arrived.elapsed());
+                "ingress: a request is not taken"
+            );
+            core.counters.ended(ended);
             respond(&*core.platform, &id, ended)
         }
     };
@@ -121,22 +122,25 @@
             }
             let found = self.search(after).await;
             match found {
-                Ok(accepted) if accepted.head.status.is_success() => Some(Resumed {
-                    source: accepted.source,
-                    resume: self,
-                }),
+                Ok(accepted) if accepted.head.status.is_success() => {
+                    self.core.counters.resumed.add();
+                    Some(Resumed {
+                        source: accepted.source,
+                        resume: self,
+                    })
+                }
                 Ok(accepted) => {
                     let status = accepted.head.status;
-                    log::info!(
-                        "ingress: request {} is not taken up again: {status}.",
-                        self.id()
+                    log::warn!(
+                        event = "stream.lost", request = self.id(), status = status.as_u16();
+                        "ingress: a stream is not taken up again"
                     );
                     None
                 }
                 Err(ended) => {
-                    log::info!(
-                        "ingress: request {} is not taken up again: {ended:?}.",
-                        self.id()
+                    log::warn!(
+                        event = "stream.lost", request = self.id(), outcome:? = ended;
+                        "ingress: a stream is not taken up again"
                     );
                     None
                 }
@@ -230,6 +234,10 @@
             if repeats && !self.core.budgets.spend(&self.service, now) {
                 return Err(self.unless_run(NotRun::Busy));
             }
+            self.core.counters.attempts.add();
+            if repeats {
+                self.core.counters.repeated.add();
+            }
             self.tried.push(flight.upstream.target.instance.clone());
             // A plain service begins at once, also if its answer never comes; an engine begins with its
             // first event.
@@ -298,7 +306,8 @@
         let own = prompt.and_then(|prompt| prompt.parts.last());
         let new_tokens = own.map_or(req.prompt_tokens, |part| part.tokens as u32);
         let upstreams = &self.core.upstreams;
-        upstreams.choose(&self.service, &req, new_tokens, &self.tried, now)
+        let is_engine = self.route.class.is_stream();
+        upstreams.choose(&self.service, &req, is_engine, new_tokens, &self.tried, now)
     }
 
     async fn attempt(
@@ -307,18 +316,38 @@
         resume_after: Option<u64>,
     ) -> Result<Accepted, Attempt> {
         let now = Instant::now();
-        let left = self.deadline.saturating_duration_since(now);
+        let left = self.left(now);
         let upstream = &flight.upstream;
         let req = self.request(upstream.target.instance.clone(), left, resume_after);
         let client = &self.core.client;
         let sent = client.exchange(&upstream.target, req, Reuse::Allowed, self.patience(now));
-        let answer = match sent.await {
+        let answer = tokio::select! {
+            answer = sent => answer,
+            e = self.lost(&flight, now) => Err(e),
+        };
+        let answer = match answer {
             Ok(answer) => answer,
             Err(e) => return Err(self.failed(&flight, &e)),
         };
         self.judge(flight, answer)
     }
 
+    /// Waits until an engine is taken to be lost, if the request may then go to another one.
+    async fn lost(&self, flight: &Flight, sent: Instant) -> UpstreamError {
+        let class = self.route.class;
+        if !class.is_stream() || !class.may_repeat() || self.is_exhausted() {
+            return std::future::pending().await;
+        }
+        let mut looks = interval_at(sent + FIRST_LOOK, NEXT_LOOKS);
+        loop {
+            looks.tick().await;
+            if flight.upstream.is_lost(true, Instant::now()) {
+                let message = "the engine gives no sign of life";
+                return UpstreamError::new(UpstreamErrorKind::Silent, Sent::Maybe, message);
+            }
+        }
+    }
+
     /// Returns until when an upstream may be silent. If the request may be repeated, some time is kept
     /// for another one.
     fn patience(&self, now: Instant) -> Instant {
@@ -333,11 +362,11 @@
     fn failed(&self, flight: &Flight, e: &UpstreamError) -> Attempt {
         let upstream = &flight.upstream;
         upstream.suspect(Instant::now());
-        log::info!(
-            "ingress: request {} failed at {} after {} ms: {e}.",
-            self.id(),
-            upstream.target.instance,
-            self.arrived.elapsed().as_millis()
+        log::warn!(
+            event = "attempt.failed", request = self.id(), upstream:% = upstream.target.instance,
+            attempt = self.tried.len(), sent:? = e.sent, kind:? = e.kind,
+            ms = millis(self.arrived.elapsed());
+            "ingress: an attempt failed: {e}"
         );
         match (e.sent, e.kind) {
             (Sent::No, _) => Attempt::NotRun(NotRun::Unreachable),
@@ -356,9 +385,10 @@
         if is_foreign || (status.is_success() && !facts.signed) {
             upstream.suspect(now);
             log::warn!(
-                "ingress: request {} got an answer from {} that is not its own, status {status}.",
-                self.id(),
-                upstream.target.instance
+                event = "answer.foreign", request = self.id(),
+                upstream:% = upstream.target.instance, status = status.as_u16(),
+                answers = facts.id.as_deref().unwrap_or_default(), signed = facts.signed;
+                "ingress: an answer is not the request's own"
             );
             return Err(Attempt::MayHaveRun(Failure::Unclear));
         }
@@ -366,10 +396,12 @@
             upstream.report(load, now);
         }
         if facts.not_executed {
+            self.core.counters.not_executed.add();
             log::info!(
-                "ingress: request {} is not executed by {}, status {status}.",
-                self.id(),
-                upstream.target.instance
+                event = "attempt.not_executed", request = self.id(),
+                upstream:% = upstream.target.instance, status = status.as_u16(),
+                attempt = self.tried.len();
+                "ingress: the upstream has not run the request"
             );
             return Err(Attempt::NotRun(NotRun::Busy));
         }
@@ -380,14 +412,29 @@
         if status.is_server_error() && self.route.class.may_repeat() && !self.is_exhausted() {
             return Err(Attempt::MayHaveRun(Failure::Unclear));
         }
-        log::info!(
-            "ingress: request {} on route {} answered {status} by {} after {} ms, attempt {}.",
-            self.id(),
-            self.route.name,
-            upstream.target.instance,
-            self.arrived.elapsed().as_millis(),
-            self.tried.len()
-        );
+        let status_code = status.as_u16();
+        if let Some(account) = &self.account {
+            self.core
+                .counters
+                .first_byte(account, self.arrived.elapsed());
+        }
+        if status.is_success() {
+            self.core.counters.answered.add();
+            log::info!(
+                event = "request.answered", request = self.id(), route = &*self.route.name,
+                upstream:% = upstream.target.instance, status = status_code,
+                attempt = self.tried.len(), ms = millis(self.arrived.elapsed());
+                "ingress: a request is answered"
+            );
+        } else {
+            self.core.counters.answered_failure.add();
+            log::warn!(
+                event = "request.answered", request = self.id(), route = &*self.route.name,
+                upstream:% = upstream.target.instance, status = status_code,
+                attempt = self.tried.len(), ms = millis(self.arrived.elapsed());
+                "ingress: a request is answered with the upstream's failure"
+            );
+        }
         upstream.hear(now);
         let (head, body) = answer.res.into_parts();
         Ok(Accepted {
@@ -410,7 +457,6 @@
             && !head.headers.contains_key(header::CONTENT_LENGTH);
         let resumable = can_resume.then(|| Resumable {
             events: EventCutter::after(self.facts.resume_after),
-            silence: EVENT_SILENCE,
             resume: Box::new(self),
         });
         let mut res = Response::new(Relay::new(source, resumable, deadline, id));
@@ -446,17 +492,21 @@
     }
 
     fn give_up(&self, ended: Ended) -> Response<Relay> {
-        log::info!(
-            "ingress: request {} on route {} of version {} ends after {} ms and {} upstreams: {ended:?}.",
-            self.id(),
-            self.route.name,
-            self.table.table.version,
-            self.arrived.elapsed().as_millis(),
-            self.tried.len()
+        log::warn!(
+            event = "request.ended", request = self.id(), route = &*self.route.name,
+            version = self.table.table.version, service:% = self.service, outcome:? = ended,
+            attempts = self.tried.len(), left_ms = millis(self.left(Instant::now())),
+            ms = millis(self.arrived.elapsed());
+            "ingress: a request ends without an upstream's answer"
         );
+        self.core.counters.ended(ended);
         respond(&*self.core.platform, self.id(), ended)
     }
 
+    fn left(&self, now: Instant) -> Duration {
+        self.deadline.saturating_duration_since(now)
+    }
+
     fn id(&self) -> &str {
         self.facts.id.as_deref().unwrap_or_default()
     }
@@ -543,3 +593,7 @@
     }
     headers
 }
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -3,6 +3,7 @@
 
 mod answer;
 mod budget;
+mod counters;
 mod directory;
 mod events;
 mod follow;
@@ -30,7 +31,9 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
-use self::{budget::Budgets, quota::Quotas, upstreams::Upstreams, usage::UsageCounter};
+use self::{
+    budget::Budgets, counters::Counters, quota::Quotas, upstreams::Upstreams, usage::UsageCounter,
+};
 use crate::{
     Running,
     adapters::http::{Client, ServerOptions, serve},
@@ -38,6 +41,7 @@
     link::{Identity, Link, PeerKey},
     ports::{Clock, Platform},
     settings::{Ingress, Reloaded, Settings},
+    telemetry::Metrics,
     wire::IngressRecord,
 };
 
@@ -60,6 +64,7 @@
     quotas: Quotas,
     budgets: Budgets,
     usage: UsageCounter,
+    counters: Counters,
     /// The link to the controller that led last.
     leader: ArcSwapOption<Link>,
     /// Whether the process is being stopped.
@@ -95,6 +100,7 @@
     reloaded: Reloaded,
     platform: Arc<P>,
     clock: Arc<T>,
+    metrics: &Metrics,
     stop: CancellationToken,
 ) -> anyhow::Result<(Running, Directory)> {
     let ingress = settings.ingress.clone();
@@ -120,6 +126,7 @@
         quotas: Quotas::new(ingress.quota_rule()),
         budgets: Budgets::new(&ingress),
         usage: UsageCounter::new(ingress.usage_window),
+        counters: Counters::new(metrics),
         leader: ArcSwapOption::empty(),
         leaving: AtomicBool::new(false),
         ingress,
@@ -127,6 +134,7 @@
         clock,
         settings: Arc::clone(&settings),
     });
+    counters::show_state(metrics, &core);
     let closing = CancellationToken::new();
     tokio::spawn(follow::run(
         Arc::clone(&core),
--- a/src/ingress/relay.rs
+++ b/src/ingress/relay.rs
@@ -19,6 +19,15 @@
 /// Why a body ends early. The connection to the caller is then closed without its proper end.
 type Broken = Box<dyn Error + Send + Sync>;
 
+/// Silence of a stream after which it is taken up again elsewhere, also if its upstream is alive. Callers
+/// leave after two seconds at the earliest.
+const EVENT_SILENCE: Duration = Duration::from_millis(1000);
+/// Silence after which it is first looked whether an engine is lost; just over the silence at which it is
+/// taken to be.
+pub(super) const FIRST_LOOK: Duration = Duration::from_millis(460);
+/// Time between further looks.
+pub(super) const NEXT_LOOKS: Duration = Duration::from_millis(150);
+
 /// The body of an answer.
 #[derive(Debug)]
 pub(super) struct Relay(Option<Box<Passing>>);
@@ -36,8 +45,6 @@
 pub(super) struct Resumable {
     /// Whole events; what comes of an event that breaks off is not passed on.
     pub(super) events: EventCutter,
-    /// Longest silence after which the upstream is taken to be lost.
-    pub(super) silence: Duration,
     pub(super) resume: Box<dyn Resume>,
 }
 
@@ -59,7 +66,9 @@
     source: Option<Source>,
     deadline: Pin<Box<Sleep>>,
     resumable: Option<Resumable>,
+    /// When it is looked next whether the upstream of a stream is lost.
     silence: Option<Pin<Box<Sleep>>>,
+    heard: Instant,
     resuming: Option<BoxFuture<'static, Option<Resumed>>>,
 }
 
@@ -84,13 +93,14 @@
         deadline: Instant,
         id: String,
     ) -> Self {
-        let silence = resumable.as_ref().map(|stream| stream.silence);
+        let first_look = resumable.as_ref().map(|_| Instant::now() + FIRST_LOOK);
         Self(Some(Box::new(Passing {
             id,
             source: Some(source),
             deadline: Box::pin(sleep_until(deadline)),
-            silence: silence.map(|limit| Box::pin(sleep_until(Instant::now() + limit))),
+            silence: first_look.map(|at| Box::pin(sleep_until(at))),
             resumable,
+            heard: Instant::now(),
             resuming: None,
         })))
     }
@@ -168,6 +178,15 @@
                         return Poll::Pending;
                     };
                     ready!(silence.as_mut().poll(cx));
+                    let now = Instant::now();
+                    let is_lost = self
+                        .source
+                        .as_ref()
+                        .is_some_and(|source| source.flight.upstream.is_lost(true, now));
+                    if !is_lost && now < self.heard + EVENT_SILENCE {
+                        silence.as_mut().reset(now + NEXT_LOOKS);
+                        continue;
+                    }
                     if !self.begin_resuming("no event came for too long") {
                         self.silence = None;
                         return Poll::Pending;
@@ -196,11 +215,13 @@
 
     /// Notes that the upstream is alive.
     fn hear(&mut self) {
+        let now = Instant::now();
+        self.heard = now;
         if let Some(source) = &self.source {
-            source.flight.upstream.hear(Instant::now());
+            source.flight.upstream.hear(now);
         }
-        if let (Some(silence), Some(stream)) = (&mut self.silence, &self.resumable) {
-            silence.as_mut().reset(Instant::now() + stream.silence);
+        if let Some(silence) = &mut self.silence {
+            silence.as_mut().reset(now + FIRST_LOOK);
         }
     }
 
@@ -216,9 +237,9 @@
         if let Some(source) = self.source.take() {
             source.flight.upstream.suspect(Instant::now());
             log::info!(
-                "ingress: request {} broke off at {} after event {after:?}: {reason}.",
-                self.id,
-                source.flight.upstream.target.instance
+                event = "stream.broke_off", request = self.id.as_str(), after:? = after,
+                upstream:% = source.flight.upstream.target.instance;
+                "ingress: a stream broke off and is taken up again: {reason}"
             );
         }
         self.resuming = Some(resume.resume(after));
@@ -240,15 +261,15 @@
     }
 
     fn give_up(&mut self, reason: &str) -> Broken {
-        if let Some(source) = self.source.take() {
-            let instance = &source.flight.upstream.target.instance;
-            log::info!(
-                "ingress: request {} is cut off at {instance}: {reason}.",
-                self.id
-            );
-        } else {
-            log::info!("ingress: request {} is cut off: {reason}.", self.id);
-        }
+        let source = self.source.take();
+        let instance = source
+            .as_ref()
+            .map(|source| &source.flight.upstream.target.instance);
+        log::warn!(
+            event = "answer.cut", request = self.id.as_str(),
+            upstream = instance.map(|name| name.as_str()).unwrap_or_default();
+            "ingress: an answer is cut off: {reason}"
+        );
         self.resuming = None;
         reason.to_owned().into()
     }
--- a/src/ingress/upstreams.rs
+++ b/src/ingress/upstreams.rs
@@ -22,11 +22,16 @@
     wire::{ServiceLoad, UpstreamList, UpstreamRow},
 };
 
-/// Time for which an upstream that failed gets requests only if all others failed too.
+/// Time for which an upstream that failed gets requests only if all others failed too; it doubles with
+/// each further failure, since each look at a dead one costs a request.
 const SUSPECT_FOR: Duration = Duration::from_millis(1500);
-/// Silence of an upstream with requests in progress after which others are preferred; several times
-/// the longest pause that the routes of engines aim at.
-const STALLED_AFTER: Duration = Duration::from_millis(700);
+/// Most doublings of that time.
+const MOST_DOUBLINGS: u32 = 2;
+/// Silence of an engine with requests in progress after which it is taken to be lost. An engine gives a
+/// sign of life with every event of any request, several times in this time under full load.
+const ENGINE_SILENCE: Duration = Duration::from_millis(450);
+/// The same for a plain server, which gives a sign of life only with its answers.
+const SERVER_SILENCE: Duration = Duration::from_millis(800);
 /// Time for which callers may still use the addresses that they got before a stop.
 const OLD_ADDRESSES: Duration = Duration::from_millis(3500);
 
@@ -51,6 +56,8 @@
     reported: Option<(ReportedLoad, Instant)>,
     sent_since_report: u32,
     suspect_until: Option<Instant>,
+    /// Failures since the last exchange that went well.
+    failures: u32,
     /// Since when requests wait for a sign of life.
     waiting_since: Option<Instant>,
 }
@@ -75,18 +82,31 @@
 
     /// Notes that an exchange failed.
     pub(super) fn suspect(&self, now: Instant) {
-        self.load().suspect_until = Some(now + SUSPECT_FOR);
+        let mut load = self.load();
+        load.suspect_until = Some(now + SUSPECT_FOR * 2_u32.pow(load.failures));
+        load.failures = (load.failures + 1).min(MOST_DOUBLINGS);
     }
 
     /// Notes that an exchange went well.
     pub(super) fn trust(&self) {
-        self.load().suspect_until = None;
+        let mut load = self.load();
+        load.suspect_until = None;
+        load.failures = 0;
     }
 
-    /// Returns whether requests are in progress and nothing has been heard for too long.
-    fn is_stalled(&self, load: &Load, now: Instant) -> bool {
+    /// Returns whether requests are in progress and nothing was heard for too long.
+    pub(super) fn is_lost(&self, is_engine: bool, now: Instant) -> bool {
+        self.is_silent(&self.load(), is_engine, now)
+    }
+
+    fn is_silent(&self, load: &Load, is_engine: bool, now: Instant) -> bool {
+        let limit = if is_engine {
+            ENGINE_SILENCE
+        } else {
+            SERVER_SILENCE
+        };
         let waits = self.in_flight.load(Ordering::Relaxed) > 0;
-        let silent = |since| now.duration_since(since) > STALLED_AFTER;
+        let silent = |since| now.duration_since(since) > limit;
         waits && load.waiting_since.is_some_and(silent)
     }
 
@@ -94,7 +114,7 @@
         self.load.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn candidate(&self, now: Instant) -> Candidate {
+    fn candidate(&self, is_engine: bool, now: Instant) -> Candidate {
         let load = self.load();
         Candidate {
             instance: self.target.instance.clone(),
@@ -109,7 +129,7 @@
             in_progress: self.in_flight.load(Ordering::Relaxed),
             cached_tokens: None,
             suspect: load.suspect_until.is_some_and(|until| until > now)
-                || self.is_stalled(&load, now),
+                || self.is_silent(&load, is_engine, now),
         }
     }
 }
@@ -209,6 +229,7 @@
         self: &Arc<Self>,
         service: &ServiceName,
         req: &RouteRequest,
+        is_engine: bool,
         new_tokens: u32,
         tried: &[InstanceName],
         now: Instant,
@@ -222,7 +243,7 @@
             .collect();
         let candidates: Vec<_> = usable
             .iter()
-            .map(|upstream| upstream.candidate(now))
+            .map(|upstream| upstream.candidate(is_engine, now))
             .collect();
         let chosen = route::choose(req, &candidates, &RoutingWeights::default())?;
         let upstream = Arc::clone(usable[chosen]);
@@ -270,6 +291,11 @@
         }
     }
 
+    /// Returns how many requests are in progress.
+    pub(super) fn in_progress(&self) -> usize {
+        self.in_flight.count.load(Ordering::Relaxed)
+    }
+
     /// Waits until callers know that this gateway leaves and no request is in progress, or until
     /// the patience ends.
     pub(super) async fn wait_until_idle(&self, patience: Duration) {
--- a/src/settings/ingress.rs
+++ b/src/settings/ingress.rs
@@ -21,6 +21,9 @@
     /// Where a gateway tells callers which addresses to use.
     #[serde(default)]
     pub directory_address: Option<SocketAddr>,
+    /// Where the metrics are told, under `/metrics`.
+    #[serde(default)]
+    pub metrics_address: Option<SocketAddr>,
     /// The platform's API.
     pub platform_address: SocketAddr,
     /// Time between two readings of the platform's list by the leader.
--- a/src/settings/schema.rs
+++ b/src/settings/schema.rs
@@ -70,6 +70,7 @@
     required("address", Shape::Address),
     optional("ready_address", Shape::Address),
     optional("directory_address", Shape::Address),
+    optional("metrics_address", Shape::Address),
     required("platform_address", Shape::Address),
     optional("list_interval_ms", DURATION),
     optional("usage_window_ms", DURATION),
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -4,8 +4,10 @@
 mod export;
 mod histogram;
 mod logging;
+mod serve;
 
-pub use logging::start_logging;
+pub use logging::{Logging, start_logging};
+pub use serve::serve_metrics;
 
 use std::{
     sync::{
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -234,6 +234,50 @@
     );
 }
 
+#[tokio::test]
+async fn an_engine_that_falls_silent_is_left_for_another_one() {
+    let site = Site::start(2, |server, seen| {
+        let resumed = seen.headers.contains_key("last-event-id");
+        match (server, seen.path.as_str(), resumed) {
+            (_, "/resumed/midway", false) => Act::Stall(events(1..=2)),
+            (_, "/resumed/midway", true) => Act::Stream {
+                pieces: events(3..=4),
+                whole: true,
+            },
+            (0, "/resumed/dark", _) => Act::Silent,
+            _ => Act::Stream {
+                pieces: events(1..=1),
+                whole: true,
+            },
+        }
+    })
+    .await;
+    site.publish(&document(1)).await;
+    let begun = Instant::now();
+    let res = site
+        .send(Method::POST, "/resumed/midway", "r1", "prompt")
+        .await;
+    assert_eq!(res.text(), events(1..=4).concat());
+    assert!(
+        begun.elapsed() < Duration::from_millis(1500),
+        "{:?}",
+        begun.elapsed()
+    );
+    // At most one of these waits for the dark engine; it is then chosen last.
+    let begun = Instant::now();
+    for i in 0..8 {
+        let res = site
+            .send(Method::POST, "/resumed/dark", &format!("d{i}"), "")
+            .await;
+        assert_eq!(res.text(), events(1..=1).concat());
+    }
+    assert!(
+        begun.elapsed() < Duration::from_millis(1500),
+        "{:?}",
+        begun.elapsed()
+    );
+}
+
 #[tokio::test]
 async fn a_stream_that_may_not_be_resumed_does_not_look_complete() {
     let site = Site::start(2, |_, _| Act::Stream {
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -66,6 +66,8 @@
     Silent,
     /// Streams pieces, then ends well, or breaks off.
     Stream { pieces: Vec<String>, whole: bool },
+    /// Streams pieces, then nothing more, without an end.
+    Stall(Vec<String>),
 }
 
 /// A request as a server saw it.
@@ -362,7 +364,15 @@
     ));
     let reloaded = reloaded(&settings);
     let clock = Arc::new(SystemClock::new());
-    let started = ingress::start(settings, reloaded, api, clock, stop).await;
+    let started = ingress::start(
+        settings,
+        reloaded,
+        api,
+        clock,
+        &Metrics::new().unwrap(),
+        stop,
+    )
+    .await;
     let (_, directory) = started.unwrap();
     let ready = TcpListener::bind(ingress.ready_address.unwrap())
         .await
@@ -490,7 +500,17 @@
                 .insert("x-flamingocroft-request-id", "other".parse().unwrap());
             return Ok(res);
         }
-        Act::Stream { pieces, whole } => signed(Response::new(stream(pieces, whole, busy))),
+        Act::Stream { pieces, whole } => {
+            let end = match whole {
+                true => futures_util::stream::empty().boxed(),
+                false => broken_end().boxed(),
+            };
+            signed(Response::new(stream(pieces, end, busy)))
+        }
+        Act::Stall(pieces) => {
+            let end = futures_util::stream::pending().boxed();
+            signed(Response::new(stream(pieces, end, busy)))
+        }
     };
     if let Some(id) = id {
         res.headers_mut().insert("x-flamingocroft-request-id", id);
@@ -498,19 +518,20 @@
     Ok(res)
 }
 
-fn stream(pieces: Vec<String>, whole: bool, busy: Busy) -> Body {
+type Piece = Result<Frame<Bytes>, std::io::Error>;
+
+fn broken_end() -> impl futures_util::Stream<Item = Piece> + Send {
+    futures_util::stream::once(async {
+        // The pieces before must have left.
+        sleep(Duration::from_millis(50)).await;
+        Err(std::io::ErrorKind::ConnectionReset.into())
+    })
+}
+
+fn stream(pieces: Vec<String>, end: BoxStream<'static, Piece>, busy: Busy) -> Body {
     let frames = pieces
         .into_iter()
         .map(|piece| Ok(Frame::data(Bytes::from(piece))));
-    let end: BoxStream<'static, _> = match whole {
-        true => futures_util::stream::empty().boxed(),
-        false => futures_util::stream::once(async {
-            // The pieces before must have left.
-            sleep(Duration::from_millis(50)).await;
-            Err(std::io::ErrorKind::ConnectionReset.into())
-        })
-        .boxed(),
-    };
     let all = futures_util::stream::iter(frames)
         .chain(end)
         .map(move |frame| {
@@ -521,10 +542,10 @@
 }
 
 /// Makes a stream `Sync`, as the boxed body needs it.
-struct SyncStream(Mutex<BoxStream<'static, Result<Frame<Bytes>, std::io::Error>>>);
+struct SyncStream(Mutex<BoxStream<'static, Piece>>);
 
 impl futures_util::Stream for SyncStream {
-    type Item = Result<Frame<Bytes>, std::io::Error>;
+    type Item = Piece;
 
     fn poll_next(
         self: std::pin::Pin<&mut Self>,
