Keep what a gateway counted before it was started anew

During the roll of all gateways each new process reported its own small count for the window, which replaced the count of the process before it.

Change: counts of an earlier start are kept and added; a stopping gateway stays for one more question.

--- a/src/controller/followers.rs
+++ b/src/controller/followers.rs
@@ -4,6 +4,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     hash::{DefaultHasher, Hash, Hasher},
+    mem,
     sync::Arc,
     time::Duration,
 };
@@ -39,6 +40,8 @@
 pub struct Followers {
     gateways: HashMap<String, Follower>,
     list: UpstreamList,
+    /// What gateways counted in windows before they were started anew.
+    past_usage: BTreeMap<u64, Vec<AccountCount>>,
     reserves: HashMap<String, Bucket>,
     /// The term in which the reserves are kept.
     reserves_term: u64,
@@ -51,6 +54,7 @@
     demands: Vec<QuotaPart>,
     held_shares: Vec<QuotaPart>,
     loads: Vec<ServiceLoad>,
+    incarnation: u64,
     usage: BTreeMap<u64, Vec<AccountCount>>,
 }
 
@@ -95,6 +99,7 @@
                 demands: Vec::new(),
                 held_shares: Vec::new(),
                 loads: Vec::new(),
+                incarnation: follow.incarnation,
                 usage: BTreeMap::new(),
             });
         follower.record = record.clone();
@@ -102,6 +107,15 @@
         follower.demands.clone_from(&follow.demands);
         follower.held_shares.clone_from(&follow.held_shares);
         follower.loads.clone_from(&follow.loads);
+        if follower.incarnation != follow.incarnation {
+            follower.incarnation = follow.incarnation;
+            for (window, counts) in mem::take(&mut follower.usage) {
+                self.past_usage.entry(window).or_default().extend(counts);
+            }
+            while self.past_usage.len() > KEPT_WINDOWS {
+                self.past_usage.pop_first();
+            }
+        }
         for window in &follow.usage {
             follower.usage.insert(window.window, window.counts.clone());
         }
@@ -176,8 +190,9 @@
     /// Returns what all gateways counted in a window.
     pub fn usage(&self, window: u64) -> Vec<AccountCount> {
         let mut sums: BTreeMap<&str, u64> = BTreeMap::new();
-        for follower in self.gateways.values() {
-            for count in follower.usage.get(&window).into_iter().flatten() {
+        let present = self.gateways.values().map(|follower| &follower.usage);
+        for counted in present.chain([&self.past_usage]) {
+            for count in counted.get(&window).into_iter().flatten() {
                 *sums.entry(&count.account).or_default() += count.count;
             }
         }
--- a/src/ingress/follow.rs
+++ b/src/ingress/follow.rs
@@ -168,6 +168,7 @@
             wait_ms: FOLLOW_WAIT.as_millis() as u64,
             usage: self.core.usage.newest(self.core.clock.unix_ms()),
             demands: self.core.quotas.demands(Instant::now()),
+            incarnation: self.own.incarnation.0,
             held_shares: self.core.quotas.parts(Instant::now()),
             loads: self.core.upstreams.loads(Instant::now()),
         }
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -169,6 +169,8 @@
             .shutdown
             .saturating_sub(CLOSE_BEFORE_END);
         core.upstreams.wait_until_idle(patience).await;
+        // The controllers still ask for the last counts of usage.
+        tokio::time::sleep(follow::FOLLOW_WAIT).await;
         closing.cancel();
         served.await.context("serving callers failed")
     });
--- a/src/wire/follow.rs
+++ b/src/wire/follow.rs
@@ -33,6 +33,9 @@
     /// The parts of quotas that the gateway was given last and still uses.
     #[prost(message, repeated, tag = "9")]
     pub held_shares: Vec<QuotaPart>,
+    /// Grows with each start of the gateway, whose counts then begin anew.
+    #[prost(uint64, tag = "10")]
+    pub incarnation: u64,
 }
 
 /// A controller's answer.
--- a/tests/controller_followers.rs
+++ b/tests/controller_followers.rs
@@ -114,6 +114,26 @@
     assert!(followers.usage(8).is_empty());
 }
 
+#[test]
+fn a_gateway_that_is_started_anew_adds_to_what_it_counted_before() {
+    let mut followers = Followers::default();
+    let counted = |incarnation, count| Follow {
+        incarnation,
+        usage: vec![WindowCount {
+            window: 7,
+            counts: vec![AccountCount {
+                account: "depot".into(),
+                count,
+            }],
+        }],
+        ..follow("g1", true, 0.0)
+    };
+    followers.hear(at(0), &counted(1, 9));
+    followers.hear(at(1000), &counted(2, 1));
+    followers.hear(at(1700), &counted(2, 2));
+    assert_eq!(followers.usage(7)[0].count, 11);
+}
+
 #[test]
 fn only_a_list_that_differs_gets_a_new_version() {
     let row = |leaving, cold_ms| UpstreamRow {
