--- a/src/controller/scaler.rs
+++ b/src/controller/scaler.rs
@@ -138,10 +138,13 @@
         let believed = scaled
             .used_since
             .is_some_and(|since| now >= since + BELIEVED_AFTER);
-        let needed = scaled.meter.take(now, scale::need(used, size));
         if !believed {
             return;
         }
+        let total = present
+            .values()
+            .map(|here| here.reclaimable + here.on_demand);
+        let needed = scaled.meter.take(now, scale::need(used, size), total.sum());
         for wanted in scale::orders(needed, &scaled.markets(scaling, now)) {
             let here = present.get(&wanted.zone).copied().unwrap_or_default();
             if let Some(order) = self.next_order(&service.name, &wanted, here) {
--- a/src/policy/scale.rs
+++ b/src/policy/scale.rs
@@ -13,13 +13,13 @@
 /// served in time. What this needs is ordered for good: reclaimable upstreams may all be taken back
 /// within seconds, and none be there for a while.
 const SUFFICIENT: Filling = Filling {
-    slots: 0.65,
+    slots: 0.8,
     reading: 0.6,
 };
 /// The same at which first events are quick and a burst finds room. Reclaimable upstreams make up the
 /// difference.
 const COMFORTABLE: Filling = Filling {
-    slots: 0.4,
+    slots: 0.5,
     reading: 0.35,
 };
 /// Prompt tokens read for each one that is new to all engines, since shared parts are read again on
@@ -27,6 +27,9 @@
 const READ_AGAIN: f64 = 1.25;
 /// How long a need is kept after it was seen.
 const KEPT_FOR: Duration = Duration::from_secs(20);
+/// Part of the engines of the start that stays until a need was watched for [`KEPT_FOR`]: the first
+/// seconds miss the swing of a minute.
+const KEPT_AT_FIRST: f64 = 0.5;
 /// Needs that differ by less are not worth the lost caches of a change downwards.
 const WORTH_LOWERING: u32 = 2;
 
@@ -85,12 +88,20 @@
 pub struct NeedMeter {
     sufficient: Peak,
     comfortable: Peak,
+    /// When the first need was taken, and how many engines there were then.
+    first: Option<(Duration, u32)>,
 }
 
 impl NeedMeter {
-    /// Takes the need of now and returns the one to plan for.
-    pub fn take(&mut self, now: Duration, need: Need) -> Need {
-        let sufficient = self.sufficient.take(now, need.sufficient);
+    /// Takes the need of now, and how many engines there are, and returns the need to plan for. Until
+    /// the meter has seen its whole time it keeps a part of the engines that it found.
+    pub fn take(&mut self, now: Duration, need: Need, present: u32) -> Need {
+        let (since, found) = *self.first.get_or_insert((now, present));
+        let least = match now.saturating_sub(since) < KEPT_FOR {
+            true => (f64::from(found) * KEPT_AT_FIRST) as u32,
+            false => 0,
+        };
+        let sufficient = self.sufficient.take(now, need.sufficient).max(least);
         Need {
             sufficient,
             comfortable: self.comfortable.take(now, need.comfortable).max(sufficient),
