Measure the load at every controller, and count cut-off gateways

Change: every controller measures the need all the time; a gateway that was silent for less than 10.5 s counts as it did last. Tests: controller_followers, policy_scale.

--- a/src/controller/followers.rs
+++ b/src/controller/followers.rs
@@ -172,13 +172,14 @@
         accounts.into_iter().map(share).collect()
     }
 
-    /// Returns how much all gateways heard of lately use each service.
+    /// Returns how much all gateways use each service. One that was silent for seconds counts as it did
+    /// last: a leader that hears half of them must not take the load for half of what it is.
     pub fn loads(&self, now: Duration) -> BTreeMap<&str, ServiceLoad> {
         let mut sums: BTreeMap<&str, ServiceLoad> = BTreeMap::new();
         let heard = self
             .gateways
             .values()
-            .filter(|known| now.saturating_sub(known.heard) <= GONE_AFTER);
+            .filter(|known| known.silence(now) <= SHARE_COUNTED);
         for load in heard.flat_map(|known| &known.loads) {
             let sum = sums.entry(&load.service).or_default();
             sum.in_flight += load.in_flight;
--- a/src/controller/scaler.rs
+++ b/src/controller/scaler.rs
@@ -17,8 +17,6 @@
 const LOOK: Duration = Duration::from_millis(500);
 /// Longest time for the platform to take an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Time of traffic after which its use is believed; before, as many upstreams as there are are kept.
-const BELIEVED_AFTER: Duration = Duration::from_secs(5);
 /// Time for which a zone that refused reclaimable upstreams gets no further order of them.
 const DRY_FOR: Duration = Duration::from_secs(6);
 /// Pause after an order that was refused or not answered.
@@ -72,7 +70,7 @@
 #[derive(Debug, Default)]
 struct Scaled {
     meter: NeedMeter,
-    used_since: Option<Duration>,
+    used: Use,
     zones: HashMap<ZoneName, ZoneState>,
 }
 
@@ -86,23 +84,46 @@
 }
 
 impl<T: Clock, P: Platform> Scaler<T, P> {
+    /// Measures what is used, also while another controller leads, so that a new leader knows the
+    /// last while; orders if this one leads.
     async fn look(&mut self) {
+        self.read_table();
+        let services = self.table.services.clone();
+        for service in &services {
+            if let (Some(_), Some(engine)) = (&service.scaling, service.engine) {
+                self.measure(service, engine);
+            }
+        }
         let Some((term, holder)) = self.duty.hold(&self.core).await else {
             return;
         };
         if self.term != term {
             self.term = term;
-            self.services.clear();
+            self.services
+                .values_mut()
+                .for_each(|scaled| scaled.zones.clear());
         }
-        self.read_table();
-        let services = self.table.services.clone();
         for service in &services {
-            if let (Some(scaling), Some(engine)) = (&service.scaling, service.engine) {
-                self.scale(&holder, service, scaling, engine).await;
+            if let Some(scaling) = &service.scaling {
+                self.scale(&holder, service, scaling).await;
             }
         }
     }
 
+    fn measure(&mut self, service: &RoutedService, engine: EngineFacts) {
+        let now = self.core.now();
+        let used = self.used(&service.name);
+        let scaled = self.services.entry(service.name.clone()).or_default();
+        scaled.used = used;
+        if used.in_flight > 0.0 {
+            let size = EngineSize {
+                slots: engine.slots,
+                prompt_tokens: self.speed * 1000.0,
+            };
+            scaled.meter.take(now, scale::need(used, size));
+        }
+    }
+
     fn read_table(&mut self) {
         let published = self.core.log.state().published().clone();
         if published.version <= self.table.version {
@@ -119,32 +140,21 @@
         holder: &DutyHolder,
         service: &RoutedService,
         scaling: &ScalingFacts,
-        engine: EngineFacts,
     ) {
         let now = self.core.now();
         let present = self.present(&service.name);
-        if present.is_empty() {
+        let Some(scaled) = self.services.get_mut(&service.name) else {
             return;
-        }
-        let used = self.used(&service.name);
-        let scaled = self.services.entry(service.name.clone()).or_default();
-        if used.in_flight > 0.0 && scaled.used_since.is_none() {
-            scaled.used_since = Some(now);
-        }
-        let size = EngineSize {
-            slots: engine.slots,
-            prompt_tokens: self.speed * 1000.0,
         };
-        let believed = scaled
-            .used_since
-            .is_some_and(|since| now >= since + BELIEVED_AFTER);
-        if !believed {
-            return;
-        }
-        let total = present
+        let total: u32 = present
             .values()
-            .map(|here| here.reclaimable + here.on_demand);
-        let needed = scaled.meter.take(now, scale::need(used, size), total.sum());
+            .map(|here| here.reclaimable + here.on_demand)
+            .sum();
+        let planned = scaled.meter.plan(now, total);
+        let Some(needed) = planned.filter(|_| total > 0) else {
+            return;
+        };
+        let used = scaled.used;
         for wanted in scale::orders(needed, &scaled.markets(scaling, now)) {
             let here = present.get(&wanted.zone).copied().unwrap_or_default();
             if let Some(order) = self.next_order(&service.name, &wanted, here) {
--- a/src/policy/scale.rs
+++ b/src/policy/scale.rs
@@ -25,6 +25,8 @@
 /// Prompt tokens read for each one that is new to all engines, since shared parts are read again on
 /// engines that do not hold them.
 const READ_AGAIN: f64 = 1.25;
+/// Time after which a need that was watched is believed.
+const BELIEVED_AFTER: Duration = Duration::from_secs(5);
 /// How long a need is kept after it was seen.
 const KEPT_FOR: Duration = Duration::from_secs(20);
 /// Part of the engines of the start that stays until a need was watched for [`KEPT_FOR`]: the first
@@ -88,24 +90,37 @@
 pub struct NeedMeter {
     sufficient: Peak,
     comfortable: Peak,
-    /// When the first need was taken, and how many engines there were then.
-    first: Option<(Duration, u32)>,
+    /// When the first need was taken.
+    since: Option<Duration>,
+    /// Engines at the first plan.
+    found: Option<u32>,
 }
 
 impl NeedMeter {
-    /// Takes the need of now, and how many engines there are, and returns the need to plan for. Until
-    /// the meter has seen its whole time it keeps a part of the engines that it found.
-    pub fn take(&mut self, now: Duration, need: Need, present: u32) -> Need {
-        let (since, found) = *self.first.get_or_insert((now, present));
-        let least = match now.saturating_sub(since) < KEPT_FOR {
+    /// Takes the need of now.
+    pub fn take(&mut self, now: Duration, need: Need) {
+        self.since.get_or_insert(now);
+        self.sufficient.take(now, need.sufficient);
+        self.comfortable.take(now, need.comfortable);
+    }
+
+    /// Returns the need to plan for, if the meter has watched for long enough. Until it has seen its
+    /// whole time it keeps a part of the engines that are present at first.
+    pub fn plan(&mut self, now: Duration, present: u32) -> Option<Need> {
+        let watched = now.saturating_sub(self.since?);
+        if watched < BELIEVED_AFTER {
+            return None;
+        }
+        let found = *self.found.get_or_insert(present);
+        let least = match watched < KEPT_FOR {
             true => (f64::from(found) * KEPT_AT_FIRST) as u32,
             false => 0,
         };
-        let sufficient = self.sufficient.take(now, need.sufficient).max(least);
-        Need {
+        let sufficient = self.sufficient.planned?.max(least);
+        Some(Need {
             sufficient,
-            comfortable: self.comfortable.take(now, need.comfortable).max(sufficient),
-        }
+            comfortable: self.comfortable.planned?.max(sufficient),
+        })
     }
 }
 
@@ -118,7 +133,7 @@
 }
 
 impl Peak {
-    fn take(&mut self, now: Duration, need: u32) -> u32 {
+    fn take(&mut self, now: Duration, need: u32) {
         while self.peaks.back().is_some_and(|(_, peak)| *peak <= need) {
             self.peaks.pop_back();
         }
@@ -133,7 +148,6 @@
             _ => peak,
         };
         self.planned = Some(planned);
-        planned
     }
 }
 
--- a/tests/controller_followers.rs
+++ b/tests/controller_followers.rs
@@ -5,7 +5,8 @@
 use flamingocroft::{
     controller::followers::Followers,
     wire::{
-        AccountCount, Follow, IngressRecord, QuotaPart, ReserveRequest, UpstreamRow, WindowCount,
+        AccountCount, Follow, IngressRecord, QuotaPart, ReserveRequest, ServiceLoad, UpstreamRow,
+        WindowCount,
     },
 };
 
@@ -134,6 +135,24 @@
     assert_eq!(followers.usage(7)[0].count, 11);
 }
 
+#[test]
+fn the_load_of_gateways_that_are_cut_off_counts_for_a_while() {
+    let mut followers = Followers::default();
+    for name in ["g1", "g2"] {
+        let loaded = Follow {
+            loads: vec![ServiceLoad {
+                service: "app".into(),
+                in_flight: 10.0,
+                prompt_tokens: 0.0,
+            }],
+            ..follow(name, true, 0.0)
+        };
+        followers.hear(at(0), &loaded);
+    }
+    assert!((followers.loads(at(10_000))["app"].in_flight - 20.0).abs() < 1e-9);
+    assert!(followers.loads(at(11_000)).is_empty());
+}
+
 #[test]
 fn only_a_list_that_differs_gets_a_new_version() {
     let row = |leaving, cold_ms| UpstreamRow {
--- a/tests/policy_scale.rs
+++ b/tests/policy_scale.rs
@@ -103,9 +103,11 @@
         sufficient: 4,
         comfortable: 6,
     };
-    assert_eq!(meter.take(seconds(5), quiet, 18).sufficient, 9);
-    assert_eq!(meter.take(seconds(24), quiet, 10).sufficient, 9);
-    assert_eq!(meter.take(seconds(26), quiet, 10).sufficient, 4);
+    meter.take(seconds(0), quiet);
+    assert_eq!(meter.plan(seconds(4), 18), None, "too short a look");
+    assert_eq!(meter.plan(seconds(5), 18).unwrap().sufficient, 9);
+    assert_eq!(meter.plan(seconds(19), 10).unwrap().sufficient, 9);
+    assert_eq!(meter.plan(seconds(20), 10).unwrap().sufficient, 4);
 }
 
 #[test]
@@ -132,7 +134,8 @@
             sufficient: engines,
             comfortable: engines + 3,
         };
-        let planned = meter.take(seconds(s), need, 8);
+        meter.take(seconds(s), need);
+        let planned = meter.plan(seconds(s + 5), 0).unwrap();
         assert_eq!(planned.comfortable, planned.sufficient + 3);
         planned.sufficient
     };
