Divide the slack of further attempts by the gateways there are

Cause: by eight at least and not by more, 74 gateways would have had several times the slack of the rule. Change: the budget is a function of its own in policy::retry, divided by the roster. Test: policy_retry, at 1, 8 and 74 gateways.

--- a/src/ingress/budget.rs
+++ b/src/ingress/budget.rs
@@ -1,79 +1,70 @@
-//! The budget of further attempts for each service. Every gateway keeps to its own part, which adds up
-//! to the whole without a message.
+//! The budgets of further attempts of all services.
 
 use std::{
-    collections::{HashMap, VecDeque},
-    sync::{Mutex, PoisonError},
-    time::Duration,
+    collections::HashMap,
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
 };
 
 use tokio::time::Instant;
 
-use crate::{domain::ServiceName, settings::Ingress};
+use crate::{
+    domain::ServiceName,
+    policy::retry::{BudgetRule, WindowBudget},
+    settings::Ingress,
+};
 
-/// Part of the allowed ratio that is used, since requests and attempts of one window are counted at
-/// slightly different times by upstreams and gateways.
-const USED_RATIO: f64 = 0.75;
-/// Gateways among which the allowed slack is divided at least, so that a gateway that knows no others
-/// does not take all of it.
-const FEWEST_GATEWAYS: f64 = 8.0;
+/// Gateways among which the slack is divided at least, so that a gateway that knows no others does not
+/// take all of it.
+const FEWEST_GATEWAYS: usize = 8;
 
 /// Budgets by service.
 #[derive(Debug)]
 pub(super) struct Budgets {
-    ratio: f64,
-    slack: f64,
-    window: Duration,
-    services: Mutex<HashMap<ServiceName, Budget>>,
-}
-
-#[derive(Debug, Default)]
-struct Budget {
-    requests: VecDeque<Instant>,
-    repeats: VecDeque<Instant>,
+    rule: BudgetRule,
+    started: Instant,
+    gateways: AtomicUsize,
+    services: Mutex<HashMap<ServiceName, WindowBudget>>,
 }
 
 impl Budgets {
     pub(super) fn new(ingress: &Ingress) -> Self {
         Self {
-            ratio: ingress.retry_ratio * USED_RATIO,
-            slack: ingress.retry_slack / FEWEST_GATEWAYS / 2.0,
-            window: ingress.retry_window,
+            rule: BudgetRule {
+                ratio: ingress.retry_ratio,
+                slack: ingress.retry_slack,
+                window: ingress.retry_window,
+            },
+            started: Instant::now(),
+            gateways: AtomicUsize::new(FEWEST_GATEWAYS),
             services: Mutex::default(),
         }
     }
 
+    /// Takes the number of gateways that share the slack.
+    pub(super) fn set_gateways(&self, count: usize) {
+        self.gateways
+            .store(count.max(FEWEST_GATEWAYS), Ordering::Relaxed);
+    }
+
     /// Counts a request for a service.
     pub(super) fn earn(&self, service: &ServiceName, now: Instant) {
-        let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
-        let budget = services.entry(service.clone()).or_default();
-        budget.forget(now, self.window);
-        budget.requests.push_back(now);
+        self.with(service, |budget| {
+            budget.earn(&self.rule, now.duration_since(self.started));
+        });
     }
 
     /// Takes one further attempt out of a service's budget. Returns whether there was one.
     pub(super) fn spend(&self, service: &ServiceName, now: Instant) -> bool {
-        let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
-        let budget = services.entry(service.clone()).or_default();
-        budget.forget(now, self.window);
-        let allowed = self.ratio * budget.requests.len() as f64 + self.slack;
-        if budget.repeats.len() as f64 + 1.0 > allowed {
-            return false;
-        }
-        budget.repeats.push_back(now);
-        true
+        let gateways = self.gateways.load(Ordering::Relaxed);
+        let now = now.duration_since(self.started);
+        self.with(service, |budget| budget.spend(&self.rule, gateways, now))
     }
-}
 
-impl Budget {
-    fn forget(&mut self, now: Instant, window: Duration) {
-        for times in [&mut self.requests, &mut self.repeats] {
-            while times
-                .front()
-                .is_some_and(|at| now.duration_since(*at) > window)
-            {
-                times.pop_front();
-            }
-        }
+    fn with<R>(&self, service: &ServiceName, act: impl FnOnce(&mut WindowBudget) -> R) -> R {
+        let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
+        act(services.entry(service.clone()).or_default())
     }
 }
--- a/src/ingress/follow.rs
+++ b/src/ingress/follow.rs
@@ -231,6 +231,7 @@
         gateways.sort_by(|a, b| a.name.cmp(&b.name).then(a.open.cmp(&b.open)));
         gateways.dedup_by(|a, b| a.name == b.name);
         self.core.quotas.set_gateways(gateways.len());
+        self.core.budgets.set_gateways(gateways.len());
         self.core.roster.store(Arc::new(gateways));
     }
 
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -3,7 +3,7 @@
 //! Repeated attempts are paid from a budget that grows with the requests of the service, so that a
 //! lost zone does not multiply the load on the zones that remain. See docs/DECISIONS.md, "Retries".
 
-use std::time::Duration;
+use std::{collections::VecDeque, time::Duration};
 
 use crate::ports::{Sent, UpstreamErrorKind};
 
@@ -92,3 +92,58 @@
     let mean = FIRST_DELAY * 2_u32.pow(doublings);
     mean.mul_f64(0.5 + failure.random.clamp(0.0, 1.0))
 }
+
+/// Part of an operator's ratio that is used, since requests and attempts of one window are counted at
+/// slightly different times by upstreams and gateways.
+const USED_RATIO: f64 = 0.75;
+/// Part of an operator's slack that is used, for the same reason.
+const USED_SLACK: f64 = 0.5;
+
+/// How many further attempts all gateways together may make for a service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetRule {
+    /// Further attempts as a part of the requests in a window.
+    pub ratio: f64,
+    /// Further attempts besides.
+    pub slack: f64,
+    /// The window, which slides.
+    pub window: Duration,
+}
+
+/// One gateway's part of a service's budget over a sliding window. The parts add up to the whole
+/// without a message, since each is counted from the gateway's own requests.
+#[derive(Clone, Debug, Default)]
+pub struct WindowBudget {
+    requests: VecDeque<Duration>,
+    repeats: VecDeque<Duration>,
+}
+
+impl WindowBudget {
+    /// Counts a request.
+    pub fn earn(&mut self, rule: &BudgetRule, now: Duration) {
+        self.forget(rule, now);
+        self.requests.push_back(now);
+    }
+
+    /// Takes one further attempt out. Returns whether there was one, if the slack is shared among some
+    /// gateways.
+    pub fn spend(&mut self, rule: &BudgetRule, gateways: usize, now: Duration) -> bool {
+        self.forget(rule, now);
+        let earned = rule.ratio * USED_RATIO * self.requests.len() as f64;
+        let slack = rule.slack * USED_SLACK / gateways.max(1) as f64;
+        if self.repeats.len() as f64 + 1.0 > earned + slack {
+            return false;
+        }
+        self.repeats.push_back(now);
+        true
+    }
+
+    fn forget(&mut self, rule: &BudgetRule, now: Duration) {
+        for times in [&mut self.requests, &mut self.repeats] {
+            let is_old = |at: &Duration| now.saturating_sub(*at) > rule.window;
+            while times.front().is_some_and(is_old) {
+                times.pop_front();
+            }
+        }
+    }
+}
--- a/tests/policy_retry.rs
+++ b/tests/policy_retry.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use flamingocroft::{
-    policy::retry::{Failure, Retry, RetryBudget},
+    policy::retry::{BudgetRule, Failure, Retry, RetryBudget, WindowBudget},
     ports::{Sent, UpstreamErrorKind},
 };
 use proptest::prelude::*;
@@ -155,3 +155,42 @@
     let naive = amplification(|_, failure| naive::decide(failure), 0.33);
     assert!(naive > 1.4, "the naive version makes {naive}");
 }
+
+const RULE: BudgetRule = BudgetRule {
+    ratio: 0.2,
+    slack: 56.0,
+    window: Duration::from_secs(10),
+};
+
+/// Every request fails and asks for one more attempt, at all gateways at once: no window of all of them
+/// together holds more than the rule allows, however many gateways there are.
+#[test]
+fn further_attempts_keep_to_the_rule_in_every_window() {
+    for (gateways, per_second) in [(1, 100), (8, 30), (74, 10)] {
+        let mut budgets = vec![WindowBudget::default(); gateways];
+        let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+        for i in 0..per_second * 40 {
+            let now = Duration::from_secs_f64(f64::from(i) / f64::from(per_second));
+            for budget in &mut budgets {
+                budget.earn(&RULE, now);
+                requests.push(now);
+                if budget.spend(&RULE, gateways, now) {
+                    repeats.push(now);
+                }
+            }
+        }
+        for start in (0..30).map(Duration::from_secs) {
+            let inside = |at: &&Duration| (start..start + RULE.window).contains(*at);
+            let allowed = RULE.ratio * requests.iter().filter(inside).count() as f64 + RULE.slack;
+            let made = repeats.iter().filter(inside).count() as f64;
+            assert!(
+                made <= allowed,
+                "{made} of {allowed} at {gateways} gateways"
+            );
+            assert!(
+                made >= allowed / 2.0,
+                "{made} of {allowed} at {gateways} gateways"
+            );
+        }
+    }
+}
