Keep engines while comfort can't be had, and be sufficient at 0.7 of the slots

Change: what is there for good stays while the reclaimable ones of the plan can't be had; sufficient is 0.7 of the slots.

--- a/src/policy/scale.rs
+++ b/src/policy/scale.rs
@@ -13,7 +13,7 @@
 /// served in time. What this needs is ordered for good: reclaimable upstreams may all be taken back
 /// within seconds, and none be there for a while.
 const SUFFICIENT: Filling = Filling {
-    slots: 0.8,
+    slots: 0.7,
     reading: 0.6,
 };
 /// The same at which first events are quick and a burst finds room. Reclaimable upstreams make up the
@@ -177,6 +177,9 @@
     pub reclaimable: u32,
     /// Upstreams that are not taken back.
     pub on_demand: u32,
+    /// Upstreams that are not taken back and should stay, if they are there, because comfort can't be
+    /// had otherwise now.
+    pub kept: u32,
 }
 
 /// Returns what to order: the sufficient engines for good, evenly over the zones, and the further ones
@@ -203,6 +206,8 @@
         })
         .collect();
     let further = spread::even(&further, reclaimable);
+    let missing = reclaimable.saturating_sub(spread::total(&further));
+    let missing = missing.div_ceil(markets.len().max(1) as u32);
     let counts = lasting.into_iter().zip(further);
     markets
         .iter()
@@ -211,6 +216,7 @@
             zone: market.zone.clone(),
             reclaimable: further.reclaimable,
             on_demand: lasting.on_demand.max(market.min),
+            kept: (lasting.on_demand + missing).clamp(market.min, market.max),
         })
         .collect()
 }
@@ -253,7 +259,8 @@
     let held = ordered.on_demand.unwrap_or(here.on_demand);
     // Upstreams that are not wanted for good go only after the reclaimable ones have come.
     let missing = wanted.reclaimable.saturating_sub(here.reclaimable);
-    let kept = held.min(wanted.on_demand + missing).max(wanted.on_demand);
+    let kept = wanted.kept.max(wanted.on_demand + missing);
+    let kept = held.min(kept).max(wanted.on_demand);
     let is_settled = is_dry || ordered.reclaimable == Some(wanted.reclaimable);
     if kept > held || (is_settled && kept < held) {
         return Some(NextOrder {
