--- /dev/null
+++ b/src/ingress/admit.rs
@@ -0,0 +1,63 @@
+//! Whose request it is, and whether the account's quota has room for it.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::{
+    Core,
+    answer::{Ended, Failure, NotRun},
+};
+use crate::{
+    domain::{AccountName, Route, RouteIndex},
+    ports::{Clock, Platform, RequestFacts},
+    wire::{Body, ReserveRequest},
+};
+
+/// Longest wait for the leader's reserve of a quota; many times a round trip between zones.
+const RESERVE_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Returns the account that holds the request's key, or nothing if the route needs none.
+pub(super) fn account(
+    table: &RouteIndex,
+    route: &Route,
+    facts: &RequestFacts,
+) -> Result<Option<AccountName>, Ended> {
+    if route.public || table.table.accounts.is_empty() {
+        return Ok(None);
+    }
+    let key = facts.key.as_deref().ok_or(Failure::UnknownKey)?;
+    let account = table.account(key).ok_or(Failure::UnknownKey)?;
+    Ok(Some(account.name.clone()))
+}
+
+/// Takes a request's units out of this gateway's part of the quota, or out of the leader's reserve.
+pub(super) async fn take_quota<P: Platform, T: Clock>(
+    core: &Core<P, T>,
+    account: &AccountName,
+    facts: &RequestFacts,
+) -> Result<(), NotRun> {
+    let taken = core
+        .quotas
+        .take(account, facts.prompt.as_ref(), Instant::now());
+    let Err(short) = taken else {
+        return Ok(());
+    };
+    let Some(leader) = core.leader.load_full() else {
+        return Err(NotRun::OverQuota(short.wait));
+    };
+    let request = Body::ReserveRequest(ReserveRequest {
+        account: account.to_string(),
+        units: short.units,
+        per_second: short.reserve.per_second,
+        saved: short.reserve.saved,
+    });
+    match leader.call(request, RESERVE_TIMEOUT).await {
+        Ok(Body::ReserveReply(reply)) if reply.granted => Ok(()),
+        Ok(Body::ReserveReply(reply)) => {
+            let wait = short.wait.min(Duration::from_millis(reply.wait_ms));
+            Err(NotRun::OverQuota(wait))
+        }
+        Ok(_) | Err(_) => Err(NotRun::OverQuota(short.wait)),
+    }
+}
--- a/src/ingress/forward.rs
+++ b/src/ingress/forward.rs
@@ -6,17 +6,19 @@
 use futures_util::future::BoxFuture;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{
-    HeaderMap, Method, Request, Response, StatusCode, Uri, Version,
+    HeaderMap, Method, Request, Response, Uri, Version,
     body::Incoming,
-    header::{self, HeaderName, HeaderValue},
+    header::{self, HeaderValue},
     http::response::Parts,
 };
 use tokio::time::{Instant, interval_at, timeout_at};
 
 use super::{
     Core,
+    admit::{account, take_quota},
     answer::{Ended, Failure, NotRun, respond},
     events::EventCutter,
+    heads::{host, promises_not_run, without_connection_headers},
     relay::{FIRST_LOOK, NEXT_LOOKS, Relay, Resumable, Resume, Resumed, Source},
     upstreams::Flight,
 };
@@ -28,21 +30,8 @@
         Clock, Forwarding, Platform, PromptFacts, RequestFacts, Sent, UpstreamError,
         UpstreamErrorKind,
     },
-    wire::{Body, ReserveRequest},
 };
 
-/// Headers that concern one connection only.
-const CONNECTION_HEADERS: [HeaderName; 8] = [
-    header::CONNECTION,
-    HeaderName::from_static("keep-alive"),
-    HeaderName::from_static("proxy-connection"),
-    header::PROXY_AUTHENTICATE,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-];
-
 /// Upstreams that have no room or no connection and are tried for one request. Such an attempt does
 /// not run, so this bounds the search only.
 const MOST_REFUSED: usize = 3;
@@ -52,8 +41,6 @@
 const FIRST_BYTE_TARGETS: u32 = 3;
 /// Shortest such silence.
 const FIRST_BYTE_LEAST: Duration = Duration::from_millis(800);
-/// Longest wait for the leader's reserve of a quota; many times a round trip between zones.
-const RESERVE_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Answers one request.
 pub(super) async fn answer<P: Platform, T: Clock>(
@@ -512,88 +499,12 @@
     }
 }
 
-/// Returns the account that holds the request's key, or nothing if the route needs none.
-fn account(
-    table: &RouteIndex,
-    route: &Route,
-    facts: &RequestFacts,
-) -> Result<Option<AccountName>, Ended> {
-    if route.public || table.table.accounts.is_empty() {
-        return Ok(None);
-    }
-    let key = facts.key.as_deref().ok_or(Failure::UnknownKey)?;
-    let account = table.account(key).ok_or(Failure::UnknownKey)?;
-    Ok(Some(account.name.clone()))
-}
-
-/// Takes a request's units out of this gateway's part of the quota, or out of the leader's reserve.
-async fn take_quota<P: Platform, T: Clock>(
-    core: &Core<P, T>,
-    account: &AccountName,
-    facts: &RequestFacts,
-) -> Result<(), NotRun> {
-    let taken = core
-        .quotas
-        .take(account, facts.prompt.as_ref(), Instant::now());
-    let Err(short) = taken else {
-        return Ok(());
-    };
-    let Some(leader) = core.leader.load_full() else {
-        return Err(NotRun::OverQuota(short.wait));
-    };
-    let request = Body::ReserveRequest(ReserveRequest {
-        account: account.to_string(),
-        units: short.units,
-        per_second: short.reserve.per_second,
-        saved: short.reserve.saved,
-    });
-    match leader.call(request, RESERVE_TIMEOUT).await {
-        Ok(Body::ReserveReply(reply)) if reply.granted => Ok(()),
-        Ok(Body::ReserveReply(reply)) => {
-            let wait = short.wait.min(Duration::from_millis(reply.wait_ms));
-            Err(NotRun::OverQuota(wait))
-        }
-        Ok(_) | Err(_) => Err(NotRun::OverQuota(short.wait)),
-    }
-}
-
 /// Requests that share all but the last part of their prompts have one home.
 fn home(prompt: &PromptFacts) -> u64 {
     let shared = prompt.parts.len().saturating_sub(2);
     prompt.parts.get(shared).map_or(0, |part| part.hash)
 }
 
-fn promises_not_run(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::REQUEST_TIMEOUT
-            | StatusCode::MISDIRECTED_REQUEST
-            | StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::SERVICE_UNAVAILABLE
-    )
-}
-
-fn host<B>(req: &Request<B>) -> Option<&str> {
-    match req.headers().get(header::HOST) {
-        Some(host) => host.to_str().ok(),
-        None => req.uri().host(),
-    }
-}
-
-fn without_connection_headers(mut headers: HeaderMap) -> HeaderMap {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named.iter().chain(&CONNECTION_HEADERS) {
-        headers.remove(name);
-    }
-    headers
-}
-
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -1,6 +1,7 @@
 //! A gateway that serves published routes: it passes requests to the upstreams of their route's service
 //! and the answers back, both unchanged. See docs/PLATFORM.md.
 
+mod admit;
 mod answer;
 mod budget;
 mod counters;
@@ -8,6 +9,7 @@
 mod events;
 mod follow;
 mod forward;
+mod heads;
 mod quota;
 mod relay;
 mod upstreams;
