--- a/src/ingress/forward.rs
+++ b/src/ingress/forward.rs
@@ -245,7 +245,6 @@
                 }
                 Err(Attempt::MayHaveRun(failure)) => {
                     self.attempts += 1;
-
                     if !self.route.class.may_repeat() || self.is_exhausted() {
                         return Err(failure.into());
                     }
@@ -338,8 +337,7 @@
     /// Returns until when an upstream may be silent. If the request may be repeated, some time is kept
     /// for another one.
     fn patience(&self, now: Instant) -> Instant {
-        let may_repeat = self.route.class.may_repeat();
-        if !may_repeat || self.tried.len() >= self.route.max_attempts as usize {
+        if !self.route.class.may_repeat() || self.is_exhausted() {
             return self.deadline;
         }
         let patience = (self.route.target * FIRST_BYTE_TARGETS).max(FIRST_BYTE_LEAST);
