Take out what nothing uses on the path of published routes

A notification that nothing waited for, with a comment that promised more than the code did (a gateway that closes is heard of with its next question, within 0.7 s); two lookups of the table that nothing called; the time since a gateway was heard of, written out beside its method. Behaviour is unchanged.

--- a/src/controller/followers.rs
+++ b/src/controller/followers.rs
@@ -87,9 +87,8 @@
             return false;
         };
         let before = self.gateways.get(&record.name);
-        let changed = before.is_none_or(|known| {
-            known.record != *record || now.saturating_sub(known.heard) > GONE_AFTER
-        });
+        let changed =
+            before.is_none_or(|known| known.record != *record || known.silence(now) > GONE_AFTER);
         let follower = self
             .gateways
             .entry(record.name.clone())
@@ -130,7 +129,7 @@
         let mut gateways: Vec<_> = self
             .gateways
             .values()
-            .filter(|known| now.saturating_sub(known.heard) <= GONE_AFTER)
+            .filter(|known| known.silence(now) <= GONE_AFTER)
             .map(|known| known.record.clone())
             .collect();
         gateways.sort_unstable_by(|a, b| a.name.cmp(&b.name));
--- a/src/domain/routes.rs
+++ b/src/domain/routes.rs
@@ -301,20 +301,10 @@
         }
     }
 
-    /// Returns whether a host has any route.
-    pub fn knows_host(&self, host: &str) -> bool {
-        self.places.contains_key(host)
-    }
-
     /// Returns the account that holds a key.
     pub fn account(&self, key: &str) -> Option<&KeyedAccount> {
         self.table.accounts.get(*self.keys.get(key)?)
     }
-
-    /// Returns a service by its name.
-    pub fn service(&self, name: &ServiceName) -> Option<&RoutedService> {
-        self.table.services.iter().find(|s| s.name == *name)
-    }
 }
 
 impl Route {
--- a/src/ingress/follow.rs
+++ b/src/ingress/follow.rs
@@ -6,15 +6,12 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, PoisonError,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, Ordering},
     },
     time::Duration,
 };
 
-use tokio::{
-    sync::Notify,
-    time::{Instant, sleep},
-};
+use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
 use super::Core;
@@ -53,8 +50,6 @@
         fetching: AtomicBool::new(false),
         list: Mutex::default(),
         controllers: Mutex::default(),
-        changed: Notify::new(),
-        announced: AtomicU64::new(0),
     });
     loop {
         let settings = Arc::clone(&reloaded.borrow_and_update());
@@ -77,8 +72,6 @@
     list: Mutex<crate::wire::ListVersion>,
     /// What each controller said last of the gateways, by the controller's name.
     controllers: Mutex<HashMap<String, Heard>>,
-    changed: Notify,
-    announced: AtomicU64,
 }
 
 struct Heard {
@@ -154,14 +147,8 @@
             .get(name)
             .map_or(0, |heard| heard.roster.version);
         drop(controllers);
-        let record = self.core.record();
-        let announced = u64::from(record.open);
-        // Every controller must hear of a change at once, not when its question comes around.
-        if self.announced.swap(announced, Ordering::Relaxed) != announced {
-            self.changed.notify_waiters();
-        }
         Follow {
-            gateway: Some(record),
+            gateway: Some(self.core.record()),
             held_version: self.core.routes.load().table.version,
             held_list: Some(*self.list.lock().unwrap_or_else(PoisonError::into_inner)),
             held_roster,
--- a/src/ports/platform.rs
+++ b/src/ports/platform.rs
@@ -167,6 +167,6 @@
     /// Reads the head of an upstream's answer.
     fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerFacts;
 
-    /// Returns the identifier that answers to a request bear, as a header of a refusal.
+    /// Adds to a refusal which request it answers, and after which time the caller may come back.
     fn mark_refusal(&self, headers: &mut HeaderMap, id: &str, retry_after: Option<Duration>);
 }
