Apply the table's time limit for heads, and new limits to open connections

Cause: hyper counts the wait for a head and its arrival as one time, fixed when a connection opens. A head that trickled in held its connection for as long as connections may be idle, and a new table's limits reached only new connections.

Change: a caller's stream knows whether its connection is idle, in a head or in a request, and ends the wait for bytes as the options in force say. The two new tests of platform_path fail without it.

--- /dev/null
+++ b/benches/ingress.rs
@@ -0,0 +1,139 @@
+//! Processor time of a gateway on the users' platform: idle, for each plain request, for each event of a
+//! stream, and for the log lines of a request. A controller and a gateway are processes of their own;
+//! callers and servers share this one. docs/MEASUREMENTS.md holds the figures.
+
+#[path = "../tests/platform_support/mod.rs"]
+mod platform_support;
+
+use std::{
+    path::Path,
+    process::{Child, Command, Stdio},
+    time::{Duration, Instant},
+};
+
+use anyhow::Context;
+use hyper::{Method, StatusCode};
+use platform_support::{Act, Ground, Site, document};
+use tokio::task::JoinSet;
+
+const IDLE: Duration = Duration::from_secs(10);
+const CALLERS: usize = 8;
+/// A gateway's usual load on either user's machines, in requests a second.
+const USUAL_PER_SECOND: f64 = 50.0;
+const REQUESTS: usize = 1600;
+const STREAMS: usize = 400;
+const EVENTS: u64 = 100;
+/// Pause between the events of a stream, in which a gateway sleeps.
+const EVENT_PAUSE: Duration = Duration::from_millis(10);
+/// Clock ticks a second in `/proc/PID/stat`, fixed by the kernel's interface.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+#[tokio::main]
+async fn main() -> anyhow::Result<()> {
+    println!(
+        "level | role       | idle, ms of a core each second | us each request | us each event"
+    );
+    for level in ["info", "off"] {
+        measure(level).await?;
+    }
+    Ok(())
+}
+
+/// A process that is killed when it is dropped.
+struct Process(Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // Nothing is left to do about a process that has ended already.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+impl Process {
+    fn start(settings: &Path, level: &str) -> anyhow::Result<Self> {
+        let child = Command::new(env!("CARGO_BIN_EXE_flamingocroftd"))
+            .arg("--settings")
+            .arg(settings)
+            .env("RUST_LOG", level)
+            .stdout(Stdio::null())
+            .spawn()
+            .context("the daemon does not start")?;
+        Ok(Self(child))
+    }
+
+    fn cpu_seconds(&self) -> anyhow::Result<f64> {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.0.id()))?;
+        let (_, fields) = stat.rsplit_once(')').context("no name in the stat")?;
+        let fields: Vec<&str> = fields.split_whitespace().collect();
+        let ticks = |i: usize| -> anyhow::Result<f64> { Ok(fields[i].parse()?) };
+        Ok((ticks(11)? + ticks(12)?) / TICKS_PER_SECOND)
+    }
+}
+
+async fn measure(level: &str) -> anyhow::Result<()> {
+    let ground = Ground::prepare(2, |_, seen| match seen.path.as_str() {
+        "/resumed/x" => {
+            let event = |id| format!("id: {id}\ndata: seven tokens of an answer\n\n");
+            Act::Paced((1..=EVENTS).map(event).collect(), EVENT_PAUSE)
+        }
+        _ => Act::Answer(StatusCode::OK, vec![b'x'; 800]),
+    })
+    .await;
+    let controller = Process::start(&ground.controller_file, level)?;
+    let gateway = Process::start(&ground.gateway_file, level)?;
+    let site = ground.site();
+    site.publish(&document(1)).await;
+    let site = std::sync::Arc::new(site);
+
+    let before = (controller.cpu_seconds()?, gateway.cpu_seconds()?);
+    tokio::time::sleep(IDLE).await;
+    let per_second = 1e3 / IDLE.as_secs_f64();
+    let idle_controller = (controller.cpu_seconds()? - before.0) * per_second;
+    let idle_gateway = (gateway.cpu_seconds()? - before.1) * per_second;
+
+    let pause = Duration::from_secs_f64(CALLERS as f64 / USUAL_PER_SECOND);
+    let plain = work(&gateway, &site, "/safe/x", REQUESTS, pause).await? / REQUESTS as f64;
+    let none = Duration::ZERO;
+    let streamed = work(&gateway, &site, "/resumed/x", STREAMS, none).await? / STREAMS as f64;
+    let event = (streamed - plain) / EVENTS as f64;
+    println!("{level:<5} | controller | {idle_controller:>30.1} |                 |");
+    println!(
+        "{level:<5} | gateway    | {idle_gateway:>30.1} | {:>15.0} | {:>13.1}",
+        plain * 1e6,
+        event * 1e6
+    );
+    Ok(())
+}
+
+/// Sends requests, a few at a time and each caller with a pause after its answers, and returns the gateway's processor time in seconds.
+async fn work(
+    gateway: &Process,
+    site: &std::sync::Arc<Site>,
+    path: &'static str,
+    count: usize,
+    pause: Duration,
+) -> anyhow::Result<f64> {
+    let before = gateway.cpu_seconds()?;
+    let begun = Instant::now();
+    let mut callers = JoinSet::new();
+    for caller in 0..CALLERS {
+        let site = std::sync::Arc::clone(site);
+        callers.spawn(async move {
+            for i in 0..count / CALLERS {
+                let id = format!("{caller}-{i}");
+                let res = site.send(Method::POST, path, &id, "a prompt").await;
+                anyhow::ensure!(res.status == StatusCode::OK, "status {}", res.status);
+                anyhow::ensure!(res.body.is_ok(), "an answer broke off");
+                tokio::time::sleep(pause).await;
+            }
+            Ok(())
+        });
+    }
+    while let Some(result) = callers.join_next().await {
+        result??;
+    }
+    let spent = gateway.cpu_seconds()? - before;
+    eprintln!("{path}: {count} requests in {:?}", begun.elapsed());
+    Ok(spent)
+}
--- /dev/null
+++ b/src/adapters/http/caller.rs
@@ -0,0 +1,224 @@
+//! A caller's connection, which ends when a head takes too long to arrive or no request comes.
+//!
+//! hyper's own limit counts the wait for a head and its arrival as one, and is fixed for a connection.
+
+use std::{
+    io,
+    pin::Pin,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    task::{Context, Poll, Waker, ready},
+};
+
+use hyper::body::{Body, Frame, SizeHint};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+    time::{Instant, Sleep, sleep_until},
+};
+
+use super::ServerOptions;
+
+/// What a connection is at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// No byte of the next head has arrived.
+    Idle,
+    /// A part of a head has arrived.
+    Head,
+    /// A request is being answered.
+    Request,
+}
+
+/// What a connection is at, and since when.
+#[derive(Clone, Debug)]
+pub(super) struct Progress(Arc<Mutex<State>>);
+
+#[derive(Debug)]
+struct State {
+    phase: Phase,
+    since: Instant,
+    /// Wakes the reader, which waits for bytes without a limit during a request.
+    reader: Option<Waker>,
+}
+
+impl Progress {
+    pub(super) fn new() -> Self {
+        Self(Arc::new(Mutex::new(State {
+            phase: Phase::Idle,
+            since: Instant::now(),
+            reader: None,
+        })))
+    }
+
+    /// Notes that a head is whole. The request ends when what is returned is dropped.
+    pub(super) fn begin_request(&self) -> InRequest {
+        self.lock().enter(Phase::Request);
+        InRequest(self.clone())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn enter(&mut self, phase: Phase) {
+        self.phase = phase;
+        self.since = Instant::now();
+    }
+}
+
+/// A request that is being answered.
+pub(super) struct InRequest(Progress);
+
+impl Drop for InRequest {
+    fn drop(&mut self) {
+        let mut state = self.0.lock();
+        state.enter(Phase::Idle);
+        let reader = state.reader.take();
+        drop(state);
+        if let Some(reader) = reader {
+            reader.wake();
+        }
+    }
+}
+
+/// The body of an answer, which ends its request when it is dropped.
+pub(super) struct Answering<B> {
+    body: B,
+    _request: InRequest,
+}
+
+impl<B> Answering<B> {
+    pub(super) fn new(body: B, request: InRequest) -> Self {
+        Self {
+            body,
+            _request: request,
+        }
+    }
+}
+
+impl<B: Body + Unpin> Body for Answering<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// The stream of a caller's connection.
+pub(super) struct CallerStream<O> {
+    io: TcpStream,
+    progress: Progress,
+    /// Tells the limits in force.
+    options: Arc<O>,
+    timer: Option<Pin<Box<Sleep>>>,
+}
+
+impl<O: Fn() -> ServerOptions> CallerStream<O> {
+    pub(super) fn new(stream: TcpStream, progress: Progress, options: Arc<O>) -> Self {
+        Self {
+            io: stream,
+            progress,
+            options,
+            timer: None,
+        }
+    }
+
+    /// Returns when the wait for the next byte ends. During a request it has no end, and the reader is
+    /// woken when the request ends.
+    fn deadline(&self, cx: &Context<'_>) -> Option<Instant> {
+        let mut state = self.progress.lock();
+        match state.phase {
+            Phase::Idle => Some(state.since + (self.options)().idle_timeout),
+            Phase::Head => Some(state.since + (self.options)().head_timeout),
+            Phase::Request => {
+                state.reader = Some(cx.waker().clone());
+                None
+            }
+        }
+    }
+
+    /// Completes when the wait for the next byte is over.
+    fn poll_deadline(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        loop {
+            let Some(deadline) = self.deadline(cx) else {
+                return Poll::Pending;
+            };
+            let timer = self
+                .timer
+                .get_or_insert_with(|| Box::pin(sleep_until(deadline)));
+            if timer.deadline() != deadline {
+                timer.as_mut().reset(deadline);
+            }
+            ready!(timer.as_mut().poll(cx));
+            // The limits may have changed meanwhile.
+            if self.deadline(cx).is_some_and(|at| at <= Instant::now()) {
+                return Poll::Ready(());
+            }
+        }
+    }
+}
+
+impl<O: Fn() -> ServerOptions> AsyncRead for CallerStream<O> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let held = buf.filled().len();
+        if let Poll::Ready(result) = Pin::new(&mut self.io).poll_read(cx, buf) {
+            let mut state = self.progress.lock();
+            if buf.filled().len() > held && state.phase == Phase::Idle {
+                state.enter(Phase::Head);
+            }
+            drop(state);
+            return Poll::Ready(result);
+        }
+        ready!(self.poll_deadline(cx));
+        let message = "the caller sent no whole head in time";
+        Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, message)))
+    }
+}
+
+impl<O> AsyncWrite for CallerStream<O> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_shutdown(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.io.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write_vectored(cx, bufs)
+    }
+}
--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -3,6 +3,7 @@
 //! No request is ever sent again from here. A connection serves one exchange at a time, and one
 //! whose answer was not read to its end is closed; see docs/DESIGN.md.
 
+mod caller;
 mod client;
 mod cloud;
 mod connection;
--- a/src/adapters/http/server.rs
+++ b/src/adapters/http/server.rs
@@ -7,15 +7,17 @@
     Request, Response,
     body::{Body, Incoming},
     server::conn::http1,
-    service::Service,
+    service::{Service, service_fn},
 };
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::{
     net::{TcpListener, TcpStream},
     time::timeout,
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
+use super::caller::{Answering, CallerStream, Progress};
+
 /// Pause after a connection could not be accepted, for example without free descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Smallest buffer for a head that hyper takes, in bytes.
@@ -24,8 +26,10 @@
 /// How connections are served.
 #[derive(Clone, Debug)]
 pub struct ServerOptions {
-    /// Longest time until the next head has arrived, on an idle connection too.
+    /// Longest time that a connection stays open without a byte of a request.
     pub idle_timeout: Duration,
+    /// Longest time from a head's first byte to its last.
+    pub head_timeout: Duration,
     /// Largest head, in bytes.
     pub head_bytes: usize,
     /// Longest time that open connections may take to end after the stop.
@@ -36,17 +40,19 @@
     fn default() -> Self {
         Self {
             idle_timeout: Duration::from_secs(15),
+            head_timeout: Duration::from_secs(3),
             head_bytes: 16 * 1024,
             close_timeout: Duration::from_millis(500),
         }
     }
 }
 
-/// Serves until the token is cancelled. Connections then end after the answer that they are at. Each
-/// new connection is served as the options then say.
+/// Serves until the token is cancelled. Connections then end after the answer that they are at. A
+/// connection takes the time limits in force whenever it begins to wait, and the largest head when it
+/// opens.
 pub async fn serve<S, B>(
     listener: TcpListener,
-    options: impl Fn() -> ServerOptions,
+    options: impl Fn() -> ServerOptions + Send + Sync + 'static,
     service: S,
     stop: CancellationToken,
 ) where
@@ -55,11 +61,12 @@
         + Sync
         + 'static,
     S::Future: Future + Send + 'static,
-    B: Body + Send + 'static,
+    B: Body + Send + Unpin + 'static,
     B::Data: Send,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     let service = Arc::new(service);
+    let options = Arc::new(options);
     let tasks = TaskTracker::new();
     let closed = CancellationToken::new();
     loop {
@@ -69,7 +76,12 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                let served = connection(stream, options(), Arc::clone(&service), stop.clone());
+                let served = connection(
+                    stream,
+                    Arc::clone(&options),
+                    Arc::clone(&service),
+                    stop.clone(),
+                );
                 tasks.spawn(closed.clone().run_until_cancelled_owned(served));
             }
             Err(e) => {
@@ -93,18 +105,19 @@
     }
 }
 
-async fn connection<S, B>(
+async fn connection<S, B, O>(
     stream: TcpStream,
-    options: ServerOptions,
+    options: Arc<O>,
     service: Arc<S>,
     stop: CancellationToken,
 ) where
+    O: Fn() -> ServerOptions,
     S: Service<Request<Incoming>, Response = Response<B>, Error = Infallible>
         + Send
         + Sync
         + 'static,
     S::Future: Send + 'static,
-    B: Body + Send + 'static,
+    B: Body + Send + Unpin + 'static,
     B::Data: Send,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
@@ -112,11 +125,20 @@
         log::debug!("http: a connection ended before it was served: {e}.");
         return;
     }
+    let progress = Progress::new();
+    let head_bytes = options().head_bytes.max(SMALLEST_BUFFER);
+    let io = TokioIo::new(CallerStream::new(stream, progress.clone(), options));
+    let service = service_fn(move |req| {
+        let request = progress.begin_request();
+        let answer = service.call(req);
+        async move {
+            let res = answer.await?;
+            Ok::<_, Infallible>(res.map(|body| Answering::new(body, request)))
+        }
+    });
     let served = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(options.idle_timeout)
-        .max_buf_size(options.head_bytes.max(SMALLEST_BUFFER))
-        .serve_connection(TokioIo::new(stream), service);
+        .max_buf_size(head_bytes)
+        .serve_connection(io, service);
     let mut served = std::pin::pin!(served);
     let result = tokio::select! {
         result = served.as_mut() => result,
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -161,6 +161,7 @@
             let limits = core.routes.load().table.limits;
             ServerOptions {
                 idle_timeout: limits.idle_timeout,
+                head_timeout: limits.head_timeout,
                 head_bytes: limits.head_bytes,
                 close_timeout: CLOSE_BEFORE_END / 2,
             }
--- a/tests/platform_deploy.rs
+++ b/tests/platform_deploy.rs
@@ -2,7 +2,13 @@
 
 use std::{fs, path::Path};
 
-use flamingocroft::settings::{Role, Settings};
+use bytes::Bytes;
+use flamingocroft::{
+    domain::{RequestClass, RouteIndex, RoutedService},
+    platform::Api,
+    ports::Platform,
+    settings::{Role, Settings, Timing},
+};
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
@@ -10,23 +16,11 @@
     fs::read_to_string(Path::new(env!("CARGO_MANIFEST_DIR")).join(path)).unwrap()
 }
 
-fn fields(bootstrap: bool) -> Value {
-    json!({
-        "Ip": "10.1.0.14", "Zone": "zarzis", "DataDir": "/data/controller", "Bootstrap": bootstrap,
-        "Listen": {
-            "Front": "10.1.0.14:8221", "Ready": "10.1.0.14:8224",
-            "Directory": "10.1.0.14:8220", "Control": "10.1.0.14:8229",
-        },
-        "PortRange": [7600, 7615],
-        "Seeds": ["10.1.0.17:8229", "10.2.0.7:8229", "10.3.0.36:8229"],
-        "FaultTolerance": { "Machines": 2 },
-        "CloudApi": { "Address": "10.200.0.35:8225" },
-        "Bounds": {
-            "GraceS": 8, "RetryBudgetRatio": 0.2, "BudgetSlack": 56, "BudgetWindowS": 10,
-            "QuotaWindowS": 8, "QuotaOverage": 0.1, "QuotaSlack": 110_000, "UsageWindowS": 5,
-            "LeaseMs": 3000,
-        },
-    })
+const USERS: [&str; 2] = ["sabkha", "woolstead"];
+
+/// Reads what the platform tells a process on a user's machines.
+fn fields(user: &str) -> Value {
+    serde_json::from_str(&root(&format!("examples/{user}/platform-fields.json"))).unwrap()
 }
 
 fn text(value: &Value) -> String {
@@ -67,29 +61,55 @@
     out
 }
 
-fn settings(template: &str, bootstrap: bool) -> Settings {
+fn settings(template: &str, fields: &Value) -> Settings {
     let folder = TempDir::new().unwrap();
     let file = folder.path().join("settings.jsonc");
-    fs::write(&file, render(&root(template), &fields(bootstrap))).unwrap();
+    fs::write(&file, render(&root(template), fields)).unwrap();
     Settings::read_without_files(&file).unwrap()
 }
 
 #[test]
 fn both_templates_render_to_valid_settings() {
-    let gateway = settings("deploy/gateway.jsonc", true);
-    assert_eq!(gateway.role, Role::Gateway);
-    assert_eq!(gateway.controllers.len(), 3);
-    let ingress = gateway.ingress.unwrap();
-    assert_eq!(ingress.quota_rule().window.unwrap().as_secs(), 8);
-    assert_eq!(ingress.usage_window.unwrap().as_secs(), 5);
-    let controller = settings("deploy/controller.jsonc", false);
-    assert_eq!(controller.role, Role::Controller);
-    assert_eq!(
-        (controller.bootstrap, controller.tolerated_losses),
-        (false, 2)
-    );
-    assert_eq!(controller.controllers.len(), 4, "this one is no seed");
-    assert!(controller.ingress.unwrap().engine_tokens_per_ms.is_some());
+    for user in USERS {
+        let mut fields = fields(user);
+        let gateway = settings("deploy/gateway.jsonc", &fields);
+        assert_eq!(gateway.role, Role::Gateway);
+        assert_eq!(gateway.controllers.len(), 3);
+        let ingress = gateway.ingress.unwrap();
+        assert_eq!(ingress.quota_rule().window.unwrap().as_secs(), 8);
+        assert_eq!(ingress.usage_window.unwrap().as_secs(), 5);
+        fields["Bootstrap"] = json!(false);
+        fields["FaultTolerance"]["Machines"] = json!(2);
+        let controller = settings("deploy/controller.jsonc", &fields);
+        assert_eq!(controller.role, Role::Controller);
+        assert_eq!(
+            (controller.bootstrap, controller.tolerated_losses),
+            (false, 2)
+        );
+        assert_eq!(controller.controllers.len(), 4, "this one is no seed");
+        assert!(controller.ingress.unwrap().engine_tokens_per_ms.is_some());
+    }
+}
+
+#[test]
+fn the_example_tables_are_valid_and_have_every_class() {
+    for user in USERS {
+        let table = root(&format!("examples/{user}/table.json"));
+        let api = Api::new("127.0.0.1:1".parse().unwrap(), &Timing::default());
+        let table = RouteIndex::new(api.read_table(&Bytes::from(table)).unwrap());
+        let classes: Vec<_> = table.table.routes.iter().map(|route| route.class).collect();
+        for class in [
+            RequestClass::Idempotent,
+            RequestClass::NonIdempotent,
+            RequestClass::Stream,
+            RequestClass::ResumableStream,
+        ] {
+            assert!(classes.contains(&class), "{user}: {class:?}");
+        }
+        let scaled = |service: &&RoutedService| service.scaling.is_some();
+        assert_eq!(table.table.services.iter().filter(scaled).count(), 1);
+        assert_eq!(table.table.accounts.len(), 5);
+    }
 }
 
 #[test]
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -349,6 +349,69 @@
     assert!(site.log.seen().is_empty());
 }
 
+/// A head of any length of time would hold a connection for as long as its sender likes.
+#[tokio::test]
+async fn a_head_that_takes_too_long_ends_its_connection() {
+    let site = Site::start(1, ok).await;
+    let mut limited = document(1);
+    limited["Limits"]["HeaderTimeoutMs"] = serde_json::json!(400);
+    site.publish(&limited).await;
+    let mut slow = TcpStream::connect(site.front).await.unwrap();
+    // Time without a byte of a head is idle time.
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let begun = Instant::now();
+    let trickle = async {
+        for byte in b"GET /safe/x HTTP/1.1\r\nHost: depot.example\r\n"
+            .iter()
+            .cycle()
+        {
+            if slow.write_all(&[*byte]).await.is_err() {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(platform_support::PATIENCE, trickle)
+        .await
+        .expect("the connection stays open");
+    let took = begun.elapsed();
+    assert!(took >= Duration::from_millis(350), "{took:?}");
+    assert!(took < Duration::from_millis(1500), "{took:?}");
+    assert!(site.log.seen().is_empty());
+}
+
+#[tokio::test]
+async fn open_connections_get_the_limits_of_a_new_table() {
+    let site = Site::start(1, ok).await;
+    site.publish(&document(1)).await;
+    let mut open = TcpStream::connect(site.front).await.unwrap();
+    let head = format!(
+        "GET /safe/x HTTP/1.1\r\nHost: depot.example\r\nAuthorization: Bearer {}\r\n\r\n",
+        platform_support::KEY
+    );
+    open.write_all(head.as_bytes()).await.unwrap();
+    let mut limited = document(2);
+    limited["Limits"]["IdleTimeoutMs"] = serde_json::json!(300);
+    // Without a key, requests on this route show which table is in force.
+    limited["Routes"][0]["Public"] = serde_json::json!(true);
+    site.publish(&limited).await;
+    until("the new table is in force", || async {
+        let headers = [("host", "depot.example")];
+        let res = call(site.front, Method::GET, "/safe/x", &headers, "").await;
+        res.is_some_and(|res| res.status == StatusCode::OK)
+    })
+    .await;
+    // A connection takes the limits in force when it begins to wait, here after this answer.
+    open.write_all(head.as_bytes()).await.unwrap();
+    let mut answers = Vec::new();
+    tokio::time::timeout(Duration::from_secs(5), open.read_to_end(&mut answers))
+        .await
+        .expect("the connection stays open")
+        .unwrap();
+    let answers = String::from_utf8(answers).unwrap();
+    assert_eq!(answers.matches("200 OK").count(), 2, "{answers}");
+}
+
 #[tokio::test]
 async fn a_gateway_that_is_stopped_leaves_the_addresses_and_serves_on_for_a_while() {
     let site = Site::start(1, ok).await;
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -7,7 +7,7 @@
     collections::HashMap,
     convert::Infallible,
     net::{IpAddr, Ipv4Addr, SocketAddr},
-    path::Path,
+    path::{Path, PathBuf},
     sync::{
         Arc, Mutex,
         atomic::{AtomicU32, AtomicUsize, Ordering},
@@ -69,6 +69,8 @@
     Stream { pieces: Vec<String>, whole: bool },
     /// Streams pieces, then nothing more, without an end.
     Stall(Vec<String>),
+    /// Streams pieces with a pause before each, then ends well.
+    Paced(Vec<String>, Duration),
 }
 
 /// A request as a server saw it.
@@ -128,16 +130,26 @@
     )
 }
 
-impl Site {
-    /// Starts an installation with some servers of the one service.
-    pub async fn start(
+/// The stand-ins and settings files of an installation whose processes do not run yet.
+pub struct Ground {
+    pub controller_file: PathBuf,
+    pub gateway_file: PathBuf,
+    host: Ipv4Addr,
+    gateway_host: Ipv4Addr,
+    log: Arc<Log>,
+    usage: Arc<Mutex<Vec<Value>>>,
+    folder: TempDir,
+}
+
+impl Ground {
+    /// Starts some servers of the one service, and the platform's API that lists them.
+    pub async fn prepare(
         servers: usize,
         script: impl Fn(usize, &Seen) -> Act + Send + Sync + 'static,
     ) -> Self {
         // All controllers and gateways use the same ports, so each has a host of its own.
         let (host, gateway_host) = (own_host(), own_host());
         let at = |port| SocketAddr::new(IpAddr::V4(host), port);
-        let gateway_at = |port| SocketAddr::new(IpAddr::V4(gateway_host), port);
         let log = Arc::new(Log::default());
         let script: Arc<Script> = Arc::new(script);
         let mut listed = Vec::new();
@@ -155,26 +167,53 @@
         let api = serve_platform(at(0), listed, Arc::clone(&usage)).await;
         let folder = TempDir::new().unwrap();
         std::fs::write(folder.path().join("peer.key"), PEER_KEY).unwrap();
-        let stop = CancellationToken::new();
-        let stop_gateway = stop.child_token();
-        let seed = at(7201);
-        let controller = settings(folder.path(), host, "controller", seed, api);
-        start_controller(controller, stop.clone()).await;
-        let gateway = settings(folder.path(), gateway_host, "gateway", seed, api);
-        let gateway = start_gateway(gateway, stop_gateway.clone(), stop.clone()).await;
+        let write = |host, role| write_settings(folder.path(), host, role, at(7201), api);
         Self {
-            control: seed,
+            controller_file: write(host, "controller"),
+            gateway_file: write(gateway_host, "gateway"),
+            host,
+            gateway_host,
+            log,
+            usage,
+            folder,
+        }
+    }
+
+    /// Returns the addresses of an installation whose processes were started with the files.
+    pub fn site(self) -> Site {
+        let gateway_at = |port| SocketAddr::new(IpAddr::V4(self.gateway_host), port);
+        let stop = CancellationToken::new();
+        Site {
+            control: SocketAddr::new(IpAddr::V4(self.host), 7201),
             front: gateway_at(7301),
             directory: gateway_at(7302),
             ready: gateway_at(7303),
-            log,
-            usage,
-            stop_gateway,
-            gateway: Mutex::new(Some(gateway)),
+            log: self.log,
+            usage: self.usage,
+            stop_gateway: stop.child_token(),
+            gateway: Mutex::new(None),
             stop,
-            folder,
+            folder: self.folder,
         }
     }
+}
+
+impl Site {
+    /// Starts an installation with some servers of the one service.
+    pub async fn start(
+        servers: usize,
+        script: impl Fn(usize, &Seen) -> Act + Send + Sync + 'static,
+    ) -> Self {
+        let ground = Ground::prepare(servers, script).await;
+        let read = |file: &Path| Arc::new(Settings::read(file).unwrap());
+        let controller = read(&ground.controller_file);
+        let gateway = read(&ground.gateway_file);
+        let site = ground.site();
+        start_controller(controller, site.stop.clone()).await;
+        let gateway = start_gateway(gateway, site.stop_gateway.clone(), site.stop.clone()).await;
+        *site.gateway.lock().unwrap() = Some(gateway);
+        site
+    }
 
     /// Publishes a document and waits until the gateway is ready with it.
     pub async fn publish(&self, document: &Value) {
@@ -298,13 +337,13 @@
     })
 }
 
-fn settings(
+fn write_settings(
     folder: &Path,
     host: Ipv4Addr,
     role: &str,
     seed: SocketAddr,
     api: SocketAddr,
-) -> Arc<Settings> {
+) -> PathBuf {
     let first = if role == "controller" { 7200 } else { 7300 };
     let text = json!({
         "name": host.to_string(),
@@ -331,7 +370,7 @@
     });
     let file = folder.join(format!("{role}.jsonc"));
     std::fs::write(&file, text.to_string()).unwrap();
-    Arc::new(Settings::read(&file).unwrap())
+    file
 }
 
 fn reloaded(settings: &Arc<Settings>) -> Reloaded {
@@ -520,6 +559,13 @@
             let end = futures_util::stream::pending().boxed();
             signed(Response::new(stream(pieces, end, busy)))
         }
+        Act::Paced(pieces, pause) => {
+            let frames = futures_util::stream::iter(pieces).then(move |piece| async move {
+                sleep(pause).await;
+                Ok(Frame::data(Bytes::from(piece)))
+            });
+            signed(Response::new(stream(Vec::new(), frames.boxed(), busy)))
+        }
     };
     if let Some(id) = id {
         res.headers_mut().insert("x-flamingocroft-request-id", id);
