--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -107,6 +107,8 @@
     pub log: Arc<Log>,
     pub usage: Arc<Mutex<Vec<Value>>>,
     pub stop_gateway: CancellationToken,
+    /// The metrics of the controller and of the gateway.
+    pub metrics: [Metrics; 2],
     /// The gateway, until a test takes it.
     pub gateway: Mutex<Option<Running>>,
     stop: CancellationToken,
@@ -191,6 +193,7 @@
             log: self.log,
             usage: self.usage,
             stop_gateway: stop.child_token(),
+            metrics: [(); 2].map(|()| Metrics::new().unwrap()),
             gateway: Mutex::new(None),
             stop,
             folder: self.folder,
@@ -209,8 +212,10 @@
         let controller = read(&ground.controller_file);
         let gateway = read(&ground.gateway_file);
         let site = ground.site();
-        start_controller(controller, site.stop.clone()).await;
-        let gateway = start_gateway(gateway, site.stop_gateway.clone(), site.stop.clone()).await;
+        let [of_controller, of_gateway] = &site.metrics;
+        start_controller(controller, of_controller, site.stop.clone()).await;
+        let stop = site.stop_gateway.clone();
+        let gateway = start_gateway(gateway, of_gateway, stop, site.stop.clone()).await;
         *site.gateway.lock().unwrap() = Some(gateway);
         site
     }
@@ -380,13 +385,13 @@
     rx
 }
 
-async fn start_controller(settings: Arc<Settings>, stop: CancellationToken) {
+async fn start_controller(settings: Arc<Settings>, metrics: &Metrics, stop: CancellationToken) {
     let ingress = settings.ingress.clone().unwrap();
     let ports = Ports {
         upstreams: Arc::new(HttpUpstreams::new(&settings.timing)),
         cloud: None::<Arc<flamingocroft::adapters::HttpCloud>>,
         clock: Arc::new(SystemClock::new()),
-        metrics: Metrics::new().unwrap(),
+        metrics: metrics.clone(),
     };
     let api = Arc::new(platform::Api::new(
         ingress.platform_address,
@@ -401,6 +406,7 @@
 
 async fn start_gateway(
     settings: Arc<Settings>,
+    metrics: &Metrics,
     stop: CancellationToken,
     end: CancellationToken,
 ) -> Running {
@@ -411,15 +417,7 @@
     ));
     let reloaded = reloaded(&settings);
     let clock = Arc::new(SystemClock::new());
-    let started = ingress::start(
-        settings,
-        reloaded,
-        api,
-        clock,
-        &Metrics::new().unwrap(),
-        stop,
-    )
-    .await;
+    let started = ingress::start(settings, reloaded, api, clock, metrics, stop).await;
     let (running, directory) = started.unwrap();
     let ready = TcpListener::bind(ingress.ready_address.unwrap())
         .await
