Explain a request from the gateways' logs

Cause: on call there are only logs and metrics, and explain asked gateways over an interface that published routes do not have.

--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -1,10 +1,10 @@
 //! `flamingocroft explain`.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, path::PathBuf};
 
 use clap::Args;
 
-use super::{CmdError, Options, Run, client::OperatorClient, output::table};
+use super::{CmdError, Options, Run, client::OperatorClient, logs, output::table};
 use crate::{
     domain::RequestId,
     operator::{Explanation, Status},
@@ -15,12 +15,17 @@
 pub(super) struct Explain {
     /// A request id, a revision number or an instance's name.
     subject: String,
+    /// Reads about a request in these logs, each of one daemon, and asks nobody.
+    #[arg(long, value_name = "FILE", num_args = 1..)]
+    logs: Vec<PathBuf>,
 }
 
 impl Run for Explain {
     async fn run(&self, options: &Options) -> Result<(), CmdError> {
-        let client = options.client()?;
-        let explanation = self.ask(&client).await?;
+        let explanation = match self.logs.as_slice() {
+            [] => self.ask(&options.client()?).await?,
+            files => logs::explain(&self.subject, files)?,
+        };
         options.output().show(&explanation, describe)
     }
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -17,6 +17,7 @@
 mod explain;
 mod history;
 mod key;
+mod logs;
 mod members;
 mod output;
 mod plan;
