--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -1,6 +1,9 @@
 //! One exchange: a connection, a request, the head of the answer, and its whole body.
 
-use std::time::Duration;
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -36,6 +39,8 @@
 pub(crate) struct Client {
     pool: Pool,
     connect_timeout: Duration,
+    opened: AtomicU64,
+    reused: AtomicU64,
 }
 
 /// The head of an answer, with the connection that the body comes from.
@@ -83,9 +88,21 @@
         Self {
             pool: Pool::default(),
             connect_timeout,
+            opened: AtomicU64::new(0),
+            reused: AtomicU64::new(0),
         }
     }
 
+    /// Returns how many connections were opened.
+    pub(crate) fn opened(&self) -> u64 {
+        self.opened.load(Ordering::Relaxed)
+    }
+
+    /// Returns how often an open connection was used again.
+    pub(crate) fn reused(&self) -> u64 {
+        self.reused.load(Ordering::Relaxed)
+    }
+
     /// Sends a request once and returns the head of its answer.
     pub(crate) async fn exchange(
         &self,
@@ -135,6 +152,7 @@
         if reuse == Reuse::Allowed {
             while let Some(mut connection) = idle.take() {
                 if connection.is_usable().await {
+                    self.reused.fetch_add(1, Ordering::Relaxed);
                     return Ok(Lease {
                         connection,
                         idle,
@@ -146,6 +164,7 @@
         let limit = deadline.saturating_duration_since(Instant::now());
         let limit = limit.min(self.connect_timeout);
         let connection = Connection::open(target.address, limit).await?;
+        self.opened.fetch_add(1, Ordering::Relaxed);
         Ok(Lease {
             connection,
             idle,
--- a/src/controller/core.rs
+++ b/src/controller/core.rs
@@ -1,6 +1,7 @@
 //! What all parts of a controller share.
 
 use std::{
+    collections::BTreeMap,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
@@ -18,6 +19,7 @@
     peers::Peers,
 };
 use crate::{
+    domain::FencingNumber,
     ports::Clock,
     settings::{ControllerEntry, Settings},
     state::{Action, Command},
@@ -44,6 +46,8 @@
     followers_changed: watch::Sender<u64>,
     fleet_changed: watch::Sender<u64>,
     heard: watch::Sender<u64>,
+    /// Fencing numbers of the duties that this controller holds.
+    duties: Mutex<BTreeMap<&'static str, FencingNumber>>,
     listed_term: AtomicU64,
 }
 
@@ -70,6 +74,7 @@
             followers_changed: watch::channel(0).0,
             fleet_changed: watch::channel(0).0,
             heard: watch::channel(0).0,
+            duties: Mutex::default(),
             listed_term: AtomicU64::new(0),
         }
     }
@@ -106,6 +111,11 @@
         self.followers_changed.subscribe()
     }
 
+    /// Returns the fencing numbers of the duties that this controller holds, for a short look or change.
+    pub fn duties(&self) -> MutexGuard<'_, BTreeMap<&'static str, FencingNumber>> {
+        self.duties.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Wakes those that wait for heartbeats.
     pub fn note_heartbeat(&self) {
         self.heard.send_modify(|count| *count += 1);
--- a/src/controller/driver.rs
+++ b/src/controller/driver.rs
@@ -199,9 +199,12 @@
     async fn write(&mut self, writes: Vec<Write>) -> anyhow::Result<Option<Batch>> {
         let store = self.parts.store.take();
         let mut store = store.context("the log is being written already")?;
+        let metrics = self.parts.metrics.clone();
         let mut written = tokio::task::spawn_blocking(move || {
             for write in writes {
+                let begun = Instant::now();
                 store.persist(write.hard_state, &write.entries, write.snapshot.as_ref())?;
+                metrics.sync(begun.elapsed());
             }
             Ok::<_, StoreError>(store)
         });
--- a/src/controller/duty.rs
+++ b/src/controller/duty.rs
@@ -38,18 +38,31 @@
     /// Returns the term and the holder if this controller may act now.
     pub(super) async fn hold<T: Clock>(&mut self, core: &Core<T>) -> Option<(u64, DutyHolder)> {
         if !core.leads() {
-            self.office = None;
+            if self
+                .office
+                .take()
+                .is_some_and(|office| office.holder.is_some())
+            {
+                log::info!(
+                    event = "duty.lost", duty = self.name;
+                    "controller: holds the duty {} no more", self.name
+                );
+                core.duties().remove(self.name);
+            }
             return None;
         }
         let term = core.fleet().term();
         let now = core.now();
         let office = match &mut self.office {
             Some(office) if office.term == term => office,
-            _ => self.office.insert(Office {
-                term,
-                since: now,
-                holder: None,
-            }),
+            _ => {
+                core.duties().remove(self.name);
+                self.office.insert(Office {
+                    term,
+                    since: now,
+                    holder: None,
+                })
+            }
         };
         // The holder before this one may still act until its own lease ends.
         if now < office.since + self.lease {
@@ -63,14 +76,18 @@
     }
 }
 
-async fn take_office<T: Clock>(core: &Core<T>, duty: &str) -> Option<DutyHolder> {
+async fn take_office<T: Clock>(core: &Core<T>, duty: &'static str) -> Option<DutyHolder> {
     match core.propose(Action::AllocateFence(AllocateFence {})).await {
         Ok(applied) => {
             let Reply::Fence(fence) = applied.reply else {
                 log::warn!("controller: the log gave no fencing number for {duty}.");
                 return None;
             };
-            log::info!("controller: holds the duty {duty} with fencing number {fence}.");
+            log::info!(
+                event = "duty.held", duty = duty, fence = fence.0;
+                "controller: holds the duty {duty}"
+            );
+            core.duties().insert(duty, fence);
             Some(DutyHolder {
                 name: Arc::clone(&core.settings.name),
                 fence,
--- a/src/controller/lister.rs
+++ b/src/controller/lister.rs
@@ -52,8 +52,14 @@
         if failing != failure.is_some() {
             failing = !failing;
             match failure {
-                Some(e) => log::warn!("controller: the list of upstreams cannot be read: {e}."),
-                None => log::info!("controller: the list of upstreams can be read again."),
+                Some(e) => log::warn!(
+                    event = "list.unreadable", term = term;
+                    "controller: the list of upstreams cannot be read: {e}"
+                ),
+                None => log::info!(
+                    event = "list.readable", term = term;
+                    "controller: the list of upstreams can be read again"
+                ),
             }
         }
     }
@@ -73,9 +79,9 @@
     }
     let list = followers.list();
     log::info!(
-        "controller: the list of upstreams changed, term {term}: {before} before, {} now, {} leaving.",
-        list.rows.len(),
-        list.rows.iter().filter(|row| row.leaving).count()
+        event = "list.changed", term = term, before = before, upstreams = list.rows.len(),
+        leaving = list.rows.iter().filter(|row| row.leaving).count();
+        "controller: the list of upstreams changed"
     );
     drop(followers);
     core.note_followers_change();
--- /dev/null
+++ b/src/controller/metrics.rs
@@ -0,0 +1,79 @@
+//! Metrics of a controller that publishes routes; docs/METRICS.md lists them.
+
+use std::sync::Arc;
+
+use super::core::Core;
+use crate::{
+    ports::Clock,
+    telemetry::{Counter, Metrics},
+};
+
+/// Counts what was done for a duty towards the platform.
+#[derive(Debug)]
+pub(super) struct DutyCounters {
+    /// Calls that the platform took.
+    pub(super) done: Counter,
+    /// Calls that it refused or did not answer.
+    pub(super) failed: Counter,
+}
+
+impl DutyCounters {
+    /// Makes the counters of a duty. Make them once for each duty in a process.
+    pub(super) fn new(metrics: &Metrics, duty: &'static str) -> Self {
+        let counter = |outcome| {
+            let labels = [("duty", duty), ("outcome", outcome)];
+            metrics.labelled_counter("controller_duty_calls", "Calls of duties.", &labels)
+        };
+        Self {
+            done: counter("done"),
+            failed: counter("failed"),
+        }
+    }
+}
+
+/// Shows how the controller stands and what it holds.
+pub(super) fn show_state<T: Clock>(core: &Arc<Core<T>>) {
+    let gauge = |name, help, read: fn(&Core<T>) -> u64| {
+        let core = Arc::clone(core);
+        core.metrics.clone().gauge(name, help, move || read(&core));
+    };
+    gauge(
+        "controller_leads",
+        "Whether this controller leads.",
+        |core| u64::from(core.leads()),
+    );
+    gauge("controller_term", "Newest term of the log.", |core| {
+        core.log.standing().term
+    });
+    gauge(
+        "controller_committed_index",
+        "Last committed index of the log.",
+        |core| core.log.standing().commit,
+    );
+    gauge(
+        "controller_table_version",
+        "Version of the published table in the log.",
+        |core| core.log.state().published().version,
+    );
+    gauge("controller_gateways", "Gateways heard of lately.", |core| {
+        core.followers().roster(core.now()).gateways.len() as u64
+    });
+    gauge(
+        "controller_upstreams",
+        "Upstreams in the list read last.",
+        |core| core.followers().list().rows.len() as u64,
+    );
+    let held = Arc::clone(core);
+    core.metrics.gauges(
+        "controller_duty_fence",
+        "Fencing number of each duty that this controller holds.",
+        "duty",
+        move || {
+            let duties = held.duties();
+            let fences = duties.iter();
+            fences
+                .map(|(duty, fence)| ((*duty).to_owned(), fence.0 as f64))
+                .collect()
+        },
+    );
+}
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -17,6 +17,7 @@
 mod leader;
 mod lister;
 mod log;
+mod metrics;
 mod operators;
 mod order_runner;
 pub mod orders;
@@ -89,6 +90,7 @@
     let ingress = ingress.context("ingress is missing; a controller that publishes needs it")?;
     let mut publisher = None;
     let running = start_with(settings, ports, stop, |core, tasks, stop| {
+        metrics::show_state(core);
         let every = ingress.list_interval;
         tasks.spawn(lister::run(
             Arc::clone(core),
--- a/src/controller/publisher.rs
+++ b/src/controller/publisher.rs
@@ -46,16 +46,19 @@
         // A quorum round, so that "already in force" is not the memory of a deposed leader.
         self.read().await?;
         if self.core.log.state().published().version >= version {
-            log::info!("controller: version {version} was published or overtaken before.");
+            log::info!(
+                event = "table.not_newer", version = version;
+                "controller: a table was published or overtaken before"
+            );
             return Ok(version);
         }
         let action = Action::Publish(Publish { version, document });
         let applied = self.core.propose(action).await;
         let applied = applied.map_err(|e| self.error(e))?;
         log::info!(
-            "controller: published version {version} at index {}, {} routes.",
-            applied.index,
-            table.routes.len()
+            event = "table.published", version = version, index = applied.index,
+            routes = table.routes.len();
+            "controller: a table is published"
         );
         Ok(version)
     }
--- a/src/controller/scaler.rs
+++ b/src/controller/scaler.rs
@@ -5,7 +5,7 @@
 use tokio::time::{MissedTickBehavior, interval, timeout};
 use tokio_util::sync::CancellationToken;
 
-use super::{core::Core, duty::Duty};
+use super::{core::Core, duty::Duty, metrics::DutyCounters};
 use crate::{
     domain::{EngineFacts, RouteTable, RoutedService, ScalingFacts, ServiceName, ZoneName},
     policy::scale::{self, EngineSize, NeedMeter, Ordered, Present, Use, Wanted, ZoneMarket},
@@ -32,8 +32,10 @@
     let Some(speed) = ingress.engine_tokens_per_ms else {
         return;
     };
+    let counters = DutyCounters::new(&core.metrics, "orders");
     let mut scaler = Scaler {
         core,
+        counters,
         platform,
         speed,
         duty: Duty::new("ordering upstreams", ingress.duty_lease),
@@ -61,6 +63,7 @@
     /// Prompt tokens that an engine reads in a millisecond.
     speed: f64,
     duty: Duty,
+    counters: DutyCounters,
     term: u64,
     table: RouteTable,
     services: HashMap<ServiceName, Scaled>,
@@ -159,11 +162,10 @@
             let here = present.get(&wanted.zone).copied().unwrap_or_default();
             if let Some(order) = self.next_order(&service.name, &wanted, here) {
                 log::info!(
-                    "controller: orders {} upstreams of {} in {}, reclaimable: {}; {needed:?} for {used:?}.",
-                    order.count,
-                    order.service,
-                    order.zone,
-                    order.reclaimable
+                    event = "order.sent", service:% = order.service, zone:% = order.zone,
+                    count = order.count, reclaimable = order.reclaimable, fence = holder.fence.0,
+                    needed:? = needed, used:? = used, present:? = here;
+                    "controller: orders upstreams"
                 );
                 self.order(holder, &order).await;
             }
@@ -227,21 +229,26 @@
             return;
         };
         let failure = match sent {
-            Ok(Ok(())) if order.reclaimable => {
-                return ordered.orders.reclaimable = Some(order.count);
+            Ok(Ok(())) => {
+                self.counters.done.add();
+                match order.reclaimable {
+                    true => ordered.orders.reclaimable = Some(order.count),
+                    false => ordered.orders.on_demand = Some(order.count),
+                }
+                return;
             }
-            Ok(Ok(())) => return ordered.orders.on_demand = Some(order.count),
             Ok(Err(e)) => e,
             Err(_) => CloudError::Unanswered("no answer in time".into()),
         };
+        self.counters.failed.add();
         ordered.paused_until = now + ORDER_PAUSE;
         if order.reclaimable && matches!(failure, CloudError::Refused(_)) {
             ordered.dry_until = now + DRY_FOR;
         }
         log::warn!(
-            "controller: the order of {} upstreams in {} is not taken: {failure}.",
-            order.count,
-            order.zone
+            event = "order.not_taken", service:% = order.service, zone:% = order.zone,
+            count = order.count, reclaimable = order.reclaimable;
+            "controller: an order of upstreams is not taken: {failure}"
         );
     }
 }
--- a/src/controller/usage.rs
+++ b/src/controller/usage.rs
@@ -6,7 +6,7 @@
 use tokio::time::{MissedTickBehavior, interval, timeout};
 use tokio_util::sync::CancellationToken;
 
-use super::{core::Core, duty::Duty};
+use super::{core::Core, duty::Duty, metrics::DutyCounters};
 use crate::{
     ports::{Clock, DutyHolder, Platform, WindowUsage},
     settings::Ingress,
@@ -33,8 +33,10 @@
     let Some(window) = ingress.usage_window else {
         return;
     };
+    let counters = DutyCounters::new(&core.metrics, "usage");
     let mut reporter = Reporter {
         core,
+        counters,
         platform,
         window,
         duty: Duty::new("usage reports", ingress.duty_lease),
@@ -59,6 +61,7 @@
     platform: Arc<P>,
     window: Duration,
     duty: Duty,
+    counters: DutyCounters,
     /// The term, and the last window that was sent in it.
     sent: Option<(u64, u64)>,
 }
@@ -118,15 +121,17 @@
             let answer = timeout(SEND_TIMEOUT, self.platform.report_usage(holder, &usage)).await;
             let failure = match answer {
                 Ok(Ok(())) => {
+                    self.counters.done.add();
                     sent = record.window;
                     continue;
                 }
                 Ok(Err(e)) => e.to_string(),
                 Err(_) => "the platform did not answer in time".to_owned(),
             };
+            self.counters.failed.add();
             log::warn!(
-                "controller: the usage of window {} is not reported yet: {failure}.",
-                record.window
+                event = "usage.not_reported", window = record.window, fence = holder.fence.0;
+                "controller: the usage of a window is not reported yet: {failure}"
             );
             break;
         }
--- a/src/ingress/budget.rs
+++ b/src/ingress/budget.rs
@@ -63,6 +63,17 @@
         self.with(service, |budget| budget.spend(&self.rule, gateways, now))
     }
 
+    /// Returns what is left of each service's budget here.
+    pub(super) fn left(&self, now: Instant) -> Vec<(String, f64)> {
+        let gateways = self.gateways.load(Ordering::Relaxed);
+        let now = now.duration_since(self.started);
+        let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
+        let left = |(service, budget): (&ServiceName, &mut WindowBudget)| {
+            (service.to_string(), budget.left(&self.rule, gateways, now))
+        };
+        services.iter_mut().map(left).collect()
+    }
+
     fn with<R>(&self, service: &ServiceName, act: impl FnOnce(&mut WindowBudget) -> R) -> R {
         let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
         act(services.entry(service.clone()).or_default())
--- /dev/null
+++ b/src/ingress/contacts.rs
@@ -0,0 +1,56 @@
+//! When each controller answered last, and which one said that it leads.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Mutex, MutexGuard, PoisonError},
+};
+
+use tokio::time::Instant;
+
+/// The controllers as a gateway hears them.
+#[derive(Debug, Default)]
+pub(super) struct Contacts(Mutex<State>);
+
+#[derive(Debug, Default)]
+struct State {
+    heard: BTreeMap<String, Instant>,
+    leader: Option<String>,
+}
+
+impl Contacts {
+    /// Notes an answer.
+    pub(super) fn hear(&self, controller: &str, leads: bool, now: Instant) {
+        let mut state = self.state();
+        match state.heard.get_mut(controller) {
+            Some(at) => *at = now,
+            None => {
+                state.heard.insert(controller.to_owned(), now);
+            }
+        }
+        if leads && state.leader.as_deref() != Some(controller) {
+            log::info!(
+                event = "controller.leads", controller = controller;
+                "ingress: controller {controller} leads"
+            );
+            state.leader = Some(controller.to_owned());
+        }
+    }
+
+    /// Returns for how many seconds each controller has been silent.
+    pub(super) fn silences(&self, now: Instant) -> Vec<(String, f64)> {
+        let state = self.state();
+        let heard = state.heard.iter();
+        heard
+            .map(|(name, at)| (name.clone(), now.duration_since(*at).as_secs_f64()))
+            .collect()
+    }
+
+    /// Returns the controller that said last that it leads.
+    pub(super) fn leader(&self) -> Option<String> {
+        self.state().leader.clone()
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/src/ingress/counters.rs
+++ b/src/ingress/counters.rs
@@ -1,26 +1,40 @@
 //! Metrics of an ingress gateway; docs/METRICS.md lists them.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::HashMap, sync::Arc};
+
+use tokio::time::Instant;
 
 use super::{
     Core,
     answer::{Ended, Failure, NotRun},
 };
 use crate::{
-    domain::{AccountName, TierName},
+    domain::{AccountName, RequestClass, TierName},
+    policy::route::Reason,
     ports::{Clock, Platform},
-    telemetry::{Counter, Metrics},
+    telemetry::{AccountMetrics, Counter, Metrics, Outcome},
 };
 
 /// Tier under which accounts of published tables are shown; these have no tiers.
 const NO_TIER: &str = "none";
+/// Account under which requests without one are shown.
+const NO_ACCOUNT: &str = "none";
+
+/// Classes of requests in metrics; requests without a route have none.
+const CLASSES: [(Option<RequestClass>, &str); 5] = [
+    (Some(RequestClass::Idempotent), "idempotent"),
+    (Some(RequestClass::NonIdempotent), "non_idempotent"),
+    (Some(RequestClass::Stream), "stream"),
+    (Some(RequestClass::ResumableStream), "resumable_stream"),
+    (None, "none"),
+];
 
 /// Counters of requests and attempts.
 #[derive(Debug)]
 pub(super) struct Counters {
     metrics: Metrics,
-    pub(super) answered: Counter,
-    pub(super) answered_failure: Counter,
+    requests: HashMap<(Option<RequestClass>, Outcome), Counter>,
+    choices: [Counter; Reason::ALL.len()],
     pub(super) attempts: Counter,
     pub(super) repeated: Counter,
     pub(super) not_executed: Counter,
@@ -30,7 +44,6 @@
     no_upstream: Counter,
     busy: Counter,
     too_late: Counter,
-    not_allowed: Counter,
     unclear: Counter,
     unanswered: Counter,
 }
@@ -38,13 +51,22 @@
 impl Counters {
     pub(super) fn new(metrics: &Metrics) -> Self {
         let counter = |name, help| metrics.counter(name, help);
+        let requests = CLASSES.into_iter().flat_map(|(class, name)| {
+            Outcome::ALL.map(|outcome| {
+                let labels = [("class", name), ("outcome", outcome.name())];
+                let help = "Requests by class of their route and outcome.";
+                let counter = metrics.labelled_counter("ingress_requests", help, &labels);
+                ((class, outcome), counter)
+            })
+        });
+        let choices = Reason::ALL.map(|reason| {
+            let help = "Choices of upstreams by reason.";
+            metrics.labelled_counter("ingress_choices", help, &[("reason", reason.name())])
+        });
         Self {
             metrics: metrics.clone(),
-            answered: counter("ingress_answered", "Requests answered with success."),
-            answered_failure: counter(
-                "ingress_answered_failure",
-                "Requests answered with an upstream's failure.",
-            ),
+            requests: requests.collect(),
+            choices,
             attempts: counter("ingress_attempts", "Requests sent to upstreams."),
             repeated: counter(
                 "ingress_attempts_repeated",
@@ -72,36 +94,57 @@
                 "Requests whose upstreams had no room.",
             ),
             too_late: counter("ingress_refused_too_late", "Requests whose time was over."),
-            not_allowed: counter(
-                "ingress_not_allowed",
-                "Requests that no route or key allows.",
-            ),
             unclear: counter("ingress_failed_unclear", "Requests whose end is not known."),
             unanswered: counter("ingress_failed_unanswered", "Requests answered too late."),
         }
     }
 
-    /// Counts a request that ended without an upstream's answer.
-    pub(super) fn ended(&self, ended: Ended) {
-        let counter = match ended {
-            Ended::NotRun(NotRun::OverQuota(_)) => &self.over_quota,
-            Ended::NotRun(NotRun::NoTable) => &self.no_table,
-            Ended::NotRun(NotRun::NoUpstream) => &self.no_upstream,
-            Ended::NotRun(NotRun::Busy | NotRun::Unreachable) => &self.busy,
-            Ended::NotRun(NotRun::TooLate | NotRun::BodySlow) => &self.too_late,
-            Ended::Failed(Failure::Unclear) => &self.unclear,
-            Ended::Failed(Failure::Unanswered) => &self.unanswered,
+    /// Counts the choice of an upstream.
+    pub(super) fn choice(&self, reason: Reason) {
+        self.choices[reason as usize].add();
+    }
+
+    /// Returns the metrics of an account, or those of requests without one.
+    pub(super) fn account(&self, account: Option<&AccountName>) -> AccountMetrics {
+        let none = AccountName::from(NO_ACCOUNT);
+        let tier = TierName::from(NO_TIER);
+        self.metrics.account(account.unwrap_or(&none), &tier)
+    }
+
+    /// Counts how a request ended.
+    pub(super) fn outcome(
+        &self,
+        class: Option<RequestClass>,
+        account: &AccountMetrics,
+        outcome: Outcome,
+    ) {
+        account.outcome(outcome);
+        if let Some(counter) = self.requests.get(&(class, outcome)) {
+            counter.add();
+        }
+    }
+
+    /// Counts why a request ended without an upstream's answer, and returns the outcome.
+    pub(super) fn ended(&self, ended: Ended) -> Outcome {
+        let (counter, outcome) = match ended {
+            Ended::NotRun(reason) => {
+                let counter = match reason {
+                    NotRun::OverQuota(_) => &self.over_quota,
+                    NotRun::NoTable => &self.no_table,
+                    NotRun::NoUpstream => &self.no_upstream,
+                    NotRun::Busy | NotRun::Unreachable => &self.busy,
+                    NotRun::TooLate | NotRun::BodySlow => &self.too_late,
+                };
+                (counter, Outcome::Refused)
+            }
+            Ended::Failed(Failure::Unclear) => (&self.unclear, Outcome::Failed),
+            Ended::Failed(Failure::Unanswered) => (&self.unanswered, Outcome::Failed),
             Ended::Failed(
                 Failure::NoRoute | Failure::UnknownKey | Failure::BodyTooLarge | Failure::BodyCut,
-            ) => &self.not_allowed,
+            ) => return Outcome::NotAllowed,
         };
         counter.add();
-    }
-
-    /// Records the time to the first byte of an account's answer.
-    pub(super) fn first_byte(&self, account: &AccountName, duration: Duration) {
-        let account = self.metrics.account(account, &TierName::from(NO_TIER));
-        account.first_token(duration);
+        outcome
     }
 }
 
@@ -131,4 +174,53 @@
         "Requests in progress at upstreams.",
         move || held.upstreams.in_progress() as u64,
     );
+    let held = Arc::clone(core);
+    metrics.gauges(
+        "ingress_controller_silence_seconds",
+        "Time since each controller answered last.",
+        "controller",
+        move || held.contacts.silences(Instant::now()),
+    );
+    let held = Arc::clone(core);
+    metrics.gauges(
+        "ingress_leader",
+        "The controller that said last that it leads.",
+        "controller",
+        move || {
+            held.contacts
+                .leader()
+                .map(|name| (name, 1.0))
+                .into_iter()
+                .collect()
+        },
+    );
+    let held = Arc::clone(core);
+    metrics.gauges(
+        "ingress_quota_part",
+        "This gateway's part of each account's quota.",
+        "account",
+        move || {
+            let parts = held.quotas.parts(Instant::now()).into_iter();
+            parts.map(|part| (part.account, part.value)).collect()
+        },
+    );
+    let held = Arc::clone(core);
+    metrics.gauges(
+        "ingress_retry_budget_left",
+        "Further attempts that this gateway may make now.",
+        "service",
+        move || held.budgets.left(Instant::now()),
+    );
+    let held = Arc::clone(core);
+    metrics.count(
+        "ingress_connections_opened",
+        "Connections opened to upstreams.",
+        move || held.client.opened(),
+    );
+    let held = Arc::clone(core);
+    metrics.count(
+        "ingress_connections_reused",
+        "Requests sent over a connection that was open.",
+        move || held.client.reused(),
+    );
 }
--- a/src/ingress/follow.rs
+++ b/src/ingress/follow.rs
@@ -114,15 +114,21 @@
                 in_touch = answered;
                 let table = self.core.routes.load();
                 match in_touch {
-                    true => log::info!("ingress: controller {name} answers."),
+                    true => log::info!(
+                        event = "controller.answers", controller = name;
+                        "ingress: controller {name} answers"
+                    ),
                     false => log::warn!(
-                        "ingress: controller {name} does not answer; version {} stays in force.",
-                        table.table.version
+                        event = "controller.silent", controller = name,
+                        version = table.table.version;
+                        "ingress: controller {name} does not answer; the table in force stays"
                     ),
                 }
             }
             match answer {
                 Ok(Body::FollowReply(reply)) => {
+                    let contacts = &self.core.contacts;
+                    contacts.hear(name, reply.leads, Instant::now());
                     if reply.leads {
                         self.core.quotas.lease(&reply.shares, asked);
                         self.core.leader.store(Some(Arc::new(link.clone())));
@@ -239,9 +245,10 @@
         match self.core.platform.read_table(&document.document) {
             Ok(table) if table.version > self.core.routes.load().table.version => {
                 log::info!(
-                    "ingress: version {} is in force, from controller {name}, {} routes.",
-                    table.version,
-                    table.routes.len()
+                    event = "table.in_force", version = table.version, controller = name,
+                    routes = table.routes.len(), accounts = table.accounts.len(),
+                    before = self.core.routes.load().table.version;
+                    "ingress: a table is in force"
                 );
                 self.core
                     .quotas
--- a/src/ingress/forward.rs
+++ b/src/ingress/forward.rs
@@ -6,7 +6,7 @@
 use futures_util::future::BoxFuture;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{
-    HeaderMap, Method, Request, Response, Uri, Version,
+    HeaderMap, Method, Request, Response, StatusCode, Uri, Version,
     body::Incoming,
     header::{self, HeaderValue},
     http::response::Parts,
@@ -19,7 +19,7 @@
     answer::{Ended, Failure, NotRun, respond},
     events::EventCutter,
     heads::{host, promises_not_run, without_connection_headers},
-    relay::{FIRST_LOOK, NEXT_LOOKS, Relay, Resumable, Resume, Resumed, Source},
+    relay::{FIRST_LOOK, NEXT_LOOKS, Relay, Resumable, Resume, Resumed, Source, Timing},
     upstreams::Flight,
 };
 use crate::{
@@ -30,6 +30,7 @@
         Clock, Forwarding, Platform, PromptFacts, RequestFacts, Sent, UpstreamError,
         UpstreamErrorKind,
     },
+    telemetry::{AccountMetrics, Outcome},
 };
 
 /// Upstreams that have no room or no connection and are tried for one request. Such an attempt does
@@ -50,18 +51,27 @@
     let arrived = Instant::now();
     let facts = core.platform.read_request(req.headers());
     let id = facts.id.clone().unwrap_or_default();
-    let mut res = match Passage::begin(Arc::clone(&core), req, facts, arrived).await {
+    let mut taking = Taking::new(&req);
+    let mut res = match Passage::begin(Arc::clone(&core), req, facts, arrived, &mut taking).await {
         Ok(mut passage) => match passage.run().await {
             Ok(accepted) => passage.pass(accepted),
             Err(ended) => passage.give_up(ended),
         },
         Err(ended) => {
+            let account = taking.account.as_ref();
             log::warn!(
                 event = "request.ended", request = id.as_str(), outcome:? = ended, attempts = 0,
+                host = &*taking.host, path = taking.uri.path(),
+                version = taking.version,
+                route = taking.route.as_ref().map_or("", |route| &*route.name),
+                account = account.map_or("", |account| account.as_str()),
                 ms = millis(arrived.elapsed());
                 "ingress: a request is not taken"
             );
-            core.counters.ended(ended);
+            let outcome = core.counters.ended(ended);
+            let class = taking.route.map(|route| route.class);
+            let account = core.counters.account(account);
+            core.counters.outcome(class, &account, outcome);
             respond(&*core.platform, &id, ended)
         }
     };
@@ -72,6 +82,28 @@
     res
 }
 
+/// What is known of a request until it is taken.
+struct Taking {
+    host: String,
+    uri: Uri,
+    /// The version of the table that it is looked up in.
+    version: u64,
+    route: Option<Route>,
+    account: Option<AccountName>,
+}
+
+impl Taking {
+    fn new(req: &Request<Incoming>) -> Self {
+        Self {
+            host: host(req).unwrap_or_default().to_owned(),
+            uri: req.uri().clone(),
+            version: 0,
+            route: None,
+            account: None,
+        }
+    }
+}
+
 /// A request that was taken.
 struct Passage<P, T> {
     core: Arc<Core<P, T>>,
@@ -79,6 +111,8 @@
     route: Route,
     service: ServiceName,
     account: Option<AccountName>,
+    /// The metrics of the account.
+    metrics: AccountMetrics,
     facts: RequestFacts,
     method: Method,
     uri: Uri,
@@ -111,6 +145,12 @@
             match found {
                 Ok(accepted) if accepted.head.status.is_success() => {
                     self.core.counters.resumed.add();
+                    log::info!(
+                        event = "stream.resumed", request = self.id(), after:? = after,
+                        upstream:% = accepted.source.flight.upstream.target.instance,
+                        attempt = self.tried.len();
+                        "ingress: a stream is taken up again"
+                    );
                     Some(Resumed {
                         source: accepted.source,
                         resume: self,
@@ -151,17 +191,20 @@
         req: Request<Incoming>,
         facts: RequestFacts,
         arrived: Instant,
+        taking: &mut Taking,
     ) -> Result<Self, Ended> {
         let table = core.routes.load_full();
-        if table.table.version == 0 {
+        taking.version = table.table.version;
+        if taking.version == 0 {
             return Err(NotRun::NoTable.into());
         }
-        let host = host(&req).unwrap_or_default();
         let route = table
-            .route(host, req.uri().path())
+            .route(&taking.host, taking.uri.path())
             .ok_or(Failure::NoRoute)?;
         let route = route.clone();
+        taking.route = Some(route.clone());
         let account = account(&table, &route, &facts)?;
+        taking.account.clone_from(&account);
         let draw = rand::random();
         let service = route.pick_service(draw).ok_or(Failure::NoRoute)?.clone();
         let patience = facts.patience.unwrap_or(route.timeout).min(route.timeout);
@@ -178,9 +221,11 @@
         if let Some(account) = &account {
             take_quota(&core, account, &facts).await?;
         }
+        let metrics = core.counters.account(account.as_ref());
         Ok(Self {
             core,
             table,
+            metrics,
             service,
             account,
             facts,
@@ -222,6 +267,7 @@
                 return Err(self.unless_run(NotRun::Busy));
             }
             self.core.counters.attempts.add();
+            self.core.counters.choice(flight.reason);
             if repeats {
                 self.core.counters.repeated.add();
             }
@@ -397,29 +443,6 @@
         if status.is_server_error() && self.route.class.may_repeat() && !self.is_exhausted() {
             return Err(Attempt::MayHaveRun(Failure::Unclear));
         }
-        let status_code = status.as_u16();
-        if let Some(account) = &self.account {
-            self.core
-                .counters
-                .first_byte(account, self.arrived.elapsed());
-        }
-        if status.is_success() {
-            self.core.counters.answered.add();
-            log::info!(
-                event = "request.answered", request = self.id(), route = &*self.route.name,
-                upstream:% = upstream.target.instance, status = status_code,
-                attempt = self.tried.len(), ms = millis(self.arrived.elapsed());
-                "ingress: a request is answered"
-            );
-        } else {
-            self.core.counters.answered_failure.add();
-            log::warn!(
-                event = "request.answered", request = self.id(), route = &*self.route.name,
-                upstream:% = upstream.target.instance, status = status_code,
-                attempt = self.tried.len(), ms = millis(self.arrived.elapsed());
-                "ingress: a request is answered with the upstream's failure"
-            );
-        }
         upstream.hear(now);
         let (head, body) = answer.res.into_parts();
         Ok(Accepted {
@@ -435,7 +458,13 @@
     /// Makes the answer for the caller.
     fn pass(self, accepted: Accepted) -> Response<Relay> {
         let Accepted { head, source } = accepted;
+        self.note_answer(head.status, &source.flight);
         let (deadline, id) = (self.deadline, self.id().to_owned());
+        let timing = Timing {
+            account: self.metrics.clone(),
+            arrived: self.arrived,
+            is_stream: self.route.class.is_stream(),
+        };
         // A length would not be that of a stream that is taken up again.
         let can_resume = self.route.class == RequestClass::ResumableStream
             && head.status.is_success()
@@ -444,12 +473,33 @@
             events: EventCutter::after(self.facts.resume_after),
             resume: Box::new(self),
         });
-        let mut res = Response::new(Relay::new(source, resumable, deadline, id));
+        let mut res = Response::new(Relay::new(source, resumable, deadline, id, timing));
         *res.status_mut() = head.status;
         *res.headers_mut() = without_connection_headers(head.headers);
         res
     }
 
+    fn note_answer(&self, status: StatusCode, flight: &Flight) {
+        let duration = self.arrived.elapsed();
+        self.metrics.first_token(duration);
+        let (level, outcome, message) = match status.is_success() {
+            true => (log::Level::Info, Outcome::Answered, "a request is answered"),
+            false => (
+                log::Level::Warn,
+                Outcome::UpstreamFailed,
+                "a request is answered with the upstream's failure",
+            ),
+        };
+        self.count(outcome);
+        log::log!(
+            level,
+            event = "request.answered", request = self.id(), route = &*self.route.name,
+            upstream:% = flight.upstream.target.instance, status = status.as_u16(),
+            attempt = self.tried.len(), choice = flight.reason.name(), ms = millis(duration);
+            "ingress: {message}"
+        );
+    }
+
     fn request(
         &self,
         instance: InstanceName,
@@ -484,10 +534,15 @@
             ms = millis(self.arrived.elapsed());
             "ingress: a request ends without an upstream's answer"
         );
-        self.core.counters.ended(ended);
+        self.count(self.core.counters.ended(ended));
         respond(&*self.core.platform, self.id(), ended)
     }
 
+    fn count(&self, outcome: Outcome) {
+        let class = Some(self.route.class);
+        self.core.counters.outcome(class, &self.metrics, outcome);
+    }
+
     fn left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
     }
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -4,6 +4,7 @@
 mod admit;
 mod answer;
 mod budget;
+mod contacts;
 mod counters;
 mod directory;
 mod events;
@@ -37,7 +38,8 @@
 use tokio_util::sync::CancellationToken;
 
 use self::{
-    budget::Budgets, counters::Counters, quota::Quotas, upstreams::Upstreams, usage::UsageCounter,
+    budget::Budgets, contacts::Contacts, counters::Counters, quota::Quotas, upstreams::Upstreams,
+    usage::UsageCounter,
 };
 use crate::{
     Running,
@@ -70,6 +72,7 @@
     budgets: Budgets,
     usage: UsageCounter,
     counters: Counters,
+    contacts: Contacts,
     /// The link to the controller that led last.
     leader: ArcSwapOption<Link>,
     /// Whether the process is being stopped.
@@ -132,6 +135,7 @@
         budgets: Budgets::new(&ingress),
         usage: UsageCounter::new(ingress.usage_window),
         counters: Counters::new(metrics),
+        contacts: Contacts::default(),
         leader: ArcSwapOption::empty(),
         leaving: AtomicBool::new(false),
         ingress,
--- a/src/ingress/relay.rs
+++ b/src/ingress/relay.rs
@@ -14,7 +14,7 @@
 use tokio::time::{Instant, Sleep, sleep_until};
 
 use super::{events::EventCutter, upstreams::Flight};
-use crate::adapters::http::Lease;
+use crate::{adapters::http::Lease, telemetry::AccountMetrics};
 
 /// Why a body ends early. The connection to the caller is then closed without its proper end.
 type Broken = Box<dyn Error + Send + Sync>;
@@ -61,8 +61,21 @@
     pub(super) resume: Box<dyn Resume>,
 }
 
+/// What is measured of an answer.
+#[derive(Debug)]
+pub(super) struct Timing {
+    pub(super) account: AccountMetrics,
+    /// When the request arrived.
+    pub(super) arrived: Instant,
+    /// Whether the answer is a series of events, whose pauses count.
+    pub(super) is_stream: bool,
+}
+
 struct Passing {
     id: String,
+    timing: Timing,
+    /// Whether a piece was passed on.
+    has_begun: bool,
     source: Option<Source>,
     deadline: Pin<Box<Sleep>>,
     resumable: Option<Resumable>,
@@ -92,10 +105,13 @@
         resumable: Option<Resumable>,
         deadline: Instant,
         id: String,
+        timing: Timing,
     ) -> Self {
         let first_look = resumable.as_ref().map(|_| Instant::now() + FIRST_LOOK);
         Self(Some(Box::new(Passing {
             id,
+            timing,
+            has_begun: false,
             source: Some(source),
             deadline: Box::pin(sleep_until(deadline)),
             silence: first_look.map(|at| Box::pin(sleep_until(at))),
@@ -216,6 +232,10 @@
     /// Notes that the upstream is alive.
     fn hear(&mut self) {
         let now = Instant::now();
+        if self.timing.is_stream && self.has_begun {
+            self.timing.account.between_tokens(now - self.heard);
+        }
+        self.has_begun = true;
         self.heard = now;
         if let Some(source) = &self.source {
             source.flight.upstream.hear(now);
@@ -255,6 +275,7 @@
 
     fn end(&mut self) {
         if let Some(source) = self.source.take() {
+            self.timing.account.answer(self.timing.arrived.elapsed());
             source.flight.upstream.trust();
             source.lease.give_back();
         }
--- a/src/ingress/upstreams.rs
+++ b/src/ingress/upstreams.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     domain::{Incarnation, InstanceName, RoutingWeights, ServiceName, ZoneName},
-    policy::route::{self, Candidate, Report, RouteRequest},
+    policy::route::{self, Candidate, Reason, Report, RouteRequest},
     ports::{ReportedLoad, Target},
     wire::{ServiceLoad, UpstreamList, UpstreamRow},
 };
@@ -184,6 +184,8 @@
 #[derive(Debug)]
 pub(super) struct Flight {
     pub(super) upstream: Arc<Upstream>,
+    /// Why this upstream was chosen.
+    pub(super) reason: Reason,
     all: Arc<Upstreams>,
 }
 
@@ -214,12 +216,21 @@
                 continue;
             };
             if upstream.leaving.swap(row.leaving, Ordering::Relaxed) != row.leaving {
-                log::info!("ingress: upstream {} is leaving.", row.instance);
+                log::info!(
+                    event = "upstream.leaving", upstream = row.instance.as_str(),
+                    service = row.service.as_str();
+                    "ingress: upstream {} is leaving", row.instance
+                );
             }
             let service = ServiceName::from(row.service.as_str());
             services.entry(service).or_default().push(upstream);
         }
-        log::info!("ingress: {} upstreams are listed.", list.rows.len());
+        let version = list.version.unwrap_or_default();
+        log::info!(
+            event = "list.in_force", term = version.term, sequence = version.sequence,
+            upstreams = list.rows.len();
+            "ingress: a list of upstreams is in force"
+        );
         self.services.store(Arc::new(services));
     }
 
@@ -245,7 +256,8 @@
             .iter()
             .map(|upstream| upstream.candidate(is_engine, now))
             .collect();
-        let chosen = route::choose(req, &candidates, &RoutingWeights::default())?;
+        let weights = RoutingWeights::default();
+        let (chosen, reason) = route::choose_with_reason(req, &candidates, &weights)?;
         let upstream = Arc::clone(usable[chosen]);
         let was_idle = upstream.in_flight.fetch_add(1, Ordering::Relaxed) == 0;
         let mut load = upstream.load();
@@ -261,6 +273,7 @@
         });
         Some(Flight {
             upstream,
+            reason,
             all: Arc::clone(self),
         })
     }
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -128,16 +128,21 @@
     /// Takes one further attempt out. Returns whether there was one, if the slack is shared among some
     /// gateways.
     pub fn spend(&mut self, rule: &BudgetRule, gateways: usize, now: Duration) -> bool {
-        self.forget(rule, now);
-        let earned = rule.ratio * USED_RATIO * self.requests.len() as f64;
-        let slack = rule.slack * USED_SLACK / gateways.max(1) as f64;
-        if self.repeats.len() as f64 + 1.0 > earned + slack {
+        if self.left(rule, gateways, now) < 1.0 {
             return false;
         }
         self.repeats.push_back(now);
         true
     }
 
+    /// Returns how many further attempts may be made now.
+    pub fn left(&mut self, rule: &BudgetRule, gateways: usize, now: Duration) -> f64 {
+        self.forget(rule, now);
+        let earned = rule.ratio * USED_RATIO * self.requests.len() as f64;
+        let slack = rule.slack * USED_SLACK / gateways.max(1) as f64;
+        earned + slack - self.repeats.len() as f64
+    }
+
     fn forget(&mut self, rule: &BudgetRule, now: Duration) {
         for times in [&mut self.requests, &mut self.repeats] {
             let is_old = |at: &Duration| now.saturating_sub(*at) > rule.window;
--- a/src/policy/route.rs
+++ b/src/policy/route.rs
@@ -70,6 +70,31 @@
     pub home: u64,
 }
 
+/// Why a candidate was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// It is the home of the conversation.
+    Home,
+    /// It is the best of those that cost less than the home.
+    Cheaper,
+    /// All candidates are suspect; this one is the best of them.
+    AllSuspect,
+}
+
+impl Reason {
+    /// All reasons, in the order of their numbers.
+    pub const ALL: [Self; 3] = [Self::Home, Self::Cheaper, Self::AllSuspect];
+
+    /// Returns the name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Home => "home",
+            Self::Cheaper => "cheaper",
+            Self::AllSuspect => "all_suspect",
+        }
+    }
+}
+
 /// Returns the position of the best candidate, or nothing if there is none.
 ///
 /// Suspects are chosen only when all candidates are suspect.
@@ -78,6 +103,15 @@
     candidates: &[Candidate],
     weights: &RoutingWeights,
 ) -> Option<usize> {
+    choose_with_reason(req, candidates, weights).map(|(position, _)| position)
+}
+
+/// Like [`choose`], and says why.
+pub fn choose_with_reason(
+    req: &RouteRequest,
+    candidates: &[Candidate],
+    weights: &RoutingWeights,
+) -> Option<(usize, Reason)> {
     let all_suspect = candidates.iter().all(|c| c.suspect);
     let usable = |c: &Candidate| all_suspect || !c.suspect;
     let mean = Means::of(candidates.iter().filter(|c| usable(c)));
@@ -96,10 +130,16 @@
     let cheapest = rated.iter().map(Rated::cost).min_by(f64::total_cmp)?;
     let band = weights.ms_per_queued_request * EQUAL_COST_QUEUED_REQUESTS;
     let equals = || rated.iter().filter(|r| r.cost() <= cheapest + band);
-    equals()
+    let position = equals()
         .filter(|r| !equals().any(|other| other.beats(r)))
         .max_by_key(|r| (r.rank, Reverse(r.position)))
-        .map(|r| r.position)
+        .map(|r| r.position)?;
+    let reason = match (all_suspect, home == Some(position)) {
+        (true, _) => Reason::AllSuspect,
+        (false, true) => Reason::Home,
+        (false, false) => Reason::Cheaper,
+    };
+    Some((position, reason))
 }
 
 /// A candidate with the parts of its cost, in milliseconds.
--- a/src/telemetry/cells.rs
+++ b/src/telemetry/cells.rs
@@ -87,7 +87,22 @@
     ms(10240),
 ];
 
-/// Buckets of the time to commit an entry.
+/// Buckets of the time to the end of an answer.
+pub(super) const ANSWER: &[Duration] = &[
+    ms(20),
+    ms(40),
+    ms(80),
+    ms(160),
+    ms(320),
+    ms(640),
+    ms(1280),
+    ms(2560),
+    ms(5120),
+    ms(10240),
+    ms(20480),
+];
+
+/// Buckets of the times to sync and to commit an entry.
 pub(super) const COMMIT: &[Duration] = &[
     us(200),
     us(500),
@@ -106,6 +121,43 @@
     ms(4096),
 ];
 
+/// How a request of a published route ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Outcome {
+    /// An upstream's success was passed on.
+    Answered,
+    /// An upstream's failure was passed on.
+    UpstreamFailed,
+    /// It has not run.
+    Refused,
+    /// It may have run and has no answer.
+    Failed,
+    /// No route, key or limit allows it.
+    NotAllowed,
+}
+
+impl Outcome {
+    /// All outcomes, in the order of their numbers.
+    pub const ALL: [Self; 5] = [
+        Self::Answered,
+        Self::UpstreamFailed,
+        Self::Refused,
+        Self::Failed,
+        Self::NotAllowed,
+    ];
+
+    /// Returns the name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::UpstreamFailed => "upstream_failed",
+            Self::Refused => "refused",
+            Self::Failed => "failed",
+            Self::NotAllowed => "not_allowed",
+        }
+    }
+}
+
 /// What is recorded for one account.
 #[derive(Debug)]
 pub(super) struct AccountCells {
@@ -114,6 +166,8 @@
     pub(super) first_token: Histogram,
     pub(super) between_tokens: Histogram,
     pub(super) queue_wait: Histogram,
+    pub(super) answer: Histogram,
+    outcomes: [AtomicU64; Outcome::ALL.len()],
     pub(super) recomputed_tokens: AtomicU64,
     pub(super) spent_micros: AtomicU64,
 }
@@ -126,16 +180,35 @@
             first_token: Histogram::new(FIRST_TOKEN),
             between_tokens: Histogram::new(BETWEEN_TOKENS),
             queue_wait: Histogram::new(QUEUE_WAIT),
+            answer: Histogram::new(ANSWER),
+            outcomes: std::array::from_fn(|_| AtomicU64::new(0)),
             recomputed_tokens: AtomicU64::new(0),
             spent_micros: AtomicU64::new(0),
         }
     }
 }
 
+impl AccountCells {
+    /// Counts the end of a request.
+    pub(super) fn outcome(&self, outcome: Outcome) {
+        self.outcomes[outcome as usize].fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns the outcomes that were counted.
+    pub(super) fn outcomes(&self) -> impl Iterator<Item = (Outcome, u64)> {
+        Outcome::ALL
+            .into_iter()
+            .zip(&self.outcomes)
+            .map(|(outcome, count)| (outcome, count.load(Ordering::Relaxed)))
+            .filter(|(_, count)| *count > 0)
+    }
+}
+
 /// What is recorded in a process.
 #[derive(Debug)]
 pub(super) struct Cells {
     pub(super) commit: Histogram,
+    pub(super) sync: Histogram,
     refusals: [AtomicU64; RefusalKind::ALL.len()],
     accounts: Mutex<BTreeMap<(AccountName, TierName), Arc<AccountCells>>>,
 }
@@ -144,6 +217,7 @@
     fn default() -> Self {
         Self {
             commit: Histogram::new(COMMIT),
+            sync: Histogram::new(COMMIT),
             refusals: std::array::from_fn(|_| AtomicU64::new(0)),
             accounts: Mutex::default(),
         }
--- a/src/telemetry/export.rs
+++ b/src/telemetry/export.rs
@@ -14,7 +14,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
-use super::cells::{AccountCells, BETWEEN_TOKENS, COMMIT, Cells, FIRST_TOKEN, QUEUE_WAIT};
+use super::cells::{ANSWER, AccountCells, BETWEEN_TOKENS, COMMIT, Cells, FIRST_TOKEN, QUEUE_WAIT};
 
 /// Time between two transfers to the SDK, so that a scrape finds little to do.
 const TRANSFER_INTERVAL: Duration = Duration::from_secs(1);
@@ -35,7 +35,9 @@
     first_token: Histogram<f64>,
     between_tokens: Histogram<f64>,
     queue_wait: Histogram<f64>,
+    answer: Histogram<f64>,
     commit: Histogram<f64>,
+    sync: Histogram<f64>,
 }
 
 impl Exporter {
@@ -73,17 +75,22 @@
         })
     }
 
-    /// Exports a counter.
+    /// Exports a counter with fixed labels.
     pub(super) fn counter(
         &self,
         name: &'static str,
         help: &'static str,
+        labels: &[(&'static str, &'static str)],
         read: impl Fn() -> u64 + Send + Sync + 'static,
     ) {
+        let labels: Vec<_> = labels
+            .iter()
+            .map(|(key, value)| KeyValue::new(*key, *value))
+            .collect();
         self.meter
             .u64_observable_counter(name)
             .with_description(help)
-            .with_callback(move |observer| observer.observe(read(), &[]))
+            .with_callback(move |observer| observer.observe(read(), &labels))
             .build();
     }
 
@@ -101,6 +108,25 @@
             .build();
     }
 
+    /// Exports values that go up and down, one for each value of a label.
+    pub(super) fn gauges(
+        &self,
+        name: &'static str,
+        help: &'static str,
+        label: &'static str,
+        read: impl Fn() -> Vec<(String, f64)> + Send + Sync + 'static,
+    ) {
+        self.meter
+            .f64_observable_gauge(name)
+            .with_description(help)
+            .with_callback(move |observer| {
+                for (of, value) in read() {
+                    observer.observe(value, &[KeyValue::new(label, of)]);
+                }
+            })
+            .build();
+    }
+
     /// Returns all metrics as text.
     pub(super) fn render(&self, cells: &Cells) -> anyhow::Result<String> {
         self.histograms.transfer(cells);
@@ -136,11 +162,21 @@
                 "Time that a request waited for admission.",
                 QUEUE_WAIT,
             ),
+            answer: histogram(
+                "flamingocroft.answer",
+                "Time from a request's arrival to the end of its answer.",
+                ANSWER,
+            ),
             commit: histogram(
                 "flamingocroft.commit",
                 "Time from the proposal of a log entry to its commit.",
                 COMMIT,
             ),
+            sync: histogram(
+                "flamingocroft.sync",
+                "Time to write a batch of log entries to the disk and sync it.",
+                COMMIT,
+            ),
         }
     }
 
@@ -148,6 +184,7 @@
         cells
             .commit
             .drain(|seconds| self.commit.record(seconds, &[]));
+        cells.sync.drain(|seconds| self.sync.record(seconds, &[]));
         for account in cells.accounts() {
             self.transfer_account(&account);
         }
@@ -159,6 +196,7 @@
             (&cells.first_token, &self.first_token),
             (&cells.between_tokens, &self.between_tokens),
             (&cells.queue_wait, &self.queue_wait),
+            (&cells.answer, &self.answer),
         ];
         for (recorded, exported) in pairs {
             recorded.drain(|seconds| exported.record(seconds, &labels));
@@ -184,6 +222,20 @@
             }
         })
         .build();
+    let requests = Arc::clone(cells);
+    meter
+        .u64_observable_counter("flamingocroft.requests")
+        .with_description("Requests of published routes, by account and outcome.")
+        .with_callback(move |observer| {
+            for account in requests.accounts() {
+                for (outcome, count) in account.outcomes() {
+                    let [of, tier] = labels(&account);
+                    let outcome = KeyValue::new("outcome", outcome.name());
+                    observer.observe(count, &[of, tier, outcome]);
+                }
+            }
+        })
+        .build();
     account_counter(
         meter,
         cells,
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -6,6 +6,7 @@
 mod logging;
 mod serve;
 
+pub use cells::Outcome;
 pub use logging::{Logging, start_logging};
 pub use serve::serve_metrics;
 
@@ -52,15 +53,40 @@
         self.cells.commit.record(duration);
     }
 
+    /// Records how long a write of log entries to the disk took, sync included.
+    pub fn sync(&self, duration: Duration) {
+        self.cells.sync.record(duration);
+    }
+
     /// Makes a counter of rare events. Make each name once in a process.
     pub fn counter(&self, name: &'static str, help: &'static str) -> Counter {
+        self.labelled_counter(name, help, &[])
+    }
+
+    /// Makes one of several counters with a name, told apart by their labels.
+    pub fn labelled_counter(
+        &self,
+        name: &'static str,
+        help: &'static str,
+        labels: &[(&'static str, &'static str)],
+    ) -> Counter {
         let counter = Counter::default();
         let cell = Arc::clone(&counter.0);
-        self.exporter
-            .counter(name, help, move || cell.load(Ordering::Relaxed));
+        let read = move || cell.load(Ordering::Relaxed);
+        self.exporter.counter(name, help, labels, read);
         counter
     }
 
+    /// Shows a count that is kept elsewhere, read at each scrape. Make each name once in a process.
+    pub fn count(
+        &self,
+        name: &'static str,
+        help: &'static str,
+        read: impl Fn() -> u64 + Send + Sync + 'static,
+    ) {
+        self.exporter.counter(name, help, &[], read);
+    }
+
     /// Shows a value that goes up and down, read at each scrape. Make each name once in a process.
     pub fn gauge(
         &self,
@@ -71,6 +97,18 @@
         self.exporter.gauge(name, help, read);
     }
 
+    /// Shows values that go up and down, one for each value of a label, read at each scrape. Make each
+    /// name once in a process.
+    pub fn gauges(
+        &self,
+        name: &'static str,
+        help: &'static str,
+        label: &'static str,
+        read: impl Fn() -> Vec<(String, f64)> + Send + Sync + 'static,
+    ) {
+        self.exporter.gauges(name, help, label, read);
+    }
+
     /// Returns the text for `GET /metrics`.
     pub fn render(&self) -> String {
         self.exporter.render(&self.cells).unwrap_or_else(|e| {
@@ -111,6 +149,16 @@
         self.0.queue_wait.record(duration);
     }
 
+    /// Records the time from a request's arrival to the end of its answer.
+    pub fn answer(&self, duration: Duration) {
+        self.0.answer.record(duration);
+    }
+
+    /// Counts the end of a request of a published route.
+    pub fn outcome(&self, outcome: Outcome) {
+        self.0.outcome(outcome);
+    }
+
     /// Counts prompt and answer tokens that an engine computed again because cached work was lost
     /// or elsewhere.
     pub fn recomputed_tokens(&self, count: u64) {
--- /dev/null
+++ b/tests/platform_metrics.rs
@@ -0,0 +1,121 @@
+//! What the metrics of a gateway and a controller tell of requests on the users' platform.
+
+mod platform_support;
+
+use hyper::{Method, StatusCode};
+use platform_support::{Act, Site, call, document, until};
+
+fn value(text: &str, line: &str) -> f64 {
+    let found = text
+        .lines()
+        .find_map(|l| l.strip_prefix(line)?.strip_prefix(' '));
+    let found = found.unwrap_or_else(|| panic!("no line {line} in\n{text}"));
+    found.parse().unwrap()
+}
+
+#[tokio::test]
+async fn requests_are_counted_by_class_account_and_outcome() {
+    let site = Site::start(2, |_, seen| match seen.path.as_str() {
+        "/once/reset" => Act::Reset,
+        "/once/failed" => Act::Answer(StatusCode::INTERNAL_SERVER_ERROR, Vec::new()),
+        "/resumed/x" => {
+            let resumed = seen.headers.contains_key("last-event-id");
+            Act::Stream {
+                pieces: vec![format!("id: {}\ndata: x\n\n", 1 + u64::from(resumed))],
+                whole: resumed,
+            }
+        }
+        _ => Act::Answer(StatusCode::OK, b"done".to_vec()),
+    })
+    .await;
+    site.publish(&document(1)).await;
+    let before = site.metrics[1].render();
+    for (path, status) in [
+        ("/once/x", StatusCode::OK),
+        ("/once/y", StatusCode::OK),
+        ("/once/failed", StatusCode::INTERNAL_SERVER_ERROR),
+        ("/once/reset", StatusCode::BAD_GATEWAY),
+        ("/resumed/x", StatusCode::OK),
+        ("/nowhere/x", StatusCode::NOT_FOUND),
+    ] {
+        let res = site.send(Method::POST, path, path, "").await;
+        assert_eq!(res.status, status, "{path}");
+    }
+    let headers = [("host", "depot.example"), ("authorization", "Bearer wrong")];
+    call(site.front, Method::GET, "/safe/x", &headers, "")
+        .await
+        .unwrap();
+    let text = site.metrics[1].render();
+    let of = |class: &str, outcome: &str| {
+        let line = format!("ingress_requests_total{{class=\"{class}\",outcome=\"{outcome}\"}}");
+        value(&text, &line)
+    };
+    assert_eq!(of("non_idempotent", "answered"), 2.0);
+    assert_eq!(of("non_idempotent", "upstream_failed"), 1.0);
+    assert_eq!(of("non_idempotent", "failed"), 1.0);
+    assert_eq!(
+        of("resumable_stream", "answered"),
+        1.0,
+        "a resume is no answer"
+    );
+    assert_eq!(of("none", "not_allowed"), 1.0);
+    assert_eq!(of("idempotent", "not_allowed"), 1.0);
+    let account = |outcome: &str| {
+        let line = format!(
+            "flamingocroft_requests_total{{account=\"depot\",outcome=\"{outcome}\",tier=\"none\"}}"
+        );
+        value(&text, &line)
+    };
+    assert_eq!(account("upstream_failed"), 1.0);
+    assert_eq!(account("failed"), 1.0);
+    assert_eq!(value(&text, "ingress_streams_resumed_total"), 1.0);
+    let chosen = |text: &str| -> f64 {
+        ["home", "cheaper", "all_suspect"]
+            .iter()
+            .map(|reason| {
+                value(
+                    text,
+                    &format!("ingress_choices_total{{reason=\"{reason}\"}}"),
+                )
+            })
+            .sum()
+    };
+    assert_eq!(
+        chosen(&text) - chosen(&before),
+        6.0,
+        "five requests, one of them resumed"
+    );
+    let opened = value(&text, "ingress_connections_opened_total");
+    let reused = value(&text, "ingress_connections_reused_total");
+    assert_eq!(opened + reused, chosen(&text));
+    assert!(value(&text, "ingress_retry_budget_left{service=\"app\"}") > 0.0);
+}
+
+#[tokio::test]
+async fn it_is_shown_what_a_gateway_and_a_controller_believe() {
+    let site = Site::start(1, |_, _| Act::Answer(StatusCode::OK, Vec::new())).await;
+    site.publish(&document(7)).await;
+    until("the duties are held", || async {
+        let text = site.metrics[0].render();
+        text.contains("controller_duty_fence{duty=\"usage reports\"}")
+    })
+    .await;
+    let controller = site.metrics[0].render();
+    assert_eq!(value(&controller, "controller_leads"), 1.0);
+    assert_eq!(value(&controller, "controller_table_version"), 7.0);
+    assert_eq!(value(&controller, "controller_gateways"), 1.0);
+    assert_eq!(value(&controller, "controller_upstreams"), 1.0);
+    assert!(value(&controller, "flamingocroft_sync_seconds_count") > 0.0);
+    let gateway = site.metrics[1].render();
+    assert_eq!(value(&gateway, "ingress_table_version"), 7.0);
+    let name = site.control.ip();
+    assert_eq!(
+        value(
+            &gateway,
+            &format!("ingress_leader{{controller=\"{name}\"}}")
+        ),
+        1.0
+    );
+    let silence = format!("ingress_controller_silence_seconds{{controller=\"{name}\"}}");
+    assert!(value(&gateway, &silence) < 2.0);
+}
