--- a/benches/ingress.rs
+++ b/benches/ingress.rs
@@ -72,7 +72,7 @@
 }
 
 async fn measure(level: &str) -> anyhow::Result<()> {
-    let ground = Ground::prepare(2, |_, seen| match seen.path.as_str() {
+    let ground = Ground::prepare(1, 2, |_, seen| match seen.path.as_str() {
         "/resumed/x" => {
             let event = |id| format!("id: {id}\ndata: seven tokens of an answer\n\n");
             Act::Paced((1..=EVENTS).map(event).collect(), EVENT_PAUSE)
@@ -80,7 +80,7 @@
         _ => Act::Answer(StatusCode::OK, vec![b'x'; 800]),
     })
     .await;
-    let controller = Process::start(&ground.controller_file, level)?;
+    let controller = Process::start(&ground.controller_files[0], level)?;
     let gateway = Process::start(&ground.gateway_file, level)?;
     let site = ground.site();
     site.publish(&document(1)).await;
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -3,6 +3,9 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod daemons;
+pub mod raw;
+
 use std::{
     collections::HashMap,
     convert::Infallible,
@@ -104,7 +107,11 @@
     pub front: SocketAddr,
     pub directory: SocketAddr,
     pub ready: SocketAddr,
+    /// Where a gateway that is a process of its own shows its metrics.
+    pub gateway_metrics: SocketAddr,
     pub log: Arc<Log>,
+    /// The platform's list.
+    pub listed: Arc<Mutex<Vec<Value>>>,
     pub usage: Arc<Mutex<Vec<Value>>>,
     pub stop_gateway: CancellationToken,
     /// The metrics of the controller and of the gateway.
@@ -134,63 +141,79 @@
 
 /// The stand-ins and settings files of an installation whose processes do not run yet.
 pub struct Ground {
-    pub controller_file: PathBuf,
+    pub controller_files: Vec<PathBuf>,
     pub gateway_file: PathBuf,
-    host: Ipv4Addr,
+    hosts: Vec<Ipv4Addr>,
     gateway_host: Ipv4Addr,
     log: Arc<Log>,
+    listed: Arc<Mutex<Vec<Value>>>,
     usage: Arc<Mutex<Vec<Value>>>,
     folder: TempDir,
 }
 
 impl Ground {
-    /// Starts some servers of the one service, and the platform's API that lists them.
+    /// Starts some servers of the one service, and the platform's API that lists them, for a number of
+    /// controllers and one gateway.
     pub async fn prepare(
+        controllers: usize,
         servers: usize,
         script: impl Fn(usize, &Seen) -> Act + Send + Sync + 'static,
     ) -> Self {
         // All controllers and gateways use the same ports, so each has a host of its own.
-        let (host, gateway_host) = (own_host(), own_host());
-        let at = |port| SocketAddr::new(IpAddr::V4(host), port);
+        let hosts: Vec<_> = (0..controllers).map(|_| own_host()).collect();
+        let gateway_host = own_host();
+        let at = |port| SocketAddr::new(IpAddr::V4(hosts[0]), port);
         let log = Arc::new(Log::default());
         let script: Arc<Script> = Arc::new(script);
         let mut listed = Vec::new();
         for server in 0..servers {
             let address =
                 serve_upstream(at(0), server, Arc::clone(&script), Arc::clone(&log)).await;
-            listed.push(json!({
-                "Id": format!("i-{server}"), "Service": "app", "Address": address.to_string(),
-                "Zone": "a", "Version": "v1", "Slots": 4, "State": "ready", "ColdLeftMs": 0,
-            }));
+            listed.push(listed_server(&format!("i-{server}"), address));
         }
         // An entry of another writer names no server.
         listed.push(json!({"Id": "i-odd", "Service": 7, "State": "ready"}));
+        let listed = Arc::new(Mutex::new(listed));
         let usage = Arc::default();
-        let api = serve_platform(at(0), listed, Arc::clone(&usage)).await;
+        let api = serve_platform(at(0), Arc::clone(&listed), Arc::clone(&usage)).await;
         let folder = TempDir::new().unwrap();
         std::fs::write(folder.path().join("peer.key"), PEER_KEY).unwrap();
-        let write = |host, role| write_settings(folder.path(), host, role, at(7201), api);
+        let write = |host, role| write_settings(folder.path(), host, role, &hosts, api);
+        let controller_files = hosts.iter().map(|host| write(*host, "controller"));
         Self {
-            controller_file: write(host, "controller"),
+            controller_files: controller_files.collect(),
             gateway_file: write(gateway_host, "gateway"),
-            host,
+            hosts,
             gateway_host,
             log,
+            listed,
             usage,
             folder,
         }
     }
 
+    /// Returns where the controllers take orders.
+    pub fn controls(&self) -> Vec<SocketAddr> {
+        self.hosts.iter().copied().map(control_address).collect()
+    }
+
+    /// Returns the data folder of a controller.
+    pub fn data_folder(&self, controller: usize) -> PathBuf {
+        data_folder(self.folder.path(), self.hosts[controller])
+    }
+
     /// Returns the addresses of an installation whose processes were started with the files.
     pub fn site(self) -> Site {
         let gateway_at = |port| SocketAddr::new(IpAddr::V4(self.gateway_host), port);
         let stop = CancellationToken::new();
         Site {
-            control: SocketAddr::new(IpAddr::V4(self.host), 7201),
+            control: control_address(self.hosts[0]),
             front: gateway_at(7301),
             directory: gateway_at(7302),
             ready: gateway_at(7303),
+            gateway_metrics: gateway_at(9464),
             log: self.log,
+            listed: self.listed,
             usage: self.usage,
             stop_gateway: stop.child_token(),
             metrics: [(); 2].map(|()| Metrics::new().unwrap()),
@@ -207,9 +230,9 @@
         servers: usize,
         script: impl Fn(usize, &Seen) -> Act + Send + Sync + 'static,
     ) -> Self {
-        let ground = Ground::prepare(servers, script).await;
+        let ground = Ground::prepare(1, servers, script).await;
         let read = |file: &Path| Arc::new(Settings::read(file).unwrap());
-        let controller = read(&ground.controller_file);
+        let controller = read(&ground.controller_files[0]);
         let gateway = read(&ground.gateway_file);
         let site = ground.site();
         let [of_controller, of_gateway] = &site.metrics;
@@ -227,6 +250,11 @@
             put().await.is_some_and(|res| res.status == StatusCode::OK)
         })
         .await;
+        self.wait_until_served(document).await;
+    }
+
+    /// Waits until the gateway serves with a first document that was published.
+    pub async fn wait_until_served(&self, document: &Value) {
         until("the gateway is ready", || async {
             let ready = call(self.ready, Method::GET, "/api/readiness", &[], "").await;
             ready.is_some_and(|res| res.status == StatusCode::OK)
@@ -241,6 +269,18 @@
         self.log.seen.lock().unwrap().clear();
     }
 
+    /// Returns the version in force at a gateway that is a process of its own.
+    pub async fn table_version(&self) -> u64 {
+        let text = call(self.gateway_metrics, Method::GET, "/metrics", &[], "")
+            .await
+            .unwrap()
+            .text();
+        let line = text
+            .lines()
+            .find_map(|line| line.strip_prefix("ingress_table_version "));
+        line.unwrap().parse().unwrap()
+    }
+
     /// Sends a request with a key through the gateway.
     pub async fn send(&self, method: Method, path: &str, id: &str, body: &str) -> Answer {
         let key = format!("Bearer {KEY}");
@@ -342,13 +382,33 @@
     })
 }
 
+/// An entry of the platform's list.
+pub fn listed_server(id: &str, address: SocketAddr) -> Value {
+    json!({
+        "Id": id, "Service": "app", "Address": address.to_string(),
+        "Zone": "a", "Version": "v1", "Slots": 4, "State": "ready", "ColdLeftMs": 0,
+    })
+}
+
+fn control_address(host: Ipv4Addr) -> SocketAddr {
+    SocketAddr::new(IpAddr::V4(host), 7201)
+}
+
+fn data_folder(folder: &Path, host: Ipv4Addr) -> PathBuf {
+    folder.join(format!("data-{host}"))
+}
+
 fn write_settings(
     folder: &Path,
     host: Ipv4Addr,
     role: &str,
-    seed: SocketAddr,
+    controllers: &[Ipv4Addr],
     api: SocketAddr,
 ) -> PathBuf {
+    let seeds: Vec<_> = controllers
+        .iter()
+        .map(|host| control_address(*host).to_string())
+        .collect();
     let first = if role == "controller" { 7200 } else { 7300 };
     let text = json!({
         "name": host.to_string(),
@@ -357,14 +417,15 @@
         "http_address": format!("{host}:{}", first + 9),
         "peer_address": format!("{host}:7200"),
         "peer_key_file": folder.join("peer.key"),
-        "data_folder": folder.join(role),
+        "data_folder": data_folder(folder, host),
         "operator_token_sha256": "0".repeat(64),
-        "seeds": [seed.to_string()],
+        "seeds": seeds,
         "ingress": {
             "address": format!("{host}:{}", first + 1),
             "directory_address": format!("{host}:{}", first + 2),
             "ready_address": format!("{host}:{}", first + 3),
             "platform_address": api.to_string(),
+            "metrics_address": format!("{host}:9464"),
             "list_interval_ms": 50,
             "usage_window_ms": 1000,
             "duty_lease_ms": 100,
@@ -373,7 +434,7 @@
         },
         "timing": { "shutdown_ms": 3000 },
     });
-    let file = folder.join(format!("{role}.jsonc"));
+    let file = folder.join(format!("{role}-{host}.jsonc"));
     std::fs::write(&file, text.to_string()).unwrap();
     file
 }
@@ -432,13 +493,13 @@
 
 async fn serve_platform(
     address: SocketAddr,
-    listed: Vec<Value>,
+    listed: Arc<Mutex<Vec<Value>>>,
     usage: Arc<Mutex<Vec<Value>>>,
 ) -> SocketAddr {
     let listener = TcpListener::bind(address).await.unwrap();
     let address = listener.local_addr().unwrap();
     let service = move |req: Request<Incoming>| {
-        let (listed, usage) = (listed.clone(), Arc::clone(&usage));
+        let (listed, usage) = (Arc::clone(&listed), Arc::clone(&usage));
         async move {
             let path = req.uri().path().to_owned();
             let headers = req.headers().clone();
@@ -450,6 +511,7 @@
                 report["fence"] = json!(text("x-flamingocroft-fencing-token"));
                 usage.lock().unwrap().push(report);
             }
+            let listed = listed.lock().unwrap().clone();
             let body = json!({"Instances": listed, "Next": null}).to_string();
             Ok::<_, Infallible>(Response::new(Full::new(Bytes::from(body))))
         }
