Close and forget connections to servers that are no longer listed

Change: when a list is taken, targets that it does not name are forgotten. platform_bytes: connections_to_a_server_end_when_it_is_no_longer_listed failed before (still open after 20 s) and passes now.

--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -93,6 +93,11 @@
         }
     }
 
+    /// Forgets targets that are gone, which closes their idle connections.
+    pub(crate) fn retain(&self, is_kept: impl Fn(&Target) -> bool) {
+        self.pool.retain(is_kept);
+    }
+
     /// Returns how many connections were opened.
     pub(crate) fn opened(&self) -> u64 {
         self.opened.load(Ordering::Relaxed)
--- a/src/adapters/http/pool.rs
+++ b/src/adapters/http/pool.rs
@@ -40,6 +40,18 @@
         let targets = self.targets.load();
         targets.get(target).map_or(added, Arc::clone)
     }
+
+    /// Forgets targets, which closes their idle connections.
+    pub(super) fn retain(&self, is_kept: impl Fn(&Target) -> bool) {
+        if self.targets.load().keys().all(&is_kept) {
+            return;
+        }
+        self.targets.rcu(|targets| {
+            let mut targets = HashMap::clone(targets);
+            targets.retain(|target, _| is_kept(target));
+            targets
+        });
+    }
 }
 
 fn is_replaced(known: &Target, new: &Target) -> bool {
--- a/src/ingress/follow.rs
+++ b/src/ingress/follow.rs
@@ -183,6 +183,8 @@
             if version > *held {
                 *held = version;
                 self.core.upstreams.replace(&list);
+                let listed = self.core.upstreams.targets();
+                self.core.client.retain(|target| listed.contains(target));
             }
         }
         self.note_roster(name, reply.roster);
--- a/src/ingress/upstreams.rs
+++ b/src/ingress/upstreams.rs
@@ -1,7 +1,7 @@
 //! The upstreams that requests can be sent to, and what this gateway knows of their load.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering},
@@ -234,6 +234,13 @@
         self.services.store(Arc::new(services));
     }
 
+    /// Returns where the listed upstreams are.
+    pub(super) fn targets(&self) -> HashSet<Target> {
+        let services = self.services.load();
+        let all = services.values().flatten();
+        all.map(|upstream| upstream.target.clone()).collect()
+    }
+
     /// Chooses an upstream of a service that was not tried before, and counts the request there;
     /// `new_tokens` of its prompt are held by no upstream.
     pub(super) fn choose(
--- a/tests/platform_bytes.rs
+++ b/tests/platform_bytes.rs
@@ -3,7 +3,7 @@
 
 mod platform_support;
 
-use std::time::Duration;
+use std::{sync::atomic::Ordering, time::Duration};
 
 use hyper::{Method, StatusCode};
 use platform_support::{
@@ -113,6 +113,20 @@
     assert!(res.body.is_err(), "{res:?}");
 }
 
+/// Servers come and go, and their addresses are used again, so what is kept for one ends with it.
+#[tokio::test]
+async fn connections_to_a_server_end_when_it_is_no_longer_listed() {
+    let (site, server) = site(Manner::Proper).await;
+    site.send(Method::POST, "/once/x", "r1", "").await;
+    assert!(server.open.load(Ordering::Relaxed) > 0);
+    let other = RawServer::start(&site.control.ip().to_string(), Manner::Proper).await;
+    *site.listed.lock().unwrap() = vec![listed_server("i-other", other.address)];
+    until("the connections are closed", || async {
+        server.open.load(Ordering::Relaxed) == 0
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn a_body_is_never_taken_for_a_request() {
     let site = Site::start(1, |_, _| Act::Answer(StatusCode::OK, b"done".to_vec())).await;
--- a/tests/platform_support/raw.rs
+++ b/tests/platform_support/raw.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
@@ -24,6 +27,8 @@
     LateSurplus,
     /// It answers once it has the head, and reads the body later.
     Early,
+    /// It does as it should.
+    Proper,
     /// The answer has no length and ends with its connection.
     NoLength,
     /// The same, but the connection is reset in its middle.
@@ -34,6 +39,8 @@
 pub struct RawServer {
     pub address: SocketAddr,
     pub received: Arc<Mutex<Vec<Vec<u8>>>>,
+    /// Connections that are open.
+    pub open: Arc<AtomicUsize>,
 }
 
 impl RawServer {
@@ -41,7 +48,8 @@
         let listener = TcpListener::bind((host, 0)).await.unwrap();
         let address = listener.local_addr().unwrap();
         let received = Arc::new(Mutex::new(Vec::new()));
-        let all = Arc::clone(&received);
+        let open = Arc::new(AtomicUsize::new(0));
+        let (all, count) = (Arc::clone(&received), Arc::clone(&open));
         tokio::spawn(async move {
             loop {
                 let (stream, _) = listener.accept().await.unwrap();
@@ -50,10 +58,19 @@
                     all.push(Vec::new());
                     all.len() - 1
                 };
-                tokio::spawn(serve(stream, manner, Arc::clone(&all), index));
+                let (all, count) = (Arc::clone(&all), Arc::clone(&count));
+                tokio::spawn(async move {
+                    count.fetch_add(1, Ordering::Relaxed);
+                    serve(stream, manner, all, index).await;
+                    count.fetch_sub(1, Ordering::Relaxed);
+                });
             }
         });
-        Self { address, received }
+        Self {
+            address,
+            received,
+            open,
+        }
     }
 }
 
@@ -102,6 +119,7 @@
              X-Flamingocroft-Response-Seal: seal\r\n\r\nanswer to {id}"
         );
         let sent = match manner {
+            Manner::Proper => stream.write_all(own.as_bytes()).await,
             Manner::Surplus => stream.write_all((own + &foreign).as_bytes()).await,
             Manner::LateSurplus => {
                 let sent = stream.write_all(own.as_bytes()).await;
