Let leases run on a clock that counts the time of a suspended machine

Cause: a machine may be suspended for seconds, which CLOCK_MONOTONIC does not count. A leader that woke believed in a lease that others had replaced, and a gateway in a part of a quota that was given away. Found by reading; no trace.

Change: the monotonic clock is CLOCK_BOOTTIME, and parts of quotas are timed by it too. No test can suspend the machine. An entry of a data folder that cannot be listed is an error now instead of being left out.

--- a/src/adapters/clock.rs
+++ b/src/adapters/clock.rs
@@ -1,21 +1,24 @@
 //! The machine's clocks.
 
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use nix::time::{ClockId, clock_gettime};
 
 use crate::ports::Clock;
 
-/// The machine's clocks. [`Instant`] reads `CLOCK_MONOTONIC`, which goes on while the process is
-/// stopped by a signal, so that a lease also ends for a process that did not run meanwhile.
+/// The machine's clocks. The monotonic one is `CLOCK_BOOTTIME`, which goes on while the process is
+/// stopped or the machine is suspended, so that a lease also ends for a process that did not run
+/// meanwhile. [`std::time::Instant`] does not count the time of a suspended machine.
 #[derive(Clone, Copy, Debug)]
 pub struct SystemClock {
-    start: Instant,
+    start: Duration,
 }
 
 impl SystemClock {
     /// Starts a clock at zero.
     pub fn new() -> Self {
         Self {
-            start: Instant::now(),
+            start: since_boot(),
         }
     }
 }
@@ -28,7 +31,7 @@
 
 impl Clock for SystemClock {
     fn monotonic(&self) -> Duration {
-        self.start.elapsed()
+        since_boot().saturating_sub(self.start)
     }
 
     fn unix_ms(&self) -> u64 {
@@ -37,3 +40,8 @@
             .map_or(0, |time| time.as_millis() as u64)
     }
 }
+
+fn since_boot() -> Duration {
+    let now = clock_gettime(ClockId::CLOCK_BOOTTIME).map(Duration::from);
+    now.expect("every Linux since 2.6.39 has CLOCK_BOOTTIME")
+}
--- a/src/adapters/disk/folder.rs
+++ b/src/adapters/disk/folder.rs
@@ -61,11 +61,13 @@
     /// The numbers of the segments, oldest first.
     pub(super) fn segments(&self) -> Result<Vec<u64>, StoreError> {
         let listing = fs::read_dir(&self.path).map_err(StoreError::io("list", &self.path))?;
-        let mut numbers: Vec<u64> = listing
-            .filter_map(Result::ok)
-            .filter_map(|file| file.file_name().into_string().ok())
-            .filter_map(|name| name.strip_prefix(SEGMENT)?.parse().ok())
-            .collect();
+        let mut numbers = Vec::new();
+        for file in listing {
+            let file = file.map_err(StoreError::io("list", &self.path))?;
+            let name = file.file_name();
+            let number = name.to_str().and_then(|name| name.strip_prefix(SEGMENT));
+            numbers.extend(number.and_then(|number| number.parse::<u64>().ok()));
+        }
         numbers.sort_unstable();
         Ok(numbers)
     }
--- a/src/ingress/admit.rs
+++ b/src/ingress/admit.rs
@@ -2,8 +2,6 @@
 
 use std::time::Duration;
 
-use tokio::time::Instant;
-
 use super::{
     Core,
     answer::{Ended, Failure, NotRun},
@@ -37,9 +35,8 @@
     account: &AccountName,
     facts: &RequestFacts,
 ) -> Result<(), NotRun> {
-    let taken = core
-        .quotas
-        .take(account, facts.prompt.as_ref(), Instant::now());
+    let now = core.clock.monotonic();
+    let taken = core.quotas.take(account, facts.prompt.as_ref(), now);
     let Err(short) = taken else {
         return Ok(());
     };
--- a/src/ingress/counters.rs
+++ b/src/ingress/counters.rs
@@ -200,7 +200,7 @@
         "This gateway's part of each account's quota.",
         "account",
         move || {
-            let parts = held.quotas.parts(Instant::now()).into_iter();
+            let parts = held.quotas.parts(held.clock.monotonic()).into_iter();
             parts.map(|part| (part.account, part.value)).collect()
         },
     );
--- a/src/ingress/follow.rs
+++ b/src/ingress/follow.rs
@@ -106,7 +106,7 @@
     async fn follow(self: &Arc<Self>, name: &str, link: &Link, stop: &CancellationToken) {
         let mut in_touch = false;
         loop {
-            let asked = Instant::now();
+            let asked = self.core.clock.monotonic();
             let question = Body::Follow(self.question(name));
             let answer = link.call(question, FOLLOW_WAIT + ANSWER_SLACK).await;
             let answered = matches!(answer, Ok(Body::FollowReply(_)));
@@ -160,9 +160,9 @@
             held_roster,
             wait_ms: FOLLOW_WAIT.as_millis() as u64,
             usage: self.core.usage.newest(self.core.clock.unix_ms()),
-            demands: self.core.quotas.demands(Instant::now()),
+            demands: self.core.quotas.demands(self.core.clock.monotonic()),
             incarnation: self.own.incarnation.0,
-            held_shares: self.core.quotas.parts(Instant::now()),
+            held_shares: self.core.quotas.parts(self.core.clock.monotonic()),
             loads: self.core.upstreams.loads(Instant::now()),
         }
     }
@@ -254,7 +254,7 @@
                 );
                 self.core
                     .quotas
-                    .set_accounts(&table.accounts, Instant::now());
+                    .set_accounts(&table.accounts, self.core.clock.monotonic());
                 self.core.routes.store(Arc::new(RouteIndex::new(table)));
             }
             Ok(_) => {}
--- a/src/ingress/quota.rs
+++ b/src/ingress/quota.rs
@@ -8,8 +8,6 @@
     time::Duration,
 };
 
-use tokio::time::Instant;
-
 use crate::{
     domain::{AccountName, KeyedAccount, QuotaUnit},
     policy::quota::{Admission, Bucket, Limit, QuotaRule, admission, floor, own},
@@ -23,11 +21,11 @@
 /// Time over which what callers ask is averaged.
 const DEMAND_SPAN: Duration = Duration::from_secs(2);
 
-/// What this gateway may use of each account's quota.
+/// What this gateway may use of each account's quota. Times are those of the process's monotonic clock,
+/// which goes on while the machine is suspended.
 #[derive(Debug)]
 pub(super) struct Quotas {
     rule: QuotaRule,
-    started: Instant,
     state: Mutex<State>,
 }
 
@@ -36,7 +34,7 @@
     gateways: usize,
     /// The parts leased last, and until when.
     parts: HashMap<AccountName, f64>,
-    leased_until: Option<Instant>,
+    leased_until: Option<Duration>,
     held: HashMap<AccountName, Held>,
 }
 
@@ -48,7 +46,7 @@
     bucket: Bucket,
     /// Units that callers ask for in a second, admitted or not.
     demand: f64,
-    asked: Instant,
+    asked: Duration,
 }
 
 /// A request for which this gateway's part of the quota does not suffice.
@@ -66,7 +64,6 @@
     pub(super) fn new(rule: QuotaRule) -> Self {
         Self {
             rule,
-            started: Instant::now(),
             state: Mutex::default(),
         }
     }
@@ -77,7 +74,7 @@
     }
 
     /// Takes the parts that the leader gave in answer to a question.
-    pub(super) fn lease(&self, parts: &[QuotaPart], asked: Instant) {
+    pub(super) fn lease(&self, parts: &[QuotaPart], asked: Duration) {
         let mut state = self.state();
         state.leased_until = Some(asked + PART_LEASE);
         state.parts = parts
@@ -87,7 +84,7 @@
     }
 
     /// Takes the quotas of a new table; what is left of those that stay is kept.
-    pub(super) fn set_accounts(&self, accounts: &[KeyedAccount], now: Instant) {
+    pub(super) fn set_accounts(&self, accounts: &[KeyedAccount], now: Duration) {
         let mut state = self.state();
         let mut before = std::mem::take(&mut state.held);
         for account in accounts {
@@ -107,7 +104,7 @@
                     Held {
                         admission,
                         unit,
-                        bucket: Bucket::new(own.saved, self.since(now)),
+                        bucket: Bucket::new(own.saved, now),
                         demand: 0.0,
                         asked: now,
                     }
@@ -122,7 +119,7 @@
         &self,
         account: &AccountName,
         prompt: Option<&PromptFacts>,
-        now: Instant,
+        now: Duration,
     ) -> Result<(), Short> {
         let mut state = self.state();
         let part = state.part(account, now);
@@ -132,7 +129,7 @@
         let units = units(held.unit, prompt);
         held.ask(units, now);
         let own = own(held.admission.gateways, part);
-        let taken = held.bucket.take(units, own, self.since(now));
+        let taken = held.bucket.take(units, own, now);
         taken.map_err(|wait| Short {
             units,
             reserve: held.admission.reserve,
@@ -141,7 +138,7 @@
     }
 
     /// Returns the parts that this gateway uses.
-    pub(super) fn parts(&self, now: Instant) -> Vec<QuotaPart> {
+    pub(super) fn parts(&self, now: Duration) -> Vec<QuotaPart> {
         let state = self.state();
         if state.leased_until.is_none_or(|until| now >= until) {
             return Vec::new();
@@ -156,7 +153,7 @@
     }
 
     /// Returns what callers ask of each quota in a second.
-    pub(super) fn demands(&self, now: Instant) -> Vec<QuotaPart> {
+    pub(super) fn demands(&self, now: Duration) -> Vec<QuotaPart> {
         let mut state = self.state();
         let all = state.held.iter_mut();
         all.map(|(account, held)| {
@@ -169,17 +166,13 @@
         .collect()
     }
 
-    fn since(&self, now: Instant) -> Duration {
-        now.duration_since(self.started)
-    }
-
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl State {
-    fn part(&self, account: &AccountName, now: Instant) -> f64 {
+    fn part(&self, account: &AccountName, now: Duration) -> f64 {
         let leased = self.leased_until.is_some_and(|until| now < until);
         let part = self.parts.get(account).filter(|_| leased);
         part.copied().unwrap_or_else(|| floor(self.gateways))
@@ -187,8 +180,8 @@
 }
 
 impl Held {
-    fn ask(&mut self, units: f64, now: Instant) {
-        let passed = now.duration_since(self.asked).as_secs_f64();
+    fn ask(&mut self, units: f64, now: Duration) {
+        let passed = now.saturating_sub(self.asked).as_secs_f64();
         let span = DEMAND_SPAN.as_secs_f64();
         self.demand = self.demand * (-passed / span).exp() + units / span;
         self.asked = now;
--- a/tests/replication_properties.rs
+++ b/tests/replication_properties.rs
@@ -1,5 +1,5 @@
 //! Messages come late, twice, out of order or not at all; members crash and lose what was not synced;
-//! disks are emptied. The checks of `Group` must hold at every step, and nothing acknowledged is lost.
+//! disks are emptied or hang, all lose power, halves are cut off. The checks of `Group` must hold at every step, and nothing acknowledged is lost.
 
 mod replication_support;
 
@@ -38,31 +38,42 @@
     Run(u8),
     Wipe(u8),
     Repair,
+    /// All lose power at the same moment.
+    Power,
+    /// A disk finishes no write until it is let go on.
+    Hang(u8),
+    GoOn,
+    /// The members fall into two halves.
+    Halves(u8),
 }
 
 fn action() -> impl Strategy<Value = Action> {
     use Action::*;
     prop_oneof![
-        6 => (1..80u8).prop_map(Pass),
-        10 => any::<u8>().prop_map(Tick),
-        40 => any::<u16>().prop_map(Deliver),
-        4 => any::<u16>().prop_map(Duplicate),
-        4 => any::<u16>().prop_map(Drop),
-        4 => any::<u16>().prop_map(Delay),
-        3 => any::<u16>().prop_map(Late),
-        14 => any::<u8>().prop_map(Sync),
-        8 => any::<u8>().prop_map(Propose),
-        8 => any::<u8>().prop_map(Read),
-        3 => any::<u8>().prop_map(Crash),
-        1 => any::<u8>().prop_map(Stop),
-        2 => Just(Start),
-        1 => any::<u8>().prop_map(Compact),
-        1 => any::<(u8, u8)>().prop_map(|(a, b)| Cut(a, b)),
-        3 => any::<(u8, u8)>().prop_map(|(a, b)| Part(a, b)),
-        1 => Just(Heal),
-        6 => (1..20u8).prop_map(Run),
-        1 => any::<u8>().prop_map(Wipe),
-        6 => Just(Repair),
+        24 => (1..80u8).prop_map(Pass),
+        40 => any::<u8>().prop_map(Tick),
+        160 => any::<u16>().prop_map(Deliver),
+        16 => any::<u16>().prop_map(Duplicate),
+        16 => any::<u16>().prop_map(Drop),
+        16 => any::<u16>().prop_map(Delay),
+        12 => any::<u16>().prop_map(Late),
+        56 => any::<u8>().prop_map(Sync),
+        32 => any::<u8>().prop_map(Propose),
+        32 => any::<u8>().prop_map(Read),
+        12 => any::<u8>().prop_map(Crash),
+        4 => any::<u8>().prop_map(Stop),
+        8 => Just(Start),
+        4 => any::<u8>().prop_map(Compact),
+        4 => any::<(u8, u8)>().prop_map(|(a, b)| Cut(a, b)),
+        12 => any::<(u8, u8)>().prop_map(|(a, b)| Part(a, b)),
+        4 => Just(Heal),
+        24 => (1..20u8).prop_map(Run),
+        4 => any::<u8>().prop_map(Wipe),
+        24 => Just(Repair),
+        1 => Just(Power),
+        1 => any::<u8>().prop_map(Hang),
+        16 => Just(GoOn),
+        1 => any::<u8>().prop_map(Halves),
     ]
 }
 
@@ -123,6 +134,17 @@
             Action::Run(n) => group.run(n.into()),
             Action::Wipe(n) => self.wipe(place(n)),
             Action::Repair => self.repair(),
+            Action::Power => (0..count).for_each(|n| drop(group.crash(n))),
+            Action::Hang(n) => group.nodes[place(n)].hangs = true,
+            Action::GoOn => group.nodes.iter_mut().for_each(|node| node.hangs = false),
+            Action::Halves(which) => {
+                let half = |n: usize| which >> (n % 8) & 1;
+                let ids: Vec<_> = group.nodes.iter().map(|node| node.id).collect();
+                for (a, from) in ids.iter().enumerate() {
+                    let apart = ids.iter().enumerate().filter(|(b, _)| half(a) != half(*b));
+                    group.cut.extend(apart.map(|(_, to)| (*from, *to)));
+                }
+            }
         }
     }
 
@@ -209,11 +231,18 @@
     let mut runner = TestRunner::new(config(1, 3));
     let strategy = prop::collection::vec(action(), 400..800);
     let (mut acknowledged, mut reads, mut wiped, mut compacted, mut repaired) = (0, 0, 0, 0, 0);
+    let mut troubled = [0; 3];
     for _ in 0..40 {
         let mut trial = Trial::new(3);
         let actions = strategy.new_tree(&mut runner).unwrap().current();
         for action in actions {
             let repairing = trial.repair.is_some();
+            match action {
+                Action::Power => troubled[0] += 1,
+                Action::Hang(_) => troubled[1] += 1,
+                Action::Halves(_) => troubled[2] += 1,
+                _ => {}
+            }
             trial.act(action);
             repaired += usize::from(repairing && trial.repair.is_none());
         }
@@ -227,5 +256,6 @@
     println!(
         "{acknowledged} acknowledged, {reads} reads, {wiped} wiped, {repaired} repaired, {compacted} compacted"
     );
+    assert!(troubled.iter().all(|count| *count > 20), "{troubled:?}");
     assert!(acknowledged > 200 && reads > 50 && wiped > 20 && repaired > 5 && compacted > 20);
 }
--- a/tests/replication_support/mod.rs
+++ b/tests/replication_support/mod.rs
@@ -36,6 +36,8 @@
     /// How fast its clock runs.
     pub rate: f64,
     pub up: bool,
+    /// Its disk finishes no write.
+    pub hangs: bool,
     starts: u64,
 }
 
@@ -133,6 +135,7 @@
             applied: 0,
             rate,
             up: true,
+            hangs: false,
             starts: 0,
         });
     }
@@ -208,7 +211,7 @@
     /// Finishes what a member has to write. Its driver stops if that fails.
     pub fn sync(&mut self, place: usize) {
         let node = &mut self.nodes[place];
-        if !node.up {
+        if !node.up || node.hangs {
             return;
         }
         for write in node.batch.take_writes() {
@@ -342,7 +345,10 @@
     /// Everything works again: all must agree on everything that was acknowledged.
     pub fn settle(&mut self) {
         self.cut.clear();
-        self.nodes.iter_mut().for_each(|node| node.up = true);
+        for node in &mut self.nodes {
+            node.up = true;
+            node.hangs = false;
+        }
         let leader = self.elect();
         let ticket = self.propose(leader);
         for _ in 0..500 {
