--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -34,6 +34,12 @@
     pub async fn run(self) -> anyhow::Result<()> {
         let settings = Arc::new(Settings::read(&self.settings)?);
         let _logger = telemetry::start_logging().context("could not start logging")?;
+        log::info!(
+            event = "daemon.starts", role:% = settings.role, name = &*settings.name,
+            zone = settings.zone.as_str(), version = env!("CARGO_PKG_VERSION"),
+            settings:% = self.settings.display();
+            "daemon: starts"
+        );
         let stop = CancellationToken::new();
         stop_on_signal(stop.clone())?;
         let (reloader, reloaded) = Reloader::new(self.settings, Arc::clone(&settings))?;
