Let refusing in a burst end after a pause, and spare streams taken up again

Cause, found by reading: the level of refusing fell by a fifth of a second for each request at most, so that the first request after a pause could be refused though nothing waited; and a caller that takes its stream up again was refused like a new one, though it has been served in part.

Change: only a rise of the level is limited; such streams are not refused. The new line of policy_shed fails without it.

--- a/src/ingress/forward.rs
+++ b/src/ingress/forward.rs
@@ -218,7 +218,8 @@
                 true => Failure::BodyTooLarge,
                 false => Failure::BodyCut,
             })?;
-        if route.class.is_stream() {
+        // A stream that its caller takes up again has been served in part already.
+        if route.class.is_stream() && facts.resume_after.is_none() {
             let rank = || table.urgency(&service, &route, account.as_ref());
             if let Some(after) = core.upstreams.refuse(&service, rank, Instant::now()) {
                 return Err(NotRun::Overloaded(after).into());
--- a/src/policy/shed.rs
+++ b/src/policy/shed.rs
@@ -3,7 +3,7 @@
 //! A model engine takes what it is sent into a queue. When more comes than all engines can begin, every
 //! request waits, and soon none is in time, although most could be. A gateway therefore measures how long
 //! its requests wait for the first byte of their answers, and refuses a part, the least urgent first, for as
-//! long as that is near the target. See docs/DECISIONS.md, "Refusing in a burst".
+//! long as many of these waits come near the target. See docs/DECISIONS.md, "Refusing in a burst".
 
 use std::time::Duration;
 
@@ -17,7 +17,7 @@
 const LONG_PART: f64 = 0.4;
 /// How much the level changes in a second if all waits are too long.
 const GAIN: f64 = 4.0;
-/// Longest time that one change of the level counts for.
+/// Longest time without a request for which the level rises at once.
 const LONGEST_STEP: Duration = Duration::from_millis(200);
 /// Waits in the span from which on they say something.
 const FEWEST_WAITS: f64 = 3.0;
@@ -63,13 +63,17 @@
         now: Duration,
     ) -> Option<Duration> {
         self.advance(now);
-        let step = now.saturating_sub(self.level_at).min(LONGEST_STEP);
+        let passed = now.saturating_sub(self.level_at);
         self.level_at = now;
         let long = match self.count >= FEWEST_WAITS {
             true => self.long / self.count,
             false => 0.0,
         };
         let excess = (long - LONG_PART) / LONG_PART;
+        let step = match excess > 0.0 {
+            true => passed.min(LONGEST_STEP),
+            false => passed,
+        };
         self.level = (self.level + GAIN * excess * step.as_secs_f64()).clamp(0.0, 1.0);
         if self.level <= 0.0 {
             return None;
--- a/tests/policy_shed.rs
+++ b/tests/policy_shed.rs
@@ -181,6 +181,12 @@
         waits.begun(Duration::from_millis(1200), TARGET, now);
         waits.refuse(|| 1.0, 0.0, now)
     });
+    let later = Duration::from_secs(8);
+    assert_eq!(
+        waits.refuse(|| 1.0, 0.0, later),
+        None,
+        "nothing waits any more"
+    );
     let told = told.unwrap();
     assert!((told.as_secs_f64() - 1.2).abs() < 0.01, "{told:?}");
 }
