--- a/src/ingress/upstreams.rs
+++ b/src/ingress/upstreams.rs
@@ -18,8 +18,8 @@
 use crate::{
     domain::{Incarnation, InstanceName, RoutingWeights, ServiceName, ZoneName},
     policy::{
+        overload::Waits,
         route::{self, Candidate, Reason, Report, RouteRequest},
-        shed::Waits,
     },
     ports::{ReportedLoad, Target},
     wire::{ServiceLoad, UpstreamList, UpstreamRow},
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -412,7 +412,7 @@
     assert_eq!(answers.matches("200 OK").count(), 2, "{answers}");
 }
 
-/// The pure part is played in `policy_shed`.
+/// The pure part is played in `policy_overload`.
 #[tokio::test]
 async fn streams_are_refused_at_once_while_others_wait_too_long_and_have_then_not_run() {
     let site = Site::start(1, |_, seen| match seen.path.as_str() {
--- a/tests/policy_shed.rs
+++ b/tests/policy_overload.rs
@@ -3,7 +3,7 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use flamingocroft::policy::shed::Waits;
+use flamingocroft::policy::overload::Waits;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 const GATEWAYS: usize = 8;
