Give the controller's rounds one loop, and note waits for engines only

Four loops of the controller that tick, do a round and end with a token were the same; a round now takes its worker and gives it back, so that one function serves all. Waits were noted for plain services too, under a lock, though only requests for engines are refused by them. The benches share the reading of processor time, the ingress bench the daemons of the tests, and two tests the reading of metrics.

--- a/benches/gateway.rs
+++ b/benches/gateway.rs
@@ -2,6 +2,7 @@
 //! processor time for each request and token, and memory for each open stream. The controllers and
 //! the gateway are processes of their own; docs/MEASUREMENTS.md holds the figures.
 
+mod processor;
 #[path = "../examples/support/mod.rs"]
 mod support;
 
@@ -14,6 +15,7 @@
 use anyhow::{Context, ensure};
 use flamingocroft::domain::Intent;
 use hdrhistogram::Histogram;
+use processor::cpu_seconds;
 use serde_json::json;
 use standin::{Faults, engine::EngineParams};
 use support::{
@@ -33,8 +35,6 @@
 const STREAMS: usize = 1000;
 const STREAM_TOKENS: u32 = 300;
 const SLOTS: u32 = 4096;
-/// Clock ticks a second in `/proc/PID/stat`, fixed by the kernel's interface.
-const TICKS_PER_SECOND: f64 = 100.0;
 
 #[tokio::main]
 async fn main() -> anyhow::Result<()> {
@@ -281,11 +281,3 @@
     let kib: u64 = line.trim().trim_end_matches("kB").trim().parse()?;
     Ok(kib * 1024)
 }
-
-fn cpu_seconds(pid: u32) -> anyhow::Result<f64> {
-    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat"))?;
-    let (_, fields) = stat.rsplit_once(')').context("no name in the stat")?;
-    let fields: Vec<&str> = fields.split_whitespace().collect();
-    let ticks = |i: usize| -> anyhow::Result<f64> { Ok(fields[i].parse()?) };
-    Ok((ticks(11)? + ticks(12)?) / TICKS_PER_SECOND)
-}
--- a/benches/ingress.rs
+++ b/benches/ingress.rs
@@ -4,16 +4,13 @@
 
 #[path = "../tests/platform_support/mod.rs"]
 mod platform_support;
+mod processor;
 
-use std::{
-    path::Path,
-    process::{Child, Command, Stdio},
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
-use anyhow::Context;
 use hyper::{Method, StatusCode};
-use platform_support::{Act, Ground, Site, document};
+use platform_support::{Act, Ground, Site, daemons::Daemon, document};
+use processor::cpu_seconds;
 use tokio::task::JoinSet;
 
 const IDLE: Duration = Duration::from_secs(10);
@@ -25,8 +22,6 @@
 const EVENTS: u64 = 100;
 /// Pause between the events of a stream, in which a gateway sleeps.
 const EVENT_PAUSE: Duration = Duration::from_millis(10);
-/// Clock ticks a second in `/proc/PID/stat`, fixed by the kernel's interface.
-const TICKS_PER_SECOND: f64 = 100.0;
 
 #[tokio::main]
 async fn main() -> anyhow::Result<()> {
@@ -39,38 +34,6 @@
     Ok(())
 }
 
-/// A process that is killed when it is dropped.
-struct Process(Child);
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        // Nothing is left to do about a process that has ended already.
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
-impl Process {
-    fn start(settings: &Path, level: &str) -> anyhow::Result<Self> {
-        let child = Command::new(env!("CARGO_BIN_EXE_flamingocroftd"))
-            .arg("--settings")
-            .arg(settings)
-            .env("RUST_LOG", level)
-            .stdout(Stdio::null())
-            .spawn()
-            .context("the daemon does not start")?;
-        Ok(Self(child))
-    }
-
-    fn cpu_seconds(&self) -> anyhow::Result<f64> {
-        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.0.id()))?;
-        let (_, fields) = stat.rsplit_once(')').context("no name in the stat")?;
-        let fields: Vec<&str> = fields.split_whitespace().collect();
-        let ticks = |i: usize| -> anyhow::Result<f64> { Ok(fields[i].parse()?) };
-        Ok((ticks(11)? + ticks(12)?) / TICKS_PER_SECOND)
-    }
-}
-
 async fn measure(level: &str) -> anyhow::Result<()> {
     let ground = Ground::prepare(1, 2, |_, seen| match seen.path.as_str() {
         "/resumed/x" => {
@@ -80,17 +43,17 @@
         _ => Act::Answer(StatusCode::OK, vec![b'x'; 800]),
     })
     .await;
-    let controller = Process::start(&ground.controller_files[0], level)?;
-    let gateway = Process::start(&ground.gateway_file, level)?;
+    let controller = Daemon::start_logging(&ground.controller_files[0], level);
+    let gateway = Daemon::start_logging(&ground.gateway_file, level);
     let site = ground.site();
     site.publish(&document(1)).await;
     let site = std::sync::Arc::new(site);
 
-    let before = (controller.cpu_seconds()?, gateway.cpu_seconds()?);
+    let before = (cpu_seconds(controller.id())?, cpu_seconds(gateway.id())?);
     tokio::time::sleep(IDLE).await;
     let per_second = 1e3 / IDLE.as_secs_f64();
-    let idle_controller = (controller.cpu_seconds()? - before.0) * per_second;
-    let idle_gateway = (gateway.cpu_seconds()? - before.1) * per_second;
+    let idle_controller = (cpu_seconds(controller.id())? - before.0) * per_second;
+    let idle_gateway = (cpu_seconds(gateway.id())? - before.1) * per_second;
 
     let pause = Duration::from_secs_f64(CALLERS as f64 / USUAL_PER_SECOND);
     let plain = work(&gateway, &site, "/safe/x", REQUESTS, pause).await? / REQUESTS as f64;
@@ -108,13 +71,13 @@
 
 /// Sends requests, a few at a time and each caller with a pause after its answers, and returns the gateway's processor time in seconds.
 async fn work(
-    gateway: &Process,
+    gateway: &Daemon,
     site: &std::sync::Arc<Site>,
     path: &'static str,
     count: usize,
     pause: Duration,
 ) -> anyhow::Result<f64> {
-    let before = gateway.cpu_seconds()?;
+    let before = cpu_seconds(gateway.id())?;
     let begun = Instant::now();
     let mut callers = JoinSet::new();
     for caller in 0..CALLERS {
@@ -133,7 +96,7 @@
     while let Some(result) = callers.join_next().await {
         result??;
     }
-    let spent = gateway.cpu_seconds()? - before;
+    let spent = cpu_seconds(gateway.id())? - before;
     eprintln!("{path}: {count} requests in {:?}", begun.elapsed());
     Ok(spent)
 }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -26,6 +26,7 @@
 mod placer;
 pub mod publisher;
 mod roll_call;
+mod rounds;
 mod scaler;
 mod shares;
 mod token;
--- a/src/controller/order_runner.rs
+++ b/src/controller/order_runner.rs
@@ -3,13 +3,14 @@
 use std::{sync::Arc, time::Duration};
 
 use futures_util::{StreamExt, stream};
-use tokio::time::{MissedTickBehavior, interval, timeout};
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 use super::{
     convert,
     core::Core,
     orders::{self, Action, Desk, OrderTiming, Outcome},
+    rounds::repeat,
 };
 use crate::{
     domain::FencingNumber,
@@ -33,25 +34,18 @@
     stop: CancellationToken,
 ) {
     let timing = timing(&core);
-    let mut runner = Runner {
+    let runner = Runner {
         desk: Desk::new(timing, Duration::ZERO),
         core,
         upstreams,
         timing,
         term: 0,
     };
-    let mut tick = interval(LOOK);
-    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        tokio::select! {
-            _ = tick.tick() => {}
-            () = stop.cancelled() => return,
-        }
-        tokio::select! {
-            () = runner.look() => {}
-            () = stop.cancelled() => return,
-        }
-    }
+    repeat(LOOK, &stop, runner, |mut runner| async move {
+        runner.look().await;
+        runner
+    })
+    .await;
 }
 
 /// An order must fit into what is left of the lease between two of its renewals.
--- a/src/controller/roll_call.rs
+++ b/src/controller/roll_call.rs
@@ -8,10 +8,10 @@
 };
 
 use futures_util::future::join_all;
-use tokio::time::{MissedTickBehavior, interval, sleep};
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
-use super::core::Core;
+use super::{core::Core, rounds::repeat};
 use crate::{
     domain::MemberId,
     policy::members::{Member, Members},
@@ -33,24 +33,17 @@
 
 /// Asks until the token is cancelled.
 pub(super) async fn run<T: Clock>(core: Arc<Core<T>>, stop: CancellationToken) {
-    let mut roll = RollCall {
+    let roll = RollCall {
         heard: HashMap::new(),
         term: 0,
         since: core.now(),
         core,
     };
-    let mut tick = interval(EVERY);
-    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        tokio::select! {
-            _ = tick.tick() => {}
-            () = stop.cancelled() => return,
-        }
-        tokio::select! {
-            () = roll.round() => {}
-            () = stop.cancelled() => return,
-        }
-    }
+    repeat(EVERY, &stop, roll, |mut roll| async move {
+        roll.round().await;
+        roll
+    })
+    .await;
 }
 
 struct RollCall<T> {
--- a/src/controller/scaler.rs
+++ b/src/controller/scaler.rs
@@ -2,10 +2,10 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use tokio::time::{MissedTickBehavior, interval, timeout};
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
-use super::{core::Core, duty::Duty, metrics::DutyCounters};
+use super::{core::Core, duty::Duty, metrics::DutyCounters, rounds::repeat};
 use crate::{
     domain::{EngineFacts, RouteTable, RoutedService, ScalingFacts, ServiceName, ZoneName},
     policy::scale::{self, EngineSize, NeedMeter, Ordered, Present, Use, Wanted, ZoneMarket},
@@ -33,7 +33,7 @@
         return;
     };
     let counters = DutyCounters::new(&core.metrics, "orders");
-    let mut scaler = Scaler {
+    let scaler = Scaler {
         core,
         counters,
         platform,
@@ -43,18 +43,11 @@
         table: RouteTable::default(),
         services: HashMap::new(),
     };
-    let mut tick = interval(LOOK);
-    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        tokio::select! {
-            _ = tick.tick() => {}
-            () = stop.cancelled() => return,
-        }
-        tokio::select! {
-            () = scaler.look() => {}
-            () = stop.cancelled() => return,
-        }
-    }
+    repeat(LOOK, &stop, scaler, |mut scaler| async move {
+        scaler.look().await;
+        scaler
+    })
+    .await;
 }
 
 struct Scaler<T, P> {
--- a/src/controller/usage.rs
+++ b/src/controller/usage.rs
@@ -3,10 +3,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use tokio::time::{MissedTickBehavior, interval, timeout};
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
-use super::{core::Core, duty::Duty, metrics::DutyCounters};
+use super::{core::Core, duty::Duty, metrics::DutyCounters, rounds::repeat};
 use crate::{
     ports::{Clock, DutyHolder, Platform, WindowUsage},
     settings::Ingress,
@@ -34,7 +34,7 @@
         return;
     };
     let counters = DutyCounters::new(&core.metrics, "usage");
-    let mut reporter = Reporter {
+    let reporter = Reporter {
         core,
         counters,
         platform,
@@ -42,18 +42,11 @@
         duty: Duty::new("usage reports", ingress.duty_lease),
         sent: None,
     };
-    let mut tick = interval(LOOK);
-    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        tokio::select! {
-            _ = tick.tick() => {}
-            () = stop.cancelled() => return,
-        }
-        tokio::select! {
-            () = reporter.look() => {}
-            () = stop.cancelled() => return,
-        }
-    }
+    repeat(LOOK, &stop, reporter, |mut reporter| async move {
+        reporter.look().await;
+        reporter
+    })
+    .await;
 }
 
 struct Reporter<T, P> {
--- a/src/ingress/forward.rs
+++ b/src/ingress/forward.rs
@@ -273,7 +273,6 @@
             if repeats && !self.core.budgets.spend(&self.service, now) {
                 return Err(self.unless_run(NotRun::Busy));
             }
-            let sent = now;
             self.core.counters.attempts.add();
             self.core.counters.choice(flight.reason);
             if repeats {
@@ -288,10 +287,10 @@
             match self.attempt(flight, resume_after).await {
                 Ok(accepted) => {
                     self.count_run();
-                    if resume_after.is_none() {
-                        let now = Instant::now();
+                    // Only requests for engines are refused by what others waited.
+                    if self.route.class.is_stream() && resume_after.is_none() {
                         let (upstreams, target) = (&self.core.upstreams, self.route.target);
-                        upstreams.note_wait(&self.service, now - sent, target, now);
+                        upstreams.note_wait(&self.service, now.elapsed(), target);
                     }
                     return Ok(accepted);
                 }
--- a/src/ingress/upstreams.rs
+++ b/src/ingress/upstreams.rs
@@ -293,16 +293,9 @@
     }
 
     /// Notes for how long a request with a target waited for the first byte of its answer.
-    pub(super) fn note_wait(
-        &self,
-        service: &ServiceName,
-        wait: Duration,
-        target: Duration,
-        now: Instant,
-    ) {
+    pub(super) fn note_wait(&self, service: &ServiceName, wait: Duration, target: Duration) {
         self.meter(service, |meter| {
-            let now = now.duration_since(meter.started);
-            meter.waits.begun(wait, target, now);
+            meter.waits.begun(wait, target, meter.started.elapsed());
         });
     }
 
--- a/tests/platform_metrics.rs
+++ b/tests/platform_metrics.rs
@@ -1,18 +1,12 @@
 //! What the metrics of a gateway and a controller tell of requests on the users' platform.
 
+mod metric_text;
 mod platform_support;
 
 use hyper::{Method, StatusCode};
+use metric_text::value;
 use platform_support::{Act, Site, call, document, until};
 
-fn value(text: &str, line: &str) -> f64 {
-    let found = text
-        .lines()
-        .find_map(|l| l.strip_prefix(line)?.strip_prefix(' '));
-    let found = found.unwrap_or_else(|| panic!("no line {line} in\n{text}"));
-    found.parse().unwrap()
-}
-
 #[tokio::test]
 async fn requests_are_counted_by_class_account_and_outcome() {
     let site = Site::start(2, |_, seen| match seen.path.as_str() {
--- a/tests/platform_support/daemons.rs
+++ b/tests/platform_support/daemons.rs
@@ -21,6 +21,7 @@
 pub struct Daemon {
     child: Child,
     settings: PathBuf,
+    log_level: String,
 }
 
 impl Drop for Daemon {
@@ -31,18 +32,30 @@
 
 impl Daemon {
     pub fn start(settings: &Path) -> Self {
+        Self::start_logging(settings, "info")
+    }
+
+    /// Starts it with a level of its log.
+    pub fn start_logging(settings: &Path, log_level: &str) -> Self {
         let child = Command::new(env!("CARGO_BIN_EXE_flamingocroftd"))
             .arg("--settings")
             .arg(settings)
+            .env("RUST_LOG", log_level)
             .stdout(Stdio::null())
             .spawn()
             .unwrap();
         Self {
             child,
             settings: settings.to_owned(),
+            log_level: log_level.to_owned(),
         }
     }
 
+    /// Returns the process's id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Kills the process, as a lost machine does, and waits for its end.
     pub fn kill(&mut self) {
         // A process that has ended by itself cannot be killed.
@@ -53,7 +66,7 @@
     /// Starts it again with the same settings and whatever its data folder holds.
     pub fn start_again(&mut self) {
         self.kill();
-        *self = Self::start(&self.settings.clone());
+        *self = Self::start_logging(&self.settings.clone(), &self.log_level.clone());
     }
 
     pub fn freeze(&self) {
@@ -65,7 +78,7 @@
     }
 
     fn signal(&self, signal: Signal) {
-        kill(Pid::from_raw(self.child.id() as i32), signal).unwrap();
+        kill(Pid::from_raw(self.id() as i32), signal).unwrap();
     }
 }
 
--- a/tests/telemetry.rs
+++ b/tests/telemetry.rs
@@ -1,20 +1,14 @@
 //! The metrics as a scrape sees them.
 
+mod metric_text;
+
 use std::{thread, time::Duration};
 
 use flamingocroft::{
     domain::{Money, RefusalKind},
     telemetry::Metrics,
 };
-
-/// Returns the value of a line of the text format.
-fn value(text: &str, line: &str) -> f64 {
-    let found = text
-        .lines()
-        .find_map(|l| l.strip_prefix(line)?.strip_prefix(' '));
-    let found = found.unwrap_or_else(|| panic!("no line {line} in\n{text}"));
-    found.parse().unwrap()
-}
+use metric_text::value;
 
 #[test]
 fn refusal_kinds_are_listed_in_order_with_the_names_of_their_answers() {
