--- a/src/controller/metrics.rs
+++ b/src/controller/metrics.rs
@@ -4,6 +4,7 @@
 
 use super::core::Core;
 use crate::{
+    policy::members::voters,
     ports::Clock,
     telemetry::{Counter, Metrics},
 };
@@ -50,6 +51,14 @@
         "Last committed index of the log.",
         |core| core.log.standing().commit,
     );
+    gauge(
+        "controller_voters_missing",
+        "Voters missing that the tolerated losses want.",
+        |core| {
+            let wanted = voters(core.settings.tolerated_losses);
+            wanted.saturating_sub(core.log.standing().membership.voters.len()) as u64
+        },
+    );
     gauge(
         "controller_table_version",
         "Version of the published table in the log.",
--- a/src/controller/roll_call.rs
+++ b/src/controller/roll_call.rs
@@ -14,7 +14,7 @@
 use super::{core::Core, rounds::repeat};
 use crate::{
     domain::MemberId,
-    policy::members::{Member, Members},
+    policy::members::{Member, Members, voters},
     ports::Clock,
     settings::ControllerEntry,
     wire::{Body, MemberQuery, MemberReport},
@@ -36,6 +36,7 @@
     let roll = RollCall {
         heard: HashMap::new(),
         term: 0,
+        missing: 0,
         since: core.now(),
         core,
     };
@@ -51,6 +52,8 @@
     /// The member behind each controller's name, and when it answered last.
     heard: HashMap<Arc<str>, (MemberId, Duration)>,
     term: u64,
+    /// Voters missing at the last look.
+    missing: usize,
     /// When this controller began to lead; silence counts from then at the earliest.
     since: Duration,
 }
@@ -86,9 +89,25 @@
         }
     }
 
+    /// Says when more, or no more, voters are missing that the tolerated losses want.
+    fn note_missing(&mut self) {
+        let members = self.members();
+        let missing = members.missing();
+        if self.missing == missing {
+            return;
+        }
+        self.missing = missing;
+        log::warn!(
+            event = "voters.missing", missing = missing, voters = members.voters.len(),
+            wanted = members.wanted, learners = members.learners.len();
+            "controller: {missing} voters are missing for tolerated_losses; start more controllers if this lasts"
+        );
+    }
+
     async fn change(&mut self) {
         if !self.core.leads() {
             self.term = 0;
+            self.missing = 0;
             return;
         }
         let term = self.core.fleet().term();
@@ -96,6 +115,7 @@
             self.term = term;
             self.since = self.core.now();
         }
+        self.note_missing();
         // A learner catches up between two changes.
         for _ in 0..MOST_CHANGES {
             let members = self.members();
@@ -133,7 +153,7 @@
             voters: view(&membership.voters),
             learners: view(&membership.learners),
             strangers: strangers.collect(),
-            wanted: self.core.settings.tolerated_losses * 2 + 1,
+            wanted: voters(self.core.settings.tolerated_losses),
         }
     }
 
--- a/src/policy/members.rs
+++ b/src/policy/members.rs
@@ -15,6 +15,11 @@
 /// Most members that catch up at once.
 const MOST_LEARNERS: usize = 2;
 
+/// Returns how many members must vote so that some may be lost at once.
+pub fn voters(tolerated_losses: usize) -> usize {
+    tolerated_losses * 2 + 1
+}
+
 /// A member of the replicated log as the leader sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Member {
@@ -48,6 +53,11 @@
 }
 
 impl Members {
+    /// Returns how many voters are missing that the tolerated losses want.
+    pub fn missing(&self) -> usize {
+        self.wanted.saturating_sub(self.voters.len())
+    }
+
     /// Returns the next change, one at a time, or nothing if all is well.
     pub fn next_change(&self) -> Option<MemberChange> {
         self.drop_learner()
--- a/tests/platform_deploy.rs
+++ b/tests/platform_deploy.rs
@@ -151,3 +151,37 @@
     );
     assert!(templates.iter().all(|path| !root(path).is_empty()));
 }
+
+/// A controller runs on a share of the core machines of each zone, rounded up.
+#[test]
+fn the_deploy_file_gives_enough_controllers_to_bear_the_losses() {
+    let deploy = root("deploy/system.toml");
+    let controllers = deploy.split("[roles.controller]").nth(1).unwrap();
+    let line = controllers
+        .lines()
+        .find_map(|line| line.strip_prefix("share = "));
+    let share: f64 = line
+        .expect("a share, not a count, of the machines")
+        .parse()
+        .unwrap();
+    // Core machines by zone, and how many of them may be lost at once.
+    let layouts: [(&[u32], usize); 4] = [
+        (&[2, 2, 1], 1),
+        (&[3, 3, 3], 2),
+        (&[3, 2, 2, 2], 2),
+        (&[2, 2, 2, 2, 1], 2),
+    ];
+    for (zones, losses) in layouts {
+        let run = |machines: &u32| (f64::from(*machines) * share).ceil() as usize;
+        let all: usize = zones.iter().map(run).sum();
+        let voters = losses * 2 + 1;
+        assert!(
+            all >= voters,
+            "{all} controllers in {zones:?}, {voters} are wanted"
+        );
+        assert!(
+            all <= voters + 1,
+            "{all} controllers in {zones:?} are priced"
+        );
+    }
+}
--- a/tests/policy_members.rs
+++ b/tests/policy_members.rs
@@ -4,7 +4,7 @@
 
 use flamingocroft::{
     domain::MemberId,
-    policy::members::{Member, Members},
+    policy::members::{Member, Members, voters},
     replication::MemberChange,
 };
 use proptest::prelude::*;
@@ -145,3 +145,11 @@
         prop_assert!(settled.voters.len() <= settled.wanted + 1);
     }
 }
+
+#[test]
+fn voters_that_the_losses_want_and_that_are_not_there_are_missing() {
+    let mut all = members(vec![member(1), member(2), member(3)]);
+    assert_eq!(all.missing(), 0);
+    all.wanted = voters(2);
+    assert_eq!(all.missing(), 2, "two losses want five");
+}
