Let the silence of a lost upstream follow from targets and from what is seen

Cause: an engine was taken to be lost after 450 ms, and a stream taken up elsewhere after 1 s, figures of one kind of engine. Streams were cut there twice and then ended (LOST), and what was read was wasted.

Change: policy::silence. An upstream is lost after twice what its route allows for an answer on time (target, gap), or 1.25 times the longest pause seen lately, and at most half of the time after which callers leave. Only whole events are progress, so an engine that dribbles is left too. A stream that finds no upstream, or no budget, waits for one as long as its caller can use the rest. Tests: policy_silence for kinds of engines; platform_path for a slow sound engine and a dribbling one. Ruled out: another constant, which holds for one site only.

--- a/src/domain/routes.rs
+++ b/src/domain/routes.rs
@@ -49,6 +49,8 @@
     pub timeout: Duration,
     /// Time to the first byte of the answer within which it is on time.
     pub target: Duration,
+    /// Longest pause between two events of a stream that is on time.
+    pub gap: Duration,
     /// Rank against other routes; zero is the most urgent.
     pub priority: u8,
     /// The services that answer, with their weights.
--- a/src/ingress/budget.rs
+++ b/src/ingress/budget.rs
@@ -63,6 +63,13 @@
         self.with(service, |budget| budget.spend(&self.rule, gateways, now))
     }
 
+    /// Returns whether a service has a further attempt left.
+    pub(super) fn has_left(&self, service: &ServiceName, now: Instant) -> bool {
+        let gateways = self.gateways.load(Ordering::Relaxed);
+        let now = now.duration_since(self.started);
+        self.with(service, |budget| budget.left(&self.rule, gateways, now)) >= 1.0
+    }
+
     /// Returns what is left of each service's budget here.
     pub(super) fn left(&self, now: Instant) -> Vec<(String, f64)> {
         let gateways = self.gateways.load(Ordering::Relaxed);
--- a/src/ingress/counters.rs
+++ b/src/ingress/counters.rs
@@ -188,6 +188,32 @@
         move || held.contacts.silences(Instant::now()),
     );
     let held = Arc::clone(core);
+    metrics.gauges(
+        "ingress_first_wait_seconds",
+        "Mean wait for the first byte of an answer.",
+        "service",
+        move || {
+            let pauses = held.upstreams.pauses();
+            pauses
+                .into_iter()
+                .map(|(name, (first, _))| (name, first))
+                .collect()
+        },
+    );
+    let held = Arc::clone(core);
+    metrics.gauges(
+        "ingress_event_pause_seconds",
+        "Mean pause between two events of a stream.",
+        "service",
+        move || {
+            let pauses = held.upstreams.pauses();
+            pauses
+                .into_iter()
+                .map(|(name, (_, next))| (name, next))
+                .collect()
+        },
+    );
+    let held = Arc::clone(core);
     metrics.gauges(
         "ingress_leader",
         "The controller that said last that it leads.",
--- a/src/ingress/forward.rs
+++ b/src/ingress/forward.rs
@@ -11,7 +11,7 @@
     header::{self, HeaderValue},
     http::response::Parts,
 };
-use tokio::time::{Instant, interval_at, timeout_at};
+use tokio::time::{Instant, interval_at, sleep, timeout_at};
 
 use super::{
     Core,
@@ -19,13 +19,16 @@
     answer::{Ended, Failure, NotRun, respond},
     events::EventCutter,
     heads::{host, promises_not_run, without_connection_headers},
-    relay::{FIRST_LOOK, NEXT_LOOKS, Relay, Resumable, Resume, Resumed, Source, Timing},
+    relay::{Relay, Resumable, Resume, Resumed, Source, Timing, look_every},
     upstreams::Flight,
 };
 use crate::{
     adapters::http::{Answer, Reuse},
     domain::{AccountName, InstanceName, RequestClass, Route, RouteIndex, ServiceName},
-    policy::route::RouteRequest,
+    policy::{
+        route::RouteRequest,
+        silence::{Awaited, OnTime},
+    },
     ports::{
         Clock, Forwarding, Platform, PromptFacts, RequestFacts, Sent, UpstreamError,
         UpstreamErrorKind,
@@ -37,11 +40,9 @@
 /// not run, so this bounds the search only.
 const MOST_REFUSED: usize = 3;
 
-/// Silence before the first byte, in times of the route's target, after which a request that may be
-/// repeated is sent to another upstream; answers that take longer are rare even under load.
-const FIRST_BYTE_TARGETS: u32 = 3;
-/// Shortest such silence.
-const FIRST_BYTE_LEAST: Duration = Duration::from_millis(800);
+/// Time between two looks whether a stream that broke off finds an upstream again; some looks fit into the
+/// time after which callers leave.
+const LOOK_FOR_UPSTREAM: Duration = Duration::from_millis(50);
 
 /// Answers one request.
 pub(super) async fn answer<P: Platform, T: Clock>(
@@ -141,6 +142,7 @@
             if self.is_exhausted() {
                 return None;
             }
+            self.wait_for_upstream().await;
             let found = self.search(after).await;
             match found {
                 Ok(accepted) if accepted.head.status.is_success() => {
@@ -287,6 +289,8 @@
             match self.attempt(flight, resume_after).await {
                 Ok(accepted) => {
                     self.count_run();
+                    let flight = &accepted.source.flight;
+                    flight.note_pause(Awaited::First, now.elapsed());
                     // Only requests for engines are refused by what others waited.
                     if self.route.class.is_stream() && resume_after.is_none() {
                         let (upstreams, target) = (&self.core.upstreams, self.route.target);
@@ -340,6 +344,27 @@
         }
     }
 
+    /// Waits, as long as the caller of a stream can still use the rest of it, until there is an upstream to
+    /// take it up and a further attempt may be made.
+    async fn wait_for_upstream(&self) {
+        let until = self.deadline.min(Instant::now() + self.on_time().longest());
+        loop {
+            let now = Instant::now();
+            let is_there = self.core.upstreams.has_other(&self.service, &self.tried);
+            if now >= until || (is_there && self.core.budgets.has_left(&self.service, now)) {
+                return;
+            }
+            sleep(LOOK_FOR_UPSTREAM).await;
+        }
+    }
+
+    fn on_time(&self) -> OnTime {
+        OnTime {
+            first: self.route.target,
+            gap: self.route.gap,
+        }
+    }
+
     fn choose(&self, now: Instant) -> Option<Flight> {
         let prompt = self.facts.prompt.as_ref();
         let req = RouteRequest {
@@ -350,8 +375,8 @@
         let own = prompt.and_then(|prompt| prompt.parts.last());
         let new_tokens = own.map_or(req.prompt_tokens, |part| part.tokens as u32);
         let upstreams = &self.core.upstreams;
-        let is_engine = self.route.class.is_stream();
-        upstreams.choose(&self.service, &req, is_engine, new_tokens, &self.tried, now)
+        let silence = upstreams.silence(&self.service, Awaited::First, &self.on_time());
+        upstreams.choose(&self.service, &req, silence, new_tokens, &self.tried, now)
     }
 
     async fn attempt(
@@ -371,7 +396,7 @@
         };
         let answer = match answer {
             Ok(answer) => answer,
-            Err(e) => return Err(self.failed(&flight, &e)),
+            Err(e) => return Err(self.failed(&flight, &e, now.elapsed())),
         };
         self.judge(flight, answer)
     }
@@ -382,10 +407,11 @@
         if !class.is_stream() || !class.may_repeat() || self.is_exhausted() {
             return std::future::pending().await;
         }
-        let mut looks = interval_at(sent + FIRST_LOOK, NEXT_LOOKS);
+        let limit = flight.silence(Awaited::First, &self.on_time());
+        let mut looks = interval_at(sent + limit, look_every(limit));
         loop {
             looks.tick().await;
-            if flight.upstream.is_lost(true, Instant::now()) {
+            if flight.upstream.is_lost(limit, Instant::now()) {
                 let message = "the engine gives no sign of life";
                 return UpstreamError::new(UpstreamErrorKind::Silent, Sent::Maybe, message);
             }
@@ -398,12 +424,22 @@
         if !self.route.class.may_repeat() || self.is_exhausted() {
             return self.deadline;
         }
-        let patience = (self.route.target * FIRST_BYTE_TARGETS).max(FIRST_BYTE_LEAST);
+        let on_time = self.on_time();
+        let patience = match self.route.class.is_stream() {
+            true => on_time.longest(),
+            false => {
+                let upstreams = &self.core.upstreams;
+                upstreams.silence(&self.service, Awaited::First, &on_time)
+            }
+        };
         self.deadline.min(now + patience)
     }
 
-    fn failed(&self, flight: &Flight, e: &UpstreamError) -> Attempt {
+    fn failed(&self, flight: &Flight, e: &UpstreamError, waited: Duration) -> Attempt {
         let upstream = &flight.upstream;
+        if e.kind == UpstreamErrorKind::Silent {
+            flight.note_pause(Awaited::First, waited);
+        }
         upstream.suspect(Instant::now());
         log::warn!(
             event = "attempt.failed", request = self.id(), upstream:% = upstream.target.instance,
@@ -476,6 +512,7 @@
             account: self.metrics.clone(),
             arrived: self.arrived,
             is_stream: self.route.class.is_stream(),
+            on_time: self.on_time(),
         };
         // A length would not be that of a stream that is taken up again.
         let can_resume = self.route.class == RequestClass::ResumableStream
--- a/src/ingress/relay.rs
+++ b/src/ingress/relay.rs
@@ -14,19 +14,22 @@
 use tokio::time::{Instant, Sleep, sleep_until};
 
 use super::{events::EventCutter, upstreams::Flight};
-use crate::{adapters::http::Lease, telemetry::AccountMetrics};
+use crate::{
+    adapters::http::Lease,
+    policy::silence::{Awaited, OnTime},
+    telemetry::AccountMetrics,
+};
 
 /// Why a body ends early. The connection to the caller is then closed without its proper end.
 type Broken = Box<dyn Error + Send + Sync>;
 
-/// Silence of a stream after which it is taken up again elsewhere, also if its upstream is alive. Callers
-/// leave after two seconds at the earliest.
-const EVENT_SILENCE: Duration = Duration::from_millis(1000);
-/// Silence after which it is first looked whether an engine is lost; just over the silence at which it is
-/// taken to be.
-pub(super) const FIRST_LOOK: Duration = Duration::from_millis(460);
-/// Time between further looks.
-pub(super) const NEXT_LOOKS: Duration = Duration::from_millis(150);
+/// Looks whether an engine is lost in the time of the silence at which it is taken to be, after the first.
+const LOOKS: u32 = 3;
+
+/// Returns the time between two looks whether an engine is lost, which is at a silence.
+pub(super) fn look_every(silence: Duration) -> Duration {
+    (silence / LOOKS).max(Duration::from_millis(1))
+}
 
 /// The body of an answer.
 #[derive(Debug)]
@@ -69,6 +72,8 @@
     pub(super) arrived: Instant,
     /// Whether the answer is a series of events, whose pauses count.
     pub(super) is_stream: bool,
+    /// What its route allows.
+    pub(super) on_time: OnTime,
 }
 
 struct Passing {
@@ -82,6 +87,8 @@
     /// When it is looked next whether the upstream of a stream is lost.
     silence: Option<Pin<Box<Sleep>>>,
     heard: Instant,
+    /// Since when the upstream, and not the caller, is waited for.
+    asked: Option<Instant>,
     resuming: Option<BoxFuture<'static, Option<Resumed>>>,
 }
 
@@ -107,7 +114,10 @@
         id: String,
         timing: Timing,
     ) -> Self {
-        let first_look = resumable.as_ref().map(|_| Instant::now() + FIRST_LOOK);
+        let first_look = resumable.as_ref().map(|_| {
+            let silence = source.flight.silence(Awaited::Next, &timing.on_time);
+            Instant::now() + silence
+        });
         Self(Some(Box::new(Passing {
             id,
             timing,
@@ -117,6 +127,7 @@
             silence: first_look.map(|at| Box::pin(sleep_until(at))),
             resumable,
             heard: Instant::now(),
+            asked: None,
             resuming: None,
         })))
     }
@@ -190,19 +201,21 @@
                 }
                 Poll::Ready(None) => return Poll::Ready(self.finish()),
                 Poll::Pending => {
+                    let asked = *self.asked.get_or_insert_with(Instant::now);
                     let Some(silence) = &mut self.silence else {
                         return Poll::Pending;
                     };
                     ready!(silence.as_mut().poll(cx));
                     let now = Instant::now();
-                    let is_lost = self
-                        .source
-                        .as_ref()
-                        .is_some_and(|source| source.flight.upstream.is_lost(true, now));
-                    if !is_lost && now < self.heard + EVENT_SILENCE {
-                        silence.as_mut().reset(now + NEXT_LOOKS);
+                    let on_time = &self.timing.on_time;
+                    let limit = source.flight.silence(Awaited::Next, on_time);
+                    let waited = now - asked;
+                    let is_lost = waited >= limit && source.flight.upstream.is_lost(limit, now);
+                    if !is_lost && waited < on_time.longest() {
+                        silence.as_mut().reset(now + look_every(limit));
                         continue;
                     }
+                    source.flight.note_pause(Awaited::Next, waited);
                     if !self.begin_resuming("no event came for too long") {
                         self.silence = None;
                         return Poll::Pending;
@@ -214,8 +227,8 @@
 
     /// Returns the frame to pass on, if there is anything whole in it.
     fn pass(&mut self, frame: Frame<Bytes>) -> Option<Result<Frame<Bytes>, Broken>> {
-        self.hear();
         let Some(stream) = &mut self.resumable else {
+            self.hear();
             return Some(Ok(frame));
         };
         let piece = match frame.into_data() {
@@ -223,8 +236,12 @@
             Err(trailers) => return Some(Ok(trailers)),
         };
         match stream.events.push(&piece) {
+            // Bytes that end no event are no progress: an upstream that dribbles is left like a silent one.
             Ok(whole) if whole.is_empty() => None,
-            Ok(whole) => Some(Ok(Frame::data(whole))),
+            Ok(whole) => {
+                self.hear();
+                Some(Ok(Frame::data(whole)))
+            }
             Err(e) => Some(Err(self.give_up(&e.to_string()))),
         }
     }
@@ -237,11 +254,17 @@
         }
         self.has_begun = true;
         self.heard = now;
-        if let Some(source) = &self.source {
-            source.flight.upstream.hear(now);
+        let asked = self.asked.take();
+        let Some(source) = &self.source else {
+            return;
+        };
+        source.flight.upstream.hear(now);
+        if let Some(asked) = asked.filter(|_| self.timing.is_stream) {
+            source.flight.note_pause(Awaited::Next, now - asked);
         }
         if let Some(silence) = &mut self.silence {
-            silence.as_mut().reset(now + FIRST_LOOK);
+            let limit = source.flight.silence(Awaited::Next, &self.timing.on_time);
+            silence.as_mut().reset(now + limit);
         }
     }
 
--- a/src/ingress/upstreams.rs
+++ b/src/ingress/upstreams.rs
@@ -20,6 +20,7 @@
     policy::{
         overload::Waits,
         route::{self, Candidate, Reason, Report, RouteRequest},
+        silence::{Awaited, OnTime, Silences},
     },
     ports::{ReportedLoad, Target},
     wire::{ServiceLoad, UpstreamList, UpstreamRow},
@@ -30,11 +31,6 @@
 const SUSPECT_FOR: Duration = Duration::from_millis(1500);
 /// Most doublings of that time.
 const MOST_DOUBLINGS: u32 = 2;
-/// Silence of an engine with requests in progress after which it is taken to be lost. An engine gives a
-/// sign of life with every event of any request, several times in this time under full load.
-const ENGINE_SILENCE: Duration = Duration::from_millis(450);
-/// The same for a plain server, which gives a sign of life only with its answers.
-const SERVER_SILENCE: Duration = Duration::from_millis(800);
 /// Time for which callers may still use the addresses that they got before a stop.
 const OLD_ADDRESSES: Duration = Duration::from_millis(3500);
 
@@ -97,17 +93,12 @@
         load.failures = 0;
     }
 
-    /// Returns whether requests are in progress and nothing was heard for too long.
-    pub(super) fn is_lost(&self, is_engine: bool, now: Instant) -> bool {
-        self.is_silent(&self.load(), is_engine, now)
+    /// Returns whether requests are in progress and nothing was heard for longer than a limit.
+    pub(super) fn is_lost(&self, limit: Duration, now: Instant) -> bool {
+        self.is_silent(&self.load(), limit, now)
     }
 
-    fn is_silent(&self, load: &Load, is_engine: bool, now: Instant) -> bool {
-        let limit = if is_engine {
-            ENGINE_SILENCE
-        } else {
-            SERVER_SILENCE
-        };
+    fn is_silent(&self, load: &Load, limit: Duration, now: Instant) -> bool {
         let waits = self.in_flight.load(Ordering::Relaxed) > 0;
         let silent = |since| now.duration_since(since) > limit;
         waits && load.waiting_since.is_some_and(silent)
@@ -117,7 +108,7 @@
         self.load.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn candidate(&self, is_engine: bool, now: Instant) -> Candidate {
+    fn candidate(&self, limit: Duration, now: Instant) -> Candidate {
         let load = self.load();
         Candidate {
             instance: self.target.instance.clone(),
@@ -132,7 +123,7 @@
             in_progress: self.in_flight.load(Ordering::Relaxed),
             cached_tokens: None,
             suspect: load.suspect_until.is_some_and(|until| until > now)
-                || self.is_silent(&load, is_engine, now),
+                || self.is_silent(&load, limit, now),
         }
     }
 }
@@ -145,6 +136,7 @@
     services: ArcSwap<ByService>,
     in_flight: InFlight,
     meters: Mutex<HashMap<ServiceName, Meter>>,
+    silences: Mutex<HashMap<ServiceName, Silences>>,
 }
 
 /// Measures how much a service is used.
@@ -196,6 +188,26 @@
     all: Arc<Upstreams>,
 }
 
+impl Flight {
+    /// Returns the silence after which the upstream is taken to be lost.
+    pub(super) fn silence(&self, awaited: Awaited, on_time: &OnTime) -> Duration {
+        self.all.silence(&self.upstream.service, awaited, on_time)
+    }
+
+    /// Notes how long something was waited for, also if the wait was given up then.
+    pub(super) fn note_pause(&self, awaited: Awaited, pause: Duration) {
+        let mut silences = self.all.silences();
+        // Only the first wait of a service needs a copy of its name.
+        match silences.get_mut(&self.upstream.service) {
+            Some(known) => known.note(awaited, pause),
+            None => {
+                let known = silences.entry(self.upstream.service.clone());
+                known.or_default().note(awaited, pause);
+            }
+        }
+    }
+}
+
 impl Drop for Flight {
     fn drop(&mut self) {
         self.all
@@ -248,13 +260,48 @@
         all.map(|upstream| upstream.target.clone()).collect()
     }
 
+    /// Returns whether a service has an upstream that was not tried before.
+    pub(super) fn has_other(&self, service: &ServiceName, tried: &[InstanceName]) -> bool {
+        let services = self.services.load();
+        let mut all = services.get(service).into_iter().flatten();
+        all.any(|upstream| !upstream.is_leaving() && !tried.contains(&upstream.target.instance))
+    }
+
+    /// Returns the silence after which an upstream of a service is taken to be lost.
+    pub(super) fn silence(
+        &self,
+        service: &ServiceName,
+        awaited: Awaited,
+        on_time: &OnTime,
+    ) -> Duration {
+        let silences = self.silences();
+        match silences.get(service) {
+            Some(known) => known.limit(awaited, on_time),
+            None => Silences::default().limit(awaited, on_time),
+        }
+    }
+
+    /// Returns the mean wait for a first byte and the mean pause between events of each service, in seconds.
+    pub(super) fn pauses(&self) -> Vec<(String, (f64, f64))> {
+        let silences = self.silences();
+        let known = silences.iter();
+        known
+            .map(|(service, known)| (service.to_string(), known.means()))
+            .collect()
+    }
+
+    fn silences(&self) -> MutexGuard<'_, HashMap<ServiceName, Silences>> {
+        self.silences.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Chooses an upstream of a service that was not tried before, and counts the request there;
-    /// `new_tokens` of its prompt are held by no upstream.
+    /// `new_tokens` of its prompt are held by no upstream. One that was silent for longer than a limit is
+    /// chosen last.
     pub(super) fn choose(
         self: &Arc<Self>,
         service: &ServiceName,
         req: &RouteRequest,
-        is_engine: bool,
+        silence: Duration,
         new_tokens: u32,
         tried: &[InstanceName],
         now: Instant,
@@ -268,7 +315,7 @@
             .collect();
         let candidates: Vec<_> = usable
             .iter()
-            .map(|upstream| upstream.candidate(is_engine, now))
+            .map(|upstream| upstream.candidate(silence, now))
             .collect();
         let weights = RoutingWeights::default();
         let (chosen, reason) = route::choose_with_reason(req, &candidates, &weights)?;
--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -32,6 +32,8 @@
     #[serde(default)]
     target_latency_ms: f64,
     #[serde(default)]
+    target_gap_ms: Option<f64>,
+    #[serde(default)]
     priority: u8,
     /// The only service that answers; `traffic_split` stands instead where there are several.
     #[serde(default)]
@@ -170,6 +172,7 @@
         prefix: body.path_prefix.into(),
         timeout: millis(body.timeout_ms),
         target: millis(body.target_latency_ms),
+        gap: millis(body.target_gap_ms.unwrap_or(body.target_latency_ms)),
         priority: body.priority,
         services,
         max_attempts: body.max_attempts.max(1),
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -13,4 +13,5 @@
 pub mod retry;
 pub mod route;
 pub mod scale;
+pub mod silence;
 mod spread;
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -282,6 +282,53 @@
     );
 }
 
+/// What is too long for one kind of engine is usual for another; the route's targets tell.
+#[tokio::test]
+async fn a_slow_engine_is_not_left_within_the_targets_of_its_route() {
+    let site = Site::start(2, |_, _| {
+        Act::Paced(events(1..=4), Duration::from_millis(700))
+    })
+    .await;
+    let mut slow = document(1);
+    for route in slow["Routes"].as_array_mut().unwrap() {
+        route["TargetLatencyMs"] = serde_json::json!(1200);
+        route["TargetGapMs"] = serde_json::json!(800);
+        route["TimeoutMs"] = serde_json::json!(8000);
+    }
+    site.publish(&slow).await;
+    let res = site.send(Method::POST, "/resumed/x", "r1", "prompt").await;
+    assert_eq!(res.text(), events(1..=4).concat());
+    assert_eq!(
+        site.log.seen().len(),
+        1,
+        "one engine makes the whole stream"
+    );
+}
+
+/// Single bytes now and then are no progress; only whole events are.
+#[tokio::test]
+async fn an_engine_that_dribbles_is_left_for_another_one() {
+    let site = Site::start(2, |_, seen| {
+        if seen.headers.contains_key("last-event-id") {
+            let pieces = events(2..=3);
+            return Act::Stream {
+                pieces,
+                whole: true,
+            };
+        }
+        let dribble = "x".repeat(60);
+        let bytes = dribble.chars().map(String::from);
+        let pieces = events(1..=1).into_iter().chain(bytes);
+        Act::Paced(pieces.collect(), Duration::from_millis(100))
+    })
+    .await;
+    site.publish(&document(1)).await;
+    let begun = Instant::now();
+    let res = site.send(Method::POST, "/resumed/x", "r1", "prompt").await;
+    assert_eq!(res.text(), events(1..=3).concat());
+    assert!(begun.elapsed() < Duration::from_millis(2500));
+}
+
 #[tokio::test]
 async fn a_stream_that_may_not_be_resumed_does_not_look_complete() {
     let site = Site::start(2, |_, _| Act::Stream {
--- /dev/null
+++ b/tests/policy_silence.rs
@@ -0,0 +1,102 @@
+//! When an upstream is taken to be lost: kinds of engines, a slow one among sound ones, and engines that go dark.
+
+use std::time::Duration;
+
+use flamingocroft::policy::silence::{Awaited, OnTime, Silences};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Targets of a quick engine, and of one that reads a third as fast with eight times the requests at once.
+const QUICK: OnTime = OnTime {
+    first: Duration::from_millis(300),
+    gap: Duration::from_millis(250),
+};
+const SLOW: OnTime = OnTime {
+    first: Duration::from_millis(1200),
+    gap: Duration::from_millis(800),
+};
+
+/// Pauses of an engine: mostly near the usual one, now and then with a long prompt read in between.
+fn pauses(usual: f64, seed: u64) -> impl Iterator<Item = Duration> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    std::iter::repeat_with(move || {
+        let reads = rng.random_range(0.0..1.0) < 0.1;
+        let most = if reads { 4.0 } else { 1.5 };
+        Duration::from_secs_f64(usual * rng.random_range(0.7..most))
+    })
+}
+
+/// Plays pauses, and returns how many of the later half were taken for a loss.
+fn cut(on_time: &OnTime, usual: f64) -> usize {
+    let mut silences = Silences::default();
+    let mut cut = 0;
+    for (i, pause) in pauses(usual, 5).take(2000).enumerate() {
+        let limit = silences.limit(Awaited::Next, on_time);
+        silences.note(Awaited::Next, pause.min(limit));
+        cut += usize::from(i >= 1000 && pause > limit);
+    }
+    cut
+}
+
+#[test]
+fn sound_engines_of_every_kind_are_kept() {
+    // Pauses on time, at a quarter over the target, and with long prompts between.
+    for (on_time, usual) in [(QUICK, 0.03), (QUICK, 0.2), (SLOW, 0.1), (SLOW, 0.6)] {
+        assert_eq!(cut(&on_time, usual), 0, "{on_time:?} pauses {usual}");
+    }
+}
+
+#[test]
+fn limits_that_turn_out_too_short_grow() {
+    // Without a target for pauses only what is seen tells.
+    let unknown = OnTime {
+        gap: ms(50),
+        ..QUICK
+    };
+    let fixed = pauses(0.1, 5).take(1000).filter(|p| *p > ms(100)).count();
+    assert!(fixed > 400, "twice the target cuts {fixed} of 1000");
+    assert_eq!(cut(&unknown, 0.1), 0);
+}
+
+#[test]
+fn a_dark_engine_is_left_before_its_callers_leave() {
+    for (on_time, usual) in [(QUICK, 0.03), (SLOW, 0.1), (SLOW, 0.6)] {
+        let mut silences = Silences::default();
+        for pause in pauses(usual, 9).take(500) {
+            silences.note(Awaited::Next, pause);
+        }
+        // A fifth of the streams are lost at once, again and again.
+        for _ in 0..40 {
+            let limit = silences.limit(Awaited::Next, &on_time);
+            silences.note(Awaited::Next, limit);
+        }
+        let limit = silences.limit(Awaited::Next, &on_time);
+        assert!(limit <= on_time.caller_waits() / 2, "{on_time:?} {limit:?}");
+    }
+}
+
+#[test]
+fn before_anything_was_seen_the_targets_decide() {
+    let silences = Silences::default();
+    assert_eq!(silences.limit(Awaited::First, &QUICK), ms(600));
+    assert_eq!(silences.limit(Awaited::Next, &SLOW), ms(1600));
+}
+
+#[test]
+fn an_engine_that_turns_slow_is_followed_and_one_that_turns_quick_again_too() {
+    let mut silences = Silences::default();
+    let feed = |silences: &mut Silences, usual: f64| {
+        for pause in pauses(usual, 3).take(2000) {
+            silences.note(Awaited::Next, pause);
+        }
+        silences.limit(Awaited::Next, &QUICK)
+    };
+    let quick = feed(&mut silences, 0.02);
+    let slow = feed(&mut silences, 0.15);
+    assert_eq!(quick, ms(500));
+    assert!(slow > ms(550), "{slow:?}");
+    assert_eq!(feed(&mut silences, 0.02), ms(500));
+}
