Learn how fast engines read prompts

Cause: the template of the controller's settings gave every deployment 157 prompt tokens in a millisecond, the figure of two sites.

Change: policy::speed. Gateways keep sums of new prompt tokens and waits for the first event; the sums of all add up at every controller. The slope of the wait over the tokens, less what other prompts take by turns, is the time of a token. Until it is certain nothing is ordered, so what is there stays. The setting engine_tokens_per_ms is gone; a test refuses figures of a deployment in templates. Tests play kinds of engines at several loads, a slow one among sound ones, a change of speed, several gateways, and waits that prompts do not explain. Ruled out: fastest answers seen, which those of kept prompts are.

--- a/src/controller/followers.rs
+++ b/src/controller/followers.rs
@@ -14,7 +14,10 @@
 use super::core::Core;
 use crate::{
     link::Peer,
-    policy::quota::{self, Bucket, Claim, Limit},
+    policy::{
+        quota::{self, Bucket, Claim, Limit},
+        speed::Reading,
+    },
     ports::Clock,
     wire::{
         AccountCount, Body, Document, Follow, FollowReply, IngressRecord, ListVersion, QuotaPart,
@@ -183,6 +186,9 @@
             let sum = sums.entry(&load.service).or_default();
             sum.in_flight += load.in_flight;
             sum.prompt_tokens += load.prompt_tokens;
+            let mut reading = sum.reading.map_or_else(Reading::default, Reading::from);
+            reading.add(&load.reading.map_or_else(Reading::default, Reading::from));
+            sum.reading = Some(reading.into());
         }
         sums
     }
--- a/src/controller/scaler.rs
+++ b/src/controller/scaler.rs
@@ -1,6 +1,10 @@
 //! Orders upstreams while this controller leads, as `policy::scale` says.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
 
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
@@ -8,9 +12,13 @@
 use super::{core::Core, duty::Duty, metrics::DutyCounters, rounds::repeat};
 use crate::{
     domain::{EngineFacts, RouteTable, RoutedService, ScalingFacts, ServiceName, ZoneName},
-    policy::scale::{self, EngineSize, NeedMeter, Ordered, Present, Use, Wanted, ZoneMarket},
+    policy::{
+        scale::{self, EngineSize, NeedMeter, Ordered, Present, Use, Wanted, ZoneMarket},
+        speed::Reading,
+    },
     ports::{Clock, CloudError, DutyHolder, Platform, UpstreamOrder},
     settings::Ingress,
+    wire::ServiceLoad,
 };
 
 /// Time between two looks at the use of services.
@@ -19,6 +27,8 @@
 const ORDER_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time for which a zone that refused reclaimable upstreams gets no further order of them.
 const DRY_FOR: Duration = Duration::from_secs(6);
+/// Part by which a learnt speed must change to be told in the log.
+const TOLD_CHANGE: f64 = 0.2;
 /// Pause after an order that was refused or not answered.
 const ORDER_PAUSE: Duration = Duration::from_secs(1);
 
@@ -29,15 +39,26 @@
     ingress: Ingress,
     stop: CancellationToken,
 ) {
-    let Some(speed) = ingress.engine_tokens_per_ms else {
-        return;
-    };
     let counters = DutyCounters::new(&core.metrics, "orders");
+    let speeds = Speeds::default();
+    let shown = Arc::clone(&speeds);
+    core.metrics.gauges(
+        "controller_engine_tokens_per_second",
+        "Prompt tokens that one engine reads in a second, as learnt from waits.",
+        "service",
+        move || {
+            let speeds = shown.lock().unwrap_or_else(PoisonError::into_inner);
+            speeds
+                .iter()
+                .map(|(name, speed)| (name.to_string(), *speed))
+                .collect()
+        },
+    );
     let scaler = Scaler {
         core,
         counters,
         platform,
-        speed,
+        speeds,
         duty: Duty::new("ordering upstreams", ingress.duty_lease),
         term: 0,
         table: RouteTable::default(),
@@ -50,11 +71,13 @@
     .await;
 }
 
+/// Prompt tokens that one engine of each service reads in a second.
+type Speeds = Arc<Mutex<HashMap<ServiceName, f64>>>;
+
 struct Scaler<T, P> {
     core: Arc<Core<T>>,
     platform: Arc<P>,
-    /// Prompt tokens that an engine reads in a millisecond.
-    speed: f64,
+    speeds: Speeds,
     duty: Duty,
     counters: DutyCounters,
     term: u64,
@@ -108,18 +131,51 @@
 
     fn measure(&mut self, service: &RoutedService, engine: EngineFacts) {
         let now = self.core.now();
-        let used = self.used(&service.name);
+        let load = self.load(&service.name);
+        let used = Use {
+            in_flight: load.in_flight,
+            prompt_tokens: load.prompt_tokens,
+        };
+        let speed = self.speed(&service.name, &load);
         let scaled = self.services.entry(service.name.clone()).or_default();
         scaled.used = used;
-        if used.in_flight > 0.0 {
+        // Without a speed nothing is planned, so what is there stays.
+        if let Some(prompt_tokens) = speed.filter(|_| used.in_flight > 0.0) {
             let size = EngineSize {
                 slots: engine.slots,
-                prompt_tokens: self.speed * 1000.0,
+                prompt_tokens,
             };
             scaled.meter.take(now, scale::need(used, size));
         }
     }
 
+    /// Returns how many prompt tokens an engine of a service reads in a second: what is learnt now, or else what
+    /// was last.
+    fn speed(&self, service: &ServiceName, load: &ServiceLoad) -> Option<f64> {
+        let present = self.present(service);
+        let engines = present
+            .values()
+            .map(|here| here.reclaimable + here.on_demand)
+            .sum();
+        let reading = load.reading.map_or_else(Reading::default, Reading::from);
+        let learnt = reading.speed(load.prompt_tokens, engines);
+        let mut speeds = self.speeds.lock().unwrap_or_else(PoisonError::into_inner);
+        let before = speeds.get(service).copied();
+        let Some(speed) = learnt else {
+            return before;
+        };
+        if before.is_none_or(|before| (speed / before - 1.0).abs() > TOLD_CHANGE) {
+            log::info!(
+                event = "engine.speed", service:% = service, tokens_per_second = speed,
+                before = before.unwrap_or_default(), requests = reading.count,
+                rate = load.prompt_tokens, engines = engines;
+                "controller: an engine of {service} reads {speed:.0} prompt tokens in a second"
+            );
+            speeds.insert(service.clone(), speed);
+        }
+        Some(speed)
+    }
+
     fn read_table(&mut self) {
         let published = self.core.log.state().published().clone();
         if published.version <= self.table.version {
@@ -180,15 +236,10 @@
         zones
     }
 
-    fn used(&self, service: &ServiceName) -> Use {
+    fn load(&self, service: &ServiceName) -> ServiceLoad {
         let followers = self.core.followers();
         let loads = followers.loads(self.core.now());
-        loads
-            .get(service.as_str())
-            .map_or_else(Use::default, |load| Use {
-                in_flight: load.in_flight,
-                prompt_tokens: load.prompt_tokens,
-            })
+        loads.get(service.as_str()).cloned().unwrap_or_default()
     }
 
     /// Returns the next order that brings a zone nearer to what is wanted there.
--- a/src/ingress/forward.rs
+++ b/src/ingress/forward.rs
@@ -294,7 +294,12 @@
                     // Only requests for engines are refused by what others waited.
                     if self.route.class.is_stream() && resume_after.is_none() {
                         let (upstreams, target) = (&self.core.upstreams, self.route.target);
-                        upstreams.note_wait(&self.service, now.elapsed(), target);
+                        upstreams.note_wait(
+                            &self.service,
+                            now.elapsed(),
+                            target,
+                            self.new_tokens(),
+                        );
                     }
                     return Ok(accepted);
                 }
@@ -372,11 +377,25 @@
             prompt_tokens: prompt.map_or(0, |prompt| prompt.tokens_in as u32),
             home: prompt.map_or_else(rand::random, home),
         };
-        let own = prompt.and_then(|prompt| prompt.parts.last());
-        let new_tokens = own.map_or(req.prompt_tokens, |part| part.tokens as u32);
         let upstreams = &self.core.upstreams;
         let silence = upstreams.silence(&self.service, Awaited::First, &self.on_time());
-        upstreams.choose(&self.service, &req, silence, new_tokens, &self.tried, now)
+        upstreams.choose(
+            &self.service,
+            &req,
+            silence,
+            self.new_tokens(),
+            &self.tried,
+            now,
+        )
+    }
+
+    /// Returns the prompt tokens that belong to this request alone, so that no upstream holds them.
+    fn new_tokens(&self) -> u32 {
+        let Some(prompt) = &self.facts.prompt else {
+            return 0;
+        };
+        let own = prompt.parts.last();
+        own.map_or(prompt.tokens_in as u32, |part| part.tokens as u32)
     }
 
     async fn attempt(
--- a/src/ingress/upstreams.rs
+++ b/src/ingress/upstreams.rs
@@ -21,6 +21,7 @@
         overload::Waits,
         route::{self, Candidate, Reason, Report, RouteRequest},
         silence::{Awaited, OnTime, Silences},
+        speed::Reading,
     },
     ports::{ReportedLoad, Target},
     wire::{ServiceLoad, UpstreamList, UpstreamRow},
@@ -148,6 +149,7 @@
     in_flight: f64,
     prompt_tokens: f64,
     at: Instant,
+    reading: Reading,
     waits: Waits,
     started: Instant,
 }
@@ -159,14 +161,16 @@
             in_flight: 0.0,
             prompt_tokens: 0.0,
             at: now,
+            reading: Reading::default(),
             waits: Waits::default(),
             started: now,
         }
     }
 
     fn advance(&mut self, now: Instant) {
-        let passed = now.duration_since(self.at).as_secs_f64();
-        let kept = (-passed / METER_SPAN.as_secs_f64()).exp();
+        let passed = now.duration_since(self.at);
+        self.reading.age(passed);
+        let kept = (-passed.as_secs_f64() / METER_SPAN.as_secs_f64()).exp();
         self.in_flight = self.in_flight * kept + f64::from(self.count) * (1.0 - kept);
         self.prompt_tokens *= kept;
         self.at = now;
@@ -339,10 +343,18 @@
         })
     }
 
-    /// Notes for how long a request with a target waited for the first byte of its answer.
-    pub(super) fn note_wait(&self, service: &ServiceName, wait: Duration, target: Duration) {
+    /// Notes for how long a request with a target and some new prompt tokens waited for the first byte of
+    /// its answer.
+    pub(super) fn note_wait(
+        &self,
+        service: &ServiceName,
+        wait: Duration,
+        target: Duration,
+        new_tokens: u32,
+    ) {
         self.meter(service, |meter| {
             meter.waits.begun(wait, target, meter.started.elapsed());
+            meter.reading.note(new_tokens, wait);
         });
     }
 
@@ -369,6 +381,7 @@
                 service: service.to_string(),
                 in_flight: meter.in_flight,
                 prompt_tokens: meter.prompt_tokens,
+                reading: Some(meter.reading.into()),
             }
         };
         meters.iter_mut().map(load).collect()
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -14,4 +14,5 @@
 pub mod route;
 pub mod scale;
 pub mod silence;
+pub mod speed;
 mod spread;
--- /dev/null
+++ b/src/policy/speed.rs
@@ -0,0 +1,104 @@
+//! How fast the model engines of a service read prompts, learnt from how long requests wait for their first
+//! events.
+//!
+//! An engine that nobody else uses begins an answer after a time that grows with the prompt tokens that it must
+//! read. Queues lengthen all waits and hide that time, but they do not depend on a request's own prompt, so the
+//! slope of the wait over the tokens shows it. While an engine reads several prompts by turns, each token takes
+//! as many times longer as the engine is filled, which the rate of tokens tells. Sums of several gateways add
+//! up to those of all. See docs/DECISIONS.md, "Reading speed".
+
+use std::time::Duration;
+
+/// Time over which requests count, so that an estimate of a service that is little used has enough of them, and
+/// a change of speed within a minute shows.
+const SPAN: Duration = Duration::from_secs(30);
+/// Requests from which on the slope is looked at.
+const FEWEST_REQUESTS: f64 = 60.0;
+/// Standard errors that the slope must lie above zero to be believed.
+const CERTAIN: f64 = 3.0;
+
+/// Weighted sums over requests: how many, their new prompt tokens and their waits for the first byte in seconds,
+/// the squares of both, and the products.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Reading {
+    /// Requests.
+    pub count: f64,
+    /// Tokens.
+    pub tokens: f64,
+    /// Waits.
+    pub waits: f64,
+    /// Squares of tokens.
+    pub tokens_squared: f64,
+    /// Squares of waits.
+    pub waits_squared: f64,
+    /// Products of tokens and waits.
+    pub products: f64,
+}
+
+impl Reading {
+    /// Notes a request that waited for its first byte.
+    pub fn note(&mut self, tokens: u32, wait: Duration) {
+        let (tokens, wait) = (f64::from(tokens), wait.as_secs_f64());
+        self.add(&Self {
+            count: 1.0,
+            tokens,
+            waits: wait,
+            tokens_squared: tokens * tokens,
+            waits_squared: wait * wait,
+            products: tokens * wait,
+        });
+    }
+
+    /// Lets what was noted count less after some time.
+    pub fn age(&mut self, passed: Duration) {
+        let kept = (-passed.as_secs_f64() / SPAN.as_secs_f64()).exp();
+        for sum in self.sums() {
+            *sum *= kept;
+        }
+    }
+
+    /// Adds what another gateway noted.
+    pub fn add(&mut self, other: &Self) {
+        let mut other = *other;
+        for (sum, more) in self.sums().into_iter().zip(other.sums()) {
+            *sum += *more;
+        }
+    }
+
+    fn sums(&mut self) -> [&mut f64; 6] {
+        [
+            &mut self.count,
+            &mut self.tokens,
+            &mut self.waits,
+            &mut self.tokens_squared,
+            &mut self.waits_squared,
+            &mut self.products,
+        ]
+    }
+
+    /// Returns by how many seconds a wait is longer for each further token, if that is certain.
+    fn slope(&self) -> Option<f64> {
+        if self.count < FEWEST_REQUESTS {
+            return None;
+        }
+        let spread = self.tokens_squared - self.tokens * self.tokens / self.count;
+        let waits = self.waits_squared - self.waits * self.waits / self.count;
+        let products = self.products - self.tokens * self.waits / self.count;
+        if spread <= 0.0 {
+            return None;
+        }
+        let slope = products / spread;
+        let unexplained = (waits - slope * products).max(0.0);
+        let error = (unexplained / (self.count - 2.0) / spread).sqrt();
+        (slope > CERTAIN * error && slope > 0.0).then_some(slope)
+    }
+
+    /// Returns how many prompt tokens one engine reads in a second, if enough was seen. `rate` is how many new
+    /// prompt tokens all `engines` together get in a second.
+    pub fn speed(&self, rate: f64, engines: u32) -> Option<f64> {
+        let seen = self.slope()?;
+        // An engine that reads for a part p of the time takes 1 / (1 - p) times as long for each token.
+        let alone = seen / (1.0 + seen * rate / f64::from(engines.max(1)));
+        Some(1.0 / alone)
+    }
+}
--- a/src/settings/ingress.rs
+++ b/src/settings/ingress.rs
@@ -39,9 +39,6 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "duty_lease_ms", default = "duty_lease")]
     pub duty_lease: Duration,
-    /// Prompt tokens that an engine reads in a millisecond; without it no upstreams are ordered.
-    #[serde(default)]
-    pub engine_tokens_per_ms: Option<f64>,
     /// Over any such time an account may use what the time gains and its burst; without it the burst
     /// is gained only once.
     #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
--- a/src/settings/schema.rs
+++ b/src/settings/schema.rs
@@ -75,13 +75,6 @@
     optional("list_interval_ms", DURATION),
     optional("usage_window_ms", DURATION),
     optional("duty_lease_ms", DURATION),
-    optional(
-        "engine_tokens_per_ms",
-        Shape::Decimal {
-            min: 1e-3,
-            max: 1e9,
-        },
-    ),
     optional("quota_window_ms", DURATION),
     optional("quota_overage", Shape::Decimal { min: 0.0, max: 1.0 }),
     optional(
--- a/tests/controller_followers.rs
+++ b/tests/controller_followers.rs
@@ -5,8 +5,8 @@
 use flamingocroft::{
     controller::followers::Followers,
     wire::{
-        AccountCount, Follow, IngressRecord, QuotaPart, ReserveRequest, ServiceLoad, UpstreamRow,
-        WindowCount,
+        AccountCount, Follow, IngressRecord, QuotaPart, ReadingSums, ReserveRequest, ServiceLoad,
+        UpstreamRow, WindowCount,
     },
 };
 
@@ -144,12 +144,18 @@
                 service: "app".into(),
                 in_flight: 10.0,
                 prompt_tokens: 0.0,
+                reading: Some(ReadingSums {
+                    count: 30.0,
+                    ..ReadingSums::default()
+                }),
             }],
             ..follow(name, true, 0.0)
         };
         followers.hear(at(0), &loaded);
     }
-    assert!((followers.loads(at(10_000))["app"].in_flight - 20.0).abs() < 1e-9);
+    let sum = followers.loads(at(10_000))["app"].clone();
+    assert!((sum.in_flight - 20.0).abs() < 1e-9);
+    assert!((sum.reading.unwrap().count - 60.0).abs() < 1e-9);
     assert!(followers.loads(at(11_000)).is_empty());
 }
 
--- a/tests/platform_deploy.rs
+++ b/tests/platform_deploy.rs
@@ -87,7 +87,24 @@
             (false, 2)
         );
         assert_eq!(controller.controllers.len(), 4, "this one is no seed");
-        assert!(controller.ingress.unwrap().engine_tokens_per_ms.is_some());
+        assert!(controller.ingress.unwrap().usage_window.is_some());
+    }
+}
+
+/// What differs between deployments comes from the platform's fields, tables or measurements.
+#[test]
+fn no_template_holds_a_figure_of_a_deployment() {
+    // Ports, times of our own processes, the hash of a token, and zeros that turn seconds into milliseconds.
+    let ours = ["9464", "1000", "000"];
+    for template in ["deploy/gateway.jsonc", "deploy/controller.jsonc"] {
+        let text = root(template);
+        for line in text.lines().filter(|line| !line.contains("sha256")) {
+            let figures = line.split(|c: char| !c.is_ascii_digit());
+            let other = figures
+                .filter(|figure| figure.len() > 1 && !ours.contains(figure))
+                .collect::<Vec<_>>();
+            assert!(other.is_empty(), "{template}: {other:?} in {line}");
+        }
     }
 }
 
--- /dev/null
+++ b/tests/policy_speed.rs
@@ -0,0 +1,156 @@
+//! Learning how fast engines read prompts: kinds of engines and loads, a slow one among sound ones, a change of
+//! speed, and no requests at all.
+
+use std::time::Duration;
+
+use flamingocroft::policy::speed::Reading;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+/// What every request waits besides reading: the ways, a step, and a queue that does not depend on it.
+const BESIDES: f64 = 0.02;
+
+struct Load {
+    /// Prompt tokens that each engine reads in a second.
+    speeds: Vec<f64>,
+    /// Part of the time that all engines together read.
+    filled: f64,
+    seconds: f64,
+}
+
+fn tokens(rng: &mut StdRng) -> f64 {
+    // Most prompts are short and a few very long.
+    match rng.random_range(0.0..1.0) {
+        draw if draw < 0.5 => rng.random_range(200.0..2_000.0),
+        draw if draw < 0.9 => rng.random_range(1_000.0..6_000.0),
+        _ => rng.random_range(5_000.0..20_000.0),
+    }
+}
+
+/// Plays engines that read the prompts that they hold by turns, and returns what gateways noted and the rate
+/// of tokens.
+fn play(load: &Load, noted: &mut Reading, seed: u64) -> f64 {
+    const STEP: f64 = 0.001;
+    const MEAN: f64 = 3_100.0;
+    let mut rng = StdRng::seed_from_u64(seed);
+    let all: f64 = load.speeds.iter().sum();
+    let per_second = load.filled * all / MEAN;
+    let mut engines: Vec<Vec<(f64, f64, f64)>> = vec![Vec::new(); load.speeds.len()];
+    let (mut now, mut read) = (0.0, 0.0);
+    while now < load.seconds {
+        now += STEP;
+        noted.age(Duration::from_secs_f64(STEP));
+        if rng.random_range(0.0..1.0) < per_second * STEP {
+            let size = tokens(&mut rng);
+            read += size;
+            let engine = rng.random_range(0..engines.len());
+            engines[engine].push((now, size, size));
+        }
+        for (requests, speed) in engines.iter_mut().zip(&load.speeds) {
+            let each = speed * STEP / requests.len().max(1) as f64;
+            requests.retain_mut(|(since, size, left)| {
+                *left -= each;
+                if *left <= 0.0 {
+                    let wait = now - *since + BESIDES * rng.random_range(0.5..1.5);
+                    noted.note(*size as u32, Duration::from_secs_f64(wait));
+                }
+                *left > 0.0
+            });
+        }
+    }
+    read / load.seconds
+}
+
+fn learnt(load: &Load, seed: u64) -> f64 {
+    let mut noted = Reading::default();
+    let rate = play(load, &mut noted, seed);
+    noted.speed(rate, load.speeds.len() as u32).unwrap()
+}
+
+#[test]
+fn the_speed_of_each_kind_of_engine_is_learnt_at_each_load() {
+    for speed in [20_000.0, 55_000.0, 157_000.0] {
+        for filled in [0.1, 0.35, 0.6] {
+            let load = Load {
+                speeds: vec![speed; 9],
+                filled,
+                seconds: 40.0,
+            };
+            let ratio = learnt(&load, 3) / speed;
+            assert!(
+                (0.75..1.25).contains(&ratio),
+                "{speed} at {filled}: {ratio}"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_slow_engine_among_sound_ones_counts_for_its_part() {
+    let mut speeds = vec![100_000.0; 9];
+    speeds[4] = 30_000.0;
+    let load = Load {
+        speeds,
+        filled: 0.2,
+        seconds: 40.0,
+    };
+    let speed = learnt(&load, 5);
+    assert!((60_000.0..110_000.0).contains(&speed), "{speed}");
+}
+
+#[test]
+fn a_change_of_speed_is_learnt_within_a_minute() {
+    let mut noted = Reading::default();
+    let load = |speed: f64| Load {
+        speeds: vec![speed; 9],
+        filled: 0.3,
+        seconds: 60.0,
+    };
+    play(&load(150_000.0), &mut noted, 1);
+    let rate = play(&load(50_000.0), &mut noted, 2);
+    let speed = noted.speed(rate, 9).unwrap();
+    assert!((35_000.0..80_000.0).contains(&speed), "{speed}");
+}
+
+#[test]
+fn what_several_gateways_noted_adds_up() {
+    let load = Load {
+        speeds: vec![55_000.0; 9],
+        filled: 0.35,
+        seconds: 20.0,
+    };
+    let (mut all, mut parts) = (Reading::default(), Reading::default());
+    for seed in 0..4 {
+        let mut part = Reading::default();
+        play(&load, &mut part, seed);
+        assert!(part.count > 0.0);
+        parts.add(&part);
+    }
+    let rate = play(&load, &mut all, 0);
+    let ratio = parts.speed(rate, 9).unwrap() / all.speed(rate, 9).unwrap();
+    assert!((0.8..1.2).contains(&ratio), "{ratio}");
+}
+
+#[test]
+fn nothing_is_believed_without_enough_requests() {
+    let mut noted = Reading::default();
+    assert_eq!(noted.speed(0.0, 9), None);
+    for _ in 0..500 {
+        noted.note(1_000, Duration::from_millis(80));
+    }
+    assert_eq!(
+        noted.speed(50_000.0, 9),
+        None,
+        "all prompts are of one size"
+    );
+    let mut rng = StdRng::seed_from_u64(4);
+    let mut noted = Reading::default();
+    for _ in 0..500 {
+        let wait = Duration::from_secs_f64(rng.random_range(0.05..0.5));
+        noted.note(tokens(&mut rng) as u32, wait);
+    }
+    assert_eq!(
+        noted.speed(50_000.0, 9),
+        None,
+        "waits that prompts do not explain"
+    );
+}
