Keep quotas of many gateways whole at the leader, and tell followers changes only

The leader worked parts out for each answer, accounts times gateways squared, and sent the whole roster with each change to each gateway. It had no processor time left, lost its office again and again, held no duty and ordered no upstreams.

Change: policy::quota_window. Where parts don't hold a request the leader adds up what all gateways admitted in the window. An account well below its quota is open, its requests need no question; near it, each one is asked for and granted if it fits the window. Parts are worked out at most ten times a second. The roster is told as changes since a version, held back shortly where many follow. Tests: policy_quota_window with 2, 20 and 200 gateways (within the quota, an account that turns hot, all started anew, a lost gateway, and what parts would do); changes_of_the_roster_add_up_to_the_whole, which replaces equality of versions of equal rosters by equality of their gateways, since versions are numbers of changes now. Ruled out: more units leased to each gateway, since two requests for each would be several windows of a quota.

--- a/src/controller/core.rs
+++ b/src/controller/core.rs
@@ -62,6 +62,9 @@
         card: Arc<Card>,
     ) -> Self {
         let fleet = Fleet::new(settings.timing.view_lease);
+        let ingress = settings.ingress.as_ref();
+        let quota_window = ingress.and_then(|ingress| ingress.quota_window);
+        let followers = quota_window.map_or_else(Followers::default, Followers::new);
         Self {
             settings,
             clock,
@@ -70,7 +73,7 @@
             peers,
             card,
             fleet: Mutex::new(fleet),
-            followers: Mutex::default(),
+            followers: Mutex::new(followers),
             followers_changed: watch::channel(0).0,
             fleet_changed: watch::channel(0).0,
             heard: watch::channel(0).0,
--- a/src/controller/followers.rs
+++ b/src/controller/followers.rs
@@ -3,19 +3,19 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
-    hash::{DefaultHasher, Hash, Hasher},
     mem,
     sync::Arc,
     time::Duration,
 };
 
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use super::core::Core;
 use crate::{
     link::Peer,
     policy::{
         quota::{self, Bucket, Claim, Limit},
+        quota_window::{AccountUse, Mode, QuotaBook},
         speed::Reading,
     },
     ports::Clock,
@@ -33,6 +33,16 @@
 const SHARE_COUNTED: Duration = Duration::from_millis(10_500);
 /// Silence after which a gateway's floor of a quota is free again.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(60);
+/// Time for which the parts of quotas that were worked out are told: each gateway is told its own, and they
+/// follow from all demands, so that working them out for every answer would cost gateways times gateways.
+const PARTS_AGE: Duration = Duration::from_millis(100);
+/// Time for which a change of the roster alone is held back, for each gateway, since all of them are then
+/// answered: a controller sends some 500 such answers in a second at most.
+const ROSTER_PAUSE: Duration = Duration::from_millis(2);
+/// Longest time for which it is held back.
+const LONGEST_ROSTER_PAUSE: Duration = Duration::from_millis(400);
+/// Longest time that a caller is told to wait for its quota.
+const LONGEST_WAIT_FOR_QUOTA: Duration = Duration::from_secs(60);
 /// Longest time that a question waits for a change.
 const LONGEST_WAIT: Duration = Duration::from_secs(5);
 /// Windows of usage kept for each gateway; older ones are committed or not due any more.
@@ -42,6 +52,15 @@
 #[derive(Debug, Default)]
 pub struct Followers {
     gateways: HashMap<String, Follower>,
+    /// Number of the last change of the roster, and what tells this process's numbers from another's.
+    roster_change: u32,
+    roster_epoch: u32,
+    /// When a listed gateway is silent for too long at the earliest.
+    roster_until: Duration,
+    /// Parts of quotas by gateway, and when they were worked out.
+    parts: HashMap<String, Vec<QuotaPart>>,
+    parts_at: Option<Duration>,
+    book: QuotaBook,
     list: UpstreamList,
     /// What gateways counted in windows before they were started anew.
     past_usage: BTreeMap<u64, Vec<AccountCount>>,
@@ -54,6 +73,9 @@
 struct Follower {
     record: IngressRecord,
     heard: Duration,
+    /// Whether it is in the roster, and the change that made it so.
+    listed: bool,
+    changed: u32,
     demands: Vec<QuotaPart>,
     held_shares: Vec<QuotaPart>,
     loads: Vec<ServiceLoad>,
@@ -84,6 +106,15 @@
 }
 
 impl Followers {
+    /// Starts without any; `window` is the one over which quotas are kept.
+    pub fn new(window: Duration) -> Self {
+        Self {
+            book: QuotaBook::new(window),
+            roster_epoch: rand::random(),
+            ..Self::default()
+        }
+    }
+
     /// Notes a question. Returns whether the roster changed by it.
     pub fn hear(&mut self, now: Duration, follow: &Follow) -> bool {
         let Some(record) = &follow.gateway else {
@@ -98,14 +129,34 @@
             .or_insert_with(|| Follower {
                 record: record.clone(),
                 heard: now,
+                listed: false,
+                changed: 0,
                 demands: Vec::new(),
                 held_shares: Vec::new(),
                 loads: Vec::new(),
                 incarnation: follow.incarnation,
                 usage: BTreeMap::new(),
             });
-        follower.record = record.clone();
+        if changed || !follower.listed {
+            self.roster_change += 1;
+            follower.changed = self.roster_change;
+            follower.listed = true;
+            self.roster_until = self.roster_until.min(now + GONE_AFTER);
+            follower.record = record.clone();
+        }
         follower.heard = now;
+        let uses = follow.quota_uses.iter().map(|told| {
+            let told_use = AccountUse {
+                admitted: told.admitted,
+                asked: told.asked,
+                allowed: told.allowed,
+                divisible: told.divisible,
+            };
+            (&*told.account, told_use)
+        });
+        let (name, incarnation) = (&record.name, follow.incarnation);
+        self.book
+            .hear(name, incarnation, follow.window_seen, uses, now);
         follower.demands.clone_from(&follow.demands);
         follower.held_shares.clone_from(&follow.held_shares);
         follower.loads.clone_from(&follow.loads);
@@ -128,50 +179,136 @@
     }
 
     /// Returns the gateways heard of lately, by name.
-    pub fn roster(&self, now: Duration) -> Roster {
-        let mut gateways: Vec<_> = self
-            .gateways
-            .values()
-            .filter(|known| known.silence(now) <= GONE_AFTER)
-            .map(|known| known.record.clone())
-            .collect();
+    pub fn roster(&mut self, now: Duration) -> Roster {
+        self.sweep(now);
+        let listed = self.gateways.values().filter(|known| known.listed);
+        let mut gateways: Vec<_> = listed.map(|known| known.record.clone()).collect();
         gateways.sort_unstable_by(|a, b| a.name.cmp(&b.name));
-        let mut hasher = DefaultHasher::new();
-        gateways.hash(&mut hasher);
         Roster {
-            version: hasher.finish(),
+            version: self.roster_version(),
             gateways,
+            ..Roster::default()
+        }
+    }
+
+    /// Returns how many gateways were heard of lately.
+    pub fn count(&self, now: Duration) -> usize {
+        let known = self.gateways.values();
+        known
+            .filter(|known| known.silence(now) <= GONE_AFTER)
+            .count()
+    }
+
+    /// Returns what is new in the roster for a gateway that holds a version of it: what changed, or all of it if
+    /// the version is not one of this process.
+    pub fn roster_since(&mut self, now: Duration, held: u64) -> Option<Roster> {
+        self.sweep(now);
+        if held == self.roster_version() {
+            return None;
+        }
+        let (epoch, change) = ((held >> 32) as u32, held as u32);
+        if held == 0 || epoch != self.roster_epoch || change > self.roster_change {
+            return Some(self.roster(now));
         }
+        let newer = || {
+            self.gateways
+                .values()
+                .filter(|known| known.changed > change)
+        };
+        let listed = newer().filter(|known| known.listed);
+        let gone = newer().filter(|known| !known.listed);
+        Some(Roster {
+            version: self.roster_version(),
+            gateways: listed.map(|known| known.record.clone()).collect(),
+            changes: true,
+            gone: gone.map(|known| known.record.name.clone()).collect(),
+        })
+    }
+
+    fn roster_version(&self) -> u64 {
+        (u64::from(self.roster_epoch) << 32) | u64::from(self.roster_change)
     }
 
-    /// Returns a gateway's part of each quota. A silent gateway keeps the part that it had until that
-    /// can't be in use any more, and then its floor until it is forgotten.
-    pub fn shares(&self, now: Duration, name: &str) -> Vec<QuotaPart> {
+    /// Returns for how long a change of the roster alone is held back.
+    fn roster_pause(&self) -> Duration {
+        let listed = self.gateways.values().filter(|known| known.listed).count();
+        let pause = ROSTER_PAUSE * u32::try_from(listed).unwrap_or(u32::MAX);
+        pause.min(LONGEST_ROSTER_PAUSE)
+    }
+
+    /// Takes gateways that were silent for too long out of the roster.
+    fn sweep(&mut self, now: Duration) {
+        if now <= self.roster_until {
+            return;
+        }
+        let mut until = Duration::MAX;
+        for follower in self.gateways.values_mut().filter(|known| known.listed) {
+            if follower.silence(now) <= GONE_AFTER {
+                until = until.min(follower.heard + GONE_AFTER);
+                continue;
+            }
+            self.roster_change += 1;
+            follower.changed = self.roster_change;
+            follower.listed = false;
+        }
+        self.roster_until = until;
+    }
+
+    /// Returns a gateway's part of each quota that is divided. A silent gateway keeps the part that it had until
+    /// that can't be in use any more, and then its floor until it is forgotten.
+    pub fn shares(&mut self, now: Duration, name: &str) -> Vec<QuotaPart> {
+        self.work_out_parts(now);
+        self.parts.get(name).cloned().unwrap_or_default()
+    }
+
+    /// Returns the accounts whose quotas are not divided, by how they are admitted.
+    pub fn accounts(&mut self, now: Duration, mode: Mode) -> Vec<String> {
+        self.work_out_parts(now);
+        let modes = self.book.modes();
+        let with_mode = modes.filter(|(_, held)| *held == mode);
+        with_mode.map(|(account, _)| account.to_owned()).collect()
+    }
+
+    fn work_out_parts(&mut self, now: Duration) {
+        if self
+            .parts_at
+            .is_some_and(|at| now >= at && now - at < PARTS_AGE)
+        {
+            return;
+        }
+        self.parts_at = Some(now);
+        self.book.refresh(now);
         let known: Vec<_> = self
             .gateways
             .iter()
             .filter(|(_, follower)| follower.silence(now) <= FORGOTTEN_AFTER)
             .collect();
-        let Some(own) = known.iter().position(|(other, _)| *other == name) else {
-            return Vec::new();
-        };
         let least = quota::floor(known.len());
+        let undivided: BTreeSet<&str> = self
+            .book
+            .modes()
+            .filter(|(_, mode)| *mode != Mode::Divided)
+            .map(|(account, _)| account)
+            .collect();
         let accounts: BTreeSet<&str> = known
             .iter()
             .flat_map(|(_, follower)| &follower.demands)
-            .map(|demand| demand.account.as_str())
+            .map(|demand| &*demand.account)
+            .filter(|account| !undivided.contains(account))
             .collect();
-        let share = |account: &str| {
+        let mut parts: HashMap<String, Vec<QuotaPart>> = HashMap::new();
+        for account in accounts {
             let claims: Vec<_> = known
                 .iter()
                 .map(|(_, follower)| follower.claim(now, account, least))
                 .collect();
-            QuotaPart {
-                account: account.to_owned(),
-                value: quota::divide(&claims)[own],
+            for ((name, _), value) in known.iter().zip(quota::divide(&claims)) {
+                let account = account.to_owned();
+                let part = QuotaPart { account, value };
+                parts.entry((*name).clone()).or_default().push(part);
             }
-        };
-        accounts.into_iter().map(share).collect()
+        }
+        self.parts = parts;
     }
 
     /// Returns how much all gateways use each service. One that was silent for seconds counts as it did
@@ -216,8 +353,12 @@
         &mut self,
         now: Duration,
         term: u64,
+        gateway: &str,
         request: &ReserveRequest,
     ) -> Result<(), Duration> {
+        if request.allowed > 0.0 {
+            return self.grant(now, gateway, request);
+        }
         if self.reserves_term != term {
             self.reserves_term = term;
             self.reserves.clear();
@@ -234,6 +375,23 @@
         bucket.take(request.units, limit, now)
     }
 
+    /// Grants units of a quota that is kept whole, or returns after which time there may be enough.
+    fn grant(
+        &mut self,
+        now: Duration,
+        gateway: &str,
+        request: &ReserveRequest,
+    ) -> Result<(), Duration> {
+        let (account, units, allowed) = (&request.account, request.units, request.allowed);
+        let granted = self
+            .book
+            .grant(gateway, request.incarnation, account, units, allowed, now);
+        granted.map_err(|over| {
+            let per_second = request.per_second.max(f64::MIN_POSITIVE);
+            Duration::try_from_secs_f64(over / per_second).unwrap_or(LONGEST_WAIT_FOR_QUOTA)
+        })
+    }
+
     /// Keeps a list of upstreams that was read now. Returns whether it differs from the last one.
     pub fn take_list(&mut self, term: u64, rows: Vec<crate::wire::UpstreamRow>) -> bool {
         let held = self.list.version.unwrap_or_default();
@@ -288,16 +446,26 @@
         core.note_followers_change();
     }
     let wait = Duration::from_millis(follow.wait_ms).min(LONGEST_WAIT);
-    let deadline = Instant::now() + wait;
+    let asked = Instant::now();
+    let deadline = asked + wait;
     let mut viewed = core.log.watch_view();
     let mut changed = core.watch_followers();
     loop {
         viewed.mark_unchanged();
         changed.mark_unchanged();
         let reply = answer(core, &follow);
-        if reply.version > follow.held_version || reply.list.is_some() || reply.roster.is_some() {
+        if reply.version > follow.held_version || reply.list.is_some() {
             return Some(Body::FollowReply(reply));
         }
+        if reply.roster.is_some() {
+            let pause = core.followers().roster_pause();
+            // Changes that come close together are told together.
+            if asked + pause <= Instant::now() {
+                return Some(Body::FollowReply(reply));
+            }
+            sleep_until(asked + pause).await;
+            continue;
+        }
         let change = async {
             tokio::select! {
                 result = viewed.changed() => result.is_ok(),
@@ -314,8 +482,14 @@
 fn answer<T: Clock>(core: &Core<T>, follow: &Follow) -> FollowReply {
     let version = core.log.state().published().version;
     let leads = core.leads();
-    let followers = core.followers();
-    let roster = followers.roster(core.now());
+    let now = core.now();
+    let mut followers = core.followers();
+    let roster = followers.roster_since(now, follow.held_roster);
+    let mut accounts = |mode| match leads {
+        true => followers.accounts(now, mode),
+        false => Vec::new(),
+    };
+    let (open_accounts, asked_accounts) = (accounts(Mode::Open), accounts(Mode::Asked));
     let held = follow.held_list.unwrap_or_default();
     let newer = followers
         .list()
@@ -325,10 +499,12 @@
         leads,
         version,
         list: newer.then(|| followers.list().clone()),
-        roster: (roster.version != follow.held_roster).then_some(roster),
+        roster,
+        open_accounts,
+        asked_accounts,
         controllers: core.peers.records(),
         shares: match (leads, &follow.gateway) {
-            (true, Some(gateway)) => followers.shares(core.now(), &gateway.name),
+            (true, Some(gateway)) => followers.shares(now, &gateway.name),
             _ => Vec::new(),
         },
     }
@@ -345,12 +521,18 @@
 }
 
 /// Answers a gateway that asks for units of a reserve; only the leader has one.
-pub(super) fn reserve<T: Clock>(core: &Core<T>, request: &ReserveRequest) -> Option<Body> {
+pub(super) fn reserve<T: Clock>(
+    core: &Core<T>,
+    peer: &Peer,
+    request: &ReserveRequest,
+) -> Option<Body> {
     if !core.leads() {
         return None;
     }
     let term = core.fleet().term();
-    let taken = core.followers().reserve(core.now(), term, request);
+    let taken = core
+        .followers()
+        .reserve(core.now(), term, &peer.name, request);
     let wait = taken.err().unwrap_or_default();
     Some(Body::ReserveReply(ReserveReply {
         granted: taken.is_ok(),
--- a/src/controller/handler.rs
+++ b/src/controller/handler.rs
@@ -42,7 +42,7 @@
             }
             Body::MemberQuery(query) => Some(self.report(&query)),
             Body::Follow(follow) => followers::follow(&self.core, peer, follow).await,
-            Body::ReserveRequest(request) => followers::reserve(&self.core, &request),
+            Body::ReserveRequest(request) => followers::reserve(&self.core, peer, &request),
             Body::DocumentRequest(_) => Some(followers::document(&self.core)),
             Body::Heartbeat(heartbeat) => Some(self.heartbeat(peer, heartbeat).await),
             Body::ViewRequest(held) => Some(self.view(&held).await),
--- a/src/controller/metrics.rs
+++ b/src/controller/metrics.rs
@@ -65,7 +65,7 @@
         |core| core.log.state().published().version,
     );
     gauge("controller_gateways", "Gateways heard of lately.", |core| {
-        core.followers().roster(core.now()).gateways.len() as u64
+        core.followers().count(core.now()) as u64
     });
     gauge(
         "controller_upstreams",
--- a/src/ingress/admit.rs
+++ b/src/ingress/admit.rs
@@ -48,11 +48,21 @@
         units: short.units,
         per_second: short.reserve.per_second,
         saved: short.reserve.saved,
+        allowed: short.allowed,
+        incarnation: core.incarnation,
     });
     match leader.call(request, RESERVE_TIMEOUT).await {
-        Ok(Body::ReserveReply(reply)) if reply.granted => Ok(()),
+        Ok(Body::ReserveReply(reply)) if reply.granted => {
+            let now = core.clock.monotonic();
+            core.quotas.granted(account, short.units, now);
+            Ok(())
+        }
         Ok(Body::ReserveReply(reply)) => {
-            let wait = short.wait.min(Duration::from_millis(reply.wait_ms));
+            let granted_in = Duration::from_millis(reply.wait_ms);
+            let wait = match short.allowed > 0.0 {
+                true => granted_in,
+                false => short.wait.min(granted_in),
+            };
             Err(NotRun::OverQuota(wait))
         }
         Ok(_) | Err(_) => Err(NotRun::OverQuota(short.wait)),
--- a/src/ingress/follow.rs
+++ b/src/ingress/follow.rs
@@ -130,7 +130,7 @@
                     let contacts = &self.core.contacts;
                     contacts.hear(name, reply.leads, Instant::now());
                     if reply.leads {
-                        self.core.quotas.lease(&reply.shares, asked);
+                        self.core.quotas.lease(&reply, asked);
                         self.core.leader.store(Some(Arc::new(link.clone())));
                     }
                     self.take(name, link, reply, stop).await;
@@ -153,7 +153,10 @@
             .get(name)
             .map_or(0, |heard| heard.roster.version);
         drop(controllers);
+        let (quota_uses, window_seen) = self.core.quotas.uses(self.core.clock.monotonic());
         Follow {
+            quota_uses,
+            window_seen,
             gateway: Some(self.core.record()),
             held_version: self.core.routes.load().table.version,
             held_list: Some(*self.list.lock().unwrap_or_else(PoisonError::into_inner)),
@@ -214,7 +217,7 @@
         let Some(roster) = roster else {
             return;
         };
-        heard.roster = roster;
+        heard.roster.take(roster);
         let is_young = |heard: &&Heard| heard.at.is_some_and(|at| now - at <= ROSTER_AGE);
         let mut gateways: Vec<IngressRecord> = controllers
             .values()
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -75,6 +75,8 @@
     contacts: Contacts,
     /// The link to the controller that led last.
     leader: ArcSwapOption<Link>,
+    /// Grows with each start of the gateway.
+    incarnation: u64,
     /// Whether the process is being stopped.
     leaving: AtomicBool,
 }
@@ -137,6 +139,7 @@
         counters: Counters::new(metrics),
         contacts: Contacts::default(),
         leader: ArcSwapOption::empty(),
+        incarnation: identity.incarnation.0,
         leaving: AtomicBool::new(false),
         ingress,
         platform,
--- a/src/ingress/quota.rs
+++ b/src/ingress/quota.rs
@@ -1,6 +1,7 @@
 //! Quotas of accounts. The leader leases each gateway a part of every quota; a gateway whose lease is
 //! over uses the floor that every gateway has. When its own part does not suffice it asks the leader,
-//! who keeps a reserve of every quota.
+//! who keeps a reserve of every quota. Where parts would be smaller than a request, the leader keeps the
+//! whole quota and says whether it is to be asked; see `policy::quota_window`.
 
 use std::{
     collections::HashMap,
@@ -10,14 +11,29 @@
 
 use crate::{
     domain::{AccountName, KeyedAccount, QuotaUnit},
-    policy::quota::{Admission, Bucket, Limit, QuotaRule, admission, floor, own},
+    policy::{
+        quota::{Admission, Bucket, Limit, QuotaRule, admission, floor, own},
+        quota_window::{Admitted, Mode, is_divisible},
+    },
     ports::PromptFacts,
-    wire::QuotaPart,
+    wire::{FollowReply, QuotaPart, QuotaUse},
 };
 
+/// Pause after which a caller may come back whose quota could not be asked for: a new leader is found in about
+/// that time.
+const ASK_AGAIN: Duration = Duration::from_millis(500);
+/// Units in a second from which on an account's demand is told.
+const LEAST_DEMAND: f64 = 1e-3;
+/// Weight of one request in the mean units of a request, so that some ten count.
+const REQUEST_WEIGHT: f64 = 0.1;
 /// How long a part may be used after the question was asked that it answers: long enough for a new
 /// leader to be found and to hear of all gateways. The leader counts it as used for longer than that.
 const PART_LEASE: Duration = Duration::from_secs(10);
+/// How long an account's requests may be admitted without asking after the question was asked that it answers:
+/// long enough for a new leader to be found in nearly all cases, and short against a window.
+const OPEN_LEASE: Duration = Duration::from_secs(3);
+/// Window of a quota whose burst is gained only once, over which its use is told.
+const DEFAULT_WINDOW: Duration = Duration::from_secs(1);
 /// Time over which what callers ask is averaged.
 const DEMAND_SPAN: Duration = Duration::from_secs(2);
 
@@ -35,6 +51,11 @@
     /// The parts leased last, and until when.
     parts: HashMap<AccountName, f64>,
     leased_until: Option<Duration>,
+    /// How the leader said last that accounts are admitted.
+    modes: HashMap<AccountName, Mode>,
+    open_until: Option<Duration>,
+    /// When this gateway began to count.
+    since: Option<Duration>,
     held: HashMap<AccountName, Held>,
 }
 
@@ -47,6 +68,9 @@
     /// Units that callers ask for in a second, admitted or not.
     demand: f64,
     asked: Duration,
+    admitted: Admitted,
+    /// Mean units of a request.
+    per_request: f64,
 }
 
 /// A request for which this gateway's part of the quota does not suffice.
@@ -56,6 +80,8 @@
     pub(super) units: f64,
     /// What the leader keeps of the quota.
     pub(super) reserve: Limit,
+    /// Units that the account may use in a window, if the leader keeps the whole quota; otherwise zero.
+    pub(super) allowed: f64,
     /// After which time this gateway's part may suffice.
     pub(super) wait: Duration,
 }
@@ -73,19 +99,26 @@
         self.state().gateways = count;
     }
 
-    /// Takes the parts that the leader gave in answer to a question.
-    pub(super) fn lease(&self, parts: &[QuotaPart], asked: Duration) {
+    /// Takes what the leader gave in answer to a question.
+    pub(super) fn lease(&self, reply: &FollowReply, asked: Duration) {
         let mut state = self.state();
         state.leased_until = Some(asked + PART_LEASE);
+        state.open_until = Some(asked + OPEN_LEASE);
+        let parts = reply.shares.iter();
         state.parts = parts
-            .iter()
             .map(|part| (part.account.as_str().into(), part.value))
             .collect();
+        let mode = |mode| move |account: &String| (AccountName::from(account.as_str()), mode);
+        let open = reply.open_accounts.iter().map(mode(Mode::Open));
+        let asked = reply.asked_accounts.iter().map(mode(Mode::Asked));
+        state.modes = open.chain(asked).collect();
     }
 
     /// Takes the quotas of a new table; what is left of those that stay is kept.
     pub(super) fn set_accounts(&self, accounts: &[KeyedAccount], now: Duration) {
+        let window = self.window();
         let mut state = self.state();
+        state.since.get_or_insert(now);
         let mut before = std::mem::take(&mut state.held);
         for account in accounts {
             let Some(quota) = account.quota else {
@@ -107,6 +140,8 @@
                         bucket: Bucket::new(own.saved, now),
                         demand: 0.0,
                         asked: now,
+                        admitted: Admitted::new(window),
+                        per_request: 0.0,
                     }
                 }
             };
@@ -122,19 +157,72 @@
         now: Duration,
     ) -> Result<(), Short> {
         let mut state = self.state();
-        let part = state.part(account, now);
+        let (part, mode, gateways) = (
+            state.part(account, now),
+            state.mode(account, now),
+            state.gateways,
+        );
         let Some(held) = state.held.get_mut(account) else {
             return Ok(());
         };
         let units = units(held.unit, prompt);
         held.ask(units, now);
-        let own = own(held.admission.gateways, part);
-        let taken = held.bucket.take(units, own, now);
-        taken.map_err(|wait| Short {
-            units,
-            reserve: held.admission.reserve,
-            wait,
-        })
+        let taken = match mode {
+            Mode::Open => Ok(()),
+            Mode::Divided if held.is_divisible(gateways) => {
+                let own = own(held.admission.gateways, part);
+                let taken = held.bucket.take(units, own, now);
+                taken.map_err(|wait| Short {
+                    units,
+                    reserve: held.admission.reserve,
+                    allowed: 0.0,
+                    wait,
+                })
+            }
+            Mode::Divided | Mode::Asked => Err(Short {
+                units,
+                reserve: held.admission.reserve,
+                allowed: held.admission.allowed,
+                wait: ASK_AGAIN,
+            }),
+        };
+        if taken.is_ok() {
+            held.admitted.add(units, now);
+        }
+        taken
+    }
+
+    /// Counts units that the leader granted.
+    pub(super) fn granted(&self, account: &AccountName, units: f64, now: Duration) {
+        if let Some(held) = self.state().held.get_mut(account) {
+            held.admitted.add(units, now);
+        }
+    }
+
+    /// Returns how much accounts used their quotas here, and the part of the last window that this gateway has
+    /// seen.
+    pub(super) fn uses(&self, now: Duration) -> (Vec<QuotaUse>, f64) {
+        let mut state = self.state();
+        let since = state.since.unwrap_or(now);
+        let gateways = state.gateways;
+        let all = state.held.iter_mut();
+        let uses = all.filter_map(|(account, held)| {
+            held.ask(0.0, now);
+            let admitted = held.admitted.content(now);
+            (admitted > 0.0 || held.demand >= LEAST_DEMAND).then(|| QuotaUse {
+                account: account.to_string(),
+                admitted,
+                asked: held.demand,
+                allowed: held.admission.allowed,
+                divisible: held.is_divisible(gateways),
+            })
+        });
+        let seen = now.saturating_sub(since).as_secs_f64() / self.window().as_secs_f64();
+        (uses.collect(), seen.min(1.0))
+    }
+
+    fn window(&self) -> Duration {
+        self.rule.window.unwrap_or(DEFAULT_WINDOW)
     }
 
     /// Returns the parts that this gateway uses.
@@ -177,6 +265,13 @@
         let part = self.parts.get(account).filter(|_| leased);
         part.copied().unwrap_or_else(|| floor(self.gateways))
     }
+
+    fn mode(&self, account: &AccountName, now: Duration) -> Mode {
+        match self.modes.get(account).copied().unwrap_or_default() {
+            Mode::Open if self.open_until.is_none_or(|until| now >= until) => Mode::Asked,
+            mode => mode,
+        }
+    }
 }
 
 impl Held {
@@ -185,6 +280,14 @@
         let span = DEMAND_SPAN.as_secs_f64();
         self.demand = self.demand * (-passed / span).exp() + units / span;
         self.asked = now;
+        if units > 0.0 {
+            self.per_request += (units - self.per_request) * REQUEST_WEIGHT;
+        }
+    }
+
+    /// Returns whether a part of the quota for each gateway holds a usual request.
+    fn is_divisible(&self, gateways: usize) -> bool {
+        is_divisible(&self.admission, gateways, self.per_request)
     }
 }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -10,6 +10,7 @@
 pub mod place;
 pub mod prefix;
 pub mod quota;
+pub mod quota_window;
 pub mod retry;
 pub mod route;
 pub mod scale;
--- a/src/policy/quota.rs
+++ b/src/policy/quota.rs
@@ -48,6 +48,8 @@
 /// close together at one gateway while others have units left.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Admission {
+    /// Units that the account may use in a window.
+    pub allowed: f64,
     /// What the gateways divide among them.
     pub gateways: Limit,
     /// What the leader keeps.
@@ -107,9 +109,11 @@
             }
         }
     };
+    let seconds = rule.window.unwrap_or(Duration::from_secs(1)).as_secs_f64();
     let mut reserve = limit.times(1.0 - BY_GATEWAYS);
     reserve.saved += slack;
     Admission {
+        allowed: limit.per_second * seconds,
         gateways: limit.times(BY_GATEWAYS),
         reserve,
     }
--- a/src/wire/follow.rs
+++ b/src/wire/follow.rs
@@ -38,6 +38,32 @@
     /// Grows with each start of the gateway, whose counts then begin anew.
     #[prost(uint64, tag = "10")]
     pub incarnation: u64,
+    /// How much accounts used their quotas at this gateway; those that used none are left out.
+    #[prost(message, repeated, tag = "11")]
+    pub quota_uses: Vec<QuotaUse>,
+    /// The part of a quota's last window in which this gateway ran.
+    #[prost(double, tag = "12")]
+    pub window_seen: f64,
+}
+
+/// An account's use of its quota at one gateway.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct QuotaUse {
+    /// The account.
+    #[prost(string, tag = "1")]
+    pub account: String,
+    /// Units admitted in the last window.
+    #[prost(double, tag = "2")]
+    pub admitted: f64,
+    /// Units that callers ask for in a second.
+    #[prost(double, tag = "3")]
+    pub asked: f64,
+    /// Units that the account may use in a window, over all gateways.
+    #[prost(double, tag = "4")]
+    pub allowed: f64,
+    /// Whether a part of the quota for each gateway holds a request.
+    #[prost(bool, tag = "5")]
+    pub divisible: bool,
 }
 
 /// A controller's answer.
@@ -62,6 +88,12 @@
     /// out gives the part that every gateway has.
     #[prost(message, repeated, tag = "6")]
     pub shares: Vec<QuotaPart>,
+    /// From the leader: accounts whose requests need no question.
+    #[prost(string, repeated, tag = "7")]
+    pub open_accounts: Vec<String>,
+    /// From the leader: accounts for each of whose requests it is asked.
+    #[prost(string, repeated, tag = "8")]
+    pub asked_accounts: Vec<String>,
 }
 
 /// Asks a controller for the published document.
@@ -102,9 +134,32 @@
     /// Changes with every change of the gateways; only equal or not equal means something.
     #[prost(uint64, tag = "1")]
     pub version: u64,
-    /// The gateways.
+    /// All gateways, or those that changed since the version held.
     #[prost(message, repeated, tag = "2")]
     pub gateways: Vec<IngressRecord>,
+    /// Whether only changes are told.
+    #[prost(bool, tag = "3")]
+    pub changes: bool,
+    /// Gateways that are no longer heard of since the version held.
+    #[prost(string, repeated, tag = "4")]
+    pub gone: Vec<String>,
+}
+
+impl Roster {
+    /// Takes a newer roster, or what changed since this one.
+    pub fn take(&mut self, newer: Self) {
+        if !newer.changes {
+            *self = newer;
+            return;
+        }
+        let is_told = |known: &IngressRecord| {
+            newer.gone.contains(&known.name)
+                || newer.gateways.iter().any(|told| told.name == known.name)
+        };
+        self.gateways.retain(|known| !is_told(known));
+        self.gateways.extend(newer.gateways);
+        self.version = newer.version;
+    }
 }
 
 /// Orders lists of upstreams: a later term's list is newer, then the higher number.
@@ -286,6 +341,12 @@
     /// Units that the reserve can save up.
     #[prost(double, tag = "4")]
     pub saved: f64,
+    /// Units that the account may use in a window, if the leader keeps the whole quota; otherwise zero.
+    #[prost(double, tag = "5")]
+    pub allowed: f64,
+    /// The start of the gateway that asks.
+    #[prost(uint64, tag = "6")]
+    pub incarnation: u64,
 }
 
 /// The leader's answer.
--- a/tests/controller_followers.rs
+++ b/tests/controller_followers.rs
@@ -5,8 +5,8 @@
 use flamingocroft::{
     controller::followers::Followers,
     wire::{
-        AccountCount, Follow, IngressRecord, QuotaPart, ReadingSums, ReserveRequest, ServiceLoad,
-        UpstreamRow, WindowCount,
+        AccountCount, Follow, IngressRecord, QuotaPart, ReadingSums, ReserveRequest, Roster,
+        ServiceLoad, UpstreamRow, WindowCount,
     },
 };
 
@@ -30,7 +30,7 @@
     }
 }
 
-fn part(followers: &Followers, now: Duration, name: &str) -> f64 {
+fn part(followers: &mut Followers, now: Duration, name: &str) -> f64 {
     let shares = followers.shares(now, name);
     shares.first().map_or(0.0, |share| share.value)
 }
@@ -46,7 +46,41 @@
     assert_eq!(later.gateways.len(), 0);
     assert_ne!(later.version, roster.version);
     assert!(followers.hear(at(4000), &follow("g1", true, 0.0)));
-    assert_eq!(followers.roster(at(4000)).version, roster.version);
+    let back = followers.roster(at(4000));
+    assert_eq!(back.gateways, roster.gateways);
+    assert_ne!(back.version, later.version);
+}
+
+/// A gateway that holds a roster is told what changed, and one that holds another process's is told all.
+#[test]
+fn changes_of_the_roster_add_up_to_the_whole() {
+    let mut followers = Followers::new(at(8000));
+    let names: Vec<_> = (0..40).map(|i| format!("g{i}")).collect();
+    let mut held = Roster::default();
+    let mut now = 0;
+    for round in 0..60 {
+        now += 700;
+        for (i, name) in names.iter().enumerate() {
+            // Some close, and some are silent for a while.
+            if (i + round) % 7 < 3 || round % 20 < 15 {
+                followers.hear(at(now), &follow(name, (i * round) % 5 != 0, 0.0));
+            }
+        }
+        let Some(news) = followers.roster_since(at(now), held.version) else {
+            continue;
+        };
+        assert_eq!(news.changes, round > 0, "only the first answer tells all");
+        held.take(news);
+        held.gateways.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+        assert_eq!(held.gateways, followers.roster(at(now)).gateways);
+        assert_eq!(followers.roster_since(at(now), held.version), None);
+    }
+    let mut other = Followers::new(at(8000));
+    other.hear(at(now), &follow("g1", true, 0.0));
+    let news = other.roster_since(at(now), held.version).unwrap();
+    assert!(!news.changes);
+    held.take(news);
+    assert_eq!(held.gateways.len(), 1);
 }
 
 #[test]
@@ -62,7 +96,10 @@
     let mut followers = Followers::default();
     followers.hear(at(0), &follow("g1", true, 300.0));
     followers.hear(at(0), &follow("g2", true, 100.0));
-    let (first, second) = (part(&followers, at(1), "g1"), part(&followers, at(1), "g2"));
+    let (first, second) = (
+        part(&mut followers, at(1), "g1"),
+        part(&mut followers, at(1), "g2"),
+    );
     assert!((first + second - 1.0).abs() < 1e-9);
     assert!((first - 0.7).abs() < 1e-9, "{first}");
 }
@@ -79,20 +116,20 @@
     let mut followers = Followers::default();
     followers.hear(at(0), &held);
     followers.hear(at(0), &follow("g2", true, 100.0));
-    assert!((part(&followers, at(1), "g2") - 0.5).abs() < 1e-9);
+    assert!((part(&mut followers, at(1), "g2") - 0.5).abs() < 1e-9);
     for silent in [2100, 10_400] {
         followers.hear(at(silent), &follow("g2", true, 100.0));
-        let left = part(&followers, at(silent), "g2");
+        let left = part(&mut followers, at(silent), "g2");
         assert!((left - 0.3).abs() < 1e-9, "after {silent} ms: {left}");
     }
     followers.hear(at(10_600), &follow("g2", true, 100.0));
-    let alone = part(&followers, at(10_600), "g2");
+    let alone = part(&mut followers, at(10_600), "g2");
     assert!(
         (alone - 0.9).abs() < 1e-9,
         "the floor of the other stays its own: {alone}"
     );
     followers.hear(at(61_000), &follow("g2", true, 100.0));
-    assert!((part(&followers, at(61_000), "g2") - 1.0).abs() < 1e-9);
+    assert!((part(&mut followers, at(61_000), "g2") - 1.0).abs() < 1e-9);
 }
 
 #[test]
@@ -192,10 +229,14 @@
         units: 10.0,
         per_second: 10.0,
         saved: 20.0,
+        ..ReserveRequest::default()
     };
-    assert_eq!(followers.reserve(at(0), 1, &request), Err(at(1000)));
-    assert_eq!(followers.reserve(at(2000), 1, &request), Ok(()));
-    assert_eq!(followers.reserve(at(2000), 1, &request), Ok(()));
-    assert!(followers.reserve(at(2000), 1, &request).is_err());
-    assert_eq!(followers.reserve(at(60_000), 2, &request), Err(at(1000)));
+    assert_eq!(followers.reserve(at(0), 1, "g1", &request), Err(at(1000)));
+    assert_eq!(followers.reserve(at(2000), 1, "g1", &request), Ok(()));
+    assert_eq!(followers.reserve(at(2000), 1, "g1", &request), Ok(()));
+    assert!(followers.reserve(at(2000), 1, "g1", &request).is_err());
+    assert_eq!(
+        followers.reserve(at(60_000), 2, "g1", &request),
+        Err(at(1000))
+    );
 }
--- /dev/null
+++ b/tests/policy_quota_window.rs
@@ -0,0 +1,248 @@
+//! Quotas over many gateways: requests within a quota are admitted without many questions, and none of an account
+//! that turns hot, of lost gateways or of new leaders exceeds it.
+
+use std::time::Duration;
+
+use flamingocroft::{
+    domain::{Quota, QuotaUnit},
+    policy::{
+        quota::{Bucket, QuotaRule, admission, floor, own},
+        quota_window::{AccountUse, Admitted, Mode, QuotaBook, is_divisible},
+    },
+};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+const WINDOW: Duration = Duration::from_secs(8);
+const RULE: QuotaRule = QuotaRule {
+    window: Some(WINDOW),
+    overage: 0.1,
+    slack: 110_000.0,
+};
+/// What a request of the account takes on average.
+const REQUEST: f64 = 6_000.0;
+const QUOTA: Quota = Quota {
+    per_second: 300_000.0,
+    burst: 300_000.0,
+    unit: QuotaUnit::Requests,
+};
+/// Time between two questions of a gateway, and for the answer.
+const POLL: f64 = 0.7;
+const WAY: f64 = 0.01;
+
+fn allowed() -> f64 {
+    QUOTA.per_second * WINDOW.as_secs_f64() + QUOTA.burst
+}
+
+fn at(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+struct Play {
+    gateways: usize,
+    /// Units asked in a second at a time, as a part of the quota's rate.
+    asked: fn(f64) -> f64,
+    /// When a new controller leads that has heard nothing before, and gateways too are started anew.
+    restarts: Option<f64>,
+}
+
+#[derive(Default)]
+struct Outcome {
+    asked: f64,
+    admitted: Vec<(f64, f64)>,
+    questions: usize,
+}
+
+impl Outcome {
+    fn part(&self) -> f64 {
+        self.admitted.iter().map(|(_, units)| units).sum::<f64>() / self.asked
+    }
+
+    fn most_in_a_window(&self) -> f64 {
+        let (mut first, mut sum, mut most) = (0, 0.0, 0.0_f64);
+        for (at, units) in &self.admitted {
+            sum += units;
+            while *at - self.admitted[first].0 >= WINDOW.as_secs_f64() {
+                sum -= self.admitted[first].1;
+                first += 1;
+            }
+            most = most.max(sum);
+        }
+        most
+    }
+}
+
+/// Plays half a minute of requests that come at random to random gateways, each of which knows only its own.
+fn play(play: &Play, seed: u64) -> Outcome {
+    const STEP: f64 = 0.002;
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut book = QuotaBook::new(WINDOW);
+    let mut admitted = vec![Admitted::new(WINDOW); play.gateways];
+    let mut asked = vec![(0.0, 0.0); play.gateways];
+    let mut modes = vec![Mode::Asked; play.gateways];
+    let mut polls: Vec<f64> = (0..play.gateways)
+        .map(|_| rng.random_range(0.0..POLL))
+        .collect();
+    let (mut outcome, mut now, mut begun) = (Outcome::default(), 0.0, -100.0);
+    while now < 30.0 {
+        now += STEP;
+        if play.restarts.is_some_and(|at| now >= at && begun < at) {
+            begun = now;
+            book = QuotaBook::new(WINDOW);
+            admitted = vec![Admitted::new(WINDOW); play.gateways];
+            modes = vec![Mode::Asked; play.gateways];
+        }
+        for gateway in 0..play.gateways {
+            if now < polls[gateway] {
+                continue;
+            }
+            polls[gateway] = now + POLL + rng.random_range(0.0..WAY);
+            let (rate, since): (f64, f64) = asked[gateway];
+            let told = AccountUse {
+                admitted: admitted[gateway].content(at(now)),
+                asked: rate * (-(now - since) / 2.0).exp(),
+                allowed: allowed(),
+                divisible: false,
+            };
+            let seen = ((now - begun) / WINDOW.as_secs_f64()).min(1.0);
+            let uses = [("depot", told)].into_iter();
+            book.hear(&format!("g{gateway}"), begun.to_bits(), seen, uses, at(now));
+            book.refresh(at(now));
+            let found = book.modes().next();
+            modes[gateway] = found.map_or(Mode::Asked, |(_, mode)| mode);
+        }
+        let per_second = (play.asked)(now) * QUOTA.per_second / REQUEST;
+        if rng.random_range(0.0..1.0) >= per_second * STEP {
+            continue;
+        }
+        let gateway = rng.random_range(0..play.gateways);
+        let units = REQUEST * rng.random_range(0.2..1.8);
+        outcome.asked += units;
+        let (rate, since) = &mut asked[gateway];
+        *rate = *rate * (-(now - *since) / 2.0).exp() + units / 2.0;
+        *since = now;
+        let granted = modes[gateway] == Mode::Open || {
+            outcome.questions += 1;
+            let name = format!("g{gateway}");
+            let grant = book.grant(&name, begun.to_bits(), "depot", units, allowed(), at(now));
+            grant.is_ok()
+        };
+        if granted {
+            admitted[gateway].add(units, at(now));
+            outcome.admitted.push((now, units));
+        }
+    }
+    outcome
+}
+
+#[test]
+fn requests_within_the_quota_are_admitted_with_few_questions() {
+    for gateways in [2, 20, 200] {
+        let outcome = play(
+            &Play {
+                gateways,
+                asked: |_| 0.55,
+                restarts: None,
+            },
+            7,
+        );
+        let part = outcome.part();
+        assert!(part > 0.995, "{gateways} gateways admit {part}");
+        let questions = outcome.questions as f64 / outcome.admitted.len() as f64;
+        assert!(questions < 0.1, "{gateways} gateways ask for {questions}");
+    }
+}
+
+/// What parts that are smaller than a request do to the same load: the reason for this way.
+#[test]
+fn parts_of_a_quota_for_two_hundred_gateways_refuse_what_is_within_it() {
+    let admission = admission(&QUOTA, &RULE);
+    assert!(is_divisible(&admission, 8, REQUEST));
+    assert!(!is_divisible(&admission, 200, REQUEST));
+    let part = own(admission.gateways, floor(200));
+    let mut buckets = vec![Bucket::new(part.saved, Duration::ZERO); 200];
+    let mut reserve = Bucket::new(admission.reserve.saved, Duration::ZERO);
+    let mut rng = StdRng::seed_from_u64(7);
+    let (mut admitted, requests) = (0, 1_500);
+    for i in 0..requests {
+        // Nine tenths of the rate, for half a minute.
+        let now = at(f64::from(i) / f64::from(requests) * 33.0);
+        let bucket = &mut buckets[rng.random_range(0..200)];
+        let taken = bucket.take(REQUEST, part, now).is_ok();
+        admitted += i32::from(taken || reserve.take(REQUEST, admission.reserve, now).is_ok());
+    }
+    assert!(
+        f64::from(admitted) < 0.75 * f64::from(requests),
+        "{admitted}"
+    );
+}
+
+#[test]
+fn an_account_that_turns_hot_keeps_to_the_rule() {
+    for gateways in [20, 200] {
+        for seed in 0..6 {
+            let outcome = play(
+                &Play {
+                    gateways,
+                    asked: |now| {
+                        if (10.0..17.0).contains(&now) {
+                            0.55 * 7.5
+                        } else {
+                            0.55
+                        }
+                    },
+                    restarts: None,
+                },
+                seed,
+            );
+            let most = outcome.most_in_a_window();
+            let rule = allowed() * (1.0 + RULE.overage) + RULE.slack;
+            assert!(
+                most <= rule,
+                "{gateways} gateways, seed {seed}: {most} of {rule}"
+            );
+            assert!(most >= 0.9 * allowed(), "{gateways} gateways use {most}");
+        }
+    }
+}
+
+#[test]
+fn nobody_exceeds_the_rule_after_all_were_started_anew() {
+    for seed in 0..6 {
+        let outcome = play(
+            &Play {
+                gateways: 100,
+                asked: |_| 2.0,
+                restarts: Some(12.0),
+            },
+            seed,
+        );
+        let most = outcome.most_in_a_window();
+        let rule = allowed() * (1.0 + RULE.overage) + RULE.slack;
+        assert!(most <= rule, "seed {seed}: {most} of {rule}");
+    }
+}
+
+#[test]
+fn what_a_lost_gateway_admitted_counts_until_it_has_left_the_window() {
+    let mut book = QuotaBook::new(WINDOW);
+    let told = |admitted| {
+        let told = AccountUse {
+            admitted,
+            asked: 0.0,
+            allowed: 100.0,
+            divisible: false,
+        };
+        [("depot", told)].into_iter()
+    };
+    book.hear("g1", 1, 1.0, told(0.0), at(0.0));
+    book.hear("g1", 1, 1.0, told(80.0), at(20.0));
+    book.hear("g2", 1, 1.0, told(0.0), at(20.0));
+    book.hear("g1", 2, 0.0, told(0.0), at(21.0));
+    assert!(book.grant("g2", 1, "depot", 30.0, 100.0, at(21.0)).is_err());
+    assert!(book.grant("g2", 1, "depot", 15.0, 100.0, at(21.0)).is_ok());
+    book.hear("g2", 1, 1.0, told(15.0), at(24.0));
+    book.hear("g2", 1, 1.0, told(15.0), at(25.0));
+    book.refresh(at(28.5));
+    assert!(book.grant("g2", 1, "depot", 80.0, 100.0, at(28.5)).is_ok());
+    assert!(book.grant("g2", 1, "depot", 10.0, 100.0, at(28.5)).is_err());
+}
