Let every controller learn speeds from the number of upstreams that gateways know

Cause: the estimate of the reading speed divides by the engines that are there.

Change: gateways tell with the load of a service how many upstreams their list has; without any nothing is learnt. policy_speed and controller_followers failed before.

--- a/src/controller/followers.rs
+++ b/src/controller/followers.rs
@@ -326,6 +326,7 @@
             let mut reading = sum.reading.map_or_else(Reading::default, Reading::from);
             reading.add(&load.reading.map_or_else(Reading::default, Reading::from));
             sum.reading = Some(reading.into());
+            sum.upstreams = sum.upstreams.max(load.upstreams);
         }
         sums
     }
--- a/src/controller/scaler.rs
+++ b/src/controller/scaler.rs
@@ -152,11 +152,8 @@
     /// Returns how many prompt tokens an engine of a service reads in a second: what is learnt now, or else what
     /// was last.
     fn speed(&self, service: &ServiceName, load: &ServiceLoad) -> Option<f64> {
-        let present = self.present(service);
-        let engines = present
-            .values()
-            .map(|here| here.reclaimable + here.on_demand)
-            .sum();
+        // Only the leader has the platform's list; gateways have it from there.
+        let engines = load.upstreams;
         let reading = load.reading.map_or_else(Reading::default, Reading::from);
         let learnt = reading.speed(load.prompt_tokens, engines);
         let mut speeds = self.speeds.lock().unwrap_or_else(PoisonError::into_inner);
--- a/src/ingress/upstreams.rs
+++ b/src/ingress/upstreams.rs
@@ -374,14 +374,18 @@
 
     /// Returns how much this gateway uses each service.
     pub(super) fn loads(&self, now: Instant) -> Vec<ServiceLoad> {
+        let services = self.services.load();
         let mut meters = self.meters.lock().unwrap_or_else(PoisonError::into_inner);
         let load = |(service, meter): (&ServiceName, &mut Meter)| {
             meter.advance(now);
+            let listed = services.get(service).into_iter().flatten();
+            let upstreams = listed.filter(|upstream| !upstream.is_leaving()).count();
             ServiceLoad {
                 service: service.to_string(),
                 in_flight: meter.in_flight,
                 prompt_tokens: meter.prompt_tokens,
                 reading: Some(meter.reading.into()),
+                upstreams: u32::try_from(upstreams).unwrap_or(u32::MAX),
             }
         };
         meters.iter_mut().map(load).collect()
--- a/src/policy/speed.rs
+++ b/src/policy/speed.rs
@@ -96,9 +96,9 @@
     /// Returns how many prompt tokens one engine reads in a second, if enough was seen. `rate` is how many new
     /// prompt tokens all `engines` together get in a second.
     pub fn speed(&self, rate: f64, engines: u32) -> Option<f64> {
-        let seen = self.slope()?;
+        let seen = self.slope().filter(|_| engines > 0)?;
         // An engine that reads for a part p of the time takes 1 / (1 - p) times as long for each token.
-        let alone = seen / (1.0 + seen * rate / f64::from(engines.max(1)));
+        let alone = seen / (1.0 + seen * rate / f64::from(engines));
         Some(1.0 / alone)
     }
 }
--- a/src/wire/follow.rs
+++ b/src/wire/follow.rs
@@ -275,6 +275,9 @@
     /// How long requests waited for engines to read their prompts.
     #[prost(message, optional, tag = "4")]
     pub reading: Option<ReadingSums>,
+    /// Upstreams of the service that are not leaving, by the list that the gateway holds.
+    #[prost(uint32, tag = "5")]
+    pub upstreams: u32,
 }
 
 /// Sums over requests, as `policy::speed::Reading` keeps them.
--- a/tests/controller_followers.rs
+++ b/tests/controller_followers.rs
@@ -185,6 +185,7 @@
                     count: 30.0,
                     ..ReadingSums::default()
                 }),
+                upstreams: 7,
             }],
             ..follow(name, true, 0.0)
         };
@@ -193,6 +194,7 @@
     let sum = followers.loads(at(10_000))["app"].clone();
     assert!((sum.in_flight - 20.0).abs() < 1e-9);
     assert!((sum.reading.unwrap().count - 60.0).abs() < 1e-9);
+    assert_eq!(sum.upstreams, 7, "both know the same list");
     assert!(followers.loads(at(11_000)).is_empty());
 }
 
--- a/tests/policy_speed.rs
+++ b/tests/policy_speed.rs
@@ -134,6 +134,21 @@
 fn nothing_is_believed_without_enough_requests() {
     let mut noted = Reading::default();
     assert_eq!(noted.speed(0.0, 9), None);
+    play(
+        &Load {
+            speeds: vec![55_000.0; 9],
+            filled: 0.35,
+            seconds: 20.0,
+        },
+        &mut noted,
+        3,
+    );
+    assert_eq!(
+        noted.speed(170_000.0, 0),
+        None,
+        "nobody knows how many there are"
+    );
+    let mut noted = Reading::default();
     for _ in 0..500 {
         noted.note(1_000, Duration::from_millis(80));
     }
