--- a/src/policy/scale.rs
+++ b/src/policy/scale.rs
@@ -13,14 +13,14 @@
 /// served in time. What this needs is ordered for good: reclaimable upstreams may all be taken back
 /// within seconds, and none be there for a while.
 const SUFFICIENT: Filling = Filling {
-    slots: 0.7,
-    reading: 0.6,
+    spare_slots: 1.04,
+    reading: 0.75,
 };
 /// The same at which first events are quick and a burst finds room. Reclaimable upstreams make up the
 /// difference.
 const COMFORTABLE: Filling = Filling {
-    slots: 0.5,
-    reading: 0.35,
+    spare_slots: 1.73,
+    reading: 0.5,
 };
 /// Prompt tokens read for each one that is new to all engines, since shared parts are read again on
 /// engines that do not hold them.
@@ -35,10 +35,15 @@
 /// Needs that differ by less are not worth the lost caches of a change downwards.
 const WORTH_LOWERING: u32 = 2;
 
+/// Part of the slots that counts at least, for engines with few of them.
+const LEAST_FILLING: f64 = 0.25;
+
 /// How full engines may be.
 #[derive(Clone, Copy, Debug)]
 struct Filling {
-    slots: f64,
+    /// Slots that stay free for chance, in square roots of an engine's slots: the requests in progress at one
+    /// engine scatter by the square root of their number (square-root staffing).
+    spare_slots: f64,
     reading: f64,
 }
 
@@ -78,7 +83,8 @@
 }
 
 fn engines(used: Use, size: EngineSize, filling: Filling) -> u32 {
-    let slots = f64::from(size.slots.max(1)) * filling.slots;
+    let slots = f64::from(size.slots.max(1));
+    let slots = (slots - filling.spare_slots * slots.sqrt()).max(slots * LEAST_FILLING);
     let reading = size.prompt_tokens.max(1.0) * filling.reading;
     let by_slots = used.in_flight / slots;
     let by_reading = used.prompt_tokens * READ_AGAIN / reading;
