--- /dev/null
+++ b/tests/engines/mod.rs
@@ -0,0 +1,73 @@
+//! Engines that read the prompts that they hold by turns, for tests of what is learnt and ordered.
+
+#![allow(dead_code, reason = "each test uses a part of it")]
+
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+/// What every request waits besides reading, in seconds: the ways, a step, and a queue that does not depend on it.
+const BESIDES: f64 = 0.02;
+/// Time between two looks, in seconds.
+pub const STEP: f64 = 0.001;
+/// Mean tokens of a prompt.
+pub const MEAN_PROMPT: f64 = 3_100.0;
+
+/// Engines and how much they are asked to read.
+pub struct Load {
+    /// Prompt tokens that each engine reads in a second.
+    pub speeds: Vec<f64>,
+    /// Part of the time that all engines together read.
+    pub filled: f64,
+    pub seconds: f64,
+}
+
+/// What happens while engines are played.
+pub enum Event {
+    /// A step has passed.
+    Step,
+    /// A request with some tokens was begun after a wait in seconds.
+    Begun { tokens: f64, wait: f64 },
+}
+
+fn tokens(rng: &mut StdRng) -> f64 {
+    // Most prompts are short and a few very long.
+    match rng.random_range(0.0..1.0) {
+        draw if draw < 0.5 => rng.random_range(200.0..2_000.0),
+        draw if draw < 0.9 => rng.random_range(1_000.0..6_000.0),
+        _ => rng.random_range(5_000.0..20_000.0),
+    }
+}
+
+/// Plays engines; each request goes to the less busy one of `choices` drawn ones. Returns the rate of tokens.
+pub fn play(load: &Load, choices: usize, seed: u64, mut note: impl FnMut(Event)) -> f64 {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let all: f64 = load.speeds.iter().sum();
+    let per_second = load.filled * all / MEAN_PROMPT;
+    let mut engines: Vec<Vec<(f64, f64, f64)>> = vec![Vec::new(); load.speeds.len()];
+    let (mut now, mut read) = (0.0, 0.0);
+    while now < load.seconds {
+        now += STEP;
+        note(Event::Step);
+        if rng.random_range(0.0..1.0) < per_second * STEP {
+            let size = tokens(&mut rng);
+            read += size;
+            let drawn = (0..choices).map(|_| rng.random_range(0..engines.len()));
+            let engine = drawn.min_by_key(|engine| engines[*engine].len()).unwrap();
+            engines[engine].push((now, size, size));
+        }
+        for (requests, speed) in engines.iter_mut().zip(&load.speeds) {
+            let each = speed * STEP / requests.len().max(1) as f64;
+            requests.retain_mut(|(since, size, left)| {
+                *left -= each;
+                if *left <= 0.0 {
+                    let wait = now - *since + BESIDES * rng.random_range(0.5..1.5);
+                    note(Event::Begun {
+                        tokens: *size,
+                        wait,
+                    });
+                }
+                *left > 0.0
+            });
+        }
+    }
+    read / load.seconds
+}
