Tell followers changes of the list of upstreams, and read a long list page by page

Sixty pages at two readings a second also ask more of the platform than its rate.

Change: the list is told as changes since a version of the same leader's term; the whole one is encoded once for all. The leader reads pages with a pause that keeps to 0.8 of the platform's rate (list_calls_per_second) and tells what is new on a page at once. Tests that failed before: changes_of_the_list_add_up_to_the_whole, a_part_of_the_list_changes_only_what_it_tells.

Still open: service after all were killed does not come back within 30 s at 300 machines.

--- a/src/controller/followers.rs
+++ b/src/controller/followers.rs
@@ -2,12 +2,14 @@
 //! Every controller hears every gateway, so that none of this is lost with a leader.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque},
     mem,
     sync::Arc,
     time::Duration,
 };
 
+use bytes::Bytes;
+use prost::Message;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use super::core::Core;
@@ -21,7 +23,7 @@
     ports::Clock,
     wire::{
         AccountCount, Body, Document, Follow, FollowReply, IngressRecord, ListVersion, QuotaPart,
-        ReserveReply, ReserveRequest, Roster, ServiceLoad, UpstreamList,
+        ReserveReply, ReserveRequest, Roster, ServiceLoad, UpstreamList, UpstreamRow,
     },
 };
 
@@ -41,6 +43,9 @@
 const ROSTER_PAUSE: Duration = Duration::from_millis(2);
 /// Longest time for which it is held back.
 const LONGEST_ROSTER_PAUSE: Duration = Duration::from_millis(400);
+/// Changes of the list that are remembered, so that gateways are told them: many times what changes between two
+/// questions.
+const MOST_LIST_CHANGES: usize = 8192;
 /// Longest time that a question waits for a change.
 const LONGEST_WAIT: Duration = Duration::from_secs(5);
 /// Windows of usage kept for each gateway; older ones are committed or not due any more.
@@ -60,6 +65,12 @@
     parts_at: Option<Duration>,
     book: QuotaBook,
     list: UpstreamList,
+    /// The list encoded for gateways that hold none of this term, once one asked.
+    encoded_list: Option<Bytes>,
+    /// Upstreams that were new, changed or gone, by the change of this term's list that told it; changes up to
+    /// `forgotten_changes` are forgotten.
+    list_changes: VecDeque<(u64, String)>,
+    forgotten_changes: u64,
     /// What gateways counted in windows before they were started anew.
     past_usage: BTreeMap<u64, Vec<AccountCount>>,
     reserves: HashMap<String, Bucket>,
@@ -392,7 +403,7 @@
     }
 
     /// Keeps a list of upstreams that was read now. Returns whether it differs from the last one.
-    pub fn take_list(&mut self, term: u64, rows: Vec<crate::wire::UpstreamRow>) -> bool {
+    pub fn take_list(&mut self, term: u64, rows: Vec<UpstreamRow>) -> bool {
         let held = self.list.version.unwrap_or_default();
         let same = held.term == term && same_rows(&self.list.rows, &rows);
         if same {
@@ -401,27 +412,135 @@
         let sequence = if held.term == term {
             held.sequence + 1
         } else {
+            self.list_changes.clear();
+            self.forgotten_changes = 1;
             1
         };
+        self.note_changes(sequence, &rows);
         self.list = UpstreamList {
             version: Some(ListVersion { term, sequence }),
             rows,
+            ..UpstreamList::default()
         };
+        self.encoded_list = None;
         true
     }
 
+    /// Takes upstreams of a part of the list that was read now; the others stay. Returns whether any is new or
+    /// differs. A list of an earlier term stays until the whole one was read.
+    pub fn take_part(&mut self, term: u64, told: &[UpstreamRow]) -> bool {
+        if self.list.version.unwrap_or_default().term != term {
+            return false;
+        }
+        let differs = |row: &&UpstreamRow| {
+            let held = find(&self.list.rows, &row.instance);
+            held.is_none_or(|held| fixed(held) != fixed(row))
+        };
+        let news: Vec<UpstreamRow> = told.iter().filter(differs).cloned().collect();
+        if news.is_empty() {
+            return false;
+        }
+        let names: HashSet<&str> = news.iter().map(|row| &*row.instance).collect();
+        let stay = self
+            .list
+            .rows
+            .iter()
+            .filter(|row| !names.contains(&*row.instance));
+        let mut rows: Vec<UpstreamRow> = stay.cloned().collect();
+        rows.extend(news);
+        rows.sort_unstable_by(|a, b| a.instance.cmp(&b.instance));
+        self.take_list(term, rows)
+    }
+
+    /// Notes which upstreams a change tells anew, or no more.
+    fn note_changes(&mut self, sequence: u64, rows: &[UpstreamRow]) {
+        let held = &self.list.rows;
+        let before: HashMap<&str, &UpstreamRow> =
+            held.iter().map(|row| (&*row.instance, row)).collect();
+        let is_new = |row: &&UpstreamRow| {
+            let held = before.get(&*row.instance);
+            held.is_none_or(|held| fixed(held) != fixed(row))
+        };
+        let now: HashSet<&str> = rows.iter().map(|row| &*row.instance).collect();
+        let gone = held.iter().filter(|row| !now.contains(&*row.instance));
+        let changed = rows.iter().filter(is_new).chain(gone);
+        let changes = changed.map(|row| (sequence, row.instance.clone()));
+        self.list_changes.extend(changes);
+        while self.list_changes.len() > MOST_LIST_CHANGES {
+            if let Some((forgotten, _)) = self.list_changes.pop_front() {
+                self.forgotten_changes = forgotten;
+            }
+        }
+    }
+
+    /// Returns what is new in the list for a gateway that holds a version of it: what changed, or all of it if
+    /// the version is of another term or too old.
+    pub fn list_since(&mut self, held: ListVersion) -> Option<UpstreamList> {
+        let version = self.list.version.filter(|version| *version > held)?;
+        if held.term != version.term || held.sequence < self.forgotten_changes {
+            return Some(UpstreamList {
+                version: Some(version),
+                encoded: self.encoded_list(),
+                ..UpstreamList::default()
+            });
+        }
+        let newer = self.list_changes.iter().rev();
+        let newer = newer.take_while(|(sequence, _)| *sequence > held.sequence);
+        let names: BTreeSet<&str> = newer.map(|(_, instance)| &**instance).collect();
+        let mut news = UpstreamList {
+            version: Some(version),
+            changes: true,
+            ..UpstreamList::default()
+        };
+        for name in names {
+            match find(&self.list.rows, name) {
+                Some(row) => news.rows.push(row.clone()),
+                None => news.gone.push(name.to_owned()),
+            }
+        }
+        Some(news)
+    }
+
+    fn encoded_list(&mut self) -> Bytes {
+        let rows = &self.list.rows;
+        let encode = || {
+            let list = UpstreamList {
+                rows: rows.clone(),
+                ..UpstreamList::default()
+            };
+            Bytes::from(list.encode_to_vec())
+        };
+        self.encoded_list.get_or_insert_with(encode).clone()
+    }
+
     /// Returns the list of upstreams read last.
     pub fn list(&self) -> &UpstreamList {
         &self.list
     }
 }
 
-/// Compares all but the time for which upstreams stay slow, which runs down by itself.
-fn same_rows(held: &[crate::wire::UpstreamRow], read: &[crate::wire::UpstreamRow]) -> bool {
-    let fixed = |row: &crate::wire::UpstreamRow| crate::wire::UpstreamRow {
-        cold_ms: u32::from(row.cold_ms > 0),
-        ..row.clone()
-    };
+/// Returns all of a row but the time for which the upstream stays slow, which runs down by itself.
+fn fixed(row: &UpstreamRow) -> (&str, &str, &str, &str, u32, bool, bool, bool) {
+    let row_is_cold = row.cold_ms > 0;
+    (
+        &row.instance,
+        &row.service,
+        &row.address,
+        &row.zone,
+        row.slots,
+        row.leaving,
+        row.reclaimable,
+        row_is_cold,
+    )
+}
+
+/// Finds an upstream in rows, which are ordered by instance.
+fn find<'a>(rows: &'a [UpstreamRow], instance: &str) -> Option<&'a UpstreamRow> {
+    let found = rows.binary_search_by(|row| (*row.instance).cmp(instance));
+    found.ok().map(|place| &rows[place])
+}
+
+fn same_rows(held: &[UpstreamRow], read: &[UpstreamRow]) -> bool {
     held.len() == read.len() && held.iter().zip(read).all(|(a, b)| fixed(a) == fixed(b))
 }
 
@@ -489,15 +608,11 @@
         false => Vec::new(),
     };
     let (open_accounts, asked_accounts) = (accounts(Mode::Open), accounts(Mode::Asked));
-    let held = follow.held_list.unwrap_or_default();
-    let newer = followers
-        .list()
-        .version
-        .is_some_and(|version| version > held);
+    let list = followers.list_since(follow.held_list.unwrap_or_default());
     FollowReply {
         leads,
         version,
-        list: newer.then(|| followers.list().clone()),
+        list,
         roster,
         open_accounts,
         asked_accounts,
--- a/src/controller/lister.rs
+++ b/src/controller/lister.rs
@@ -3,27 +3,35 @@
 
 use std::{sync::Arc, time::Duration};
 
-use tokio::time::{MissedTickBehavior, interval, timeout};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until, timeout};
 use tokio_util::sync::CancellationToken;
 
 use super::core::Core;
 use crate::{
-    ports::{Clock, ListedUpstream, Platform},
+    ports::{Clock, CloudError, ListedUpstream, Platform},
+    settings::Ingress,
     wire::UpstreamRow,
 };
 
-/// Longest time for the whole list to arrive.
-const READ_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest time for one page of the list to arrive.
+const PAGE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Part of the calls that the platform takes which is used; the rest is for a controller that led before and has
+/// not noticed yet.
+const CALLS_USED: f64 = 0.8;
 
 /// Reads the list until the token is cancelled.
 pub(super) async fn run<T: Clock, P: Platform>(
     core: Arc<Core<T>>,
     platform: Arc<P>,
-    every: Duration,
+    ingress: Ingress,
     stop: CancellationToken,
 ) {
-    let mut tick = interval(every);
+    let mut tick = interval(ingress.list_interval);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let pause = ingress.list_calls_per_second.map(|calls| {
+        let pause = 1.0 / (calls * CALLS_USED);
+        Duration::try_from_secs_f64(pause).unwrap_or(PAGE_TIMEOUT)
+    });
     let mut failing = false;
     // A new leader reads the list at once; gateways that were all started anew have none.
     let mut took_up = core.watch_fleet();
@@ -38,16 +46,15 @@
         }
         let term = core.fleet().term();
         let read = tokio::select! {
-            read = timeout(READ_TIMEOUT, platform.upstreams()) => read,
+            read = read(&core, &*platform, term, pause.unwrap_or_default()) => read,
             () = stop.cancelled() => return,
         };
         let failure = match read {
-            Ok(Ok(list)) => {
+            Ok(list) => {
                 take(&core, term, list);
                 None
             }
-            Ok(Err(e)) => Some(e.to_string()),
-            Err(_) => Some("it did not come in time".to_owned()),
+            Err(e) => Some(e.to_string()),
         };
         if failing != failure.is_some() {
             failing = !failing;
@@ -65,8 +72,36 @@
     }
 }
 
-fn take<T: Clock>(core: &Core<T>, term: u64, list: Vec<ListedUpstream>) {
-    let mut rows: Vec<_> = list.into_iter().map(row).collect();
+/// Reads all pages, with a pause after each one. What is new on a page of several is told at once: a long list
+/// takes seconds to read.
+async fn read<T: Clock, P: Platform>(
+    core: &Core<T>,
+    platform: &P,
+    term: u64,
+    pause: Duration,
+) -> Result<Vec<UpstreamRow>, CloudError> {
+    let mut rows: Vec<UpstreamRow> = Vec::new();
+    let mut next: Option<String> = None;
+    loop {
+        let begun = Instant::now();
+        let page = timeout(PAGE_TIMEOUT, platform.upstreams(next.as_deref()));
+        let page = page
+            .await
+            .map_err(|_| CloudError::Unanswered("a page did not come in time".into()))??;
+        let told: Vec<UpstreamRow> = page.upstreams.into_iter().map(row).collect();
+        if page.next.is_some() && core.followers().take_part(term, &told) {
+            core.note_followers_change();
+        }
+        rows.extend(told);
+        sleep_until(begun + pause).await;
+        next = match page.next {
+            Some(next) => Some(next),
+            None => return Ok(rows),
+        };
+    }
+}
+
+fn take<T: Clock>(core: &Core<T>, term: u64, mut rows: Vec<UpstreamRow>) {
     rows.sort_unstable_by(|a, b| a.instance.cmp(&b.instance));
     let mut followers = core.followers();
     if rows.is_empty() && !followers.list().rows.is_empty() {
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -92,11 +92,10 @@
     let mut publisher = None;
     let running = start_with(settings, ports, stop, |core, tasks, stop| {
         metrics::show_state(core);
-        let every = ingress.list_interval;
         tasks.spawn(lister::run(
             Arc::clone(core),
             Arc::clone(&platform),
-            every,
+            ingress.clone(),
             stop.clone(),
         ));
         tasks.spawn(scaler::run(
--- a/src/ingress/follow.rs
+++ b/src/ingress/follow.rs
@@ -184,10 +184,19 @@
             let mut held = self.list.lock().unwrap_or_else(PoisonError::into_inner);
             let version = list.version.unwrap_or_default();
             if version > *held {
-                *held = version;
-                self.core.upstreams.replace(&list);
-                let listed = self.core.upstreams.targets();
-                self.core.client.retain(|target| listed.contains(target));
+                match list.decoded() {
+                    Ok(list) => {
+                        *held = version;
+                        let gone = match list.changes {
+                            true => self.core.upstreams.change(&list),
+                            false => self.core.upstreams.replace(&list),
+                        };
+                        if !gone.is_empty() {
+                            self.core.client.retain(|target| !gone.contains(target));
+                        }
+                    }
+                    Err(e) => log::error!("ingress: the list of {name} cannot be read: {e}."),
+                }
             }
         }
         self.note_roster(name, reply.roster);
--- a/src/ingress/upstreams.rs
+++ b/src/ingress/upstreams.rs
@@ -224,15 +224,42 @@
 }
 
 impl Upstreams {
-    /// Takes a new list. What is known of upstreams that stay is kept.
-    pub(super) fn replace(&self, list: &UpstreamList) {
+    /// Takes a new list. What is known of upstreams that stay is kept. Returns where those were that left it.
+    pub(super) fn replace(&self, list: &UpstreamList) -> HashSet<Target> {
+        self.put(list, ByService::new(), |_| true)
+    }
+
+    /// Takes what changed in the list. Returns where those were that left it.
+    pub(super) fn change(&self, list: &UpstreamList) -> HashSet<Target> {
+        let told: HashSet<&str> = list
+            .rows
+            .iter()
+            .map(|row| &*row.instance)
+            .chain(list.gone.iter().map(|gone| &**gone))
+            .collect();
+        let is_told = |upstream: &Upstream| told.contains(upstream.target.instance.as_str());
+        let mut services = (*self.services.load_full()).clone();
+        for upstreams in services.values_mut() {
+            upstreams.retain(|upstream| !is_told(upstream));
+        }
+        self.put(list, services, is_told)
+    }
+
+    /// Puts the rows of a list into what stays of the services; `is_told` says of which upstreams it tells.
+    fn put(
+        &self,
+        list: &UpstreamList,
+        mut services: ByService,
+        is_told: impl Fn(&Upstream) -> bool,
+    ) -> HashSet<Target> {
         let before = self.services.load_full();
         let known: HashMap<&InstanceName, &Arc<Upstream>> = before
             .values()
             .flatten()
+            .filter(|upstream| is_told(upstream))
             .map(|upstream| (&upstream.target.instance, upstream))
             .collect();
-        let mut services = ByService::new();
+        let mut listed = HashSet::new();
         for row in &list.rows {
             let Some(upstream) = kept(&known, row).or_else(|| new(row)) else {
                 log::warn!("ingress: upstream {} has no address.", row.instance);
@@ -245,23 +272,21 @@
                     "ingress: upstream {} is leaving", row.instance
                 );
             }
+            listed.insert(upstream.target.clone());
             let service = ServiceName::from(row.service.as_str());
             services.entry(service).or_default().push(upstream);
         }
         let version = list.version.unwrap_or_default();
         log::info!(
             event = "list.in_force", term = version.term, sequence = version.sequence,
-            upstreams = list.rows.len();
+            told = list.rows.len(), gone = list.gone.len(),
+            upstreams = services.values().map(Vec::len).sum::<usize>();
             "ingress: a list of upstreams is in force"
         );
         self.services.store(Arc::new(services));
-    }
-
-    /// Returns where the listed upstreams are.
-    pub(super) fn targets(&self) -> HashSet<Target> {
-        let services = self.services.load();
-        let all = services.values().flatten();
-        all.map(|upstream| upstream.target.clone()).collect()
+        let known = known.into_values();
+        let gone = known.map(|upstream| upstream.target.clone());
+        gone.filter(|target| !listed.contains(target)).collect()
     }
 
     /// Returns whether a service has an upstream that was not tried before.
--- a/src/platform/api.rs
+++ b/src/platform/api.rs
@@ -13,8 +13,8 @@
     adapters::http::{Client, Reuse, get, post},
     domain::{Incarnation, InvalidTable, RouteTable},
     ports::{
-        AnswerFacts, CloudError, DutyHolder, Forwarding, ListedUpstream, Platform, RequestFacts,
-        Target, UpstreamError, UpstreamOrder, WindowUsage,
+        AnswerFacts, CloudError, DutyHolder, Forwarding, ListedPage, ListedUpstream, Platform,
+        RequestFacts, Target, UpstreamError, UpstreamOrder, WindowUsage,
     },
     settings::Timing,
 };
@@ -134,16 +134,12 @@
 }
 
 impl Platform for Api {
-    async fn upstreams(&self) -> Result<Vec<ListedUpstream>, CloudError> {
-        let mut listed = Vec::new();
-        let mut page = self.page(None).await?;
-        loop {
-            listed.extend(page.instances.into_iter().filter_map(upstream));
-            match page.next {
-                Some(token) => page = self.page(Some(&token)).await?,
-                None => return Ok(listed),
-            }
-        }
+    async fn upstreams(&self, page: Option<&str>) -> Result<ListedPage, CloudError> {
+        let page = self.page(page).await?;
+        Ok(ListedPage {
+            upstreams: page.instances.into_iter().filter_map(upstream).collect(),
+            next: page.next,
+        })
     }
 
     async fn report_usage(
--- a/src/ports/platform.rs
+++ b/src/ports/platform.rs
@@ -32,6 +32,15 @@
     pub cold_ms: u32,
 }
 
+/// A page of the platform's list.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ListedPage {
+    /// Its upstreams.
+    pub upstreams: Vec<ListedUpstream>,
+    /// What names the following page; nothing on the last one.
+    pub next: Option<String>,
+}
+
 /// Requests of each account that began to run in one window.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WindowUsage {
@@ -138,8 +147,11 @@
 
 /// The platform as controllers and gateways use it.
 pub trait Platform: Send + Sync + 'static {
-    /// Reads the whole list of upstreams.
-    fn upstreams(&self) -> impl Future<Output = Result<Vec<ListedUpstream>, CloudError>> + Send;
+    /// Reads a page of the list of upstreams; the first one if none is named.
+    fn upstreams(
+        &self,
+        page: Option<&str>,
+    ) -> impl Future<Output = Result<ListedPage, CloudError>> + Send;
 
     /// Reports the usage of one window.
     fn report_usage(
--- a/src/settings/ingress.rs
+++ b/src/settings/ingress.rs
@@ -30,6 +30,9 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "list_interval_ms", default = "list_interval")]
     pub list_interval: Duration,
+    /// Calls of its list that the platform takes in a second; no bound without it.
+    #[serde(default)]
+    pub list_calls_per_second: Option<f64>,
     /// Length of a window of usage; no usage is reported without it.
     #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
     #[serde(rename = "usage_window_ms", default)]
--- a/src/settings/schema.rs
+++ b/src/settings/schema.rs
@@ -73,6 +73,13 @@
     optional("metrics_address", Shape::Address),
     required("platform_address", Shape::Address),
     optional("list_interval_ms", DURATION),
+    optional(
+        "list_calls_per_second",
+        Shape::Decimal {
+            min: 1e-3,
+            max: 1e6,
+        },
+    ),
     optional("usage_window_ms", DURATION),
     optional("duty_lease_ms", DURATION),
     optional("quota_window_ms", DURATION),
--- a/src/wire/follow.rs
+++ b/src/wire/follow.rs
@@ -2,6 +2,7 @@
 //! an answer comes when something changed, and otherwise after a while as a sign of life.
 
 use bytes::Bytes;
+use prost::Message;
 
 use crate::policy::speed::Reading;
 
@@ -179,9 +180,29 @@
     /// Its version.
     #[prost(message, optional, tag = "1")]
     pub version: Option<ListVersion>,
-    /// The upstreams.
+    /// The upstreams, or those that are new or changed since the version held.
     #[prost(message, repeated, tag = "2")]
     pub rows: Vec<UpstreamRow>,
+    /// Whether only changes are told.
+    #[prost(bool, tag = "3")]
+    pub changes: bool,
+    /// Upstreams that are no longer listed since the version held.
+    #[prost(string, repeated, tag = "4")]
+    pub gone: Vec<String>,
+    /// All rows, encoded once for all gateways as a list without a version; `rows` is empty then.
+    #[prost(bytes = "bytes", tag = "5")]
+    pub encoded: Bytes,
+}
+
+impl UpstreamList {
+    /// Puts encoded rows where they belong.
+    pub fn decoded(mut self) -> Result<Self, prost::DecodeError> {
+        if !self.encoded.is_empty() {
+            let encoded = std::mem::take(&mut self.encoded);
+            self.rows = Self::decode(encoded)?.rows;
+        }
+        Ok(self)
+    }
 }
 
 /// One upstream.
--- a/tests/controller_followers.rs
+++ b/tests/controller_followers.rs
@@ -1,14 +1,15 @@
 //! What a controller knows of the ingress gateways that follow it.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use flamingocroft::{
     controller::followers::Followers,
     wire::{
-        AccountCount, Follow, IngressRecord, QuotaPart, ReadingSums, ReserveRequest, Roster,
-        ServiceLoad, UpstreamRow, WindowCount,
+        AccountCount, Follow, IngressRecord, ListVersion, QuotaPart, ReadingSums, ReserveRequest,
+        Roster, ServiceLoad, UpstreamRow, WindowCount,
     },
 };
+use rand::{Rng, SeedableRng, rngs::StdRng};
 
 fn at(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -223,6 +224,75 @@
     assert!(followers.list().version > second);
 }
 
+/// A gateway that holds a list is told what changed, and one of another term is told all.
+#[test]
+fn changes_of_the_list_add_up_to_the_whole() {
+    let mut followers = Followers::default();
+    let mut rng = StdRng::seed_from_u64(5);
+    // Two gateways; the second asks rarely.
+    let mut held = [ListVersion::default(), ListVersion::default()];
+    let mut rows = [BTreeMap::new(), BTreeMap::new()];
+    for round in 0..400_u64 {
+        let term = 3 + round / 150;
+        let mut listed = Vec::new();
+        for i in 0..60 {
+            if rng.random_range(0..10) > 0 {
+                listed.push(UpstreamRow {
+                    instance: format!("i-{i:02}"),
+                    leaving: rng.random_range(0..10) == 0,
+                    ..UpstreamRow::default()
+                });
+            }
+        }
+        followers.take_list(term, listed.clone());
+        for (place, every) in [(0, 1), (1, 7)] {
+            if round % every != 0 {
+                continue;
+            }
+            let Some(news) = followers.list_since(held[place]) else {
+                continue;
+            };
+            let news = news.decoded().unwrap();
+            let version = news.version.unwrap();
+            assert_eq!(news.changes, held[place].term == version.term);
+            if !news.changes {
+                rows[place].clear();
+            }
+            rows[place].retain(|instance, _| !news.gone.contains(instance));
+            let told = news.rows.into_iter().map(|row| (row.instance.clone(), row));
+            rows[place].extend(told);
+            held[place] = version;
+            let expected: Vec<_> = rows[place].values().cloned().collect();
+            assert_eq!(expected, listed, "round {round}");
+            assert_eq!(followers.list_since(version), None);
+        }
+    }
+}
+
+/// A long list is read page by page; what leaves on the first page is told before the last one came.
+#[test]
+fn a_part_of_the_list_changes_only_what_it_tells() {
+    let row = |i: u32, leaving| UpstreamRow {
+        instance: format!("i-{i:02}"),
+        leaving,
+        ..UpstreamRow::default()
+    };
+    let mut followers = Followers::default();
+    let all: Vec<_> = (0..20).map(|i| row(i, false)).collect();
+    assert!(!followers.take_part(3, &all[..10]), "not of this term");
+    followers.take_list(3, all.clone());
+    let held = followers.list().version.unwrap();
+    assert!(!followers.take_part(3, &all[..10]), "nothing differs");
+    let mut page = all[..10].to_vec();
+    page[4].leaving = true;
+    page.push(row(30, false));
+    assert!(followers.take_part(3, &page));
+    let news = followers.list_since(held).unwrap();
+    assert_eq!(news.rows, [row(4, true), row(30, false)]);
+    assert!(news.gone.is_empty());
+    assert_eq!(followers.list().rows.len(), 21);
+}
+
 #[test]
 fn the_reserve_of_a_new_term_begins_empty() {
     let mut followers = Followers::default();
