Spread whole lists over the questions of gateways, and test five controllers

Cause: after all were started anew every gateway asks for the whole list at once.

Change: a leader sends 12 MB of whole lists in a second; a gateway that gets none asks again. The test failed before: whole_lists_are_spread_over_the_questions_of_many_gateways. New beside it: five_controllers_bear_the_loss_of_two_disks_at_once with real processes, three seeds and two that join; tests with more than three controllers tolerate as many losses as they bear.

--- a/src/controller/followers.rs
+++ b/src/controller/followers.rs
@@ -43,6 +43,12 @@
 const ROSTER_PAUSE: Duration = Duration::from_millis(2);
 /// Longest time for which it is held back.
 const LONGEST_ROSTER_PAUSE: Duration = Duration::from_millis(400);
+/// Bytes of whole lists that are sent in a second, and at once: hundreds of gateways that hold none ask at the same
+/// moment, and answers that all come late are all asked for again.
+const WHOLE_LISTS: Limit = Limit {
+    per_second: 12e6,
+    saved: 3e6,
+};
 /// Changes of the list that are remembered, so that gateways are told them: many times what changes between two
 /// questions.
 const MOST_LIST_CHANGES: usize = 8192;
@@ -67,6 +73,8 @@
     list: UpstreamList,
     /// The list encoded for gateways that hold none of this term, once one asked.
     encoded_list: Option<Bytes>,
+    /// Bytes of whole lists that may be sent now.
+    whole_lists: Option<Bucket>,
     /// Upstreams that were new, changed or gone, by the change of this term's list that told it; changes up to
     /// `forgotten_changes` are forgotten.
     list_changes: VecDeque<(u64, String)>,
@@ -474,13 +482,17 @@
     }
 
     /// Returns what is new in the list for a gateway that holds a version of it: what changed, or all of it if
-    /// the version is of another term or too old.
-    pub fn list_since(&mut self, held: ListVersion) -> Option<UpstreamList> {
+    /// the version is of another term or too old. While too many ask for all of it, nothing; the gateway asks again.
+    pub fn list_since(&mut self, now: Duration, held: ListVersion) -> Option<UpstreamList> {
         let version = self.list.version.filter(|version| *version > held)?;
         if held.term != version.term || held.sequence < self.forgotten_changes {
+            let encoded = self.encoded_list();
+            let full = || Bucket::new(WHOLE_LISTS.saved, now);
+            let budget = self.whole_lists.get_or_insert_with(full);
+            budget.take(encoded.len() as f64, WHOLE_LISTS, now).ok()?;
             return Some(UpstreamList {
                 version: Some(version),
-                encoded: self.encoded_list(),
+                encoded,
                 ..UpstreamList::default()
             });
         }
@@ -608,7 +620,7 @@
         false => Vec::new(),
     };
     let (open_accounts, asked_accounts) = (accounts(Mode::Open), accounts(Mode::Asked));
-    let list = followers.list_since(follow.held_list.unwrap_or_default());
+    let list = followers.list_since(now, follow.held_list.unwrap_or_default());
     FollowReply {
         leads,
         version,
--- a/tests/controller_followers.rs
+++ b/tests/controller_followers.rs
@@ -249,7 +249,7 @@
             if round % every != 0 {
                 continue;
             }
-            let Some(news) = followers.list_since(held[place]) else {
+            let Some(news) = followers.list_since(at(round * 700), held[place]) else {
                 continue;
             };
             let news = news.decoded().unwrap();
@@ -264,11 +264,47 @@
             held[place] = version;
             let expected: Vec<_> = rows[place].values().cloned().collect();
             assert_eq!(expected, listed, "round {round}");
-            assert_eq!(followers.list_since(version), None);
+            assert_eq!(followers.list_since(at(round * 700), version), None);
         }
     }
 }
 
+/// After a new leader took over, all gateways hold a list of another term. Were all answered at once, the answers
+/// would come too late and be asked for again.
+#[test]
+fn whole_lists_are_spread_over_the_questions_of_many_gateways() {
+    let mut followers = Followers::default();
+    let rows: Vec<_> = (0..3000)
+        .map(|i| UpstreamRow {
+            instance: format!("i-{i:08}"),
+            address: "10.128.0.9:8080".into(),
+            service: "assistant-llm".into(),
+            zone: "medenine".into(),
+            slots: 8,
+            ..UpstreamRow::default()
+        })
+        .collect();
+    followers.take_list(3, rows);
+    let mut held = [ListVersion::default(); 300];
+    let mut most = 0;
+    for ms in (0..20_000).step_by(700) {
+        let mut sent = 0;
+        for held in &mut held {
+            if let Some(news) = followers.list_since(at(ms), *held) {
+                sent += news.encoded.len();
+                *held = news.version.unwrap();
+            }
+        }
+        most = most.max(sent);
+    }
+    assert!(
+        held.iter().all(|held| held.term == 3),
+        "all have it in the end"
+    );
+    // A gateway waits 1.5 s for an answer, and a controller has a link of 1,000 Mbit/s and 0.15 of a core.
+    assert!(most < 12_000_000, "{most} bytes between two questions");
+}
+
 /// A long list is read page by page; what leaves on the first page is told before the last one came.
 #[test]
 fn a_part_of_the_list_changes_only_what_it_tells() {
@@ -287,7 +323,7 @@
     page[4].leaving = true;
     page.push(row(30, false));
     assert!(followers.take_part(3, &page));
-    let news = followers.list_since(held).unwrap();
+    let news = followers.list_since(at(0), held).unwrap();
     assert_eq!(news.rows, [row(4, true), row(30, false)]);
     assert!(news.gone.is_empty());
     assert_eq!(followers.list().rows.len(), 21);
--- a/tests/platform_faults.rs
+++ b/tests/platform_faults.rs
@@ -177,6 +177,32 @@
     assert_eq!(res.status, StatusCode::OK);
 }
 
+/// Three seeds form the cluster and the others join; then two disks are lost at once, and again two others.
+#[tokio::test]
+async fn five_controllers_bear_the_loss_of_two_disks_at_once() {
+    let mut daemons = daemons(5, ok).await;
+    let mut next = 2;
+    for lost in [[0, 1], [2, 4], [1, 3]] {
+        // New members must have got their votes before the next disks are lost.
+        sleep(Duration::from_secs(6)).await;
+        daemons.publish(&document(next)).await;
+        for place in lost {
+            daemons.controllers[place].kill();
+            std::fs::remove_dir_all(&daemons.folders[place]).unwrap();
+        }
+        assert_eq!(daemons.version().await, next, "without {lost:?}");
+        next += 1;
+        daemons.publish(&document(next)).await;
+        for place in lost {
+            daemons.controllers[place].start_again();
+        }
+        next += 1;
+    }
+    assert_eq!(daemons.version().await, next - 1);
+    let res = daemons.site.send(Method::GET, "/safe/x", "r1", "").await;
+    assert_eq!(res.status, StatusCode::OK);
+}
+
 /// Changes race at all controllers while one of them is frozen for a while; none that was acknowledged
 /// may be missing from a read that began later.
 #[tokio::test]
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -399,8 +399,10 @@
     controllers: &[Ipv4Addr],
     api: SocketAddr,
 ) -> PathBuf {
+    // As on the users' machines: three are seeds, the others find them and join.
     let seeds: Vec<_> = controllers
         .iter()
+        .take(3)
         .map(|host| control_address(*host).to_string())
         .collect();
     let first = if role == "controller" { 7200 } else { 7300 };
@@ -414,6 +416,7 @@
         "data_folder": data_folder(folder, host),
         "operator_token_sha256": "0".repeat(64),
         "seeds": seeds,
+        "tolerated_losses": ((controllers.len() - 1) / 2).max(1),
         "ingress": {
             "address": format!("{host}:{}", first + 1),
             "directory_address": format!("{host}:{}", first + 2),
