Give the list of upstreams a module of its own, and ask for the first request of an account

Cause, found by reading: an account that nobody used has parts of its quota that hold no request, until a gateway has told so; each of 191 gateways would let its first request pass on debt. A leader said "0 voters missing" as a warning. The list's history stood among the followers.

Change: the first request of an account whose quota cannot be divided asks the leader. One window for quotas whose burst is gained once. controller::list_history. No other change of behaviour.

--- a/src/controller/core.rs
+++ b/src/controller/core.rs
@@ -20,6 +20,7 @@
 };
 use crate::{
     domain::FencingNumber,
+    policy::quota_window::DEFAULT_WINDOW,
     ports::Clock,
     settings::{ControllerEntry, Settings},
     state::{Action, Command},
@@ -64,7 +65,7 @@
         let fleet = Fleet::new(settings.timing.view_lease);
         let ingress = settings.ingress.as_ref();
         let quota_window = ingress.and_then(|ingress| ingress.quota_window);
-        let followers = quota_window.map_or_else(Followers::default, Followers::new);
+        let followers = Followers::new(quota_window.unwrap_or(DEFAULT_WINDOW));
         Self {
             settings,
             clock,
--- a/src/controller/lister.rs
+++ b/src/controller/lister.rs
@@ -89,7 +89,7 @@
             .await
             .map_err(|_| CloudError::Unanswered("a page did not come in time".into()))??;
         let told: Vec<UpstreamRow> = page.upstreams.into_iter().map(row).collect();
-        if page.next.is_some() && core.followers().take_part(term, &told) {
+        if page.next.is_some() && core.followers().list_mut().take_part(term, &told) {
             core.note_followers_change();
         }
         rows.extend(told);
@@ -104,18 +104,18 @@
 fn take<T: Clock>(core: &Core<T>, term: u64, mut rows: Vec<UpstreamRow>) {
     rows.sort_unstable_by(|a, b| a.instance.cmp(&b.instance));
     let mut followers = core.followers();
-    if rows.is_empty() && !followers.list().rows.is_empty() {
+    if rows.is_empty() && !followers.list().rows().is_empty() {
         log::warn!("controller: the list of upstreams is empty; the last one is kept.");
         return;
     }
-    let before = followers.list().rows.len();
-    if !followers.take_list(term, rows) {
+    let before = followers.list().rows().len();
+    if !followers.list_mut().take(term, rows) {
         return;
     }
     let list = followers.list();
     log::info!(
-        event = "list.changed", term = term, before = before, upstreams = list.rows.len(),
-        leaving = list.rows.iter().filter(|row| row.leaving).count();
+        event = "list.changed", term = term, before = before, upstreams = list.rows().len(),
+        leaving = list.rows().iter().filter(|row| row.leaving).count();
         "controller: the list of upstreams changed"
     );
     drop(followers);
--- a/src/controller/metrics.rs
+++ b/src/controller/metrics.rs
@@ -70,7 +70,7 @@
     gauge(
         "controller_upstreams",
         "Upstreams in the list read last.",
-        |core| core.followers().list().rows.len() as u64,
+        |core| core.followers().list().rows().len() as u64,
     );
     let held = Arc::clone(core);
     core.metrics.gauges(
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -15,6 +15,7 @@
 mod held;
 mod http;
 mod leader;
+pub mod list_history;
 mod lister;
 mod log;
 mod metrics;
--- a/src/controller/roll_call.rs
+++ b/src/controller/roll_call.rs
@@ -97,7 +97,12 @@
             return;
         }
         self.missing = missing;
-        log::warn!(
+        let level = match missing {
+            0 => log::Level::Info,
+            _ => log::Level::Warn,
+        };
+        log::log!(
+            level,
             event = "voters.missing", missing = missing, voters = members.voters.len(),
             wanted = members.wanted, learners = members.learners.len();
             "controller: {missing} voters are missing for tolerated_losses; start more controllers if this lasts"
--- a/src/controller/scaler.rs
+++ b/src/controller/scaler.rs
@@ -222,7 +222,7 @@
     fn present(&self, service: &ServiceName) -> HashMap<ZoneName, Present> {
         let followers = self.core.followers();
         let mut zones: HashMap<ZoneName, Present> = HashMap::new();
-        let rows = followers.list().rows.iter();
+        let rows = followers.list().rows().iter();
         for row in rows.filter(|row| row.service == service.as_str() && !row.leaving) {
             let here = zones.entry(row.zone.as_str().into()).or_default();
             match row.reclaimable {
--- a/src/ingress/quota.rs
+++ b/src/ingress/quota.rs
@@ -13,7 +13,7 @@
     domain::{AccountName, KeyedAccount, QuotaUnit},
     policy::{
         quota::{Admission, Bucket, Limit, QuotaRule, admission, floor, own},
-        quota_window::{Admitted, Mode, is_divisible},
+        quota_window::{Admitted, DEFAULT_WINDOW, Mode, is_divisible},
     },
     ports::PromptFacts,
     wire::{FollowReply, QuotaPart, QuotaUse},
@@ -32,8 +32,6 @@
 /// How long an account's requests may be admitted without asking after the question was asked that it answers:
 /// long enough for a new leader to be found in nearly all cases, and short against a window.
 const OPEN_LEASE: Duration = Duration::from_secs(3);
-/// Window of a quota whose burst is gained only once, over which its use is told.
-const DEFAULT_WINDOW: Duration = Duration::from_secs(1);
 /// Time over which what callers ask is averaged.
 const DEMAND_SPAN: Duration = Duration::from_secs(2);
 
@@ -168,7 +166,8 @@
         held.ask(units, now);
         let taken = match mode {
             Mode::Open => Ok(()),
-            Mode::Divided if leased || held.is_divisible(gateways) => {
+            // The first request of an account tells nobody yet that its quota cannot be divided.
+            Mode::Divided if held.is_divisible(gateways) || (leased && held.requests > 1) => {
                 let own = own(held.admission.gateways, part);
                 let taken = held.bucket.take(units, own, now);
                 taken.map_err(|wait| Short {
--- a/src/policy/quota.rs
+++ b/src/policy/quota.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use super::quota_window::DEFAULT_WINDOW;
 use crate::domain::Quota;
 
 /// Part of the tolerances that is used; the rest covers the moment in which parts change at different
@@ -112,7 +113,7 @@
             }
         }
     };
-    let seconds = rule.window.unwrap_or(Duration::from_secs(1)).as_secs_f64();
+    let seconds = rule.window.unwrap_or(DEFAULT_WINDOW).as_secs_f64();
     let mut reserve = limit.times(1.0 - BY_GATEWAYS);
     reserve.saved += slack;
     Admission {
--- a/src/policy/quota_window.rs
+++ b/src/policy/quota_window.rs
@@ -12,6 +12,8 @@
 
 use super::quota::{Admission, Bucket, Limit};
 
+/// Window of a quota whose burst is gained only once, over which its use is told.
+pub const DEFAULT_WINDOW: Duration = Duration::from_secs(1);
 /// Parts of what an account may use in a window up to which gateways need not ask: until an account that turns
 /// hot is seen, for about a second, it may use the rest. The lower one counts before they were told so.
 const OPEN_BELOW: f64 = 0.6;
@@ -145,7 +147,7 @@
 
 impl Default for QuotaBook {
     fn default() -> Self {
-        Self::new(Duration::from_secs(1))
+        Self::new(DEFAULT_WINDOW)
     }
 }
 
--- a/tests/controller_followers.rs
+++ b/tests/controller_followers.rs
@@ -208,20 +208,20 @@
         ..UpstreamRow::default()
     };
     let mut followers = Followers::default();
-    assert!(followers.take_list(3, vec![row(false, 900)]));
+    assert!(followers.list_mut().take(3, vec![row(false, 900)]));
     assert!(
-        !followers.take_list(3, vec![row(false, 400)]),
+        !followers.list_mut().take(3, vec![row(false, 400)]),
         "it only warms up"
     );
-    let first = followers.list().version;
-    assert!(followers.take_list(3, vec![row(true, 400)]));
-    assert!(followers.list().version > first);
-    let second = followers.list().version;
+    let first = followers.list().version();
+    assert!(followers.list_mut().take(3, vec![row(true, 400)]));
+    assert!(followers.list().version() > first);
+    let second = followers.list().version();
     assert!(
-        followers.take_list(4, vec![row(true, 400)]),
+        followers.list_mut().take(4, vec![row(true, 400)]),
         "a new leader's list is newer"
     );
-    assert!(followers.list().version > second);
+    assert!(followers.list().version() > second);
 }
 
 /// A gateway that holds a list is told what changed, and one of another term is told all.
@@ -244,12 +244,12 @@
                 });
             }
         }
-        followers.take_list(term, listed.clone());
+        followers.list_mut().take(term, listed.clone());
         for (place, every) in [(0, 1), (1, 7)] {
             if round % every != 0 {
                 continue;
             }
-            let Some(news) = followers.list_since(at(round * 700), held[place]) else {
+            let Some(news) = followers.list_mut().since(at(round * 700), held[place]) else {
                 continue;
             };
             let news = news.decoded().unwrap();
@@ -264,7 +264,7 @@
             held[place] = version;
             let expected: Vec<_> = rows[place].values().cloned().collect();
             assert_eq!(expected, listed, "round {round}");
-            assert_eq!(followers.list_since(at(round * 700), version), None);
+            assert_eq!(followers.list_mut().since(at(round * 700), version), None);
         }
     }
 }
@@ -284,13 +284,13 @@
             ..UpstreamRow::default()
         })
         .collect();
-    followers.take_list(3, rows);
+    followers.list_mut().take(3, rows);
     let mut held = [ListVersion::default(); 300];
     let mut most = 0;
     for ms in (0..20_000).step_by(700) {
         let mut sent = 0;
         for held in &mut held {
-            if let Some(news) = followers.list_since(at(ms), *held) {
+            if let Some(news) = followers.list_mut().since(at(ms), *held) {
                 sent += news.encoded.len();
                 *held = news.version.unwrap();
             }
@@ -315,18 +315,24 @@
     };
     let mut followers = Followers::default();
     let all: Vec<_> = (0..20).map(|i| row(i, false)).collect();
-    assert!(!followers.take_part(3, &all[..10]), "not of this term");
-    followers.take_list(3, all.clone());
-    let held = followers.list().version.unwrap();
-    assert!(!followers.take_part(3, &all[..10]), "nothing differs");
+    assert!(
+        !followers.list_mut().take_part(3, &all[..10]),
+        "not of this term"
+    );
+    followers.list_mut().take(3, all.clone());
+    let held = followers.list().version().unwrap();
+    assert!(
+        !followers.list_mut().take_part(3, &all[..10]),
+        "nothing differs"
+    );
     let mut page = all[..10].to_vec();
     page[4].leaving = true;
     page.push(row(30, false));
-    assert!(followers.take_part(3, &page));
-    let news = followers.list_since(at(0), held).unwrap();
+    assert!(followers.list_mut().take_part(3, &page));
+    let news = followers.list_mut().since(at(0), held).unwrap();
     assert_eq!(news.rows, [row(4, true), row(30, false)]);
     assert!(news.gone.is_empty());
-    assert_eq!(followers.list().rows.len(), 21);
+    assert_eq!(followers.list().rows().len(), 21);
 }
 
 #[test]
