--- /dev/null
+++ b/src/ingress/forward/attempt.rs
@@ -0,0 +1,189 @@
+//! One attempt of a request at an upstream, and whose answer it is that comes back.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, Version, header, http::response::Parts};
+use tokio::time::{Instant, interval_at};
+
+use super::{Passage, millis};
+use crate::{
+    adapters::http::{Answer, Reuse},
+    domain::InstanceName,
+    ingress::{
+        answer::{Failure, NotRun},
+        heads::promises_not_run,
+        relay::{Source, look_every},
+        upstreams::Flight,
+    },
+    policy::silence::Awaited,
+    ports::{Clock, Forwarding, Platform, Sent, UpstreamError, UpstreamErrorKind},
+};
+
+/// An upstream's answer that is the caller's.
+pub(super) struct Accepted {
+    pub(super) head: Parts,
+    pub(super) source: Source,
+}
+
+/// How one attempt ended without an answer for the caller.
+pub(super) enum Attempt {
+    /// It has not run there.
+    NotRun(NotRun),
+    /// It may have run there.
+    MayHaveRun(Failure),
+}
+
+impl<P: Platform, T: Clock> Passage<P, T> {
+    /// Sends the request to one upstream and decides what its answer, or its silence, means.
+    pub(super) async fn attempt(
+        &self,
+        flight: Flight,
+        resume_after: Option<u64>,
+    ) -> Result<Accepted, Attempt> {
+        let now = Instant::now();
+        let left = self.left(now);
+        let upstream = &flight.upstream;
+        let req = self.request(upstream.target.instance.clone(), left, resume_after);
+        let client = &self.core.client;
+        let sent = client.exchange(&upstream.target, req, Reuse::Allowed, self.patience(now));
+        let answer = tokio::select! {
+            answer = sent => answer,
+            e = self.lost(&flight, now) => Err(e),
+        };
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(e) => return Err(self.failed(&flight, &e, now.elapsed())),
+        };
+        self.judge(flight, answer)
+    }
+
+    /// Waits until an engine is taken to be lost, if the request may then go to another one.
+    async fn lost(&self, flight: &Flight, sent: Instant) -> UpstreamError {
+        let class = self.route.class;
+        if !class.is_stream() || !class.may_repeat() || self.is_exhausted() {
+            return std::future::pending().await;
+        }
+        let limit = flight.silence(Awaited::First, &self.on_time());
+        let mut looks = interval_at(sent + limit, look_every(limit));
+        loop {
+            looks.tick().await;
+            if flight.upstream.is_lost(limit, Instant::now()) {
+                let message = "the engine gives no sign of life";
+                return UpstreamError::new(UpstreamErrorKind::Silent, Sent::Maybe, message);
+            }
+        }
+    }
+
+    /// Returns until when an upstream may be silent. If the request may be repeated, some time is kept
+    /// for another one.
+    fn patience(&self, now: Instant) -> Instant {
+        if !self.route.class.may_repeat() || self.is_exhausted() {
+            return self.deadline;
+        }
+        let on_time = self.on_time();
+        let patience = match self.route.class.is_stream() {
+            true => on_time.longest(),
+            false => {
+                let upstreams = &self.core.upstreams;
+                upstreams.silence(&self.service, Awaited::First, &on_time)
+            }
+        };
+        self.deadline.min(now + patience)
+    }
+
+    fn failed(&self, flight: &Flight, e: &UpstreamError, waited: Duration) -> Attempt {
+        let upstream = &flight.upstream;
+        if e.kind == UpstreamErrorKind::Silent {
+            flight.note_pause(Awaited::First, waited);
+        }
+        upstream.suspect(Instant::now());
+        log::warn!(
+            event = "attempt.failed", request = self.id(), upstream:% = upstream.target.instance,
+            attempt = self.tried.len(), sent:? = e.sent, kind:? = e.kind,
+            ms = millis(self.arrived.elapsed());
+            "ingress: an attempt failed: {e}"
+        );
+        match (e.sent, e.kind) {
+            (Sent::No, _) => Attempt::NotRun(NotRun::Unreachable),
+            (Sent::Maybe, UpstreamErrorKind::Silent) => Attempt::MayHaveRun(Failure::Unanswered),
+            (Sent::Maybe, _) => Attempt::MayHaveRun(Failure::Unclear),
+        }
+    }
+
+    /// Decides whether an answer is the caller's.
+    fn judge(&self, flight: Flight, answer: Answer) -> Result<Accepted, Attempt> {
+        let status = answer.res.status();
+        let facts = self.core.platform.read_answer(status, answer.res.headers());
+        let upstream = &flight.upstream;
+        let now = Instant::now();
+        let is_foreign = facts.id.as_deref().is_some_and(|id| id != self.id());
+        if is_foreign || (status.is_success() && !facts.signed) {
+            upstream.suspect(now);
+            log::warn!(
+                event = "answer.foreign", request = self.id(),
+                upstream:% = upstream.target.instance, status = status.as_u16(),
+                answers = facts.id.as_deref().unwrap_or_default(), signed = facts.signed;
+                "ingress: an answer is not the request's own"
+            );
+            return Err(Attempt::MayHaveRun(Failure::Unclear));
+        }
+        if let Some(load) = facts.load {
+            upstream.report(load, now);
+        }
+        if facts.not_executed {
+            self.core.counters.not_executed.add();
+            log::info!(
+                event = "attempt.not_executed", request = self.id(),
+                upstream:% = upstream.target.instance, status = status.as_u16(),
+                attempt = self.tried.len();
+                "ingress: the upstream has not run the request"
+            );
+            return Err(Attempt::NotRun(NotRun::Busy));
+        }
+        if promises_not_run(status) {
+            // Without the upstream's own word, such a status would promise too much.
+            return Err(Attempt::MayHaveRun(Failure::Unclear));
+        }
+        if status.is_server_error() && self.route.class.may_repeat() && !self.is_exhausted() {
+            return Err(Attempt::MayHaveRun(Failure::Unclear));
+        }
+        upstream.hear(now);
+        let (head, body) = answer.res.into_parts();
+        Ok(Accepted {
+            head,
+            source: Source {
+                body,
+                lease: answer.connection,
+                flight,
+            },
+        })
+    }
+
+    fn request(
+        &self,
+        instance: InstanceName,
+        left: Duration,
+        resume_after: Option<u64>,
+    ) -> Request<Full<Bytes>> {
+        let mut headers = self.headers.clone();
+        let forwarding = Forwarding {
+            left: Some(left),
+            instance: &instance,
+            account: self.account.as_ref(),
+            resume_after,
+        };
+        self.core
+            .platform
+            .forward_request(&mut headers, &forwarding);
+        headers.remove(header::CONTENT_LENGTH);
+        headers.remove(header::EXPECT);
+        let mut req = Request::new(Full::new(self.body.clone()));
+        *req.method_mut() = self.method.clone();
+        *req.uri_mut() = self.uri.clone();
+        *req.version_mut() = Version::HTTP_11;
+        *req.headers_mut() = headers;
+        req
+    }
+}
--- a/src/ingress/forward.rs
+++ b/src/ingress/forward/mod.rs
@@ -1,38 +1,35 @@
 //! The path of one request: route, account, body, quota, then attempts at upstreams until one answers.
 
+mod attempt;
+mod pass;
+
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use futures_util::future::BoxFuture;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
-    HeaderMap, Method, Request, Response, StatusCode, Uri, Version,
+    HeaderMap, Method, Request, Response, Uri,
     body::Incoming,
     header::{self, HeaderValue},
-    http::response::Parts,
 };
-use tokio::time::{Instant, interval_at, sleep, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
+use self::attempt::{Accepted, Attempt};
 use super::{
     Core,
     admit::{account, take_quota},
     answer::{Ended, Failure, NotRun, respond},
-    events::EventCutter,
-    heads::{host, promises_not_run, without_connection_headers},
-    relay::{Relay, Resumable, Resume, Resumed, Source, Timing, look_every},
+    heads::{host, without_connection_headers},
+    relay::Relay,
     upstreams::Flight,
 };
 use crate::{
-    adapters::http::{Answer, Reuse},
-    domain::{AccountName, InstanceName, RequestClass, Route, RouteIndex, ServiceName},
+    domain::{AccountName, InstanceName, Route, RouteIndex, ServiceName},
     policy::{
         route::RouteRequest,
         silence::{Awaited, OnTime},
     },
-    ports::{
-        Clock, Forwarding, Platform, PromptFacts, RequestFacts, Sent, UpstreamError,
-        UpstreamErrorKind,
-    },
+    ports::{Clock, Platform, PromptFacts, RequestFacts},
     telemetry::{AccountMetrics, Outcome},
 };
 
@@ -40,10 +37,6 @@
 /// not run, so this bounds the search only.
 const MOST_REFUSED: usize = 3;
 
-/// Time between two looks whether a stream that broke off finds an upstream again; some looks fit into the
-/// time after which callers leave.
-const LOOK_FOR_UPSTREAM: Duration = Duration::from_millis(50);
-
 /// Answers one request.
 pub(super) async fn answer<P: Platform, T: Clock>(
     core: Arc<Core<P, T>>,
@@ -129,63 +122,6 @@
     counted_at: Option<u64>,
 }
 
-/// An upstream's answer that is the caller's.
-struct Accepted {
-    head: Parts,
-    source: Source,
-}
-
-impl<P: Platform, T: Clock> Resume for Passage<P, T> {
-    fn resume(mut self: Box<Self>, after: Option<u64>) -> BoxFuture<'static, Option<Resumed>> {
-        Box::pin(async move {
-            self.attempts += 1;
-            if self.is_exhausted() {
-                return None;
-            }
-            self.wait_for_upstream().await;
-            let found = self.search(after).await;
-            match found {
-                Ok(accepted) if accepted.head.status.is_success() => {
-                    self.core.counters.resumed.add();
-                    log::info!(
-                        event = "stream.resumed", request = self.id(), after:? = after,
-                        upstream:% = accepted.source.flight.upstream.target.instance,
-                        attempt = self.tried.len();
-                        "ingress: a stream is taken up again"
-                    );
-                    Some(Resumed {
-                        source: accepted.source,
-                        resume: self,
-                    })
-                }
-                Ok(accepted) => {
-                    let status = accepted.head.status;
-                    log::warn!(
-                        event = "stream.lost", request = self.id(), status = status.as_u16();
-                        "ingress: a stream is not taken up again"
-                    );
-                    None
-                }
-                Err(ended) => {
-                    log::warn!(
-                        event = "stream.lost", request = self.id(), outcome:? = ended;
-                        "ingress: a stream is not taken up again"
-                    );
-                    None
-                }
-            }
-        })
-    }
-}
-
-/// How one attempt ended without an answer for the caller.
-enum Attempt {
-    /// It has not run there.
-    NotRun(NotRun),
-    /// It may have run there.
-    MayHaveRun(Failure),
-}
-
 impl<P: Platform, T: Clock> Passage<P, T> {
     /// Finds the route and the account, reads the body and takes the quota.
     async fn begin(
@@ -349,20 +285,6 @@
         }
     }
 
-    /// Waits, as long as the caller of a stream can still use the rest of it, until there is an upstream to
-    /// take it up and a further attempt may be made.
-    async fn wait_for_upstream(&self) {
-        let until = self.deadline.min(Instant::now() + self.on_time().longest());
-        loop {
-            let now = Instant::now();
-            let is_there = self.core.upstreams.has_other(&self.service, &self.tried);
-            if now >= until || (is_there && self.core.budgets.has_left(&self.service, now)) {
-                return;
-            }
-            sleep(LOOK_FOR_UPSTREAM).await;
-        }
-    }
-
     fn on_time(&self) -> OnTime {
         OnTime {
             first: self.route.target,
@@ -398,202 +320,6 @@
         own.map_or(prompt.tokens_in as u32, |part| part.tokens as u32)
     }
 
-    async fn attempt(
-        &self,
-        flight: Flight,
-        resume_after: Option<u64>,
-    ) -> Result<Accepted, Attempt> {
-        let now = Instant::now();
-        let left = self.left(now);
-        let upstream = &flight.upstream;
-        let req = self.request(upstream.target.instance.clone(), left, resume_after);
-        let client = &self.core.client;
-        let sent = client.exchange(&upstream.target, req, Reuse::Allowed, self.patience(now));
-        let answer = tokio::select! {
-            answer = sent => answer,
-            e = self.lost(&flight, now) => Err(e),
-        };
-        let answer = match answer {
-            Ok(answer) => answer,
-            Err(e) => return Err(self.failed(&flight, &e, now.elapsed())),
-        };
-        self.judge(flight, answer)
-    }
-
-    /// Waits until an engine is taken to be lost, if the request may then go to another one.
-    async fn lost(&self, flight: &Flight, sent: Instant) -> UpstreamError {
-        let class = self.route.class;
-        if !class.is_stream() || !class.may_repeat() || self.is_exhausted() {
-            return std::future::pending().await;
-        }
-        let limit = flight.silence(Awaited::First, &self.on_time());
-        let mut looks = interval_at(sent + limit, look_every(limit));
-        loop {
-            looks.tick().await;
-            if flight.upstream.is_lost(limit, Instant::now()) {
-                let message = "the engine gives no sign of life";
-                return UpstreamError::new(UpstreamErrorKind::Silent, Sent::Maybe, message);
-            }
-        }
-    }
-
-    /// Returns until when an upstream may be silent. If the request may be repeated, some time is kept
-    /// for another one.
-    fn patience(&self, now: Instant) -> Instant {
-        if !self.route.class.may_repeat() || self.is_exhausted() {
-            return self.deadline;
-        }
-        let on_time = self.on_time();
-        let patience = match self.route.class.is_stream() {
-            true => on_time.longest(),
-            false => {
-                let upstreams = &self.core.upstreams;
-                upstreams.silence(&self.service, Awaited::First, &on_time)
-            }
-        };
-        self.deadline.min(now + patience)
-    }
-
-    fn failed(&self, flight: &Flight, e: &UpstreamError, waited: Duration) -> Attempt {
-        let upstream = &flight.upstream;
-        if e.kind == UpstreamErrorKind::Silent {
-            flight.note_pause(Awaited::First, waited);
-        }
-        upstream.suspect(Instant::now());
-        log::warn!(
-            event = "attempt.failed", request = self.id(), upstream:% = upstream.target.instance,
-            attempt = self.tried.len(), sent:? = e.sent, kind:? = e.kind,
-            ms = millis(self.arrived.elapsed());
-            "ingress: an attempt failed: {e}"
-        );
-        match (e.sent, e.kind) {
-            (Sent::No, _) => Attempt::NotRun(NotRun::Unreachable),
-            (Sent::Maybe, UpstreamErrorKind::Silent) => Attempt::MayHaveRun(Failure::Unanswered),
-            (Sent::Maybe, _) => Attempt::MayHaveRun(Failure::Unclear),
-        }
-    }
-
-    /// Decides whether an answer is the caller's.
-    fn judge(&self, flight: Flight, answer: Answer) -> Result<Accepted, Attempt> {
-        let status = answer.res.status();
-        let facts = self.core.platform.read_answer(status, answer.res.headers());
-        let upstream = &flight.upstream;
-        let now = Instant::now();
-        let is_foreign = facts.id.as_deref().is_some_and(|id| id != self.id());
-        if is_foreign || (status.is_success() && !facts.signed) {
-            upstream.suspect(now);
-            log::warn!(
-                event = "answer.foreign", request = self.id(),
-                upstream:% = upstream.target.instance, status = status.as_u16(),
-                answers = facts.id.as_deref().unwrap_or_default(), signed = facts.signed;
-                "ingress: an answer is not the request's own"
-            );
-            return Err(Attempt::MayHaveRun(Failure::Unclear));
-        }
-        if let Some(load) = facts.load {
-            upstream.report(load, now);
-        }
-        if facts.not_executed {
-            self.core.counters.not_executed.add();
-            log::info!(
-                event = "attempt.not_executed", request = self.id(),
-                upstream:% = upstream.target.instance, status = status.as_u16(),
-                attempt = self.tried.len();
-                "ingress: the upstream has not run the request"
-            );
-            return Err(Attempt::NotRun(NotRun::Busy));
-        }
-        if promises_not_run(status) {
-            // Without the upstream's own word, such a status would promise too much.
-            return Err(Attempt::MayHaveRun(Failure::Unclear));
-        }
-        if status.is_server_error() && self.route.class.may_repeat() && !self.is_exhausted() {
-            return Err(Attempt::MayHaveRun(Failure::Unclear));
-        }
-        upstream.hear(now);
-        let (head, body) = answer.res.into_parts();
-        Ok(Accepted {
-            head,
-            source: Source {
-                body,
-                lease: answer.connection,
-                flight,
-            },
-        })
-    }
-
-    /// Makes the answer for the caller.
-    fn pass(self, accepted: Accepted) -> Response<Relay> {
-        let Accepted { head, source } = accepted;
-        self.note_answer(head.status, &source.flight);
-        let (deadline, id) = (self.deadline, self.id().to_owned());
-        let timing = Timing {
-            account: self.metrics.clone(),
-            arrived: self.arrived,
-            is_stream: self.route.class.is_stream(),
-            on_time: self.on_time(),
-        };
-        // A length would not be that of a stream that is taken up again.
-        let can_resume = self.route.class == RequestClass::ResumableStream
-            && head.status.is_success()
-            && !head.headers.contains_key(header::CONTENT_LENGTH);
-        let resumable = can_resume.then(|| Resumable {
-            events: EventCutter::after(self.facts.resume_after),
-            resume: Box::new(self),
-        });
-        let mut res = Response::new(Relay::new(source, resumable, deadline, id, timing));
-        *res.status_mut() = head.status;
-        *res.headers_mut() = without_connection_headers(head.headers);
-        res
-    }
-
-    fn note_answer(&self, status: StatusCode, flight: &Flight) {
-        let duration = self.arrived.elapsed();
-        self.metrics.first_token(duration);
-        let (level, outcome, message) = match status.is_success() {
-            true => (log::Level::Info, Outcome::Answered, "a request is answered"),
-            false => (
-                log::Level::Warn,
-                Outcome::UpstreamFailed,
-                "a request is answered with the upstream's failure",
-            ),
-        };
-        self.count(outcome);
-        log::log!(
-            level,
-            event = "request.answered", request = self.id(), route = &*self.route.name,
-            upstream:% = flight.upstream.target.instance, status = status.as_u16(),
-            attempt = self.tried.len(), choice = flight.reason.name(), ms = millis(duration);
-            "ingress: {message}"
-        );
-    }
-
-    fn request(
-        &self,
-        instance: InstanceName,
-        left: Duration,
-        resume_after: Option<u64>,
-    ) -> Request<Full<Bytes>> {
-        let mut headers = self.headers.clone();
-        let forwarding = Forwarding {
-            left: Some(left),
-            instance: &instance,
-            account: self.account.as_ref(),
-            resume_after,
-        };
-        self.core
-            .platform
-            .forward_request(&mut headers, &forwarding);
-        headers.remove(header::CONTENT_LENGTH);
-        headers.remove(header::EXPECT);
-        let mut req = Request::new(Full::new(self.body.clone()));
-        *req.method_mut() = self.method.clone();
-        *req.uri_mut() = self.uri.clone();
-        *req.version_mut() = Version::HTTP_11;
-        *req.headers_mut() = headers;
-        req
-    }
-
     fn give_up(&self, ended: Ended) -> Response<Relay> {
         log::warn!(
             event = "request.ended", request = self.id(), route = &*self.route.name,
