--- a/src/controller/core.rs
+++ b/src/controller/core.rs
@@ -20,9 +20,8 @@
 };
 use crate::{
     domain::FencingNumber,
-    policy::quota_window::DEFAULT_WINDOW,
     ports::Clock,
-    settings::{ControllerEntry, Settings},
+    settings::{ControllerEntry, Ingress, Settings},
     state::{Action, Command},
     telemetry::Metrics,
 };
@@ -64,8 +63,8 @@
     ) -> Self {
         let fleet = Fleet::new(settings.timing.view_lease);
         let ingress = settings.ingress.as_ref();
-        let quota_window = ingress.and_then(|ingress| ingress.quota_window);
-        let followers = Followers::new(quota_window.unwrap_or(DEFAULT_WINDOW));
+        let quota_rule = ingress.map(Ingress::quota_rule).unwrap_or_default();
+        let followers = Followers::new(quota_rule.told_window());
         Self {
             settings,
             clock,
--- a/src/controller/followers.rs
+++ b/src/controller/followers.rs
@@ -16,7 +16,6 @@
     policy::{
         quota::{self, Bucket, Claim, Limit},
         quota_window::{AccountUse, Mode, QuotaBook},
-        speed::Reading,
     },
     ports::Clock,
     wire::{
@@ -326,9 +325,8 @@
             let sum = sums.entry(&load.service).or_default();
             sum.in_flight += load.in_flight;
             sum.prompt_tokens += load.prompt_tokens;
-            let mut reading = sum.reading.map_or_else(Reading::default, Reading::from);
-            reading.add(&load.reading.map_or_else(Reading::default, Reading::from));
-            sum.reading = Some(reading.into());
+            let reading = sum.reading.get_or_insert_default();
+            reading.add(&load.reading.unwrap_or_default());
             sum.upstreams = sum.upstreams.max(load.upstreams);
         }
         sums
@@ -351,8 +349,9 @@
             .collect()
     }
 
-    /// Takes units out of the reserve of an account's quota. The reserves of a new term begin empty,
-    /// because the leader before may have given them away.
+    /// Takes units out of the reserve of an account's quota, or of the whole quota if it is kept whole; returns
+    /// after which time there may be enough if there are too few. The reserves of a new term begin empty, because
+    /// the leader before may have given them away.
     pub fn reserve(
         &mut self,
         now: Duration,
@@ -360,8 +359,12 @@
         gateway: &str,
         request: &ReserveRequest,
     ) -> Result<(), Duration> {
-        if request.allowed > 0.0 {
-            return self.grant(now, gateway, request);
+        let (account, units, allowed) = (&request.account, request.units, request.allowed);
+        if allowed > 0.0 {
+            let incarnation = request.incarnation;
+            return self
+                .book
+                .grant(gateway, incarnation, account, units, allowed, now);
         }
         if self.reserves_term != term {
             self.reserves_term = term;
@@ -371,24 +374,11 @@
             per_second: request.per_second,
             saved: request.saved,
         };
-        let account = request.account.clone();
         let bucket = self
             .reserves
-            .entry(account)
+            .entry(account.clone())
             .or_insert_with(|| Bucket::new(0.0, now));
-        bucket.take(request.units, limit, now)
-    }
-
-    /// Grants units of a quota that is kept whole, or returns after which time there may be enough.
-    fn grant(
-        &mut self,
-        now: Duration,
-        gateway: &str,
-        request: &ReserveRequest,
-    ) -> Result<(), Duration> {
-        let (account, units, allowed) = (&request.account, request.units, request.allowed);
-        self.book
-            .grant(gateway, request.incarnation, account, units, allowed, now)
+        bucket.take(units, limit, now)
     }
 
     /// Returns the list of upstreams.
--- a/src/controller/list_history.rs
+++ b/src/controller/list_history.rs
@@ -2,7 +2,7 @@
 //! changes, and the whole list only if they hold none of this leader's.
 
 use std::{
-    collections::{BTreeSet, HashMap, HashSet, VecDeque},
+    collections::{BTreeSet, HashSet, VecDeque},
     time::Duration,
 };
 
@@ -23,6 +23,7 @@
 /// Changes of the list that are remembered, so that gateways are told them: many times what changes between two
 /// questions.
 const MOST_LIST_CHANGES: usize = 8192;
+
 /// The list and its latest changes.
 #[derive(Debug, Default)]
 pub struct ListHistory {
@@ -49,7 +50,8 @@
     }
 
     /// Keeps a list of upstreams that was read now. Returns whether it differs from the last one.
-    pub fn take(&mut self, term: u64, rows: Vec<UpstreamRow>) -> bool {
+    pub fn take(&mut self, term: u64, mut rows: Vec<UpstreamRow>) -> bool {
+        rows.sort_unstable_by(|a, b| a.instance.cmp(&b.instance));
         let held = self.list.version.unwrap_or_default();
         let same = held.term == term && same_rows(&self.list.rows, &rows);
         if same {
@@ -78,40 +80,32 @@
         if self.list.version.unwrap_or_default().term != term {
             return false;
         }
-        let differs = |row: &&UpstreamRow| {
-            let held = find(&self.list.rows, &row.instance);
-            held.is_none_or(|held| fixed(held) != fixed(row))
-        };
-        let news: Vec<UpstreamRow> = told.iter().filter(differs).cloned().collect();
+        let held = &self.list.rows;
+        let news: Vec<UpstreamRow> = told
+            .iter()
+            .filter(|row| is_news(held, row))
+            .cloned()
+            .collect();
         if news.is_empty() {
             return false;
         }
         let names: HashSet<&str> = news.iter().map(|row| &*row.instance).collect();
-        let stay = self
-            .list
-            .rows
-            .iter()
-            .filter(|row| !names.contains(&*row.instance));
+        let stay = held.iter().filter(|row| !names.contains(&*row.instance));
         let mut rows: Vec<UpstreamRow> = stay.cloned().collect();
         rows.extend(news);
-        rows.sort_unstable_by(|a, b| a.instance.cmp(&b.instance));
         self.take(term, rows)
     }
 
     /// Notes which upstreams a change tells anew, or no more.
     fn note_changes(&mut self, sequence: u64, rows: &[UpstreamRow]) {
         let held = &self.list.rows;
-        let before: HashMap<&str, &UpstreamRow> =
-            held.iter().map(|row| (&*row.instance, row)).collect();
-        let is_new = |row: &&UpstreamRow| {
-            let held = before.get(&*row.instance);
-            held.is_none_or(|held| fixed(held) != fixed(row))
-        };
-        let now: HashSet<&str> = rows.iter().map(|row| &*row.instance).collect();
-        let gone = held.iter().filter(|row| !now.contains(&*row.instance));
-        let changed = rows.iter().filter(is_new).chain(gone);
-        let changes = changed.map(|row| (sequence, row.instance.clone()));
-        self.changes.extend(changes);
+        let changed = rows.iter().filter(|row| is_news(held, row));
+        let gone = held
+            .iter()
+            .filter(|row| find(rows, &row.instance).is_none());
+        let changes = changed.chain(gone);
+        self.changes
+            .extend(changes.map(|row| (sequence, row.instance.clone())));
         while self.changes.len() > MOST_LIST_CHANGES {
             if let Some((forgotten, _)) = self.changes.pop_front() {
                 self.forgotten = forgotten;
@@ -185,6 +179,11 @@
     found.ok().map(|place| &rows[place])
 }
 
+/// Returns whether a row is new to those held, or tells something else than they do.
+fn is_news(held: &[UpstreamRow], row: &UpstreamRow) -> bool {
+    find(held, &row.instance).is_none_or(|held| fixed(held) != fixed(row))
+}
+
 fn same_rows(held: &[UpstreamRow], read: &[UpstreamRow]) -> bool {
     held.len() == read.len() && held.iter().zip(read).all(|(a, b)| fixed(a) == fixed(b))
 }
--- a/src/controller/lister.rs
+++ b/src/controller/lister.rs
@@ -28,10 +28,10 @@
 ) {
     let mut tick = interval(ingress.list_interval);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let pause = ingress.list_calls_per_second.map(|calls| {
-        let pause = 1.0 / (calls * CALLS_USED);
-        Duration::try_from_secs_f64(pause).unwrap_or(PAGE_TIMEOUT)
-    });
+    let pause = ingress
+        .list_calls_per_second
+        .map_or(0.0, |calls| 1.0 / (calls * CALLS_USED));
+    let pause = Duration::try_from_secs_f64(pause).unwrap_or(PAGE_TIMEOUT);
     let mut failing = false;
     // A new leader reads the list at once; gateways that were all started anew have none.
     let mut took_up = core.watch_fleet();
@@ -46,7 +46,7 @@
         }
         let term = core.fleet().term();
         let read = tokio::select! {
-            read = read(&core, &*platform, term, pause.unwrap_or_default()) => read,
+            read = read(&core, &*platform, term, pause) => read,
             () = stop.cancelled() => return,
         };
         let failure = match read {
@@ -101,8 +101,7 @@
     }
 }
 
-fn take<T: Clock>(core: &Core<T>, term: u64, mut rows: Vec<UpstreamRow>) {
-    rows.sort_unstable_by(|a, b| a.instance.cmp(&b.instance));
+fn take<T: Clock>(core: &Core<T>, term: u64, rows: Vec<UpstreamRow>) {
     let mut followers = core.followers();
     if rows.is_empty() && !followers.list().rows().is_empty() {
         log::warn!("controller: the list of upstreams is empty; the last one is kept.");
--- a/src/controller/scaler.rs
+++ b/src/controller/scaler.rs
@@ -12,10 +12,7 @@
 use super::{core::Core, duty::Duty, metrics::DutyCounters, rounds::repeat};
 use crate::{
     domain::{EngineFacts, RouteTable, RoutedService, ScalingFacts, ServiceName, ZoneName},
-    policy::{
-        scale::{self, EngineSize, NeedMeter, Ordered, Present, Use, Wanted, ZoneMarket},
-        speed::Reading,
-    },
+    policy::scale::{self, EngineSize, NeedMeter, Ordered, Present, Use, Wanted, ZoneMarket},
     ports::{Clock, CloudError, DutyHolder, Platform, UpstreamOrder},
     settings::Ingress,
     wire::ServiceLoad,
@@ -154,7 +151,7 @@
     fn speed(&self, service: &ServiceName, load: &ServiceLoad) -> Option<f64> {
         // Only the leader has the platform's list; gateways have it from there.
         let engines = load.upstreams;
-        let reading = load.reading.map_or_else(Reading::default, Reading::from);
+        let reading = load.reading.unwrap_or_default();
         let learnt = reading.speed(load.prompt_tokens, engines);
         let mut speeds = self.speeds.lock().unwrap_or_else(PoisonError::into_inner);
         let before = speeds.get(service).copied();
--- a/src/ingress/counters.rs
+++ b/src/ingress/counters.rs
@@ -10,7 +10,7 @@
 };
 use crate::{
     domain::{AccountName, RequestClass, TierName},
-    policy::route::Reason,
+    policy::{route::Reason, silence::Awaited},
     ports::{Clock, Platform},
     telemetry::{AccountMetrics, Counter, Metrics, Outcome},
 };
@@ -187,32 +187,22 @@
         "controller",
         move || held.contacts.silences(Instant::now()),
     );
-    let held = Arc::clone(core);
-    metrics.gauges(
-        "ingress_first_wait_seconds",
-        "Mean wait for the first byte of an answer.",
-        "service",
-        move || {
-            let pauses = held.upstreams.pauses();
-            pauses
-                .into_iter()
-                .map(|(name, (first, _))| (name, first))
-                .collect()
-        },
-    );
-    let held = Arc::clone(core);
-    metrics.gauges(
-        "ingress_event_pause_seconds",
-        "Mean pause between two events of a stream.",
-        "service",
-        move || {
-            let pauses = held.upstreams.pauses();
-            pauses
-                .into_iter()
-                .map(|(name, (_, next))| (name, next))
-                .collect()
-        },
-    );
+    for (name, help, awaited) in [
+        (
+            "ingress_first_wait_seconds",
+            "Mean wait for the first byte of an answer.",
+            Awaited::First,
+        ),
+        (
+            "ingress_event_pause_seconds",
+            "Mean pause between two events of a stream.",
+            Awaited::Next,
+        ),
+    ] {
+        let held = Arc::clone(core);
+        let read = move || held.upstreams.pauses(awaited);
+        metrics.gauges(name, help, "service", read);
+    }
     let held = Arc::clone(core);
     metrics.gauges(
         "ingress_leader",
--- a/src/ingress/forward/mod.rs
+++ b/src/ingress/forward/mod.rs
@@ -24,7 +24,7 @@
     upstreams::Flight,
 };
 use crate::{
-    domain::{AccountName, InstanceName, Route, RouteIndex, ServiceName},
+    domain::{AccountName, InstanceName, RequestClass, Route, RouteIndex, ServiceName},
     policy::{
         route::RouteRequest,
         silence::{Awaited, OnTime},
@@ -57,13 +57,13 @@
                 event = "request.ended", request = id.as_str(), outcome:? = ended, attempts = 0,
                 host = &*taking.host, path = taking.uri.path(),
                 version = taking.version,
-                route = taking.route.as_ref().map_or("", |route| &*route.name),
+                route = taking.route.as_ref().map_or("", |(name, _)| &**name),
                 account = account.map_or("", |account| account.as_str()),
                 ms = millis(arrived.elapsed());
                 "ingress: a request is not taken"
             );
             let outcome = core.counters.ended(ended);
-            let class = taking.route.map(|route| route.class);
+            let class = taking.route.map(|(_, class)| class);
             let account = core.counters.account(account);
             core.counters.outcome(class, &account, outcome);
             respond(&*core.platform, &id, ended)
@@ -82,7 +82,8 @@
     uri: Uri,
     /// The version of the table that it is looked up in.
     version: u64,
-    route: Option<Route>,
+    /// Name and class of its route.
+    route: Option<(Arc<str>, RequestClass)>,
     account: Option<AccountName>,
 }
 
@@ -140,7 +141,7 @@
             .route(&taking.host, taking.uri.path())
             .ok_or(Failure::NoRoute)?;
         let route = route.clone();
-        taking.route = Some(route.clone());
+        taking.route = Some((Arc::clone(&route.name), route.class));
         let account = account(&table, &route, &facts)?;
         taking.account.clone_from(&account);
         let draw = rand::random();
--- a/src/ingress/quota.rs
+++ b/src/ingress/quota.rs
@@ -13,7 +13,7 @@
     domain::{AccountName, KeyedAccount, QuotaUnit},
     policy::{
         quota::{Admission, Bucket, Limit, QuotaRule, admission, floor, own},
-        quota_window::{Admitted, DEFAULT_WINDOW, Mode, is_divisible},
+        quota_window::{Admitted, Mode, is_divisible},
     },
     ports::PromptFacts,
     wire::{FollowReply, QuotaPart, QuotaUse},
@@ -115,7 +115,7 @@
 
     /// Takes the quotas of a new table; what is left of those that stay is kept.
     pub(super) fn set_accounts(&self, accounts: &[KeyedAccount], now: Duration) {
-        let window = self.window();
+        let window = self.rule.told_window();
         let mut state = self.state();
         state.since.get_or_insert(now);
         let mut before = std::mem::take(&mut state.held);
@@ -215,18 +215,14 @@
                 divisible: held.is_divisible(gateways),
             })
         });
-        let seen = now.saturating_sub(since).as_secs_f64() / self.window().as_secs_f64();
+        let seen = now.saturating_sub(since).as_secs_f64() / self.rule.told_window().as_secs_f64();
         (uses.collect(), seen.min(1.0))
     }
 
-    fn window(&self) -> Duration {
-        self.rule.window.unwrap_or(DEFAULT_WINDOW)
-    }
-
     /// Returns the parts that this gateway uses.
     pub(super) fn parts(&self, now: Duration) -> Vec<QuotaPart> {
         let state = self.state();
-        if state.leased_until.is_none_or(|until| now >= until) {
+        if !state.is_leased(now) {
             return Vec::new();
         }
         let parts = state.parts.iter();
--- a/src/ingress/upstreams.rs
+++ b/src/ingress/upstreams.rs
@@ -292,8 +292,8 @@
     /// Returns whether a service has an upstream that was not tried before.
     pub(super) fn has_other(&self, service: &ServiceName, tried: &[InstanceName]) -> bool {
         let services = self.services.load();
-        let mut all = services.get(service).into_iter().flatten();
-        all.any(|upstream| !upstream.is_leaving() && !tried.contains(&upstream.target.instance))
+        let all = services.get(service);
+        all.is_some_and(|all| untried(all, tried).next().is_some())
     }
 
     /// Returns the silence after which an upstream of a service is taken to be lost.
@@ -310,12 +310,12 @@
         }
     }
 
-    /// Returns the mean wait for a first byte and the mean pause between events of each service, in seconds.
-    pub(super) fn pauses(&self) -> Vec<(String, (f64, f64))> {
+    /// Returns for how long something is waited for at each service on average, in seconds.
+    pub(super) fn pauses(&self, awaited: Awaited) -> Vec<(String, f64)> {
         let silences = self.silences();
         let known = silences.iter();
         known
-            .map(|(service, known)| (service.to_string(), known.means()))
+            .map(|(service, known)| (service.to_string(), known.mean(awaited)))
             .collect()
     }
 
@@ -337,11 +337,7 @@
     ) -> Option<Flight> {
         let services = self.services.load();
         let all = services.get(service)?;
-        let usable: Vec<&Arc<Upstream>> = all
-            .iter()
-            .filter(|upstream| !upstream.is_leaving())
-            .filter(|upstream| !tried.contains(&upstream.target.instance))
-            .collect();
+        let usable: Vec<_> = untried(all, tried).collect();
         let candidates: Vec<_> = usable
             .iter()
             .map(|upstream| upstream.candidate(silence, now))
@@ -409,7 +405,7 @@
                 service: service.to_string(),
                 in_flight: meter.in_flight,
                 prompt_tokens: meter.prompt_tokens,
-                reading: Some(meter.reading.into()),
+                reading: Some(meter.reading),
                 upstreams: u32::try_from(upstreams).unwrap_or(u32::MAX),
             }
         };
@@ -453,6 +449,16 @@
     }
 }
 
+/// Returns those of some upstreams that may get a request and were not tried before.
+fn untried<'a>(
+    all: &'a [Arc<Upstream>],
+    tried: &'a [InstanceName],
+) -> impl Iterator<Item = &'a Arc<Upstream>> {
+    all.iter()
+        .filter(|upstream| !upstream.is_leaving())
+        .filter(|upstream| !tried.contains(&upstream.target.instance))
+}
+
 fn kept(
     known: &HashMap<&InstanceName, &Arc<Upstream>>,
     row: &UpstreamRow,
--- a/src/policy/quota.rs
+++ b/src/policy/quota.rs
@@ -7,7 +7,6 @@
 
 use std::time::Duration;
 
-use super::quota_window::DEFAULT_WINDOW;
 use crate::domain::Quota;
 
 /// Part of the tolerances that is used; the rest covers the moment in which parts change at different
@@ -29,6 +28,16 @@
     pub slack: f64,
 }
 
+/// Window over which the use of a quota is told whose burst is gained only once.
+const DEFAULT_WINDOW: Duration = Duration::from_secs(1);
+
+impl QuotaRule {
+    /// Returns the window over which the use of quotas is told.
+    pub fn told_window(&self) -> Duration {
+        self.window.unwrap_or(DEFAULT_WINDOW)
+    }
+}
+
 /// A rate of units and how many of them can be saved up.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limit {
@@ -76,6 +85,13 @@
     /// Takes units out. A request larger than the bucket passes once the bucket is full, and leaves a
     /// debt. If there are too few, returns after which time there may be enough.
     pub fn take(&mut self, units: f64, limit: Limit, now: Duration) -> Result<(), Duration> {
+        self.check(units, limit, now)?;
+        self.left -= units;
+        Ok(())
+    }
+
+    /// Returns what [`Bucket::take`] would, and takes nothing out.
+    pub fn check(&mut self, units: f64, limit: Limit, now: Duration) -> Result<(), Duration> {
         let passed = now.saturating_sub(self.filled).as_secs_f64();
         self.left = (self.left + passed * limit.per_second).min(limit.saved);
         self.filled = now;
@@ -86,7 +102,6 @@
                 .unwrap_or(LONGEST_WAIT)
                 .min(LONGEST_WAIT));
         }
-        self.left -= units;
         Ok(())
     }
 }
@@ -113,7 +128,7 @@
             }
         }
     };
-    let seconds = rule.window.unwrap_or(DEFAULT_WINDOW).as_secs_f64();
+    let seconds = rule.told_window().as_secs_f64();
     let mut reserve = limit.times(1.0 - BY_GATEWAYS);
     reserve.saved += slack;
     Admission {
--- a/src/policy/quota_window.rs
+++ b/src/policy/quota_window.rs
@@ -10,10 +10,8 @@
     time::Duration,
 };
 
-use super::quota::{Admission, Bucket, Limit};
+use super::quota::{Admission, Bucket, Limit, QuotaRule};
 
-/// Window of a quota whose burst is gained only once, over which its use is told.
-pub const DEFAULT_WINDOW: Duration = Duration::from_secs(1);
 /// Parts of what an account may use in a window up to which gateways need not ask: until an account that turns
 /// hot is seen, for about a second, it may use the rest. The lower one counts before they were told so.
 const OPEN_BELOW: f64 = 0.6;
@@ -147,7 +145,7 @@
 
 impl Default for QuotaBook {
     fn default() -> Self {
-        Self::new(DEFAULT_WINDOW)
+        Self::new(QuotaRule::default().told_window())
     }
 }
 
@@ -209,10 +207,7 @@
         let unknown = self.unknown(now);
         let mut changes = Vec::new();
         for (account, sum) in sums {
-            let known = match self.accounts.get_mut(account) {
-                Some(known) => known,
-                None => self.accounts.entry(account.to_owned()).or_default(),
-            };
+            let known = self.accounts.entry(account.to_owned()).or_default();
             let before = known.mode;
             let soon = sum.asked * window.as_secs_f64();
             let used = sum.admitted.max(soon) + unknown * sum.allowed;
@@ -255,16 +250,13 @@
             per_second: allowed / self.window.as_secs_f64(),
             saved: allowed * SAVED,
         };
-        let known = match self.accounts.get_mut(account) {
-            Some(known) => known,
-            None => self.accounts.entry(account.to_owned()).or_default(),
-        };
+        let unknown = self.unknown(now);
+        let known = self.accounts.entry(account.to_owned()).or_default();
         let is_closing = now < known.closing_until;
         let evenly = known
             .evenly
             .get_or_insert_with(|| Bucket::new(limit.saved, now));
-        // Nothing is taken of it yet.
-        evenly.clone().take(units, limit, now)?;
+        evenly.check(units, limit, now)?;
         let used = |source: &Source| {
             let known = source.accounts.get(account)?;
             let silence = now.saturating_sub(source.heard).as_secs_f64();
@@ -276,16 +268,12 @@
         };
         let used: f64 = self.sources.values().filter_map(used).sum();
         // A request larger than the whole quota passes when nothing else was used.
-        let over = used + self.unknown(now) * allowed + units.min(allowed) - allowed;
+        let over = used + unknown * allowed + units.min(allowed) - allowed;
         if over > 0.0 {
             let wait = over / limit.per_second.max(f64::MIN_POSITIVE);
             return Err(Duration::try_from_secs_f64(wait).unwrap_or(self.window));
         }
-        if let Some(known) = self.accounts.get_mut(account)
-            && let Some(evenly) = &mut known.evenly
-        {
-            evenly.take(units, limit, now)?;
-        }
+        evenly.take(units, limit, now)?;
         let source = self.sources.entry((gateway.to_owned(), incarnation));
         let source = source.or_insert_with(|| Source {
             heard: now,
--- a/src/policy/silence.rs
+++ b/src/policy/silence.rs
@@ -68,25 +68,34 @@
 impl Silences {
     /// Notes how long something was waited for, also if the wait was given up then.
     pub fn note(&mut self, awaited: Awaited, pause: Duration) {
-        match awaited {
-            Awaited::First => self.first.note(pause),
-            Awaited::Next => self.next.note(pause),
-        }
+        let pauses = match awaited {
+            Awaited::First => &mut self.first,
+            Awaited::Next => &mut self.next,
+        };
+        pauses.note(pause);
     }
 
     /// Returns the silence after which an upstream is taken to be lost.
     pub fn limit(&self, awaited: Awaited, on_time: &OnTime) -> Duration {
-        let (pauses, target) = match awaited {
-            Awaited::First => (&self.first, on_time.first),
-            Awaited::Next => (&self.next, on_time.gap),
+        let target = match awaited {
+            Awaited::First => on_time.first,
+            Awaited::Next => on_time.gap,
         };
-        let seen = Duration::try_from_secs_f64(pauses.longest * HEADROOM).unwrap_or(Duration::MAX);
+        let seen = self.pauses(awaited).longest * HEADROOM;
+        let seen = Duration::try_from_secs_f64(seen).unwrap_or(Duration::MAX);
         (target * TARGETS).max(seen).min(on_time.longest())
     }
 
-    /// Returns the mean wait for a first byte and the mean pause between events, in seconds.
-    pub fn means(&self) -> (f64, f64) {
-        (self.first.mean, self.next.mean)
+    /// Returns the mean pause, in seconds.
+    pub fn mean(&self, awaited: Awaited) -> f64 {
+        self.pauses(awaited).mean
+    }
+
+    fn pauses(&self, awaited: Awaited) -> &Pauses {
+        match awaited {
+            Awaited::First => &self.first,
+            Awaited::Next => &self.next,
+        }
     }
 }
 
--- a/src/policy/speed.rs
+++ b/src/policy/speed.rs
@@ -18,20 +18,26 @@
 const CERTAIN: f64 = 3.0;
 
 /// Weighted sums over requests: how many, their new prompt tokens and their waits for the first byte in seconds,
-/// the squares of both, and the products.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+/// the squares of both, and the products. Gateways send it to controllers as it is.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
 pub struct Reading {
     /// Requests.
+    #[prost(double, tag = "1")]
     pub count: f64,
     /// Tokens.
+    #[prost(double, tag = "2")]
     pub tokens: f64,
     /// Waits.
+    #[prost(double, tag = "3")]
     pub waits: f64,
     /// Squares of tokens.
+    #[prost(double, tag = "4")]
     pub tokens_squared: f64,
     /// Squares of waits.
+    #[prost(double, tag = "5")]
     pub waits_squared: f64,
     /// Products of tokens and waits.
+    #[prost(double, tag = "6")]
     pub products: f64,
 }
 
--- a/src/wire/follow.rs
+++ b/src/wire/follow.rs
@@ -295,61 +295,12 @@
     pub prompt_tokens: f64,
     /// How long requests waited for engines to read their prompts.
     #[prost(message, optional, tag = "4")]
-    pub reading: Option<ReadingSums>,
+    pub reading: Option<Reading>,
     /// Upstreams of the service that are not leaving, by the list that the gateway holds.
     #[prost(uint32, tag = "5")]
     pub upstreams: u32,
 }
 
-/// Sums over requests, as `policy::speed::Reading` keeps them.
-#[derive(Clone, Copy, PartialEq, prost::Message)]
-pub struct ReadingSums {
-    /// Requests.
-    #[prost(double, tag = "1")]
-    pub count: f64,
-    /// New prompt tokens.
-    #[prost(double, tag = "2")]
-    pub tokens: f64,
-    /// Waits for the first byte, in seconds.
-    #[prost(double, tag = "3")]
-    pub waits: f64,
-    /// Squares of tokens.
-    #[prost(double, tag = "4")]
-    pub tokens_squared: f64,
-    /// Squares of waits.
-    #[prost(double, tag = "5")]
-    pub waits_squared: f64,
-    /// Products of tokens and waits.
-    #[prost(double, tag = "6")]
-    pub products: f64,
-}
-
-impl From<Reading> for ReadingSums {
-    fn from(sums: Reading) -> Self {
-        Self {
-            count: sums.count,
-            tokens: sums.tokens,
-            waits: sums.waits,
-            tokens_squared: sums.tokens_squared,
-            waits_squared: sums.waits_squared,
-            products: sums.products,
-        }
-    }
-}
-
-impl From<ReadingSums> for Reading {
-    fn from(sums: ReadingSums) -> Self {
-        Self {
-            count: sums.count,
-            tokens: sums.tokens,
-            waits: sums.waits,
-            tokens_squared: sums.tokens_squared,
-            waits_squared: sums.waits_squared,
-            products: sums.products,
-        }
-    }
-}
-
 /// Asks the leader for units out of its reserve of a quota.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct ReserveRequest {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -18,8 +18,8 @@
 };
 pub use follow::{
     AccountCount, ControllerRecord, Document, DocumentRequest, Follow, FollowReply, IngressRecord,
-    ListVersion, QuotaPart, QuotaUse, ReadingSums, ReserveReply, ReserveRequest, Roster,
-    ServiceLoad, UpstreamList, UpstreamRow, WindowCount,
+    ListVersion, QuotaPart, QuotaUse, ReserveReply, ReserveRequest, Roster, ServiceLoad,
+    UpstreamList, UpstreamRow, WindowCount,
 };
 pub use journal::{
     JournalAck, JournalAppend, JournalPut, JournalRemove, JournalTokens, JournaledRequest,
--- a/tests/controller_followers.rs
+++ b/tests/controller_followers.rs
@@ -4,9 +4,10 @@
 
 use flamingocroft::{
     controller::followers::Followers,
+    policy::speed::Reading,
     wire::{
-        AccountCount, Follow, IngressRecord, ListVersion, QuotaPart, ReadingSums, ReserveRequest,
-        Roster, ServiceLoad, UpstreamRow, WindowCount,
+        AccountCount, Follow, IngressRecord, ListVersion, QuotaPart, ReserveRequest, Roster,
+        ServiceLoad, UpstreamRow, WindowCount,
     },
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -182,9 +183,9 @@
                 service: "app".into(),
                 in_flight: 10.0,
                 prompt_tokens: 0.0,
-                reading: Some(ReadingSums {
+                reading: Some(Reading {
                     count: 30.0,
-                    ..ReadingSums::default()
+                    ..Reading::default()
                 }),
                 upstreams: 7,
             }],
--- a/tests/disk_store.rs
+++ b/tests/disk_store.rs
@@ -351,16 +351,21 @@
     }
 }
 
+/// Opens a folder on a medium that fails at its n-th write or sync.
+fn open_failing(folder: &Path, fails_at: usize) -> LogStore {
+    let left = Arc::new(AtomicUsize::new(fails_at));
+    let wrap = move |file| -> Box<dyn Medium> {
+        let left = Arc::clone(&left);
+        Box::new(Failing { file, left })
+    };
+    LogStore::open_with(folder, wrap).unwrap().0
+}
+
 #[test]
 fn a_failed_write_or_sync_stops_all_acknowledgements() {
     for fails_at in 1..=6 {
         let folder = tempfile::tempdir().unwrap();
-        let left = Arc::new(AtomicUsize::new(fails_at));
-        let wrap = move |file| -> Box<dyn Medium> {
-            let left = Arc::clone(&left);
-            Box::new(Failing { file, left })
-        };
-        let (mut store, ..) = LogStore::open_with(folder.path(), wrap).unwrap();
+        let mut store = open_failing(folder.path(), fails_at);
         let acknowledged = (1..=10)
             .take_while(|index| store.persist(None, &[entry(*index, 1)], None).is_ok())
             .count();
@@ -397,12 +402,7 @@
 fn a_refused_write_is_written_again_into_a_new_segment() {
     for fails_at in 1..=6 {
         let folder = tempfile::tempdir().unwrap();
-        let left = Arc::new(AtomicUsize::new(fails_at));
-        let wrap = move |file| -> Box<dyn Medium> {
-            let left = Arc::clone(&left);
-            Box::new(Failing { file, left })
-        };
-        let (mut store, ..) = LogStore::open_with(folder.path(), wrap).unwrap();
+        let mut store = open_failing(folder.path(), fails_at);
         let mut refused = 0;
         for index in 1..=10 {
             let vote = Some(hard_state(index));
