Place prompts by what engines still have to read, and tell long ones to all gateways

Ruled out: processor time (same without), load reports of engines (0.8 s old in the middle, and blind to tokens).

Change: policy::backlog counts unread tokens by engine; long prompts are told to the other gateways by authenticated datagrams, at most some 200 messages a second each; controllers tell gateways the learnt reading speed, which replaces the constant of 120 ms for a thousand tokens. One upstream has a file of its own.

--- a/src/controller/followers.rs
+++ b/src/controller/followers.rs
@@ -12,6 +12,7 @@
 
 use super::{core::Core, list_history::ListHistory};
 use crate::{
+    domain::ServiceName,
     link::Peer,
     policy::{
         quota::{self, Bucket, Claim, Limit},
@@ -19,8 +20,8 @@
     },
     ports::Clock,
     wire::{
-        AccountCount, Body, Document, Follow, FollowReply, IngressRecord, QuotaPart, ReserveReply,
-        ReserveRequest, Roster, ServiceLoad,
+        AccountCount, Body, Document, EngineSpeed, Follow, FollowReply, IngressRecord, QuotaPart,
+        ReserveReply, ReserveRequest, Roster, ServiceLoad,
     },
 };
 
@@ -58,6 +59,8 @@
     parts: HashMap<String, Vec<QuotaPart>>,
     parts_at: Option<Duration>,
     book: QuotaBook,
+    /// Prompt tokens that one engine of each service reads in a second.
+    speeds: BTreeMap<ServiceName, f64>,
     list: ListHistory,
     /// What gateways counted in windows before they were started anew.
     past_usage: BTreeMap<u64, Vec<AccountCount>>,
@@ -332,6 +335,16 @@
         sums
     }
 
+    /// Returns how many prompt tokens one engine of each service reads in a second, as far as it was learnt.
+    pub fn speeds(&self) -> &BTreeMap<ServiceName, f64> {
+        &self.speeds
+    }
+
+    /// Takes a speed that was learnt; returns the one before.
+    pub fn set_speed(&mut self, service: &ServiceName, speed: f64) -> Option<f64> {
+        self.speeds.insert(service.clone(), speed)
+    }
+
     /// Returns what all gateways counted in a window.
     pub fn usage(&self, window: u64) -> Vec<AccountCount> {
         let mut sums: BTreeMap<&str, u64> = BTreeMap::new();
@@ -467,6 +480,7 @@
         open_accounts,
         asked_accounts,
         controllers: core.peers.records(),
+        speeds: followers.speeds().iter().map(told_speed).collect(),
         shares: match (leads, &follow.gateway) {
             (true, Some(gateway)) => followers.shares(now, &gateway.name),
             _ => Vec::new(),
@@ -474,6 +488,13 @@
     }
 }
 
+fn told_speed((service, speed): (&ServiceName, &f64)) -> EngineSpeed {
+    EngineSpeed {
+        service: service.to_string(),
+        tokens_per_second: *speed,
+    }
+}
+
 /// Returns the published document as this controller has it.
 pub(super) fn document<T: Clock>(core: &Core<T>) -> Body {
     let state = core.log.state();
--- a/src/controller/scaler.rs
+++ b/src/controller/scaler.rs
@@ -1,10 +1,6 @@
 //! Orders upstreams while this controller leads, as `policy::scale` says.
 
-use std::{
-    collections::HashMap,
-    sync::{Arc, Mutex, PoisonError},
-    time::Duration,
-};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
@@ -37,16 +33,15 @@
     stop: CancellationToken,
 ) {
     let counters = DutyCounters::new(&core.metrics, "orders");
-    let speeds = Speeds::default();
-    let shown = Arc::clone(&speeds);
+    let shown = Arc::clone(&core);
     core.metrics.gauges(
         "controller_engine_tokens_per_second",
         "Prompt tokens that one engine reads in a second, as learnt from waits.",
         "service",
         move || {
-            let speeds = shown.lock().unwrap_or_else(PoisonError::into_inner);
+            let followers = shown.followers();
+            let speeds = followers.speeds().iter();
             speeds
-                .iter()
                 .map(|(name, speed)| (name.to_string(), *speed))
                 .collect()
         },
@@ -55,7 +50,6 @@
         core,
         counters,
         platform,
-        speeds,
         duty: Duty::new("ordering upstreams", ingress.duty_lease),
         term: 0,
         table: RouteTable::default(),
@@ -68,13 +62,9 @@
     .await;
 }
 
-/// Prompt tokens that one engine of each service reads in a second.
-type Speeds = Arc<Mutex<HashMap<ServiceName, f64>>>;
-
 struct Scaler<T, P> {
     core: Arc<Core<T>>,
     platform: Arc<P>,
-    speeds: Speeds,
     duty: Duty,
     counters: DutyCounters,
     term: u64,
@@ -106,7 +96,7 @@
         self.read_table();
         let services = self.table.services.clone();
         for service in &services {
-            if let (Some(_), Some(engine)) = (&service.scaling, service.engine) {
+            if let Some(engine) = service.engine {
                 self.measure(service, engine);
             }
         }
@@ -153,8 +143,8 @@
         let engines = load.upstreams;
         let reading = load.reading.unwrap_or_default();
         let learnt = reading.speed(load.prompt_tokens, engines);
-        let mut speeds = self.speeds.lock().unwrap_or_else(PoisonError::into_inner);
-        let before = speeds.get(service).copied();
+        let mut followers = self.core.followers();
+        let before = followers.speeds().get(service).copied();
         let Some(speed) = learnt else {
             return before;
         };
@@ -165,7 +155,7 @@
                 rate = load.prompt_tokens, engines = engines;
                 "controller: an engine of {service} reads {speed:.0} prompt tokens in a second"
             );
-            speeds.insert(service.clone(), speed);
+            followers.set_speed(service, speed);
         }
         Some(speed)
     }
--- a/src/domain/intent.rs
+++ b/src/domain/intent.rs
@@ -178,6 +178,10 @@
     pub ms_per_zone_crossing: f64,
     /// Cost of one request queued before ours.
     pub ms_per_queued_request: f64,
+    /// Costs that differ by less count as equal, and the conversation's home is chosen among them; half a queued
+    /// request if left out.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub ms_of_equal_cost: Option<f64>,
 }
 
 impl Default for RoutingWeights {
@@ -186,6 +190,7 @@
             ms_per_thousand_uncached_tokens: 120.0,
             ms_per_zone_crossing: 12.0,
             ms_per_queued_request: 300.0,
+            ms_of_equal_cost: None,
         }
     }
 }
--- a/src/ingress/follow.rs
+++ b/src/ingress/follow.rs
@@ -177,6 +177,7 @@
         reply: FollowReply,
         stop: &CancellationToken,
     ) {
+        self.core.upstreams.set_speeds(&reply.speeds);
         for record in &reply.controllers {
             self.meet_record(record, stop);
         }
@@ -239,6 +240,8 @@
         gateways.dedup_by(|a, b| a.name == b.name);
         self.core.quotas.set_gateways(gateways.len());
         self.core.budgets.set_gateways(gateways.len());
+        let own = &self.core.settings.name;
+        self.core.announcer.set_gateways(&gateways, own);
         self.core.roster.store(Arc::new(gateways));
     }
 
--- a/src/ingress/forward/mod.rs
+++ b/src/ingress/forward/mod.rs
@@ -214,6 +214,8 @@
             }
             self.core.counters.attempts.add();
             self.core.counters.choice(flight.reason);
+            let (upstream, speed) = (&flight.upstream, flight.speed);
+            self.core.announcer.tell(upstream, self.new_tokens(), speed);
             if repeats {
                 self.core.counters.repeated.add();
             }
@@ -224,9 +226,10 @@
                 self.count_run();
             }
             match self.attempt(flight, resume_after).await {
-                Ok(accepted) => {
+                Ok(mut accepted) => {
                     self.count_run();
-                    let flight = &accepted.source.flight;
+                    let flight = &mut accepted.source.flight;
+                    flight.begun();
                     flight.note_pause(Awaited::First, now.elapsed());
                     // Only requests for engines are refused by what others waited.
                     if self.route.class.is_stream() && resume_after.is_none() {
@@ -297,7 +300,9 @@
         let prompt = self.facts.prompt.as_ref();
         let req = RouteRequest {
             zone: self.core.settings.zone.clone(),
-            prompt_tokens: prompt.map_or(0, |prompt| prompt.tokens_in as u32),
+            prompt_tokens: prompt.map_or(0, |prompt| {
+                (prompt.tokens_in as u32).saturating_sub(self.new_tokens())
+            }),
             home: prompt.map_or_else(rand::random, home),
         };
         let upstreams = &self.core.upstreams;
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -2,6 +2,7 @@
 //! and the answers back, both unchanged. See docs/PLATFORM.md.
 
 mod admit;
+mod announce;
 mod answer;
 mod budget;
 mod contacts;
@@ -13,6 +14,7 @@
 mod heads;
 mod quota;
 mod relay;
+mod upstream;
 mod upstreams;
 mod usage;
 
@@ -21,6 +23,7 @@
 
 use std::{
     convert::Infallible,
+    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -38,14 +41,14 @@
 use tokio_util::sync::CancellationToken;
 
 use self::{
-    budget::Budgets, contacts::Contacts, counters::Counters, quota::Quotas, upstreams::Upstreams,
-    usage::UsageCounter,
+    announce::Announcer, budget::Budgets, contacts::Contacts, counters::Counters, quota::Quotas,
+    upstreams::Upstreams, usage::UsageCounter,
 };
 use crate::{
     Running,
     adapters::http::{Client, ServerOptions, serve},
     domain::{Incarnation, RouteIndex},
-    link::{Identity, Link, PeerKey},
+    link::{Datagrams, Identity, Link, PeerKey},
     ports::{Clock, Platform},
     settings::{Ingress, Reloaded, Settings},
     telemetry::Metrics,
@@ -73,6 +76,9 @@
     usage: UsageCounter,
     counters: Counters,
     contacts: Contacts,
+    announcer: Announcer,
+    /// Where other gateways send datagrams.
+    peer_address: SocketAddr,
     /// The link to the controller that led last.
     leader: ArcSwapOption<Link>,
     /// Grows with each start of the gateway.
@@ -94,6 +100,7 @@
             zone: self.settings.zone.to_string(),
             caller_address: self.ingress.address.to_string(),
             open: self.is_open(),
+            peer_address: self.peer_address.to_string(),
         }
     }
 }
@@ -128,6 +135,12 @@
         format!("ingress.address {address} cannot be bound; choose a free one of this machine")
     })?;
     let http_address = listener.local_addr()?;
+    let datagrams = Datagrams::bind(settings.peer_address, key.clone()).await;
+    let datagrams = datagrams.with_context(|| {
+        let address = settings.peer_address;
+        format!("peer_address {address} cannot be bound; choose a free one of this machine")
+    })?;
+    let peer_address = datagrams.address()?;
     let core = Arc::new(Core {
         routes: ArcSwap::default(),
         roster: ArcSwap::default(),
@@ -138,6 +151,8 @@
         usage: UsageCounter::new(ingress.usage_window),
         counters: Counters::new(metrics),
         contacts: Contacts::default(),
+        announcer: Announcer::new(datagrams, metrics),
+        peer_address,
         leader: ArcSwapOption::empty(),
         incarnation: identity.incarnation.0,
         leaving: AtomicBool::new(false),
@@ -155,6 +170,7 @@
         reloaded,
         closing.clone(),
     ));
+    tokio::spawn(announce::run(Arc::clone(&core), closing.clone()));
     let service = {
         let core = Arc::clone(&core);
         service_fn(move |req| {
@@ -197,7 +213,7 @@
     });
     let running = Running {
         http_address,
-        peer_address: settings.peer_address,
+        peer_address,
         task,
     };
     Ok((running, directory))
--- a/src/ingress/upstreams.rs
+++ b/src/ingress/upstreams.rs
@@ -4,7 +4,7 @@
     collections::{HashMap, HashSet},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering},
+        atomic::{AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -15,119 +15,28 @@
     time::{Instant, sleep, timeout},
 };
 
+use super::upstream::Upstream;
 use crate::{
-    domain::{Incarnation, InstanceName, RoutingWeights, ServiceName, ZoneName},
+    domain::{InstanceName, RoutingWeights, ServiceName},
     policy::{
+        backlog::{SentPrompt, UNKNOWN_SPEED},
         overload::Waits,
-        route::{self, Candidate, Reason, Report, RouteRequest},
+        route::{self, Reason, RouteRequest},
         silence::{Awaited, OnTime, Silences},
         speed::Reading,
     },
-    ports::{ReportedLoad, Target},
-    wire::{ServiceLoad, UpstreamList, UpstreamRow},
+    ports::Target,
+    wire::{EngineSpeed, ServiceLoad, Told, UpstreamList, UpstreamRow},
 };
 
-/// Time for which an upstream that failed gets requests only if all others failed too; it doubles with
-/// each further failure, since each look at a dead one costs a request.
-const SUSPECT_FOR: Duration = Duration::from_millis(1500);
-/// Most doublings of that time.
-const MOST_DOUBLINGS: u32 = 2;
 /// Time for which callers may still use the addresses that they got before a stop.
 const OLD_ADDRESSES: Duration = Duration::from_millis(3500);
 
 /// Time over which a service's use is averaged.
 const METER_SPAN: Duration = Duration::from_secs(1);
-
-/// One upstream.
-#[derive(Debug)]
-pub(super) struct Upstream {
-    /// Where to send requests.
-    pub(super) target: Target,
-    service: ServiceName,
-    zone: ZoneName,
-    slots: u32,
-    leaving: AtomicBool,
-    in_flight: AtomicU32,
-    load: Mutex<Load>,
-}
-
-#[derive(Debug, Default)]
-struct Load {
-    reported: Option<(ReportedLoad, Instant)>,
-    sent_since_report: u32,
-    suspect_until: Option<Instant>,
-    /// Failures since the last exchange that went well.
-    failures: u32,
-    /// Since when requests wait for a sign of life.
-    waiting_since: Option<Instant>,
-}
-
-impl Upstream {
-    /// Returns whether it may get a request now.
-    pub(super) fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
-    }
-
-    /// Takes the load that the upstream told with an answer.
-    pub(super) fn report(&self, load: ReportedLoad, now: Instant) {
-        let mut state = self.load();
-        state.reported = Some((load, now));
-        state.sent_since_report = 0;
-    }
-
-    /// Notes a sign of life.
-    pub(super) fn hear(&self, now: Instant) {
-        self.load().waiting_since = Some(now);
-    }
-
-    /// Notes that an exchange failed.
-    pub(super) fn suspect(&self, now: Instant) {
-        let mut load = self.load();
-        load.suspect_until = Some(now + SUSPECT_FOR * 2_u32.pow(load.failures));
-        load.failures = (load.failures + 1).min(MOST_DOUBLINGS);
-    }
-
-    /// Notes that an exchange went well.
-    pub(super) fn trust(&self) {
-        let mut load = self.load();
-        load.suspect_until = None;
-        load.failures = 0;
-    }
-
-    /// Returns whether requests are in progress and nothing was heard for longer than a limit.
-    pub(super) fn is_lost(&self, limit: Duration, now: Instant) -> bool {
-        self.is_silent(&self.load(), limit, now)
-    }
-
-    fn is_silent(&self, load: &Load, limit: Duration, now: Instant) -> bool {
-        let waits = self.in_flight.load(Ordering::Relaxed) > 0;
-        let silent = |since| now.duration_since(since) > limit;
-        waits && load.waiting_since.is_some_and(silent)
-    }
-
-    fn load(&self) -> MutexGuard<'_, Load> {
-        self.load.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn candidate(&self, limit: Duration, now: Instant) -> Candidate {
-        let load = self.load();
-        Candidate {
-            instance: self.target.instance.clone(),
-            zone: self.zone.clone(),
-            slots: self.slots,
-            report: load.reported.map(|(reported, at)| Report {
-                running: reported.running,
-                queued: reported.waiting,
-                age: now.duration_since(at),
-            }),
-            sent_since_report: load.sent_since_report,
-            in_progress: self.in_flight.load(Ordering::Relaxed),
-            cached_tokens: None,
-            suspect: load.suspect_until.is_some_and(|until| until > now)
-                || self.is_silent(&load, limit, now),
-        }
-    }
-}
+/// Costs of engines that differ by less count as equal, in milliseconds: a few ways between zones, and what an
+/// engine takes for a short prompt.
+const MS_OF_EQUAL_COST: f64 = 30.0;
 
 type ByService = HashMap<ServiceName, Vec<Arc<Upstream>>>;
 
@@ -138,6 +47,8 @@
     in_flight: InFlight,
     meters: Mutex<HashMap<ServiceName, Meter>>,
     silences: Mutex<HashMap<ServiceName, Silences>>,
+    /// Prompt tokens that one engine of each service reads in a second, as controllers tell it.
+    speeds: ArcSwap<HashMap<ServiceName, f64>>,
 }
 
 /// Measures how much a service is used.
@@ -189,10 +100,26 @@
     pub(super) upstream: Arc<Upstream>,
     /// Why this upstream was chosen.
     pub(super) reason: Reason,
+    /// How fast the upstream was believed to read.
+    pub(super) speed: f64,
+    /// The prompt, until its answer begins.
+    prompt: Option<SentPrompt>,
     all: Arc<Upstreams>,
 }
 
 impl Flight {
+    /// Notes that the answer has begun.
+    pub(super) fn begun(&mut self) {
+        self.read(true);
+    }
+
+    fn read(&mut self, begun: bool) {
+        if let Some(prompt) = self.prompt.take() {
+            let now = Instant::now();
+            self.upstream.read(prompt, begun, self.speed, now);
+        }
+    }
+
     /// Returns the silence after which the upstream is taken to be lost.
     pub(super) fn silence(&self, awaited: Awaited, on_time: &OnTime) -> Duration {
         self.all.silence(&self.upstream.service, awaited, on_time)
@@ -214,9 +141,10 @@
 
 impl Drop for Flight {
     fn drop(&mut self) {
+        self.read(false);
         self.all
             .meter(&self.upstream.service, |meter| meter.count -= 1);
-        self.upstream.in_flight.fetch_sub(1, Ordering::Relaxed);
+        self.upstream.end();
         if self.all.in_flight.count.fetch_sub(1, Ordering::Relaxed) == 1 {
             self.all.in_flight.idle.notify_waiters();
         }
@@ -261,11 +189,12 @@
             .collect();
         let mut listed = HashSet::new();
         for row in &list.rows {
-            let Some(upstream) = kept(&known, row).or_else(|| new(row)) else {
+            let Some(upstream) = kept(&known, row).or_else(|| Upstream::new(row).map(Arc::new))
+            else {
                 log::warn!("ingress: upstream {} has no address.", row.instance);
                 continue;
             };
-            if upstream.leaving.swap(row.leaving, Ordering::Relaxed) != row.leaving {
+            if upstream.set_leaving(row.leaving) {
                 log::info!(
                     event = "upstream.leaving", upstream = row.instance.as_str(),
                     service = row.service.as_str();
@@ -337,21 +266,20 @@
     ) -> Option<Flight> {
         let services = self.services.load();
         let all = services.get(service)?;
+        let speed = self.speed(service);
         let usable: Vec<_> = untried(all, tried).collect();
         let candidates: Vec<_> = usable
             .iter()
-            .map(|upstream| upstream.candidate(silence, now))
+            .map(|upstream| upstream.candidate(silence, speed, now))
             .collect();
-        let weights = RoutingWeights::default();
+        let weights = RoutingWeights {
+            ms_per_thousand_uncached_tokens: 1e6 / speed,
+            ms_of_equal_cost: Some(MS_OF_EQUAL_COST),
+            ..RoutingWeights::default()
+        };
         let (chosen, reason) = route::choose_with_reason(req, &candidates, &weights)?;
         let upstream = Arc::clone(usable[chosen]);
-        let was_idle = upstream.in_flight.fetch_add(1, Ordering::Relaxed) == 0;
-        let mut load = upstream.load();
-        load.sent_since_report += 1;
-        if was_idle {
-            load.waiting_since = Some(now);
-        }
-        drop(load);
+        let prompt = upstream.send(new_tokens, speed, now);
         self.in_flight.count.fetch_add(1, Ordering::Relaxed);
         self.meter(service, |meter| {
             meter.count += 1;
@@ -360,10 +288,49 @@
         Some(Flight {
             upstream,
             reason,
+            speed,
+            prompt: Some(prompt),
             all: Arc::clone(self),
         })
     }
 
+    /// Takes what another gateway sent just now.
+    pub(super) fn told(&self, told: &Told, now: Instant) {
+        let services = self.services.load();
+        let service = ServiceName::from(told.service.as_str());
+        let all = services.get(&service).into_iter().flatten();
+        let is_meant =
+            |upstream: &&Arc<Upstream>| upstream.target.instance.as_str() == told.instance;
+        // One that is not listed here yet is left out: it is chosen by nobody here.
+        if let Some(upstream) = { all }.find(is_meant) {
+            upstream.told(told.tokens, self.speed(&service), now);
+        }
+    }
+
+    /// Takes how fast engines read; services that are left out keep their speed.
+    pub(super) fn set_speeds(&self, told: &[EngineSpeed]) {
+        let known = self.speeds.load();
+        let is_known = |speed: &EngineSpeed| {
+            known.get(&ServiceName::from(speed.service.as_str())) == Some(&speed.tokens_per_second)
+        };
+        if told.iter().all(is_known) {
+            return;
+        }
+        let mut speeds = (**known).clone();
+        let told = told.iter().filter(|speed| speed.tokens_per_second > 0.0);
+        speeds.extend(told.map(|speed| (speed.service.as_str().into(), speed.tokens_per_second)));
+        self.speeds.store(Arc::new(speeds));
+    }
+
+    /// Returns how many prompt tokens an engine of a service reads in a second.
+    fn speed(&self, service: &ServiceName) -> f64 {
+        self.speeds
+            .load()
+            .get(service)
+            .copied()
+            .unwrap_or(UNKNOWN_SPEED)
+    }
+
     /// Notes for how long a request with a target and some new prompt tokens waited for the first byte of
     /// its answer.
     pub(super) fn note_wait(
@@ -464,22 +431,5 @@
     row: &UpstreamRow,
 ) -> Option<Arc<Upstream>> {
     let upstream = known.get(&InstanceName::from(row.instance.as_str()))?;
-    let same = upstream.target.address.to_string() == row.address && upstream.slots == row.slots;
-    same.then(|| Arc::clone(upstream))
-}
-
-fn new(row: &UpstreamRow) -> Option<Arc<Upstream>> {
-    Some(Arc::new(Upstream {
-        target: Target {
-            instance: row.instance.as_str().into(),
-            incarnation: Incarnation(0),
-            address: row.address.parse().ok()?,
-        },
-        service: row.service.as_str().into(),
-        zone: row.zone.as_str().into(),
-        slots: row.slots,
-        leaving: AtomicBool::new(row.leaving),
-        in_flight: AtomicU32::new(0),
-        load: Mutex::default(),
-    }))
+    upstream.is_same(row).then(|| Arc::clone(upstream))
 }
--- a/src/link/handshake.rs
+++ b/src/link/handshake.rs
@@ -17,6 +17,8 @@
 
 const NONCE_BYTES: usize = 32;
 const MIN_KEY_BYTES: usize = 16;
+/// Keeps proofs of datagrams apart from those of handshakes.
+const MESSAGE_ROLE: &[u8] = b"datagram";
 
 pub(super) type Connection = Framed<TcpStream, FrameCodec>;
 
@@ -56,6 +58,25 @@
         self.mac(role, nonce, who).finalize().into_bytes().to_vec()
     }
 
+    /// Returns a proof that a message was made with the key.
+    pub(super) fn sign(&self, message: &[u8]) -> Vec<u8> {
+        self.message_mac(message).finalize().into_bytes().to_vec()
+    }
+
+    /// Fails if a message was not made with the key.
+    pub(super) fn check(&self, message: &[u8], proof: &[u8]) -> io::Result<()> {
+        self.message_mac(message).verify_slice(proof).map_err(|_| {
+            denied("a datagram's proof is wrong; give all processes the same key file")
+        })
+    }
+
+    fn message_mac(&self, message: &[u8]) -> Hmac<Sha256> {
+        let mut mac = Hmac::<Sha256>::new_from_slice(&self.0).expect("HMAC takes keys of any size");
+        mac.update(MESSAGE_ROLE);
+        mac.update(message);
+        mac
+    }
+
     fn verify(&self, role: &[u8], nonce: &[u8], who: &Identity, proof: &[u8]) -> io::Result<()> {
         self.mac(role, nonce, who)
             .verify_slice(proof)
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -1,12 +1,14 @@
 //! Authenticated links between the system's own processes: frames over TCP, with heartbeats,
-//! deadlines and reconnection. See docs/DESIGN.md, "Links".
+//! deadlines and reconnection, and datagrams for what may be lost. See docs/DESIGN.md, "Links".
 
 mod client;
 mod codec;
+mod datagram;
 mod handshake;
 mod server;
 
 pub use client::{Link, LinkError};
+pub use datagram::Datagrams;
 pub use handshake::{Identity, PeerKey};
 pub use server::{Handler, Peer, serve};
 
--- /dev/null
+++ b/src/policy/backlog.rs
@@ -0,0 +1,117 @@
+//! How many prompt tokens a model engine still has to read before it begins with a new request.
+//!
+//! An engine reads prompts one after the other, so a request waits for all that were sent there before it, by
+//! any gateway. A gateway counts the prompts that it sent and those that others told it, takes off what the
+//! engine reads meanwhile, and corrects itself by each first event: by then the engine has read all that came
+//! before. See docs/DECISIONS.md, "Placing prompts".
+
+use std::time::Duration;
+
+/// Prompt tokens in a second that an engine is taken to read until its speed is learnt; within a factor of two of
+/// the engines on the users' sheets.
+pub const UNKNOWN_SPEED: f64 = 100_000.0;
+/// Reading time from which on a prompt is told to other gateways: several times their distance.
+const LEAST_TOLD: Duration = Duration::from_millis(15);
+/// Messages in a second that one gateway spends on telling prompts, to all others together. Two thousand
+/// gateways' messages would fill a hundredth of a core each.
+const MESSAGES_PER_SECOND: f64 = 200.0;
+/// Weight of one prompt in the mean prompt, so that some twenty count.
+const PROMPT_WEIGHT: f64 = 0.05;
+/// How many times the mean a prompt must be long to be told when no messages are left.
+const LONGEST_WANTED: f64 = 4.0;
+
+/// The prompt tokens that one engine still has to read, as one gateway believes.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Backlog {
+    /// Tokens that were sent and are not believed to be read, at a time.
+    unread: f64,
+    at: Duration,
+    /// This gateway's part of them, which is known to be unread.
+    own: f64,
+    /// All tokens that were ever sent.
+    sent: f64,
+}
+
+/// A prompt that this gateway sent to an engine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SentPrompt {
+    tokens: f64,
+    /// Tokens sent to the engine up to its end.
+    sent: f64,
+}
+
+impl Backlog {
+    /// Adds a prompt that this gateway sends now to an engine that reads `speed` tokens in a second.
+    pub fn send(&mut self, tokens: u32, speed: f64, now: Duration) -> SentPrompt {
+        self.told(tokens, speed, now);
+        let tokens = f64::from(tokens);
+        self.own += tokens;
+        SentPrompt {
+            tokens,
+            sent: self.sent,
+        }
+    }
+
+    /// Adds a prompt that another gateway has sent just now.
+    pub fn told(&mut self, tokens: u32, speed: f64, now: Duration) {
+        self.advance(speed, now);
+        self.unread += f64::from(tokens);
+        self.sent += f64::from(tokens);
+    }
+
+    /// Notes the first event of a prompt's answer: the engine has read it and all that came before.
+    pub fn begun(&mut self, prompt: SentPrompt, speed: f64, now: Duration) {
+        self.advance(speed, now);
+        self.own = (self.own - prompt.tokens).max(0.0);
+        self.unread = self.unread.min((self.sent - prompt.sent).max(0.0));
+    }
+
+    /// Notes that a prompt was given up before its first event, so that the engine does not read it any more.
+    pub fn dropped(&mut self, prompt: SentPrompt, speed: f64, now: Duration) {
+        self.advance(speed, now);
+        self.own = (self.own - prompt.tokens).max(0.0);
+        self.unread = (self.unread - prompt.tokens).max(0.0);
+    }
+
+    /// Returns how many tokens are unread now.
+    pub fn unread(&self, speed: f64, now: Duration) -> f64 {
+        let passed = now.saturating_sub(self.at).as_secs_f64();
+        // What this gateway sent is unread until its answers begin, however long that takes.
+        (self.unread - passed * speed).max(self.own)
+    }
+
+    fn advance(&mut self, speed: f64, now: Duration) {
+        self.unread = self.unread(speed, now);
+        self.at = self.at.max(now);
+    }
+}
+
+/// Decides which prompts one gateway tells the others. Long ones lengthen the waits of others most, so the
+/// messages that a gateway may spend go to those.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Telling {
+    /// Messages spent lately, which [`MESSAGES_PER_SECOND`] pays off.
+    spent: f64,
+    at: Duration,
+    mean_tokens: f64,
+}
+
+impl Telling {
+    /// Returns whether a prompt is worth a message to each of some other gateways.
+    pub fn is_worth(&mut self, tokens: u32, speed: f64, others: usize, now: Duration) -> bool {
+        let tokens = f64::from(tokens);
+        if self.mean_tokens == 0.0 {
+            self.mean_tokens = tokens;
+        }
+        self.mean_tokens += PROMPT_WEIGHT * (tokens - self.mean_tokens);
+        let passed = now.saturating_sub(self.at).as_secs_f64();
+        self.spent = (self.spent - passed * MESSAGES_PER_SECOND).max(0.0);
+        self.at = self.at.max(now);
+        let wanted = self.mean_tokens * LONGEST_WANTED * self.spent / MESSAGES_PER_SECOND;
+        if tokens < speed * LEAST_TOLD.as_secs_f64() || tokens < wanted {
+            return false;
+        }
+        self.spent += others as f64;
+        true
+    }
+}
--- a/src/policy/route.rs
+++ b/src/policy/route.rs
@@ -1,6 +1,6 @@
 //! Chooses the upstream instance for a request.
 //!
-//! The cost of an instance is the expected wait, plus the prefill of the prompt tokens that it has not
+//! The cost of an instance is the expected wait for a slot and for the prompts before, plus the prefill of the prompt tokens that it has not
 //! cached, plus the price of crossing a zone. Instances of nearly equal cost are ordered by a
 //! rendezvous hash of the conversation, so that gateways which see the same old report do not all
 //! choose the same instance, and so that every gateway finds a conversation's home without a
@@ -13,8 +13,8 @@
 /// After this age a report counts for little more than a third of its distance from the mean.
 const REPORT_TRUST: Duration = Duration::from_millis(1000);
 
-/// Costs that differ by less than this part of a queued request count as equal. What an engine holds of
-/// a shared preamble is then no reason to leave a conversation's home.
+/// Costs that differ by less than this part of a queued request count as equal, if the weights say nothing else.
+/// What an engine holds of a shared preamble is then no reason to leave a conversation's home.
 const EQUAL_COST_QUEUED_REQUESTS: f64 = 0.5;
 
 /// Requests of its own by which a gateway doubts that its sample shows what the others send.
@@ -44,6 +44,8 @@
     /// Prompt tokens of this request that it is believed to have cached; nothing if its cache
     /// events are missing or old.
     pub cached_tokens: Option<u32>,
+    /// Prompt tokens that it is believed to read before it begins with this request.
+    pub unread_tokens: f64,
     /// Whether its last exchange failed or went silent.
     pub suspect: bool,
 }
@@ -128,8 +130,9 @@
         .map(|(i, c)| rate(req, weights, mean, i, c, home == Some(i)))
         .collect();
     let cheapest = rated.iter().map(Rated::cost).min_by(f64::total_cmp)?;
-    let band = weights.ms_per_queued_request * EQUAL_COST_QUEUED_REQUESTS;
-    let equals = || rated.iter().filter(|r| r.cost() <= cheapest + band);
+    let usual = weights.ms_per_queued_request * EQUAL_COST_QUEUED_REQUESTS;
+    let most = cheapest + weights.ms_of_equal_cost.unwrap_or(usual);
+    let equals = || rated.iter().filter(move |r| r.cost() <= most);
     let position = equals()
         .filter(|r| !equals().any(|other| other.beats(r)))
         .max_by_key(|r| (r.rank, Reverse(r.position)))
@@ -179,7 +182,8 @@
     Rated {
         position,
         rank: rendezvous(req.home, &candidate.instance),
-        wait: queued_requests(candidate, mean) * weights.ms_per_queued_request,
+        wait: queued_requests(candidate, mean) * weights.ms_per_queued_request
+            + candidate.unread_tokens / 1000.0 * weights.ms_per_thousand_uncached_tokens,
         prefill: uncached / 1000.0 * weights.ms_per_thousand_uncached_tokens,
         crossing: crossing * weights.ms_per_zone_crossing,
     }
--- a/src/wire/follow.rs
+++ b/src/wire/follow.rs
@@ -95,6 +95,20 @@
     /// From the leader: accounts for each of whose requests it is asked.
     #[prost(string, repeated, tag = "8")]
     pub asked_accounts: Vec<String>,
+    /// How fast engines read, as the controller has learnt it.
+    #[prost(message, repeated, tag = "9")]
+    pub speeds: Vec<EngineSpeed>,
+}
+
+/// How fast the engines of a service read.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct EngineSpeed {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Prompt tokens that one engine reads in a second.
+    #[prost(double, tag = "2")]
+    pub tokens_per_second: f64,
 }
 
 /// Asks a controller for the published document.
@@ -127,6 +141,34 @@
     /// Whether callers should connect now: it is ready and not leaving.
     #[prost(bool, tag = "4")]
     pub open: bool,
+    /// Where other gateways send datagrams.
+    #[prost(string, tag = "5")]
+    pub peer_address: String,
+}
+
+/// What one gateway tells the others: it sends a prompt to an engine now.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Told {
+    /// The engine's service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// The engine.
+    #[prost(string, tag = "2")]
+    pub instance: String,
+    /// Tokens of the prompt that no engine holds.
+    #[prost(uint32, tag = "3")]
+    pub tokens: u32,
+}
+
+/// A datagram.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Signed {
+    /// The message.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub payload: Bytes,
+    /// Proof that its sender holds the shared key.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub proof: Bytes,
 }
 
 /// The gateways that a controller has heard of lately.
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -17,9 +17,9 @@
     ShareRecord, ViewReply, ViewRequest,
 };
 pub use follow::{
-    AccountCount, ControllerRecord, Document, DocumentRequest, Follow, FollowReply, IngressRecord,
-    ListVersion, QuotaPart, QuotaUse, ReserveReply, ReserveRequest, Roster, ServiceLoad,
-    UpstreamList, UpstreamRow, WindowCount,
+    AccountCount, ControllerRecord, Document, DocumentRequest, EngineSpeed, Follow, FollowReply,
+    IngressRecord, ListVersion, QuotaPart, QuotaUse, ReserveReply, ReserveRequest, Roster,
+    ServiceLoad, Signed, Told, UpstreamList, UpstreamRow, WindowCount,
 };
 pub use journal::{
     JournalAck, JournalAppend, JournalPut, JournalRemove, JournalTokens, JournaledRequest,
--- a/tests/controller_followers.rs
+++ b/tests/controller_followers.rs
@@ -23,6 +23,7 @@
             zone: "a".into(),
             caller_address: "10.0.0.1:80".into(),
             open,
+            ..IngressRecord::default()
         }),
         demands: vec![QuotaPart {
             account: "depot".into(),
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -11,12 +11,12 @@
 
 use flamingocroft::{
     domain::Incarnation,
-    link::{Handler, Identity, Link, LinkError, LinkSettings, Peer, PeerKey, serve},
-    wire::{Body, Failure, LeavingNotice, NotLeader},
+    link::{Datagrams, Handler, Identity, Link, LinkError, LinkSettings, Peer, PeerKey, serve},
+    wire::{Body, Failure, LeavingNotice, NotLeader, Told},
 };
 use tokio::{
     io::{AsyncReadExt, copy_bidirectional},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpStream, UdpSocket},
     sync::{Notify, watch},
     time::{Instant, timeout},
 };
@@ -273,3 +273,35 @@
     };
     timeout(PATIENCE, delivered).await.unwrap();
 }
+
+/// A datagram of a stranger, one that was changed on its way and one that is no message are errors, and the next
+/// one is read all the same.
+#[tokio::test]
+async fn only_datagrams_made_with_the_key_are_taken() {
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let key = PeerKey::new(b"a key that both sides have").unwrap();
+    let other = PeerKey::new(b"a key that nobody else has").unwrap();
+    let here = Datagrams::bind(any, key.clone()).await.unwrap();
+    let there = Datagrams::bind(any, key).await.unwrap();
+    let stranger = Datagrams::bind(any, other).await.unwrap();
+    let to = [here.address().unwrap()];
+    let told = Told {
+        service: "drafts".into(),
+        instance: "engine-1".into(),
+        tokens: 9_000,
+    };
+    assert_eq!(stranger.send(&told, &to), 0);
+    let refused = timeout(PATIENCE, here.receive()).await.unwrap();
+    assert!(refused.unwrap_err().to_string().contains("key file"));
+
+    let raw = UdpSocket::bind(any).await.unwrap();
+    for bytes in [&[][..], &[0xff; 40], &[0; 1400]] {
+        raw.send_to(bytes, to[0]).await.unwrap();
+        let read = timeout(PATIENCE, here.receive()).await.unwrap();
+        assert!(read.is_err(), "{bytes:?} is taken for {read:?}");
+    }
+
+    assert_eq!(there.send(&told, &to), 0);
+    let read = timeout(PATIENCE, here.receive()).await.unwrap();
+    assert_eq!(read.unwrap(), told);
+}
