Send nothing to upstreams that say in an answer that they leave, or that ask for a pause

Change: policy::availability keeps an upstream's own word beside the list's: it stands until the list shows a fresh start, also if an older list of a new leader brings the upstream back; of overlapping pauses the last end counts. Every head of an answer is heeded, refusals and resumed streams too; idle connections to one that leaves are closed. Controllers hear of it with the next question, tell all gateways and order as if it were gone. A caller hears of a pause only if all upstreams want one, then at once with the time at which the first ends.

--- a/src/controller/followers.rs
+++ b/src/controller/followers.rs
@@ -415,6 +415,17 @@
     if record.name != *peer.name {
         return None;
     }
+    if core
+        .followers()
+        .list_mut()
+        .note_leaving(core.now(), &follow.leaving)
+    {
+        log::info!(
+            event = "upstream.says_leaving", gateway = &*record.name, upstreams:? = follow.leaving;
+            "controller: upstreams said to gateway {} that they leave", record.name
+        );
+        core.note_followers_change();
+    }
     if core.followers().hear(core.now(), &follow) {
         log::info!(
             "controller: gateway {} in zone {} follows; open to callers: {}.",
--- a/src/controller/list_history.rs
+++ b/src/controller/list_history.rs
@@ -2,7 +2,7 @@
 //! changes, and the whole list only if they hold none of this leader's.
 
 use std::{
-    collections::{BTreeSet, HashSet, VecDeque},
+    collections::{BTreeSet, HashMap, HashSet, VecDeque},
     time::Duration,
 };
 
@@ -10,7 +10,10 @@
 use prost::Message;
 
 use crate::{
-    policy::quota::{Bucket, Limit},
+    policy::{
+        availability::LIST_MAY_LAG,
+        quota::{Bucket, Limit},
+    },
     wire::{ListVersion, UpstreamList, UpstreamRow},
 };
 
@@ -36,6 +39,8 @@
     /// `forgotten` are forgotten.
     changes: VecDeque<(u64, String)>,
     forgotten: u64,
+    /// Upstreams that said to a gateway that they leave, and when it was heard last.
+    said_leaving: HashMap<String, Duration>,
 }
 
 impl ListHistory {
@@ -52,6 +57,9 @@
     /// Keeps a list of upstreams that was read now. Returns whether it differs from the last one.
     pub fn take(&mut self, term: u64, mut rows: Vec<UpstreamRow>) -> bool {
         rows.sort_unstable_by(|a, b| a.instance.cmp(&b.instance));
+        for row in &mut rows {
+            row.said_leaving = self.said_leaving.contains_key(&row.instance);
+        }
         let held = self.list.version.unwrap_or_default();
         let same = held.term == term && same_rows(&self.list.rows, &rows);
         if same {
@@ -96,6 +104,25 @@
         self.take(term, rows)
     }
 
+    /// Takes upstreams that said to a gateway that they leave. Returns whether the list differs by it.
+    pub fn note_leaving(&mut self, now: Duration, said: &[String]) -> bool {
+        if said.is_empty() {
+            return false;
+        }
+        let said = said.iter().map(|instance| (instance.clone(), now));
+        self.said_leaving.extend(said);
+        let Some(version) = self.list.version else {
+            return false;
+        };
+        self.take(version.term, self.list.rows.clone())
+    }
+
+    /// Forgets what upstreams said once the platform's list must show it.
+    pub fn forget_words(&mut self, now: Duration) {
+        self.said_leaving
+            .retain(|_, heard| now.saturating_sub(*heard) < LIST_MAY_LAG);
+    }
+
     /// Notes which upstreams a change tells anew, or no more.
     fn note_changes(&mut self, sequence: u64, rows: &[UpstreamRow]) {
         let held = &self.list.rows;
@@ -159,7 +186,7 @@
 }
 
 /// Returns all of a row but the time for which the upstream stays slow, which runs down by itself.
-fn fixed(row: &UpstreamRow) -> (&str, &str, &str, &str, u32, bool, bool, bool) {
+fn fixed(row: &UpstreamRow) -> (&str, &str, &str, &str, u32, [bool; 4]) {
     let row_is_cold = row.cold_ms > 0;
     (
         &row.instance,
@@ -167,9 +194,7 @@
         &row.address,
         &row.zone,
         row.slots,
-        row.leaving,
-        row.reclaimable,
-        row_is_cold,
+        [row.leaving, row.said_leaving, row.reclaimable, row_is_cold],
     )
 }
 
--- a/src/controller/lister.rs
+++ b/src/controller/lister.rs
@@ -108,6 +108,7 @@
         return;
     }
     let before = followers.list().rows().len();
+    followers.list_mut().forget_words(core.now());
     if !followers.list_mut().take(term, rows) {
         return;
     }
@@ -131,5 +132,6 @@
         leaving: listed.leaving,
         cold_ms: listed.cold_ms,
         reclaimable: listed.reclaimable,
+        said_leaving: false,
     }
 }
--- a/src/controller/scaler.rs
+++ b/src/controller/scaler.rs
@@ -210,7 +210,9 @@
         let followers = self.core.followers();
         let mut zones: HashMap<ZoneName, Present> = HashMap::new();
         let rows = followers.list().rows().iter();
-        for row in rows.filter(|row| row.service == service.as_str() && !row.leaving) {
+        for row in
+            rows.filter(|row| row.service == service.as_str() && !row.leaving && !row.said_leaving)
+        {
             let here = zones.entry(row.zone.as_str().into()).or_default();
             match row.reclaimable {
                 true => here.reclaimable += 1,
--- a/src/ingress/answer.rs
+++ b/src/ingress/answer.rs
@@ -21,6 +21,8 @@
     OverQuota(Duration),
     /// The requests before it wait too long already.
     Overloaded(Duration),
+    /// All upstreams of the service asked for a pause; the first one ends then.
+    Paused(Duration),
     /// No upstream of the service is there.
     NoUpstream,
     /// The upstreams say that they are full or leaving.
@@ -44,6 +46,7 @@
             Self::OverQuota(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::NoTable
             | Self::Overloaded(_)
+            | Self::Paused(_)
             | Self::NoUpstream
             | Self::Busy
             | Self::Unreachable
@@ -53,7 +56,7 @@
 
     fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::Overloaded(after) => Some(after),
+            Self::Overloaded(after) | Self::Paused(after) => Some(after),
             Self::OverQuota(after) => Some(after.max(COME_BACK)),
             Self::NoTable | Self::NoUpstream => Some(RECOVERY),
             Self::Busy | Self::Unreachable => Some(COME_BACK),
--- a/src/ingress/counters.rs
+++ b/src/ingress/counters.rs
@@ -39,6 +39,8 @@
     pub(super) repeated: Counter,
     pub(super) not_executed: Counter,
     pub(super) resumed: Counter,
+    pub(super) said_leaving: Counter,
+    pub(super) pauses: Counter,
     over_quota: Counter,
     no_table: Counter,
     overloaded: Counter,
@@ -81,6 +83,14 @@
                 "ingress_streams_resumed",
                 "Streams taken up at another upstream.",
             ),
+            said_leaving: counter(
+                "ingress_upstreams_said_leaving",
+                "Upstreams that said in an answer that they leave.",
+            ),
+            pauses: counter(
+                "ingress_upstream_pauses",
+                "Pauses that upstreams asked for.",
+            ),
             over_quota: counter("ingress_refused_over_quota", "Requests beyond a quota."),
             no_table: counter(
                 "ingress_refused_no_table",
@@ -138,7 +148,7 @@
                     NotRun::NoTable => &self.no_table,
                     NotRun::Overloaded(_) => &self.overloaded,
                     NotRun::NoUpstream => &self.no_upstream,
-                    NotRun::Busy | NotRun::Unreachable => &self.busy,
+                    NotRun::Busy | NotRun::Paused(_) | NotRun::Unreachable => &self.busy,
                     NotRun::TooLate | NotRun::BodySlow => &self.too_late,
                 };
                 (counter, Outcome::Refused)
--- a/src/ingress/follow.rs
+++ b/src/ingress/follow.rs
@@ -167,6 +167,7 @@
             incarnation: self.own.incarnation.0,
             held_shares: self.core.quotas.parts(self.core.clock.monotonic()),
             loads: self.core.upstreams.loads(Instant::now()),
+            leaving: self.core.upstreams.said_leaving(Instant::now()),
         }
     }
 
--- a/src/ingress/forward/attempt.rs
+++ b/src/ingress/forward/attempt.rs
@@ -15,10 +15,11 @@
         answer::{Failure, NotRun},
         heads::promises_not_run,
         relay::{Source, look_every},
+        upstream::Upstream,
         upstreams::Flight,
     },
     policy::silence::Awaited,
-    ports::{Clock, Forwarding, Platform, Sent, UpstreamError, UpstreamErrorKind},
+    ports::{AnswerFacts, Clock, Forwarding, Platform, Sent, UpstreamError, UpstreamErrorKind},
 };
 
 /// An upstream's answer that is the caller's.
@@ -118,6 +119,7 @@
         let facts = self.core.platform.read_answer(status, answer.res.headers());
         let upstream = &flight.upstream;
         let now = Instant::now();
+        self.heed(upstream, &facts, now);
         let is_foreign = facts.id.as_deref().is_some_and(|id| id != self.id());
         if is_foreign || (status.is_success() && !facts.signed) {
             upstream.suspect(now);
@@ -161,6 +163,31 @@
         })
     }
 
+    /// Takes an upstream's word that it leaves or wants a pause, whatever else its answer says. Neither is a
+    /// failure of the upstream.
+    fn heed(&self, upstream: &Upstream, facts: &AnswerFacts, now: Instant) {
+        if facts.leaving && upstream.says_leaving(now) {
+            self.core.counters.said_leaving.add();
+            log::info!(
+                event = "upstream.says_leaving", request = self.id(),
+                upstream:% = upstream.target.instance, service:% = self.service;
+                "ingress: an upstream says in an answer that it leaves"
+            );
+            // Requests in progress end there; idle connections are of no use any more.
+            self.core.client.retain(|target| *target != upstream.target);
+        }
+        if let Some(pause) = facts.pause {
+            self.core.counters.pauses.add();
+            upstream.asks_pause(pause, now);
+            log::info!(
+                event = "upstream.asks_pause", request = self.id(),
+                upstream:% = upstream.target.instance, service:% = self.service,
+                pause_ms = millis(pause);
+                "ingress: an upstream asks for a pause"
+            );
+        }
+    }
+
     fn request(
         &self,
         instance: InstanceName,
--- a/src/ingress/forward/mod.rs
+++ b/src/ingress/forward/mod.rs
@@ -206,7 +206,7 @@
                 return Err(self.unless_run(NotRun::TooLate));
             }
             let Some(flight) = self.choose(now) else {
-                return Err(self.unless_run(NotRun::NoUpstream));
+                return Err(self.not_run(NotRun::NoUpstream, now));
             };
             let repeats = !self.tried.is_empty();
             if repeats && !self.core.budgets.spend(&self.service, now) {
@@ -247,7 +247,7 @@
                     self.uncount_run();
                     refused += 1;
                     if refused >= MOST_REFUSED || self.is_exhausted() {
-                        return Err(self.unless_run(reason));
+                        return Err(self.not_run(reason, Instant::now()));
                     }
                 }
                 Err(Attempt::MayHaveRun(failure)) => {
@@ -289,6 +289,12 @@
         }
     }
 
+    /// The same, and if all upstreams asked for a pause the caller is told when the first one ends.
+    fn not_run(&self, reason: NotRun, now: Instant) -> Ended {
+        let pause = self.core.upstreams.pause_left(&self.service, now);
+        self.unless_run(pause.map_or(reason, NotRun::Paused))
+    }
+
     fn on_time(&self) -> OnTime {
         OnTime {
             first: self.route.target,
--- a/src/ingress/forward/pass.rs
+++ b/src/ingress/forward/pass.rs
@@ -119,7 +119,10 @@
         let until = self.deadline.min(Instant::now() + self.on_time().longest());
         loop {
             let now = Instant::now();
-            let is_there = self.core.upstreams.has_other(&self.service, &self.tried);
+            let is_there = self
+                .core
+                .upstreams
+                .has_other(&self.service, &self.tried, now);
             if now >= until || (is_there && self.core.budgets.has_left(&self.service, now)) {
                 return;
             }
--- a/src/ingress/upstream.rs
+++ b/src/ingress/upstream.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicU32, Ordering},
+        atomic::{AtomicU32, Ordering},
     },
     time::Duration,
 };
@@ -13,6 +13,7 @@
 use crate::{
     domain::{Incarnation, ServiceName, ZoneName},
     policy::{
+        availability::Availability,
         backlog::{Backlog, SentPrompt},
         route::{Candidate, Report},
     },
@@ -34,7 +35,6 @@
     pub(super) service: ServiceName,
     zone: ZoneName,
     slots: u32,
-    leaving: AtomicBool,
     in_flight: AtomicU32,
     load: Mutex<Load>,
     /// What the times of the backlog count from.
@@ -51,6 +51,7 @@
     /// Since when requests wait for a sign of life.
     waiting_since: Option<Instant>,
     backlog: Backlog,
+    availability: Availability,
 }
 
 impl Upstream {
@@ -65,7 +66,6 @@
             service: row.service.as_str().into(),
             zone: row.zone.as_str().into(),
             slots: row.slots,
-            leaving: AtomicBool::new(row.leaving),
             in_flight: AtomicU32::new(0),
             load: Mutex::default(),
             created: Instant::now(),
@@ -77,9 +77,31 @@
         self.target.address.to_string() == row.address && self.slots == row.slots
     }
 
-    /// Takes whether the list says that it is leaving; returns whether that is new.
-    pub(super) fn set_leaving(&self, leaving: bool) -> bool {
-        self.leaving.swap(leaving, Ordering::Relaxed) != leaving
+    /// Takes what the list says of it; returns whether it takes work otherwise than before.
+    pub(super) fn list(&self, row: &UpstreamRow, now: Instant) -> bool {
+        let now = self.age(now);
+        let mut load = self.load();
+        load.availability.list(row.leaving, row.said_leaving, now)
+    }
+
+    /// Takes the upstream's own word that it leaves; returns whether that is new.
+    pub(super) fn says_leaving(&self, now: Instant) -> bool {
+        self.load().availability.says_leaving(self.age(now))
+    }
+
+    /// Takes a pause that the upstream asks for.
+    pub(super) fn asks_pause(&self, pause: Duration, now: Instant) {
+        self.load().availability.asks_pause(pause, self.age(now));
+    }
+
+    /// Returns whether it said lately that it leaves, so that the list may not show it.
+    pub(super) fn said_leaving_lately(&self, now: Instant) -> bool {
+        self.load().availability.said_lately(self.age(now))
+    }
+
+    /// Returns how much longer it wants nothing, if it asked for a pause.
+    pub(super) fn pause_left(&self, now: Instant) -> Option<Duration> {
+        self.load().availability.pause_left(self.age(now))
     }
 
     /// Counts a request that is sent with some prompt tokens that no upstream holds; `speed` is how many tokens the
@@ -118,9 +140,9 @@
         now.saturating_duration_since(self.created)
     }
 
-    /// Returns whether it may get a request now.
+    /// Returns whether it gets no new work.
     pub(super) fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
+        self.load().availability.is_leaving()
     }
 
     /// Takes the load that the upstream told with an answer.
--- a/src/ingress/upstreams.rs
+++ b/src/ingress/upstreams.rs
@@ -19,6 +19,7 @@
 use crate::{
     domain::{InstanceName, RoutingWeights, ServiceName},
     policy::{
+        availability::LIST_MAY_LAG,
         backlog::{SentPrompt, UNKNOWN_SPEED},
         overload::Waits,
         route::{self, Reason, RouteRequest},
@@ -43,6 +44,9 @@
 
 type ByService = HashMap<ServiceName, Vec<Arc<Upstream>>>;
 
+/// Upstreams that left the list after they had said that they leave, and when.
+type Departed = HashMap<InstanceName, (Arc<Upstream>, Instant)>;
+
 /// All upstreams, by service.
 #[derive(Debug, Default)]
 pub(super) struct Upstreams {
@@ -52,6 +56,7 @@
     silences: Mutex<HashMap<ServiceName, Silences>>,
     /// Prompt tokens that one engine of each service reads in a second, as controllers tell it.
     speeds: ArcSwap<HashMap<ServiceName, f64>>,
+    departed: Mutex<Departed>,
 }
 
 /// Measures how much a service is used.
@@ -184,10 +189,14 @@
         is_told: impl Fn(&Upstream) -> bool,
     ) -> HashSet<Target> {
         let before = self.services.load_full();
-        let known: HashMap<&InstanceName, &Arc<Upstream>> = before
+        let now = Instant::now();
+        let mut departed = self.departed();
+        departed.retain(|_, (_, at)| now.duration_since(*at) < LIST_MAY_LAG);
+        let listed_before = before.values().flatten();
+        let known: HashMap<&InstanceName, &Arc<Upstream>> = departed
             .values()
-            .flatten()
-            .filter(|upstream| is_told(upstream))
+            .map(|(upstream, _)| upstream)
+            .chain(listed_before.filter(|upstream| is_told(upstream)))
             .map(|upstream| (&upstream.target.instance, upstream))
             .collect();
         let mut listed = HashSet::new();
@@ -197,11 +206,12 @@
                 log::warn!("ingress: upstream {} has no address.", row.instance);
                 continue;
             };
-            if upstream.set_leaving(row.leaving) {
+            if upstream.list(row, now) {
                 log::info!(
-                    event = "upstream.leaving", upstream = row.instance.as_str(),
-                    service = row.service.as_str();
-                    "ingress: upstream {} is leaving", row.instance
+                    event = "upstream.listed", upstream = row.instance.as_str(),
+                    service = row.service.as_str(), leaving = upstream.is_leaving(),
+                    listed_leaving = row.leaving, others_know = row.said_leaving;
+                    "ingress: the list changes whether upstream {} gets new work", row.instance
                 );
             }
             listed.insert(upstream.target.clone());
@@ -216,16 +226,56 @@
             "ingress: a list of upstreams is in force"
         );
         self.services.store(Arc::new(services));
-        let known = known.into_values();
-        let gone = known.map(|upstream| upstream.target.clone());
-        gone.filter(|target| !listed.contains(target)).collect()
+        let gone: Vec<Arc<Upstream>> = known
+            .into_values()
+            .filter(|upstream| !listed.contains(&upstream.target))
+            .map(Arc::clone)
+            .collect();
+        // What one said itself stands if an older list brings it back.
+        for upstream in gone
+            .iter()
+            .filter(|upstream| upstream.said_leaving_lately(now))
+        {
+            let name = upstream.target.instance.clone();
+            departed.entry(name).or_insert((Arc::clone(upstream), now));
+        }
+        gone.into_iter()
+            .map(|upstream| upstream.target.clone())
+            .collect()
+    }
+
+    fn departed(&self) -> MutexGuard<'_, Departed> {
+        self.departed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the upstreams that said lately that they leave.
+    pub(super) fn said_leaving(&self, now: Instant) -> Vec<String> {
+        let services = self.services.load();
+        let all = services.values().flatten();
+        let said = all.filter(|upstream| upstream.said_leaving_lately(now));
+        said.map(|upstream| upstream.target.instance.to_string())
+            .collect()
+    }
+
+    /// Returns when the first pause ends if all upstreams of a service that do not leave asked for one.
+    pub(super) fn pause_left(&self, service: &ServiceName, now: Instant) -> Option<Duration> {
+        let services = self.services.load();
+        let stay = services.get(service)?.iter();
+        let stay = stay.filter(|upstream| !upstream.is_leaving());
+        let pauses: Option<Vec<Duration>> = stay.map(|upstream| upstream.pause_left(now)).collect();
+        pauses?.into_iter().min()
     }
 
     /// Returns whether a service has an upstream that was not tried before.
-    pub(super) fn has_other(&self, service: &ServiceName, tried: &[InstanceName]) -> bool {
+    pub(super) fn has_other(
+        &self,
+        service: &ServiceName,
+        tried: &[InstanceName],
+        now: Instant,
+    ) -> bool {
         let services = self.services.load();
         let all = services.get(service);
-        all.is_some_and(|all| untried(all, tried).next().is_some())
+        all.is_some_and(|all| untried(all, tried, now).next().is_some())
     }
 
     /// Returns the silence after which an upstream of a service is taken to be lost.
@@ -270,7 +320,7 @@
         let services = self.services.load();
         let all = services.get(service)?;
         let speed = self.speed(service);
-        let usable: Vec<_> = untried(all, tried).collect();
+        let usable: Vec<_> = untried(all, tried, now).collect();
         let candidates: Vec<_> = usable
             .iter()
             .map(|upstream| upstream.candidate(silence, speed, now))
@@ -423,9 +473,10 @@
 fn untried<'a>(
     all: &'a [Arc<Upstream>],
     tried: &'a [InstanceName],
+    now: Instant,
 ) -> impl Iterator<Item = &'a Arc<Upstream>> {
     all.iter()
-        .filter(|upstream| !upstream.is_leaving())
+        .filter(move |upstream| !upstream.is_leaving() && upstream.pause_left(now).is_none())
         .filter(|upstream| !tried.contains(&upstream.target.instance))
 }
 
--- a/src/platform/heads.rs
+++ b/src/platform/heads.rs
@@ -29,6 +29,11 @@
 /// Requests running, requests waiting, and slots, with commas between.
 const SERVER_LOAD: HeaderName = HeaderName::from_static("x-flamingocroft-server-load");
 
+/// "1" if the server leaves and wants nothing more.
+const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+/// Longest pause that a server's word is taken for, in seconds; longer ones mean the same.
+const LONGEST_PAUSE_S: f64 = 86_400.0;
+
 /// Headers that are ours to set, and never taken from a caller.
 const OWN: [HeaderName; 11] = [
     TENANT,
@@ -108,9 +113,21 @@
             || status == StatusCode::MISDIRECTED_REQUEST,
         signed: headers.contains_key(&RESPONSE_SEAL) && !is_encoded,
         load: text(headers, &SERVER_LOAD).and_then(read_load),
+        leaving: text(headers, &SERVER_LEAVING).is_some_and(|value| value.trim() == "1"),
+        pause: match status {
+            StatusCode::SERVICE_UNAVAILABLE => text(headers, &RETRY_AFTER).and_then(read_pause),
+            _ => None,
+        },
     }
 }
 
+/// Reads seconds, with or without a fraction; anything else asks for nothing.
+fn read_pause(value: &str) -> Option<Duration> {
+    let seconds: f64 = value.trim().parse().ok()?;
+    let is_pause = seconds.is_finite() && seconds > 0.0;
+    is_pause.then(|| Duration::from_secs_f64(seconds.min(LONGEST_PAUSE_S)))
+}
+
 fn read_load(value: &str) -> Option<ReportedLoad> {
     let mut numbers = value.split(',').map(|number| number.trim().parse().ok());
     Some(ReportedLoad {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod admit;
 pub mod allocate;
+pub mod availability;
 pub mod backlog;
 mod fit;
 mod max_min;
--- a/src/ports/platform.rs
+++ b/src/ports/platform.rs
@@ -123,6 +123,10 @@
     pub signed: bool,
     /// The upstream's load when it answered.
     pub load: Option<ReportedLoad>,
+    /// Whether the upstream says that it leaves.
+    pub leaving: bool,
+    /// The time for which an upstream that turned a request away wants no other from this gateway.
+    pub pause: Option<Duration>,
 }
 
 /// An upstream's own account of its load.
--- a/src/wire/follow.rs
+++ b/src/wire/follow.rs
@@ -45,6 +45,9 @@
     /// The part of a quota's last window in which this gateway ran.
     #[prost(double, tag = "12")]
     pub window_seen: f64,
+    /// Upstreams that said to this gateway lately that they leave.
+    #[prost(string, repeated, tag = "13")]
+    pub leaving: Vec<String>,
 }
 
 /// An account's use of its quota at one gateway.
@@ -274,6 +277,9 @@
     /// Whether the platform may take it back.
     #[prost(bool, tag = "8")]
     pub reclaimable: bool,
+    /// Whether it said to some gateway that it leaves, while the platform's list may not show it.
+    #[prost(bool, tag = "9")]
+    pub said_leaving: bool,
 }
 
 /// A controller and where it is reached.
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -54,6 +54,10 @@
     Late(Duration),
     /// Says that it has not run the request.
     NotExecuted,
+    /// The same, with further headers.
+    TurnedAway(Vec<(&'static str, &'static str)>),
+    /// Answers whole, with its signature and further headers.
+    AnswerWith(Vec<(&'static str, &'static str)>),
     /// Answers without its signature.
     Unsigned,
     /// Answers as if to another request.
--- a/tests/platform_support/servers.rs
+++ b/tests/platform_support/servers.rs
@@ -127,12 +127,9 @@
             sleep(PATIENCE * 2).await;
             return Err(std::io::ErrorKind::TimedOut.into());
         }
-        Act::NotExecuted => {
-            let mut res = whole(StatusCode::SERVICE_UNAVAILABLE, Vec::new());
-            res.headers_mut()
-                .insert("x-flamingocroft-not-executed", "1".parse().unwrap());
-            res
-        }
+        Act::NotExecuted => turned_away(Vec::new()),
+        Act::TurnedAway(headers) => turned_away(headers),
+        Act::AnswerWith(headers) => with(signed(whole(StatusCode::OK, b"done".to_vec())), headers),
         Act::Answer(status, body) => signed(whole(status, body)),
         Act::Late(after) => {
             sleep(after).await;
@@ -214,6 +211,20 @@
     res
 }
 
+fn turned_away(headers: Vec<(&'static str, &'static str)>) -> Response<Body> {
+    let mut res = whole(StatusCode::SERVICE_UNAVAILABLE, Vec::new());
+    res.headers_mut()
+        .insert("x-flamingocroft-not-executed", "1".parse().unwrap());
+    with(res, headers)
+}
+
+fn with(mut res: Response<Body>, headers: Vec<(&'static str, &'static str)>) -> Response<Body> {
+    for (name, value) in headers {
+        res.headers_mut().insert(name, value.parse().unwrap());
+    }
+    res
+}
+
 fn signed(mut res: Response<Body>) -> Response<Body> {
     res.headers_mut()
         .insert("x-flamingocroft-response-seal", "seal".parse().unwrap());
--- /dev/null
+++ b/tests/policy_availability.rs
@@ -0,0 +1,97 @@
+//! Upstreams that leave or ask for a pause, by their own word and by the list, in any order.
+
+use std::time::Duration;
+
+use flamingocroft::policy::availability::{Availability, LIST_MAY_LAG};
+use proptest::prelude::*;
+
+fn seconds(s: f64) -> Duration {
+    Duration::from_secs_f64(s)
+}
+
+#[test]
+fn its_own_word_stands_until_it_is_started_anew() {
+    let mut upstream = Availability::default();
+    assert!(upstream.says_leaving(seconds(1.0)));
+    assert!(!upstream.says_leaving(seconds(1.1)), "said before");
+    for s in 2..60 {
+        upstream.list(false, false, seconds(f64::from(s)));
+        assert!(upstream.is_leaving(), "a list that knows nothing of it");
+    }
+    upstream.list(true, false, seconds(60.0));
+    assert!(upstream.list(false, false, seconds(70.0)), "started anew");
+    assert!(!upstream.is_leaving());
+}
+
+/// A new leader's list may be older than the one before.
+#[test]
+fn a_list_that_is_older_than_its_word_does_not_undo_it() {
+    let mut upstream = Availability::default();
+    upstream.list(true, false, seconds(0.9));
+    upstream.says_leaving(seconds(1.0));
+    upstream.list(false, false, seconds(1.5));
+    assert!(upstream.is_leaving());
+}
+
+#[test]
+fn the_pause_that_ends_last_counts() {
+    let mut upstream = Availability::default();
+    upstream.asks_pause(seconds(4.0), seconds(1.0));
+    upstream.asks_pause(seconds(1.0), seconds(2.0));
+    assert_eq!(upstream.pause_left(seconds(4.0)), Some(seconds(1.0)));
+    assert_eq!(upstream.pause_left(seconds(5.0)), None);
+    upstream.asks_pause(Duration::MAX, seconds(6.0));
+    assert!(upstream.pause_left(seconds(1e9)).is_some());
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    List(bool, bool),
+    Says,
+    Pause(f64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        (any::<bool>(), any::<bool>()).prop_map(|(leaving, known)| Step::List(leaving, known)),
+        Just(Step::Says),
+        (0.0..10.0).prop_map(Step::Pause),
+    ]
+}
+
+proptest! {
+    /// Whatever comes in whatever order: nothing goes to an upstream that said it leaves before the list has shown
+    /// it as leaving and, long enough after its word, as ready; and nothing before the end of any pause.
+    #[test]
+    fn no_order_of_words_and_lists_brings_work_to_one_that_wants_none(
+        steps in proptest::collection::vec((step(), 0.0..4.0), 1..40),
+    ) {
+        let (mut upstream, mut now) = (Availability::default(), Duration::ZERO);
+        let (mut said, mut listed, mut until): (Option<Duration>, _, _) = (None, false, Duration::ZERO);
+        for (step, passed) in steps {
+            now += seconds(passed);
+            match step {
+                Step::List(leaving, known) => {
+                    upstream.list(leaving, known, now);
+                    let is_old = |at: Duration| now - at >= LIST_MAY_LAG;
+                    if listed && !leaving && said.is_some_and(is_old) {
+                        said = None;
+                    }
+                    listed = leaving;
+                    prop_assert!(upstream.is_leaving() || !(leaving || known));
+                }
+                Step::Says => {
+                    upstream.says_leaving(now);
+                    said = Some(now);
+                }
+                Step::Pause(pause) => {
+                    upstream.asks_pause(seconds(pause), now);
+                    until = until.max(now + seconds(pause));
+                }
+            }
+            prop_assert!(said.is_none() || upstream.is_leaving());
+            let left = until.saturating_sub(now);
+            prop_assert_eq!(upstream.pause_left(now).unwrap_or_default(), left);
+        }
+    }
+}
