End the thread that writes the log with its task, and take every weight of routing in an intent

Stacks of the hanging test (controller_confirm: a_controller_that_does_not_lead_names_the_leader) show the runtime waiting for driver::persist, which tries a refused write again until the process is stopped; the test had dropped its controllers with their folder, so nothing ever stopped it. Ruled out: the network (no socket open), load (no processor time used).

Change: the thread's token is cancelled when the task that waits for it is dropped. Besides, from reading the diff: the setting ms_of_equal_cost was documented but refused (test in settings_intent), and the way of an upstream's word through a controller's list has a test (controller_followers).

--- a/src/controller/driver.rs
+++ b/src/controller/driver.rs
@@ -207,7 +207,9 @@
         let store = self.parts.store.take();
         let mut store = store.context("the log is being written already")?;
         let metrics = self.parts.metrics.clone();
-        let stop = self.stop.clone();
+        // The thread that writes also ends if this task is dropped.
+        let stop = self.stop.child_token();
+        let _end_with_task = stop.clone().drop_guard();
         let mut written = tokio::task::spawn_blocking(move || {
             for write in writes {
                 let begun = Instant::now();
--- a/src/controller/followers.rs
+++ b/src/controller/followers.rs
@@ -340,9 +340,9 @@
         &self.speeds
     }
 
-    /// Takes a speed that was learnt; returns the one before.
-    pub fn set_speed(&mut self, service: &ServiceName, speed: f64) -> Option<f64> {
-        self.speeds.insert(service.clone(), speed)
+    /// Takes a speed that was learnt.
+    pub fn set_speed(&mut self, service: &ServiceName, speed: f64) {
+        self.speeds.insert(service.clone(), speed);
     }
 
     /// Returns what all gateways counted in a window.
--- a/src/ingress/upstreams.rs
+++ b/src/ingress/upstreams.rs
@@ -351,11 +351,11 @@
     pub(super) fn told(&self, told: &Told, now: Instant) {
         let services = self.services.load();
         let service = ServiceName::from(told.service.as_str());
-        let all = services.get(&service).into_iter().flatten();
+        let mut all = services.get(&service).into_iter().flatten();
         let is_meant =
             |upstream: &&Arc<Upstream>| upstream.target.instance.as_str() == told.instance;
-        // One that is not listed here yet is left out: it is chosen by nobody here.
-        if let Some(upstream) = { all }.find(is_meant) {
+        // One that this gateway has not heard of yet is not chosen here.
+        if let Some(upstream) = all.find(is_meant) {
             upstream.told(told.tokens, self.speed(&service), now);
         }
     }
--- a/src/settings/schema.rs
+++ b/src/settings/schema.rs
@@ -241,6 +241,7 @@
     optional("ms_per_thousand_uncached_tokens", WEIGHT_MS),
     optional("ms_per_zone_crossing", WEIGHT_MS),
     optional("ms_per_queued_request", WEIGHT_MS),
+    optional("ms_of_equal_cost", WEIGHT_MS),
 ];
 
 const CHANGE_LIMITS: &[Field] = &[
--- a/tests/controller_followers.rs
+++ b/tests/controller_followers.rs
@@ -356,3 +356,35 @@
         Err(at(1000))
     );
 }
+
+/// All gateways are told, at once and for as long as the platform's list may not show it.
+#[test]
+fn an_upstream_that_said_to_one_gateway_that_it_leaves_is_told_to_all() {
+    let mut followers = Followers::default();
+    let row = |instance: &str| UpstreamRow {
+        instance: instance.into(),
+        ..UpstreamRow::default()
+    };
+    let rows = || vec![row("i-1"), row("i-2")];
+    followers.list_mut().take(3, rows());
+    let held = followers.list().version().unwrap();
+    let said = ["i-2".to_owned()];
+    assert!(followers.list_mut().note_leaving(at(1_000), &said));
+    assert!(
+        !followers.list_mut().note_leaving(at(1_700), &said),
+        "told already"
+    );
+    let news = followers.list_mut().since(at(1_700), held).unwrap();
+    let told: Vec<_> = news
+        .rows
+        .iter()
+        .map(|row| (&*row.instance, row.said_leaving))
+        .collect();
+    assert_eq!(told, [("i-2", true)]);
+    // The list is read again and still says that it is ready.
+    followers.list_mut().forget_words(at(6_000));
+    assert!(!followers.list_mut().take(3, rows()));
+    followers.list_mut().forget_words(at(7_000));
+    assert!(followers.list_mut().take(3, rows()));
+    assert!(followers.list().rows().iter().all(|row| !row.said_leaving));
+}
--- a/tests/settings_intent.rs
+++ b/tests/settings_intent.rs
@@ -190,6 +190,18 @@
     insta::assert_snapshot!(problems(value).join("\n"));
 }
 
+#[test]
+fn every_weight_of_routing_can_be_set() {
+    let mut value = valid();
+    value["routing"] = json!({
+        "ms_per_thousand_uncached_tokens": 1, "ms_per_zone_crossing": 2,
+        "ms_per_queued_request": 3, "ms_of_equal_cost": 4,
+    });
+    let routing = parse_intent(value).unwrap().routing;
+    assert_eq!(routing.ms_of_equal_cost, Some(4.0));
+    assert_eq!(routing.ms_per_queued_request, 3.0);
+}
+
 #[test]
 fn an_intent_that_came_without_a_file_is_checked_by_the_same_rules() {
     let mut intent: Intent = parse_intent(valid()).unwrap();
