--- a/src/controller/list_history.rs
+++ b/src/controller/list_history.rs
@@ -106,15 +106,15 @@
 
     /// Takes upstreams that said to a gateway that they leave. Returns whether the list differs by it.
     pub fn note_leaving(&mut self, now: Duration, said: &[String]) -> bool {
-        if said.is_empty() {
-            return false;
+        let mut is_new = false;
+        for instance in said {
+            let known = self.said_leaving.insert(instance.clone(), now);
+            is_new |= known.is_none();
+        }
+        match self.list.version.filter(|_| is_new) {
+            Some(version) => self.take(version.term, self.list.rows.clone()),
+            None => false,
         }
-        let said = said.iter().map(|instance| (instance.clone(), now));
-        self.said_leaving.extend(said);
-        let Some(version) = self.list.version else {
-            return false;
-        };
-        self.take(version.term, self.list.rows.clone())
     }
 
     /// Forgets what upstreams said once the platform's list must show it.
--- a/src/ingress/upstream.rs
+++ b/src/ingress/upstream.rs
@@ -37,7 +37,7 @@
     slots: u32,
     in_flight: AtomicU32,
     load: Mutex<Load>,
-    /// What the times of the backlog count from.
+    /// What the times of the backlog and of the availability count from.
     created: Instant,
 }
 
@@ -140,6 +140,11 @@
         now.saturating_duration_since(self.created)
     }
 
+    /// Returns whether it may get a request now.
+    pub(super) fn takes_work(&self, now: Instant) -> bool {
+        self.load().availability.takes_work(self.age(now))
+    }
+
     /// Returns whether it gets no new work.
     pub(super) fn is_leaving(&self) -> bool {
         self.load().availability.is_leaving()
--- a/src/ingress/upstreams.rs
+++ b/src/ingress/upstreams.rs
@@ -17,10 +17,10 @@
 
 use super::upstream::Upstream;
 use crate::{
-    domain::{InstanceName, RoutingWeights, ServiceName},
+    domain::{InstanceName, ServiceName},
     policy::{
         availability::LIST_MAY_LAG,
-        backlog::{SentPrompt, UNKNOWN_SPEED},
+        backlog::{self, SentPrompt, UNKNOWN_SPEED},
         overload::Waits,
         route::{self, Reason, RouteRequest},
         silence::{Awaited, OnTime, Silences},
@@ -35,12 +35,6 @@
 
 /// Time over which a service's use is averaged.
 const METER_SPAN: Duration = Duration::from_secs(1);
-/// Cost of reading a shared part again, in times of the time that it takes: those that are sent there later wait
-/// for it too.
-const READ_AGAIN_WEIGHT: f64 = 2.0;
-/// Costs of engines that differ by less count as equal, in milliseconds: a few ways between zones, and what an
-/// engine takes for a short prompt.
-const MS_OF_EQUAL_COST: f64 = 30.0;
 
 type ByService = HashMap<ServiceName, Vec<Arc<Upstream>>>;
 
@@ -325,11 +319,7 @@
             .iter()
             .map(|upstream| upstream.candidate(silence, speed, now))
             .collect();
-        let weights = RoutingWeights {
-            ms_per_thousand_uncached_tokens: READ_AGAIN_WEIGHT * 1e6 / speed,
-            ms_of_equal_cost: Some(MS_OF_EQUAL_COST),
-            ..RoutingWeights::default()
-        };
+        let weights = backlog::weights(speed);
         let (chosen, reason) = route::choose_with_reason(req, &candidates, &weights)?;
         let upstream = Arc::clone(usable[chosen]);
         let prompt = upstream.send(new_tokens, speed, now);
@@ -476,7 +466,7 @@
     now: Instant,
 ) -> impl Iterator<Item = &'a Arc<Upstream>> {
     all.iter()
-        .filter(move |upstream| !upstream.is_leaving() && upstream.pause_left(now).is_none())
+        .filter(move |upstream| upstream.takes_work(now))
         .filter(|upstream| !tried.contains(&upstream.target.instance))
 }
 
--- a/src/link/handshake.rs
+++ b/src/link/handshake.rs
@@ -47,9 +47,15 @@
         })
     }
 
-    fn mac(&self, role: &[u8], nonce: &[u8], who: &Identity) -> Hmac<Sha256> {
+    /// Begins a proof; the role keeps proofs of one kind from being taken for those of another.
+    fn begin(&self, role: &[u8]) -> Hmac<Sha256> {
         let mut mac = Hmac::<Sha256>::new_from_slice(&self.0).expect("HMAC takes keys of any size");
         mac.update(role);
+        mac
+    }
+
+    fn mac(&self, role: &[u8], nonce: &[u8], who: &Identity) -> Hmac<Sha256> {
+        let mut mac = self.begin(role);
         mac.update(nonce);
         mac.update(&who.incarnation.0.to_be_bytes());
         mac.update(who.name.as_bytes());
@@ -77,8 +83,7 @@
     }
 
     fn message_mac(&self, message: &[u8]) -> Hmac<Sha256> {
-        let mut mac = Hmac::<Sha256>::new_from_slice(&self.0).expect("HMAC takes keys of any size");
-        mac.update(MESSAGE_ROLE);
+        let mut mac = self.begin(MESSAGE_ROLE);
         mac.update(message);
         mac
     }
--- a/src/policy/availability.rs
+++ b/src/policy/availability.rs
@@ -53,6 +53,11 @@
         self.listed_leaving || self.others_know || self.said_leaving.is_some()
     }
 
+    /// Returns whether it wants requests now.
+    pub fn takes_work(&self, now: Duration) -> bool {
+        !self.is_leaving() && self.pause_left(now).is_none()
+    }
+
     /// Returns whether it said so itself, lately enough that the list may not show it.
     pub fn said_lately(&self, now: Duration) -> bool {
         self.said_leaving
--- a/src/policy/backlog.rs
+++ b/src/policy/backlog.rs
@@ -7,9 +7,17 @@
 
 use std::time::Duration;
 
+use crate::domain::RoutingWeights;
+
 /// Prompt tokens in a second that an engine is taken to read until its speed is learnt; within a factor of two of
 /// the engines on the users' sheets.
 pub const UNKNOWN_SPEED: f64 = 100_000.0;
+/// Cost of reading a shared part again, in times of the time that it takes: those that are sent there later wait
+/// for it too.
+const READ_AGAIN_WEIGHT: f64 = 2.0;
+/// Costs of engines that differ by less count as equal, in milliseconds: a few ways between zones, and what an
+/// engine takes for a short prompt.
+const MS_OF_EQUAL_COST: f64 = 30.0;
 /// Reading time from which on a prompt is told to other gateways: several times their distance.
 const LEAST_TOLD: Duration = Duration::from_millis(15);
 /// Messages in a second that one gateway spends on telling prompts, to all others together: 80 bytes each, within
@@ -20,6 +28,15 @@
 /// How many times the mean a prompt must be long to be told when no messages are left.
 const LONGEST_WANTED: f64 = 4.0;
 
+/// Returns the weights of routing for engines that read `speed` prompt tokens in a second.
+pub fn weights(speed: f64) -> RoutingWeights {
+    RoutingWeights {
+        ms_per_thousand_uncached_tokens: READ_AGAIN_WEIGHT * 1e6 / speed,
+        ms_of_equal_cost: Some(MS_OF_EQUAL_COST),
+        ..RoutingWeights::default()
+    }
+}
+
 /// The prompt tokens that one engine still has to read, as one gateway believes.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Backlog {
--- a/tests/policy_backlog.rs
+++ b/tests/policy_backlog.rs
@@ -7,9 +7,9 @@
 };
 
 use flamingocroft::{
-    domain::{InstanceName, RoutingWeights},
+    domain::InstanceName,
     policy::{
-        backlog::{Backlog, SentPrompt, Telling, UNKNOWN_SPEED},
+        backlog::{Backlog, SentPrompt, Telling, UNKNOWN_SPEED, weights},
         route::{Candidate, RouteRequest, choose},
     },
 };
@@ -98,11 +98,7 @@
     let mut tellings = vec![Telling::default(); load.gateways];
     // By time in microseconds and number: the gateway, the engine and what it learns.
     let mut words: BTreeMap<(u64, u64), (usize, usize, Word)> = BTreeMap::new();
-    let weights = RoutingWeights {
-        ms_per_thousand_uncached_tokens: 2e6 / SPEED,
-        ms_of_equal_cost: Some(30.0),
-        ..RoutingWeights::default()
-    };
+    let weights = weights(SPEED);
     let per_second = load.filled * SPEED * load.engines as f64 / MEAN_TOKENS;
     let (mut now, mut asked, mut in_time, mut messages) = (0.0, 0_u32, 0_u32, 0_u32);
     let mut number = 0_u64;
