Log and count the request rates that upstreams state

A gateway now logs each change of what an upstream states, with the request whose answer stated it, and counts such answers. No decision uses it yet.

--- a/src/ingress/counters.rs
+++ b/src/ingress/counters.rs
@@ -41,6 +41,7 @@
     pub(super) resumed: Counter,
     pub(super) said_leaving: Counter,
     pub(super) pauses: Counter,
+    pub(super) rates_stated: Counter,
     over_quota: Counter,
     no_table: Counter,
     overloaded: Counter,
@@ -91,6 +92,10 @@
                 "ingress_upstream_pauses",
                 "Pauses that upstreams asked for.",
             ),
+            rates_stated: counter(
+                "ingress_upstream_limits",
+                "Responses in which an upstream limits its requests per second.",
+            ),
             over_quota: counter("ingress_refused_over_quota", "Requests beyond a quota."),
             no_table: counter(
                 "ingress_refused_no_table",
--- a/src/ingress/forward/attempt.rs
+++ b/src/ingress/forward/attempt.rs
@@ -20,7 +20,8 @@
     },
     policy::silence::Awaited,
     ports::{
-        Clock, ForwardContext, Platform, ResponseMetadata, Sent, UpstreamError, UpstreamErrorKind,
+        AcceptedRate, Clock, ForwardContext, Platform, ResponseMetadata, Sent, UpstreamError,
+        UpstreamErrorKind,
     },
 };
 
@@ -186,8 +187,8 @@
         })
     }
 
-    /// Applies an upstream's signals that it is leaving or wants a pause, whatever the response is otherwise.
-    /// Neither counts as a failure of the upstream.
+    /// Applies an upstream's signals that it is leaving, wants a pause or limits its requests, whatever the response is
+    /// otherwise. None of them counts as a failure of the upstream.
     fn apply_signals(&self, upstream: &Upstream, facts: &ResponseMetadata, now: Instant) {
         if facts.leaving && upstream.record_leaving(now) {
             self.core.counters.said_leaving.increment();
@@ -209,6 +210,17 @@
                 "ingress: an upstream asked for a pause"
             );
         }
+        if facts.rate != AcceptedRate::Unlimited {
+            self.core.counters.rates_stated.increment();
+        }
+        if let Some(before) = upstream.record_rate(facts.rate) {
+            log::info!(
+                event = "upstream.limits", request = self.id(),
+                upstream:% = upstream.target.instance, service:% = self.service,
+                rate:? = facts.rate, before:? = before;
+                "ingress: an upstream changed the request rate that it accepts"
+            );
+        }
     }
 
     /// Builds the request for one upstream, with its own deadline and headers.
--- a/src/ingress/upstream.rs
+++ b/src/ingress/upstream.rs
@@ -17,7 +17,7 @@
         backlog::{Backlog, SentPrompt},
         route::{Candidate, Report},
     },
-    ports::{ReportedLoad, Target},
+    ports::{AcceptedRate, ReportedLoad, Target},
     wire::UpstreamRow,
 };
 
@@ -52,6 +52,8 @@
     silent_since: Option<Instant>,
     backlog: Backlog,
     availability: Availability,
+    /// The requests per second to which the upstream limited all gateways in its last response.
+    stated_limit: Option<f64>,
 }
 
 impl Upstream {
@@ -99,6 +101,18 @@
             .request_pause(pause, self.since_created(now));
     }
 
+    /// Records the request rate that a response states; returns the previous limit if that changes it.
+    pub(super) fn record_rate(&self, rate: AcceptedRate) -> Option<Option<f64>> {
+        let limit = match rate {
+            AcceptedRate::Unlimited => None,
+            AcceptedRate::PerSecond(limit) => Some(limit),
+            AcceptedRate::Unreadable => return None,
+        };
+        let mut load = self.load();
+        let before = std::mem::replace(&mut load.stated_limit, limit);
+        (before != limit).then_some(before)
+    }
+
     /// Returns whether the upstream announced recently that it is leaving, so that the list may not show it
     /// yet.
     pub(super) fn recently_said_leaving(&self, now: Instant) -> bool {
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -8,7 +8,8 @@
 };
 
 use crate::ports::{
-    ForwardContext, PromptPart, PromptSizes, ReportedLoad, RequestMetadata, ResponseMetadata,
+    AcceptedRate, ForwardContext, PromptPart, PromptSizes, ReportedLoad, RequestMetadata,
+    ResponseMetadata,
 };
 
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-flamingocroft-request-id");
@@ -35,6 +36,8 @@
 
 /// "1" if the server is leaving and wants no further requests.
 const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+/// The requests per second that the server accepts from all machines together, as a decimal number.
+const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 /// Maximum pause that a server can ask for, in seconds; longer ones are capped to it.
 const MAX_PAUSE_S: f64 = 86_400.0;
 
@@ -124,9 +127,24 @@
             }
             _ => None,
         },
+        rate: read_rate(headers),
     }
 }
 
+/// Reads the server's limit; if it is stated more than once, the lowest one applies.
+fn read_rate(headers: &HeaderMap) -> AcceptedRate {
+    let values: Vec<_> = headers.get_all(&SERVER_LIMIT).iter().collect();
+    if values.is_empty() {
+        return AcceptedRate::Unlimited;
+    }
+    let rates = values.into_iter().map(|value| {
+        let rate: f64 = value.to_str().ok()?.trim().parse().ok()?;
+        (rate.is_finite() && rate >= 0.0).then_some(rate)
+    });
+    let lowest = rates.flatten().reduce(f64::min);
+    lowest.map_or(AcceptedRate::Unreadable, AcceptedRate::PerSecond)
+}
+
 /// Parses seconds, with or without a fraction; returns `None` for anything else, zero or less.
 fn read_pause(value: &str) -> Option<Duration> {
     let seconds: f64 = value.trim().parse().ok()?;
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -10,8 +10,8 @@
 pub use clock::Clock;
 pub use cloud::{CloudApi, CloudError, InstanceListing, ReclaimNotice, StartRequest};
 pub use platform::{
-    DutyHolder, ForwardContext, ListedPage, ListedUpstream, Platform, PromptPart, PromptSizes,
-    ReportedLoad, RequestMetadata, ResponseMetadata, UpstreamOrder, WindowUsage,
+    AcceptedRate, DutyHolder, ForwardContext, ListedPage, ListedUpstream, Platform, PromptPart,
+    PromptSizes, ReportedLoad, RequestMetadata, ResponseMetadata, UpstreamOrder, WindowUsage,
 };
 pub use upstream::{
     CacheEvent, CacheEvents, EngineLoad, EngineOrder, OrderKind, OrderOutcome, Sent, ServiceCall,
--- a/src/ports/platform.rs
+++ b/src/ports/platform.rs
@@ -113,7 +113,7 @@
 }
 
 /// Metadata that the platform's headers give about an upstream's response.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseMetadata {
     /// Identifier of the request that it answers, if present.
     pub id: Option<String>,
@@ -127,6 +127,20 @@
     pub leaving: bool,
     /// Time for which an upstream that rejected a request asks this gateway to send no others.
     pub pause: Option<Duration>,
+    /// The request rate that the upstream accepts from all gateways together.
+    pub rate: AcceptedRate,
+}
+
+/// The request rate that an upstream accepts from all gateways together, as one of its responses states it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum AcceptedRate {
+    /// The response states no limit.
+    #[default]
+    Unlimited,
+    /// Requests per second, finite and not negative.
+    PerSecond(f64),
+    /// The response states a limit that is not a rate, and so says nothing.
+    Unreadable,
 }
 
 /// The load that an upstream reports about itself.
