Add a failing test of limits that upstreams state

Three gateways send 75 requests a second; one of two servers states in every answer that it takes 3 a second from all together.

--- a/tests/platform_limit.rs
+++ b/tests/platform_limit.rs
@@ -3,9 +3,108 @@
 mod metric_text;
 mod platform_support;
 
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
 use hyper::{Method, StatusCode};
 use metric_text::value;
-use platform_support::{Installation, ServerAction, document};
+use platform_support::{Answer, Installation, ReceivedRequest, ServerAction, document, wait_until};
+use tokio::time::{Instant, interval};
+
+/// The limits that each server states, in thousandths of a request per second; zero for none.
+type Limits = Arc<[AtomicU32]>;
+
+/// Starts servers that state limits, and gateways that know the servers. Returns the gateways' addresses.
+async fn start(servers: usize, gateways: usize) -> (Installation, Vec<SocketAddr>, Limits) {
+    let limits: Limits = (0..servers).map(|_| AtomicU32::new(0)).collect();
+    let stated = Arc::clone(&limits);
+    let installation = Installation::start(servers, move |server, _| {
+        match stated[server].load(Ordering::SeqCst) {
+            0 => ServerAction::Respond(StatusCode::OK, b"done".to_vec()),
+            limit => ServerAction::RespondLimited(f64::from(limit) / 1e3),
+        }
+    })
+    .await;
+    let mut addresses = vec![installation.caller_address];
+    for _ in 1..gateways {
+        addresses.push(installation.add_gateway().await);
+    }
+    installation.publish(&document(1)).await;
+    for gateway in &addresses {
+        wait_until("all gateways serve requests", || async {
+            let probe = Installation::send_to(*gateway, Method::GET, "/safe/probe", "probe", "");
+            probe.await.status == StatusCode::OK
+        })
+        .await;
+    }
+    installation.log.requests.lock().unwrap().clear();
+    (installation, addresses, limits)
+}
+
+/// Sends 25 requests per second to each gateway and returns the responses. The path of a request ends with the
+/// number of its gateway.
+async fn send_through_all(gateways: &[SocketAddr], duration: Duration) -> Vec<Answer> {
+    let tasks: Vec<_> = gateways
+        .iter()
+        .enumerate()
+        .map(|(number, gateway)| {
+            let gateway = *gateway;
+            tokio::spawn(async move {
+                let (begun, mut tick) = (Instant::now(), interval(Duration::from_millis(40)));
+                let (path, mut responses) = (format!("/safe/{number}"), Vec::new());
+                while begun.elapsed() < duration {
+                    tick.tick().await;
+                    responses
+                        .push(Installation::send_to(gateway, Method::GET, &path, "r", "").await);
+                }
+                responses
+            })
+        })
+        .collect();
+    let mut responses = Vec::new();
+    for task in tasks {
+        responses.extend(task.await.unwrap());
+    }
+    responses
+}
+
+/// Returns the most requests that a server received in 4 s from gateways that it had told its limit half a second
+/// before.
+fn most_in_four_seconds(requests: &[ReceivedRequest], server: usize) -> usize {
+    let mut received: Vec<_> = requests
+        .iter()
+        .filter(|seen| seen.server == server)
+        .collect();
+    received.sort_by_key(|seen| seen.at);
+    let told = |path: &str| received.iter().find(|seen| seen.path == path).unwrap().at;
+    let counted: Vec<Instant> = received
+        .iter()
+        .filter(|seen| seen.at >= told(&seen.path) + Duration::from_millis(500))
+        .map(|seen| seen.at)
+        .collect();
+    let in_window = |start: &Instant| {
+        let window = *start..*start + Duration::from_secs(4);
+        counted.iter().filter(|at| window.contains(at)).count()
+    };
+    counted.iter().map(in_window).max().unwrap_or(0)
+}
+
+#[tokio::test]
+async fn an_upstream_gets_no_more_requests_than_it_accepts_from_all_gateways_together() {
+    let (installation, gateways, limits) = start(2, 3).await;
+    limits[0].store(3000, Ordering::SeqCst);
+    let responses = send_through_all(&gateways, Duration::from_secs(6)).await;
+    assert!(responses.iter().all(|res| res.status == StatusCode::OK));
+    let most = most_in_four_seconds(&installation.log.requests(), 0);
+    // One and a half times the limit, and five.
+    assert!(most <= 23, "{most} requests in 4 s");
+}
 
 #[tokio::test]
 async fn responses_that_state_a_limit_are_counted() {
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -36,7 +36,7 @@
 use tokio::{
     net::TcpListener,
     sync::watch,
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout},
 };
 use tokio_util::sync::CancellationToken;
 
@@ -58,6 +58,8 @@
     NotExecutedWith(Vec<(&'static str, &'static str)>),
     /// Sends a complete, signed response with further headers.
     RespondWith(Vec<(&'static str, &'static str)>),
+    /// Sends a complete, signed response that limits the requests per second.
+    RespondLimited(f64),
     /// Sends an unsigned response.
     Unsigned,
     /// Sends a signed response with the identifier of another request.
@@ -82,6 +84,7 @@
     pub path: String,
     pub headers: HeaderMap,
     pub body: Bytes,
+    pub at: Instant,
 }
 
 type Script = dyn Fn(usize, &ReceivedRequest) -> ServerAction + Send + Sync;
@@ -116,6 +119,8 @@
     pub metrics: [Metrics; 2],
     /// The gateway's task, until a test takes it.
     pub gateway: Mutex<Option<RunningRole>>,
+    hosts: Vec<Ipv4Addr>,
+    api_address: SocketAddr,
     stop: CancellationToken,
     folder: TempDir,
 }
@@ -144,6 +149,7 @@
     pub gateway_file: PathBuf,
     hosts: Vec<Ipv4Addr>,
     gateway_host: Ipv4Addr,
+    api_address: SocketAddr,
     log: Arc<ServerLog>,
     listed: Arc<Mutex<Vec<Value>>>,
     usage: Arc<Mutex<Vec<Value>>>,
@@ -184,6 +190,7 @@
             gateway_file: write(gateway_host, "gateway"),
             hosts,
             gateway_host,
+            api_address: api,
             log,
             listed,
             usage,
@@ -217,6 +224,8 @@
             stop_gateway: stop.child_token(),
             metrics: [(); 2].map(|()| Metrics::new().unwrap()),
             gateway: Mutex::new(None),
+            hosts: self.hosts,
+            api_address: self.api_address,
             stop,
             folder: self.folder,
         }
@@ -242,6 +251,18 @@
         installation
     }
 
+    /// Starts a further gateway and returns its address for callers.
+    pub async fn add_gateway(&self) -> SocketAddr {
+        let host = unique_host();
+        let (folder, hosts) = (self.folder.path(), &self.hosts);
+        let file = write_settings(folder, host, "gateway", hosts, self.api_address);
+        let settings = Arc::new(Settings::read(&file).unwrap());
+        let (stop, end) = (self.stop_gateway.clone(), self.stop.clone());
+        let metrics = Metrics::new().unwrap();
+        start_gateway(settings, &metrics, stop, end).await;
+        SocketAddr::new(IpAddr::V4(host), 7301)
+    }
+
     /// Publishes a document and waits until the gateway serves requests.
     pub async fn publish(&self, document: &Value) {
         let put = || {
@@ -288,6 +309,17 @@
 
     /// Sends a request with the API key through the gateway.
     pub async fn send(&self, method: Method, path: &str, id: &str, body: &str) -> Answer {
+        Self::send_to(self.caller_address, method, path, id, body).await
+    }
+
+    /// Sends a request with the API key through the gateway at an address.
+    pub async fn send_to(
+        gateway: SocketAddr,
+        method: Method,
+        path: &str,
+        id: &str,
+        body: &str,
+    ) -> Answer {
         let key = format!("Bearer {API_KEY}");
         let headers = [
             ("host", "depot.example"),
@@ -295,7 +327,7 @@
             ("x-flamingocroft-deadline-ms", "3000"),
             ("authorization", &key),
         ];
-        call(self.caller_address, method, path, &headers, body)
+        call(gateway, method, path, &headers, body)
             .await
             .expect("no response")
     }
--- a/tests/platform_support/servers.rs
+++ b/tests/platform_support/servers.rs
@@ -18,7 +18,10 @@
 };
 use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
-use tokio::{net::TcpListener, time::sleep};
+use tokio::{
+    net::TcpListener,
+    time::{Instant, sleep},
+};
 
 use super::{Body, ReceivedRequest, Script, ServerAction, ServerLog, TEST_TIMEOUT};
 
@@ -118,6 +121,7 @@
         path: head.uri.to_string(),
         headers: head.headers,
         body,
+        at: Instant::now(),
     };
     log.requests.lock().unwrap().push(seen.clone());
     let id = seen.headers.get("x-flamingocroft-request-id").cloned();
@@ -134,6 +138,12 @@
             headers,
         ),
         ServerAction::Respond(status, body) => signed(full_response(status, body)),
+        ServerAction::RespondLimited(per_second) => {
+            let mut res = signed(full_response(StatusCode::OK, b"done".to_vec()));
+            let limit = per_second.to_string().parse().unwrap();
+            res.headers_mut().insert("server-limit", limit);
+            res
+        }
         ServerAction::RespondAfter(after) => {
             sleep(after).await;
             signed(full_response(StatusCode::OK, b"late".to_vec()))
