Keep all gateways together to the request rates that upstreams state

Cause: gateways did not read the limit that upstreams name in their answers. The class: a signal of an upstream to all gateways together, of which each gateway knows only what it heard itself. Reading it alone would not do: eight gateways that each keep to 3 a second send 24.

Change: policy::rate_limit. The first 'limit + 1' gateways by a rendezvous hash of the upstream send equal parts, the others nothing, so that any 4 s have at most 5 times the limit and one, with 2 gateways and with 200, without a leader. A gateway goes by its own newest statement from its first answer on; statements are reported to the controllers, and the leader's list tells the others, also that a limit is over. Requests that no upstream accepts are refused at once with the time to come back.

--- a/src/controller/followers.rs
+++ b/src/controller/followers.rs
@@ -442,6 +442,20 @@
         );
         core.notify_followers_changed();
     }
+    let limits = core
+        .followers()
+        .upstream_list_mut()
+        .record_limits(core.now(), &follow.limits);
+    if !limits.is_empty() {
+        for (instance, limit) in &limits {
+            log::info!(
+                event = "upstream.limits", gateway = &*record.name, upstream = instance.as_str(),
+                requests_per_1000_s:? = limit;
+                "controller: the limit of upstream {instance} changed"
+            );
+        }
+        core.notify_followers_changed();
+    }
     if core.followers().handle_follow(core.now(), &follow) {
         log::info!(
             "controller: gateway {} in zone {} follows this controller; open to callers: {}.",
--- a/src/controller/list_history.rs
+++ b/src/controller/list_history.rs
@@ -9,12 +9,13 @@
 use bytes::Bytes;
 use prost::Message;
 
+use super::stated_limits::StatedLimits;
 use crate::{
     policy::{
         availability::MAX_LIST_LAG,
         quota::{BucketLimit, TokenBucket},
     },
-    wire::{ListVersion, UpstreamList, UpstreamRow},
+    wire::{ListVersion, UpstreamLimitReport, UpstreamList, UpstreamRow},
 };
 
 /// Token bucket for full lists, in bytes per second and burst bytes. Hundreds of gateways without a list ask at the
@@ -40,6 +41,7 @@
     discarded_through: u64,
     /// Upstreams that announced to a gateway that they leave, and when a gateway last reported it.
     leaving_reports: HashMap<String, Duration>,
+    stated_limits: StatedLimits,
 }
 
 impl ListHistory {
@@ -56,8 +58,10 @@
     /// Replaces the list with one that was just read. Returns whether it differs from the previous one.
     pub fn replace(&mut self, term: u64, mut rows: Vec<UpstreamRow>) -> bool {
         rows.sort_unstable_by(|a, b| a.instance.cmp(&b.instance));
+        self.stated_limits.retain_listed(&rows);
         for row in &mut rows {
             row.reported_leaving = self.leaving_reports.contains_key(&row.instance);
+            row.requests_per_1000_s = self.stated_limits.listed(&row.instance);
         }
         let held = self.list.version.unwrap_or_default();
         let same = held.term == term && are_same_rows(&self.list.rows, &rows);
@@ -110,10 +114,31 @@
             let previous = self.leaving_reports.insert(instance.clone(), now);
             is_new |= previous.is_none();
         }
-        match self.list.version.filter(|_| is_new) {
-            Some(version) => self.replace(version.term, self.list.rows.clone()),
-            None => false,
+        is_new && self.refresh()
+    }
+
+    /// Merges the limits that upstreams stated to a gateway. Returns the upstreams whose limits changed, each with
+    /// its requests per 1,000 seconds. Such a change counts as a change of the list.
+    pub fn record_limits(
+        &mut self,
+        now: Duration,
+        reports: &[UpstreamLimitReport],
+    ) -> Vec<(String, Option<u64>)> {
+        let changed = self.stated_limits.record(now, reports);
+        if !changed.is_empty() {
+            self.refresh();
         }
+        let with_limit = changed.into_iter().map(|instance| {
+            let limit = self.stated_limits.listed(&instance);
+            (instance, limit)
+        });
+        with_limit.collect()
+    }
+
+    /// Applies what gateways reported to the rows of the list. Returns whether this changed the list.
+    fn refresh(&mut self) -> bool {
+        let version = self.list.version;
+        version.is_some_and(|version| self.replace(version.term, self.list.rows.clone()))
     }
 
     /// Drops leaving reports that are so old that the platform's list must include them.
@@ -189,7 +214,7 @@
 
 /// Returns the fields of a row that count as a change. The remaining cold time is left out because it counts down
 /// by itself; only whether the upstream is cold is compared.
-fn compared_fields(row: &UpstreamRow) -> (&str, &str, &str, &str, u32, [bool; 4]) {
+fn compared_fields(row: &UpstreamRow) -> (&str, &str, &str, &str, u32, [bool; 4], Option<u64>) {
     let row_is_cold = row.cold_left_ms > 0;
     (
         &row.instance,
@@ -203,6 +228,7 @@
             row.reclaimable,
             row_is_cold,
         ],
+        row.requests_per_1000_s,
     )
 }
 
--- a/src/controller/list_reader.rs
+++ b/src/controller/list_reader.rs
@@ -142,5 +142,6 @@
         cold_left_ms: listed.cold_left_ms,
         reclaimable: listed.reclaimable,
         reported_leaving: false,
+        requests_per_1000_s: None,
     }
 }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -31,6 +31,7 @@
 pub mod publisher;
 mod scaler;
 mod shares;
+mod stated_limits;
 mod usage;
 pub mod view;
 
--- a/src/ingress/counters.rs
+++ b/src/ingress/counters.rs
@@ -153,7 +153,9 @@
                     NotRun::NoTable => &self.no_table,
                     NotRun::Overloaded(_) => &self.overloaded,
                     NotRun::NoUpstream => &self.no_upstream,
-                    NotRun::Busy | NotRun::Paused(_) | NotRun::Unreachable => &self.busy,
+                    NotRun::Busy | NotRun::Paused(_) | NotRun::Limited(_) | NotRun::Unreachable => {
+                        &self.busy
+                    }
                     NotRun::TooLate | NotRun::BodySlow => &self.too_late,
                 };
                 (counter, RequestOutcome::Refused)
@@ -197,6 +199,12 @@
         move || shared.upstreams.in_progress() as u64,
     );
     let shared = Arc::clone(core);
+    metrics.register_gauge(
+        "ingress_upstreams_limited",
+        "Upstreams whose requests are limited.",
+        move || shared.upstreams.limited_count() as u64,
+    );
+    let shared = Arc::clone(core);
     metrics.register_labelled_gauge(
         "ingress_controller_silence_seconds",
         "Time since each controller answered last.",
--- a/src/ingress/errors.rs
+++ b/src/ingress/errors.rs
@@ -24,6 +24,9 @@
     Overloaded(Duration),
     /// All upstreams of the service asked for a pause; the first pause ends after the duration.
     Paused(Duration),
+    /// All upstreams of the service limit their requests or asked for a pause; the first one accepts a request
+    /// of this gateway after the duration.
+    Limited(Duration),
     /// The service has no usable upstream.
     NoUpstream,
     /// The upstreams report that they are full or draining, or the retry budget is exhausted.
@@ -41,6 +44,10 @@
 /// election and one read of the instance list until gateways know them again.
 const RECOVERY_RETRY_AFTER: Duration = Duration::from_millis(1000);
 
+/// Longest retry delay for callers when upstreams limit their requests; another gateway may send one to them
+/// sooner, and the limits may end.
+const MAX_LIMITED_RETRY_AFTER: Duration = Duration::from_secs(2);
+
 impl NotRun {
     fn status(self) -> StatusCode {
         match self {
@@ -49,6 +56,7 @@
             Self::NoTable
             | Self::Overloaded(_)
             | Self::Paused(_)
+            | Self::Limited(_)
             | Self::NoUpstream
             | Self::Busy
             | Self::Unreachable
@@ -60,6 +68,7 @@
         match self {
             Self::Overloaded(after) | Self::Paused(after) => Some(after),
             Self::OverQuota(after) => Some(after.max(BUSY_RETRY_AFTER)),
+            Self::Limited(after) => Some(after.clamp(BUSY_RETRY_AFTER, MAX_LIMITED_RETRY_AFTER)),
             Self::NoTable | Self::NoUpstream => Some(RECOVERY_RETRY_AFTER),
             Self::Busy | Self::Unreachable => Some(BUSY_RETRY_AFTER),
             Self::BodySlow | Self::TooLate => None,
--- a/src/ingress/follow.rs
+++ b/src/ingress/follow.rs
@@ -135,11 +135,15 @@
                     self.core
                         .controllers
                         .record_reply(name, reply.leads, Instant::now());
-                    if reply.leads {
+                    let leads = reply.leads;
+                    if leads {
                         self.core.quotas.apply_lease(&reply, sent);
                         self.core.leader.store(Some(Arc::new(link.clone())));
                     }
                     self.apply_reply(name, link, reply, stop).await;
+                    if leads {
+                        self.core.upstreams.confirm_limits(sent);
+                    }
                 }
                 Ok(other) => {
                     log::warn!("ingress: unexpected reply of controller {name}: {other:?}.");
@@ -175,6 +179,10 @@
             held_shares: self.core.quotas.parts(self.core.clock.monotonic()),
             loads: self.core.upstreams.service_loads(Instant::now()),
             leaving: self.core.upstreams.said_leaving(Instant::now()),
+            limits: self
+                .core
+                .upstreams
+                .limit_reports(self.core.clock.monotonic()),
         }
     }
 
@@ -260,6 +268,7 @@
         self.core.budgets.set_gateways(gateways.len());
         let own = &self.core.settings.name;
         self.core.announcer.set_gateways(&gateways, own);
+        self.core.upstreams.set_gateways(own, &gateways);
         self.core.roster.store(Arc::new(gateways));
     }
 
--- a/src/ingress/forward/attempt.rs
+++ b/src/ingress/forward/attempt.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, Version, header, http::response::Parts};
+use hyper::{Request, StatusCode, Version, header, http::response::Parts};
 use tokio::time::{Instant, interval_at};
 
 use super::{ForwardedRequest, millis};
@@ -18,7 +18,7 @@
         upstream::Upstream,
         upstreams::InFlightGuard,
     },
-    policy::silence::Awaited,
+    policy::{rate_limit::Statement, silence::Awaited},
     ports::{
         AcceptedRate, Clock, ForwardContext, Platform, ResponseMetadata, Sent, UpstreamError,
         UpstreamErrorKind,
@@ -47,6 +47,7 @@
         resume_after: Option<u64>,
     ) -> Result<AcceptedResponse, AttemptError> {
         let now = Instant::now();
+        let sent_at = self.core.clock.monotonic();
         let left = self.time_left(now);
         let upstream = &in_flight.upstream;
         let req = self.build_request(upstream.target.instance.clone(), left, resume_after);
@@ -65,7 +66,7 @@
             Ok(response) => response,
             Err(e) => return Err(self.record_failure(&in_flight, &e, now.elapsed())),
         };
-        self.check_response(in_flight, response)
+        self.check_response(in_flight, response, sent_at)
     }
 
     /// Waits until an engine is considered lost, if the request may then be retried at another one; otherwise
@@ -130,11 +131,13 @@
         }
     }
 
-    /// Decides whether a response is genuine and final, and may be relayed to the caller.
+    /// Decides whether a response is genuine and final, and may be relayed to the caller. Its request was sent at
+    /// `sent_at`.
     fn check_response(
         &self,
         in_flight: InFlightGuard,
         response: StreamingResponse,
+        sent_at: Duration,
     ) -> Result<AcceptedResponse, AttemptError> {
         let status = response.res.status();
         let facts = self
@@ -155,6 +158,10 @@
             );
             return Err(AttemptError::MayHaveRun(Failure::Unclear));
         }
+        // A misdirected request was received by another upstream.
+        if status != StatusCode::MISDIRECTED_REQUEST {
+            self.apply_limit(upstream, facts.rate, sent_at);
+        }
         if let Some(load) = facts.load {
             upstream.record_load(load, now);
         }
@@ -187,8 +194,8 @@
         })
     }
 
-    /// Applies an upstream's signals that it is leaving, wants a pause or limits its requests, whatever the response is
-    /// otherwise. None of them counts as a failure of the upstream.
+    /// Applies an upstream's signals that it is leaving or wants a pause, whatever the response is otherwise.
+    /// Neither counts as a failure of the upstream.
     fn apply_signals(&self, upstream: &Upstream, facts: &ResponseMetadata, now: Instant) {
         if facts.leaving && upstream.record_leaving(now) {
             self.core.counters.said_leaving.increment();
@@ -210,15 +217,37 @@
                 "ingress: an upstream asked for a pause"
             );
         }
-        if facts.rate != AcceptedRate::Unlimited {
+    }
+
+    /// Applies what a response to a request that was sent at `sent_at` states about the upstream's limit.
+    fn apply_limit(&self, upstream: &Upstream, rate: AcceptedRate, sent_at: Duration) {
+        if rate != AcceptedRate::Unlimited {
             self.core.counters.rates_stated.increment();
         }
-        if let Some(before) = upstream.record_rate(facts.rate) {
+        let limit = match rate {
+            AcceptedRate::Unlimited => None,
+            AcceptedRate::PerSecond(limit) => Some(limit),
+            AcceptedRate::Unreadable => {
+                log::warn!(
+                    event = "upstream.limit_unreadable", request = self.id(),
+                    upstream:% = upstream.target.instance, limit:? = upstream.limit();
+                    "ingress: an upstream states a limit that is not a rate; the limit in force stays"
+                );
+                return;
+            }
+        };
+        let statement = Statement {
+            limit,
+            sent: sent_at,
+            received: self.core.clock.monotonic(),
+        };
+        let before = upstream.limit();
+        if upstream.record_limit(statement) {
             log::info!(
                 event = "upstream.limits", request = self.id(),
                 upstream:% = upstream.target.instance, service:% = self.service,
-                rate:? = facts.rate, before:? = before;
-                "ingress: an upstream changed the request rate that it accepts"
+                limit:? = upstream.limit(), before:? = before;
+                "ingress: an upstream changed the requests per second that it accepts"
             );
         }
     }
--- a/src/ingress/forward/mod.rs
+++ b/src/ingress/forward/mod.rs
@@ -303,10 +303,11 @@
         }
     }
 
-    /// Like [`Self::error_unless_run`], but reports the end of the first pause if all upstreams asked for one.
+    /// Like [`Self::error_unless_run`], but reports when an upstream accepts requests again if all of them asked
+    /// for a pause or limit their requests.
     fn error_or_pause(&self, reason: NotRun, now: Instant) -> RequestError {
-        let pause = self.core.upstreams.min_pause_left(&self.service, now);
-        self.error_unless_run(pause.map_or(reason, NotRun::Paused))
+        let closed = self.core.upstreams.closed_until(&self.service, now);
+        self.error_unless_run(closed.unwrap_or(reason))
     }
 
     fn response_targets(&self) -> ResponseTargets {
--- a/src/ingress/upstream.rs
+++ b/src/ingress/upstream.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{
-        Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU32, Ordering},
     },
     time::Duration,
@@ -11,14 +11,15 @@
 use tokio::time::Instant;
 
 use crate::{
-    domain::{Incarnation, ServiceName, ZoneName},
+    domain::{Incarnation, InstanceName, ServiceName, ZoneName},
     policy::{
         availability::Availability,
         backlog::{Backlog, SentPrompt},
+        rate_limit::{Place, Statement, UpstreamLimit},
         route::{Candidate, Report},
     },
-    ports::{AcceptedRate, ReportedLoad, Target},
-    wire::UpstreamRow,
+    ports::{ReportedLoad, Target},
+    wire::{UpstreamRow, to_requests_per_second},
 };
 
 /// Base time for which an upstream is suspect after a failure and gets requests only if all others are
@@ -27,6 +28,37 @@
 /// Maximum number of doublings of [`SUSPECT_BACKOFF`].
 const MAX_SUSPECT_DOUBLINGS: u32 = 2;
 
+/// The gateways that share the limits of upstreams.
+#[derive(Debug, Default)]
+pub(super) struct GatewaySet {
+    /// Differs between any two sets of this process.
+    version: u64,
+    own: Arc<str>,
+    /// The gateways that callers connect to.
+    open: Vec<Arc<str>>,
+}
+
+impl GatewaySet {
+    /// Returns the set that follows this one; `own` is the name of this gateway.
+    pub(super) fn next(&self, own: &Arc<str>, open: Vec<Arc<str>>) -> Self {
+        Self {
+            version: self.version + 1,
+            own: Arc::clone(own),
+            open,
+        }
+    }
+
+    /// Returns whether other gateways are in the set than `open`, which is ordered by name like the set.
+    pub(super) fn differs(&self, open: &[Arc<str>]) -> bool {
+        self.open != open
+    }
+
+    fn place(&self, upstream: &InstanceName) -> Place {
+        let open = self.open.iter().map(|gateway| &**gateway);
+        Place::find(upstream.as_str(), &self.own, open)
+    }
+}
+
 /// An upstream and its load, as this gateway knows it.
 #[derive(Debug)]
 pub(super) struct Upstream {
@@ -52,8 +84,9 @@
     silent_since: Option<Instant>,
     backlog: Backlog,
     availability: Availability,
-    /// The requests per second to which the upstream limited all gateways in its last response.
-    stated_limit: Option<f64>,
+    limit: UpstreamLimit,
+    /// This gateway's place for the limit, and the version of the set of gateways that it belongs to.
+    place: Option<(u64, Place)>,
 }
 
 impl Upstream {
@@ -79,12 +112,15 @@
         self.target.address.to_string() == row.address && self.slots == row.slots
     }
 
-    /// Applies the upstream's row of the list; returns whether that changes its availability.
+    /// Applies the upstream's row of the list; returns whether that changes its availability or its limit.
     pub(super) fn apply_listing(&self, row: &UpstreamRow, now: Instant) -> bool {
         let now = self.since_created(now);
         let mut load = self.load();
-        load.availability
-            .apply_list(row.leaving, row.reported_leaving, now)
+        let limit_changed = load
+            .limit
+            .apply_list(row.requests_per_1000_s.map(to_requests_per_second));
+        let availability = &mut load.availability;
+        availability.apply_list(row.leaving, row.reported_leaving, now) || limit_changed
     }
 
     /// Records that the upstream itself announced that it is leaving; returns whether that is new.
@@ -101,16 +137,48 @@
             .request_pause(pause, self.since_created(now));
     }
 
-    /// Records the request rate that a response states; returns the previous limit if that changes it.
-    pub(super) fn record_rate(&self, rate: AcceptedRate) -> Option<Option<f64>> {
-        let limit = match rate {
-            AcceptedRate::Unlimited => None,
-            AcceptedRate::PerSecond(limit) => Some(limit),
-            AcceptedRate::Unreadable => return None,
-        };
+    /// Records what a response stated about the limit of the upstream's requests; returns whether that changes
+    /// the limit in force.
+    pub(super) fn record_limit(&self, statement: Statement) -> bool {
+        self.load().limit.record(statement)
+    }
+
+    /// Applies that the leader's list includes the limits that gateways knew at `reported`.
+    pub(super) fn confirm_limit(&self, reported: Duration) -> bool {
+        self.load().limit.confirm_list(reported)
+    }
+
+    /// Returns the limit in force, in requests per second over all gateways.
+    pub(super) fn limit(&self) -> Option<f64> {
+        self.load().limit.current()
+    }
+
+    /// Returns what the upstream stated recently about its limit.
+    pub(super) fn stated_limit(&self, now: Duration) -> Option<Statement> {
+        self.load().limit.report(now)
+    }
+
+    /// Checks whether the upstream's limit lets this gateway send it a request now.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time until it does, or `None` if only other gateways send to the upstream.
+    pub(super) fn check_limit(
+        &self,
+        gateways: &GatewaySet,
+        now: Instant,
+    ) -> Result<(), Option<Duration>> {
+        let now = self.since_created(now);
         let mut load = self.load();
-        let before = std::mem::replace(&mut load.stated_limit, limit);
-        (before != limit).then_some(before)
+        if load.limit.current().is_none() {
+            return Ok(());
+        }
+        let place = match load.place {
+            Some((version, place)) if version == gateways.version => place,
+            _ => gateways.place(&self.target.instance),
+        };
+        load.place = Some((gateways.version, place));
+        load.limit.check(place, now)
     }
 
     /// Returns whether the upstream announced recently that it is leaving, so that the list may not show it
@@ -133,6 +201,7 @@
     pub(super) fn record_send(&self, tokens: u32, speed: f64, now: Instant) -> SentPrompt {
         let was_idle = self.in_flight.fetch_add(1, Ordering::Relaxed) == 0;
         let mut load = self.load();
+        load.limit.spend(self.since_created(now));
         load.sent_since_report += 1;
         if was_idle {
             load.silent_since = Some(now);
@@ -168,10 +237,12 @@
     }
 
     /// Returns whether the upstream may get a request now.
-    pub(super) fn accepts_work(&self, now: Instant) -> bool {
-        self.load()
+    pub(super) fn accepts_work(&self, gateways: &GatewaySet, now: Instant) -> bool {
+        let is_available = self
+            .load()
             .availability
-            .is_available(self.since_created(now))
+            .is_available(self.since_created(now));
+        is_available && self.check_limit(gateways, now).is_ok()
     }
 
     /// Returns whether the upstream is leaving and gets no new work.
--- a/src/ingress/upstreams.rs
+++ b/src/ingress/upstreams.rs
@@ -15,7 +15,10 @@
     time::{Instant, sleep, timeout},
 };
 
-use super::upstream::Upstream;
+use super::{
+    errors::NotRun,
+    upstream::{GatewaySet, Upstream},
+};
 use crate::{
     domain::{InstanceName, ServiceName},
     policy::{
@@ -27,7 +30,10 @@
         speed::PrefillStats,
     },
     ports::Target,
-    wire::{PrefillSpeed, PromptAnnouncement, ServiceLoad, UpstreamList, UpstreamRow},
+    wire::{
+        IngressRecord, PrefillSpeed, PromptAnnouncement, ServiceLoad, UpstreamLimitReport,
+        UpstreamList, UpstreamRow,
+    },
 };
 
 /// Time for which callers may still use addresses that they resolved before the shutdown began.
@@ -36,6 +42,10 @@
 /// Time constant of the exponential moving averages of a service's use.
 const METER_AVERAGING_TIME: Duration = Duration::from_secs(1);
 
+/// Retry delay for a caller if only other gateways send requests to the upstreams; by then it may have
+/// reached one of them.
+const OTHER_GATEWAY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 type ByService = HashMap<ServiceName, Vec<Arc<Upstream>>>;
 
 /// Upstreams that announced that they are leaving and are no longer listed, with the time of removal.
@@ -51,6 +61,7 @@
     /// Prefill speed of one engine of each service, in prompt tokens per second, as controllers report it.
     prefill_speeds: ArcSwap<HashMap<ServiceName, f64>>,
     departed: Mutex<Departed>,
+    gateways: ArcSwap<GatewaySet>,
 }
 
 /// Measures this gateway's use of a service.
@@ -226,8 +237,10 @@
                 log::info!(
                     event = "upstream.listed", upstream = row.instance.as_str(),
                     service = row.service.as_str(), leaving = upstream.is_leaving(),
-                    listed_leaving = row.leaving, others_know = row.reported_leaving;
-                    "ingress: the list changed the availability of upstream {}", row.instance
+                    listed_leaving = row.leaving, others_know = row.reported_leaving,
+                    limit:? = upstream.limit();
+                    "ingress: the list changed the availability or the limit of upstream {}",
+                    row.instance
                 );
             }
             listed.insert(upstream.target.clone());
@@ -273,15 +286,67 @@
             .collect()
     }
 
-    /// Returns the time until the first pause ends, if all upstreams of a service that are not leaving asked
-    /// for a pause.
-    pub(super) fn min_pause_left(&self, service: &ServiceName, now: Instant) -> Option<Duration> {
+    /// Returns why a request cannot be sent yet, if all upstreams of a service that are not leaving asked for a
+    /// pause or limit their requests; the first one accepts a request after the time returned.
+    pub(super) fn closed_until(&self, service: &ServiceName, now: Instant) -> Option<NotRun> {
         let services = self.services.load();
+        let gateways = self.gateways.load();
         let staying = services.get(service)?.iter();
         let staying = staying.filter(|upstream| !upstream.is_leaving());
-        let pauses: Option<Vec<Duration>> =
-            staying.map(|upstream| upstream.pause_left(now)).collect();
-        pauses?.into_iter().min()
+        let closed = staying.map(|upstream| {
+            if let Some(pause) = upstream.pause_left(now) {
+                return Some((pause, NotRun::Paused(pause)));
+            }
+            let wait = upstream.check_limit(&gateways, now).err()?;
+            let wait = wait.unwrap_or(OTHER_GATEWAY_RETRY_AFTER);
+            Some((wait, NotRun::Limited(wait)))
+        });
+        let closed: Option<Vec<(Duration, NotRun)>> = closed.collect();
+        let first = closed?.into_iter().min_by_key(|(wait, _)| *wait);
+        first.map(|(_, reason)| reason)
+    }
+
+    /// Sets the gateways that share the limits of upstreams; `own` is the name of this one.
+    pub(super) fn set_gateways(&self, own: &Arc<str>, gateways: &[IngressRecord]) {
+        let open = gateways.iter().filter(|gateway| gateway.open);
+        let open: Vec<Arc<str>> = open.map(|gateway| gateway.name.as_str().into()).collect();
+        let held = self.gateways.load();
+        if held.differs(&open) {
+            self.gateways.store(Arc::new(held.next(own, open)));
+        }
+    }
+
+    /// Returns the limits that upstreams recently stated to this gateway.
+    pub(super) fn limit_reports(&self, now: Duration) -> Vec<UpstreamLimitReport> {
+        let services = self.services.load();
+        let all = services.values().flatten();
+        let report = |upstream: &Arc<Upstream>| {
+            let stated = upstream.stated_limit(now)?;
+            let instance = upstream.target.instance.to_string();
+            Some(UpstreamLimitReport::new(instance, &stated, now))
+        };
+        all.filter_map(report).collect()
+    }
+
+    /// Applies that the list in force includes the limits that gateways reported until `reported`.
+    pub(super) fn confirm_limits(&self, reported: Duration) {
+        let services = self.services.load();
+        for upstream in services.values().flatten() {
+            if upstream.confirm_limit(reported) {
+                log::info!(
+                    event = "upstream.limits", upstream:% = upstream.target.instance,
+                    service:% = upstream.service, limit:? = upstream.limit();
+                    "ingress: the list replaces what an upstream stated about its limit"
+                );
+            }
+        }
+    }
+
+    /// Returns the number of upstreams that limit their requests.
+    pub(super) fn limited_count(&self) -> usize {
+        let services = self.services.load();
+        let all = services.values().flatten();
+        all.filter(|upstream| upstream.limit().is_some()).count()
     }
 
     /// Returns whether a service has an available upstream that was not tried yet.
@@ -293,7 +358,8 @@
     ) -> bool {
         let services = self.services.load();
         let all = services.get(service);
-        all.is_some_and(|all| untried(all, tried, now).next().is_some())
+        let gateways = self.gateways.load();
+        all.is_some_and(|all| untried(all, tried, &gateways, now).next().is_some())
     }
 
     /// Returns the silence after which an upstream of a service is considered lost.
@@ -340,7 +406,8 @@
         let services = self.services.load();
         let all = services.get(service)?;
         let speed = self.prefill_speed(service);
-        let usable: Vec<_> = untried(all, tried, now).collect();
+        let gateways = self.gateways.load();
+        let usable: Vec<_> = untried(all, tried, &gateways, now).collect();
         let candidates: Vec<_> = usable
             .iter()
             .map(|upstream| upstream.candidate(silence_timeout, speed, now))
@@ -494,10 +561,11 @@
 fn untried<'a>(
     all: &'a [Arc<Upstream>],
     tried: &'a [InstanceName],
+    gateways: &'a GatewaySet,
     now: Instant,
 ) -> impl Iterator<Item = &'a Arc<Upstream>> {
     all.iter()
-        .filter(move |upstream| upstream.accepts_work(now))
+        .filter(move |upstream| upstream.accepts_work(gateways, now))
         .filter(|upstream| !tried.contains(&upstream.target.instance))
 }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -13,6 +13,7 @@
 pub mod prefix;
 pub mod quota;
 pub mod quota_window;
+pub mod rate_limit;
 pub mod retry;
 pub mod route;
 pub mod scale;
--- a/src/policy/quota.rs
+++ b/src/policy/quota.rs
@@ -90,10 +90,15 @@
     /// leaves a debt. If there are too few units, returns the time until there may be enough.
     pub fn take(&mut self, units: f64, limit: BucketLimit, now: Duration) -> Result<(), Duration> {
         self.check(units, limit, now)?;
-        self.tokens -= units;
+        self.spend(units);
         Ok(())
     }
 
+    /// Takes units out even if there are too few, which leaves a debt.
+    pub fn spend(&mut self, units: f64) {
+        self.tokens -= units;
+    }
+
     /// Returns what [`TokenBucket::take`] would return, without taking anything out.
     pub fn check(&mut self, units: f64, limit: BucketLimit, now: Duration) -> Result<(), Duration> {
         let passed = now.saturating_sub(self.refilled_at).as_secs_f64();
--- a/src/policy/route.rs
+++ b/src/policy/route.rs
@@ -262,12 +262,21 @@
 /// is its home. The hash function is fixed here, because all versions of the gateway must agree on
 /// it.
 fn rendezvous(home: u64, instance: &InstanceName) -> u64 {
+    rendezvous_hash(home, instance.as_str())
+}
+
+/// Returns the rendezvous hash of a name for a key.
+pub(super) fn rendezvous_hash(key: u64, name: &str) -> u64 {
+    mix(name_hash(name) ^ mix(key))
+}
+
+/// Returns the FNV-1a hash of a name.
+pub(super) fn name_hash(name: &str) -> u64 {
     const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
     const FNV_PRIME: u64 = 0x0100_0000_01b3;
-    let name = instance.as_str().bytes().fold(FNV_OFFSET, |hash, byte| {
+    name.bytes().fold(FNV_OFFSET, |hash, byte| {
         (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
-    });
-    mix(name ^ mix(home))
+    })
 }
 
 /// The finalizer of SplitMix64, which spreads each input bit over the whole output.
--- a/src/wire/follow.rs
+++ b/src/wire/follow.rs
@@ -1,10 +1,12 @@
 //! Messages between ingress gateways and controllers. A gateway long-polls every controller that it knows.
 //! The controller replies when something changed, or after a timeout as a heartbeat.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use prost::Message;
 
-use crate::policy::speed::PrefillStats;
+use crate::policy::{rate_limit::Statement, speed::PrefillStats};
 
 /// A gateway's poll, with the versions that it already holds and its reports.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -48,6 +50,59 @@
     /// Upstreams that recently announced to this gateway that they are leaving.
     #[prost(string, repeated, tag = "13")]
     pub leaving: Vec<String>,
+    /// Limits that upstreams recently stated to this gateway.
+    #[prost(message, repeated, tag = "14")]
+    pub limits: Vec<UpstreamLimitReport>,
+}
+
+/// What an upstream stated to a gateway about the requests that it accepts from all gateways together.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct UpstreamLimitReport {
+    /// The upstream.
+    #[prost(string, tag = "1")]
+    pub instance: String,
+    /// Requests per 1,000 seconds; missing if the upstream limits nothing.
+    #[prost(uint64, optional, tag = "2")]
+    pub requests_per_1000_s: Option<u64>,
+    /// Time since the gateway sent the request whose response stated it, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub sent_ago_ms: u64,
+    /// Time since the response arrived, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub received_ago_ms: u64,
+}
+
+impl UpstreamLimitReport {
+    /// Describes a statement of an upstream; `now` is the time of the statement's clock.
+    pub fn new(instance: String, statement: &Statement, now: Duration) -> Self {
+        let ago = |at| u64::try_from(now.saturating_sub(at).as_millis()).unwrap_or(u64::MAX);
+        Self {
+            instance,
+            requests_per_1000_s: statement.limit.map(to_requests_per_1000_s),
+            sent_ago_ms: ago(statement.sent),
+            received_ago_ms: ago(statement.received),
+        }
+    }
+
+    /// Returns the statement with times of the clock that shows `now`.
+    pub fn statement(&self, now: Duration) -> Statement {
+        let at = |ago_ms| now.saturating_sub(Duration::from_millis(ago_ms));
+        Statement {
+            limit: self.requests_per_1000_s.map(to_requests_per_second),
+            sent: at(self.sent_ago_ms),
+            received: at(self.received_ago_ms),
+        }
+    }
+}
+
+/// Converts a rate to requests per 1,000 seconds; one that is too large becomes the largest one.
+pub fn to_requests_per_1000_s(per_second: f64) -> u64 {
+    (per_second * 1e3) as u64
+}
+
+/// Converts requests per 1,000 seconds to a rate per second.
+pub fn to_requests_per_second(requests_per_1000_s: u64) -> f64 {
+    requests_per_1000_s as f64 / 1e3
 }
 
 /// An account's usage of its quota at one gateway.
@@ -284,6 +339,9 @@
     /// Whether it announced to some gateway that it is leaving, which the platform's list may not show yet.
     #[prost(bool, tag = "9")]
     pub reported_leaving: bool,
+    /// Requests per 1,000 seconds that it accepts from all gateways together; missing if it limits nothing.
+    #[prost(uint64, optional, tag = "10")]
+    pub requests_per_1000_s: Option<u64>,
 }
 
 /// A controller and its addresses.
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -19,8 +19,8 @@
 pub use follow::{
     AccountCount, ControllerRecord, Document, DocumentRequest, FollowReply, FollowRequest,
     IngressRecord, ListVersion, PrefillSpeed, PromptAnnouncement, QuotaUsage, QuotaValue,
-    ReserveReply, ReserveRequest, Roster, ServiceLoad, SignedDatagram, UpstreamList, UpstreamRow,
-    WindowCount,
+    ReserveReply, ReserveRequest, Roster, ServiceLoad, SignedDatagram, UpstreamLimitReport,
+    UpstreamList, UpstreamRow, WindowCount, to_requests_per_1000_s, to_requests_per_second,
 };
 pub use journal::{
     JournalAck, JournalAppend, JournalPut, JournalRemove, JournalTokens, JournaledRequest,
--- a/tests/controller_followers.rs
+++ b/tests/controller_followers.rs
@@ -7,7 +7,7 @@
     policy::speed::PrefillStats,
     wire::{
         AccountCount, FollowRequest, IngressRecord, ListVersion, QuotaValue, ReserveRequest,
-        Roster, ServiceLoad, UpstreamRow, WindowCount,
+        Roster, ServiceLoad, UpstreamLimitReport, UpstreamRow, WindowCount,
     },
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -442,3 +442,81 @@
             .all(|row| !row.reported_leaving)
     );
 }
+
+fn limit_report(limit: Option<u64>, sent_ago_ms: u64) -> Vec<UpstreamLimitReport> {
+    vec![UpstreamLimitReport {
+        instance: "i-2".into(),
+        requests_per_1000_s: limit,
+        sent_ago_ms,
+        received_ago_ms: sent_ago_ms / 2,
+    }]
+}
+
+fn listed_limits(followers: &Followers) -> Vec<Option<u64>> {
+    let rows = followers.upstream_list().rows();
+    rows.iter().map(|row| row.requests_per_1000_s).collect()
+}
+
+/// All gateways get the newest statement, also one of an earlier leader's time, until the upstream lifts the limit.
+#[test]
+fn a_limit_that_an_upstream_states_to_one_gateway_is_listed_for_all() {
+    let mut followers = Followers::default();
+    let row = |instance: &str| UpstreamRow {
+        instance: instance.into(),
+        ..UpstreamRow::default()
+    };
+    let rows = || vec![row("i-1"), row("i-2")];
+    // A controller that does not lead yet holds no list.
+    followers
+        .upstream_list_mut()
+        .record_limits(at(500), &limit_report(Some(3_000), 100));
+    followers.upstream_list_mut().replace(3, rows());
+    assert_eq!(listed_limits(&followers), [None, Some(3_000)]);
+    let held = followers.upstream_list().version().unwrap();
+    assert!(
+        !followers.upstream_list_mut().replace(3, rows()),
+        "read again"
+    );
+    let older = limit_report(None, 2_000);
+    assert_eq!(
+        followers
+            .upstream_list_mut()
+            .record_limits(at(1_500), &older),
+        []
+    );
+    let lifted = limit_report(None, 100);
+    assert_eq!(
+        followers
+            .upstream_list_mut()
+            .record_limits(at(2_000), &lifted),
+        [("i-2".to_owned(), None)]
+    );
+    assert_eq!(listed_limits(&followers), [None, None]);
+    let update = followers
+        .upstream_list_mut()
+        .changes_since(at(2_000), held)
+        .unwrap();
+    assert_eq!(update.rows, [row("i-2")]);
+    assert!(update.is_delta);
+}
+
+/// Each change of the list is sent to all gateways.
+#[test]
+fn an_upstream_that_states_another_limit_each_time_changes_the_list_rarely() {
+    let mut followers = Followers::default();
+    let row = UpstreamRow {
+        instance: "i-2".into(),
+        ..UpstreamRow::default()
+    };
+    followers.upstream_list_mut().replace(3, vec![row]);
+    let mut changes = 0;
+    for ms in (0..10_000).step_by(10) {
+        let stated = limit_report(Some(1_000 + ms), 0);
+        let changed = followers.upstream_list_mut().record_limits(at(ms), &stated);
+        changes += changed.len();
+    }
+    assert!(changes <= 20, "{changes} changes in 10 s");
+    // The last statement is listed with the next report of any gateway.
+    followers.upstream_list_mut().record_limits(at(11_000), &[]);
+    assert_eq!(listed_limits(&followers), [Some(10_990)]);
+}
