Send prompts that are mostly shared to their homes

Change: a gateway measures the shared and the new tokens of a service's prompts. Where more than half are shared, and for the first 32 prompts after a start, requests go to the home of their shared parts as before; else by backlog.

--- a/src/ingress/upstream.rs
+++ b/src/ingress/upstream.rs
@@ -14,7 +14,7 @@
     domain::{Incarnation, InstanceName, ServiceName, ZoneName},
     policy::{
         availability::Availability,
-        backlog::{Backlog, SentPrompt},
+        backlog::{Backlog, Placement, SentPrompt},
         rate_limit::{Place, Statement, UpstreamLimit},
         route::{Candidate, Report},
     },
@@ -292,7 +292,13 @@
     }
 
     /// Returns the upstream as a candidate for routing; a silence beyond the timeout makes it suspect.
-    pub(super) fn candidate(&self, timeout: Duration, speed: f64, now: Instant) -> Candidate {
+    pub(super) fn candidate(
+        &self,
+        placement: Placement,
+        timeout: Duration,
+        speed: f64,
+        now: Instant,
+    ) -> Candidate {
         let load = self.load();
         Candidate {
             instance: self.target.instance.clone(),
@@ -306,7 +312,10 @@
             sent_since_report: load.sent_since_report,
             in_progress: self.in_flight.load(Ordering::Relaxed),
             cached_tokens: None,
-            prefill_wait: load.backlog.drain_time(speed, self.since_created(now)),
+            prefill_wait: match placement {
+                Placement::Home => Duration::ZERO,
+                Placement::Backlog => load.backlog.drain_time(speed, self.since_created(now)),
+            },
             suspect: load.suspect_until.is_some_and(|until| until > now)
                 || self.is_silent(&load, timeout, now),
         }
--- a/src/ingress/upstreams.rs
+++ b/src/ingress/upstreams.rs
@@ -23,7 +23,7 @@
     domain::{InstanceName, ServiceName},
     policy::{
         availability::MAX_LIST_LAG,
-        backlog::{self, DEFAULT_PREFILL_TOKENS_PER_SECOND, SentPrompt},
+        backlog::{self, DEFAULT_PREFILL_TOKENS_PER_SECOND, Placement, PromptMix, SentPrompt},
         overload::LoadShedder,
         route::{self, Reason, RouteRequest},
         silence::{Awaited, PauseTracker, ResponseTargets},
@@ -75,6 +75,8 @@
     prompt_tokens: f64,
     /// When the averages were last updated.
     updated: Instant,
+    /// Shared and new tokens of the prompts.
+    mix: PromptMix,
     /// Observed prefill speed.
     prefill: PrefillStats,
     /// Tracks the waits for first bytes to detect overload.
@@ -90,6 +92,7 @@
             in_flight: 0.0,
             prompt_tokens: 0.0,
             updated: now,
+            mix: PromptMix::default(),
             prefill: PrefillStats::default(),
             load_shedder: LoadShedder::default(),
             started: now,
@@ -408,11 +411,12 @@
         let speed = self.prefill_speed(service);
         let gateways = self.gateways.load();
         let usable: Vec<_> = untried(all, tried, &gateways, now).collect();
+        let placement = self.placement(service);
         let candidates: Vec<_> = usable
             .iter()
-            .map(|upstream| upstream.candidate(silence_timeout, speed, now))
+            .map(|upstream| upstream.candidate(placement, silence_timeout, speed, now))
             .collect();
-        let weights = backlog::routing_weights(speed);
+        let weights = backlog::routing_weights(placement, speed);
         let (chosen, reason) = route::choose_with_reason(req, &candidates, &weights)?;
         let upstream = Arc::clone(usable[chosen]);
         let prompt = upstream.record_send(new_tokens, speed, now);
@@ -420,6 +424,7 @@
         self.with_meter(service, |meter| {
             meter.count += 1;
             meter.prompt_tokens += f64::from(new_tokens) / METER_AVERAGING_TIME.as_secs_f64();
+            meter.mix.record(req.prompt_tokens, new_tokens);
         });
         Some(InFlightGuard {
             upstream,
@@ -520,6 +525,13 @@
         meters.iter_mut().map(load).collect()
     }
 
+    /// Returns how the prompts of a service are placed.
+    fn placement(&self, service: &ServiceName) -> Placement {
+        let meters = self.meters.lock().unwrap_or_else(PoisonError::into_inner);
+        let mix = meters.get(service).map(|meter| meter.mix);
+        mix.unwrap_or_default().placement()
+    }
+
     fn with_meter(&self, service: &ServiceName, change: impl FnOnce(&mut ServiceMeter)) {
         let now = Instant::now();
         let mut meters = self.meters.lock().unwrap_or_else(PoisonError::into_inner);
--- a/src/policy/backlog.rs
+++ b/src/policy/backlog.rs
@@ -33,8 +33,58 @@
 /// spent; the threshold grows linearly with the messages spent.
 const LENGTH_THRESHOLD_FACTOR: f64 = 4.0;
 
+/// Weight of the requests of a [`PromptMix`] from which it counts as known, reached after 32 of them.
+const MIN_MIX_WEIGHT: f64 = 0.145;
+/// Weight of a new request in the moving averages of a [`PromptMix`].
+const MIX_WEIGHT: f64 = 0.005;
+/// Shared fraction of the prompt tokens from which requests go to their homes: reading all shared
+/// parts again would then more than double the work of the engines.
+const HOME_SHARED_FRACTION: f64 = 0.5;
+
+/// How the engine for a prompt is chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Placement {
+    /// At the home of its shared parts, unless that is overloaded.
+    Home,
+    /// Where the prompts sent before leave the shortest wait.
+    Backlog,
+}
+
+/// Moving averages of the shared and the new prompt tokens of a service's requests.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PromptMix {
+    shared_tokens: f64,
+    new_tokens: f64,
+    /// Sum of the weights of the requests so far, which approaches one.
+    weight: f64,
+}
+
+impl PromptMix {
+    /// Records the prompt of a request.
+    pub fn record(&mut self, shared_tokens: u32, new_tokens: u32) {
+        let average = |mean: &mut f64, value: f64| *mean += (value - *mean) * MIX_WEIGHT;
+        average(&mut self.shared_tokens, f64::from(shared_tokens));
+        average(&mut self.new_tokens, f64::from(new_tokens));
+        average(&mut self.weight, 1.0);
+    }
+
+    /// Returns how the next prompt is placed. Until a few dozen prompts are known, they go to their
+    /// homes, because gateways that start at the same time know nothing of each other's prompts.
+    pub fn placement(&self) -> Placement {
+        let total = self.shared_tokens + self.new_tokens;
+        let is_known = self.weight >= MIN_MIX_WEIGHT;
+        match is_known && self.shared_tokens < HOME_SHARED_FRACTION * total {
+            true => Placement::Backlog,
+            false => Placement::Home,
+        }
+    }
+}
+
 /// Returns the routing weights for engines that prefill `speed` tokens per second.
-pub fn routing_weights(speed: f64) -> RoutingWeights {
+pub fn routing_weights(placement: Placement, speed: f64) -> RoutingWeights {
+    if placement == Placement::Home {
+        return RoutingWeights::default();
+    }
     RoutingWeights {
         ms_per_thousand_uncached_tokens: RECOMPUTE_COST_FACTOR * 1e6 / speed,
         ms_of_equal_cost: Some(EQUAL_COST_MS),
--- a/tests/policy_backlog.rs
+++ b/tests/policy_backlog.rs
@@ -1,17 +1,14 @@
 //! Placement of prompts on engines that prefill one prompt after the other: how many prompts begin
 //! in time if gateways know nothing of each other's prompts, and if they announce them.
 
-use std::{
-    collections::{BTreeMap, HashSet},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
 use flamingocroft::{
     domain::InstanceName,
     policy::{
         backlog::{
-            AnnouncementLimiter, Backlog, DEFAULT_PREFILL_TOKENS_PER_SECOND, SentPrompt,
-            routing_weights,
+            AnnouncementLimiter, Backlog, DEFAULT_PREFILL_TOKENS_PER_SECOND, Placement, PromptMix,
+            SentPrompt, routing_weights,
         },
         route::{Candidate, RouteRequest, choose},
     },
@@ -47,12 +44,58 @@
     /// Fraction of the time in which engines prefill.
     utilization: f64,
     sharing: Sharing,
+    prompts: Prompts,
+    /// How prompts are placed; by what the gateway has seen if `None`.
+    placement: Option<Placement>,
+}
+
+/// The prompts of a load.
+#[derive(Clone, Copy)]
+struct Prompts {
+    /// Number of distinct shared prefixes, and the tokens of each.
+    prefixes: (u64, u32),
+    /// Number of prefixes that an engine keeps; the least recently used one yields.
+    kept: usize,
+    /// Mean of the new tokens.
+    mean_new: f64,
+    draw_new: fn(&mut StdRng) -> u32,
 }
 
+/// Few prompts share much, and an engine keeps all prefixes.
+const MOSTLY_NEW: Prompts = Prompts {
+    prefixes: SHARED_PREFIXES,
+    kept: usize::MAX,
+    mean_new: MEAN_TOKENS,
+    draw_new: tokens,
+};
+/// Two thirds of each prompt are shared, and an engine keeps a fraction of the prefixes.
+const MOSTLY_SHARED: Prompts = Prompts {
+    prefixes: (400, 6_300),
+    kept: 60,
+    mean_new: 2_900.0,
+    draw_new: |rng| rng.random_range(1_900..3_900),
+};
+
 struct Engine {
     instance: InstanceName,
     free_at: f64,
-    cached_prefixes: HashSet<u64>,
+    /// The prefixes that it keeps, the least recently used one first.
+    cached_prefixes: Vec<u64>,
+}
+
+impl Engine {
+    /// Uses a prefix; returns whether it was kept.
+    fn use_prefix(&mut self, prefix: u64, kept: usize) -> bool {
+        let position = self.cached_prefixes.iter().position(|held| *held == prefix);
+        if let Some(position) = position {
+            self.cached_prefixes.remove(position);
+        }
+        self.cached_prefixes.push(prefix);
+        if self.cached_prefixes.len() > kept {
+            self.cached_prefixes.remove(0);
+        }
+        position.is_some()
+    }
 }
 
 /// A message to a gateway: the first event of one of its own prompts, or another gateway's
@@ -95,15 +138,16 @@
         .map(|i| Engine {
             instance: format!("engine-{i}").into(),
             free_at: 0.0,
-            cached_prefixes: HashSet::new(),
+            cached_prefixes: Vec::new(),
         })
         .collect();
     let mut backlogs = vec![vec![Backlog::default(); load.engines]; load.gateways];
     let mut limiters = vec![AnnouncementLimiter::default(); load.gateways];
     // Keyed by time in microseconds and a sequence number: the gateway, the engine and the message.
     let mut messages_due: BTreeMap<(u64, u64), (usize, usize, Message)> = BTreeMap::new();
-    let weights = routing_weights(TOKENS_PER_SECOND);
-    let per_second = load.utilization * TOKENS_PER_SECOND * load.engines as f64 / MEAN_TOKENS;
+    let mut mixes = vec![PromptMix::default(); load.gateways];
+    let prompts = load.prompts;
+    let per_second = load.utilization * TOKENS_PER_SECOND * load.engines as f64 / prompts.mean_new;
     let (mut now, mut counted, mut in_time, mut messages) = (0.0, 0_u32, 0_u32, 0_u32);
     let mut sequence = 0_u64;
     let at = |seconds: f64| (seconds * 1e6) as u64;
@@ -125,21 +169,28 @@
         }
         let time = Duration::from_micros(at(now));
         let gateway = rng.random_range(0..load.gateways);
-        let (new, home) = (tokens(&mut rng), rng.random_range(0..SHARED_PREFIXES.0));
+        let (new, home) = (
+            (prompts.draw_new)(&mut rng),
+            rng.random_range(0..prompts.prefixes.0),
+        );
         let req = RouteRequest {
             zone: "a".into(),
-            prompt_tokens: SHARED_PREFIXES.1,
+            prompt_tokens: prompts.prefixes.1,
             home,
         };
+        let placement = load.placement.unwrap_or_else(|| mixes[gateway].placement());
+        mixes[gateway].record(prompts.prefixes.1, new);
+        let weights = routing_weights(placement, TOKENS_PER_SECOND);
         let known_backlogs = match load.sharing {
+            _ if placement == Placement::Home => &vec![Backlog::default(); load.engines],
             Sharing::None => &vec![Backlog::default(); load.engines],
             Sharing::OwnOnly | Sharing::Announced => &backlogs[gateway],
         };
         let chosen = choose(&req, &candidates(&engines, known_backlogs, time), &weights).unwrap();
         let engine = &mut engines[chosen];
-        let recomputed = match engine.cached_prefixes.insert(home) {
-            true => SHARED_PREFIXES.1,
-            false => 0,
+        let recomputed = match engine.use_prefix(home, prompts.kept) {
+            true => 0,
+            false => prompts.prefixes.1,
         };
         let read = f64::from(new + recomputed) / TOKENS_PER_SECOND;
         engine.free_at = engine.free_at.max(now) + read;
@@ -184,6 +235,8 @@
                     engines,
                     utilization: 0.45,
                     sharing,
+                    prompts: MOSTLY_NEW,
+                    placement: Some(Placement::Backlog),
                 };
                 simulate(&load, seed)
             };
@@ -212,6 +265,48 @@
     }
 }
 
+/// Gateways start together and know nothing of each other's prompts. Engines prefill for 0.7 of their time if they
+/// read no shared prefix again, and for more than all of it if they read each one again.
+#[test]
+fn prompts_that_are_mostly_shared_are_not_scattered_over_engines() {
+    for (gateways, engines) in [(2, 12), (20, 30), (200, 60)] {
+        for seed in 0..3 {
+            let in_time = |placement| {
+                let load = Load {
+                    gateways,
+                    engines,
+                    utilization: 0.7,
+                    sharing: Sharing::Announced,
+                    prompts: MOSTLY_SHARED,
+                    placement,
+                };
+                simulate(&load, seed).0
+            };
+            let (observed, backlog) = (in_time(None), in_time(Some(Placement::Backlog)));
+            println!("{gateways} {seed}: observed {observed:.3} backlog {backlog:.3}");
+            assert!(
+                observed >= 0.5,
+                "{gateways} gateways, seed {seed}: {observed}"
+            );
+        }
+    }
+}
+
+#[test]
+fn the_placement_follows_the_shared_fraction_of_the_prompts() {
+    let mut mix = PromptMix::default();
+    assert_eq!(mix.placement(), Placement::Home, "nothing is known");
+    (0..31).for_each(|_| mix.record(1_000, 9_000));
+    assert_eq!(mix.placement(), Placement::Home, "few prompts are known");
+    mix.record(1_000, 9_000);
+    assert_eq!(mix.placement(), Placement::Backlog);
+    (0..2_000).for_each(|_| mix.record(6_000, 3_000));
+    assert_eq!(mix.placement(), Placement::Home);
+    let mut plain = PromptMix::default();
+    (0..1_000).for_each(|_| plain.record(0, 0));
+    assert_eq!(plain.placement(), Placement::Home, "no prompts");
+}
+
 #[test]
 fn a_first_event_clears_all_prompts_sent_before_it() {
     let second = Duration::from_secs;
