Do not call a token invalid before the first view

The check is now where the token is looked up, so that both refuse with 503, Retry-After and 'ran: no' until a view is there, and with 401 afterwards.

Evidence: a_gateway_without_a_view_calls_no_token_invalid failed with 401 for the resumed request before, and passes.

--- a/src/gateway/http/routes.rs
+++ b/src/gateway/http/routes.rs
@@ -159,15 +159,11 @@
 }
 
 /// Authenticates the caller and checks that this gateway accepts new work. The account is checked
-/// first, so that unauthenticated callers get no information; without a view there is no account to
-/// check.
+/// first, so that unauthenticated callers get no information.
 fn admit_caller<U: Upstreams, T: Clock>(
     gateway: &Gateway<U, T>,
     head: &RequestHead,
 ) -> Result<Caller, Refusal> {
-    if gateway.has_no_view() {
-        gateway.check_accepting()?;
-    }
     let account = authenticate(gateway, head)?;
     gateway.check_accepting()?;
     Ok(Caller {
@@ -176,11 +172,15 @@
     })
 }
 
-/// Returns the account of the request's bearer token.
+/// Returns the account of the request's bearer token. Without a view no token is known to be invalid,
+/// so the request is refused for the missing lease.
 pub(super) fn authenticate<U: Upstreams, T: Clock>(
     gateway: &Gateway<U, T>,
     head: &RequestHead,
 ) -> Result<Arc<AccountEntry>, Refusal> {
+    if gateway.has_no_view() {
+        gateway.check_lease()?;
+    }
     let snapshot = gateway.snapshot.load();
     head.token_hash()
         .and_then(|hash| snapshot.account_by_token_hash(&hash).cloned())
--- a/tests/gateway_view.rs
+++ b/tests/gateway_view.rs
@@ -8,6 +8,7 @@
     http::{Call, Events},
     instance, intent, shares,
 };
+use uuid::Uuid;
 
 async fn status(bench: &Bench, path: &str) -> u16 {
     Call::get(path).send(bench.address(0)).await.status
@@ -52,6 +53,39 @@
     assert_eq!(reply.status, 200);
 }
 
+/// A caller that resumes a stream at a gateway that was just started must come back, not give up.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gateway_without_a_view_calls_no_token_invalid() {
+    let mut bench = Bench::start(Options {
+        gateways: 0,
+        ..Options::default()
+    })
+    .await;
+    bench.leader.set_silent(true);
+    bench.add_gateway(0).await;
+    let resume = || Call::resume(&Uuid::now_v7().to_string(), None);
+    let calls = [
+        ("resume", resume()),
+        ("complete", Call::complete("p", 1, false)),
+        ("service", Call::get("/v1/services/depot/piles/7")),
+    ];
+    for (what, call) in calls {
+        let reply = call.send(bench.address(0)).await;
+        assert_eq!(reply.status, 503, "{what}: {}", reply.text);
+        assert_eq!(
+            reply.error(),
+            ("no_lease".to_owned(), "no".to_owned()),
+            "{what}"
+        );
+        assert!(reply.header("retry-after").is_some(), "{what}");
+    }
+    bench.leader.set_silent(false);
+    bench.wait_until_ready().await;
+    assert_eq!(resume().send(bench.address(0)).await.status, 404);
+    let invalid = resume().token(Some("no such token"));
+    assert_eq!(invalid.send(bench.address(0)).await.status, 401);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_lease_takes_effect_only_with_the_view_that_it_requires() {
     let bench = Bench::start(Options::default()).await;
