Forget limits of unlisted upstreams only after a complete list

Cause: a controller that led before holds an old list. Each report of a limit of an upstream that this list lacks was recorded, dropped again and so counted as a change each time: a log line and a wake-up of all gateways for each poll. Found by reading.

--- a/src/controller/list_history.rs
+++ b/src/controller/list_history.rs
@@ -58,7 +58,6 @@
     /// Replaces the list with one that was just read. Returns whether it differs from the previous one.
     pub fn replace(&mut self, term: u64, mut rows: Vec<UpstreamRow>) -> bool {
         rows.sort_unstable_by(|a, b| a.instance.cmp(&b.instance));
-        self.stated_limits.retain_listed(&rows);
         for row in &mut rows {
             row.reported_leaving = self.leaving_reports.contains_key(&row.instance);
             row.requests_per_1000_s = self.stated_limits.listed(&row.instance);
@@ -135,6 +134,11 @@
         with_limit.collect()
     }
 
+    /// Forgets the limits of upstreams that are not in the list, which must have been read completely.
+    pub fn forget_unlisted_limits(&mut self) {
+        self.stated_limits.retain_listed(&self.list.rows);
+    }
+
     /// Applies what gateways reported to the rows of the list. Returns whether this changed the list.
     fn refresh(&mut self) -> bool {
         let version = self.list.version;
--- a/src/controller/list_reader.rs
+++ b/src/controller/list_reader.rs
@@ -118,7 +118,9 @@
     followers
         .upstream_list_mut()
         .expire_leaving_reports(core.now());
-    if !followers.upstream_list_mut().replace(term, rows) {
+    let changed = followers.upstream_list_mut().replace(term, rows);
+    followers.upstream_list_mut().forget_unlisted_limits();
+    if !changed {
         return;
     }
     let list = followers.upstream_list();
--- a/src/controller/stated_limits.rs
+++ b/src/controller/stated_limits.rs
@@ -10,7 +10,7 @@
 /// Least time between two changes of one upstream's limit in the list. Every change is sent to all gateways, so an
 /// upstream that states another limit with each response must not cause a change each time.
 const MIN_CHANGE_INTERVAL: Duration = Duration::from_millis(500);
-/// Upstreams whose statements are kept; a controller that does not lead does not know which are still listed.
+/// Upstreams whose statements are kept. A controller that does not lead cannot tell which are still listed.
 const MAX_UPSTREAMS: usize = 4096;
 
 /// The newest statement of each upstream that ever stated a limit.
--- a/src/policy/rate_limit.rs
+++ b/src/policy/rate_limit.rs
@@ -131,14 +131,14 @@
             }
         };
         self.is_listed &= !is_newer;
-        self.changed_since(before)
+        self.finish_change(before)
     }
 
     /// Applies the limit in the list. Returns whether that changes the limit in force.
     pub fn apply_list(&mut self, listed: Option<f64>) -> bool {
         let before = self.current();
         self.listed = listed;
-        self.changed_since(before)
+        self.finish_change(before)
     }
 
     /// Applies that the leader's list includes what gateways knew at `reported`. Returns whether that
@@ -147,10 +147,11 @@
         let before = self.current();
         let is_known = |stated: &Statement| reported >= stated.received + LIST_DELAY;
         self.is_listed |= self.stated.as_ref().is_some_and(is_known);
-        self.changed_since(before)
+        self.finish_change(before)
     }
 
-    fn changed_since(&mut self, before: Option<f64>) -> bool {
+    /// Drops the bucket if no limit is in force any more. Returns whether the limit changed.
+    fn finish_change(&mut self, before: Option<f64>) -> bool {
         let current = self.current();
         if current.is_none() {
             self.bucket = None;
--- a/tests/controller_followers.rs
+++ b/tests/controller_followers.rs
@@ -500,6 +500,21 @@
     assert!(update.is_delta);
 }
 
+/// A controller that led before holds an old list, and each change wakes all gateways that follow it.
+#[test]
+fn the_limit_of_an_unlisted_upstream_is_no_change_each_time_it_is_reported() {
+    let mut followers = Followers::default();
+    followers
+        .upstream_list_mut()
+        .replace(3, vec![UpstreamRow::default()]);
+    let changes = (0..10).map(|i| {
+        let stated = limit_report(Some(3_000), 0);
+        let list = followers.upstream_list_mut();
+        list.record_limits(at(1_000 * i), &stated).len()
+    });
+    assert_eq!(changes.sum::<usize>(), 1);
+}
+
 /// Each change of the list is sent to all gateways.
 #[test]
 fn an_upstream_that_states_another_limit_each_time_changes_the_list_rarely() {
