Check an upstream's availability and limit under one lock, and return changed limits once

Choosing an upstream locked each one twice, also without any limit. The controllers' book of limits returned names, which its caller looked up again. Behaviour is unchanged: controller_followers, platform_limit, platform_path and platform_connections pass, and the linter.

--- a/src/controller/list_history.rs
+++ b/src/controller/list_history.rs
@@ -127,11 +127,7 @@
         if !changed.is_empty() {
             self.refresh();
         }
-        let with_limit = changed.into_iter().map(|instance| {
-            let limit = self.stated_limits.listed(&instance);
-            (instance, limit)
-        });
-        with_limit.collect()
+        changed
     }
 
     /// Forgets the limits of upstreams that are not in the list, which must have been read completely.
--- a/src/controller/stated_limits.rs
+++ b/src/controller/stated_limits.rs
@@ -42,8 +42,13 @@
 }
 
 impl StatedLimits {
-    /// Merges the statements that a gateway reports. Returns the upstreams whose limits in the list changed.
-    pub fn record(&mut self, now: Duration, reports: &[UpstreamLimitReport]) -> Vec<String> {
+    /// Merges the statements that a gateway reports. Returns the upstreams whose limits in the list changed, each with
+    /// its requests per 1,000 seconds.
+    pub fn record(
+        &mut self,
+        now: Duration,
+        reports: &[UpstreamLimitReport],
+    ) -> Vec<(String, Option<u64>)> {
         for report in reports {
             if !self.upstreams.contains_key(&report.instance) {
                 self.make_room();
@@ -51,10 +56,10 @@
             let known = self.upstreams.entry(report.instance.clone()).or_default();
             known.statement.update(report.statement(now));
         }
-        let changed = self
-            .upstreams
-            .iter_mut()
-            .filter_map(|(instance, known)| known.refresh(now).then(|| instance.clone()));
+        let changed = self.upstreams.iter_mut().filter_map(|(instance, known)| {
+            let is_changed = known.refresh(now);
+            is_changed.then(|| (instance.clone(), known.listed))
+        });
         changed.collect()
     }
 
--- a/src/ingress/upstream.rs
+++ b/src/ingress/upstream.rs
@@ -89,6 +89,25 @@
     place: Option<(u64, Place)>,
 }
 
+impl Load {
+    fn check_limit(
+        &mut self,
+        upstream: &InstanceName,
+        gateways: &GatewaySet,
+        now: Duration,
+    ) -> Result<(), Option<Duration>> {
+        if self.limit.current().is_none() {
+            return Ok(());
+        }
+        let place = match self.place {
+            Some((version, place)) if version == gateways.version => place,
+            _ => gateways.place(upstream),
+        };
+        self.place = Some((gateways.version, place));
+        self.limit.check(place, now)
+    }
+}
+
 impl Upstream {
     /// Creates an upstream from a row of the list; returns `None` if the row has no valid address.
     pub(super) fn new(row: &UpstreamRow) -> Option<Self> {
@@ -169,16 +188,8 @@
         now: Instant,
     ) -> Result<(), Option<Duration>> {
         let now = self.since_created(now);
-        let mut load = self.load();
-        if load.limit.current().is_none() {
-            return Ok(());
-        }
-        let place = match load.place {
-            Some((version, place)) if version == gateways.version => place,
-            _ => gateways.place(&self.target.instance),
-        };
-        load.place = Some((gateways.version, place));
-        load.limit.check(place, now)
+        self.load()
+            .check_limit(&self.target.instance, gateways, now)
     }
 
     /// Returns whether the upstream announced recently that it is leaving, so that the list may not show it
@@ -238,11 +249,12 @@
 
     /// Returns whether the upstream may get a request now.
     pub(super) fn accepts_work(&self, gateways: &GatewaySet, now: Instant) -> bool {
-        let is_available = self
-            .load()
-            .availability
-            .is_available(self.since_created(now));
-        is_available && self.check_limit(gateways, now).is_ok()
+        let now = self.since_created(now);
+        let mut load = self.load();
+        load.availability.is_available(now)
+            && load
+                .check_limit(&self.target.instance, gateways, now)
+                .is_ok()
     }
 
     /// Returns whether the upstream is leaving and gets no new work.
