Run the cloud polls and the placement with the loop that other rounds use

instance_poller and placement_runner had each written the ticking loop of periodic::run_periodically again. Behaviour is unchanged: a round at once and then after each interval, dropped when the token is cancelled.

--- a/src/controller/instance_poller.rs
+++ b/src/controller/instance_poller.rs
@@ -5,10 +5,10 @@
     sync::Arc,
 };
 
-use tokio::time::{MissedTickBehavior, interval, timeout};
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
-use super::core::Core;
+use super::{core::Core, periodic::run_periodically};
 use crate::{
     domain::{InstanceState, Purchase},
     ports::{Clock, CloudApi, InstanceListing, ReclaimNotice},
@@ -138,23 +138,16 @@
     cloud: Arc<C>,
     stop: CancellationToken,
 ) {
-    let mut tracker = InstanceTracker::default();
-    let mut tick = interval(core.settings.timing.cloud_poll);
-    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        tokio::select! {
-            _ = tick.tick() => {}
-            () = stop.cancelled() => return,
-        }
+    let tracker = InstanceTracker::default();
+    let poll_interval = core.settings.timing.cloud_poll;
+    run_periodically(poll_interval, &stop, tracker, |mut tracker| async {
         if !core.leads() {
-            tracker = InstanceTracker::default();
-            continue;
-        }
-        tokio::select! {
-            () = poll(&core, &*cloud, &mut tracker) => {}
-            () = stop.cancelled() => return,
+            return InstanceTracker::default();
         }
-    }
+        poll(&core, &*cloud, &mut tracker).await;
+        tracker
+    })
+    .await;
 }
 
 async fn poll<T: Clock, C: CloudApi>(core: &Core<T>, cloud: &C, tracker: &mut InstanceTracker) {
--- a/src/controller/placement_runner.rs
+++ b/src/controller/placement_runner.rs
@@ -4,12 +4,13 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use sha2::{Digest, Sha256};
-use tokio::time::{MissedTickBehavior, interval, timeout};
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 use super::{
     convert,
     core::Core,
+    periodic::run_periodically,
     placement::{self, CurrentInstances, Steps},
 };
 use crate::{
@@ -71,22 +72,15 @@
     upstreams: Arc<U>,
     stop: CancellationToken,
 ) {
-    let mut runner = PlacementRunner::default();
-    let mut tick = interval(core.settings.timing.cloud_poll);
-    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        tokio::select! {
-            _ = tick.tick() => {}
-            () = stop.cancelled() => return,
+    let runner = PlacementRunner::default();
+    let poll_interval = core.settings.timing.cloud_poll;
+    run_periodically(poll_interval, &stop, runner, |mut runner| async {
+        if core.leads_with_instance_list() {
+            runner.run_round(&core, &*cloud, &*upstreams).await;
         }
-        if !core.leads_with_instance_list() {
-            continue;
-        }
-        tokio::select! {
-            () = runner.run_round(&core, &*cloud, &*upstreams) => {}
-            () = stop.cancelled() => return,
-        }
-    }
+        runner
+    })
+    .await;
 }
 
 impl PlacementRunner {
