--- a/src/ingress/forward/mod.rs
+++ b/src/ingress/forward/mod.rs
@@ -306,7 +306,7 @@
     /// Like [`Self::error_unless_run`], but reports when an upstream accepts requests again if all of them asked
     /// for a pause or limit their requests.
     fn error_or_pause(&self, reason: NotRun, now: Instant) -> RequestError {
-        let closed = self.core.upstreams.closed_until(&self.service, now);
+        let closed = self.core.upstreams.why_closed(&self.service, now);
         self.error_unless_run(closed.unwrap_or(reason))
     }
 
--- a/src/ingress/upstreams.rs
+++ b/src/ingress/upstreams.rs
@@ -291,7 +291,7 @@
 
     /// Returns why a request cannot be sent yet, if all upstreams of a service that are not leaving asked for a
     /// pause or limit their requests; the first one accepts a request after the time returned.
-    pub(super) fn closed_until(&self, service: &ServiceName, now: Instant) -> Option<NotRun> {
+    pub(super) fn why_closed(&self, service: &ServiceName, now: Instant) -> Option<NotRun> {
         let services = self.services.load();
         let gateways = self.gateways.load();
         let staying = services.get(service)?.iter();
--- a/tests/gateway_view.rs
+++ b/tests/gateway_view.rs
@@ -32,8 +32,8 @@
     used
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn a_gateway_serves_nothing_before_its_first_leased_view() {
+/// Starts a gateway whose leader is silent.
+async fn start_without_view() -> Bench {
     let mut bench = Bench::start(Options {
         gateways: 0,
         ..Options::default()
@@ -41,6 +41,12 @@
     .await;
     bench.leader.set_silent(true);
     bench.add_gateway(0).await;
+    bench
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gateway_serves_nothing_before_its_first_leased_view() {
+    let bench = start_without_view().await;
     let reply = Call::complete("p", 1, false).send(bench.address(0)).await;
     assert_eq!(reply.error(), ("no_lease".to_owned(), "no".to_owned()));
     assert_eq!(status(&bench, "/readyz").await, 503);
@@ -56,13 +62,7 @@
 /// A caller that resumes a stream at a gateway that was just started must come back, not give up.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_gateway_without_a_view_calls_no_token_invalid() {
-    let mut bench = Bench::start(Options {
-        gateways: 0,
-        ..Options::default()
-    })
-    .await;
-    bench.leader.set_silent(true);
-    bench.add_gateway(0).await;
+    let bench = start_without_view().await;
     let resume = || Call::resume(&Uuid::now_v7().to_string(), None);
     let calls = [
         ("resume", resume()),
--- a/tests/platform_connections.rs
+++ b/tests/platform_connections.rs
@@ -40,15 +40,7 @@
     // The limit is checked between reads, so a head that arrives in a single read may be somewhat larger.
     let large = "x".repeat(40_000);
     let headers = [("host", "depot.example"), ("x-large", &*large)];
-    let res = call(
-        installation.caller_address,
-        Method::GET,
-        "/safe/x",
-        &headers,
-        "",
-    )
-    .await
-    .unwrap();
+    let res = installation.get("/safe/x", &headers).await;
     assert_eq!(res.status, StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
     assert!(installation.log.requests().is_empty());
 }
--- a/tests/platform_metrics.rs
+++ b/tests/platform_metrics.rs
@@ -5,7 +5,7 @@
 
 use hyper::{Method, StatusCode};
 use metric_text::value;
-use platform_support::{Installation, ServerAction, call, document, wait_until};
+use platform_support::{Installation, ServerAction, document, wait_until};
 
 #[tokio::test]
 async fn requests_are_counted_by_class_account_and_outcome() {
@@ -36,15 +36,7 @@
         assert_eq!(res.status, status, "{path}");
     }
     let headers = [("host", "depot.example"), ("authorization", "Bearer wrong")];
-    call(
-        installation.caller_address,
-        Method::GET,
-        "/safe/x",
-        &headers,
-        "",
-    )
-    .await
-    .unwrap();
+    installation.get("/safe/x", &headers).await;
     let text = installation.metrics[1].render();
     let of = |class: &str, outcome: &str| {
         let line = format!("ingress_requests_total{{class=\"{class}\",outcome=\"{outcome}\"}}");
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -65,15 +65,7 @@
         ("x-only-here", "1"),
         ("x-kept", "1"),
     ];
-    call(
-        installation.caller_address,
-        Method::GET,
-        "/safe/x",
-        &headers,
-        "",
-    )
-    .await
-    .unwrap();
+    installation.get("/safe/x", &headers).await;
     let seen = &installation.log.requests()[0].headers;
     assert_eq!(seen["x-flamingocroft-tenant"], "depot");
     for name in [
@@ -95,15 +87,7 @@
     let res = installation.send(Method::GET, "/nowhere/x", "r1", "").await;
     assert_eq!(res.status, StatusCode::NOT_FOUND);
     let headers = [("host", "depot.example"), ("authorization", "Bearer wrong")];
-    let res = call(
-        installation.caller_address,
-        Method::GET,
-        "/safe/x",
-        &headers,
-        "",
-    )
-    .await
-    .unwrap();
+    let res = installation.get("/safe/x", &headers).await;
     assert_eq!(res.status, StatusCode::UNAUTHORIZED);
     let res = installation
         .send(Method::POST, "/once/x", "r2", &"x".repeat(70_000))
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -312,6 +312,13 @@
         Self::send_to(self.caller_address, method, path, id, body).await
     }
 
+    /// Sends a `GET` request with the given headers only through the gateway.
+    pub async fn get(&self, path: &str, headers: &[(&str, &str)]) -> Answer {
+        call(self.caller_address, Method::GET, path, headers, "")
+            .await
+            .expect("no response")
+    }
+
     /// Sends a request with the API key through the gateway at an address.
     pub async fn send_to(
         gateway: SocketAddr,
