Log what shows the end of an answer

The relay takes the same value in place of a flag. No behaviour changes, but that the pauses within a failure's body are no longer measured as pauses between events.

--- a/src/ingress/forward/response.rs
+++ b/src/ingress/forward/response.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use futures_util::future::BoxFuture;
-use hyper::{Response, StatusCode, header};
+use hyper::{Response, StatusCode};
 use tokio::time::{Instant, sleep};
 
 use super::{ForwardedRequest, attempt::AcceptedResponse, millis};
@@ -12,7 +12,7 @@
     ingress::{
         events::EventSplitter,
         headers::without_connection_headers,
-        relay::{Relay, RelayContext, Resume, ResumeState, Resumed},
+        relay::{Framing, Relay, RelayContext, Resume, ResumeState, Resumed},
         upstreams::InFlightGuard,
     },
     ports::{Clock, Platform},
@@ -70,14 +70,14 @@
     /// Builds the response for the caller, whose body resumes itself if the route allows it.
     pub(super) fn into_response(self, accepted: AcceptedResponse) -> Response<Relay> {
         let AcceptedResponse { head, source } = accepted;
-        self.record_response(head.status, &source.in_flight);
+        let framing = Framing::of(&head, &source.body);
+        self.record_response(head.status, framing, &source.in_flight);
         let (deadline, id) = (self.deadline, self.id().to_owned());
         let context = RelayContext {
             account: self.metrics.clone(),
             arrived: self.arrived,
-            is_stream: self.route.class.is_stream(),
-            has_no_length: head.status.is_success()
-                && !head.headers.contains_key(header::CONTENT_LENGTH),
+            is_stream: self.route.class.is_stream() && head.status.is_success(),
+            framing,
             response_targets: self.response_targets(),
             traits: Arc::clone(&self.traits),
             crashes: Arc::clone(&self.core.crashes),
@@ -85,7 +85,7 @@
         // A resumed stream could not keep to a length that was announced.
         let can_resume = self.route.class == RequestClass::ResumableStream
             && head.status.is_success()
-            && !head.headers.contains_key(header::CONTENT_LENGTH);
+            && framing != Framing::Length;
         let resumable = can_resume.then(|| ResumeState {
             events: EventSplitter::resume_after(self.facts.resume_after),
             resume: Box::new(self),
@@ -97,7 +97,7 @@
     }
 
     /// Counts and logs a request that got an upstream's response.
-    fn record_response(&self, status: StatusCode, in_flight: &InFlightGuard) {
+    fn record_response(&self, status: StatusCode, framing: Framing, in_flight: &InFlightGuard) {
         let duration = self.arrived.elapsed();
         self.metrics.record_first_token(duration);
         let (level, outcome, message) = match status.is_success() {
@@ -117,7 +117,8 @@
             level,
             event = "request.answered", request = self.id(), route = &*self.route.name,
             upstream:% = in_flight.upstream.target.instance, status = status.as_u16(),
-            attempt = self.tried.len(), choice = in_flight.reason.name(), ms = millis(duration);
+            attempt = self.tried.len(), choice = in_flight.reason.name(), framing:? = framing,
+            ms = millis(duration);
             "ingress: {message}"
         );
     }
--- a/src/ingress/relay.rs
+++ b/src/ingress/relay.rs
@@ -11,7 +11,11 @@
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::{
+    body::{Body, Frame, Incoming, SizeHint},
+    header,
+    http::response::Parts,
+};
 use tokio::time::{Instant, Sleep, sleep_until};
 
 use super::{
@@ -25,6 +29,30 @@
     telemetry::AccountMetrics,
 };
 
+/// What shows the end of an upstream's response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Framing {
+    /// A length, which hyper checks, or a response that has no body.
+    Length,
+    /// Chunks, the last of which hyper expects.
+    Chunks,
+    /// Only the end of the connection, which looks the same if the upstream crashed.
+    Connection,
+}
+
+impl Framing {
+    /// Returns the framing of a response.
+    pub(super) fn of(head: &Parts, body: &Incoming) -> Self {
+        if body.size_hint().exact().is_some() {
+            return Self::Length;
+        }
+        match head.headers.contains_key(header::TRANSFER_ENCODING) {
+            true => Self::Chunks,
+            false => Self::Connection,
+        }
+    }
+}
+
 /// Why a body ended prematurely. The connection to the caller is then closed without a proper end of body.
 type RelayError = Box<dyn Error + Send + Sync>;
 
@@ -81,9 +109,8 @@
     pub(super) arrived: Instant,
     /// Whether the response is an event stream, whose pauses between events are measured.
     pub(super) is_stream: bool,
-    /// Whether the end of the response shows only by its connection or its chunks, so that a stream is complete only
-    /// after a complete event.
-    pub(super) has_no_length: bool,
+    /// What shows the end of the response.
+    pub(super) framing: Framing,
     /// The latency targets of the request's route.
     pub(super) response_targets: ResponseTargets,
     pub(super) traits: Arc<RequestTraits>,
@@ -140,7 +167,8 @@
                 .silence_timeout(Awaited::Next, &context.response_targets);
             Instant::now() + timeout
         });
-        let is_bounded = context.is_stream && context.has_no_length && resumable.is_none();
+        let is_bounded =
+            context.is_stream && context.framing != Framing::Length && resumable.is_none();
         Self(Some(Box::new(Passing {
             boundary: is_bounded.then(EventBoundary::new),
             id,
