--- a/tests/platform_support/raw.rs
+++ b/tests/platform_support/raw.rs
@@ -33,6 +33,20 @@
     NoLength,
     /// Like [`Self::NoLength`], but the connection is reset in the middle of the response.
     NoLengthReset,
+    /// A stream of [`EVENTS`] events, from the one after `Last-Event-Id`, that ends like [`Self::NoLength`].
+    NoLengthStream,
+    /// Like [`Self::NoLengthStream`], but the connection is reset after the last event.
+    NoLengthStreamReset,
+    /// Like [`Self::NoLengthStream`], but the stream stays open after the last event.
+    NoLengthStreamOpen,
+}
+
+/// Number of events of a raw server's stream.
+pub const EVENTS: u64 = 3;
+
+/// Returns the text of the event with an identifier.
+pub fn event(id: u64) -> String {
+    format!("id: {id}\ndata: piece {id}\n\n")
 }
 
 /// A server that records the bytes received over each of its connections.
@@ -119,9 +133,16 @@
         at += end + 4 + length;
         let own = answer(&id, &format!("answer to {id}"));
         let foreign = answer("other", "answer to another");
+        let after = header(head, "last-event-id:").map_or(0, |id| id.parse().unwrap());
+        let body = match behavior {
+            RawBehavior::NoLengthStream
+            | RawBehavior::NoLengthStreamReset
+            | RawBehavior::NoLengthStreamOpen => (after + 1..=EVENTS).map(event).collect(),
+            _ => format!("answer to {id}"),
+        };
         let without_length = format!(
             "HTTP/1.1 200 OK\r\nX-Flamingocroft-Request-Id: {id}\r\n\
-             X-Flamingocroft-Response-Seal: seal\r\n\r\nanswer to {id}"
+             X-Flamingocroft-Response-Seal: seal\r\n\r\n{body}"
         );
         let sent = match behavior {
             RawBehavior::Correct => stream.write_all(own.as_bytes()).await,
@@ -143,11 +164,17 @@
                 }
                 sent
             }
-            RawBehavior::NoLength => {
+            RawBehavior::NoLength | RawBehavior::NoLengthStream => {
+                let _ = stream.write_all(without_length.as_bytes()).await;
+                return;
+            }
+            RawBehavior::NoLengthStreamOpen => {
                 let _ = stream.write_all(without_length.as_bytes()).await;
+                // Waits until the caller closes the connection.
+                let _ = stream.read(&mut buf).await;
                 return;
             }
-            RawBehavior::NoLengthReset => {
+            RawBehavior::NoLengthReset | RawBehavior::NoLengthStreamReset => {
                 let _ = stream.write_all(without_length.as_bytes()).await;
                 sleep(SEND_DELAY).await;
                 // Closing a socket with zero linger resets the connection.
