Pass on what shows the end of an answer, instead of framing every end as complete

Cause: an answer with neither a length nor chunks ends with its connection, and a connection is also closed when its server crashes. The class: knowledge of an answer's end is lost where an answer is framed again.

Change: the framing of an upstream's response travels with its body. An answer that ends with its connection is sent on in the same form, which hyper does for HTTP/1.0, and its connection is reset if the answer breaks off or the gateway is killed, so that only an end that the upstream itself made looks like one. A stream that began in chunks and whose rest ended only with a connection is cut off.

--- a/src/adapters/http/caller.rs
+++ b/src/adapters/http/caller.rs
@@ -8,9 +8,11 @@
     pin::Pin,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     task::{Context, Poll, Waker, ready},
+    time::Duration,
 };
 
 use hyper::body::{Body, Frame, SizeHint};
+use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -40,6 +42,8 @@
     since: Instant,
     /// Waker of the reading task, which has no timeout during a request.
     reader: Option<Waker>,
+    /// Whether only the end of the connection shows the end of the response.
+    ends_response: bool,
 }
 
 impl Progress {
@@ -48,9 +52,15 @@
             phase: Phase::Idle,
             since: Instant::now(),
             reader: None,
+            ends_response: false,
         })))
     }
 
+    /// Marks that only the end of the connection shows the end of the response.
+    pub(super) fn end_response_with_connection(&self) {
+        self.lock().ends_response = true;
+    }
+
     /// Marks that a request head is complete. The request ends when the returned guard is dropped.
     pub(super) fn begin_request(&self) -> RequestGuard {
         self.lock().enter(Phase::Request);
@@ -126,6 +136,8 @@
     /// Returns the current timeouts.
     options: Arc<O>,
     timer: Option<Pin<Box<Sleep>>>,
+    /// Whether the connection is reset when it ends before the response is complete.
+    resets: bool,
 }
 
 impl<O: Fn() -> ServerOptions> CallerStream<O> {
@@ -135,6 +147,7 @@
             progress,
             options,
             timer: None,
+            resets: false,
         }
     }
 
@@ -194,12 +207,29 @@
     }
 }
 
+impl<O> CallerStream<O> {
+    /// Sets that the end of the connection resets it before the first byte of a response that ends with it. A caller
+    /// then sees that the response is incomplete, also if the process is killed.
+    fn prepare_write(&mut self) -> io::Result<()> {
+        if self.resets || !self.progress.lock().ends_response {
+            return Ok(());
+        }
+        self.resets = true;
+        self.set_linger(Some(Duration::ZERO))
+    }
+
+    fn set_linger(&self, linger: Option<Duration>) -> io::Result<()> {
+        SockRef::from(&self.io).set_linger(linger)
+    }
+}
+
 impl<O> AsyncWrite for CallerStream<O> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.prepare_write()?;
         Pin::new(&mut self.io).poll_write(cx, buf)
     }
 
@@ -208,6 +238,11 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // hyper shuts the connection down only after a complete response.
+        if std::mem::take(&mut self.resets) {
+            self.progress.lock().ends_response = false;
+            self.set_linger(None)?;
+        }
         Pin::new(&mut self.io).poll_shutdown(cx)
     }
 
@@ -220,6 +255,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.prepare_write()?;
         Pin::new(&mut self.io).poll_write_vectored(cx, bufs)
     }
 }
--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -19,6 +19,7 @@
     Client, PooledConnection, Reuse, StreamingResponse, get_request, post_request,
 };
 pub use cloud::HttpCloud;
+pub(crate) use server::EndsWithConnection;
 pub use server::{ServerOptions, serve};
 pub use upstreams::HttpUpstreams;
 pub use weights::HttpWeights;
--- a/src/adapters/http/server.rs
+++ b/src/adapters/http/server.rs
@@ -3,8 +3,9 @@
 use std::{convert::Infallible, error::Error, future::Future, sync::Arc, time::Duration};
 
 use hyper::{
-    Request, Response,
+    Request, Response, Version,
     body::{Body, Incoming},
+    header::{self, HeaderValue},
     server::conn::http1,
     service::{Service, service_fn},
 };
@@ -22,6 +23,11 @@
 /// Minimum read buffer size that hyper accepts, in bytes.
 const MIN_HYPER_BUFFER_BYTES: usize = 8192;
 
+/// Extension of a response without a known end: it is sent without a length or chunks, and ends with its connection.
+/// If it breaks off, the connection is reset.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct EndsWithConnection;
+
 /// Limits on the connections of a server.
 #[derive(Clone, Debug)]
 pub struct ServerOptions {
@@ -130,8 +136,16 @@
     let service = service_fn(move |req| {
         let request = progress.begin_request();
         let response = service.call(req);
+        let progress = progress.clone();
         async move {
-            let res = response.await?;
+            let mut res = response.await?;
+            if res.extensions().get::<EndsWithConnection>().is_some() {
+                progress.end_response_with_connection();
+                // hyper sends chunks unless the response is one of HTTP/1.0.
+                *res.version_mut() = Version::HTTP_10;
+                let close = HeaderValue::from_static("close");
+                res.headers_mut().insert(header::CONNECTION, close);
+            }
             Ok::<_, Infallible>(res.map(|body| GuardedBody::new(body, request)))
         }
     });
--- a/src/ingress/forward/attempt.rs
+++ b/src/ingress/forward/attempt.rs
@@ -14,7 +14,7 @@
     ingress::{
         errors::{Failure, NotRun},
         headers::means_not_run,
-        relay::{UpstreamBody, liveness_check_interval},
+        relay::{Framing, UpstreamBody, liveness_check_interval},
         upstream::Upstream,
         upstreams::InFlightGuard,
     },
@@ -190,12 +190,13 @@
         upstream.record_activity(now);
         let (head, body) = response.res.into_parts();
         Ok(AcceptedResponse {
-            head,
             source: UpstreamBody {
+                framing: Framing::of(&head, &body),
                 body,
                 lease: response.connection,
                 in_flight,
             },
+            head,
         })
     }
 
--- a/src/ingress/forward/response.rs
+++ b/src/ingress/forward/response.rs
@@ -8,6 +8,7 @@
 
 use super::{ForwardedRequest, attempt::AcceptedResponse, millis};
 use crate::{
+    adapters::http::EndsWithConnection,
     domain::RequestClass,
     ingress::{
         events::EventSplitter,
@@ -70,14 +71,13 @@
     /// Builds the response for the caller, whose body resumes itself if the route allows it.
     pub(super) fn into_response(self, accepted: AcceptedResponse) -> Response<Relay> {
         let AcceptedResponse { head, source } = accepted;
-        let framing = Framing::of(&head, &source.body);
+        let framing = source.framing;
         self.record_response(head.status, framing, &source.in_flight);
         let (deadline, id) = (self.deadline, self.id().to_owned());
         let context = RelayContext {
             account: self.metrics.clone(),
             arrived: self.arrived,
             is_stream: self.route.class.is_stream() && head.status.is_success(),
-            framing,
             response_targets: self.response_targets(),
             traits: Arc::clone(&self.traits),
             crashes: Arc::clone(&self.core.crashes),
@@ -93,6 +93,9 @@
         let mut res = Response::new(Relay::new(source, resumable, deadline, id, context));
         *res.status_mut() = head.status;
         *res.headers_mut() = without_connection_headers(head.headers);
+        if framing == Framing::Connection {
+            res.extensions_mut().insert(EndsWithConnection);
+        }
         res
     }
 
--- a/src/ingress/relay.rs
+++ b/src/ingress/relay.rs
@@ -77,6 +77,8 @@
 #[derive(Debug)]
 pub(super) struct UpstreamBody {
     pub(super) body: Incoming,
+    /// What shows the end of the body.
+    pub(super) framing: Framing,
     pub(super) lease: PooledConnection,
     pub(super) in_flight: InFlightGuard,
 }
@@ -109,8 +111,6 @@
     pub(super) arrived: Instant,
     /// Whether the response is an event stream, whose pauses between events are measured.
     pub(super) is_stream: bool,
-    /// What shows the end of the response.
-    pub(super) framing: Framing,
     /// The latency targets of the request's route.
     pub(super) response_targets: ResponseTargets,
     pub(super) traits: Arc<RequestTraits>,
@@ -121,6 +121,8 @@
 struct Passing {
     id: String,
     context: RelayContext,
+    /// The framing that the head announced to the caller.
+    announced: Framing,
     /// Whether a frame was relayed.
     has_begun: bool,
     /// Frames that the current upstream has sent.
@@ -168,13 +170,14 @@
             Instant::now() + timeout
         });
         let is_bounded =
-            context.is_stream && context.framing != Framing::Length && resumable.is_none();
+            context.is_stream && source.framing != Framing::Length && resumable.is_none();
         Self(Some(Box::new(Passing {
             boundary: is_bounded.then(EventBoundary::new),
             id,
             context,
             has_begun: false,
             frames: 0,
+            announced: source.framing,
             source: Some(source),
             deadline: Box::pin(sleep_until(deadline)),
             next_liveness_check: first_check.map(|at| Box::pin(sleep_until(at))),
@@ -254,13 +257,19 @@
                     }
                 }
                 Poll::Ready(None) => {
-                    if !self.is_inside_event() {
-                        self.complete();
-                        return Poll::Ready(None);
+                    let framing = source.framing;
+                    if self.is_inside_event() {
+                        if let Some(e) = self.handle_cut_off("the stream ended inside an event") {
+                            return Poll::Ready(Some(Err(e)));
+                        }
+                        continue;
                     }
-                    if let Some(e) = self.handle_cut_off("the stream ended inside an event") {
-                        return Poll::Ready(Some(Err(e)));
+                    if framing == Framing::Connection && self.announced != Framing::Connection {
+                        let reason = "only the upstream's connection ended the rest of the stream";
+                        return Poll::Ready(Some(Err(self.abort(reason))));
                     }
+                    self.complete();
+                    return Poll::Ready(None);
                 }
                 Poll::Pending => {
                     let waiting_since = *self.waiting_since.get_or_insert_with(Instant::now);
