--- a/src/controller/core.rs
+++ b/src/controller/core.rs
@@ -27,8 +27,7 @@
     telemetry::Metrics,
 };
 
-/// Streams whose origins a controller knows. At 4,800 requests a second, nine controllers and two copies each gets about
-/// 64,000 in their lifetime; each takes about 100 bytes.
+/// Streams whose origins a controller knows; see docs/CAPACITY.md.
 const MAX_ORIGINS: usize = 128 * 1024;
 
 /// State that all tasks of a controller share.
--- a/src/ingress/origins.rs
+++ b/src/ingress/origins.rs
@@ -21,7 +21,7 @@
     wire::{Body, OriginQuery, OriginReport},
 };
 
-/// Streams that a gateway remembers; each takes about 100 bytes.
+/// Streams that a gateway remembers; see docs/CAPACITY.md.
 const MAX_STREAMS: usize = 16 * 1024;
 /// Streams in one report.
 const MAX_REPORTED: usize = 1024;
--- a/tests/platform_origins.rs
+++ b/tests/platform_origins.rs
@@ -166,6 +166,35 @@
     assert_no_stream_is_joined(&daemons.installation.log);
 }
 
+#[tokio::test]
+async fn a_stream_goes_on_at_its_own_software_version_after_all_controllers_were_killed() {
+    let prepared = PreparedInstallation::prepare(3, 6, break_new_streams(false)).await;
+    let mut daemons = Daemons::start(prepared);
+    list_two_versions(&mut daemons.installation.listed.lock().unwrap());
+    daemons.publish(&document(1)).await;
+    daemons.installation.wait_until_served(&document(1)).await;
+    let other = daemons.installation.add_gateway().await;
+    for number in 0..STREAMS {
+        let gateway = daemons.installation.caller_address;
+        send(gateway, &format!("s{number}"), None).await;
+    }
+    for controller in &mut daemons.controllers {
+        controller.kill();
+    }
+    for controller in &mut daemons.controllers {
+        controller.restart();
+    }
+    for number in 0..STREAMS {
+        let first = format!("s{number}");
+        wait_until("the stream goes on", || async {
+            let rest = send(other, &format!("t{number}"), Some(&first)).await;
+            rest.is_some_and(|rest| rest.status == StatusCode::OK)
+        })
+        .await;
+    }
+    assert_no_stream_is_joined(&daemons.installation.log);
+}
+
 #[tokio::test]
 async fn a_stream_whose_software_version_is_gone_is_not_continued() {
     let installation = two_versions(4, false).await;
