Do not frame answers of plain services as complete if only their connection ended them

If that had neither a length nor chunks, the close of its connection was taken for its end, and the caller got it with a length, also when it was replayed from the record of its key.

Change: the reply and the recorded outcome hold whether only the connection ended the answer; it then goes to the caller in that form. Framing moves to the HTTP adapter, which both paths use.

Evidence: gateway_claims::an_answer_that_ended_with_its_connection_is_never_framed_as_complete fails with the former framing (content-length: 40) and passes; adapters_call plays the four forms of an answer. The path of the published routes is unchanged.

--- a/examples/measure_control.rs
+++ b/examples/measure_control.rs
@@ -201,6 +201,7 @@
                 status: 200,
                 content_type: "application/json".into(),
                 body: vec![1; 256].into(),
+                ..StoredOutcome::default()
             }),
         });
         for action in [claim, outcome] {
--- a/examples/measure_scale/state.rs
+++ b/examples/measure_scale/state.rs
@@ -113,6 +113,7 @@
                 status: 200,
                 content_type: "application/json".to_owned(),
                 body: Bytes::from(vec![7; OUTCOME_BYTES]),
+                ..StoredOutcome::default()
             }),
         });
         for (index, action) in [(2 * i + 1, claim), (2 * i + 2, outcome)] {
--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -17,6 +17,7 @@
 
 use super::{
     connection::Connection,
+    framing::Framing,
     messages::{ErrorReply, error_kind},
     pool::{IdleConnections, Pool},
 };
@@ -77,6 +78,7 @@
 /// A response with its complete body.
 #[derive(Debug)]
 pub(crate) struct FullResponse {
+    pub(super) framing: Framing,
     pub(super) status: StatusCode,
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
@@ -182,6 +184,7 @@
     /// Reads the complete body and returns the connection to the pool.
     pub(crate) async fn read_body(self, deadline: Instant) -> Result<FullResponse, UpstreamError> {
         let (head, body) = self.res.into_parts();
+        let framing = Framing::of(&head, &body);
         let body = Limited::new(body, MAX_RESPONSE_BYTES);
         let collected = timeout_at(deadline, body.collect()).await;
         let body = match collected {
@@ -195,6 +198,7 @@
         };
         self.connection.return_to_pool();
         Ok(FullResponse {
+            framing,
             status: head.status,
             headers: head.headers,
             body,
--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -8,6 +8,7 @@
 mod cloud;
 mod connection;
 mod events;
+mod framing;
 mod generation;
 mod messages;
 mod pool;
@@ -19,6 +20,7 @@
     Client, PooledConnection, Reuse, StreamingResponse, get_request, post_request,
 };
 pub use cloud::HttpCloud;
+pub(crate) use framing::Framing;
 pub(crate) use server::EndsWithConnection;
 pub use server::{ServerOptions, serve};
 pub use upstreams::HttpUpstreams;
--- a/src/adapters/http/upstreams.rs
+++ b/src/adapters/http/upstreams.rs
@@ -12,6 +12,7 @@
 
 use super::{
     client::{Client, Reuse, build_request, get_request, post_request, rejected_error},
+    framing::Framing,
     generation::GenerationReader,
     messages::{CacheEventsReply, CompletionBody, LoadReply, OrderBody},
 };
@@ -176,6 +177,7 @@
             status: response.status.as_u16(),
             content_type: content_type.to_owned(),
             body: response.body,
+            ends_with_connection: response.framing == Framing::Connection,
         })
     }
 }
--- a/src/gateway/claims.rs
+++ b/src/gateway/claims.rs
@@ -172,6 +172,7 @@
                 status: u32::from(reply.status),
                 content_type: reply.content_type.clone(),
                 body: reply.body.clone(),
+                ends_with_connection: reply.ends_with_connection,
             };
         }
         let message = format!(
@@ -186,6 +187,7 @@
             status: u32::from(RefusalKind::UpstreamFailed.status()),
             content_type: "application/json".to_owned(),
             body: body.to_string().into(),
+            ends_with_connection: false,
         }
     }
 }
--- a/src/gateway/http/services.rs
+++ b/src/gateway/http/services.rs
@@ -1,12 +1,12 @@
 //! `/v1/services/{service}/{path}`: calls to plain services.
 
-use std::{sync::Arc, time::Duration};
+use std::{convert::Infallible, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use tokio::time::Instant;
 use warp::{
-    http::{HeaderName, HeaderValue, StatusCode, header},
-    reply::Response,
+    http::{HeaderName, HeaderValue, StatusCode, Version, header},
+    reply::{Reply, Response},
 };
 
 use super::{
@@ -204,14 +204,24 @@
 
 fn answer_response(answer: PlainAnswer) -> Response {
     let replayed = matches!(answer, PlainAnswer::Replayed(_));
-    let (status, content_type, body) = match answer {
-        PlainAnswer::Fresh(reply) => (reply.status, reply.content_type, reply.body),
-        PlainAnswer::Replayed(outcome) => {
-            let status = u16::try_from(outcome.status).unwrap_or_default();
-            (status, outcome.content_type, outcome.body)
-        }
+    let (status, content_type, body, ends_with_connection) = match answer {
+        PlainAnswer::Fresh(reply) => (
+            reply.status,
+            reply.content_type,
+            reply.body,
+            reply.ends_with_connection,
+        ),
+        PlainAnswer::Replayed(outcome) => (
+            u16::try_from(outcome.status).unwrap_or_default(),
+            outcome.content_type,
+            outcome.body,
+            outcome.ends_with_connection,
+        ),
+    };
+    let mut response = match ends_with_connection {
+        true => response_without_length(body),
+        false => Response::new(body.into()),
     };
-    let mut response = Response::new(body.into());
     *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
     let headers = response.headers_mut();
     if let Ok(content_type) = HeaderValue::from_str(&content_type) {
@@ -223,6 +233,17 @@
     response
 }
 
+/// Builds a response that ends with its connection, since its framing would state that the body is complete.
+fn response_without_length(body: Bytes) -> Response {
+    let chunks = futures_util::stream::iter([Ok::<_, Infallible>(body)]);
+    let mut response = warp::reply::stream(chunks).into_response();
+    // hyper sends chunks unless the response is one of HTTP/1.0.
+    *response.version_mut() = Version::HTTP_10;
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
+    response
+}
+
 fn unknown_operation() -> Refusal {
     Refusal::not_run(
         RefusalKind::NotFound,
--- a/src/ingress/forward/attempt.rs
+++ b/src/ingress/forward/attempt.rs
@@ -9,12 +9,12 @@
 
 use super::{ForwardedRequest, millis};
 use crate::{
-    adapters::http::{Reuse, StreamingResponse},
+    adapters::http::{Framing, Reuse, StreamingResponse},
     domain::InstanceName,
     ingress::{
         errors::{Failure, NotRun},
         headers::means_not_run,
-        relay::{Framing, UpstreamBody, liveness_check_interval},
+        relay::{UpstreamBody, liveness_check_interval},
         upstream::Upstream,
         upstreams::InFlightGuard,
     },
--- a/src/ingress/forward/response.rs
+++ b/src/ingress/forward/response.rs
@@ -8,13 +8,13 @@
 
 use super::{ForwardedRequest, attempt::AcceptedResponse, millis};
 use crate::{
-    adapters::http::EndsWithConnection,
+    adapters::http::{EndsWithConnection, Framing},
     domain::RequestClass,
     ingress::{
         events::EventSplitter,
         headers::without_connection_headers,
         origins::StreamOrigin,
-        relay::{Framing, Relay, RelayContext, Resume, ResumeState, Resumed},
+        relay::{Relay, RelayContext, Resume, ResumeState, Resumed},
         upstreams::InFlightGuard,
     },
     policy::origins::{Origin, StreamId},
--- a/src/ingress/relay.rs
+++ b/src/ingress/relay.rs
@@ -11,11 +11,7 @@
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use hyper::{
-    body::{Body, Frame, Incoming, SizeHint},
-    header,
-    http::response::Parts,
-};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::time::{Instant, Sleep, sleep_until};
 
 use super::{
@@ -25,7 +21,7 @@
     upstreams::InFlightGuard,
 };
 use crate::{
-    adapters::http::PooledConnection,
+    adapters::http::{Framing, PooledConnection},
     policy::{
         origins::Origin,
         silence::{Awaited, ResponseTargets},
@@ -33,30 +29,6 @@
     telemetry::AccountMetrics,
 };
 
-/// What shows the end of an upstream's response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Framing {
-    /// A length, which hyper checks, or a response that has no body.
-    Length,
-    /// Chunks, the last of which hyper expects.
-    Chunks,
-    /// Only the end of the connection, which looks the same if the upstream crashed.
-    Connection,
-}
-
-impl Framing {
-    /// Returns the framing of a response.
-    pub(super) fn of(head: &Parts, body: &Incoming) -> Self {
-        if body.size_hint().exact().is_some() {
-            return Self::Length;
-        }
-        match head.headers.contains_key(header::TRANSFER_ENCODING) {
-            true => Self::Chunks,
-            false => Self::Connection,
-        }
-    }
-}
-
 /// Why a body ended prematurely. The connection to the caller is then closed without a proper end of body.
 type RelayError = Box<dyn Error + Send + Sync>;
 
--- a/src/ports/upstream.rs
+++ b/src/ports/upstream.rs
@@ -191,7 +191,7 @@
     pub timeout: Duration,
 }
 
-/// A complete response of a plain service.
+/// A response of a plain service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServiceReply {
     /// The HTTP status code.
@@ -200,6 +200,8 @@
     pub content_type: String,
     /// The body.
     pub body: Bytes,
+    /// Whether only the end of the connection showed the end of the body, so that nobody can tell whether it is complete.
+    pub ends_with_connection: bool,
 }
 
 /// Client for model engines and plain servers. No method retries on its own.
--- a/src/wire/claims.rs
+++ b/src/wire/claims.rs
@@ -64,6 +64,9 @@
     /// The body.
     #[prost(bytes = "bytes", tag = "3")]
     pub body: bytes::Bytes,
+    /// Whether only the end of the connection showed the end of the body.
+    #[prost(bool, tag = "4")]
+    pub ends_with_connection: bool,
 }
 
 /// Records the outcome of a claimed call.
--- a/tests/adapters_call.rs
+++ b/tests/adapters_call.rs
@@ -20,6 +20,11 @@
     service::{self, Echo, ServiceParams},
 };
 
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+};
+
 const KEY: &str = "0190b5a0-0000-7000-8000-000000000001";
 const LONG_TIMEOUT: Duration = Duration::from_secs(20);
 const SHORT_TIMEOUT: Duration = Duration::from_millis(700);
@@ -210,3 +215,37 @@
     upstreams.call(&target, &pile_status_call()).await.unwrap();
     assert_eq!(second.counts().executed, 1);
 }
+
+/// Answers each connection with raw bytes and closes it.
+async fn serve_raw(answer: &'static str) -> std::net::SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let _ = stream.read(&mut [0; 4096]).await;
+            let _ = stream.write_all(answer.as_bytes()).await;
+        }
+    });
+    address
+}
+
+#[tokio::test]
+async fn an_answer_that_only_its_connection_ends_says_so() {
+    let cases = [
+        ("HTTP/1.1 200 OK\r\n\r\ndone", true),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone", false),
+        (
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n",
+            false,
+        ),
+        ("HTTP/1.1 204 No Content\r\n\r\n", false),
+    ];
+    for (answer, ends_with_connection) in cases {
+        let upstreams = HttpUpstreams::new(&timing());
+        let call = release_call(KEY, LONG_TIMEOUT);
+        let address = serve_raw(answer).await;
+        let reply = upstreams.call(&target(address), &call).await.unwrap();
+        assert_eq!(reply.ends_with_connection, ends_with_connection, "{answer}");
+    }
+}
--- a/tests/gateway_claims.rs
+++ b/tests/gateway_claims.rs
@@ -339,3 +339,22 @@
     check("leaving", call.send(address).await);
     assert_eq!(bench.upstreams.calls().len(), 1);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_ended_with_its_connection_is_never_framed_as_complete() {
+    let bench = bench(2).await;
+    for body in ["truck 9 without length", "truck 10"] {
+        let call = Call::release(Uuid::now_v7(), body);
+        let replies = [
+            call.send(bench.address(0)).await,
+            call.send(bench.address(0)).await,
+            call.send(bench.address(1)).await,
+        ];
+        for reply in replies {
+            assert!(reply.text.ends_with(body), "{reply:?}");
+            let names = ["content-length", "transfer-encoding"];
+            let is_framed = names.iter().any(|name| reply.header(name).is_some());
+            assert_eq!(is_framed, !body.contains("without length"), "{reply:?}");
+        }
+    }
+}
--- a/tests/gateway_support/upstreams.rs
+++ b/tests/gateway_support/upstreams.rs
@@ -306,6 +306,7 @@
         Ok(ServiceReply {
             status: 200,
             content_type: "text/plain".to_owned(),
+            ends_with_connection: body.contains("without length"),
             body: format!("{count}: {} {} {body}", call.method, call.path).into(),
         })
     }
