--- a/src/ingress/forward/mod.rs
+++ b/src/ingress/forward/mod.rs
@@ -22,7 +22,8 @@
     errors::{Failure, NotRun, RequestError, error_response},
     headers::{host, without_connection_headers},
     relay::Relay,
-    upstreams::{Eligible, InFlightGuard},
+    upstream::Eligible,
+    upstreams::InFlightGuard,
 };
 use crate::{
     domain::{AccountName, InstanceName, RequestClass, Route, RouteIndex, ServiceName},
--- a/src/ingress/upstream.rs
+++ b/src/ingress/upstream.rs
@@ -75,6 +75,23 @@
     created: Instant,
 }
 
+/// Which upstreams of a service may get a request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Eligible<'a> {
+    /// The upstreams that were tried already.
+    pub(super) tried: &'a [InstanceName],
+    /// What began the stream that the request resumes.
+    pub(super) origin: Option<&'a Origin>,
+}
+
+impl Eligible<'_> {
+    /// Returns whether an upstream may get the request.
+    pub(super) fn includes(&self, upstream: &Upstream) -> bool {
+        !self.tried.contains(&upstream.target.instance)
+            && self.origin.is_none_or(|origin| upstream.continues(origin))
+    }
+}
+
 #[derive(Debug, Default)]
 struct Load {
     reported: Option<(ReportedLoad, Instant)>,
--- a/src/ingress/upstreams.rs
+++ b/src/ingress/upstreams.rs
@@ -17,14 +17,13 @@
 
 use super::{
     errors::NotRun,
-    upstream::{GatewaySet, Upstream},
+    upstream::{Eligible, GatewaySet, Upstream},
 };
 use crate::{
     domain::{InstanceName, ServiceName},
     policy::{
         availability::MAX_LIST_LAG,
         backlog::{self, DEFAULT_PREFILL_TOKENS_PER_SECOND, Placement, PromptMix, SentPrompt},
-        origins::Origin,
         overload::LoadShedder,
         route::{self, Reason, RouteRequest},
         silence::{Awaited, PauseTracker, ResponseTargets},
@@ -110,22 +109,6 @@
     }
 }
 
-/// Which upstreams of a service may get a request.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Eligible<'a> {
-    /// The upstreams that were tried already.
-    pub(super) tried: &'a [InstanceName],
-    /// What began the stream that the request resumes.
-    pub(super) origin: Option<&'a Origin>,
-}
-
-impl Eligible<'_> {
-    fn includes(&self, upstream: &Upstream) -> bool {
-        !self.tried.contains(&upstream.target.instance)
-            && self.origin.is_none_or(|origin| upstream.continues(origin))
-    }
-}
-
 #[derive(Debug, Default)]
 struct InFlightCount {
     count: AtomicUsize,
--- a/tests/platform_bytes.rs
+++ b/tests/platform_bytes.rs
@@ -8,7 +8,7 @@
 use hyper::{Method, StatusCode};
 use platform_support::{
     API_KEY, Installation, ServerAction, document, list_entry,
-    raw::{RawBehavior, RawServer, SEND_DELAY},
+    raw::{RawBehavior, RawServer, SEND_DELAY, start_installation},
     wait_until,
 };
 use tokio::{
@@ -17,23 +17,6 @@
     time::{sleep, timeout},
 };
 
-/// Starts an installation whose one server has the given behavior.
-async fn start_installation(behavior: RawBehavior) -> (Installation, RawServer) {
-    let installation = Installation::start(1, |_, _| {
-        ServerAction::Respond(StatusCode::OK, b"done".to_vec())
-    })
-    .await;
-    let server = RawServer::start(&installation.control_address.ip().to_string(), behavior).await;
-    installation.publish(&document(1)).await;
-    *installation.listed.lock().unwrap() = vec![list_entry("i-raw", server.address)];
-    wait_until("the server is used", || async {
-        installation.send(Method::GET, "/safe/x", "first", "").await;
-        !server.received.lock().unwrap().is_empty()
-    })
-    .await;
-    (installation, server)
-}
-
 /// Parses the bytes of a connection, which must consist of complete requests, and returns their
 /// identifiers.
 fn requests(bytes: &[u8]) -> Vec<String> {
--- a/tests/platform_ends.rs
+++ b/tests/platform_ends.rs
@@ -9,7 +9,7 @@
     API_KEY, Installation, PreparedInstallation, ServerAction, TEST_TIMEOUT,
     daemons::Daemons,
     document, list_entry,
-    raw::{EVENTS, RawBehavior, RawServer, event},
+    raw::{EVENTS, RawBehavior, RawServer, event, start_installation},
     wait_until,
 };
 use tokio::{
@@ -88,26 +88,9 @@
     (1..=EVENTS).map(event).collect()
 }
 
-/// Starts an installation whose one server has the given behavior.
-async fn start(behavior: RawBehavior) -> (Installation, RawServer) {
-    let installation = Installation::start(1, |_, _| {
-        ServerAction::Respond(StatusCode::OK, b"done".to_vec())
-    })
-    .await;
-    let server = RawServer::start(&installation.control_address.ip().to_string(), behavior).await;
-    installation.publish(&document(1)).await;
-    *installation.listed.lock().unwrap() = vec![list_entry("i-raw", server.address)];
-    wait_until("the server is used", || async {
-        send(installation.caller_address, "/safe/x", "first").await;
-        !server.received.lock().unwrap().is_empty()
-    })
-    .await;
-    (installation, server)
-}
-
 #[tokio::test]
 async fn an_answer_that_ends_with_its_connection_is_not_framed_as_complete() {
-    let (installation, _server) = start(RawBehavior::NoLengthStream).await;
+    let (installation, _server) = start_installation(RawBehavior::NoLengthStream).await;
     for path in ["/safe/x", "/once/x", "/stream/x", "/resumed/x"] {
         let answer = send(installation.caller_address, path, "r1").await;
         let framed = answer.is_chunked() || answer.has_header("content-length:");
@@ -120,7 +103,7 @@
 
 #[tokio::test]
 async fn an_answer_whose_connection_is_reset_does_not_look_complete() {
-    let (installation, _server) = start(RawBehavior::NoLengthStreamReset).await;
+    let (installation, _server) = start_installation(RawBehavior::NoLengthStreamReset).await;
     for path in ["/safe/x", "/once/x", "/stream/x", "/resumed/x"] {
         let answer = send(installation.caller_address, path, "r1").await;
         assert!(!answer.looks_complete(), "{path}: {answer:?}");
--- a/tests/platform_support/raw.rs
+++ b/tests/platform_support/raw.rs
@@ -9,12 +9,15 @@
     time::Duration,
 };
 
+use hyper::{Method, StatusCode};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     time::sleep,
 };
 
+use super::{Installation, ServerAction, document, list_entry, wait_until};
+
 /// Delay after which further bytes are not read together with the response before them.
 pub const SEND_DELAY: Duration = Duration::from_millis(30);
 
@@ -88,6 +91,23 @@
     }
 }
 
+/// Starts an installation whose one server has the given behavior.
+pub async fn start_installation(behavior: RawBehavior) -> (Installation, RawServer) {
+    let installation = Installation::start(1, |_, _| {
+        ServerAction::Respond(StatusCode::OK, b"done".to_vec())
+    })
+    .await;
+    let server = RawServer::start(&installation.control_address.ip().to_string(), behavior).await;
+    installation.publish(&document(1)).await;
+    *installation.listed.lock().unwrap() = vec![list_entry("i-raw", server.address)];
+    wait_until("the server is used", || async {
+        installation.send(Method::GET, "/safe/x", "first", "").await;
+        !server.received.lock().unwrap().is_empty()
+    })
+    .await;
+    (installation, server)
+}
+
 fn header(head: &str, name: &str) -> Option<String> {
     head.lines()
         .find(|line| line.to_lowercase().starts_with(name))
