Write the end of an answer by its connection, and the record of an origin, in one place each

Found when reading the whole change: the server for published routes and the calls of plain services both set HTTP/1.0 and Connection: close, an origin became its record in two places, and a report of origins had two equal ends for a failure.

--- a/src/adapters/http/framing.rs
+++ b/src/adapters/http/framing.rs
@@ -1,8 +1,9 @@
 //! What shows the end of a response.
 
 use hyper::{
+    Response, Version,
     body::{Body, Incoming},
-    header,
+    header::{self, HeaderValue},
     http::response::Parts,
 };
 
@@ -29,3 +30,11 @@
         }
     }
 }
+
+/// Lets a response whose body has no known length end with its connection, in place of chunks with an end of their own.
+pub(crate) fn end_with_connection<B>(res: &mut Response<B>) {
+    // hyper sends chunks unless the response is one of HTTP/1.0.
+    *res.version_mut() = Version::HTTP_10;
+    let close = HeaderValue::from_static("close");
+    res.headers_mut().insert(header::CONNECTION, close);
+}
--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -20,7 +20,7 @@
     Client, PooledConnection, Reuse, StreamingResponse, get_request, post_request,
 };
 pub use cloud::HttpCloud;
-pub(crate) use framing::Framing;
+pub(crate) use framing::{Framing, end_with_connection};
 pub(crate) use server::EndsWithConnection;
 pub use server::{ServerOptions, serve};
 pub use upstreams::HttpUpstreams;
--- a/src/adapters/http/server.rs
+++ b/src/adapters/http/server.rs
@@ -3,9 +3,8 @@
 use std::{convert::Infallible, error::Error, future::Future, sync::Arc, time::Duration};
 
 use hyper::{
-    Request, Response, Version,
+    Request, Response,
     body::{Body, Incoming},
-    header::{self, HeaderValue},
     server::conn::http1,
     service::{Service, service_fn},
 };
@@ -16,7 +15,10 @@
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use super::caller::{CallerStream, GuardedBody, Progress};
+use super::{
+    caller::{CallerStream, GuardedBody, Progress},
+    framing::end_with_connection,
+};
 
 /// Delay after a failed `accept`, for example when file descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -141,10 +143,7 @@
             let mut res = response.await?;
             if res.extensions().get::<EndsWithConnection>().is_some() {
                 progress.end_response_with_connection();
-                // hyper sends chunks unless the response is one of HTTP/1.0.
-                *res.version_mut() = Version::HTTP_10;
-                let close = HeaderValue::from_static("close");
-                res.headers_mut().insert(header::CONNECTION, close);
+                end_with_connection(&mut res);
             }
             Ok::<_, Infallible>(res.map(|body| GuardedBody::new(body, request)))
         }
--- a/src/controller/origins.rs
+++ b/src/controller/origins.rs
@@ -25,12 +25,7 @@
     let now = core.now();
     let recorded = query.stream.and_then(|stream| {
         let mut origins = core.origins();
-        let origin = origins.find(StreamId(stream), now)?;
-        Some(OriginRecord {
-            service: origin.service.to_string(),
-            software: origin.software.to_string(),
-            streams: Vec::new(),
-        })
+        origins.find(StreamId(stream), now).map(OriginRecord::from)
     });
     let only_software = core.log.led_term(now).and_then(|term| {
         let followers = core.followers();
--- a/src/gateway/http/services.rs
+++ b/src/gateway/http/services.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use tokio::time::Instant;
 use warp::{
-    http::{HeaderName, HeaderValue, StatusCode, Version, header},
+    http::{HeaderName, HeaderValue, StatusCode, header},
     reply::{Reply, Response},
 };
 
@@ -15,6 +15,7 @@
     routes::{Caller, RequestHead},
 };
 use crate::{
+    adapters::http::end_with_connection,
     domain::{IdempotencyKey, Ran, Refusal, RefusalKind, RequestId, ServiceName},
     gateway::{
         core::Gateway,
@@ -237,10 +238,7 @@
 fn response_without_length(body: Bytes) -> Response {
     let chunks = futures_util::stream::iter([Ok::<_, Infallible>(body)]);
     let mut response = warp::reply::stream(chunks).into_response();
-    // hyper sends chunks unless the response is one of HTTP/1.0.
-    *response.version_mut() = Version::HTTP_10;
-    let close = HeaderValue::from_static("close");
-    response.headers_mut().insert(header::CONNECTION, close);
+    end_with_connection(&mut response);
     response
 }
 
--- a/src/ingress/origins.rs
+++ b/src/ingress/origins.rs
@@ -183,20 +183,16 @@
             return Some(end);
         }
         match link.call(Body::OriginReport(report), CALL_TIMEOUT).await {
-            Ok(Body::OriginAck(_)) => Some(end),
+            Ok(Body::OriginAck(_)) => return Some(end),
             Ok(other) => {
                 log::warn!("ingress: unexpected reply of controller {name}: {other:?}.");
-                sleep(RETRY_PAUSE).await;
-                None
-            }
-            Err(e) => {
-                log::debug!(
-                    "ingress: controller {name} did not record the origins of streams: {e}."
-                );
-                sleep(RETRY_PAUSE).await;
-                None
             }
+            Err(e) => log::debug!(
+                "ingress: controller {name} did not record the origins of streams: {e}."
+            ),
         }
+        sleep(RETRY_PAUSE).await;
+        None
     }
 
     fn next_report(&self, name: &str, from: u64) -> Option<(OriginReport, u64)> {
--- a/src/wire/origins.rs
+++ b/src/wire/origins.rs
@@ -16,6 +16,16 @@
     pub streams: Vec<u64>,
 }
 
+impl From<&Origin> for OriginRecord {
+    fn from(origin: &Origin) -> Self {
+        Self {
+            service: origin.service.to_string(),
+            software: origin.software.to_string(),
+            streams: Vec::new(),
+        }
+    }
+}
+
 impl OriginRecord {
     /// Returns the origin of the streams.
     pub fn origin(&self) -> Origin {
@@ -43,9 +53,8 @@
         match self.records.iter_mut().find(is_same) {
             Some(record) => record.streams.push(stream.0),
             None => self.records.push(OriginRecord {
-                service: origin.service.to_string(),
-                software: origin.software.to_string(),
                 streams: vec![stream.0],
+                ..origin.into()
             }),
         }
     }
