--- a/review/harness/lib.rs
+++ b/review/harness/standins.rs
@@ -28,7 +28,6 @@
 const PEER_PORT: u16 = 7600;
 const HTTP_PORT: u16 = 7615;
 const API_PORT: u16 = 8225;
-const METRICS_PORT: u16 = 9464;
 
 pub fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
@@ -100,6 +99,7 @@
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
             let _ = child.wait();
+            STARTED.lock().unwrap().retain(|pid| *pid != child.id());
         }
     }
 
@@ -132,12 +132,27 @@
     }
 }
 
-/// Ends the script because the case could not run.
+/// The processes that this script started and that have not been waited for.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends the script because the case could not run, and the processes that it started.
 pub fn cannot_run(reason: &str) -> ! {
     eprintln!("the case could not run: {reason}");
+    let started = STARTED.lock().map(|s| s.clone()).unwrap_or_default();
+    for pid in started {
+        let _ = Command::new("kill").args(["-KILL", &pid.to_string()]).status();
+    }
     std::process::exit(2)
 }
 
+/// Ends the script if it takes too long.
+pub fn limit_time(limit: Duration) {
+    thread::spawn(move || {
+        thread::sleep(limit);
+        cannot_run("it took too long")
+    });
+}
+
 /// Returns a free loopback network for this run: 127.x.y.0.
 fn free_network() -> [u8; 2] {
     let pid = std::process::id();
@@ -196,7 +211,10 @@
             .stderr(output)
             .spawn();
         match child {
-            Ok(child) => node.child = Some(child),
+            Ok(child) => {
+                STARTED.lock().unwrap().push(child.id());
+                node.child = Some(child);
+            }
             Err(e) => cannot_run(&format!("{} did not start: {e}; build it first", program.display())),
         }
     }
@@ -292,7 +310,7 @@
     if let Some(at) = text.find("{{") {
         cannot_run(&format!("a placeholder is unknown: {}", &text[at..(at + 40).min(text.len())]));
     }
-    text.replace(&METRICS_PORT.to_string(), &METRICS_PORT.to_string())
+    text
 }
 
 // ---------------------------------------------------------------- HTTP
