--- a/review/harness/drain_list.rs
+++ b/review/harness/drain_list.rs
@@ -43,6 +43,7 @@
             conn.stream.write_all(answer.as_bytes()).is_ok()
         });
         list.lock().unwrap().entries.push(Listed {
+            zone: "a",
             id: server.id.clone(),
             service: "ledger-x".into(),
             address: server.address,
--- a/review/harness/early.rs
+++ b/review/harness/early.rs
@@ -14,7 +14,7 @@
 const UPLOADS: usize = 12;
 const CALLS: usize = 24;
 /// Time after its early answer at which the server reads the rest of a body.
-const READ_ON_MS: u64 = 500;
+const READ_ON_MS: u64 = 3000;
 /// Time that the server takes for its early answer.
 const THINK_MS: u64 = 600;
 const TIMEOUT_MS: u64 = 800;
@@ -48,6 +48,7 @@
         read
     });
     list.lock().unwrap().entries.push(Listed {
+            zone: "a",
         id: server.id.clone(),
         service: "ledger-x".into(),
         address: server.address,
@@ -88,8 +89,8 @@
     if answered < UPLOADS {
         cannot_run("the long requests were not answered");
     }
-    thread::sleep(ms(READ_ON_MS + 1000));
-    record.say("the server has read on meanwhile; short requests are sent");
+    // The server is still to read the rest of the long bodies when the short requests are sent.
+    thread::sleep(ms(300));
     let calls: Vec<_> = (0..CALLS)
         .map(|n| {
             let record = Arc::clone(record);
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -1,10 +1,11 @@
 // Runs one case of the review: `harness CASE RECORD`. Exits with 1 if the rule was broken, 0 if it held, 2 if the case
 // could not run.
 
-#[allow(dead_code)]
-mod standins;
+mod big;
 mod drain_list;
 mod early;
+mod one;
+mod standins;
 mod term;
 
 use std::path::PathBuf;
@@ -16,6 +17,8 @@
     standins::limit_time(standins::ms(114_000));
     let broken = match case.as_str() {
         "list" => drain_list::run(&record),
+        "big" => big::run(&record),
+        "one" => one::run(&record),
         "early" => early::run(&record),
         "term" => term::run(&record),
         _ => standins::cannot_run("there is no such case"),
--- a/review/harness/standins.rs
+++ b/review/harness/standins.rs
@@ -82,10 +82,19 @@
         SocketAddr::V4(SocketAddrV4::new(self.ip, DIRECTORY_PORT))
     }
 
+    pub fn peer(&self) -> SocketAddr {
+        SocketAddr::V4(SocketAddrV4::new(self.ip, PEER_PORT))
+    }
+
     pub fn control(&self) -> SocketAddr {
         SocketAddr::V4(SocketAddrV4::new(self.ip, CONTROL_PORT))
     }
 
+    /// Returns the id of the process, if it runs.
+    pub fn process(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Sends a signal by its name; only to the process that this node started.
     pub fn signal(&self, name: &str) {
         if let Some(child) = &self.child {
@@ -145,6 +154,11 @@
     std::process::exit(2)
 }
 
+/// Sends a signal to a process that this script started.
+pub fn signal(pid: u32, name: &str) {
+    let _ = Command::new("kill").args([&format!("-{name}"), &pid.to_string()]).status();
+}
+
 /// Ends the script if it takes too long.
 pub fn limit_time(limit: Duration) {
     thread::spawn(move || {
@@ -170,6 +184,11 @@
 impl Cluster {
     /// Prepares the settings; nothing is started yet.
     pub fn prepare(controllers: usize, gateways: usize) -> Self {
+        Self::prepare_behind(controllers, gateways, PEER_PORT)
+    }
+
+    /// Like [`Self::prepare`], but the gateways reach the controllers at another port, where a proxy listens.
+    pub fn prepare_behind(controllers: usize, gateways: usize, gateways_peer_port: u16) -> Self {
         let root = PathBuf::from(std::env::var("REVIEW_ROOT").unwrap_or_else(|_| ".".into()));
         let root = fs::canonicalize(root).unwrap();
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
@@ -181,7 +200,8 @@
         let node = |role: &'static str, ip: Ipv4Addr| {
             let settings = folder.join(format!("{role}-{ip}.jsonc"));
             let data = folder.join(format!("data-{ip}"));
-            let text = render(&root, role, ip, &seeds, api, &data);
+            let peer_port = if role == "gateway" { gateways_peer_port } else { PEER_PORT };
+            let text = render(&root, role, ip, &seeds, api, &data, peer_port);
             fs::write(&settings, text).unwrap();
             let output = folder.join(format!("{role}-{ip}.log"));
             Node { ip, role, settings, output, child: None }
@@ -225,10 +245,6 @@
         }
     }
 
-    pub fn start_controller(&mut self, n: usize) {
-        Self::start(&self.root, &self.commands, &mut self.controllers[n]);
-    }
-
     pub fn start_gateway(&mut self, n: usize) {
         Self::start(&self.root, &self.commands, &mut self.gateways[n]);
     }
@@ -246,10 +262,6 @@
         self.controllers.iter().map(Node::control).collect()
     }
 
-    pub fn directories(&self) -> Vec<SocketAddr> {
-        self.gateways.iter().map(Node::directory).collect()
-    }
-
     /// Returns a further address of the deployment's network, for a stand-in.
     pub fn address(&self, n: u8, port: u16) -> SocketAddr {
         let SocketAddr::V4(api) = self.api else { unreachable!() };
@@ -275,7 +287,15 @@
 }
 
 /// Renders the template of a role as the platform does, with the bounds of woolstead-relay.
-fn render(root: &Path, role: &str, ip: Ipv4Addr, seeds: &[Ipv4Addr], api: SocketAddr, data: &Path) -> String {
+fn render(
+    root: &Path,
+    role: &str,
+    ip: Ipv4Addr,
+    seeds: &[Ipv4Addr],
+    api: SocketAddr,
+    data: &Path,
+    peer_port: u16,
+) -> String {
     let path = root.join(format!("deploy/{role}.jsonc"));
     let text = fs::read_to_string(&path).unwrap_or_else(|_| cannot_run("a template is missing"));
     let seeds: Vec<String> = seeds.iter().map(|ip| format!("\"{ip}:{CONTROL_PORT}\"")).collect();
@@ -283,7 +303,7 @@
     let values: &[(&str, String)] = &[
         ("Ip", ip.to_string()),
         ("Zone", "a".into()),
-        ("PortRange.0", PEER_PORT.to_string()),
+        ("PortRange.0", peer_port.to_string()),
         ("PortRange.1", HTTP_PORT.to_string()),
         ("DataDir", data.display().to_string()),
         ("Bootstrap", "true".into()),
@@ -456,13 +476,24 @@
 
 /// Returns the head of a client's request with an id of its own.
 pub fn request_head(method: &str, path: &str, id: &str, deadline_ms: u64, length: usize) -> String {
+    request_head_with_key(KEY, method, path, id, deadline_ms, length)
+}
+
+pub fn request_head_with_key(
+    key: &str,
+    method: &str,
+    path: &str,
+    id: &str,
+    deadline_ms: u64,
+    length: usize,
+) -> String {
     let length = match method {
         "GET" => String::new(),
         _ => format!("Content-Length: {length}\r\n"),
     };
     format!(
         "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Flamingocroft-Request-Id: {id}\r\n\
-         X-Flamingocroft-Deadline-Ms: {deadline_ms}\r\nAuthorization: Bearer {KEY}\r\n{length}\r\n"
+         X-Flamingocroft-Deadline-Ms: {deadline_ms}\r\nAuthorization: Bearer {key}\r\n{length}\r\n"
     )
 }
 
@@ -561,10 +592,67 @@
     )
 }
 
+// ---------------------------------------------------------------- links
+
+/// The time at which the next byte of one direction of a machine's link may pass.
+pub struct Link {
+    bytes_per_second: f64,
+    free_at: Mutex<Instant>,
+}
+
+impl Link {
+    pub fn new(mbit_per_second: f64) -> Arc<Self> {
+        Arc::new(Self {
+            bytes_per_second: mbit_per_second * 1e6 / 8.0,
+            free_at: Mutex::new(Instant::now()),
+        })
+    }
+
+    fn pass(&self, bytes: usize) {
+        let until = {
+            let mut free_at = self.free_at.lock().unwrap();
+            let begin = (*free_at).max(Instant::now());
+            *free_at = begin + Duration::from_secs_f64(bytes as f64 / self.bytes_per_second);
+            *free_at
+        };
+        thread::sleep(until.saturating_duration_since(Instant::now()));
+    }
+}
+
+/// Passes connections on to an address, over a link of limited bandwidth in each direction.
+pub fn serve_link(listen: SocketAddr, to: SocketAddr, up: Arc<Link>, down: Arc<Link>) {
+    let listener = TcpListener::bind(listen).unwrap_or_else(|e| cannot_run(&format!("{listen}: {e}")));
+    thread::spawn(move || {
+        for near in listener.incoming().flatten() {
+            let Ok(far) = TcpStream::connect_timeout(&to, ms(500)) else { continue };
+            let _ = (near.set_nodelay(true), far.set_nodelay(true));
+            let (Ok(near_copy), Ok(far_copy)) = (near.try_clone(), far.try_clone()) else { continue };
+            let (up, down) = (Arc::clone(&up), Arc::clone(&down));
+            thread::spawn(move || pass_on(near, far, &up));
+            thread::spawn(move || pass_on(far_copy, near_copy, &down));
+        }
+    });
+}
+
+fn pass_on(mut from: TcpStream, mut to: TcpStream, link: &Link) {
+    let mut part = [0; 8192];
+    while let Ok(n) = from.read(&mut part) {
+        if n == 0 {
+            break;
+        }
+        link.pass(n);
+        if to.write_all(&part[..n]).is_err() {
+            break;
+        }
+    }
+    let _ = (from.shutdown(Shutdown::Both), to.shutdown(Shutdown::Both));
+}
+
 // ---------------------------------------------------------------- platform
 
 #[derive(Clone)]
 pub struct Listed {
+    pub zone: &'static str,
     pub id: String,
     pub service: String,
     pub address: SocketAddr,
@@ -579,15 +667,35 @@
     /// When an answer first showed a server as draining, by its id.
     pub shown_draining: HashMap<String, Instant>,
     pub reads: u64,
-    pub calls: Vec<(Instant, String, String, String, String)>,
+    pub calls: Vec<DutyCall>,
 }
 
 /// Serves the platform's API.
 pub fn serve_platform(address: SocketAddr, state: Arc<Mutex<ListState>>) {
+    serve_platform_with(address, state, |_| {});
+}
+
+/// A call that only the holder of a duty may make.
+#[derive(Clone)]
+pub struct DutyCall {
+    pub at: Instant,
+    pub path: String,
+    pub holder: String,
+    pub token: u64,
+    pub body: String,
+}
+
+/// Like [`serve_platform`]; `on_call` gets each call of a duty before it is answered.
+pub fn serve_platform_with(
+    address: SocketAddr,
+    state: Arc<Mutex<ListState>>,
+    on_call: impl Fn(&DutyCall) + Send + Sync + 'static,
+) {
+    let on_call = Arc::new(on_call);
     let listener = TcpListener::bind(address).unwrap_or_else(|e| cannot_run(&format!("{address}: {e}")));
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let state = Arc::clone(&state);
+            let (state, on_call) = (Arc::clone(&state), Arc::clone(&on_call));
             thread::spawn(move || {
                 let mut conn = Conn::new(stream);
                 while let Ok(Some(head)) = conn.read_head() {
@@ -596,13 +704,15 @@
                         true => list_body(&mut state.lock().unwrap()),
                         false => {
                             let text = |name| head.header(name).unwrap_or("").to_owned();
-                            state.lock().unwrap().calls.push((
-                                Instant::now(),
-                                head.path().to_owned(),
-                                text("x-flamingocroft-duty-holder"),
-                                text("x-flamingocroft-fencing-token"),
-                                String::from_utf8_lossy(&body).into_owned(),
-                            ));
+                            let call = DutyCall {
+                                at: Instant::now(),
+                                path: head.path().to_owned(),
+                                holder: text("x-flamingocroft-duty-holder"),
+                                token: text("x-flamingocroft-fencing-token").parse().unwrap_or(0),
+                                body: String::from_utf8_lossy(&body).into_owned(),
+                            };
+                            state.lock().unwrap().calls.push(call.clone());
+                            on_call(&call);
                             b"{}".to_vec()
                         }
                     };
@@ -629,9 +739,9 @@
         }
         parts.push(
             format!(
-                "{{\"Service\":\"{}\",\"Address\":\"{}\",\"Zone\":\"a\",\"Version\":\"v1\",\"Slots\":32,\"State\":\"{}\",\
+                "{{\"Service\":\"{}\",\"Address\":\"{}\",\"Zone\":\"{}\",\"Version\":\"v1\",\"Slots\":32,\"State\":\"{}\",\
                  \"ColdLeftMs\":0,\"Id\":\"{}\"}}",
-                entry.service, entry.address, entry.state, entry.id
+                entry.service, entry.address, entry.zone, entry.state, entry.id
             )
             .into_bytes(),
         );
--- a/review/harness/term.rs
+++ b/review/harness/term.rs
@@ -35,6 +35,7 @@
             sent
         });
         list.lock().unwrap().entries.push(Listed {
+            zone: "a",
             id: server.id.clone(),
             service: "loom-x".into(),
             address: server.address,
