--- a/review/harness/big.rs
+++ b/review/harness/big.rs
@@ -33,18 +33,29 @@
     for controller in &cluster.controllers {
         let mut listen = controller.peer();
         listen.set_port(LINK_PORT);
-        serve_link(listen, controller.peer(), Arc::clone(&up), Arc::clone(&down));
+        serve_link(
+            listen,
+            controller.peer(),
+            Arc::clone(&up),
+            Arc::clone(&down),
+        );
     }
     let list = Arc::new(Mutex::new(ListState::default()));
     let of_server = Arc::clone(record);
-    let server = Server::start("i-0", cluster.address(100, 8308), move |server, conn, head| {
-        let Ok(_) = conn.read_body(head) else { return false };
-        of_server.line(format!("server i-0 runs {} {}", head.path(), head.id()));
-        let answer = server.answer_head(head, "200 OK", 4) + "done";
-        conn.stream.write_all(answer.as_bytes()).is_ok()
-    });
+    let server = Server::start(
+        "i-0",
+        cluster.address(100, 8308),
+        move |server, conn, head| {
+            let Ok(_) = conn.read_body(head) else {
+                return false;
+            };
+            of_server.line(format!("server i-0 runs {} {}", head.path(), head.id()));
+            let answer = server.answer_head(head, "200 OK", 4) + "done";
+            conn.stream.write_all(answer.as_bytes()).is_ok()
+        },
+    );
     list.lock().unwrap().entries.push(Listed {
-            zone: "a",
+        zone: "a",
         id: server.id.clone(),
         service: "ledger-x".into(),
         address: server.address,
@@ -61,7 +72,11 @@
         cannot_run("the deployment serves nothing");
     }
     thread::sleep(ms(3000));
-    let more = if trouble() { ROUTES_MORE } else { ROUTES_MORE / 100 };
+    let more = if trouble() {
+        ROUTES_MORE
+    } else {
+        ROUTES_MORE / 100
+    };
     for change in 1..=CHANGES {
         let text = grown(3 + 7 * change, more * change as usize, true);
         if !put_config(&controls, &text, ms(4000)) {
@@ -76,11 +91,17 @@
         thread::sleep(ms(PAUSE_MS));
     }
     let last = 3 + 7 * CHANGES + 5;
-    if !put_config(&controls, &grown(last, more * CHANGES as usize, false), ms(4000)) {
+    if !put_config(
+        &controls,
+        &grown(last, more * CHANGES as usize, false),
+        ms(4000),
+    ) {
         cannot_run("the last configuration was not acknowledged");
     }
     let acked = Instant::now();
-    record.say(format!("version {last} is acknowledged: it takes a key away"));
+    record.say(format!(
+        "version {last} is acknowledged: it takes a key away"
+    ));
     let newest = format!("/more-{}/1", more * CHANGES as usize - 1);
     thread::sleep(ms(CONFIG_APPLY_MS + 100));
     let (mut with_key, mut on_route) = (0, 0);
@@ -149,9 +170,16 @@
             )
         })
         .collect();
-    text = text.replacen("],\"Services\"", &format!("{}],\"Services\"", more.concat()), 1);
+    text = text.replacen(
+        "],\"Services\"",
+        &format!("{}],\"Services\"", more.concat()),
+        1,
+    );
     if second_key {
-        text = text.replace(&format!("[\"{KEY}\"]"), &format!("[\"{KEY}\",\"{SECOND_KEY}\"]"));
+        text = text.replace(
+            &format!("[\"{KEY}\"]"),
+            &format!("[\"{KEY}\",\"{SECOND_KEY}\"]"),
+        );
     }
     text
 }
--- a/review/harness/drain_list.rs
+++ b/review/harness/drain_list.rs
@@ -3,8 +3,8 @@
 use std::{
     collections::HashMap,
     sync::{
-        Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
+        Arc, Mutex,
     },
     thread,
     time::Instant,
@@ -33,15 +33,33 @@
     let mut servers = Vec::new();
     for n in 0..3u8 {
         let (runs, record) = (Arc::clone(&runs), Arc::clone(record));
-        let server = Server::start(&format!("i-{n}"), cluster.address(100 + n, 8308), move |server, conn, head| {
-            let Ok(_) = conn.read_body(head) else { return false };
-            let run = Run { at: Instant::now(), server: server.id.clone() };
-            runs.lock().unwrap().entry(head.id().to_owned()).or_default().push(run);
-            record.line(format!("server {} runs {} {}", server.id, head.method(), head.id()));
-            thread::sleep(ms(if head.method() == "GET" { 20 } else { WORK_MS }));
-            let answer = server.answer_head(head, "200 OK", 4) + "done";
-            conn.stream.write_all(answer.as_bytes()).is_ok()
-        });
+        let server = Server::start(
+            &format!("i-{n}"),
+            cluster.address(100 + n, 8308),
+            move |server, conn, head| {
+                let Ok(_) = conn.read_body(head) else {
+                    return false;
+                };
+                let run = Run {
+                    at: Instant::now(),
+                    server: server.id.clone(),
+                };
+                runs.lock()
+                    .unwrap()
+                    .entry(head.id().to_owned())
+                    .or_default()
+                    .push(run);
+                record.line(format!(
+                    "server {} runs {} {}",
+                    server.id,
+                    head.method(),
+                    head.id()
+                ));
+                thread::sleep(ms(if head.method() == "GET" { 20 } else { WORK_MS }));
+                let answer = server.answer_head(head, "200 OK", 4) + "done";
+                conn.stream.write_all(answer.as_bytes()).is_ok()
+            },
+        );
         list.lock().unwrap().entries.push(Listed {
             zone: "a",
             id: server.id.clone(),
@@ -54,10 +72,28 @@
     serve_platform(cluster.api, Arc::clone(&list));
     cluster.start_all();
     let routes = [
-        RouteSpec { name: "pledge", kind: "non_idempotent", timeout_ms: 1500, attempts: 1, resume: false, service: "ledger-x" },
-        RouteSpec { name: "stock", kind: "idempotent", timeout_ms: 1500, attempts: 2, resume: false, service: "ledger-x" },
+        RouteSpec {
+            name: "pledge",
+            kind: "non_idempotent",
+            timeout_ms: 1500,
+            attempts: 1,
+            resume: false,
+            service: "ledger-x",
+        },
+        RouteSpec {
+            name: "stock",
+            kind: "idempotent",
+            timeout_ms: 1500,
+            attempts: 2,
+            resume: false,
+            service: "ledger-x",
+        },
     ];
-    if !put_config(&cluster.controls(), &document(3, &routes, &["ledger-x"]), ms(12_000)) {
+    if !put_config(
+        &cluster.controls(),
+        &document(3, &routes, &["ledger-x"]),
+        ms(12_000),
+    ) {
         cannot_run("the configuration was not acknowledged");
     }
     let fronts: Vec<_> = cluster.gateways.iter().map(Node::front).collect();
@@ -69,12 +105,21 @@
     let stop = Arc::new(AtomicBool::new(false));
     let lost = Arc::new(AtomicU64::new(0));
     let traffic = {
-        let (fronts, record, stop, lost) = (fronts.clone(), Arc::clone(record), Arc::clone(&stop), Arc::clone(&lost));
+        let (fronts, record, stop, lost) = (
+            fronts.clone(),
+            Arc::clone(record),
+            Arc::clone(&stop),
+            Arc::clone(&lost),
+        );
         thread::spawn(move || {
             let mut calls = Vec::new();
             let mut n = 0;
             while !stop.load(Ordering::SeqCst) {
-                let (front, record, lost) = (fronts[n % fronts.len()], Arc::clone(&record), Arc::clone(&lost));
+                let (front, record, lost) = (
+                    fronts[n % fronts.len()],
+                    Arc::clone(&record),
+                    Arc::clone(&lost),
+                );
                 n += 1;
                 calls.push(thread::spawn(move || call(front, &record, &lost)));
                 thread::sleep(ms(SEND_EVERY_MS));
@@ -84,8 +129,17 @@
     };
     thread::sleep(ms(2000));
     if trouble() {
-        // An Id that is no UTF-8; the rest of the list is sound.
-        let entry = b"{\"Service\":\"ledger-x\",\"Id\":\"\xff\xfe\x80\",\"State\":\"ready\"}".to_vec();
+        // The rest of the list is sound.
+        let entry: &[u8] = match std::env::var("ENTRY").as_deref() {
+            // An Id that is half of a surrogate pair, and a number beyond all limits: sound by the grammar of JSON.
+            Ok("surrogate") => b"{\"Service\":\"ledger-x\",\"Id\":\"\\ud800\",\"State\":\"ready\"}",
+            Ok("number") => {
+                b"{\"Service\":\"ledger-x\",\"Id\":\"i-odd\",\"Slots\":1e999,\"State\":\"ready\"}"
+            }
+            // An Id that is no UTF-8.
+            _ => b"{\"Service\":\"ledger-x\",\"Id\":\"\xff\xfe\x80\",\"State\":\"ready\"}",
+        };
+        let entry = entry.to_vec();
         list.lock().unwrap().foreign = Some(entry);
         record.say("the list holds an entry of another writer, with bytes that cannot be read");
     }
@@ -98,7 +152,10 @@
         }
         thread::sleep(ms(5));
     };
-    record.say(format!("the list shows i-0 as draining at {:.3}", record.seconds(shown)));
+    record.say(format!(
+        "the list shows i-0 as draining at {:.3}",
+        record.seconds(shown)
+    ));
     let end = shown + ms(DRAIN_MS + LINGER_MS);
     thread::sleep(end.saturating_duration_since(Instant::now()));
     let lost_before = lost.load(Ordering::SeqCst);
@@ -156,5 +213,6 @@
 fn late_runs(runs: &Mutex<HashMap<String, Vec<Run>>>, shown: Instant) -> usize {
     let runs = runs.lock().unwrap();
     let all = runs.values().flatten();
-    all.filter(|run| run.server == "i-0" && run.at > shown + ms(DRAIN_MS)).count()
+    all.filter(|run| run.server == "i-0" && run.at > shown + ms(DRAIN_MS))
+        .count()
 }
--- a/review/harness/early.rs
+++ b/review/harness/early.rs
@@ -26,29 +26,41 @@
     let list = Arc::new(Mutex::new(ListState::default()));
     let early = trouble();
     let of_servers = Arc::clone(record);
-    let server = Server::start("i-0", cluster.address(100, 8308), move |server, conn, head| {
-        let record = &of_servers;
-        if head.length() < LONG_BYTES || !early {
-            let Ok(_) = conn.read_body(head) else { return false };
-            record.line(format!("server i-0 runs {} {}", head.method(), head.id()));
-            thread::sleep(ms(20));
+    let server = Server::start(
+        "i-0",
+        cluster.address(100, 8308),
+        move |server, conn, head| {
+            let record = &of_servers;
+            if head.length() < LONG_BYTES || !early {
+                let Ok(_) = conn.read_body(head) else {
+                    return false;
+                };
+                record.line(format!("server i-0 runs {} {}", head.method(), head.id()));
+                thread::sleep(ms(20));
+                let answer = server.answer_head(head, "200 OK", 4) + "done";
+                return conn.stream.write_all(answer.as_bytes()).is_ok();
+            }
+            // The whole answer goes out first; the rest of the body is read later, on the same connection.
+            thread::sleep(ms(THINK_MS));
             let answer = server.answer_head(head, "200 OK", 4) + "done";
-            return conn.stream.write_all(answer.as_bytes()).is_ok();
-        }
-        // The whole answer goes out first; the rest of the body is read later, on the same connection.
-        thread::sleep(ms(THINK_MS));
-        let answer = server.answer_head(head, "200 OK", 4) + "done";
-        if conn.stream.write_all(answer.as_bytes()).is_err() {
-            return false;
-        }
-        record.line(format!("server i-0 has answered {} before it has read it", head.id()));
-        thread::sleep(ms(READ_ON_MS));
-        let read = conn.read_body(head).is_ok();
-        record.line(format!("server i-0 has read the rest of {}: {read}", head.id()));
-        read
-    });
+            if conn.stream.write_all(answer.as_bytes()).is_err() {
+                return false;
+            }
+            record.line(format!(
+                "server i-0 has answered {} before it has read it",
+                head.id()
+            ));
+            thread::sleep(ms(READ_ON_MS));
+            let read = conn.read_body(head).is_ok();
+            record.line(format!(
+                "server i-0 has read the rest of {}: {read}",
+                head.id()
+            ));
+            read
+        },
+    );
     list.lock().unwrap().entries.push(Listed {
-            zone: "a",
+        zone: "a",
         id: server.id.clone(),
         service: "ledger-x".into(),
         address: server.address,
@@ -57,11 +69,36 @@
     serve_platform(cluster.api, Arc::clone(&list));
     cluster.start_all();
     let routes = [
-        RouteSpec { name: "long", kind: "non_idempotent", timeout_ms: 10_000, attempts: 1, resume: false, service: "ledger-x" },
-        RouteSpec { name: "stock", kind: "idempotent", timeout_ms: TIMEOUT_MS, attempts: 2, resume: false, service: "ledger-x" },
-        RouteSpec { name: "pledge", kind: "non_idempotent", timeout_ms: TIMEOUT_MS, attempts: 1, resume: false, service: "ledger-x" },
+        RouteSpec {
+            name: "long",
+            kind: "non_idempotent",
+            timeout_ms: 10_000,
+            attempts: 1,
+            resume: false,
+            service: "ledger-x",
+        },
+        RouteSpec {
+            name: "stock",
+            kind: "idempotent",
+            timeout_ms: TIMEOUT_MS,
+            attempts: 2,
+            resume: false,
+            service: "ledger-x",
+        },
+        RouteSpec {
+            name: "pledge",
+            kind: "non_idempotent",
+            timeout_ms: TIMEOUT_MS,
+            attempts: 1,
+            resume: false,
+            service: "ledger-x",
+        },
     ];
-    if !put_config(&cluster.controls(), &document(3, &routes, &["ledger-x"]), ms(12_000)) {
+    if !put_config(
+        &cluster.controls(),
+        &document(3, &routes, &["ledger-x"]),
+        ms(12_000),
+    ) {
         cannot_run("the configuration was not acknowledged");
     }
     let front = cluster.gateways[0].front();
@@ -84,8 +121,14 @@
             })
         })
         .collect();
-    let answered = uploads.into_iter().filter_map(|u| u.join().ok()).filter(|s| *s == 200).count();
-    record.say(format!("{answered} of {UPLOADS} long requests are answered with 200"));
+    let answered = uploads
+        .into_iter()
+        .filter_map(|u| u.join().ok())
+        .filter(|s| *s == 200)
+        .count();
+    record.say(format!(
+        "{answered} of {UPLOADS} long requests are answered with 200"
+    ));
     if answered < UPLOADS {
         cannot_run("the long requests were not answered");
     }
@@ -104,14 +147,23 @@
                 let answer = exchange(front, &head, b"", ms(15_000));
                 let took = sent.elapsed();
                 let status = answer.map_or(0, |answer| answer.head.status());
-                record.line(format!("client {id} is answered {status} after {} ms", took.as_millis()));
+                record.line(format!(
+                    "client {id} is answered {status} after {} ms",
+                    took.as_millis()
+                ));
                 took
             })
         })
         .collect();
-    let took: Vec<Duration> = calls.into_iter().filter_map(|call| call.join().ok()).collect();
+    let took: Vec<Duration> = calls
+        .into_iter()
+        .filter_map(|call| call.join().ok())
+        .collect();
     let beyond = took.iter().filter(|t| **t > ms(TIMEOUT_MS)).count();
-    let late = took.iter().filter(|t| **t > ms(TIMEOUT_MS + LATE_MS)).count();
+    let late = took
+        .iter()
+        .filter(|t| **t > ms(TIMEOUT_MS + LATE_MS))
+        .count();
     record.say(format!(
         "CONFIG: {beyond} of {CALLS} requests lasted longer than their route's TimeoutMs of {TIMEOUT_MS} ms; {late} of them had \
          no final answer {LATE_MS} ms after it"
--- a/review/harness/one.rs
+++ b/review/harness/one.rs
@@ -4,8 +4,8 @@
     collections::HashMap,
     io::Write,
     sync::{
-        Arc, Mutex,
         atomic::{AtomicBool, Ordering},
+        Arc, Mutex,
     },
     thread,
     time::{Duration, Instant},
@@ -32,7 +32,11 @@
     let mut cluster = Cluster::prepare(3, 1);
     let list = Arc::new(Mutex::new(ListState::default()));
     for (n, zone) in ZONES.iter().enumerate() {
-        let server = Server::start(&format!("i-{n}"), cluster.address(100 + n as u8, 8308), run_stream);
+        let server = Server::start(
+            &format!("i-{n}"),
+            cluster.address(100 + n as u8, 8308),
+            run_stream,
+        );
         list.lock().unwrap().entries.push(Listed {
             zone,
             id: server.id.clone(),
@@ -44,9 +48,16 @@
     let freeze: Arc<Mutex<Freeze>> = Arc::default();
     let processes: Arc<Mutex<HashMap<String, u32>>> = Arc::default();
     {
-        let (freeze, processes, record) = (Arc::clone(&freeze), Arc::clone(&processes), Arc::clone(record));
+        let (freeze, processes, record) = (
+            Arc::clone(&freeze),
+            Arc::clone(&processes),
+            Arc::clone(record),
+        );
         serve_platform_with(cluster.api, Arc::clone(&list), move |call| {
-            record.line(format!("platform gets {} {} from {} with token {}", call.path, call.body, call.holder, call.token));
+            record.line(format!(
+                "platform gets {} {} from {} with token {}",
+                call.path, call.body, call.holder, call.token
+            ));
             if call.path == "/scale" && trouble() {
                 freeze_once(&freeze, &processes, call, &record);
             }
@@ -80,9 +91,18 @@
     };
     let end = Instant::now() + ms(40_000);
     let done = |freeze: &Freeze| freeze.thawed.is_some_and(|at| at.elapsed() > ms(3000));
-    let first = || list.lock().unwrap().calls.iter().find(|call| call.path == "/scale").map(|call| call.at);
+    let first = || {
+        list.lock()
+            .unwrap()
+            .calls
+            .iter()
+            .find(|call| call.path == "/scale")
+            .map(|call| call.at)
+    };
     while Instant::now() < end {
-        if done(&freeze.lock().unwrap()) || (!trouble() && first().is_some_and(|at| at.elapsed() > ms(9000))) {
+        if done(&freeze.lock().unwrap())
+            || (!trouble() && first().is_some_and(|at| at.elapsed() > ms(9000)))
+        {
             break;
         }
         thread::sleep(ms(50));
@@ -100,7 +120,12 @@
 }
 
 /// Freezes the process that made the first order, while the answer is on its way, and wakes it later.
-fn freeze_once(freeze: &Arc<Mutex<Freeze>>, processes: &Mutex<HashMap<String, u32>>, call: &DutyCall, record: &Arc<Record>) {
+fn freeze_once(
+    freeze: &Arc<Mutex<Freeze>>,
+    processes: &Mutex<HashMap<String, u32>>,
+    call: &DutyCall,
+    record: &Arc<Record>,
+) {
     let mut state = freeze.lock().unwrap();
     if state.holder.is_some() {
         return;
@@ -111,7 +136,10 @@
     signal(pid, "STOP");
     state.holder = Some(call.holder.clone());
     state.frozen = Some(Instant::now());
-    record.say(format!("{} is frozen; it holds token {}", call.holder, call.token));
+    record.say(format!(
+        "{} is frozen; it holds token {}",
+        call.holder, call.token
+    ));
     let (freeze, record) = (Arc::clone(freeze), Arc::clone(record));
     thread::spawn(move || {
         thread::sleep(ms(FREEZE_MS));
@@ -128,9 +156,13 @@
     let (mut broken, mut excused) = (0, 0);
     for call in calls {
         let subject = subject(call);
-        let seen = highest.entry(subject.clone()).or_insert((call.token, call.holder.clone()));
+        let seen = highest
+            .entry(subject.clone())
+            .or_insert((call.token, call.holder.clone()));
         if call.token < seen.0 {
-            let after = freeze.thawed.map(|at| call.at.saturating_duration_since(at));
+            let after = freeze
+                .thawed
+                .map(|at| call.at.saturating_duration_since(at));
             let is_excused = freeze.holder.as_ref() == Some(&call.holder)
                 && after.is_some_and(|after| after <= ms(THAW_SLACK_MS));
             match is_excused {
@@ -162,7 +194,11 @@
 fn subject(call: &DutyCall) -> String {
     match call.path.as_str() {
         "/scale" => {
-            let zone = call.body.split("\"Zone\":\"").nth(1).and_then(|rest| rest.split('"').next());
+            let zone = call
+                .body
+                .split("\"Zone\":\"")
+                .nth(1)
+                .and_then(|rest| rest.split('"').next());
             format!("scale {}", zone.unwrap_or("?"))
         }
         path => path.trim_start_matches('/').to_owned(),
@@ -187,9 +223,15 @@
 
 /// Answers after a time that grows with the new tokens of the prompt, with three events.
 fn run_stream(server: &Server, conn: &mut Conn, head: &Head) -> bool {
-    let Ok(_) = conn.read_body(head) else { return false };
-    let own = head.header("x-flamingocroft-prefix-hash").and_then(|parts| parts.rsplit(':').next());
-    let tokens: u64 = own.and_then(|tokens| tokens.trim().parse().ok()).unwrap_or(0);
+    let Ok(_) = conn.read_body(head) else {
+        return false;
+    };
+    let own = head
+        .header("x-flamingocroft-prefix-hash")
+        .and_then(|parts| parts.rsplit(':').next());
+    let tokens: u64 = own
+        .and_then(|tokens| tokens.trim().parse().ok())
+        .unwrap_or(0);
     thread::sleep(Duration::from_micros(10_000 + tokens * 20));
     let answer = format!(
         "HTTP/1.1 200 OK\r\nX-Flamingocroft-Request-Id: {}\r\nX-Flamingocroft-Response-Seal: {}.{}\r\n\
@@ -203,7 +245,11 @@
     }
     for n in 1..=3 {
         let event = format!("id: {n}\ndata: piece-{n}\n\n");
-        if conn.stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).is_err() {
+        if conn
+            .stream
+            .write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())
+            .is_err()
+        {
             return false;
         }
         thread::sleep(ms(20));
--- a/review/harness/standins.rs
+++ b/review/harness/standins.rs
@@ -10,8 +10,8 @@
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
-        Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
+        Arc, Mutex,
     },
     thread,
     time::{Duration, Instant},
@@ -149,14 +149,18 @@
     eprintln!("the case could not run: {reason}");
     let started = STARTED.lock().map(|s| s.clone()).unwrap_or_default();
     for pid in started {
-        let _ = Command::new("kill").args(["-KILL", &pid.to_string()]).status();
+        let _ = Command::new("kill")
+            .args(["-KILL", &pid.to_string()])
+            .status();
     }
     std::process::exit(2)
 }
 
 /// Sends a signal to a process that this script started.
 pub fn signal(pid: u32, name: &str) {
-    let _ = Command::new("kill").args([&format!("-{name}"), &pid.to_string()]).status();
+    let _ = Command::new("kill")
+        .args([&format!("-{name}"), &pid.to_string()])
+        .status();
 }
 
 /// Ends the script if it takes too long.
@@ -174,7 +178,9 @@
         let n = pid.wrapping_mul(7).wrapping_add(step * 13);
         let net = [64 + (n % 120) as u8, (n / 120 % 250) as u8 + 1];
         let ip = Ipv4Addr::new(127, net[0], net[1], 1);
-        if TcpListener::bind((ip, CONTROL_PORT)).is_ok() && TcpListener::bind((ip, API_PORT)).is_ok() {
+        if TcpListener::bind((ip, CONTROL_PORT)).is_ok()
+            && TcpListener::bind((ip, API_PORT)).is_ok()
+        {
             return net;
         }
     }
@@ -200,16 +206,35 @@
         let node = |role: &'static str, ip: Ipv4Addr| {
             let settings = folder.join(format!("{role}-{ip}.jsonc"));
             let data = folder.join(format!("data-{ip}"));
-            let peer_port = if role == "gateway" { gateways_peer_port } else { PEER_PORT };
+            let peer_port = if role == "gateway" {
+                gateways_peer_port
+            } else {
+                PEER_PORT
+            };
             let text = render(&root, role, ip, &seeds, api, &data, peer_port);
             fs::write(&settings, text).unwrap();
             let output = folder.join(format!("{role}-{ip}.log"));
-            Node { ip, role, settings, output, child: None }
+            Node {
+                ip,
+                role,
+                settings,
+                output,
+                child: None,
+            }
         };
-        let controllers = (0..controllers).map(|n| node("controller", ip(10 + n))).collect();
+        let controllers = (0..controllers)
+            .map(|n| node("controller", ip(10 + n)))
+            .collect();
         let gateways = (0..gateways).map(|n| node("gateway", ip(30 + n))).collect();
         let commands = deploy_commands(&root);
-        Self { root, folder, controllers, gateways, api, commands }
+        Self {
+            root,
+            folder,
+            controllers,
+            gateways,
+            api,
+            commands,
+        }
     }
 
     /// Starts a process with the command of the deploy file.
@@ -219,7 +244,11 @@
         };
         let mut words = command.split_whitespace();
         let program = root.join(words.next().unwrap_or_default());
-        let output = fs::OpenOptions::new().create(true).append(true).open(&node.output).unwrap();
+        let output = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&node.output)
+            .unwrap();
         let child = Command::new(&program)
             .args(words)
             .current_dir(root)
@@ -235,7 +264,10 @@
                 STARTED.lock().unwrap().push(child.id());
                 node.child = Some(child);
             }
-            Err(e) => cannot_run(&format!("{} did not start: {e}; build it first", program.display())),
+            Err(e) => cannot_run(&format!(
+                "{} did not start: {e}; build it first",
+                program.display()
+            )),
         }
     }
 
@@ -264,7 +296,9 @@
 
     /// Returns a further address of the deployment's network, for a stand-in.
     pub fn address(&self, n: u8, port: u16) -> SocketAddr {
-        let SocketAddr::V4(api) = self.api else { unreachable!() };
+        let SocketAddr::V4(api) = self.api else {
+            unreachable!()
+        };
         let mut octets = api.ip().octets();
         octets[3] = n;
         SocketAddr::V4(SocketAddrV4::new(octets.into(), port))
@@ -298,7 +332,10 @@
 ) -> String {
     let path = root.join(format!("deploy/{role}.jsonc"));
     let text = fs::read_to_string(&path).unwrap_or_else(|_| cannot_run("a template is missing"));
-    let seeds: Vec<String> = seeds.iter().map(|ip| format!("\"{ip}:{CONTROL_PORT}\"")).collect();
+    let seeds: Vec<String> = seeds
+        .iter()
+        .map(|ip| format!("\"{ip}:{CONTROL_PORT}\""))
+        .collect();
     let mut text = text.replace("{{#Seeds}}\"{{.}}\"{{,}}{{/Seeds}}", &seeds.join(","));
     let values: &[(&str, String)] = &[
         ("Ip", ip.to_string()),
@@ -328,7 +365,10 @@
         text = text.replace(&format!("{{{{{name}}}}}"), value);
     }
     if let Some(at) = text.find("{{") {
-        cannot_run(&format!("a placeholder is unknown: {}", &text[at..(at + 40).min(text.len())]));
+        cannot_run(&format!(
+            "a placeholder is unknown: {}",
+            &text[at..(at + 40).min(text.len())]
+        ));
     }
     text
 }
@@ -344,12 +384,17 @@
 
 impl Head {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(n, _)| n.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 
     pub fn length(&self) -> usize {
-        self.header("content-length").and_then(|v| v.trim().parse().ok()).unwrap_or(0)
+        self.header("content-length")
+            .and_then(|v| v.trim().parse().ok())
+            .unwrap_or(0)
     }
 
     pub fn status(&self) -> u16 {
@@ -378,7 +423,10 @@
 impl Conn {
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Self { stream, buf: Vec::new() }
+        Self {
+            stream,
+            buf: Vec::new(),
+        }
     }
 
     pub fn connect(address: SocketAddr, limit: Duration) -> io::Result<Self> {
@@ -399,7 +447,12 @@
                 let text = String::from_utf8_lossy(&self.buf[..end]).into_owned();
                 self.buf.drain(..end + 4);
                 let mut lines = text.split("\r\n");
-                let first = lines.next().unwrap_or_default().split(' ').map(str::to_owned).collect();
+                let first = lines
+                    .next()
+                    .unwrap_or_default()
+                    .split(' ')
+                    .map(str::to_owned)
+                    .collect();
                 let headers = lines
                     .filter_map(|line| line.split_once(':'))
                     .map(|(name, value)| (name.trim().to_owned(), value.trim().to_owned()))
@@ -426,7 +479,9 @@
 
     /// Reads a whole body, by its length or in chunks.
     pub fn read_body(&mut self, head: &Head) -> io::Result<Vec<u8>> {
-        let chunked = head.header("transfer-encoding").is_some_and(|v| v.eq_ignore_ascii_case("chunked"));
+        let chunked = head
+            .header("transfer-encoding")
+            .is_some_and(|v| v.eq_ignore_ascii_case("chunked"));
         if !chunked {
             return self.read_exact(head.length());
         }
@@ -442,7 +497,8 @@
                     return Err(io::ErrorKind::UnexpectedEof.into());
                 }
             };
-            let size = usize::from_str_radix(line.trim(), 16).map_err(|_| io::ErrorKind::InvalidData)?;
+            let size =
+                usize::from_str_radix(line.trim(), 16).map_err(|_| io::ErrorKind::InvalidData)?;
             let part = self.read_exact(size + 2)?;
             if size == 0 {
                 return Ok(body);
@@ -458,7 +514,12 @@
 }
 
 /// Sends one request on a new connection and reads the whole answer.
-pub fn exchange(address: SocketAddr, head: &str, body: &[u8], limit: Duration) -> io::Result<Answer> {
+pub fn exchange(
+    address: SocketAddr,
+    head: &str,
+    body: &[u8],
+    limit: Duration,
+) -> io::Result<Answer> {
     let end = Instant::now() + limit;
     let mut conn = Conn::connect(address, limit.min(ms(1000)))?;
     conn.stream.set_read_timeout(Some(limit))?;
@@ -499,7 +560,11 @@
 
 pub fn new_id() -> String {
     static NEXT: AtomicU64 = AtomicU64::new(1);
-    format!("{:08x}{:08x}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed))
+    format!(
+        "{:08x}{:08x}",
+        std::process::id(),
+        NEXT.fetch_add(1, Ordering::Relaxed)
+    )
 }
 
 // ---------------------------------------------------------------- operator and directory
@@ -551,7 +616,10 @@
     }
     let text = String::from_utf8(answer.body).ok()?;
     let list = text.split("\"Addresses\":[").nth(1)?.split(']').next()?;
-    let addresses = list.split(',').filter_map(|a| a.trim_matches('"').parse().ok()).collect();
+    let addresses = list
+        .split(',')
+        .filter_map(|a| a.trim_matches('"').parse().ok())
+        .collect();
     let ttl = text.split("\"TtlS\":").nth(1)?;
     let ttl: f64 = ttl.trim_end_matches('}').parse().ok()?;
     Some((addresses, Duration::from_secs_f64(ttl.min(5.0))))
@@ -621,12 +689,17 @@
 
 /// Passes connections on to an address, over a link of limited bandwidth in each direction.
 pub fn serve_link(listen: SocketAddr, to: SocketAddr, up: Arc<Link>, down: Arc<Link>) {
-    let listener = TcpListener::bind(listen).unwrap_or_else(|e| cannot_run(&format!("{listen}: {e}")));
+    let listener =
+        TcpListener::bind(listen).unwrap_or_else(|e| cannot_run(&format!("{listen}: {e}")));
     thread::spawn(move || {
         for near in listener.incoming().flatten() {
-            let Ok(far) = TcpStream::connect_timeout(&to, ms(500)) else { continue };
+            let Ok(far) = TcpStream::connect_timeout(&to, ms(500)) else {
+                continue;
+            };
             let _ = (near.set_nodelay(true), far.set_nodelay(true));
-            let (Ok(near_copy), Ok(far_copy)) = (near.try_clone(), far.try_clone()) else { continue };
+            let (Ok(near_copy), Ok(far_copy)) = (near.try_clone(), far.try_clone()) else {
+                continue;
+            };
             let (up, down) = (Arc::clone(&up), Arc::clone(&down));
             thread::spawn(move || pass_on(near, far, &up));
             thread::spawn(move || pass_on(far_copy, near_copy, &down));
@@ -692,14 +765,17 @@
     on_call: impl Fn(&DutyCall) + Send + Sync + 'static,
 ) {
     let on_call = Arc::new(on_call);
-    let listener = TcpListener::bind(address).unwrap_or_else(|e| cannot_run(&format!("{address}: {e}")));
+    let listener =
+        TcpListener::bind(address).unwrap_or_else(|e| cannot_run(&format!("{address}: {e}")));
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let (state, on_call) = (Arc::clone(&state), Arc::clone(&on_call));
             thread::spawn(move || {
                 let mut conn = Conn::new(stream);
                 while let Ok(Some(head)) = conn.read_head() {
-                    let Ok(body) = conn.read_body(&head) else { return };
+                    let Ok(body) = conn.read_body(&head) else {
+                        return;
+                    };
                     let answer = match head.path().starts_with("/instances") {
                         true => list_body(&mut state.lock().unwrap()),
                         false => {
@@ -735,7 +811,10 @@
     let mut parts: Vec<Vec<u8>> = Vec::new();
     for entry in &state.entries {
         if entry.state == "draining" {
-            state.shown_draining.entry(entry.id.clone()).or_insert_with(Instant::now);
+            state
+                .shown_draining
+                .entry(entry.id.clone())
+                .or_insert_with(Instant::now);
         }
         parts.push(
             format!(
@@ -771,7 +850,8 @@
         address: SocketAddr,
         run: impl Fn(&Server, &mut Conn, &Head) -> bool + Send + Sync + 'static,
     ) -> Arc<Self> {
-        let listener = TcpListener::bind(address).unwrap_or_else(|e| cannot_run(&format!("{address}: {e}")));
+        let listener =
+            TcpListener::bind(address).unwrap_or_else(|e| cannot_run(&format!("{address}: {e}")));
         let server = Arc::new(Self {
             id: id.to_owned(),
             address,
@@ -794,7 +874,9 @@
 
     fn serve(&self, mut conn: Conn, run: &(impl Fn(&Server, &mut Conn, &Head) -> bool + ?Sized)) {
         while let Ok(Some(head)) = conn.read_head() {
-            let expected = head.header("x-flamingocroft-expect-instance").unwrap_or(&self.id);
+            let expected = head
+                .header("x-flamingocroft-expect-instance")
+                .unwrap_or(&self.id);
             if expected != self.id {
                 let answer = b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
                 if conn.read_body(&head).is_err() || conn.stream.write_all(answer).is_err() {
--- a/review/harness/term.rs
+++ b/review/harness/term.rs
@@ -22,18 +22,36 @@
     let begun: Arc<Mutex<HashMap<String, Instant>>> = Arc::default();
     for n in 0..2u8 {
         let (begun, record) = (Arc::clone(&begun), Arc::clone(record));
-        let server = Server::start(&format!("i-{n}"), cluster.address(100 + n, 8308), move |server, conn, head| {
-            let Ok(_) = conn.read_body(head) else { return false };
-            if head.method() == "GET" {
-                let answer = server.answer_head(head, "200 OK", 4) + "done";
-                return conn.stream.write_all(answer.as_bytes()).is_ok();
-            }
-            begun.lock().unwrap().insert(head.id().to_owned(), Instant::now());
-            record.line(format!("server {} runs {}", server.id, head.id()));
-            let sent = stream_events(server, conn, head);
-            record.line(format!("server {} ends {}: {}", server.id, head.id(), if sent { "whole" } else { "its connection was closed" }));
-            sent
-        });
+        let server = Server::start(
+            &format!("i-{n}"),
+            cluster.address(100 + n, 8308),
+            move |server, conn, head| {
+                let Ok(_) = conn.read_body(head) else {
+                    return false;
+                };
+                if head.method() == "GET" {
+                    let answer = server.answer_head(head, "200 OK", 4) + "done";
+                    return conn.stream.write_all(answer.as_bytes()).is_ok();
+                }
+                begun
+                    .lock()
+                    .unwrap()
+                    .insert(head.id().to_owned(), Instant::now());
+                record.line(format!("server {} runs {}", server.id, head.id()));
+                let sent = stream_events(server, conn, head);
+                record.line(format!(
+                    "server {} ends {}: {}",
+                    server.id,
+                    head.id(),
+                    if sent {
+                        "whole"
+                    } else {
+                        "its connection was closed"
+                    }
+                ));
+                sent
+            },
+        );
         list.lock().unwrap().entries.push(Listed {
             zone: "a",
             id: server.id.clone(),
@@ -45,10 +63,28 @@
     serve_platform(cluster.api, Arc::clone(&list));
     cluster.start_all();
     let routes = [
-        RouteSpec { name: "draft", kind: "stream", timeout_ms: 15_000, attempts: 2, resume: false, service: "loom-x" },
-        RouteSpec { name: "stock", kind: "idempotent", timeout_ms: 1500, attempts: 2, resume: false, service: "loom-x" },
+        RouteSpec {
+            name: "draft",
+            kind: "stream",
+            timeout_ms: 15_000,
+            attempts: 2,
+            resume: false,
+            service: "loom-x",
+        },
+        RouteSpec {
+            name: "stock",
+            kind: "idempotent",
+            timeout_ms: 1500,
+            attempts: 2,
+            resume: false,
+            service: "loom-x",
+        },
     ];
-    if !put_config(&cluster.controls(), &document(3, &routes, &["loom-x"]), ms(12_000)) {
+    if !put_config(
+        &cluster.controls(),
+        &document(3, &routes, &["loom-x"]),
+        ms(12_000),
+    ) {
         cannot_run("the configuration was not acknowledged");
     }
     let fronts: Vec<_> = cluster.gateways.iter().map(Node::front).collect();
@@ -62,7 +98,10 @@
     let Some((_, ttl)) = knows() else {
         cannot_run("the directory does not list the gateway")
     };
-    record.say(format!("the directory of another gateway lists the gateway; TtlS is {}", ttl.as_secs_f64()));
+    record.say(format!(
+        "the directory of another gateway lists the gateway; TtlS is {}",
+        ttl.as_secs_f64()
+    ));
 
     let stop_at = Instant::now();
     if trouble() {
@@ -84,8 +123,10 @@
         record.say("no answer after the SIGTERM lists the gateway; nothing was sent");
         return false;
     };
-    record.say(format!("a client resolves at {} ms after the SIGTERM, and gets the gateway's address",
-        resolved.saturating_duration_since(stop_at).as_millis()));
+    record.say(format!(
+        "a client resolves at {} ms after the SIGTERM, and gets the gateway's address",
+        resolved.saturating_duration_since(stop_at).as_millis()
+    ));
     let kept_until = resolved + ttl * 3;
     let mut calls = Vec::new();
     for _ in 0..CLIENTS {
@@ -100,7 +141,9 @@
     thread::sleep((stop_at + ms(GRACE_MS)).saturating_duration_since(Instant::now()));
     if trouble() {
         let ended = cluster.gateways[0].has_ended();
-        record.say(format!("at the end of GraceS the gateway has ended: {ended}"));
+        record.say(format!(
+            "at the end of GraceS the gateway has ended: {ended}"
+        ));
         cluster.gateways[0].kill();
     }
     let mut cut = 0;
@@ -150,7 +193,11 @@
         Ok((status, Some(bytes))) => (format!("{status}, cut after {bytes} bytes"), true),
         Err(e) => (format!("not taken: {e}"), false),
     };
-    record.say(format!("client {id}: sent {} ms after the SIGTERM, {text}, after {} ms", after(sent), took.as_millis()));
+    record.say(format!(
+        "client {id}: sent {} ms after the SIGTERM, {text}, after {} ms",
+        after(sent),
+        took.as_millis()
+    ));
     // The rule excuses requests that were sent no later than 3 s after the SIGTERM.
     cut && after(sent) > 3000
 }
