Keep a stream at its silent upstream until another one has taken it over

What callers saw: a stream was cut in its middle although its upstream was at work, when the upstream was silent for longer than 0.6 to 1.2 s and no other one could have the stream.

Cause: the relay closed the connection to a silent upstream before it looked for another one. Without one, without an attempt or retry budget left, or when the next one rejected the request, the stream was cut. Before the first byte the same ended a request with 502 while its only upstream was at work.

Change: an upstream is left only when another one has the request. Both have the stream for 0.3 s at most, then, or at the second one's response, the first connection is closed. Before the first byte an upstream is given up only if another one may get the request.

--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -60,6 +60,18 @@
 }
 
 impl PooledConnection {
+    /// Sends a request and waits for the head of its response until the deadline.
+    pub(crate) async fn send(
+        &mut self,
+        req: Request<Full<Bytes>>,
+        deadline: Instant,
+    ) -> Result<Response<Incoming>, UpstreamError> {
+        match timeout_at(deadline, self.connection.send(req)).await {
+            Ok(result) => result,
+            Err(_) => Err(self.silence_error("no answer before the deadline")),
+        }
+    }
+
     /// Keeps the connection for reuse. The response must have been read to its end.
     pub(crate) fn return_to_pool(self) {
         self.idle.put(self.connection);
@@ -119,11 +131,8 @@
         deadline: Instant,
     ) -> Result<StreamingResponse, UpstreamError> {
         let mut connection = self.connect(target, reuse, deadline).await?;
-        match timeout_at(deadline, connection.connection.send(req)).await {
-            Ok(Ok(res)) => Ok(StreamingResponse { res, connection }),
-            Ok(Err(e)) => Err(e),
-            Err(_) => Err(connection.silence_error("no answer before the deadline")),
-        }
+        let res = connection.send(req, deadline).await?;
+        Ok(StreamingResponse { res, connection })
     }
 
     /// Sends a request once and reads the complete response.
@@ -149,7 +158,8 @@
         response.error_for_status()?.json()
     }
 
-    async fn connect(
+    /// Takes an idle connection or opens a new one. An error means that nothing was sent.
+    pub(crate) async fn connect(
         &self,
         target: &Target,
         reuse: Reuse,
--- a/src/ingress/forward/attempt.rs
+++ b/src/ingress/forward/attempt.rs
@@ -9,7 +9,7 @@
 
 use super::{ForwardedRequest, millis};
 use crate::{
-    adapters::http::{Framing, Reuse, StreamingResponse},
+    adapters::http::{Framing, PooledConnection, Reuse, StreamingResponse},
     domain::InstanceName,
     ingress::{
         errors::{Failure, NotRun},
@@ -51,17 +51,15 @@
         let left = self.time_left(now);
         let upstream = &in_flight.upstream;
         let req = self.build_request(upstream.target.instance.clone(), left, resume_after);
-        let client = &self.core.client;
-        let sent = client.exchange(
-            &upstream.target,
-            req,
-            Reuse::Allowed,
-            self.response_deadline(now),
-        );
-        let result = tokio::select! {
-            result = sent => result,
-            e = self.wait_until_lost(&in_flight, now) => Err(e),
+        let sent = async {
+            let target = &upstream.target;
+            let client = &self.core.client;
+            let connection = client
+                .connect(target, Reuse::Allowed, self.deadline)
+                .await?;
+            self.send(connection, req, &in_flight, now).await
         };
+        let result = sent.await;
         let response = match result {
             Ok(response) => response,
             Err(e) => return Err(self.record_failure(&in_flight, &e, now.elapsed())),
@@ -69,39 +67,56 @@
         self.check_response(in_flight, response, sent_at)
     }
 
-    /// Waits until an engine is considered lost, if the request may then be retried at another one; otherwise
-    /// waits forever.
-    async fn wait_until_lost(&self, in_flight: &InFlightGuard, sent: Instant) -> UpstreamError {
-        let class = self.route.class;
-        if !class.is_stream() || !class.may_repeat() || self.attempts_exhausted() {
-            return std::future::pending().await;
-        }
-        let timeout = in_flight.silence_timeout(Awaited::First, &self.response_targets());
-        let mut checks = interval_at(sent + timeout, liveness_check_interval(timeout));
-        loop {
-            checks.tick().await;
-            if in_flight.upstream.is_lost(timeout, Instant::now()) {
+    /// Sends the request on a connection and waits for the head of the response. An upstream that stays silent is given up
+    /// only if another one may get the request.
+    async fn send(
+        &self,
+        mut connection: PooledConnection,
+        req: Request<Full<Bytes>>,
+        in_flight: &InFlightGuard,
+        sent: Instant,
+    ) -> Result<StreamingResponse, UpstreamError> {
+        self.handover.set_sent(true);
+        let result = tokio::select! {
+            result = connection.send(req, self.deadline) => Some(result),
+            () = self.wait_until_given_up(in_flight, sent) => None,
+        };
+        match result {
+            Some(result) => Ok(StreamingResponse {
+                res: result?,
+                connection,
+            }),
+            None if self.route.class.is_stream() => {
                 let message = "the engine has been silent for too long";
-                return UpstreamError::new(UpstreamErrorKind::Silent, Sent::Maybe, message);
+                Err(UpstreamError::new(
+                    UpstreamErrorKind::Silent,
+                    Sent::Maybe,
+                    message,
+                ))
             }
+            None => Err(connection.silence_error("no answer within the silence timeout")),
         }
     }
 
-    /// Returns the time by which the upstream must respond. If the request may be retried, some time is kept
-    /// for another attempt.
-    fn response_deadline(&self, now: Instant) -> Instant {
-        if !self.route.class.may_repeat() || self.attempts_exhausted() {
-            return self.deadline;
+    /// Waits until an upstream counts as lost and another one may get the request; otherwise waits forever.
+    async fn wait_until_given_up(&self, in_flight: &InFlightGuard, sent: Instant) {
+        let class = self.route.class;
+        if !class.may_repeat() || self.attempts_exhausted() {
+            return std::future::pending().await;
         }
         let response_targets = self.response_targets();
-        let max_wait = match self.route.class.is_stream() {
-            true => response_targets.max_silence(),
-            false => {
-                let upstreams = &self.core.upstreams;
-                upstreams.silence_timeout(&self.service, Awaited::First, &response_targets)
+        let timeout = in_flight.silence_timeout(Awaited::First, &response_targets);
+        let mut checks = interval_at(sent + timeout, liveness_check_interval(timeout));
+        loop {
+            checks.tick().await;
+            let now = Instant::now();
+            let is_silent = !class.is_stream()
+                || in_flight.upstream.is_lost(timeout, now)
+                || now - sent >= response_targets.max_silence();
+            if is_silent && self.can_retry(&self.eligible(), now) {
+                return;
             }
-        };
-        self.deadline.min(now + max_wait)
+        }
     }
 
     /// Records a failed exchange and decides whether the request may have run.
--- a/src/ingress/forward/mod.rs
+++ b/src/ingress/forward/mod.rs
@@ -21,7 +21,7 @@
     crashes::RequestTraits,
     errors::{Failure, NotRun, RequestError, error_response},
     headers::{host, without_connection_headers},
-    relay::Relay,
+    relay::{Handover, Relay},
     upstream::Eligible,
     upstreams::InFlightGuard,
 };
@@ -130,6 +130,8 @@
     attempts: u32,
     /// When the request was counted in the account's usage, in milliseconds since the Unix epoch.
     counted_at: Option<u64>,
+    /// Whether an upstream has the request, for the relay of a stream that another upstream began.
+    handover: Handover,
 }
 
 impl<P: Platform, T: Clock> ForwardedRequest<P, T> {
@@ -205,6 +207,7 @@
             tried: Vec::new(),
             attempts: 0,
             counted_at: None,
+            handover: Handover::default(),
             route,
         })
     }
@@ -256,7 +259,9 @@
             if !self.route.class.is_stream() {
                 self.count_usage();
             }
-            match self.attempt(in_flight, resume_after).await {
+            let result = self.attempt(in_flight, resume_after).await;
+            self.handover.set_sent(result.is_ok());
+            match result {
                 Ok(mut accepted) => {
                     self.count_usage();
                     let in_flight = &mut accepted.source.in_flight;
@@ -308,6 +313,16 @@
         }
     }
 
+    /// Returns whether another upstream may get the request now.
+    fn can_retry(&self, eligible: &Eligible<'_>, now: Instant) -> bool {
+        !self.attempts_exhausted()
+            && self
+                .core
+                .upstreams
+                .has_eligible(&self.service, eligible, now)
+            && self.core.budgets.has_retry_left(&self.service, now)
+    }
+
     fn attempts_exhausted(&self) -> bool {
         self.tried.len() >= self.route.max_attempts as usize
     }
--- a/src/ingress/forward/response.rs
+++ b/src/ingress/forward/response.rs
@@ -14,7 +14,8 @@
         events::EventSplitter,
         headers::without_connection_headers,
         origins::StreamOrigin,
-        relay::{Relay, RelayContext, Resume, ResumeState, Resumed},
+        relay::{Handover, Previous, Relay, RelayContext, Resume, ResumeState, Resumed},
+        upstream::Eligible,
         upstreams::InFlightGuard,
     },
     policy::origins::{Origin, StreamId},
@@ -27,18 +28,31 @@
 const RESUME_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 impl<P: Platform, T: Clock> Resume for ForwardedRequest<P, T> {
+    fn can_resume(&self, after: Option<u64>, origin: Option<&Origin>) -> bool {
+        let eligible = Eligible {
+            tried: &self.tried,
+            origin,
+        };
+        (after.is_none() || origin.is_some()) && self.can_retry(&eligible, Instant::now())
+    }
+
     fn resume(
         mut self: Box<Self>,
         after: Option<u64>,
         origin: Option<Origin>,
-    ) -> BoxFuture<'static, Option<Resumed>> {
+        previous: Previous,
+        handover: Handover,
+    ) -> BoxFuture<'static, Result<Resumed, Box<dyn Resume>>> {
         Box::pin(async move {
             self.attempts += 1;
             if self.attempts_exhausted() || (after.is_some() && origin.is_none()) {
-                return None;
+                return Err(self as Box<dyn Resume>);
             }
             self.origin = origin;
-            self.wait_for_upstream().await;
+            self.handover = handover;
+            if previous == Previous::Gone {
+                self.wait_for_upstream().await;
+            }
             let found = self.try_upstreams(after).await;
             match found {
                 Ok(accepted) if accepted.head.status.is_success() => {
@@ -50,7 +64,7 @@
                         software = self.origin.as_ref().map_or("", |origin| origin.software.as_str());
                         "ingress: resumed a stream"
                     );
-                    Some(Resumed {
+                    Ok(Resumed {
                         source: accepted.source,
                         resume: self,
                     })
@@ -58,17 +72,19 @@
                 Ok(accepted) => {
                     let status = accepted.head.status;
                     log::warn!(
-                        event = "stream.lost", request = self.id(), status = status.as_u16();
-                        "ingress: a stream could not be resumed"
+                        event = "stream.not_resumed", request = self.id(), status = status.as_u16(),
+                        previous:? = previous;
+                        "ingress: another upstream did not take a stream over"
                     );
-                    None
+                    Err(self)
                 }
                 Err(error) => {
                     log::warn!(
-                        event = "stream.lost", request = self.id(), outcome:? = error;
-                        "ingress: a stream could not be resumed"
+                        event = "stream.not_resumed", request = self.id(), outcome:? = error,
+                        previous:? = previous;
+                        "ingress: another upstream did not take a stream over"
                     );
-                    None
+                    Err(self)
                 }
             }
         })
@@ -150,13 +166,7 @@
             .min(Instant::now() + self.response_targets().max_silence());
         loop {
             let now = Instant::now();
-            let is_available =
-                self.core
-                    .upstreams
-                    .has_eligible(&self.service, &self.eligible(), now);
-            if now >= until
-                || (is_available && self.core.budgets.has_retry_left(&self.service, now))
-            {
+            if now >= until || self.can_retry(&self.eligible(), now) {
                 return;
             }
             sleep(RESUME_POLL_INTERVAL).await;
--- a/src/ingress/relay.rs
+++ b/src/ingress/relay.rs
@@ -4,7 +4,10 @@
     error::Error,
     fmt,
     pin::Pin,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     task::{Context, Poll, ready},
     time::Duration,
 };
@@ -12,7 +15,7 @@
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use tokio::time::{Instant, Sleep, sleep_until};
+use tokio::time::{Instant, Sleep, sleep, sleep_until};
 
 use super::{
     crashes::{CrashWatch, RequestTraits},
@@ -36,6 +39,10 @@
 /// one event. A long stream shows it long before its end.
 const SURVIVED_FRAMES: u32 = 2;
 
+/// Time for which an upstream is kept after another one was sent its stream and has not rejected it. The pages allow both to
+/// work on it for 400 ms.
+const MAX_HANDOVER_OVERLAP: Duration = Duration::from_millis(300);
+
 /// Number of further liveness checks per silence timeout, after the first check at the timeout itself.
 const LIVENESS_CHECKS_PER_TIMEOUT: u32 = 3;
 
@@ -68,15 +75,43 @@
     pub(super) resume: Box<dyn Resume>,
 }
 
-/// Resumes a stream that broke off.
+/// What became of the upstream that a stream leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Previous {
+    /// Its response broke off.
+    Gone,
+    /// It is silent, and its response goes on unless another upstream takes the stream over.
+    Silent,
+}
+
+/// Whether the request of a stream is at another upstream, which has not rejected it.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Handover(Arc<AtomicBool>);
+
+impl Handover {
+    pub(super) fn set_sent(&self, sent: bool) {
+        self.0.store(sent, Ordering::Relaxed);
+    }
+
+    fn is_sent(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// Resumes a stream at another upstream.
 pub(super) trait Resume: Send {
+    /// Returns whether another upstream of the origin can take the stream over now.
+    fn can_resume(&self, after: Option<u64>, origin: Option<&Origin>) -> bool;
+
     /// Sends the request to another upstream of the origin, to continue after an event; before the first event there is
-    /// no origin. Returns `None` if there is no other upstream, or if no time or retry budget is left.
+    /// no origin. If no upstream takes it, the means to try again are returned.
     fn resume(
         self: Box<Self>,
         after: Option<u64>,
         origin: Option<Origin>,
-    ) -> BoxFuture<'static, Option<Resumed>>;
+        previous: Previous,
+        handover: Handover,
+    ) -> BoxFuture<'static, Result<Resumed, Box<dyn Resume>>>;
 }
 
 /// The rest of a resumed stream, with the means to resume it again.
@@ -120,7 +155,29 @@
     last_progress: Instant,
     /// Since when the relay waits for the upstream, as opposed to the caller.
     waiting_since: Option<Instant>,
-    resuming: Option<BoxFuture<'static, Option<Resumed>>>,
+    resuming: Option<Resuming>,
+}
+
+/// An attempt to resume a stream.
+struct Resuming {
+    result: BoxFuture<'static, Result<Resumed, Box<dyn Resume>>>,
+    handover: Handover,
+    /// When the previous upstream is left, once the request is at another one.
+    release: Option<Pin<Box<Sleep>>>,
+}
+
+impl Resuming {
+    /// Completes when both upstreams have had the stream for [`MAX_HANDOVER_OVERLAP`].
+    fn poll_release(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        if !self.handover.is_sent() {
+            self.release = None;
+            return Poll::Pending;
+        }
+        let release = self
+            .release
+            .get_or_insert_with(|| Box::pin(sleep(MAX_HANDOVER_OVERLAP)));
+        release.as_mut().poll(cx)
+    }
 }
 
 impl fmt::Debug for Passing {
@@ -212,20 +269,19 @@
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
         loop {
             if let Some(resuming) = &mut self.resuming {
-                let resumed = ready!(resuming.as_mut().poll(cx));
-                self.resuming = None;
-                let Some(resumed) = resumed else {
-                    return Poll::Ready(Some(Err(self.abort("no upstream can resume the stream"))));
-                };
-                self.source = Some(resumed.source);
-                if let Some(stream) = &mut self.resumable {
-                    stream.resume = resumed.resume;
+                if let Poll::Ready(result) = resuming.result.as_mut().poll(cx) {
+                    if let Some(e) = self.finish_resume(result) {
+                        return Poll::Ready(Some(Err(e)));
+                    }
+                } else if resuming.poll_release(cx).is_ready() && self.source.is_some() {
+                    self.leave_source("another upstream has the stream");
                 }
-                self.record_progress();
-                self.frames = 0;
             }
             let Some(source) = &mut self.source else {
-                return Poll::Ready(None);
+                return match self.resuming {
+                    Some(_) => Poll::Pending,
+                    None => Poll::Ready(None),
+                };
             };
             match Pin::new(&mut source.body).poll_frame(cx) {
                 Poll::Ready(Some(Ok(frame))) => {
@@ -255,6 +311,9 @@
                 }
                 Poll::Pending => {
                     let waiting_since = *self.waiting_since.get_or_insert_with(Instant::now);
+                    if self.resuming.is_some() {
+                        return Poll::Pending;
+                    }
                     let Some(check) = &mut self.next_liveness_check else {
                         return Poll::Pending;
                     };
@@ -267,14 +326,13 @@
                     let waited = now - waiting_since;
                     let is_lost =
                         waited >= timeout && source.in_flight.upstream.is_lost(timeout, now);
-                    if !is_lost && waited < response_targets.max_silence() {
-                        check.as_mut().reset(now + liveness_check_interval(timeout));
-                        continue;
-                    }
-                    source.in_flight.record_wait(Awaited::Next, waited);
-                    if !self.start_resume("no event arrived within the silence timeout") {
-                        self.next_liveness_check = None;
-                        return Poll::Pending;
+                    check.as_mut().reset(now + liveness_check_interval(timeout));
+                    let is_silent = is_lost || waited >= response_targets.max_silence();
+                    if is_silent && self.can_resume() {
+                        self.start_resume(
+                            Previous::Silent,
+                            "no event arrived within the silence timeout",
+                        );
                     }
                 }
             }
@@ -345,26 +403,94 @@
         }
     }
 
+    /// Returns whether another upstream can take the stream over now.
+    fn can_resume(&self) -> bool {
+        self.resumable.as_ref().is_some_and(|stream| {
+            let after = stream.events.last_id();
+            stream.resume.can_resume(after, stream.origin.get())
+        })
+    }
+
     /// Starts to resume the stream after the last complete event; returns false if it is not resumable.
-    fn start_resume(&mut self, reason: &str) -> bool {
+    fn start_resume(&mut self, previous: Previous, reason: &str) -> bool {
         let Some(stream) = &mut self.resumable else {
             return false;
         };
-        stream.events.discard_partial();
         let after = stream.events.last_id();
         let origin = stream.origin.get().cloned();
         let placeholder: Box<dyn Resume> = Box::new(NoResume);
         let resume = std::mem::replace(&mut stream.resume, placeholder);
-        if let Some(source) = self.source.take() {
+        if let Some(source) = &self.source {
             source.in_flight.upstream.record_failure(Instant::now());
+        }
+        match (previous, &self.source) {
+            (Previous::Silent, Some(source)) => {
+                let waited = self.waiting_since.map_or(Duration::ZERO, |at| at.elapsed());
+                source.in_flight.record_wait(Awaited::Next, waited);
+                log::info!(
+                    event = "stream.silent", request = self.id.as_str(), after:? = after,
+                    upstream:% = source.in_flight.upstream.target.instance,
+                    waited_ms = u64::try_from(waited.as_millis()).unwrap_or(u64::MAX);
+                    "ingress: a stream is silent, and another upstream is tried: {reason}"
+                );
+            }
+            _ => self.leave_source(reason),
+        }
+        let handover = Handover::default();
+        self.resuming = Some(Resuming {
+            result: resume.resume(after, origin, previous, handover.clone()),
+            handover,
+            release: None,
+        });
+        true
+    }
+
+    /// Goes on with the upstream that has taken the stream over. Without one it stays with the previous upstream;
+    /// an error is returned if that is gone too.
+    fn finish_resume(&mut self, result: Result<Resumed, Box<dyn Resume>>) -> Option<RelayError> {
+        self.resuming = None;
+        let (source, resume) = match result {
+            Ok(resumed) => (Some(resumed.source), resumed.resume),
+            Err(resume) => (None, resume),
+        };
+        if let Some(stream) = &mut self.resumable {
+            stream.resume = resume;
+        }
+        match (source, &self.source) {
+            (Some(source), _) => {
+                if self.source.is_some() {
+                    self.leave_source("another upstream has taken the stream over");
+                }
+                self.source = Some(source);
+                self.record_progress();
+                self.frames = 0;
+                None
+            }
+            (None, Some(_)) => {
+                log::info!(
+                    event = "stream.stays", request = self.id.as_str();
+                    "ingress: no other upstream takes a silent stream over"
+                );
+                None
+            }
+            (None, None) => Some(self.abort("no upstream can resume the stream")),
+        }
+    }
+
+    /// Leaves the current upstream, whose partial event is discarded.
+    fn leave_source(&mut self, reason: &str) {
+        let Some(stream) = &mut self.resumable else {
+            return;
+        };
+        stream.events.discard_partial();
+        if let Some(source) = self.source.take() {
             log::info!(
-                event = "stream.broke_off", request = self.id.as_str(), after:? = after,
+                event = "stream.broke_off", request = self.id.as_str(),
+                after:? = stream.events.last_id(),
                 upstream:% = source.in_flight.upstream.target.instance;
                 "ingress: a stream broke off and is being resumed: {reason}"
             );
         }
-        self.resuming = Some(resume.resume(after, origin));
-        true
     }
 
     /// Records that the upstream broke its response off and starts to resume it. Returns an error if that is not
@@ -375,7 +501,11 @@
             let (traits, crashes) = (&self.context.traits, &self.context.crashes);
             crashes.record_cut_off(traits, upstream, true);
         }
-        (!self.start_resume(reason)).then(|| self.abort(reason))
+        if self.resuming.is_some() {
+            self.leave_source(reason);
+            return None;
+        }
+        (!self.start_resume(Previous::Gone, reason)).then(|| self.abort(reason))
     }
 
     fn is_inside_event(&self) -> bool {
@@ -436,11 +566,17 @@
 struct NoResume;
 
 impl Resume for NoResume {
+    fn can_resume(&self, _after: Option<u64>, _origin: Option<&Origin>) -> bool {
+        false
+    }
+
     fn resume(
         self: Box<Self>,
         _after: Option<u64>,
         _origin: Option<Origin>,
-    ) -> BoxFuture<'static, Option<Resumed>> {
-        Box::pin(std::future::ready(None))
+        _previous: Previous,
+        _handover: Handover,
+    ) -> BoxFuture<'static, Result<Resumed, Box<dyn Resume>>> {
+        Box::pin(std::future::ready(Err(self as Box<dyn Resume>)))
     }
 }
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -76,6 +76,8 @@
     StallAfter(Vec<String>),
     /// Streams chunks with a pause before each, then ends properly.
     Paced(Vec<String>, Duration),
+    /// Like [`Self::Paced`], with a pause of its own before each chunk.
+    Timed(Vec<(Duration, String)>),
 }
 
 /// A request as a server received it.
--- a/tests/platform_support/servers.rs
+++ b/tests/platform_support/servers.rs
@@ -208,12 +208,10 @@
             signed(Response::new(stream(chunks, end, guard)))
         }
         ServerAction::Paced(chunks, pause) => {
-            let frames = futures_util::stream::iter(chunks).then(move |chunk| async move {
-                sleep(pause).await;
-                Ok(Frame::data(Bytes::from(chunk)))
-            });
-            signed(Response::new(stream(Vec::new(), frames.boxed(), guard)))
+            let chunks = chunks.into_iter().map(|chunk| (pause, chunk)).collect();
+            timed(chunks, guard)
         }
+        ServerAction::Timed(chunks) => timed(chunks, guard),
     };
     if let Some(id) = id {
         res.headers_mut().insert("x-flamingocroft-request-id", id);
@@ -221,6 +219,14 @@
     Ok(res)
 }
 
+fn timed(chunks: Vec<(Duration, String)>, guard: InProgressGuard) -> Response<Body> {
+    let frames = futures_util::stream::iter(chunks).then(|(pause, chunk)| async move {
+        sleep(pause).await;
+        Ok(Frame::data(Bytes::from(chunk)))
+    });
+    signed(Response::new(stream(Vec::new(), frames.boxed(), guard)))
+}
+
 type Chunk = Result<Frame<Bytes>, std::io::Error>;
 
 fn broken_end() -> impl futures_util::Stream<Item = Chunk> + Send {
