Open connections through other gateways while the upstreams are out of direct reach

What callers saw: gateways that were partitioned from all servers refused everything, while the others served.

Cause: a gateway had no way to an upstream but its own connections, and took its own reach for that of the system.

Change: policy::reachability tells a service that is out of direct reach by probes; ingress::reach then opens connections through other gateways, which copy bytes in frames (link::tunnel) and mark the upstream's end, so that a broken tunnel never looks like the end of a response. The gateway that took the request still decides, retries, counts and answers, so that it runs at most once and counts once in quotas, budgets and limits. A new port, Dialer, lets tests cut a gateway off.

--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -1,7 +1,10 @@
 //! An HTTP client that sends one request per exchange over pooled connections and never retries.
 
 use std::{
-    sync::atomic::{AtomicU64, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -13,15 +16,21 @@
     header::{self, HeaderValue},
 };
 use serde::{Serialize, de::DeserializeOwned};
-use tokio::time::{Instant, timeout_at};
+use tokio::{
+    io::{AsyncRead, AsyncWrite},
+    time::{Instant, timeout_at},
+};
 
 use super::{
-    connection::Connection,
+    connection::{Connection, connect_error},
     framing::Framing,
     messages::{ErrorReply, error_kind},
     pool::{IdleConnections, Pool},
 };
-use crate::ports::{Sent, Target, UpstreamError, UpstreamErrorKind};
+use crate::{
+    adapters::tcp::TcpDialer,
+    ports::{Dialer, Sent, Target, UpstreamError, UpstreamErrorKind},
+};
 
 /// Maximum size of a response body that is buffered, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
@@ -35,10 +44,21 @@
     Forbidden,
 }
 
+/// How a connection reaches its upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Way {
+    /// From this process.
+    Direct,
+    /// Through another gateway.
+    Tunnel,
+}
+
 /// An HTTP client with a connection pool.
 #[derive(Debug)]
 pub(crate) struct Client {
     pool: Pool,
+    tunnels: Pool,
+    dialer: Arc<dyn Dialer>,
     connect_timeout: Duration,
     opened: AtomicU64,
     reused: AtomicU64,
@@ -55,11 +75,22 @@
 #[derive(Debug)]
 pub(crate) struct PooledConnection {
     connection: Connection,
-    idle: std::sync::Arc<IdleConnections>,
+    idle: Arc<IdleConnections>,
     reused: bool,
+    way: Way,
 }
 
 impl PooledConnection {
+    /// Returns whether an idle connection was reused.
+    pub(crate) fn is_reused(&self) -> bool {
+        self.reused
+    }
+
+    /// Returns how the connection reaches its upstream.
+    pub(crate) fn way(&self) -> Way {
+        self.way
+    }
+
     /// Sends a request and waits for the head of its response until the deadline.
     pub(crate) async fn send(
         &mut self,
@@ -99,8 +130,15 @@
 impl Client {
     /// Creates a client without open connections.
     pub(crate) fn new(connect_timeout: Duration) -> Self {
+        Self::with_dialer(connect_timeout, Arc::new(TcpDialer))
+    }
+
+    /// Creates a client that opens its connections with a dialer.
+    pub(crate) fn with_dialer(connect_timeout: Duration, dialer: Arc<dyn Dialer>) -> Self {
         Self {
             pool: Pool::default(),
+            tunnels: Pool::default(),
+            dialer,
             connect_timeout,
             opened: AtomicU64::new(0),
             reused: AtomicU64::new(0),
@@ -109,7 +147,21 @@
 
     /// Removes all targets for which `is_kept` is false and closes their idle connections.
     pub(crate) fn retain(&self, is_kept: impl Fn(&Target) -> bool) {
-        self.pool.retain(is_kept);
+        self.pool.retain(&is_kept);
+        self.tunnels.retain(is_kept);
+    }
+
+    /// Closes the idle connections of one way to the targets for which `is_closed` is true. Those in use are closed
+    /// after their exchange.
+    pub(crate) fn close_idle(&self, way: Way, is_closed: impl Fn(&Target) -> bool) {
+        self.pool_of(way).retain(|target| !is_closed(target));
+    }
+
+    fn pool_of(&self, way: Way) -> &Pool {
+        match way {
+            Way::Direct => &self.pool,
+            Way::Tunnel => &self.tunnels,
+        }
     }
 
     /// Returns the number of connections opened so far.
@@ -165,28 +217,53 @@
         reuse: Reuse,
         deadline: Instant,
     ) -> Result<PooledConnection, UpstreamError> {
-        let idle = self.pool.idle_connections(target);
-        if reuse == Reuse::Allowed {
-            while let Some(mut connection) = idle.take() {
-                if connection.is_usable().await {
-                    self.reused.fetch_add(1, Ordering::Relaxed);
-                    return Ok(PooledConnection {
-                        connection,
-                        idle,
-                        reused: true,
-                    });
-                }
-            }
+        if reuse == Reuse::Allowed
+            && let Some(connection) = self.take_idle(target, Way::Direct).await
+        {
+            return Ok(connection);
         }
         let limit = deadline.saturating_duration_since(Instant::now());
         let limit = limit.min(self.connect_timeout);
-        let connection = Connection::open(target.address, limit).await?;
+        let connection = Connection::open(&*self.dialer, target.address, limit).await?;
+        Ok(self.opened(target, Way::Direct, connection))
+    }
+
+    /// Takes an idle connection of one way to a target.
+    pub(crate) async fn take_idle(&self, target: &Target, way: Way) -> Option<PooledConnection> {
+        let idle = self.pool_of(way).idle_connections(target);
+        while let Some(mut connection) = idle.take() {
+            if connection.is_usable().await {
+                self.reused.fetch_add(1, Ordering::Relaxed);
+                return Some(PooledConnection {
+                    connection,
+                    idle,
+                    reused: true,
+                    way,
+                });
+            }
+        }
+        None
+    }
+
+    /// Uses a tunnel to a target for HTTP. An error means that nothing was sent.
+    pub(crate) async fn connect_over(
+        &self,
+        target: &Target,
+        tunnel: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
+    ) -> Result<PooledConnection, UpstreamError> {
+        let connection = Connection::over(tunnel).await;
+        let connection = connection.map_err(|e| connect_error(target.address, &e.to_string()))?;
+        Ok(self.opened(target, Way::Tunnel, connection))
+    }
+
+    fn opened(&self, target: &Target, way: Way, connection: Connection) -> PooledConnection {
         self.opened.fetch_add(1, Ordering::Relaxed);
-        Ok(PooledConnection {
+        PooledConnection {
             connection,
-            idle,
+            idle: self.pool_of(way).idle_connections(target),
             reused: false,
-        })
+            way,
+        }
     }
 }
 
--- a/src/adapters/http/connection.rs
+++ b/src/adapters/http/connection.rs
@@ -10,23 +10,14 @@
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
 use tokio::{
-    net::TcpStream,
+    io::{AsyncRead, AsyncWrite},
     task::JoinHandle,
     time::{Instant, timeout},
 };
 
-use crate::ports::{Sent, UpstreamError, UpstreamErrorKind};
+use crate::ports::{Dialer, Sent, UpstreamError, UpstreamErrorKind};
 
-/// Idle time after which the kernel sends keepalive probes.
-const KEEPALIVE_IDLE: Duration = Duration::from_secs(5);
-/// Interval between keepalive probes.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
-/// Number of unanswered keepalive probes after which the kernel closes the connection.
-const KEEPALIVE_PROBES: u32 = 3;
-/// `TCP_USER_TIMEOUT`: the kernel closes the connection if sent bytes stay unacknowledged this long.
-const TCP_USER_TIMEOUT: Duration = Duration::from_secs(8);
 /// Idle time after which a connection is not reused.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(20);
 
@@ -39,9 +30,30 @@
 }
 
 impl Connection {
+    /// Speaks HTTP over an open connection.
+    pub(super) async fn over(
+        io: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
+    ) -> hyper::Result<Self> {
+        let (mut sender, connection) = http1::handshake(TokioIo::new(io)).await?;
+        let task = tokio::spawn(async move {
+            // The exchange reports the error as well, and an idle connection that ends is not an error.
+            let _ = connection.await;
+        });
+        sender.ready().await?;
+        Ok(Self {
+            sender,
+            task,
+            last_used: Instant::now(),
+        })
+    }
+
     /// Connects within a time limit. An error means that no request was sent.
-    pub(super) async fn open(address: SocketAddr, limit: Duration) -> Result<Self, UpstreamError> {
-        let opened = timeout(limit, open(address)).await;
+    pub(super) async fn open(
+        dialer: &dyn Dialer,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> Result<Self, UpstreamError> {
+        let opened = timeout(limit, open(dialer, address)).await;
         match opened {
             Ok(Ok(connection)) => Ok(connection),
             Ok(Err(e)) => Err(connect_error(address, &e.to_string())),
@@ -100,34 +112,11 @@
     }
 }
 
-async fn open(address: SocketAddr) -> anyhow::Result<Connection> {
-    let stream = TcpStream::connect(address).await?;
-    set_socket_options(&stream)?;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    let task = tokio::spawn(async move {
-        // The exchange reports the error as well, and an idle connection that ends is not an error.
-        let _ = connection.await;
-    });
-    sender.ready().await?;
-    Ok(Connection {
-        sender,
-        task,
-        last_used: Instant::now(),
-    })
-}
-
-fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
-    stream.set_nodelay(true)?;
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_IDLE)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_PROBES);
-    let socket = SockRef::from(stream);
-    socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
+async fn open(dialer: &dyn Dialer, address: SocketAddr) -> anyhow::Result<Connection> {
+    Ok(Connection::over(dialer.dial(address).await?).await?)
 }
 
-fn connect_error(address: SocketAddr, reason: &str) -> UpstreamError {
+pub(super) fn connect_error(address: SocketAddr, reason: &str) -> UpstreamError {
     UpstreamError::new(
         UpstreamErrorKind::Connect,
         Sent::No,
--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -17,7 +17,7 @@
 mod weights;
 
 pub(crate) use client::{
-    Client, PooledConnection, Reuse, StreamingResponse, get_request, post_request,
+    Client, PooledConnection, Reuse, StreamingResponse, Way, get_request, post_request,
 };
 pub use cloud::HttpCloud;
 pub(crate) use framing::{Framing, end_with_connection};
--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -3,6 +3,8 @@
 mod clock;
 pub mod disk;
 pub(crate) mod http;
+pub(crate) mod tcp;
 
 pub use clock::SystemClock;
 pub use http::{HttpCloud, HttpUpstreams, HttpWeights};
+pub use tcp::TcpDialer;
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     RunningRole,
-    adapters::{HttpCloud, HttpUpstreams, SystemClock},
+    adapters::{HttpCloud, HttpUpstreams, SystemClock, TcpDialer},
     controller, gateway, ingress, platform,
     ports::Ports,
     settings::{Ingress, Reloader, Role, Settings, SettingsWatch},
@@ -131,6 +131,7 @@
         settings_watch,
         api,
         Arc::clone(&ports.clock),
+        Arc::new(TcpDialer),
         &ports.metrics,
         stop,
     )
--- a/src/ingress/counters.rs
+++ b/src/ingress/counters.rs
@@ -223,6 +223,18 @@
         move || shared.upstreams.limited_count() as u64,
     );
     let shared = Arc::clone(core);
+    metrics.register_gauge(
+        "ingress_services_cut_off",
+        "Services whose upstreams are reached only through other gateways.",
+        move || shared.reach.cut_off_count() as u64,
+    );
+    let shared = Arc::clone(core);
+    metrics.register_gauge(
+        "ingress_tunnels_carried",
+        "Connections to upstreams that this gateway carries for others.",
+        move || shared.reach.carried_count() as u64,
+    );
+    let shared = Arc::clone(core);
     metrics.register_gauge(
         "ingress_quarantined",
         "Causes of crashes whose requests are refused.",
--- a/src/ingress/follow.rs
+++ b/src/ingress/follow.rs
@@ -288,6 +288,7 @@
         let own = &self.core.settings.name;
         self.core.announcer.set_gateways(&gateways, own);
         self.core.upstreams.set_gateways(own, &gateways);
+        self.core.reach.set_gateways(&gateways);
         self.core.roster.store(Arc::new(gateways));
     }
 
--- a/src/ingress/forward/attempt.rs
+++ b/src/ingress/forward/attempt.rs
@@ -9,7 +9,7 @@
 
 use super::{ForwardedRequest, millis};
 use crate::{
-    adapters::http::{Framing, PooledConnection, Reuse, StreamingResponse},
+    adapters::http::{Framing, PooledConnection, StreamingResponse},
     domain::InstanceName,
     ingress::{
         errors::{Failure, NotRun},
@@ -52,15 +52,11 @@
         let upstream = &in_flight.upstream;
         let req = self.build_request(upstream.target.instance.clone(), left, resume_after);
         let sent = async {
-            let target = &upstream.target;
-            let client = &self.core.client;
-            let connection = client
-                .connect(target, Reuse::Allowed, self.deadline)
-                .await?;
-            self.send(connection, req, &in_flight, now).await
+            let (reach, client) = (&self.core.reach, &self.core.client);
+            let connection = reach.connect(client, upstream, self.id(), self.deadline);
+            self.send(connection.await?, req, &in_flight, now).await
         };
-        let result = sent.await;
-        let response = match result {
+        let response = match sent.await {
             Ok(response) => response,
             Err(e) => return Err(self.record_failure(&in_flight, &e, now.elapsed())),
         };
@@ -130,7 +126,9 @@
         if e.kind == UpstreamErrorKind::Silent {
             in_flight.record_wait(Awaited::First, waited);
         }
-        if e.kind == UpstreamErrorKind::Cut && e.sent == Sent::Maybe {
+        // A partition or a tunnel may have ended the connection while the service is out of direct reach.
+        let is_cut_off = self.core.reach.is_cut_off(&self.service);
+        if e.kind == UpstreamErrorKind::Cut && e.sent == Sent::Maybe && !is_cut_off {
             self.core
                 .crashes
                 .record_cut_off(&self.traits, upstream, false);
@@ -166,6 +164,8 @@
             .read_answer(status, response.res.headers());
         let upstream = &in_flight.upstream;
         let now = Instant::now();
+        let way = response.connection.way();
+        self.core.reach.record_activity(&self.service, way);
         self.apply_signals(upstream, &facts, now);
         let is_foreign = facts.id.as_deref().is_some_and(|id| id != self.id());
         if is_foreign || (status.is_success() && !facts.signed) {
--- a/src/ingress/forward/response.rs
+++ b/src/ingress/forward/response.rs
@@ -105,6 +105,7 @@
             response_targets: self.response_targets(),
             traits: Arc::clone(&self.traits),
             crashes: Arc::clone(&self.core.crashes),
+            reach: Arc::clone(&self.core.reach),
         };
         // A resumed stream could not keep to a length that was announced.
         let can_resume = self.route.class == RequestClass::ResumableStream
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -14,6 +14,7 @@
 mod headers;
 mod origins;
 mod quota;
+mod reach;
 mod relay;
 mod retry_budgets;
 mod upstream;
@@ -44,15 +45,15 @@
 
 use self::{
     announce::Announcer, controllers::ControllerContacts, counters::Counters, crashes::CrashWatch,
-    origins::Origins, quota::Quotas, retry_budgets::RetryBudgets, upstreams::Upstreams,
-    usage::UsageCounter,
+    origins::Origins, quota::Quotas, reach::Reach, retry_budgets::RetryBudgets,
+    upstreams::Upstreams, usage::UsageCounter,
 };
 use crate::{
     RunningRole,
     adapters::http::{Client, ServerOptions, serve},
     domain::{Incarnation, RouteIndex},
-    link::{DatagramSocket, Identity, Link, PeerKey},
-    ports::{Clock, Platform},
+    link::{DatagramSocket, Identity, Link, PeerKey, serve_tunnels},
+    ports::{Clock, Dialer, Platform},
     settings::{Ingress, Settings, SettingsWatch},
     telemetry::Metrics,
     wire::IngressRecord,
@@ -74,6 +75,7 @@
     roster: ArcSwap<Vec<IngressRecord>>,
     upstreams: Arc<Upstreams>,
     client: Client,
+    reach: Arc<Reach>,
     quotas: Quotas,
     budgets: RetryBudgets,
     usage: UsageCounter,
@@ -122,6 +124,7 @@
     reloaded: SettingsWatch,
     platform: Arc<P>,
     clock: Arc<T>,
+    dialer: Arc<dyn Dialer>,
     metrics: &Metrics,
     stop: CancellationToken,
 ) -> anyhow::Result<(RunningRole, Directory)> {
@@ -146,11 +149,25 @@
         format!("peer_address {address} cannot be bound; choose a free one of this machine")
     })?;
     let peer_address = datagrams.address()?;
+    let tunnels = TcpListener::bind(peer_address).await.with_context(|| {
+        format!(
+            "peer_address {peer_address} cannot be bound for TCP; choose a free one of this machine"
+        )
+    })?;
+    let connect_timeout = settings.timing.connect_timeout;
+    let reach = Reach::new(
+        key.clone(),
+        identity.clone(),
+        Arc::clone(&dialer),
+        connect_timeout,
+        metrics,
+    );
     let core = Arc::new(Core {
         routes: ArcSwap::default(),
         roster: ArcSwap::default(),
         upstreams: Arc::default(),
-        client: Client::new(settings.timing.connect_timeout),
+        client: Client::with_dialer(connect_timeout, dialer),
+        reach: Arc::new(reach),
         quotas: Quotas::new(ingress.quota_rule()),
         budgets: RetryBudgets::new(&ingress),
         usage: UsageCounter::new(ingress.usage_window),
@@ -170,6 +187,14 @@
     });
     counters::register_gauges(metrics, &core);
     let closing = CancellationToken::new();
+    tokio::spawn(serve_tunnels(
+        tunnels,
+        key.clone(),
+        identity.clone(),
+        Arc::new(reach::Helping(Arc::clone(&core))),
+        closing.clone(),
+    ));
+    tokio::spawn(reach::run(Arc::clone(&core), closing.clone()));
     tokio::spawn(follow::run(
         Arc::clone(&core),
         key,
--- a/src/ingress/relay.rs
+++ b/src/ingress/relay.rs
@@ -21,6 +21,7 @@
     crashes::{CrashWatch, RequestTraits},
     events::{EventBoundary, EventSplitter},
     origins::StreamOrigin,
+    reach::Reach,
     upstreams::InFlightGuard,
 };
 use crate::{
@@ -132,6 +133,7 @@
     pub(super) response_targets: ResponseTargets,
     pub(super) traits: Arc<RequestTraits>,
     pub(super) crashes: Arc<CrashWatch>,
+    pub(super) reach: Arc<Reach>,
 }
 
 /// The state of a relayed body.
@@ -390,6 +392,10 @@
             return;
         };
         source.in_flight.upstream.record_activity(now);
+        let service = &source.in_flight.upstream.service;
+        self.context
+            .reach
+            .record_activity(service, source.lease.way());
         if let Some(waiting_since) = waiting_since.filter(|_| self.context.is_stream) {
             source
                 .in_flight
@@ -498,8 +504,10 @@
     fn handle_cut_off(&mut self, reason: &str) -> Option<RelayError> {
         if let (Some(source), ..SURVIVED_FRAMES) = (&self.source, self.frames) {
             let upstream = &source.in_flight.upstream;
-            let (traits, crashes) = (&self.context.traits, &self.context.crashes);
-            crashes.record_cut_off(traits, upstream, true);
+            if !self.context.reach.is_cut_off(&upstream.service) {
+                let (traits, crashes) = (&self.context.traits, &self.context.crashes);
+                crashes.record_cut_off(traits, upstream, true);
+            }
         }
         if self.resuming.is_some() {
             self.leave_source(reason);
--- a/src/ingress/upstream.rs
+++ b/src/ingress/upstream.rs
@@ -66,7 +66,7 @@
     /// The instance and address to which requests are sent.
     pub(super) target: Target,
     pub(super) service: ServiceName,
-    zone: ZoneName,
+    pub(super) zone: ZoneName,
     software: SoftwareVersion,
     slots: u32,
     in_flight: AtomicU32,
--- a/src/ingress/upstreams.rs
+++ b/src/ingress/upstreams.rs
@@ -352,6 +352,23 @@
         all.filter(|upstream| upstream.limit().is_some()).count()
     }
 
+    /// Returns the upstreams of a service that are not leaving.
+    pub(super) fn staying(&self, service: &ServiceName) -> Vec<Arc<Upstream>> {
+        let services = self.services.load();
+        let all = services.get(service).into_iter().flatten();
+        all.filter(|upstream| !upstream.is_leaving())
+            .map(Arc::clone)
+            .collect()
+    }
+
+    /// Finds an upstream of a service.
+    pub(super) fn find(&self, service: &ServiceName, instance: &str) -> Option<Arc<Upstream>> {
+        let services = self.services.load();
+        let mut all = services.get(service)?.iter();
+        all.find(|upstream| upstream.target.instance.as_str() == instance)
+            .map(Arc::clone)
+    }
+
     /// Returns whether a service has an available and eligible upstream.
     pub(super) fn has_eligible(
         &self,
@@ -437,13 +454,9 @@
 
     /// Applies the announcement of a prompt that another gateway just sent.
     pub(super) fn record_remote_prompt(&self, prompt: &PromptAnnouncement, now: Instant) {
-        let services = self.services.load();
         let service = ServiceName::from(prompt.service.as_str());
-        let mut all = services.get(&service).into_iter().flatten();
-        let is_target =
-            |upstream: &&Arc<Upstream>| upstream.target.instance.as_str() == prompt.instance;
         // An upstream that this gateway does not know yet cannot be chosen here.
-        if let Some(upstream) = all.find(is_target) {
+        if let Some(upstream) = self.find(&service, &prompt.instance) {
             upstream.record_remote_prompt(prompt.tokens, self.prefill_speed(&service), now);
         }
     }
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -7,11 +7,13 @@
 mod datagram;
 mod handshake;
 mod server;
+mod tunnel;
 
 pub use client::{Link, LinkError};
 pub use datagram::DatagramSocket;
 pub use handshake::{Identity, PeerKey};
 pub use server::{Handler, Peer, serve};
+pub use tunnel::{TunnelError, TunnelHandler, open as open_tunnel, serve_tunnels};
 
 use std::time::Duration;
 
--- /dev/null
+++ b/src/link/tunnel.rs
@@ -0,0 +1,224 @@
+//! Tunnels: a gateway that does not reach an upstream has another gateway open the connection, and both copy its bytes
+//! in frames. The end of a tunnel shows whether the upstream ended the connection or something broke it off. See
+//! docs/DESIGN.md, "Tunnels".
+
+use std::{future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use futures_util::{SinkExt, StreamExt, future, stream};
+use tokio::{
+    io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, join},
+    net::{TcpListener, TcpStream},
+    time::{sleep, timeout},
+};
+use tokio_util::{
+    codec::Framed,
+    io::{CopyToBytes, SinkWriter, StreamReader},
+    sync::CancellationToken,
+};
+
+use super::{Identity, Peer, PeerKey, codec::FrameCodec, handshake};
+use crate::{
+    adapters::tcp::set_socket_options,
+    wire::{Body, Frame, TunnelData, TunnelEnd, TunnelOpen, TunnelOpened, TunnelRefused},
+};
+
+/// Maximum number of bytes in one frame.
+const MAX_DATA_BYTES: usize = 16 * 1024;
+/// Maximum time for a peer to authenticate and to say which upstream it wants.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Time for which a peer may keep a tunnel whose upstream has ended the connection.
+const ENDED_TIMEOUT: Duration = Duration::from_secs(5);
+/// Delay after a failed `accept`, for example when file descriptors are exhausted.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+
+/// Why a tunnel could not be opened. Nothing was sent to the upstream.
+#[derive(Debug, thiserror::Error)]
+pub enum TunnelError {
+    /// The peer tried and could not reach the upstream.
+    #[error("the other gateway does not reach the upstream: {0}; try another upstream")]
+    Unreachable(String),
+    /// The peer opens no tunnel to the upstream.
+    #[error("the other gateway opens no tunnel: {0}; ask another one")]
+    Refused(String),
+    /// The peer could not be reached or does not speak the protocol.
+    #[error("no connection to the other gateway: {0}; ask another one")]
+    NoPeer(#[from] io::Error),
+}
+
+/// Opens the upstream connections of accepted tunnels.
+pub trait TunnelHandler: Send + Sync + 'static {
+    /// Opens a connection to the upstream that a peer asks for.
+    fn connect(
+        &self,
+        peer: &Peer,
+        open: TunnelOpen,
+    ) -> impl Future<Output = Result<TcpStream, TunnelRefused>> + Send;
+
+    /// Called when an accepted tunnel has ended, with the error that broke it off.
+    fn ended(&self, peer: &Peer, result: io::Result<()>);
+}
+
+/// Opens a tunnel to an upstream through the peer at an address. Its bytes are those of a connection to the upstream; a read
+/// fails if the tunnel breaks off before the upstream has ended the connection.
+///
+/// # Errors
+///
+/// Fails if the peer cannot be reached, refuses, or does not reach the upstream. The caller limits the time.
+pub async fn open(
+    peer: SocketAddr,
+    key: &PeerKey,
+    local: &Identity,
+    target: TunnelOpen,
+) -> Result<impl AsyncRead + AsyncWrite + Send + Unpin + 'static, TunnelError> {
+    let stream = TcpStream::connect(peer).await?;
+    set_socket_options(&stream)?;
+    let mut connection = Framed::new(stream, FrameCodec::new());
+    handshake::connect(&mut connection, key, local).await?;
+    connection.send(frame(Body::TunnelOpen(target))).await?;
+    match connection
+        .next()
+        .await
+        .transpose()?
+        .and_then(|frame| frame.body)
+    {
+        Some(Body::TunnelOpened(_)) => {}
+        Some(Body::TunnelRefused(refused)) => {
+            return Err(match refused.unreachable {
+                true => TunnelError::Unreachable(refused.reason),
+                false => TunnelError::Refused(refused.reason),
+            });
+        }
+        _ => return Err(io::Error::from(io::ErrorKind::InvalidData).into()),
+    }
+    let (sink, frames) = connection.split();
+    let chunks = stream::unfold(Some(frames), |frames| async move {
+        let mut frames = frames?;
+        match frames.next().await {
+            Some(Ok(Frame {
+                body: Some(Body::TunnelData(data)),
+                ..
+            })) => Some((Ok(data.bytes), Some(frames))),
+            Some(Ok(Frame {
+                body: Some(Body::TunnelEnd(_)),
+                ..
+            })) => None,
+            Some(Err(e)) => Some((Err(e), None)),
+            Some(Ok(_)) | None => {
+                let message = "the tunnel broke off before the upstream's end";
+                let e = io::Error::new(io::ErrorKind::ConnectionReset, message);
+                Some((Err(e), None))
+            }
+        }
+    });
+    let sink = sink.with(|bytes: Bytes| {
+        future::ready(Ok::<_, io::Error>(frame(Body::TunnelData(TunnelData {
+            bytes,
+        }))))
+    });
+    let reader = StreamReader::new(Box::pin(chunks));
+    Ok(join(reader, SinkWriter::new(CopyToBytes::new(sink))))
+}
+
+/// Accepts tunnels until the token is cancelled, which breaks off the open ones.
+pub async fn serve_tunnels(
+    listener: TcpListener,
+    key: PeerKey,
+    local: Identity,
+    handler: Arc<impl TunnelHandler>,
+    stop: CancellationToken,
+) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.cancelled() => return,
+        };
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                log::warn!("link: accepting a tunnel failed: {e}.");
+                sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
+            }
+        };
+        let (key, local, handler) = (key.clone(), local.clone(), Arc::clone(&handler));
+        tokio::spawn(stop.clone().run_until_cancelled_owned(async move {
+            if let Err(e) = accept(stream, &key, &local, &*handler).await {
+                log::debug!("link: a tunnel could not be opened: {e}.");
+            }
+        }));
+    }
+}
+
+async fn accept(
+    stream: TcpStream,
+    key: &PeerKey,
+    local: &Identity,
+    handler: &impl TunnelHandler,
+) -> io::Result<()> {
+    set_socket_options(&stream)?;
+    let mut connection = Framed::new(stream, FrameCodec::new());
+    let opening = async {
+        let peer = handshake::accept(&mut connection, key, local).await?;
+        let frame = connection.next().await.transpose()?;
+        match frame.and_then(|frame| frame.body) {
+            Some(Body::TunnelOpen(open)) => Ok((peer, open)),
+            _ => Err(io::Error::from(io::ErrorKind::InvalidData)),
+        }
+    };
+    let (peer, open) = timeout(OPEN_TIMEOUT, opening)
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    match handler.connect(&peer, open).await {
+        Ok(upstream) => {
+            let opened = frame(Body::TunnelOpened(TunnelOpened {}));
+            let result = match connection.send(opened).await {
+                Ok(()) => carry(connection, upstream).await,
+                Err(e) => Err(e),
+            };
+            handler.ended(&peer, result);
+            Ok(())
+        }
+        Err(refused) => connection.send(frame(Body::TunnelRefused(refused))).await,
+    }
+}
+
+/// Copies between a peer and an upstream until the peer closes the tunnel or either side fails, which closes both.
+async fn carry(connection: handshake::Connection, upstream: TcpStream) -> io::Result<()> {
+    let (mut sink, mut frames) = connection.split();
+    let (mut read, mut write) = upstream.into_split();
+    let to_upstream = async {
+        while let Some(frame) = frames.next().await {
+            if let Some(Body::TunnelData(data)) = frame?.body {
+                write.write_all(&data.bytes).await?;
+            }
+        }
+        Ok(())
+    };
+    let to_peer = async {
+        let mut buf = BytesMut::new();
+        loop {
+            buf.reserve(MAX_DATA_BYTES);
+            if read.read_buf(&mut buf).await? == 0 {
+                sink.send(frame(Body::TunnelEnd(TunnelEnd {}))).await?;
+                // The peer closes the tunnel when it has read the end.
+                sleep(ENDED_TIMEOUT).await;
+                return Ok(());
+            }
+            let bytes = buf.split().freeze();
+            sink.send(frame(Body::TunnelData(TunnelData { bytes })))
+                .await?;
+        }
+    };
+    tokio::select! {
+        result = to_upstream => result,
+        result = to_peer => result,
+    }
+}
+
+fn frame(body: Body) -> Frame {
+    Frame {
+        body: Some(body),
+        ..Frame::default()
+    }
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -16,6 +16,7 @@
 pub mod quota;
 pub mod quota_window;
 pub mod rate_limit;
+pub mod reachability;
 pub mod retry;
 pub mod route;
 pub mod scale;
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -3,12 +3,14 @@
 
 mod clock;
 mod cloud;
+mod dialer;
 mod platform;
 mod upstream;
 mod weights;
 
 pub use clock::Clock;
 pub use cloud::{CloudApi, CloudError, InstanceListing, ReclaimNotice, StartRequest};
+pub use dialer::Dialer;
 pub use platform::{
     AcceptedRate, DutyHolder, ForwardContext, ListedPage, ListedUpstream, Platform, PromptPart,
     PromptSizes, ReportedLoad, RequestMetadata, ResponseMetadata, UpstreamOrder, WindowUsage,
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -9,6 +9,7 @@
 mod origins;
 mod quarantine;
 mod replica;
+mod tunnel;
 
 pub use claims::{
     ClaimReply, ClaimRequest, ClaimStatus, OutcomeReply, OutcomeRequest, ReleaseRequest,
@@ -36,6 +37,7 @@
     MemberQuery, MemberReport, MembershipRecord, ReplicaMessage, ReplicaPayload, VoteReply,
     VoteRequest,
 };
+pub use tunnel::{TunnelData, TunnelEnd, TunnelOpen, TunnelOpened, TunnelRefused};
 
 /// Maximum size of a frame that a process accepts, in bytes.
 pub const MAX_FRAME_BYTES: usize = 8 * 1024 * 1024;
@@ -52,7 +54,7 @@
     /// The message. A frame without one is dropped.
     #[prost(
         oneof = "Body",
-        tags = "10, 11, 12, 13, 14, 20, 21, 22, 23, 24, 25, 26, 27, 30, 31, 32, 33, 34, 40, 41, 42, 43, 44, 50, 51, 52, 53, 54, 55, 56, 57, 58, 59"
+        tags = "10, 11, 12, 13, 14, 20, 21, 22, 23, 24, 25, 26, 27, 30, 31, 32, 33, 34, 40, 41, 42, 43, 44, 50, 51, 52, 53, 54, 55, 56, 57, 58, 59, 60, 61, 62, 63, 64"
     )]
     pub body: Option<Body>,
 }
@@ -159,6 +161,21 @@
     /// The controller's reply to an origin query.
     #[prost(message, tag = "59")]
     OriginReply(OriginReply),
+    /// Asks a gateway to connect to an upstream.
+    #[prost(message, tag = "60")]
+    TunnelOpen(TunnelOpen),
+    /// The connection to the upstream is open.
+    #[prost(message, tag = "61")]
+    TunnelOpened(TunnelOpened),
+    /// No connection to the upstream is opened.
+    #[prost(message, tag = "62")]
+    TunnelRefused(TunnelRefused),
+    /// Bytes of a tunnelled connection.
+    #[prost(message, tag = "63")]
+    TunnelData(TunnelData),
+    /// The upstream ended a tunnelled connection.
+    #[prost(message, tag = "64")]
+    TunnelEnd(TunnelEnd),
 }
 
 /// A nonce over which the peer must compute an HMAC with the shared key.
--- /dev/null
+++ b/src/wire/tunnel.rs
@@ -0,0 +1,44 @@
+//! Messages of a tunnel: a gateway opens a connection to an upstream through another gateway.
+
+use bytes::Bytes;
+
+/// Asks the accepting gateway to connect to an upstream.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct TunnelOpen {
+    /// The upstream's service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// The upstream's instance.
+    #[prost(string, tag = "2")]
+    pub instance: String,
+    /// The upstream's address, which the accepting gateway must know for the instance.
+    #[prost(string, tag = "3")]
+    pub address: String,
+}
+
+/// The connection to the upstream is open; data may follow.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct TunnelOpened {}
+
+/// The accepting gateway opens no connection to the upstream.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct TunnelRefused {
+    /// Whether it tried and the upstream could not be reached.
+    #[prost(bool, tag = "1")]
+    pub unreachable: bool,
+    /// Why, for the log.
+    #[prost(string, tag = "2")]
+    pub reason: String,
+}
+
+/// Bytes of the connection.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct TunnelData {
+    /// The bytes, in order.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub bytes: Bytes,
+}
+
+/// The upstream ended its side of the connection properly. A tunnel that ends without this was broken off.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct TunnelEnd {}
--- /dev/null
+++ b/tests/platform_partition.rs
@@ -0,0 +1,206 @@
+//! Gateways that are partitioned from all servers, while callers and the other gateways reach them.
+
+mod metric_text;
+mod platform_support;
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use flamingocroft::telemetry::Metrics;
+use hyper::{Method, StatusCode};
+use metric_text::value;
+use platform_support::{
+    Installation, ReceivedRequest, ServerAction, document,
+    partition::{Cut, PartitionDialer},
+    raw::{RawBehavior, RawServer},
+    wait_until,
+};
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep},
+};
+
+/// Time after which a gateway that is cut off serves its callers like the others.
+const CONTACT: Duration = Duration::from_millis(3000);
+/// Interval between the requests of the callers of one gateway.
+const INTERVAL: Duration = Duration::from_millis(25);
+/// Requests of which at most [`MAX_FAILED`] may fail at their first try.
+const MEASURED: usize = 100;
+const MAX_FAILED: usize = 2;
+const PATHS: [&str; 3] = ["/safe/x", "/once/x", "/resumed/x"];
+
+fn serve(_: usize, seen: &ReceivedRequest) -> ServerAction {
+    match seen.path.as_str() {
+        "/resumed/x" => ServerAction::Paced(
+            (1..=3)
+                .map(|id| format!("id: {id}\ndata: {id}\n\n"))
+                .collect(),
+            Duration::from_millis(10),
+        ),
+        _ => ServerAction::RespondAfter(Duration::from_millis(10)),
+    }
+}
+
+/// A gateway that can be cut off from the servers.
+struct Gateway {
+    address: SocketAddr,
+    dialer: Arc<PartitionDialer>,
+    metrics: Metrics,
+}
+
+async fn add_gateways(installation: &Installation, count: usize) -> Vec<Gateway> {
+    let mut gateways = Vec::new();
+    for _ in 0..count {
+        let (dialer, metrics) = (PartitionDialer::new(), Metrics::new().unwrap());
+        let with = Arc::clone(&dialer);
+        let address = installation.add_gateway_with(with, &metrics).await;
+        gateways.push(Gateway {
+            address,
+            dialer,
+            metrics,
+        });
+    }
+    installation.publish(&document(1)).await;
+    let addresses: Vec<SocketAddr> = gateways.iter().map(|gateway| gateway.address).collect();
+    installation.wait_until_all_serve(&addresses).await;
+    gateways
+}
+
+/// Sends requests to a gateway one interval apart and returns how many were served whole at the first try.
+async fn send_steadily(gateway: SocketAddr, name: &str, count: usize) -> usize {
+    let mut calls = JoinSet::new();
+    for i in 0..count {
+        let (path, id) = (PATHS[i % PATHS.len()], format!("{name}-{i}"));
+        calls.spawn(async move {
+            let res = Installation::send_to(gateway, Method::POST, path, &id, "body").await;
+            res.status == StatusCode::OK && res.body.is_ok()
+        });
+        sleep(INTERVAL).await;
+    }
+    let served = calls.join_all().await;
+    served.into_iter().filter(|served| *served).count()
+}
+
+/// Callers of gateways that are cut off as given are served like those of the others, and each request runs once.
+async fn callers_are_served(cut_off: usize, cut: Cut) {
+    let installation = Installation::start(3, serve).await;
+    let gateways = add_gateways(&installation, cut_off).await;
+    let warm_up = (CONTACT.as_millis() / INTERVAL.as_millis()) as usize;
+    let mut runs = JoinSet::new();
+    for (i, gateway) in gateways.iter().enumerate() {
+        gateway.dialer.set(cut);
+        let address = gateway.address;
+        runs.spawn(async move {
+            send_steadily(address, &format!("early-{i}"), warm_up).await;
+            send_steadily(address, &format!("late-{i}"), MEASURED).await
+        });
+    }
+    for served in runs.join_all().await {
+        assert!(
+            served + MAX_FAILED >= MEASURED,
+            "{served} of {MEASURED} are served"
+        );
+    }
+    let mut once: HashMap<String, usize> = HashMap::new();
+    for seen in installation.log.requests() {
+        if seen.path == "/once/x" {
+            let id = seen.headers["x-flamingocroft-request-id"].to_str().unwrap();
+            *once.entry(id.to_owned()).or_default() += 1;
+        }
+    }
+    assert!(once.values().all(|runs| *runs == 1), "a request ran twice");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_of_a_gateway_whose_connections_to_servers_hang_are_served() {
+    callers_are_served(1, Cut::Hang).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_of_a_gateway_whose_connections_to_servers_are_reset_are_served() {
+    callers_are_served(1, Cut::Reset).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_of_a_gateway_that_cannot_open_connections_to_servers_are_served() {
+    callers_are_served(1, Cut::LiveOn).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_served_when_all_gateways_but_one_are_cut_off_from_the_servers() {
+    callers_are_served(4, Cut::Hang).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gateway_uses_its_own_connections_again_after_the_partition() {
+    let installation = Installation::start(3, serve).await;
+    let gateways = add_gateways(&installation, 1).await;
+    let gateway = &gateways[0];
+    gateway.dialer.set(Cut::Hang);
+    send_steadily(gateway.address, "cut", 60).await;
+    let cut_off = || value(&gateway.metrics.render(), "ingress_services_cut_off");
+    assert_eq!(cut_off(), 1.0);
+    gateway.dialer.set(Cut::None);
+    wait_until("the servers are reached directly", || async {
+        cut_off() == 0.0
+    })
+    .await;
+    let opened = gateway.dialer.opened();
+    assert_eq!(send_steadily(gateway.address, "healed", 20).await, 20);
+    assert!(gateway.dialer.opened() > opened || opened > 3);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_rejected_soon_when_no_gateway_reaches_the_servers() {
+    let first = PartitionDialer::new();
+    let with = Arc::clone(&first);
+    let installation = Installation::start_with(3, with, serve).await;
+    let gateways = add_gateways(&installation, 2).await;
+    for dialer in gateways
+        .iter()
+        .map(|gateway| &gateway.dialer)
+        .chain([&first])
+    {
+        dialer.set(Cut::Hang);
+    }
+    let mut runs = JoinSet::new();
+    for (i, gateway) in gateways.iter().enumerate() {
+        let address = gateway.address;
+        runs.spawn(async move {
+            send_steadily(address, &format!("early-{i}"), 60).await;
+            sleep(CONTACT).await;
+            let begun = Instant::now();
+            let id = format!("late-{i}");
+            let res = Installation::send_to(address, Method::POST, "/once/x", &id, "").await;
+            assert_eq!(res.status, StatusCode::SERVICE_UNAVAILABLE);
+            assert!(res.headers.contains_key("retry-after"));
+            assert!(begun.elapsed() < CONTACT / 2, "{:?}", begun.elapsed());
+        });
+    }
+    runs.join_all().await;
+}
+
+/// An answer whose end only its connection shows looks broken if a server resets it, also behind another gateway.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_breaks_off_behind_another_gateway_does_not_look_complete() {
+    let installation = Installation::start(1, serve).await;
+    let host = installation.control_address.ip().to_string();
+    let whole = RawServer::start(&host, RawBehavior::NoLength).await;
+    let broken = RawServer::start(&host, RawBehavior::NoLengthReset).await;
+    let gateways = add_gateways(&installation, 1).await;
+    let gateway = &gateways[0];
+    gateway.dialer.set(Cut::Hang);
+    send_steadily(gateway.address, "cut", 60).await;
+    for (server, is_whole) in [(whole, true), (broken, false)] {
+        let entry = platform_support::list_entry("i-raw", server.address);
+        *installation.listed.lock().unwrap() = vec![entry];
+        wait_until("the server is used", || async {
+            let path = "/once/x";
+            Installation::send_to(gateway.address, Method::POST, path, "first", "").await;
+            !server.received.lock().unwrap().is_empty()
+        })
+        .await;
+        let res = Installation::send_to(gateway.address, Method::POST, "/once/x", "r", "").await;
+        assert_eq!(res.status, StatusCode::OK);
+        assert_eq!(res.body.is_ok(), is_whole, "{res:?}");
+    }
+}
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, reason = "each test file uses only a part")]
 
 pub mod daemons;
+pub mod partition;
 pub mod raw;
 mod servers;
 
@@ -21,9 +22,9 @@
 use bytes::Bytes;
 use flamingocroft::{
     RunningRole,
-    adapters::{HttpUpstreams, SystemClock},
+    adapters::{HttpUpstreams, SystemClock, TcpDialer},
     controller, ingress, platform,
-    ports::Ports,
+    ports::{Dialer, Ports},
     settings::{Settings, SettingsWatch},
     telemetry::Metrics,
 };
@@ -241,6 +242,15 @@
     pub async fn start(
         servers: usize,
         script: impl Fn(usize, &ReceivedRequest) -> ServerAction + Send + Sync + 'static,
+    ) -> Self {
+        Self::start_with(servers, Arc::new(TcpDialer), script).await
+    }
+
+    /// Like [`Self::start`], with a gateway that opens its connections to servers with a dialer.
+    pub async fn start_with(
+        servers: usize,
+        dialer: Arc<dyn Dialer>,
+        script: impl Fn(usize, &ReceivedRequest) -> ServerAction + Send + Sync + 'static,
     ) -> Self {
         let prepared = PreparedInstallation::prepare(1, servers, script).await;
         let read = |file: &Path| Arc::new(Settings::read(file).unwrap());
@@ -250,20 +260,26 @@
         let [of_controller, of_gateway] = &installation.metrics;
         start_controller(controller, of_controller, installation.stop.clone()).await;
         let stop = installation.stop_gateway.clone();
-        let gateway = start_gateway(gateway, of_gateway, stop, installation.stop.clone()).await;
+        let end = installation.stop.clone();
+        let gateway = start_gateway(gateway, dialer, of_gateway, stop, end).await;
         *installation.gateway.lock().unwrap() = Some(gateway);
         installation
     }
 
     /// Starts a further gateway and returns its address for callers.
     pub async fn add_gateway(&self) -> SocketAddr {
+        let metrics = Metrics::new().unwrap();
+        self.add_gateway_with(Arc::new(TcpDialer), &metrics).await
+    }
+
+    /// Like [`Self::add_gateway`], for a gateway that opens its connections to servers with a dialer.
+    pub async fn add_gateway_with(&self, dialer: Arc<dyn Dialer>, metrics: &Metrics) -> SocketAddr {
         let host = unique_host();
         let (folder, hosts) = (self.folder.path(), &self.hosts);
         let file = write_settings(folder, host, "gateway", hosts, self.api_address);
         let settings = Arc::new(Settings::read(&file).unwrap());
         let (stop, end) = (self.stop_gateway.clone(), self.stop.clone());
-        let metrics = Metrics::new().unwrap();
-        start_gateway(settings, &metrics, stop, end).await;
+        start_gateway(settings, dialer, metrics, stop, end).await;
         SocketAddr::new(IpAddr::V4(host), 7301)
     }
 
@@ -275,7 +291,13 @@
             addresses.push(self.add_gateway().await);
         }
         self.publish(&document(1)).await;
-        for gateway in &addresses {
+        self.wait_until_all_serve(&addresses).await;
+        addresses
+    }
+
+    /// Waits until all gateways serve requests, after a document was published.
+    pub async fn wait_until_all_serve(&self, gateways: &[SocketAddr]) {
+        for gateway in gateways {
             wait_until("all gateways serve requests", || async {
                 let probe = Self::send_to(*gateway, Method::GET, "/safe/probe", "probe", "");
                 probe.await.status == StatusCode::OK
@@ -283,7 +305,6 @@
             .await;
         }
         self.log.requests.lock().unwrap().clear();
-        addresses
     }
 
     /// Publishes a document and waits until the gateway serves requests.
@@ -537,6 +558,7 @@
 
 async fn start_gateway(
     settings: Arc<Settings>,
+    dialer: Arc<dyn Dialer>,
     metrics: &Metrics,
     stop: CancellationToken,
     end: CancellationToken,
@@ -548,7 +570,7 @@
     ));
     let reloaded = reloaded(&settings);
     let clock = Arc::new(SystemClock::new());
-    let started = ingress::start(settings, reloaded, api, clock, metrics, stop).await;
+    let started = ingress::start(settings, reloaded, api, clock, dialer, metrics, stop).await;
     let (running, directory) = started.unwrap();
     let ready = TcpListener::bind(ingress.ready_address.unwrap())
         .await
