List: decode the platform's list entry by entry

What callers saw: one entry of another writer with bytes that can't be read (an Id that is no UTF-8, "\ud800", Slots of 1e999) hid the whole list.

Cause: a page was decoded at once with serde_json, which refuses the page for the bytes of one entry. The reader then kept the old list, or none, for ever.

Change: `adapters::http::json_items` splits a document by brackets, quotes, colons and commas only; every entry is decoded by itself, so nothing inside one can reject another. An entry that was cut off swallows those behind it, so sound entries are looked for again within it; that search may read 16 times the page at most, and where it gives up the page counts as cut. A page whose end can't be found shows what it shows (its entries are merged, so a draining server gets no work) and takes nothing away: the list read last to its end stays in force. After a damaged entry an end counts only together with a further member, since a page cut off inside an entry may end in `]}`. An empty list, formerly warned of at every read, now counts as unreadable and is said once.

Open: a new leader whose first page has no end publishes nothing until a whole list was read, because a partial first list would replace the whole one that gateways hold; if all processes restarted meanwhile, nothing is served. A foreign entry that itself contains `],"Next":` and more can still end the list early. A page token that repeats is followed for ever, as before.

A test's platform can now answer with raw bytes (`raw_list` in tests/platform_support); no existing check changed.

--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -314,6 +314,11 @@
         UpstreamError::new(kind, Sent::Maybe, message)
     }
 
+    /// Returns the body.
+    pub(crate) fn into_body(self) -> Bytes {
+        self.body
+    }
+
     /// Decodes the body as JSON.
     pub(super) fn json<T: DeserializeOwned>(&self) -> Result<T, UpstreamError> {
         serde_json::from_slice(&self.body)
--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -10,6 +10,7 @@
 mod events;
 mod framing;
 mod generation;
+mod json_items;
 mod messages;
 mod pool;
 mod server;
@@ -17,10 +18,12 @@
 mod weights;
 
 pub(crate) use client::{
-    Client, PooledConnection, Reuse, StreamingResponse, Way, get_request, post_request,
+    Client, FullResponse, PooledConnection, Reuse, StreamingResponse, Way, get_request,
+    post_request,
 };
 pub use cloud::HttpCloud;
 pub(crate) use framing::{Framing, end_with_connection};
+pub(crate) use json_items::read_json_items;
 pub(crate) use server::EndsWithConnection;
 pub use server::{ServerOptions, serve};
 pub use upstreams::HttpUpstreams;
--- a/src/controller/list_history.rs
+++ b/src/controller/list_history.rs
@@ -44,6 +44,9 @@
     leaving_reports: HashMap<String, Duration>,
     stated_limits: StatedLimits,
     software: SoftwareHistory,
+    /// When a list was last read to its end; before that, when the first read began.
+    read_at: Option<Duration>,
+    rejected: usize,
 }
 
 impl ListHistory {
@@ -57,6 +60,31 @@
         self.list.version
     }
 
+    /// Records that a read begins.
+    pub fn begin_read(&mut self, now: Duration) {
+        self.read_at.get_or_insert(now);
+    }
+
+    /// Records that a list was read to its end.
+    pub fn end_read(&mut self, now: Duration) {
+        self.read_at = Some(now);
+    }
+
+    /// Returns the time since a list was last read to its end; if there was none, the time since the first read began.
+    pub fn age(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.read_at.unwrap_or(now))
+    }
+
+    /// Records how many entries of the list name no upstream.
+    pub fn set_rejected(&mut self, count: usize) {
+        self.rejected = count;
+    }
+
+    /// Returns how many entries of the list read last name no upstream.
+    pub fn rejected(&self) -> usize {
+        self.rejected
+    }
+
     /// Records the software versions in a list that was just read, or in a page of it.
     pub fn record_software(&mut self, term: u64, rows: &[UpstreamRow], now: Duration) {
         let rows = rows.iter().map(|row| (&*row.service, &*row.software));
--- a/src/controller/metrics.rs
+++ b/src/controller/metrics.rs
@@ -84,6 +84,19 @@
         "Upstreams in the list read last.",
         |core| core.followers().upstream_list().rows().len() as u64,
     );
+    gauge(
+        "controller_list_rejected",
+        "Entries of the list read last that name no upstream.",
+        |core| core.followers().upstream_list().rejected() as u64,
+    );
+    gauge(
+        "controller_list_age_seconds",
+        "Time since the leader last read a whole list.",
+        |core| match core.leads() {
+            true => core.followers().upstream_list().age(core.now()).as_secs(),
+            false => 0,
+        },
+    );
     let held = Arc::clone(core);
     core.metrics.register_labelled_gauge(
         "controller_duty_fence",
--- a/src/controller/placement_runner.rs
+++ b/src/controller/placement_runner.rs
@@ -176,7 +176,7 @@
                 settle_start(core, record.index, String::new()).await;
             }
             // The order stays open and is retried with the same operation id.
-            Ok(Err(CloudError::Unanswered(_))) | Err(_) => {}
+            Ok(Err(CloudError::Unanswered(_) | CloudError::Unreadable(_))) | Err(_) => {}
         }
     }
 
--- a/src/platform/api.rs
+++ b/src/platform/api.rs
@@ -4,17 +4,16 @@
 
 use bytes::Bytes;
 use hyper::{HeaderMap, StatusCode, header::HeaderValue};
-use serde::{Deserialize, Serialize};
-use serde_json::Value;
+use serde::Serialize;
 use tokio::time::Instant;
 
-use super::{headers, table};
+use super::{headers, list, table};
 use crate::{
-    adapters::http::{Client, Reuse, get_request, post_request},
+    adapters::http::{Client, FullResponse, Reuse, get_request, post_request},
     domain::{Incarnation, InvalidTable, RouteTable},
     ports::{
-        CloudError, DutyHolder, ForwardContext, ListedPage, ListedUpstream, Platform,
-        RequestMetadata, ResponseMetadata, Target, UpstreamError, UpstreamOrder, WindowUsage,
+        CloudError, DutyHolder, ForwardContext, ListedPage, Platform, RequestMetadata,
+        ResponseMetadata, Target, UpstreamError, UpstreamOrder, WindowUsage,
     },
     settings::Timing,
 };
@@ -31,40 +30,6 @@
     timeout: Duration,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct ListPage {
-    instances: Vec<Value>,
-    /// Token of the next page; `None` on the last page.
-    next: Option<String>,
-}
-
-/// An entry of the list. All fields without a default are required: an entry that lacks one was written by
-/// something else and describes no server.
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Entry {
-    id: String,
-    service: String,
-    address: SocketAddr,
-    zone: String,
-    /// The version of the server's software.
-    version: String,
-    slots: u32,
-    state: ServerState,
-    cold_left_ms: f64,
-    /// Whether the server is reclaimable; the field is only present if it is.
-    #[serde(default)]
-    spot: bool,
-}
-
-#[derive(Deserialize, PartialEq)]
-#[serde(rename_all = "snake_case")]
-enum ServerState {
-    Ready,
-    Draining,
-}
-
 #[derive(Serialize)]
 #[serde(rename_all = "PascalCase")]
 struct UsageBody<'a> {
@@ -122,25 +87,24 @@
     }
 
     /// Fetches one page of the list of servers; `token` is `None` for the first page.
-    async fn fetch_page(&self, token: Option<&str>) -> Result<ListPage, CloudError> {
+    async fn fetch_page(&self, token: Option<&str>) -> Result<Bytes, CloudError> {
         let path = match token {
             Some(token) => format!("/instances?PageToken={token}"),
             None => "/instances".to_owned(),
         };
         let req = get_request(&self.target, &path).map_err(no_answer)?;
         let deadline = Instant::now() + self.timeout;
-        let page = self.client.fetch_json(&self.target, req, deadline).await;
-        page.map_err(no_answer)
+        let res = self
+            .client
+            .fetch(&self.target, req, Reuse::Allowed, deadline);
+        let res = res.await.and_then(FullResponse::error_for_status);
+        res.map(FullResponse::into_body).map_err(no_answer)
     }
 }
 
 impl Platform for Api {
     async fn list_upstreams(&self, page: Option<&str>) -> Result<ListedPage, CloudError> {
-        let page = self.fetch_page(page).await?;
-        Ok(ListedPage {
-            upstreams: page.instances.into_iter().filter_map(parse_entry).collect(),
-            next: page.next,
-        })
+        list::read_page(&self.fetch_page(page).await?)
     }
 
     async fn report_usage(
@@ -193,28 +157,6 @@
     }
 }
 
-/// Parses an entry of the list; returns `None` if it describes no server.
-fn parse_entry(value: Value) -> Option<ListedUpstream> {
-    let entry: Entry = match serde_json::from_value(value) {
-        Ok(entry) => entry,
-        Err(e) => {
-            log::debug!("platform: ignored an invalid entry of the list: {e}.");
-            return None;
-        }
-    };
-    Some(ListedUpstream {
-        instance: entry.id.into(),
-        service: entry.service.into(),
-        address: entry.address,
-        zone: entry.zone.into(),
-        software: entry.version.into(),
-        slots: entry.slots,
-        leaving: entry.state == ServerState::Draining,
-        reclaimable: entry.spot,
-        cold_left_ms: entry.cold_left_ms as u32,
-    })
-}
-
 fn no_answer(e: UpstreamError) -> CloudError {
     CloudError::Unanswered(e.to_string())
 }
--- a/src/ports/cloud.rs
+++ b/src/ports/cloud.rs
@@ -56,6 +56,51 @@
     pub fence: FencingToken,
 }
 
+/// Rejected items of a list that are described.
+const MAX_REJECTED_DESCRIBED: usize = 32;
+/// Most bytes of a name or a reason in the description of a rejected item.
+const MAX_REJECTED_TEXT_BYTES: usize = 160;
+
+/// An item of a list that can't be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RejectedItem {
+    /// Its position in the document's list, counted from 0.
+    pub position: usize,
+    /// Its byte offset in the document.
+    pub offset: usize,
+    /// Its name, if that can be read; cut to 160 bytes.
+    pub name: Option<String>,
+    /// Why it can't be used, cut to 160 bytes.
+    pub reason: String,
+}
+
+/// The items of a list that can't be used.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RejectedItems {
+    /// Number of all of them.
+    pub count: usize,
+    /// The first 32 of them.
+    pub described: Vec<RejectedItem>,
+}
+
+impl RejectedItems {
+    /// Counts an item, and keeps its description if there are few so far.
+    pub fn add(&mut self, describe: impl FnOnce() -> RejectedItem) {
+        self.count += 1;
+        if self.described.len() < MAX_REJECTED_DESCRIBED {
+            let mut item = describe();
+            item.name = item.name.map(shorten);
+            item.reason = shorten(item.reason);
+            self.described.push(item);
+        }
+    }
+}
+
+fn shorten(mut text: String) -> String {
+    text.truncate(text.floor_char_boundary(MAX_REJECTED_TEXT_BYTES));
+    text
+}
+
 /// Reason why a cloud API call failed.
 #[derive(Debug, thiserror::Error)]
 pub enum CloudError {
@@ -65,6 +110,9 @@
     /// There was no usable response, so the request may have been executed.
     #[error("the cloud API did not answer: {0}; look at the instance list before ordering again")]
     Unanswered(String),
+    /// The response can't be read, or not to its end.
+    #[error("the answer of the cloud API can't be read: {0}; what was read before stays in force")]
+    Unreadable(String),
 }
 
 /// The cloud API as used by controllers and gateways.
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -9,7 +9,9 @@
 mod weights;
 
 pub use clock::Clock;
-pub use cloud::{CloudApi, CloudError, InstanceListing, ReclaimNotice, StartRequest};
+pub use cloud::{
+    CloudApi, CloudError, InstanceListing, ReclaimNotice, RejectedItem, RejectedItems, StartRequest,
+};
 pub use dialer::Dialer;
 pub use platform::{
     AcceptedRate, DutyHolder, ForwardContext, ListedPage, ListedUpstream, Platform, PromptPart,
--- a/src/ports/platform.rs
+++ b/src/ports/platform.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use hyper::{HeaderMap, StatusCode};
 
-use super::CloudError;
+use super::{CloudError, RejectedItems};
 use crate::domain::{
     AccountName, FencingToken, InstanceName, InvalidTable, RouteTable, ServiceName,
     SoftwareVersion, ZoneName,
@@ -40,8 +40,12 @@
 pub struct ListedPage {
     /// The upstreams on this page.
     pub upstreams: Vec<ListedUpstream>,
-    /// Token of the next page; `None` on the last page.
+    /// Token of the next page; `None` on the last page, and if the end of this one can't be read.
     pub next: Option<String>,
+    /// The entries on this page that name no upstream.
+    pub rejected: RejectedItems,
+    /// Why the end of the page can't be read, if so. Further upstreams may be on it and on other pages.
+    pub cut: Option<String>,
 }
 
 /// Number of requests per account that started to run in one usage window.
@@ -170,7 +174,8 @@
 
 /// The platform as used by controllers and gateways.
 pub trait Platform: Send + Sync + 'static {
-    /// Reads a page of the list of upstreams, or the first page if `page` is `None`.
+    /// Reads a page of the list of upstreams, or the first page if `page` is `None`. An entry that can't be read is
+    /// rejected and hides no other. Returns `CloudError::Unreadable` if the page can't be split into entries.
     fn list_upstreams(
         &self,
         page: Option<&str>,
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -118,6 +118,8 @@
     pub log: Arc<ServerLog>,
     /// The entries of the platform's list of servers.
     pub listed: Arc<Mutex<Vec<Value>>>,
+    /// The bytes of the list, in place of the entries.
+    pub raw_list: Arc<Mutex<Option<Vec<u8>>>>,
     pub usage: Arc<Mutex<Vec<Value>>>,
     pub stop_gateway: CancellationToken,
     /// The metrics of the controller and of the gateway.
@@ -157,6 +159,7 @@
     api_address: SocketAddr,
     log: Arc<ServerLog>,
     listed: Arc<Mutex<Vec<Value>>>,
+    raw_list: Arc<Mutex<Option<Vec<u8>>>>,
     usage: Arc<Mutex<Vec<Value>>>,
     folder: TempDir,
 }
@@ -185,7 +188,9 @@
         listed.push(json!({"Id": "i-odd", "Service": 7, "State": "ready"}));
         let listed = Arc::new(Mutex::new(listed));
         let usage = Arc::default();
-        let api = serve_platform(at(0), Arc::clone(&listed), Arc::clone(&usage)).await;
+        let raw_list = Arc::default();
+        let lists = (Arc::clone(&listed), Arc::clone(&raw_list));
+        let api = serve_platform(at(0), lists.0, lists.1, Arc::clone(&usage)).await;
         let folder = TempDir::new().unwrap();
         std::fs::write(folder.path().join("peer.key"), PEER_KEY).unwrap();
         let write = |host, role| write_settings(folder.path(), host, role, &hosts, api);
@@ -198,6 +203,7 @@
             api_address: api,
             log,
             listed,
+            raw_list,
             usage,
             folder,
         }
@@ -225,6 +231,7 @@
             gateway_metrics: gateway_at(9464),
             log: self.log,
             listed: self.listed,
+            raw_list: self.raw_list,
             usage: self.usage,
             stop_gateway: stop.child_token(),
             metrics: [(); 2].map(|()| Metrics::new().unwrap()),
--- a/tests/platform_support/servers.rs
+++ b/tests/platform_support/servers.rs
@@ -30,12 +30,14 @@
 pub(super) async fn serve_platform(
     address: SocketAddr,
     listed: Arc<Mutex<Vec<Value>>>,
+    raw_list: Arc<Mutex<Option<Vec<u8>>>>,
     usage: Arc<Mutex<Vec<Value>>>,
 ) -> SocketAddr {
     let listener = TcpListener::bind(address).await.unwrap();
     let address = listener.local_addr().unwrap();
     let service = move |req: Request<Incoming>| {
         let (listed, usage) = (Arc::clone(&listed), Arc::clone(&usage));
+        let raw_list = Arc::clone(&raw_list);
         async move {
             let path = req.uri().path().to_owned();
             let headers = req.headers().clone();
@@ -48,7 +50,12 @@
                 usage.lock().unwrap().push(report);
             }
             let listed = listed.lock().unwrap().clone();
-            let body = json!({"Instances": listed, "Next": null}).to_string();
+            let list = || {
+                json!({"Instances": listed, "Next": null})
+                    .to_string()
+                    .into()
+            };
+            let body = raw_list.lock().unwrap().clone().unwrap_or_else(list);
             Ok::<_, Infallible>(Response::new(Full::new(Bytes::from(body))))
         }
     };
