Reuse a connection only after both of its directions are done

Callers saw requests without an answer: a server that answers a long request before it has read it, and reads on later, cost one later request per early answer. Those requests had no final answer at TimeoutMs, nor ever.

Cause: a connection went back to the pool when its response was whole, though its request was not written. The next request took it out and awaited `is_usable`, which no limit covered. hyper counts a request as written once it is in its buffer. If the response ends before that buffer is empty, hyper becomes idle without ever reporting readiness, so this wait had no end even where the server read on.

Now a stream below hyper records whether the kernel has taken all bytes of a request, and whether bytes of the response came before that. Only a connection whose request was wholly written before its response, and whose response was read to its end, goes back to the pool, once hyper reports it ready (at most 1 s, outside the pool). Taking one out never waits: `is_usable` is no longer async. After an early answer the rest of the request is written outside the pool for at most 30 s, on at most 64 connections per client, and the connection is closed and not reused: bytes that the kernel has taken may be unread too. TCP_NOTSENT_LOWAT of 32 KiB lets an unread body be seen soon.

Awaits on the path of a request, and the limit of each.

ingress/: - wait for a request, its head: IdleTimeoutMs, HeaderTimeoutMs (adapters::http::caller) - body of the request: the deadline - origin of a resumed stream (500 ms), unit of the quota (100 ms): had limits of their own only, now the deadline too - a connection from the pool: no wait any more; a new one: connect_timeout, and the deadline - head of the response: the attempt's deadline, within the request's; silence of an engine ends it earlier - wait for an upstream to resume at: the deadline, and the longest silence of the route; the relay's deadline - body of the response: the deadline (Relay) - writing to the caller: had none, since hyper polls no body, and so no deadline, while the caller takes nothing: such a caller held its upstream for ever. Now the deadline plus IdleTimeoutMs; responses without a deadline (other interfaces of `serve`) may go without progress for the idle timeout.

Changed for the tests: the fake upstreams of tests/gateway_support leave a plain call unanswered under Fault::Silent, which had no effect on such calls.

Open: a body that fits into the server's receive buffer counts as written, so a server that answers early and never reads it gets a later request on that connection, which ends at its deadline. TCP_USER_TIMEOUT (8 s) resets a connection of which the server reads nothing for that long (by its documentation, not tried). A response that is refused (not run, foreign) closes its connection at once, as before. A caller of /v1 that takes a few bytes now and then has no limit.

--- a/src/adapters/http/caller.rs
+++ b/src/adapters/http/caller.rs
@@ -1,4 +1,4 @@
-//! A caller's connection with an idle timeout and a timeout for receiving a request head.
+//! A caller's connection with an idle timeout and timeouts for receiving a request head and for sending a response.
 //!
 //! hyper's own header timeout covers the idle wait and the receipt of the head together, and cannot change
 //! during a connection.
@@ -44,6 +44,8 @@
     reader: Option<Waker>,
     /// Whether only the end of the connection shows the end of the response.
     ends_response: bool,
+    /// The deadline of the response, if it has one.
+    respond_by: Option<Instant>,
 }
 
 impl Progress {
@@ -53,9 +55,15 @@
             since: Instant::now(),
             reader: None,
             ends_response: false,
+            respond_by: None,
         })))
     }
 
+    /// Sets the deadline of the next response.
+    pub(super) fn set_response_deadline(&self, respond_by: Option<Instant>) {
+        self.lock().respond_by = respond_by;
+    }
+
     /// Marks that only the end of the connection shows the end of the response.
     pub(super) fn end_response_with_connection(&self) {
         self.lock().ends_response = true;
@@ -136,6 +144,8 @@
     /// Returns the current timeouts.
     options: Arc<O>,
     timer: Option<Pin<Box<Sleep>>>,
+    /// Since when the caller takes no byte, and the timer that ends the wait for it.
+    blocked: Option<(Instant, Pin<Box<Sleep>>)>,
     /// Whether the connection is reset when it ends before the response is complete.
     resets: bool,
 }
@@ -147,6 +157,7 @@
             progress,
             options,
             timer: None,
+            blocked: None,
             resets: false,
         }
     }
@@ -186,6 +197,33 @@
     }
 }
 
+impl<O: Fn() -> ServerOptions> CallerStream<O> {
+    /// Passes the result of a write on; fails one that the caller does not accept in time. hyper polls no body while it
+    /// waits for a caller, so the deadline of the body does not cover this.
+    fn limit_write(
+        &mut self,
+        cx: &mut Context<'_>,
+        written: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        if written.is_ready() {
+            self.blocked = None;
+            return written;
+        }
+        let (since, timer) = self.blocked.get_or_insert_with(|| {
+            let now = Instant::now();
+            (now, Box::pin(sleep_until(now)))
+        });
+        let begin = self.progress.lock().respond_by.unwrap_or(*since);
+        let deadline = begin + (self.options)().idle_timeout;
+        if timer.deadline() != deadline {
+            timer.as_mut().reset(deadline);
+        }
+        ready!(timer.as_mut().poll(cx));
+        let message = "the caller did not take the response in time";
+        Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, message)))
+    }
+}
+
 impl<O: Fn() -> ServerOptions> AsyncRead for CallerStream<O> {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -223,14 +261,15 @@
     }
 }
 
-impl<O> AsyncWrite for CallerStream<O> {
+impl<O: Fn() -> ServerOptions> AsyncWrite for CallerStream<O> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.prepare_write()?;
-        Pin::new(&mut self.io).poll_write(cx, buf)
+        let written = Pin::new(&mut self.io).poll_write(cx, buf);
+        self.limit_write(cx, written)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -256,6 +295,7 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.prepare_write()?;
-        Pin::new(&mut self.io).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.io).poll_write_vectored(cx, bufs);
+        self.limit_write(cx, written)
     }
 }
--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -103,7 +103,8 @@
         }
     }
 
-    /// Keeps the connection for reuse. The response must have been read to its end.
+    /// Keeps the connection for reuse if its request was wholly written before the response, which must have been read to
+    /// its end.
     pub(crate) fn return_to_pool(self) {
         self.idle.put(self.connection);
     }
@@ -218,7 +219,7 @@
         deadline: Instant,
     ) -> Result<PooledConnection, UpstreamError> {
         if reuse == Reuse::Allowed
-            && let Some(connection) = self.take_idle(target, Way::Direct).await
+            && let Some(connection) = self.take_idle(target, Way::Direct)
         {
             return Ok(connection);
         }
@@ -229,10 +230,10 @@
     }
 
     /// Takes an idle connection of one way to a target.
-    pub(crate) async fn take_idle(&self, target: &Target, way: Way) -> Option<PooledConnection> {
+    pub(crate) fn take_idle(&self, target: &Target, way: Way) -> Option<PooledConnection> {
         let idle = self.pool_of(way).idle_connections(target);
-        while let Some(mut connection) = idle.take() {
-            if connection.is_usable().await {
+        while let Some(connection) = idle.take() {
+            if connection.is_usable() {
                 self.reused.fetch_add(1, Ordering::Relaxed);
                 return Some(PooledConnection {
                     connection,
--- a/src/adapters/http/connection.rs
+++ b/src/adapters/http/connection.rs
@@ -12,19 +12,28 @@
 use hyper_util::rt::TokioIo;
 use tokio::{
     io::{AsyncRead, AsyncWrite},
+    sync::watch,
     task::JoinHandle,
     time::{Instant, timeout},
 };
 
+use super::tracked_stream::{RequestProgress, TrackedStream};
 use crate::ports::{Dialer, Sent, UpstreamError, UpstreamErrorKind};
 
 /// Idle time after which a connection is not reused.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(20);
 
+/// Time that hyper may take to make a connection ready after the last byte of a response.
+const READY_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time that an upstream may take to read the rest of a request that it has answered. The kernel ends the connection earlier if
+/// nothing of it is read.
+const REST_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// An open HTTP/1.1 connection.
 #[derive(Debug)]
 pub(super) struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    progress: watch::Receiver<RequestProgress>,
     task: JoinHandle<()>,
     last_used: Instant,
 }
@@ -34,6 +43,7 @@
     pub(super) async fn over(
         io: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
     ) -> hyper::Result<Self> {
+        let (io, progress) = TrackedStream::new(io);
         let (mut sender, connection) = http1::handshake(TokioIo::new(io)).await?;
         let task = tokio::spawn(async move {
             // The exchange reports the error as well, and an idle connection that ends is not an error.
@@ -42,6 +52,7 @@
         sender.ready().await?;
         Ok(Self {
             sender,
+            progress,
             task,
             last_used: Instant::now(),
         })
@@ -61,13 +72,43 @@
         }
     }
 
-    /// Waits until the connection can accept a request. Returns false if it is closed or was idle for too
-    /// long.
-    pub(super) async fn is_usable(&mut self) -> bool {
-        if self.sender.is_closed() || self.last_used.elapsed() > MAX_IDLE_TIME {
-            return false;
+    /// Returns whether the connection can accept a request at once: it is open, was not idle for too long, and its last
+    /// exchange is complete in both directions.
+    pub(super) fn is_usable(&self) -> bool {
+        self.last_used.elapsed() <= MAX_IDLE_TIME && self.is_ready()
+    }
+
+    fn is_ready(&self) -> bool {
+        !self.sender.is_closed() && self.sender.is_ready() && !self.answered_early()
+    }
+
+    /// Returns whether a response began before its request was wholly written. Such a connection is not reused, because
+    /// the upstream may leave the rest unread for any time, also bytes that the kernel has taken.
+    pub(super) fn answered_early(&self) -> bool {
+        self.progress.borrow().answered_early
+    }
+
+    /// Waits a bounded time until the connection can accept a request after a complete exchange; returns false if it
+    /// cannot.
+    pub(super) async fn wait_until_ready(&mut self) -> bool {
+        matches!(
+            timeout(READY_TIMEOUT, self.sender.ready()).await,
+            Ok(Ok(()))
+        ) && self.is_ready()
+    }
+
+    /// Writes the rest of a request that was answered early, for a bounded time, and closes the connection.
+    pub(super) async fn finish_request(mut self) {
+        let written = self.progress.wait_for(|progress| progress.written);
+        match timeout(REST_TIMEOUT, written).await {
+            Ok(Ok(_)) => {}
+            Ok(Err(_)) => log::debug!(
+                "http: an upstream closed its connection before it read a request that it had answered."
+            ),
+            Err(_) => log::debug!(
+                "http: an upstream did not read a request that it had answered; its connection is closed."
+            ),
         }
-        self.sender.is_ready() || self.sender.ready().await.is_ok()
     }
 
     /// Returns whether the peer or an error has closed the connection.
--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -1,7 +1,7 @@
 //! HTTP clients for upstreams, the cloud API and the weight store, and a small HTTP server.
 //!
-//! The client never retries a request. A connection serves one exchange at a time and is closed if the
-//! response body was not read to its end; see docs/DESIGN.md.
+//! The client never retries a request. A connection serves one exchange at a time and is reused only after a request that
+//! was wholly written before its response, which was read to its end; see docs/DESIGN.md.
 
 mod caller;
 mod client;
@@ -14,6 +14,7 @@
 mod messages;
 mod pool;
 mod server;
+mod tracked_stream;
 mod upstreams;
 mod weights;
 
@@ -24,7 +25,7 @@
 pub use cloud::HttpCloud;
 pub(crate) use framing::{Framing, end_with_connection};
 pub(crate) use json_items::read_json_items;
-pub(crate) use server::EndsWithConnection;
+pub(crate) use server::{EndsWithConnection, RespondBy};
 pub use server::{ServerOptions, serve};
 pub use upstreams::HttpUpstreams;
 pub use weights::HttpWeights;
--- a/src/adapters/http/pool.rs
+++ b/src/adapters/http/pool.rs
@@ -9,17 +9,31 @@
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use tokio::sync::Semaphore;
 
 use super::connection::Connection;
 use crate::ports::Target;
 
 /// Maximum number of idle connections per target.
 const MAX_IDLE_PER_TARGET: usize = u64::BITS as usize * 4;
+/// Maximum number of connections per client on which the rest of an answered request is still being written. Each holds
+/// the body of its request.
+const MAX_FINISHING: usize = 64;
 
 /// Idle connections by target.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Pool {
     targets: ArcSwap<HashMap<Target, Arc<IdleConnections>>>,
+    finishing: Arc<Semaphore>,
+}
+
+impl Default for Pool {
+    fn default() -> Self {
+        Self {
+            targets: ArcSwap::default(),
+            finishing: Arc::new(Semaphore::new(MAX_FINISHING)),
+        }
+    }
 }
 
 impl Pool {
@@ -28,7 +42,7 @@
         if let Some(idle) = self.targets.load().get(target) {
             return Arc::clone(idle);
         }
-        let added = Arc::new(IdleConnections::default());
+        let added = Arc::new(IdleConnections::new(Arc::clone(&self.finishing)));
         self.targets.rcu(|targets| {
             let mut targets = HashMap::clone(targets);
             targets.retain(|known, _| !is_replaced(known, target));
@@ -64,6 +78,7 @@
 #[derive(Debug)]
 pub(super) struct IdleConnections {
     groups: Box<[SlotGroup]>,
+    finishing: Arc<Semaphore>,
 }
 
 #[derive(Debug)]
@@ -73,15 +88,6 @@
     slots: Box<[ArcSwapOption<Connection>]>,
 }
 
-impl Default for IdleConnections {
-    fn default() -> Self {
-        let groups = MAX_IDLE_PER_TARGET / u64::BITS as usize;
-        Self {
-            groups: (0..groups).map(|_| SlotGroup::default()).collect(),
-        }
-    }
-}
-
 impl Default for SlotGroup {
     fn default() -> Self {
         Self {
@@ -93,17 +99,50 @@
 }
 
 impl IdleConnections {
+    fn new(finishing: Arc<Semaphore>) -> Self {
+        let groups = MAX_IDLE_PER_TARGET / u64::BITS as usize;
+        Self {
+            groups: (0..groups).map(|_| SlotGroup::default()).collect(),
+            finishing,
+        }
+    }
+
     /// Takes an idle connection, if there is one.
     pub(super) fn take(&self) -> Option<Connection> {
         self.groups.iter().find_map(SlotGroup::take)
     }
 
-    /// Stores a connection whose last exchange has ended, or closes it if all slots are in use.
-    pub(super) fn put(&self, mut connection: Connection) {
+    /// Keeps a connection whose response was read to its end, once its request is complete too. One whose request was
+    /// not wholly written before the response finishes outside the pool and is closed.
+    pub(super) fn put(self: Arc<Self>, mut connection: Connection) {
         if connection.is_closed() {
             return;
         }
         connection.mark_used();
+        if connection.answered_early() {
+            let Ok(permit) = Arc::clone(&self.finishing).try_acquire_owned() else {
+                log::debug!(
+                    "http: closing a connection before its request is written, since too many others are like it."
+                );
+                return;
+            };
+            tokio::spawn(async move {
+                connection.finish_request().await;
+                drop(permit);
+            });
+        } else if connection.is_usable() {
+            self.store(connection);
+        } else {
+            tokio::spawn(async move {
+                if connection.wait_until_ready().await {
+                    self.store(connection);
+                }
+            });
+        }
+    }
+
+    /// Stores a connection, or closes it if all slots are in use.
+    fn store(&self, connection: Connection) {
         let Some((group, slot)) = self
             .groups
             .iter()
--- a/src/adapters/http/server.rs
+++ b/src/adapters/http/server.rs
@@ -11,7 +11,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::{
     net::{TcpListener, TcpStream},
-    time::timeout,
+    time::{Instant, timeout},
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
@@ -30,10 +30,16 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct EndsWithConnection;
 
+/// Extension of a response that has a deadline: its connection is closed if the caller does not take the response within
+/// the idle timeout after it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RespondBy(pub(crate) Instant);
+
 /// Limits on the connections of a server.
 #[derive(Clone, Debug)]
 pub struct ServerOptions {
-    /// Maximum time that a connection stays open without a byte of a request.
+    /// Maximum time that a connection stays open without a byte of a request, and that a caller may take no byte of a
+    /// response.
     pub idle_timeout: Duration,
     /// Maximum time from the first to the last byte of a request head.
     pub head_timeout: Duration,
@@ -141,6 +147,8 @@
         let progress = progress.clone();
         async move {
             let mut res = response.await?;
+            let respond_by = res.extensions().get().map(|RespondBy(at)| *at);
+            progress.set_response_deadline(respond_by);
             if res.extensions().get::<EndsWithConnection>().is_some() {
                 progress.end_response_with_connection();
                 end_with_connection(&mut res);
--- a/src/adapters/tcp.rs
+++ b/src/adapters/tcp.rs
@@ -17,6 +17,10 @@
 /// `TCP_USER_TIMEOUT`: the kernel closes the connection if sent bytes or keepalive probes stay unacknowledged this long.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(8);
 
+/// Maximum bytes that the kernel holds unsent, so that a request whose rest is not read is soon seen to be
+/// unwritten. Bytes that were sent and are not acknowledged are not limited by it.
+const MAX_UNSENT_BYTES: u32 = 32 * 1024;
+
 /// Opens connections over the network.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct TcpDialer;
@@ -40,5 +44,8 @@
         .with_retries(KEEPALIVE_PROBES);
     let socket = SockRef::from(stream);
     socket.set_tcp_keepalive(&keepalive)?;
+    if let Err(e) = socket.set_tcp_notsent_lowat(MAX_UNSENT_BYTES) {
+        log::debug!("tcp: the kernel does not limit its unsent bytes: {e}.");
+    }
     socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
 }
--- a/src/gateway/services.rs
+++ b/src/gateway/services.rs
@@ -153,7 +153,12 @@
         self.record_plain_decision(call, DecisionKind::Routed(name.clone()));
         let _in_progress = member.state.begin_request();
         let started = Instant::now();
-        let result = self.upstreams.call(&member.target, &call.call).await;
+        let left = self.remaining_time(call);
+        let attempt = ServiceCall {
+            timeout: call.call.timeout.min(left),
+            ..call.call.clone()
+        };
+        let result = self.upstreams.call(&member.target, &attempt).await;
         self.record_plain_cost(choice, call, started.elapsed());
         match &result {
             Ok(_) => member.state.clear_suspicion(),
@@ -174,18 +179,22 @@
         let Some(service) = self.plain_service(&call.service) else {
             return Retry::GiveUp;
         };
-        let limit = self.settings.timing.request_timeout;
         let failure = Failure {
             kind: e.kind,
             sent: e.sent,
             idempotent: true,
             attempts,
-            remaining: limit.saturating_sub(call.arrived.elapsed()),
+            remaining: self.remaining_time(call),
             random: rand::random(),
         };
         service.retry_budget.decide(failure).await
     }
 
+    fn remaining_time(&self, call: &PlainCall) -> Duration {
+        let limit = self.settings.timing.request_timeout;
+        limit.saturating_sub(call.arrived.elapsed())
+    }
+
     fn plain_service(&self, name: &ServiceName) -> Option<Arc<ServiceEntry>> {
         self.snapshot.load().service(name).cloned()
     }
--- a/src/ingress/forward/mod.rs
+++ b/src/ingress/forward/mod.rs
@@ -171,7 +171,10 @@
             .to_bytes();
         let traits = Arc::new(RequestTraits::new(&facts, &head, account.as_ref(), &body));
         check_quarantine(&core, &traits)?;
-        let origin = find_origin(&core, &route, &facts, account.as_ref(), &service).await?;
+        let found = find_origin(&core, &route, &facts, account.as_ref(), &service);
+        let origin = timeout_at(deadline, found)
+            .await
+            .map_err(|_| NotRun::TooLate)??;
         if let Some(origin) = &origin {
             service.clone_from(&origin.service);
         }
@@ -186,7 +189,9 @@
             }
         }
         if let Some(account) = &account {
-            take_quota(&core, account, &facts).await?;
+            timeout_at(deadline, take_quota(&core, account, &facts))
+                .await
+                .map_err(|_| NotRun::TooLate)??;
         }
         let metrics = core.counters.account_metrics(account.as_ref());
         Ok(Self {
--- a/src/ingress/forward/response.rs
+++ b/src/ingress/forward/response.rs
@@ -8,7 +8,7 @@
 
 use super::{ForwardedRequest, attempt::AcceptedResponse, millis};
 use crate::{
-    adapters::http::{EndsWithConnection, Framing},
+    adapters::http::{EndsWithConnection, Framing, RespondBy},
     domain::RequestClass,
     ingress::{
         events::EventSplitter,
@@ -119,6 +119,7 @@
         let mut res = Response::new(Relay::new(source, resumable, deadline, id, context));
         *res.status_mut() = head.status;
         *res.headers_mut() = without_connection_headers(head.headers);
+        res.extensions_mut().insert(RespondBy(deadline));
         if framing == Framing::Connection {
             res.extensions_mut().insert(EndsWithConnection);
         }
--- a/src/ingress/reach.rs
+++ b/src/ingress/reach.rs
@@ -181,7 +181,7 @@
             }
             return result;
         }
-        if let Some(tunnel) = client.take_idle(target, Way::Tunnel).await {
+        if let Some(tunnel) = client.take_idle(target, Way::Tunnel) {
             return Ok(tunnel);
         }
         // The direct way is tried as well, so that its return is noticed with the next request.
--- a/tests/gateway_refusals.rs
+++ b/tests/gateway_refusals.rs
@@ -19,7 +19,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
-    time::timeout,
+    time::{Instant, timeout},
 };
 use uuid::Uuid;
 
@@ -252,6 +252,25 @@
     .await;
 }
 
+/// Guards against attempts of a plain call that each get the whole time again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_plain_call_at_silent_servers_ends_by_the_request_timeout() {
+    let mut options = Options::default();
+    options.timing.first_byte_timeout = Duration::from_millis(1000);
+    options.timing.request_timeout = Duration::from_millis(1200);
+    let bench = Bench::start(options).await;
+    for instance in ["d0", "d1"] {
+        bench.upstreams.fail(instance, Fault::Silent(0));
+    }
+    let begun = Instant::now();
+    let call = Call::get("/v1/services/depot/piles");
+    let reply = call.send(bench.address(0)).await;
+    assert_eq!(reply.error().1, "unknown");
+    assert!(bench.upstreams.reached() > 1, "the call is not retried");
+    let took = begun.elapsed();
+    assert!(took < Duration::from_millis(1700), "{took:?}");
+}
+
 /// Sends a request head without its body and waits until the request occupies the gateway's only slot.
 /// If a probe occupies the slot at that moment, the head is refused and sent again.
 async fn begin_request(address: SocketAddr, head: &str, probe: &Call) -> TcpStream {
--- a/tests/gateway_support/upstreams.rs
+++ b/tests/gateway_support/upstreams.rs
@@ -17,7 +17,7 @@
     },
 };
 use futures_util::{StreamExt, stream};
-use tokio::sync::watch;
+use tokio::{sync::watch, time::sleep};
 
 /// A failure of an instance.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -26,7 +26,7 @@
     None,
     /// Answers with an error, before or after the request has reached the instance.
     Refuse(UpstreamErrorKind, Sent),
-    /// Sends this many tokens of an attempt and then stalls with the connection open.
+    /// Sends this many tokens of an attempt and then stalls with the connection open; a plain call is not answered.
     Silent(u32),
     /// Sends this many tokens of an attempt and then breaks the connection.
     Cut(u32),
@@ -292,7 +292,13 @@
         target: &Target,
         call: &ServiceCall,
     ) -> Result<ServiceReply, UpstreamError> {
-        self.arrive(self.fault(target))?;
+        let fault = self.fault(target);
+        self.arrive(fault)?;
+        if matches!(fault, Fault::Silent(_)) {
+            sleep(call.timeout).await;
+            let kind = UpstreamErrorKind::Silent;
+            return Err(UpstreamError::new(kind, Sent::Maybe, "no answer in time"));
+        }
         let body = String::from_utf8_lossy(&call.body).into_owned();
         let count = {
             let mut state = self.state.lock().unwrap();
--- a/tests/platform_connections.rs
+++ b/tests/platform_connections.rs
@@ -2,7 +2,7 @@
 
 mod platform_support;
 
-use std::time::Duration;
+use std::{sync::atomic::Ordering, time::Duration};
 
 use hyper::{Method, StatusCode};
 use platform_support::{Installation, ServerAction, call, document, wait_until};
@@ -118,3 +118,34 @@
     let answers = String::from_utf8(answers).unwrap();
     assert_eq!(answers.matches("200 OK").count(), 2, "{answers}");
 }
+
+/// Guards against callers that hold an upstream for ever by not reading its response.
+#[tokio::test]
+async fn a_response_that_its_caller_does_not_take_ends_after_its_deadline() {
+    let installation = Installation::start(1, |_, _| ServerAction::Stream {
+        chunks: vec!["x".repeat(1024 * 1024); 64],
+        complete: true,
+    })
+    .await;
+    let mut limited = document(1);
+    limited["Limits"]["IdleTimeoutMs"] = serde_json::json!(300);
+    limited["Routes"][0]["TimeoutMs"] = serde_json::json!(800);
+    installation.publish(&limited).await;
+    let mut deaf = TcpStream::connect(installation.caller_address)
+        .await
+        .unwrap();
+    let head = format!(
+        "GET /safe/x HTTP/1.1\r\nHost: depot.example\r\nAuthorization: Bearer {}\r\n\r\n",
+        platform_support::API_KEY
+    );
+    deaf.write_all(head.as_bytes()).await.unwrap();
+    let in_progress = &installation.log.in_progress;
+    wait_until("the response has begun", || async {
+        in_progress.load(Ordering::Relaxed) == 1
+    })
+    .await;
+    wait_until("the response has ended", || async {
+        in_progress.load(Ordering::Relaxed) == 0
+    })
+    .await;
+}
