Leave without loss: plan a gateway's shutdown and withdraw its address at once

Cause: requests were taken until the listener closed, without a look at the time left; the listener closed when nothing was in progress at a constant 3.5 s, and open answers then got 0.6 s; the controllers heard of the shutdown with the next long poll, and held the change back by up to 0.4 s more.

Change: - policy::shutdown plans the stay from shutdown_ms and address_ttl_ms and decides on each request before it is passed on. It is taken if its deadline lies before the close, or, in the first three eighths of the limit, if twice the longest recent request of its route, and 0.5 s, ends before it. All others get 503 with Retry-After. Retries of requests that have not run are decided again. - Open answers drain until 0.6 s before the limit, whatever else is idle. - The gateway tells each controller at once, beside the long poll and a transfer of the document, until it replies. Controllers pass it on within 50 ms, also while another change of the roster is held back. A record that leaves does so for its incarnation, so a poll that is handled late does not open it again. - Usage is still reported while open answers drain.

Why it works: a request whose end is not known to lie before the close is never passed on, so only what was taken by an estimate in the first three eighths, or was in progress before, can be cut, and only at the limit.

Open: the address is withdrawn by way of controllers; while none runs, other directories keep naming the gateway. With address_ttl_ms over 2.1 s and a limit of 8 s callers may keep the address for longer than the limit allows. /v1 is not changed.

--- a/src/controller/core.rs
+++ b/src/controller/core.rs
@@ -49,6 +49,7 @@
     followers: Mutex<Followers>,
     origins: Mutex<OriginLedger>,
     followers_changed: watch::Sender<u64>,
+    gateway_leaves: watch::Sender<u64>,
     fleet_changed: watch::Sender<u64>,
     heartbeats: watch::Sender<u64>,
     /// Fencing tokens of the duties that this controller holds, by duty.
@@ -82,6 +83,7 @@
             followers: Mutex::new(followers),
             origins: Mutex::new(OriginLedger::new(MAX_ORIGINS)),
             followers_changed: watch::channel(0).0,
+            gateway_leaves: watch::channel(0).0,
             fleet_changed: watch::channel(0).0,
             heartbeats: watch::channel(0).0,
             duties: Mutex::default(),
@@ -126,6 +128,16 @@
         self.followers_changed.subscribe()
     }
 
+    /// Wakes the tasks that delay changes of the roster.
+    pub fn notify_gateway_leaves(&self) {
+        self.gateway_leaves.send_modify(|count| *count += 1);
+    }
+
+    /// Returns a receiver that is notified when an ingress gateway begins to leave.
+    pub fn watch_leaving_gateways(&self) -> watch::Receiver<u64> {
+        self.gateway_leaves.subscribe()
+    }
+
     /// Locks the fencing tokens of the duties that this controller holds; hold the lock only
     /// briefly.
     pub fn duties(&self) -> MutexGuard<'_, BTreeMap<&'static str, FencingToken>> {
--- a/src/controller/followers.rs
+++ b/src/controller/followers.rs
@@ -42,6 +42,9 @@
 const ROSTER_DELAY_PER_GATEWAY: Duration = Duration::from_millis(2);
 /// Upper bound of the delay of a roster change.
 const MAX_ROSTER_DELAY: Duration = Duration::from_millis(400);
+/// Upper bound of the delay if a gateway leaves. It is sent to all at once, since callers that are given the
+/// address meanwhile may keep it for seconds; the delay bounds the replies while many gateways leave.
+const MAX_LEAVING_DELAY: Duration = Duration::from_millis(50);
 /// Longest time that a follow request waits for a change (long polling).
 const MAX_FOLLOW_WAIT: Duration = Duration::from_secs(5);
 /// Usage windows kept for each gateway; older ones are committed or no longer due.
@@ -120,12 +123,18 @@
 
     /// Records a follow request. Returns whether it changed the roster.
     pub fn handle_follow(&mut self, now: Duration, follow: &FollowRequest) -> bool {
-        let Some(record) = &follow.gateway else {
+        let Some(mut record) = follow.gateway.clone() else {
             return false;
         };
         let before = self.gateways.get(&record.name);
+        // Requests may be handled in another order than the gateway sent them, and it leaves until it restarts.
+        if before
+            .is_some_and(|known| known.record.leaving && known.incarnation == follow.incarnation)
+        {
+            (record.leaving, record.open) = (true, false);
+        }
         let changed = before
-            .is_none_or(|known| known.record != *record || known.silence(now) > ROSTER_TIMEOUT);
+            .is_none_or(|known| known.record != record || known.silence(now) > ROSTER_TIMEOUT);
         let follower = self
             .gateways
             .entry(record.name.clone())
@@ -235,15 +244,19 @@
         (u64::from(self.roster_epoch) << 32) | u64::from(self.roster_change)
     }
 
-    /// Returns the delay of a reply that carries only a roster change.
-    fn roster_delay(&self) -> Duration {
+    /// Returns how long after its request a reply that carries only a change of the roster is sent.
+    pub fn roster_delay(&self, change: &Roster) -> Duration {
         let listed = self
             .gateways
             .values()
             .filter(|follower| follower.listed)
             .count();
         let delay = ROSTER_DELAY_PER_GATEWAY * u32::try_from(listed).unwrap_or(u32::MAX);
-        delay.min(MAX_ROSTER_DELAY)
+        let is_leaving = change.is_delta && change.gateways.iter().any(|gateway| gateway.leaving);
+        delay.min(match is_leaving {
+            true => MAX_LEAVING_DELAY,
+            false => MAX_ROSTER_DELAY,
+        })
     }
 
     /// Removes gateways that timed out from the roster.
@@ -472,6 +485,9 @@
         core.notify_followers_changed();
     }
     if core.followers().handle_follow(core.now(), &follow) {
+        if record.leaving {
+            core.notify_gateway_leaves();
+        }
         log::info!(
             "controller: gateway {} in zone {} follows this controller; open to callers: {}.",
             record.name,
@@ -485,9 +501,11 @@
     let deadline = received_at + wait;
     let mut view_changed = core.log.watch_view_index();
     let mut followers_changed = core.watch_followers();
+    let mut gateway_leaves = core.watch_leaving_gateways();
     loop {
         view_changed.mark_unchanged();
         followers_changed.mark_unchanged();
+        gateway_leaves.mark_unchanged();
         let reply = follow_reply(core, &follow);
         if reply.version > follow.held_version
             || reply.list.is_some()
@@ -496,13 +514,16 @@
         {
             return Some(Body::FollowReply(reply));
         }
-        if reply.roster.is_some() {
-            let delay = core.followers().roster_delay();
+        if let Some(change) = &reply.roster {
+            let delay = core.followers().roster_delay(change);
             // Batches roster changes that follow each other closely.
             if received_at + delay <= Instant::now() {
                 return Some(Body::FollowReply(reply));
             }
-            sleep_until(received_at + delay).await;
+            tokio::select! {
+                () = sleep_until(received_at + delay) => {}
+                Ok(()) = gateway_leaves.changed() => {}
+            }
             continue;
         }
         let change = async {
--- a/src/ingress/counters.rs
+++ b/src/ingress/counters.rs
@@ -50,6 +50,7 @@
     quarantined: Counter,
     busy: Counter,
     too_late: Counter,
+    leaving: Counter,
     unclear: Counter,
     unanswered: Counter,
 }
@@ -124,6 +125,10 @@
                 "Requests whose upstreams had no room.",
             ),
             too_late: counter("ingress_refused_too_late", "Requests whose time was over."),
+            leaving: counter(
+                "ingress_refused_leaving",
+                "Requests that might have outlasted the shutdown.",
+            ),
             unclear: counter("ingress_failed_unclear", "Requests whose end is not known."),
             unanswered: counter("ingress_failed_unanswered", "Requests answered too late."),
         }
@@ -169,6 +174,7 @@
                         &self.busy
                     }
                     NotRun::TooLate | NotRun::BodySlow => &self.too_late,
+                    NotRun::Leaving(_) => &self.leaving,
                 };
                 (counter, RequestOutcome::Refused)
             }
--- a/src/ingress/errors.rs
+++ b/src/ingress/errors.rs
@@ -39,6 +39,8 @@
     Unreachable,
     /// The deadline passed before the request was sent.
     TooLate,
+    /// This gateway is shutting down and may end before the request; the caller may retry after the duration.
+    Leaving(Duration),
 }
 
 /// Retry delay for callers when the upstreams are full or unreachable, or when the origin of a stream is not known; by
@@ -66,13 +68,14 @@
             | Self::NoUpstream
             | Self::Busy
             | Self::Unreachable
-            | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::TooLate
+            | Self::Leaving(_) => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
     fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::Overloaded(after) | Self::Paused(after) => Some(after),
+            Self::Overloaded(after) | Self::Paused(after) | Self::Leaving(after) => Some(after),
             Self::OverQuota(after) => Some(after.max(BUSY_RETRY_AFTER)),
             Self::Limited(after) => Some(after.clamp(BUSY_RETRY_AFTER, MAX_LIMITED_RETRY_AFTER)),
             Self::NoTable | Self::NoUpstream => Some(RECOVERY_RETRY_AFTER),
--- a/src/ingress/follow.rs
+++ b/src/ingress/follow.rs
@@ -32,6 +32,10 @@
 const REPLY_GRACE: Duration = Duration::from_millis(800);
 /// Timeout of a call for the configuration document.
 const DOCUMENT_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Timeout of the notice that this gateway leaves; a controller may delay its reply to batch changes.
+const WITHDRAWAL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Pause before the notice that this gateway leaves is repeated.
+const WITHDRAWAL_RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// Pause after a controller failed to reply.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Age of a controller's last reply after which its roster is ignored, while other controllers reply.
@@ -104,13 +108,14 @@
         let (follower, name, stop) = (Arc::clone(self), name.to_owned(), stop.clone());
         tokio::spawn(async move {
             let origins = Arc::clone(&follower.core.origins);
-            let both = async {
+            let all = async {
                 tokio::join!(
                     follower.follow(&name, &link, &stop),
+                    follower.withdraw(&name, &link),
                     origins.report_to(&name, &link),
                 )
             };
-            stop.run_until_cancelled(both).await;
+            stop.run_until_cancelled(all).await;
         });
     }
 
@@ -168,8 +173,38 @@
         }
     }
 
+    /// Tells a controller that this gateway leaves as soon as the shutdown begins, even while a long poll or a
+    /// transfer of the document is in progress, and until the controller replies.
+    async fn withdraw(&self, name: &str, link: &Link) {
+        self.core.shutdown.begun().await;
+        loop {
+            let request = FollowRequest {
+                wait_ms: 0,
+                ..self.state_report(name)
+            };
+            match link.call(Body::Follow(request), WITHDRAWAL_TIMEOUT).await {
+                Ok(Body::FollowReply(_)) => return,
+                Ok(other) => log::warn!(
+                    "ingress: unexpected reply of controller {name} to a withdrawal: {other:?}."
+                ),
+                Err(e) => log::debug!(
+                    "ingress: controller {name} did not confirm the withdrawal: {e}; it is repeated."
+                ),
+            }
+            sleep(WITHDRAWAL_RETRY_PAUSE).await;
+        }
+    }
+
     /// Returns a poll of a controller, and the number of the last request that was cut off and is reported in it.
     fn follow_request(&self, name: &str) -> (FollowRequest, u64) {
+        let mut request = self.state_report(name);
+        let crashes = &self.core.crashes;
+        let reported = crashes.add_to_request(name, &mut request, Instant::now());
+        (request, reported)
+    }
+
+    /// Returns a poll of a controller without reports of crashes, which are sent once.
+    fn state_report(&self, name: &str) -> FollowRequest {
         let controllers = self
             .controllers
             .lock()
@@ -180,7 +215,7 @@
         drop(controllers);
         let (quota_uses, window_fraction) =
             self.core.quotas.usage_report(self.core.clock.monotonic());
-        let mut request = FollowRequest {
+        FollowRequest {
             quota_uses,
             window_fraction,
             gateway: Some(self.core.record()),
@@ -199,10 +234,7 @@
                 .upstreams
                 .limit_reports(self.core.clock.monotonic()),
             ..FollowRequest::default()
-        };
-        let crashes = &self.core.crashes;
-        let reported = crashes.add_to_request(name, &mut request, Instant::now());
-        (request, reported)
+        }
     }
 
     async fn apply_reply(
--- a/src/ingress/forward/mod.rs
+++ b/src/ingress/forward/mod.rs
@@ -21,6 +21,7 @@
     crashes::RequestTraits,
     errors::{Failure, NotRun, RequestError, error_response},
     headers::{host, without_connection_headers},
+    millis,
     relay::{Handover, Relay},
     upstream::Eligible,
     upstreams::InFlightGuard,
@@ -74,7 +75,7 @@
                 error_response(&*core.platform, &id, error)
             }
         };
-    if core.leaving.load(std::sync::atomic::Ordering::Relaxed) {
+    if core.shutdown.is_begun() {
         let close = HeaderValue::from_static("close");
         res.headers_mut().insert(header::CONNECTION, close);
     }
@@ -171,6 +172,7 @@
             .to_bytes();
         let traits = Arc::new(RequestTraits::new(&facts, &head, account.as_ref(), &body));
         check_quarantine(&core, &traits)?;
+        core.check_shutdown(&route, deadline)?;
         let found = find_origin(&core, &route, &facts, account.as_ref(), &service);
         let origin = timeout_at(deadline, found)
             .await
@@ -239,6 +241,9 @@
             if now >= self.deadline {
                 return Err(self.error_unless_run(NotRun::TooLate));
             }
+            if self.attempts == 0 {
+                self.core.check_shutdown(&self.route, self.deadline)?;
+            }
             // Also before a further attempt, since the first one may have been a crash.
             check_quarantine(&self.core, &self.traits)
                 .map_err(|reason| self.error_unless_run(reason))?;
@@ -396,6 +401,9 @@
 
     /// Logs and counts the error and builds the response for the caller.
     fn fail(&self, error: RequestError) -> Response<Relay> {
+        if !matches!(error, RequestError::NotRun(_)) {
+            drop(self.core.shutdown.measure(&self.route.name, self.arrived));
+        }
         log::warn!(
             event = "request.ended", request = self.id(), route = &*self.route.name,
             version = self.table.table.version, service:% = self.service, outcome:? = error,
@@ -477,7 +485,3 @@
     let shared = prompt.parts.len().saturating_sub(2);
     prompt.parts.get(shared).map_or(0, |part| part.hash)
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/src/ingress/forward/response.rs
+++ b/src/ingress/forward/response.rs
@@ -106,6 +106,7 @@
             traits: Arc::clone(&self.traits),
             crashes: Arc::clone(&self.core.crashes),
             reach: Arc::clone(&self.core.reach),
+            _timer: self.core.shutdown.measure(&self.route.name, self.arrived),
         };
         // A resumed stream could not keep to a length that was announced.
         let can_resume = self.route.class == RequestClass::ResumableStream
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -17,6 +17,7 @@
 mod reach;
 mod relay;
 mod retry_budgets;
+mod shutdown;
 mod upstream;
 mod upstreams;
 mod usage;
@@ -24,15 +25,7 @@
 pub use directory::Directory;
 pub use events::{EventSplitter, SplitError};
 
-use std::{
-    convert::Infallible,
-    net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    time::Duration,
-};
+use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
 use anyhow::Context;
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -45,23 +38,21 @@
 
 use self::{
     announce::Announcer, controllers::ControllerContacts, counters::Counters, crashes::CrashWatch,
-    origins::Origins, quota::Quotas, reach::Reach, retry_budgets::RetryBudgets,
-    upstreams::Upstreams, usage::UsageCounter,
+    errors::NotRun, origins::Origins, quota::Quotas, reach::Reach, retry_budgets::RetryBudgets,
+    shutdown::Shutdown, upstreams::Upstreams, usage::UsageCounter,
 };
 use crate::{
     RunningRole,
     adapters::http::{Client, ServerOptions, serve},
-    domain::{Incarnation, RouteIndex},
+    domain::{Incarnation, Route, RouteIndex},
     link::{DatagramSocket, Identity, Link, PeerKey, serve_tunnels},
+    policy::shutdown::ShutdownPlan,
     ports::{Clock, Dialer, Platform},
     settings::{Ingress, Settings, SettingsWatch},
     telemetry::Metrics,
     wire::IngressRecord,
 };
 
-/// Time before the shutdown deadline at which connections are closed, so that the process exits within it.
-const SHUTDOWN_CLOSE_MARGIN: Duration = Duration::from_millis(1200);
-
 /// State shared by all parts of an ingress gateway.
 #[derive(Debug)]
 struct Core<P, T> {
@@ -90,14 +81,13 @@
     leader: ArcSwapOption<Link>,
     /// Increases with each start of the gateway.
     incarnation: u64,
-    /// Whether the process is shutting down.
-    leaving: AtomicBool,
+    shutdown: Shutdown,
 }
 
 impl<P, T> Core<P, T> {
     /// Returns whether callers should connect to this gateway.
     fn is_open(&self) -> bool {
-        !self.leaving.load(Ordering::Relaxed) && self.routes.load().table.version > 0
+        !self.shutdown.is_begun() && self.routes.load().table.version > 0
     }
 
     /// Returns the record under which this gateway announces itself to the controllers.
@@ -107,9 +97,22 @@
             zone: self.settings.zone.to_string(),
             caller_address: self.ingress.address.to_string(),
             open: self.is_open(),
+            leaving: self.shutdown.is_begun(),
             peer_address: self.peer_address.to_string(),
         }
     }
+
+    /// Refuses a request that may not end before the gateway does.
+    fn check_shutdown(&self, route: &Route, deadline: Instant) -> Result<(), NotRun> {
+        let other_gateways = || {
+            let gateways = self.roster.load();
+            let others = gateways
+                .iter()
+                .filter(|gateway| gateway.name != *self.settings.name);
+            others.filter(|gateway| gateway.open).count()
+        };
+        self.shutdown.check(&route.name, deadline, other_gateways)
+    }
 }
 
 /// Starts an ingress gateway. When the token is cancelled it drains gracefully: it withdraws from the
@@ -179,30 +182,31 @@
         peer_address,
         leader: ArcSwapOption::empty(),
         incarnation: identity.incarnation.0,
-        leaving: AtomicBool::new(false),
+        shutdown: Shutdown::new(),
         ingress,
         platform,
         clock,
         settings: Arc::clone(&settings),
     });
     counters::register_gauges(metrics, &core);
-    let closing = CancellationToken::new();
+    let ended = CancellationToken::new();
     tokio::spawn(serve_tunnels(
         tunnels,
         key.clone(),
         identity.clone(),
         Arc::new(reach::Helping(Arc::clone(&core))),
-        closing.clone(),
+        ended.clone(),
     ));
-    tokio::spawn(reach::run(Arc::clone(&core), closing.clone()));
+    tokio::spawn(reach::run(Arc::clone(&core), ended.clone()));
     tokio::spawn(follow::run(
         Arc::clone(&core),
         key,
         identity,
         reloaded,
-        closing.clone(),
+        ended.clone(),
     ));
-    tokio::spawn(announce::run(Arc::clone(&core), closing.clone()));
+    tokio::spawn(announce::run(Arc::clone(&core), ended.clone()));
+    let closing = CancellationToken::new();
     let service = {
         let core = Arc::clone(&core);
         service_fn(move |req| {
@@ -218,7 +222,7 @@
                 idle_timeout: limits.idle_timeout,
                 head_timeout: limits.head_timeout,
                 max_head_bytes: limits.head_bytes,
-                drain_timeout: SHUTDOWN_CLOSE_MARGIN / 2,
+                drain_timeout: core.shutdown.time_until_cut(Instant::now()),
             }
         }
     };
@@ -229,19 +233,25 @@
             () = stop.cancelled() => {}
             _ = &mut served => anyhow::bail!("the server for callers ended unexpectedly"),
         }
-        core.leaving.store(true, Ordering::Relaxed);
-        // Callers cache resolved addresses for a while and use open connections until they are closed.
-        let drain_time = core
-            .settings
-            .timing
-            .shutdown
-            .saturating_sub(SHUTDOWN_CLOSE_MARGIN);
-        let end = Instant::now() + drain_time;
-        core.upstreams.wait_until_idle(drain_time).await;
+        let plan = ShutdownPlan::new(
+            core.settings.timing.shutdown,
+            core.settings.timing.address_ttl,
+        );
+        let begun = core.shutdown.begin(plan);
+        log::info!(
+            event = "gateway.leaves", stay_ms = millis(plan.stay()), cut_ms = millis(plan.cut()),
+            in_progress = core.upstreams.in_progress();
+            "ingress: the shutdown begins"
+        );
+        let close = begun + plan.close();
+        sleep_until(begun + plan.stay()).await;
+        core.upstreams.wait_until_idle(close).await;
         // Leaves one more long poll, if time allows, for the controllers to collect the last usage counts.
-        sleep_until(end.min(Instant::now() + follow::FOLLOW_WAIT)).await;
+        sleep_until(close.min(Instant::now() + follow::FOLLOW_WAIT)).await;
         closing.cancel();
-        served.await.context("serving callers failed")
+        let served = served.await.context("serving callers failed");
+        ended.cancel();
+        served
     });
     let running = RunningRole {
         http_address,
@@ -250,3 +260,7 @@
     };
     Ok((running, directory))
 }
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/src/ingress/reach.rs
+++ b/src/ingress/reach.rs
@@ -425,7 +425,7 @@
             unreachable,
             reason: reason.to_owned(),
         };
-        if core.leaving.load(Ordering::Relaxed) {
+        if core.shutdown.is_begun() {
             return Err(refused(false, "it is shutting down"));
         }
         if reach.carried_count() >= MAX_CARRIED_TUNNELS {
--- a/src/ingress/relay.rs
+++ b/src/ingress/relay.rs
@@ -22,6 +22,7 @@
     events::{EventBoundary, EventSplitter},
     origins::StreamOrigin,
     reach::Reach,
+    shutdown::RequestTimer,
     upstreams::InFlightGuard,
 };
 use crate::{
@@ -134,6 +135,8 @@
     pub(super) traits: Arc<RequestTraits>,
     pub(super) crashes: Arc<CrashWatch>,
     pub(super) reach: Arc<Reach>,
+    /// Measures the request until its response has ended.
+    pub(super) _timer: RequestTimer,
 }
 
 /// The state of a relayed body.
--- a/src/ingress/upstreams.rs
+++ b/src/ingress/upstreams.rs
@@ -12,7 +12,7 @@
 use arc_swap::ArcSwap;
 use tokio::{
     sync::Notify,
-    time::{Instant, sleep, timeout},
+    time::{Instant, timeout_at},
 };
 
 use super::{
@@ -36,9 +36,6 @@
     },
 };
 
-/// Time for which callers may still use addresses that they resolved before the shutdown began.
-const ADDRESS_DRAIN_TIME: Duration = Duration::from_millis(3500);
-
 /// Time constant of the exponential moving averages of a service's use.
 const METER_AVERAGING_TIME: Duration = Duration::from_secs(1);
 
@@ -562,18 +559,14 @@
         self.in_flight.count.load(Ordering::Relaxed)
     }
 
-    /// Waits until callers no longer use this gateway's address and no request is in progress, or until the
-    /// timeout expires.
-    pub(super) async fn wait_until_idle(&self, max_wait: Duration) {
-        let end = Instant::now() + max_wait;
-        sleep(ADDRESS_DRAIN_TIME.min(max_wait)).await;
+    /// Waits until no request is in progress, or until the time `end`.
+    pub(super) async fn wait_until_idle(&self, end: Instant) {
         loop {
             let idle = self.in_flight.idle.notified();
             if self.in_flight.count.load(Ordering::Relaxed) == 0 {
                 return;
             }
-            let left = end.saturating_duration_since(Instant::now());
-            if timeout(left, idle).await.is_err() {
+            if timeout_at(end, idle).await.is_err() {
                 let left = self.in_flight.count.load(Ordering::Relaxed);
                 log::warn!("ingress: the shutdown interrupts {left} requests in progress.");
                 return;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -20,6 +20,7 @@
 pub mod retry;
 pub mod route;
 pub mod scale;
+pub mod shutdown;
 pub mod silence;
 pub mod speed;
 mod spread;
--- a/src/wire/follow.rs
+++ b/src/wire/follow.rs
@@ -221,6 +221,9 @@
     /// Address for datagrams from other gateways.
     #[prost(string, tag = "5")]
     pub peer_address: String,
+    /// Whether it is shutting down, which it does until its process ends.
+    #[prost(bool, tag = "6")]
+    pub leaving: bool,
 }
 
 /// Announces to the other gateways that the sender is sending a prompt to an engine.
--- a/tests/controller_followers.rs
+++ b/tests/controller_followers.rs
@@ -535,3 +535,58 @@
     followers.upstream_list_mut().record_limits(at(11_000), &[]);
     assert_eq!(listed_limits(&followers), [Some(10_990)]);
 }
+
+fn leave(name: &str) -> FollowRequest {
+    let mut request = follow(name, false, 0.0);
+    request.gateway.as_mut().unwrap().leaving = true;
+    request
+}
+
+#[test]
+fn a_gateway_that_leaves_is_not_opened_again_by_a_request_that_it_sent_before() {
+    for count in [2, 200] {
+        let mut followers = Followers::default();
+        let names: Vec<_> = (0..count).map(|i| format!("g{i}")).collect();
+        let of = |incarnation, request: FollowRequest| FollowRequest {
+            incarnation,
+            ..request
+        };
+        let mut now = 0;
+        for name in &names {
+            followers.handle_follow(at(now), &of(1, follow(name, true, 0.0)));
+        }
+        let open = |followers: &mut Followers, now| {
+            let gateways = followers.roster(at(now)).gateways;
+            gateways.iter().filter(|gateway| gateway.open).count()
+        };
+        for name in &names {
+            now += 1;
+            assert!(followers.handle_follow(at(now), &of(1, leave(name))));
+            let held = followers.roster(at(now)).version;
+            assert_eq!(open(&mut followers, now), count - 1);
+            assert!(!followers.handle_follow(at(now), &of(1, follow(name, true, 0.0))));
+            assert!(followers.roster_since(at(now), held).is_none());
+            assert_eq!(open(&mut followers, now), count - 1);
+            assert!(followers.handle_follow(at(now), &of(2, follow(name, true, 0.0))));
+            assert_eq!(open(&mut followers, now), count);
+        }
+    }
+}
+
+#[test]
+fn a_gateway_that_leaves_is_sent_to_all_sooner_than_one_that_opens() {
+    for (count, open_delay, leave_delay) in [(2, at(4), at(4)), (200, at(400), at(50))] {
+        let mut followers = Followers::default();
+        for i in 0..count {
+            followers.handle_follow(at(0), &follow(&format!("g{i}"), true, 0.0));
+        }
+        let mut delay_of = |request: &FollowRequest| {
+            let held = followers.roster(at(1)).version;
+            assert!(followers.handle_follow(at(1), request));
+            let change = followers.roster_since(at(1), held).unwrap();
+            followers.roster_delay(&change)
+        };
+        assert_eq!(delay_of(&follow("g0", false, 0.0)), open_delay);
+        assert_eq!(delay_of(&leave("g1")), leave_delay);
+    }
+}
--- a/tests/platform_support/daemons.rs
+++ b/tests/platform_support/daemons.rs
@@ -77,6 +77,23 @@
         self.signal(Signal::SIGCONT);
     }
 
+    /// Sends SIGTERM, which begins a graceful shutdown.
+    pub fn terminate(&self) {
+        self.signal(Signal::SIGTERM);
+    }
+
+    /// Sends SIGHUP, which makes the process read its settings again.
+    pub fn hang_up(&self) {
+        self.signal(Signal::SIGHUP);
+    }
+
+    /// Returns whether the process has ended by itself with exit code 0; panics if it ended otherwise.
+    pub fn has_ended_well(&mut self) -> bool {
+        let status = self.child.try_wait().unwrap();
+        assert!(status.is_none_or(|status| status.success()), "{status:?}");
+        status.is_some()
+    }
+
     fn signal(&self, signal: Signal) {
         kill(Pid::from_raw(self.id() as i32), signal).unwrap();
     }
