Count the silence of a link in bytes

Besides, the accepting side didn't read while it wrote.

Change: a connection records when bytes were last read and written. A side closes the link when it has read no byte for the silence timeout, or has written none of a frame that waits; a whole frame has no limit. Both sides read while they write. The accepting side pings too when it has sent nothing for a ping interval: the other side's pings, which it echoes, may be behind a large frame. The kernel holds at most 32 KiB unsent for a connection (TCP_NOTSENT_LOWAT), so that a write makes progress as often as the network does.

An older process on either end still counts whole frames.

Open: the deadline of a call still counts to the end of its reply.

--- a/src/link/client.rs
+++ b/src/link/client.rs
@@ -1,7 +1,13 @@
 //! The connecting side of a link. One task owns the connection, reconnects when it breaks or goes silent,
 //! and ends when the last [`Link`] is dropped.
 
-use std::{collections::HashMap, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
 use arc_swap::ArcSwapOption;
 use futures_util::{SinkExt, StreamExt};
@@ -10,9 +16,8 @@
     sync::{mpsc, oneshot},
     time::{Instant, sleep, timeout},
 };
-use tokio_util::codec::Framed;
 
-use super::{Identity, LinkSettings, PeerKey, codec::FrameCodec, handshake};
+use super::{Identity, LinkSettings, PeerKey, activity::Activity, handshake};
 use crate::wire::{Body, Frame, Ping};
 
 /// Reason why a call failed.
@@ -149,8 +154,7 @@
     async fn open_connection(&self) -> io::Result<handshake::Connection> {
         let attempt = async {
             let stream = TcpStream::connect(self.address).await?;
-            stream.set_nodelay(true)?;
-            let mut connection = Framed::new(stream, FrameCodec::new());
+            let mut connection = super::frame_stream(stream)?;
             let peer = handshake::connect(&mut connection, &self.key, &self.local).await?;
             self.peer.store(Some(Arc::new(peer)));
             Ok(connection)
@@ -177,52 +181,75 @@
     }
 
     async fn run_connection(&mut self, connection: handshake::Connection) -> ConnectionEnd {
-        let (mut sink, mut stream) = connection.split();
-        let mut pending = HashMap::new();
-        let mut last_received = Instant::now();
+        let activity = connection.get_ref().activity();
+        let (sink, mut stream) = connection.split();
+        let pending = PendingCalls::default();
+        let read = async {
+            while let Some(Ok(frame)) = stream.next().await {
+                pending.complete(frame);
+            }
+            ConnectionEnd::Failed
+        };
+        let (address, settings) = (self.address, self.settings.clone());
+        // Reading goes on while a large frame is written, and the reverse.
+        tokio::select! {
+            end = read => end,
+            end = self.write(sink, &pending, &activity) => end,
+            _ = super::wait_for_silence(&activity, &settings) => {
+                log::warn!("link: {address} is silent and is connected anew.");
+                ConnectionEnd::Failed
+            }
+        }
+    }
+
+    async fn write(
+        &mut self,
+        mut sink: impl SinkExt<Frame, Error = io::Error> + Unpin,
+        pending: &PendingCalls,
+        activity: &Activity,
+    ) -> ConnectionEnd {
+        let limit = self.settings.silence_timeout;
         let mut ping_timer = tokio::time::interval(self.settings.ping_interval);
         loop {
-            tokio::select! {
+            let write = tokio::select! {
                 outgoing = self.rx.recv() => {
                     let Some(outgoing) = outgoing else {
                         return ConnectionEnd::LinkDropped;
                     };
-                    let mut fed = self.feed_frame(&mut sink, &mut pending, outgoing).await;
-                    while let (Ok(()), Ok(more)) = (&fed, self.rx.try_recv()) {
-                        fed = self.feed_frame(&mut sink, &mut pending, more).await;
-                    }
-                    if fed.is_err() || self.flush(&mut sink).await.is_err() {
-                        return ConnectionEnd::Failed;
-                    }
-                }
-                frame = stream.next() => {
-                    let Some(Ok(frame)) = frame else {
-                        return ConnectionEnd::Failed;
-                    };
-                    last_received = Instant::now();
-                    complete_call(&mut pending, frame);
+                    let write = self.write_queued(&mut sink, pending, outgoing);
+                    activity.while_writing(limit, write).await
                 }
                 _ = ping_timer.tick() => {
-                    let silence = last_received.elapsed();
-                    if silence >= self.settings.silence_timeout {
-                        log::warn!("link: {} is silent and is connected anew.", self.address);
-                        return ConnectionEnd::Failed;
-                    }
-                    pending.retain(|_, call: &mut PendingCall| call.expires_at > Instant::now());
+                    pending.drop_expired();
                     let ping = Frame { body: Some(Body::Ping(Ping {})), ..Frame::default() };
-                    if sink.feed(ping).await.is_err() || self.flush(&mut sink).await.is_err() {
-                        return ConnectionEnd::Failed;
-                    }
+                    activity.while_writing(limit, sink.send(ping)).await
                 }
+            };
+            if write.is_err() {
+                return ConnectionEnd::Failed;
             }
         }
     }
 
+    /// Writes a message and those that are queued behind it.
+    async fn write_queued(
+        &mut self,
+        sink: &mut (impl SinkExt<Frame, Error = io::Error> + Unpin),
+        pending: &PendingCalls,
+        first: Outgoing,
+    ) -> io::Result<()> {
+        self.feed_frame(sink, pending, first).await?;
+        while let Ok(more) = self.rx.try_recv() {
+            self.feed_frame(sink, pending, more).await?;
+        }
+        sink.flush().await
+    }
+
     /// Buffers a frame without flushing. A message whose deadline has passed is dropped.
     async fn feed_frame(
         &mut self,
         sink: &mut (impl SinkExt<Frame, Error = io::Error> + Unpin),
-        pending: &mut HashMap<u64, PendingCall>,
+        pending: &PendingCalls,
         outgoing: Outgoing,
     ) -> io::Result<()> {
         if outgoing.expires_at.is_some_and(|at| at <= Instant::now()) {
@@ -238,34 +265,42 @@
             let expires_at = outgoing.expires_at.unwrap_or_else(Instant::now);
             pending.insert(frame.correlation, PendingCall { reply, expires_at });
         }
-        timeout(self.settings.silence_timeout, sink.feed(frame))
-            .await
-            .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
-    }
-
-    async fn flush(
-        &self,
-        sink: &mut (impl SinkExt<Frame, Error = io::Error> + Unpin),
-    ) -> io::Result<()> {
-        timeout(self.settings.silence_timeout, sink.flush())
-            .await
-            .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+        sink.feed(frame).await
     }
 }
 
+/// The calls that wait for their replies, by correlation.
+#[derive(Default)]
+struct PendingCalls(Mutex<HashMap<u64, PendingCall>>);
+
 struct PendingCall {
     reply: oneshot::Sender<Result<Body, LinkError>>,
     expires_at: Instant,
 }
 
-fn complete_call(pending: &mut HashMap<u64, PendingCall>, frame: Frame) {
-    if !frame.reply {
-        return;
+impl PendingCalls {
+    fn insert(&self, correlation: u64, call: PendingCall) {
+        self.lock().insert(correlation, call);
+    }
+
+    fn complete(&self, frame: Frame) {
+        if !frame.reply {
+            return;
+        }
+        let Some(call) = self.lock().remove(&frame.correlation) else {
+            // The call has timed out, so nobody waits for this late reply.
+            return;
+        };
+        let result = frame.body.ok_or(LinkError::Unanswered);
+        let _ = call.reply.send(result);
+    }
+
+    fn drop_expired(&self) {
+        let now = Instant::now();
+        self.lock().retain(|_, call| call.expires_at > now);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<u64, PendingCall>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
-    let Some(call) = pending.remove(&frame.correlation) else {
-        // The call has timed out, so nobody waits for this late reply.
-        return;
-    };
-    let result = frame.body.ok_or(LinkError::Unanswered);
-    let _ = call.reply.send(result);
 }
--- a/src/link/handshake.rs
+++ b/src/link/handshake.rs
@@ -9,7 +9,7 @@
 use tokio::net::TcpStream;
 use tokio_util::codec::Framed;
 
-use super::codec::FrameCodec;
+use super::{activity::Watched, codec::FrameCodec};
 use crate::{
     domain::Incarnation,
     wire::{Body, Challenge, Frame, Hello, Welcome},
@@ -22,7 +22,7 @@
 /// Size of a datagram's proof: the HMAC truncated to half its length, as RFC 2104 allows.
 const DATAGRAM_PROOF_BYTES: usize = 16;
 
-pub(super) type Connection = Framed<TcpStream, FrameCodec>;
+pub(super) type Connection = Framed<Watched<TcpStream>, FrameCodec>;
 
 /// The key that all processes of an installation share. Its `Debug` output does not reveal it.
 #[derive(Clone)]
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -2,6 +2,7 @@
 //! heartbeats, call deadlines and reconnection, and UDP datagrams for messages that may be lost. See
 //! docs/DESIGN.md, "Links".
 
+mod activity;
 mod client;
 mod codec;
 mod datagram;
@@ -15,17 +16,45 @@
 pub use server::{Handler, Peer, serve};
 pub use tunnel::{TunnelError, TunnelHandler, open as open_tunnel, serve_tunnels};
 
-use std::time::Duration;
+use std::{io, time::Duration};
+
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio_util::codec::Framed;
+
+/// Bytes that the kernel holds unsent for a connection at most. Without a limit it takes megabytes at once, which
+/// hides for seconds whether a slow network still makes progress and puts small messages behind them.
+const MAX_UNSENT_BYTES: u32 = 32 * 1024;
+
+/// Prepares a new TCP connection for frames.
+fn frame_stream(stream: TcpStream) -> io::Result<handshake::Connection> {
+    stream.set_nodelay(true)?;
+    if let Err(e) = SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES) {
+        log::debug!("link: the kernel does not limit unsent bytes: {e}.");
+    }
+    let watched = activity::Watched::new(stream);
+    Ok(Framed::new(watched, codec::FrameCodec::new()))
+}
+
+/// Returns an error once nothing was received for the silence timeout.
+async fn wait_for_silence(activity: &activity::Activity, settings: &LinkSettings) -> io::Error {
+    let mut timer = tokio::time::interval(settings.ping_interval);
+    while activity.read_silence() < settings.silence_timeout {
+        timer.tick().await;
+    }
+    io::ErrorKind::TimedOut.into()
+}
 
 /// Timeouts, reconnection delays and the queue size of links.
 #[derive(Clone, Debug)]
 pub struct LinkSettings {
     /// Maximum time for connecting and authenticating.
     pub connect_timeout: Duration,
-    /// Interval at which the connecting side sends pings and both sides check for silence.
+    /// Interval at which the connecting side sends pings, the accepting side one if it has sent nothing else, and
+    /// both sides check for silence.
     pub ping_interval: Duration,
-    /// Time without a received frame after which a side closes the connection; the connecting side then
-    /// reconnects.
+    /// Time without a received byte, or without a byte written of a frame that waits, after which a side closes
+    /// the connection; the connecting side then reconnects. A frame may take longer.
     pub silence_timeout: Duration,
     /// Delay after the first failed connection attempt; it doubles per attempt up to
     /// `reconnect_delay_max`.
--- a/src/link/server.rs
+++ b/src/link/server.rs
@@ -6,12 +6,12 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::mpsc,
-    time::{Instant, timeout},
+    time::timeout,
 };
-use tokio_util::{codec::Framed, sync::CancellationToken};
+use tokio_util::sync::CancellationToken;
 
-use super::{Identity, LinkSettings, PeerKey, codec::FrameCodec, handshake};
-use crate::wire::{Body, Frame};
+use super::{Identity, LinkSettings, PeerKey, activity::Activity, handshake};
+use crate::wire::{Body, Frame, Ping};
 
 /// An authenticated peer.
 pub type Peer = Identity;
@@ -70,41 +70,54 @@
 
 impl<H: Handler> AcceptedConnection<H> {
     async fn run(self, stream: TcpStream) -> io::Result<()> {
-        stream.set_nodelay(true)?;
-        let mut connection = Framed::new(stream, FrameCodec::new());
+        let mut connection = super::frame_stream(stream)?;
         let handshake = handshake::accept(&mut connection, &self.key, &self.local);
         let peer = timeout(self.settings.connect_timeout, handshake)
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         let peer = Arc::new(peer);
-        let (mut sink, mut stream) = connection.split();
-        let (tx, mut rx) = mpsc::channel::<Frame>(self.settings.queue_capacity);
-        let mut last_received = Instant::now();
-        let mut silence_timer = tokio::time::interval(self.settings.ping_interval);
+        let activity = connection.get_ref().activity();
+        let (sink, mut stream) = connection.split();
+        let (tx, rx) = mpsc::channel::<Frame>(self.settings.queue_capacity);
+        let read = async {
+            while let Some(frame) = stream.next().await {
+                self.dispatch(&peer, frame?, &tx);
+            }
+            Ok(())
+        };
+        // Reading goes on while a large frame is written, and the reverse.
+        tokio::select! {
+            result = read => result,
+            result = self.write(sink, rx, &activity) => result,
+            e = super::wait_for_silence(&activity, &self.settings) => Err(e),
+        }
+    }
+
+    async fn write(
+        &self,
+        mut sink: impl SinkExt<Frame, Error = io::Error> + Unpin,
+        mut rx: mpsc::Receiver<Frame>,
+        activity: &Activity,
+    ) -> io::Result<()> {
+        let limit = self.settings.silence_timeout;
+        let mut ping_timer = tokio::time::interval(self.settings.ping_interval);
         loop {
-            tokio::select! {
-                frame = stream.next() => {
-                    let Some(frame) = frame.transpose()? else {
-                        return Ok(());
-                    };
-                    last_received = Instant::now();
-                    self.dispatch(&peer, frame, &tx);
-                }
-                Some(frame) = rx.recv() => {
-                    sink.feed(frame).await?;
-                    while let Ok(more) = rx.try_recv() {
-                        sink.feed(more).await?;
-                    }
-                    timeout(self.settings.silence_timeout, sink.flush())
-                        .await
-                        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-                }
-                _ = silence_timer.tick() => {
-                    if last_received.elapsed() >= self.settings.silence_timeout {
-                        return Err(io::ErrorKind::TimedOut.into());
-                    }
+            let frame = tokio::select! {
+                Some(frame) = rx.recv() => frame,
+                // The peer's own pings may be stuck behind a large frame that it is sending.
+                _ = ping_timer.tick() => match activity.write_silence() < self.settings.ping_interval {
+                    true => continue,
+                    false => Frame { body: Some(Body::Ping(Ping {})), ..Frame::default() },
+                },
+            };
+            let write = async {
+                sink.feed(frame).await?;
+                while let Ok(more) = rx.try_recv() {
+                    sink.feed(more).await?;
                 }
-            }
+                sink.flush().await
+            };
+            activity.while_writing(limit, write).await?;
         }
     }
 
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -17,8 +17,11 @@
     wire::{Body, Failure, LeavingNotice, NotLeader, PromptAnnouncement},
 };
 use tokio::{
-    io::{AsyncReadExt, copy_bidirectional},
-    net::{TcpListener, TcpStream, UdpSocket},
+    io::{AsyncReadExt, AsyncWriteExt, copy_bidirectional},
+    net::{
+        TcpListener, TcpSocket, TcpStream, UdpSocket,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
     sync::{Notify, watch},
     time::{Instant, timeout},
 };
@@ -28,6 +31,11 @@
 /// Maximum time for an expected event; exceeding it fails the test.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Length of a message that a throttled link carries in several times the silence that a link bears.
+const LARGE_BYTES: usize = 3 * 1024 * 1024;
+/// Rate of a throttled link in each direction, in bytes per second.
+const THROTTLED_RATE: usize = 1024 * 1024;
+
 struct Echo {
     handled: AtomicU32,
     release: Notify,
@@ -53,6 +61,8 @@
             Body::NotLeader(hint) if hint.leader == "fail" => Some(Body::Failure(Failure {
                 message: "no".into(),
             })),
+            Body::NotLeader(hint) if hint.leader == "large" => Some(message(&large_text())),
+            Body::NotLeader(hint) if hint.leader.len() == LARGE_BYTES => Some(message("received")),
             Body::NotLeader(hint) => Some(Body::NotLeader(NotLeader {
                 leader: format!("{} to {}", hint.leader, peer.name),
             })),
@@ -78,6 +88,10 @@
     })
 }
 
+fn large_text() -> String {
+    "x".repeat(LARGE_BYTES)
+}
+
 /// Returns an address that no other process takes while nothing listens on it. Outgoing connections take
 /// their ports on 127.0.0.1 only.
 fn unused_address() -> SocketAddr {
@@ -244,6 +258,63 @@
     assert!(start.elapsed() < bound, "took {:?}", start.elapsed());
 }
 
+/// Starts a TCP forwarder of limited rate. Returns its address and the number of connections that it accepted.
+async fn start_throttled_forwarder(to: SocketAddr) -> (SocketAddr, Arc<AtomicU32>) {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(16 * 1024).unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(16).unwrap();
+    let address = listener.local_addr().unwrap();
+    let accepted = Arc::new(AtomicU32::new(0));
+    let count = Arc::clone(&accepted);
+    tokio::spawn(async move {
+        loop {
+            let (near, _) = listener.accept().await.unwrap();
+            count.fetch_add(1, Ordering::SeqCst);
+            let socket = TcpSocket::new_v4().unwrap();
+            socket.set_recv_buffer_size(16 * 1024).unwrap();
+            let far = socket.connect(to).await.unwrap();
+            let (near_read, near_write) = near.into_split();
+            let (far_read, far_write) = far.into_split();
+            tokio::spawn(forward_throttled(near_read, far_write));
+            tokio::spawn(forward_throttled(far_read, near_write));
+        }
+    });
+    (address, accepted)
+}
+
+async fn forward_throttled(mut from: OwnedReadHalf, mut to: OwnedWriteHalf) {
+    let mut buf = [0; 8 * 1024];
+    while let Ok(len @ 1..) = from.read(&mut buf).await {
+        tokio::time::sleep(Duration::from_secs(1) * len as u32 / THROTTLED_RATE as u32).await;
+        if to.write_all(&buf[..len]).await.is_err() {
+            return;
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_reply_that_takes_longer_than_the_silence_timeout_arrives() {
+    let (server, _stop) = start_server(Echo::new()).await;
+    let (forwarder, accepted) = start_throttled_forwarder(server).await;
+    let link = connect(forwarder, "a shared key of some length");
+    call_until_answered(&link, "first").await;
+    let reply = link.call(message("large"), TEST_TIMEOUT).await;
+    assert!(reply == Ok(message(&large_text())), "no whole reply");
+    assert_eq!(accepted.load(Ordering::SeqCst), 1, "connections");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_takes_longer_than_the_silence_timeout_arrives() {
+    let (server, _stop) = start_server(Echo::new()).await;
+    let (forwarder, accepted) = start_throttled_forwarder(server).await;
+    let link = connect(forwarder, "a shared key of some length");
+    call_until_answered(&link, "first").await;
+    let reply = link.call(message(&large_text()), TEST_TIMEOUT).await;
+    assert_eq!(reply, Ok(message("received")));
+    assert_eq!(accepted.load(Ordering::SeqCst), 1, "connections");
+}
+
 async fn call_until_answered_within(link: &Link, deadline: Duration) {
     let attempt = async {
         while link.call(message("after"), deadline).await.is_err() {
