Fetch the document in blocks that resume and share the link

Cause: the document travelled in one frame, under one limit of 1.5 s, and each attempt began with its first byte. The fetch stood in the task that polls the controller, so that polls waited for it, and its bytes lay in one piece before every small message on the link. The polls of the other controllers came back at once for as long as the fetch took, 40 a second.

Change: a controller cuts the document into blocks at places that depend on its bytes, and sends a list of their hashes; a gateway asks for the blocks that it lacks. Blocks that arrived stay, whatever happens to the link, the controller or the document, so every attempt goes on where the last one stopped, at any controller that has the document, and a small change to a large document costs the list and the changed blocks. The fetch is a task of its own. It asks only for as much at once as fills the network and a queue of 30 ms (policy::transfer_window). A poll names the newest version that the gateway knows of, so it waits while that one is fetched. A document that the gateway can't read is fetched once, not with every poll.

Mixed versions: controllers say in the reply to a poll that they send blocks; from an earlier one a gateway gets the document whole, within 60 s in place of 1.5 s. An earlier gateway gets it whole, as before, and keeps its own limits.

tests/platform_support/daemons.rs takes the program's path where Cargo names it, so that an example can use the folder; tests get the same path as before.

Open: all gateways may choose the controller that is first to have a document, usually the leader. Below about 2 Mbit/s one block delays other messages by 65 to 131 ms, more than the 100 ms for which a gateway waits for the reserve of a quota. The lists of upstreams and gateways still travel in one frame, under the limit of a poll.

--- a/src/controller/core.rs
+++ b/src/controller/core.rs
@@ -13,6 +13,7 @@
 
 use super::{
     bootstrap::LocalMember,
+    documents::DocumentCache,
     fleet::Fleet,
     followers::Followers,
     log::{Applied, Log, LogError},
@@ -45,6 +46,8 @@
     pub peers: Arc<Peers>,
     /// This controller's member and whether its data folder is blank.
     pub local_member: Arc<LocalMember>,
+    /// The published document as gateways fetch it.
+    pub(super) documents: DocumentCache,
     fleet: Mutex<Fleet>,
     followers: Mutex<Followers>,
     origins: Mutex<OriginLedger>,
@@ -79,6 +82,7 @@
             log,
             peers,
             local_member,
+            documents: DocumentCache::default(),
             fleet: Mutex::new(fleet),
             followers: Mutex::new(followers),
             origins: Mutex::new(OriginLedger::new(MAX_ORIGINS)),
--- a/src/controller/followers.rs
+++ b/src/controller/followers.rs
@@ -21,8 +21,8 @@
     },
     ports::Clock,
     wire::{
-        AccountCount, Body, Document, FollowReply, FollowRequest, IngressRecord, PrefillSpeed,
-        QuotaValue, ReserveReply, ReserveRequest, Roster, ServiceLoad,
+        AccountCount, Body, FollowReply, FollowRequest, IngressRecord, PrefillSpeed, QuotaValue,
+        ReserveReply, ReserveRequest, Roster, ServiceLoad,
     },
 };
 
@@ -559,6 +559,7 @@
         quarantined,
         leads,
         version,
+        sends_blocks: true,
         list,
         roster,
         open_accounts,
@@ -583,16 +584,6 @@
     }
 }
 
-/// Returns the published document that this controller has.
-pub(super) fn document_reply<T: Clock>(core: &Core<T>) -> Body {
-    let state = core.log.state();
-    let published = state.published();
-    Body::Document(Document {
-        version: published.version,
-        document: published.document.clone(),
-    })
-}
-
 /// Answers a gateway's request for units of a reserve; only the leader keeps reserves.
 pub(super) fn answer_reserve<T: Clock>(
     core: &Core<T>,
--- a/src/controller/handler.rs
+++ b/src/controller/handler.rs
@@ -6,7 +6,7 @@
 
 use super::{
     core::Core,
-    followers,
+    documents, followers,
     log::{Applied, LogError},
     origins, view,
 };
@@ -45,7 +45,11 @@
             Body::MemberQuery(query) => Some(self.member_report(&query)),
             Body::Follow(follow) => followers::answer_follow(&self.core, peer, follow).await,
             Body::ReserveRequest(request) => followers::answer_reserve(&self.core, peer, &request),
-            Body::DocumentRequest(_) => Some(followers::document_reply(&self.core)),
+            Body::DocumentRequest(_) => Some(documents::document_reply(&self.core)),
+            Body::DocumentIndexRequest(_) => documents::index_reply(&self.core).await,
+            Body::DocumentBlocksRequest(request) => {
+                documents::blocks_reply(&self.core, &request).await
+            }
             Body::OriginReport(report) => Some(origins::record_report(&self.core, &report)),
             Body::OriginQuery(query) => Some(origins::answer_query(&self.core, &query)),
             Body::Heartbeat(heartbeat) => Some(self.heartbeat(peer, heartbeat).await),
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -6,6 +6,7 @@
 mod convert;
 mod core;
 pub mod crashes;
+mod documents;
 mod driver;
 mod duty;
 pub mod fleet;
--- a/src/ingress/follow.rs
+++ b/src/ingress/follow.rs
@@ -4,25 +4,21 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{
-        Arc, Mutex, PoisonError,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
 
+use bytes::Bytes;
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
-use super::Core;
+use super::{Core, documents::Documents};
 use crate::{
     domain::RouteIndex,
     link::{Identity, Link, LinkSettings, PeerKey},
     ports::{Clock, Platform},
     settings::SettingsWatch,
-    wire::{
-        Body, ControllerRecord, DocumentRequest, FollowReply, FollowRequest, IngressRecord, Roster,
-    },
+    wire::{Body, ControllerRecord, FollowReply, FollowRequest, IngressRecord, Roster},
 };
 
 /// Long-poll timeout: without a change, a controller replies after this time as a heartbeat. It is a third
@@ -30,8 +26,6 @@
 pub(super) const FOLLOW_WAIT: Duration = Duration::from_millis(700);
 /// Time that a reply may take beyond [`FOLLOW_WAIT`].
 const REPLY_GRACE: Duration = Duration::from_millis(800);
-/// Timeout of a call for the configuration document.
-const DOCUMENT_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Timeout of the notice that this gateway leaves; a controller may delay its reply to batch changes.
 const WITHDRAWAL_TIMEOUT: Duration = Duration::from_millis(800);
 /// Pause before the notice that this gateway leaves is repeated.
@@ -53,10 +47,15 @@
         core,
         key,
         own,
-        fetching: AtomicBool::new(false),
+        documents: Documents::default(),
         list: Mutex::default(),
         controllers: Mutex::default(),
     });
+    let (fetching, fetching_stop) = (Arc::clone(&follower), stop.clone());
+    tokio::spawn(async move {
+        let fetch = fetching.fetch_tables();
+        fetching_stop.run_until_cancelled(fetch).await;
+    });
     loop {
         let settings = Arc::clone(&reloaded.borrow_and_update());
         for entry in &settings.controllers {
@@ -73,8 +72,8 @@
     core: Arc<Core<P, T>>,
     key: PeerKey,
     own: Identity,
-    /// Whether a document is being fetched.
-    fetching: AtomicBool,
+    /// Fetches the published document.
+    documents: Documents,
     /// Version of the list of upstreams in force.
     list: Mutex<crate::wire::ListVersion>,
     /// The controllers that are followed, by name.
@@ -219,7 +218,10 @@
             quota_uses,
             window_fraction,
             gateway: Some(self.core.record()),
-            held_version: self.core.routes.load().table.version,
+            held_version: self
+                .documents
+                .newest_offer()
+                .max(self.core.routes.load().table.version),
             held_list_version: Some(*self.list.lock().unwrap_or_else(PoisonError::into_inner)),
             held_roster_version,
             wait_ms: FOLLOW_WAIT.as_millis() as u64,
@@ -271,7 +273,8 @@
         }
         self.update_roster(name, reply.roster);
         if reply.version > self.core.routes.load().table.version {
-            self.fetch_table(name, link).await;
+            self.documents
+                .offer(name, link, reply.version, reply.sends_blocks);
         }
     }
 
@@ -324,29 +327,16 @@
         self.core.roster.store(Arc::new(gateways));
     }
 
-    async fn fetch_table(&self, name: &str, link: &Link) {
-        if self.fetching.swap(true, Ordering::Acquire) {
-            // It is already being fetched from another controller; the next poll shows whether it arrived.
-            sleep(RETRY_PAUSE / 4).await;
-            return;
-        }
-        let request = Body::DocumentRequest(DocumentRequest {});
-        let result = link.call(request, DOCUMENT_TIMEOUT).await;
-        self.fetching.store(false, Ordering::Release);
-        let document = match result {
-            Ok(Body::Document(document)) => document,
-            Ok(_) => {
-                return log::warn!(
-                    "ingress: unexpected reply of controller {name} to a document request."
-                );
-            }
-            Err(e) => {
-                return log::warn!(
-                    "ingress: fetching the document from controller {name} failed: {e}."
-                );
-            }
+    async fn fetch_tables(&self) {
+        let held_version = self.core.routes.load().table.version;
+        let apply = |name: &str, version, document: &Bytes| {
+            self.apply_document(name, version, document);
         };
-        match self.core.platform.read_table(&document.document) {
+        self.documents.run(held_version, apply).await;
+    }
+
+    fn apply_document(&self, name: &str, version: u64, document: &Bytes) {
+        match self.core.platform.read_table(document) {
             Ok(table) if table.version > self.core.routes.load().table.version => {
                 log::info!(
                     event = "table.in_force", version = table.version, controller = name,
@@ -361,8 +351,7 @@
             }
             Ok(_) => {}
             Err(e) => log::error!(
-                "ingress: table version {} of controller {name} is invalid: {e}.",
-                document.version
+                "ingress: table version {version} of controller {name} is invalid: {e}."
             ),
         }
     }
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -7,6 +7,7 @@
 mod counters;
 mod crashes;
 mod directory;
+mod documents;
 mod errors;
 mod events;
 mod follow;
--- a/src/wire/follow.rs
+++ b/src/wire/follow.rs
@@ -15,7 +15,8 @@
     /// The gateway.
     #[prost(message, optional, tag = "1")]
     pub gateway: Option<IngressRecord>,
-    /// Version of the published document that the gateway holds.
+    /// Version of the published document that the gateway holds or knows of. A poll is answered at once when the
+    /// controller has a newer one.
     #[prost(uint64, tag = "2")]
     pub held_version: u64,
     /// Version of the list of upstreams that the gateway holds.
@@ -175,6 +176,9 @@
     /// What is in quarantine, without what the gateway holds.
     #[prost(message, repeated, tag = "11")]
     pub quarantined: Vec<QuarantinedCause>,
+    /// Whether the controller sends the document in blocks; those of earlier versions send it whole only.
+    #[prost(bool, tag = "12")]
+    pub sends_blocks: bool,
 }
 
 /// Prefill speed of the engines of a service.
@@ -188,21 +192,6 @@
     pub tokens_per_second: f64,
 }
 
-/// Requests the published document from a controller.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct DocumentRequest {}
-
-/// The published document.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct Document {
-    /// Its version; zero before the first one.
-    #[prost(uint64, tag = "1")]
-    pub version: u64,
-    /// The document as it was published.
-    #[prost(bytes = "bytes", tag = "2")]
-    pub document: Bytes,
-}
-
 /// An ingress gateway.
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
 pub struct IngressRecord {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -3,6 +3,7 @@
 //! Messages over TCP travel in a [`Frame`]; see docs/DESIGN.md for who sends what to whom.
 
 mod claims;
+mod document;
 mod fleet;
 mod follow;
 mod journal;
@@ -15,15 +16,19 @@
     ClaimReply, ClaimRequest, ClaimStatus, OutcomeReply, OutcomeRequest, ReleaseRequest,
     StoredOutcome,
 };
+pub use document::{
+    BLOCK_HASH_BYTES, Document, DocumentBlocks, DocumentBlocksRequest, DocumentIndex,
+    DocumentIndexRequest, DocumentRequest,
+};
 pub use fleet::{
     Demand, GatewayHeartbeat, GatewayRecord, InstanceRecord, LeaseReply, LeavingNotice, NotLeader,
     ShareRecord, ViewReply, ViewRequest,
 };
 pub use follow::{
-    AccountCount, ControllerRecord, Document, DocumentRequest, FollowReply, FollowRequest,
-    IngressRecord, ListVersion, PrefillSpeed, PromptAnnouncement, QuotaUsage, QuotaValue,
-    ReserveReply, ReserveRequest, Roster, ServiceLoad, SignedDatagram, UpstreamLimitReport,
-    UpstreamList, UpstreamRow, WindowCount, to_requests_per_1000_s, to_requests_per_second,
+    AccountCount, ControllerRecord, FollowReply, FollowRequest, IngressRecord, ListVersion,
+    PrefillSpeed, PromptAnnouncement, QuotaUsage, QuotaValue, ReserveReply, ReserveRequest, Roster,
+    ServiceLoad, SignedDatagram, UpstreamLimitReport, UpstreamList, UpstreamRow, WindowCount,
+    to_requests_per_1000_s, to_requests_per_second,
 };
 pub use journal::{
     JournalAck, JournalAppend, JournalPut, JournalRemove, JournalTokens, JournaledRequest,
@@ -54,7 +59,7 @@
     /// The message. A frame without one is dropped.
     #[prost(
         oneof = "Body",
-        tags = "10, 11, 12, 13, 14, 20, 21, 22, 23, 24, 25, 26, 27, 30, 31, 32, 33, 34, 40, 41, 42, 43, 44, 50, 51, 52, 53, 54, 55, 56, 57, 58, 59, 60, 61, 62, 63, 64"
+        tags = "10, 11, 12, 13, 14, 20, 21, 22, 23, 24, 25, 26, 27, 30, 31, 32, 33, 34, 40, 41, 42, 43, 44, 50, 51, 52, 53, 54, 55, 56, 57, 58, 59, 60, 61, 62, 63, 70, 71, 72, 73, 74"
     )]
     pub body: Option<Body>,
 }
@@ -161,20 +166,32 @@
     /// The controller's reply to an origin query.
     #[prost(message, tag = "59")]
     OriginReply(OriginReply),
-    /// Asks a gateway to connect to an upstream.
+    /// Requests the list of the published document's blocks.
     #[prost(message, tag = "60")]
+    DocumentIndexRequest(DocumentIndexRequest),
+    /// The blocks of the published document.
+    #[prost(message, tag = "61")]
+    DocumentIndex(DocumentIndex),
+    /// Requests blocks of a document.
+    #[prost(message, tag = "62")]
+    DocumentBlocksRequest(DocumentBlocksRequest),
+    /// Blocks of a document.
+    #[prost(message, tag = "63")]
+    DocumentBlocks(DocumentBlocks),
+    /// Asks a gateway to connect to an upstream.
+    #[prost(message, tag = "70")]
     TunnelOpen(TunnelOpen),
     /// The connection to the upstream is open.
-    #[prost(message, tag = "61")]
+    #[prost(message, tag = "71")]
     TunnelOpened(TunnelOpened),
     /// No connection to the upstream is opened.
-    #[prost(message, tag = "62")]
+    #[prost(message, tag = "72")]
     TunnelRefused(TunnelRefused),
     /// Bytes of a tunnelled connection.
-    #[prost(message, tag = "63")]
+    #[prost(message, tag = "73")]
     TunnelData(TunnelData),
     /// The upstream ended a tunnelled connection.
-    #[prost(message, tag = "64")]
+    #[prost(message, tag = "74")]
     TunnelEnd(TunnelEnd),
 }
 
--- a/tests/platform_support/daemons.rs
+++ b/tests/platform_support/daemons.rs
@@ -37,7 +37,10 @@
 
     /// Starts a process with a log level.
     pub fn start_with_log_level(settings: &Path, log_level: &str) -> Self {
-        let child = Command::new(env!("CARGO_BIN_EXE_flamingocroftd"))
+        let Some(program) = option_env!("CARGO_BIN_EXE_flamingocroftd") else {
+            unreachable!("Cargo names the program for tests only; examples start no processes")
+        };
+        let child = Command::new(program)
             .arg("--settings")
             .arg(settings)
             .env("RUST_LOG", log_level)
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -3,10 +3,12 @@
 
 #![allow(dead_code, reason = "each test file uses only a part")]
 
+pub mod block_controller;
 pub mod daemons;
 pub mod partition;
 pub mod raw;
 mod servers;
+pub mod slow_link;
 
 use std::{
     collections::HashMap,
@@ -33,6 +35,7 @@
 use hyper_util::{client::legacy::Client, rt::TokioExecutor};
 use serde_json::{Value, json};
 use servers::{serve_platform, serve_upstream};
+use slow_link::SlowLink;
 use tempfile::TempDir;
 use tokio::{
     net::TcpListener,
@@ -42,8 +45,10 @@
 use tokio_util::sync::CancellationToken;
 
 pub const API_KEY: &str = "key-of-the-depot";
+/// Port of all links.
+const PEER_PORT: u16 = 7200;
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(20);
-const PEER_KEY: &str = "a-shared-key-for-the-tests-only";
+pub const PEER_KEY: &str = "a-shared-key-for-the-tests-only";
 
 pub type Body = BoxBody<Bytes, std::io::Error>;
 
@@ -219,6 +224,16 @@
         data_folder(self.folder.path(), self.hosts[controller])
     }
 
+    /// Gives the gateway a slow link to the first controller. Call it before the gateway starts.
+    pub async fn slow_down_gateway(&self, link: SlowLink) {
+        give_slow_link(&self.gateway_file, self.hosts[0], link).await;
+    }
+
+    /// Returns the address at which the first controller accepts links.
+    pub fn peer_address(&self) -> SocketAddr {
+        SocketAddr::new(IpAddr::V4(self.hosts[0]), PEER_PORT)
+    }
+
     /// Returns the installation, whose processes the caller starts with the settings files.
     pub fn into_installation(self) -> Installation {
         let gateway_at = |port| SocketAddr::new(IpAddr::V4(self.gateway_host), port);
@@ -260,12 +275,31 @@
         script: impl Fn(usize, &ReceivedRequest) -> ServerAction + Send + Sync + 'static,
     ) -> Self {
         let prepared = PreparedInstallation::prepare(1, servers, script).await;
-        let read = |file: &Path| Arc::new(Settings::read(file).unwrap());
-        let controller = read(&prepared.controller_files[0]);
-        let gateway = read(&prepared.gateway_file);
+        Self::start_prepared_with(prepared, dialer).await
+    }
+
+    /// Starts the first controller and the gateway of a prepared installation.
+    pub async fn start_prepared(prepared: PreparedInstallation) -> Self {
+        Self::start_prepared_with(prepared, Arc::new(TcpDialer)).await
+    }
+
+    async fn start_prepared_with(prepared: PreparedInstallation, dialer: Arc<dyn Dialer>) -> Self {
+        let controller = Arc::new(Settings::read(&prepared.controller_files[0]).unwrap());
+        let installation = Self::start_gateway_with(prepared, dialer).await;
+        let stop = installation.stop.clone();
+        start_controller(controller, &installation.metrics[0], stop).await;
+        installation
+    }
+
+    /// Starts the gateway of a prepared installation without a controller.
+    pub async fn start_gateway_only(prepared: PreparedInstallation) -> Self {
+        Self::start_gateway_with(prepared, Arc::new(TcpDialer)).await
+    }
+
+    async fn start_gateway_with(prepared: PreparedInstallation, dialer: Arc<dyn Dialer>) -> Self {
+        let gateway = Arc::new(Settings::read(&prepared.gateway_file).unwrap());
         let installation = prepared.into_installation();
-        let [of_controller, of_gateway] = &installation.metrics;
-        start_controller(controller, of_controller, installation.stop.clone()).await;
+        let of_gateway = &installation.metrics[1];
         let stop = installation.stop_gateway.clone();
         let end = installation.stop.clone();
         let gateway = start_gateway(gateway, dialer, of_gateway, stop, end).await;
@@ -290,6 +324,18 @@
         SocketAddr::new(IpAddr::V4(host), 7301)
     }
 
+    /// Starts a further gateway behind a slow link to the first controller and returns its metrics.
+    pub async fn add_slow_gateway(&self, link: SlowLink) -> Metrics {
+        let (folder, hosts, host) = (self.folder.path(), &self.hosts, unique_host());
+        let file = write_settings(folder, host, "gateway", hosts, self.api_address);
+        give_slow_link(&file, hosts[0], link).await;
+        let settings = Arc::new(Settings::read(&file).unwrap());
+        let (stop, end) = (self.stop_gateway.clone(), self.stop.clone());
+        let metrics = Metrics::new().unwrap();
+        start_gateway(settings, &metrics, stop, end).await;
+        metrics
+    }
+
     /// Starts further gateways up to a number, publishes a document and waits until all of them serve requests. Returns
     /// their addresses.
     pub async fn serve_with(&self, gateways: usize) -> Vec<SocketAddr> {
@@ -512,7 +558,7 @@
         "role": role,
         "zone": "a",
         "http_address": format!("{host}:{}", first + 9),
-        "peer_address": format!("{host}:7200"),
+        "peer_address": format!("{host}:{PEER_PORT}"),
         "peer_key_file": folder.join("peer.key"),
         "data_folder": data_folder(folder, host),
         "operator_token_sha256": "0".repeat(64),
@@ -537,6 +583,19 @@
     file
 }
 
+/// Lets a gateway reach the controllers at another port, at which a slow link leads to one of them.
+async fn give_slow_link(file: &Path, controller: Ipv4Addr, link: SlowLink) {
+    let near = link
+        .start(SocketAddr::new(IpAddr::V4(controller), PEER_PORT))
+        .await;
+    let text = std::fs::read_to_string(file).unwrap();
+    let mut settings: Value = serde_json::from_str(&text).unwrap();
+    let own = settings["peer_address"].as_str().unwrap();
+    let own = SocketAddr::new(own.parse::<SocketAddr>().unwrap().ip(), near.port());
+    settings["peer_address"] = json!(own.to_string());
+    std::fs::write(file, settings.to_string()).unwrap();
+}
+
 fn reloaded(settings: &Arc<Settings>) -> SettingsWatch {
     let (tx, rx) = watch::channel(Arc::clone(settings));
     // The settings of a test never change, so the sender only has to stay alive.
