Keep the window of a transfer small after a burst or a pause

Cause: the window takes the highest rate of the last 2 s, and two things make a rate look too high: a network that lets the first bytes pass faster than it can go on, and replies that were held up and arrive at once.

Change: a rate is counted over the time in which its parts were sent, if that is longer than the time of the reply; and a reply that shows a queue of more than 60 ms takes back the earlier rates.

Evidence: tests/policy_transfer_window.rs plays a network that lets 16 to 1,024 KiB pass at once, and replies that arrive together.

--- a/src/policy/transfer_window.rs
+++ b/src/policy/transfer_window.rs
@@ -19,11 +19,15 @@
 const PARTS_PER_WINDOW: usize = 4;
 /// Time for which a measured rate counts.
 const RATE_AGE: Duration = Duration::from_secs(2);
+/// Queue that shows that the window is too large for the network.
+const LONG_QUEUE: Duration = Duration::from_millis(60);
 
 /// The window of one transfer. Times are those of one monotonic clock.
 #[derive(Debug)]
 pub struct TransferWindow {
     delivered: u64,
+    /// When the part that arrived last was sent.
+    last_sent: Option<Duration>,
     /// The window of the start, until it ended.
     starting_bytes: Option<usize>,
     shortest: Option<Duration>,
@@ -36,12 +40,15 @@
 pub struct SentPart {
     at: Duration,
     delivered: u64,
+    /// When the part that had arrived last by then was sent.
+    last_sent: Duration,
 }
 
 impl Default for TransferWindow {
     fn default() -> Self {
         Self {
             delivered: 0,
+            last_sent: None,
             starting_bytes: Some(MIN_WINDOW_BYTES),
             shortest: None,
             rates: VecDeque::new(),
@@ -69,6 +76,7 @@
         SentPart {
             at: now,
             delivered: self.delivered,
+            last_sent: self.last_sent.unwrap_or(now),
         }
     }
 
@@ -83,7 +91,14 @@
             .starting_bytes
             .filter(|_| taken - shortest < MAX_QUEUE / 2)
             .map(|window| window + bytes);
-        let rate = (self.delivered - sent.delivered) as f64 / taken.as_secs_f64();
+        self.last_sent = Some(sent.at);
+        // Parts that were held up arrive at once, but were sent over a longer time.
+        let sending = sent.at.saturating_sub(sent.last_sent);
+        let rate = (self.delivered - sent.delivered) as f64 / taken.max(sending).as_secs_f64();
+        if taken - shortest > LONG_QUEUE {
+            // An earlier rate was too high, as after a burst that the network let pass faster than it can go on.
+            self.rates.clear();
+        }
         self.rates.push_back((now, rate));
         self.rates
             .retain(|(at, _)| now.saturating_sub(*at) <= RATE_AGE);
--- a/tests/policy_transfer_window.rs
+++ b/tests/policy_transfer_window.rs
@@ -12,6 +12,19 @@
 
 /// Returns how long a transfer takes on a network, and the longest time that a small message would wait in its queue.
 fn transfer(mbit_per_s: f64, round_trip: Duration) -> (Duration, Duration) {
+    transfer_with_burst(mbit_per_s, round_trip, 0)
+}
+
+/// As [`transfer`] on a network that lets the first bytes pass without delay. The queue counts after the first second.
+fn transfer_with_burst(
+    mbit_per_s: f64,
+    round_trip: Duration,
+    mut burst: usize,
+) -> (Duration, Duration) {
+    let counted_from = match burst {
+        0 => Duration::ZERO,
+        _ => Duration::from_secs(1),
+    };
     let rate = mbit_per_s * 1e6 / 8.0;
     let mut window = TransferWindow::default();
     let (mut now, mut network_free) = (Duration::ZERO, Duration::ZERO);
@@ -22,8 +35,12 @@
             let bytes = window.part_bytes().min(unsent);
             let arrives_at_network = now + round_trip / 2;
             let begins = network_free.max(arrives_at_network);
-            network_free = begins + Duration::from_secs_f64(bytes as f64 / rate);
-            longest_queue = longest_queue.max(network_free - arrives_at_network);
+            let passed = burst.min(bytes);
+            burst -= passed;
+            network_free = begins + Duration::from_secs_f64((bytes - passed) as f64 / rate);
+            if now >= counted_from {
+                longest_queue = longest_queue.max(network_free - arrives_at_network);
+            }
             parts.push_back((network_free + round_trip / 2, window.send(now), bytes));
             unsent -= bytes;
             in_flight += bytes;
@@ -69,6 +86,35 @@
     }
 }
 
+#[test]
+fn a_burst_at_the_start_leaves_no_long_queue() {
+    for burst in [16, 64, 256, 1024] {
+        let (took, queue) = transfer_with_burst(10.0, Duration::from_millis(1), burst * 1024);
+        assert!(took < Duration::from_millis(4000), "{burst} KiB: {took:?}");
+        assert!(queue < Duration::from_millis(100), "{burst} KiB: {queue:?}");
+    }
+}
+
+/// A process that pauses finds all replies at once.
+#[test]
+fn replies_that_arrive_together_do_not_look_fast() {
+    let mut window = TransferWindow::default();
+    let ms = Duration::from_millis;
+    for at in (0..100).step_by(10) {
+        let sent = window.send(ms(at));
+        window.receive(ms(at + 10), sent, 10_000);
+    }
+    let held_up: Vec<_> = (100..110).map(|at| window.send(ms(at))).collect();
+    let (first, rest) = held_up.split_first().unwrap();
+    window.receive(ms(200), *first, 10_000);
+    let next = window.send(ms(200));
+    for sent in rest {
+        window.receive(ms(200), *sent, 10_000);
+    }
+    window.receive(ms(210), next, 10_000);
+    assert!(window.bytes() < 80_000, "{}", window.bytes());
+}
+
 #[test]
 fn a_lost_rate_is_forgotten() {
     let mut window = TransferWindow::default();
