Log, state: refuse what can't be decoded, never read it as empty

What callers would see: a membership that can't be decoded was read as one without members, so that nobody's consent was a majority and every promise of the log was void; a state without its published document, or without instances, was read as an empty one, so that acknowledged configurations were gone without a word.

Change: `Entry::membership` is the only way to read members; it returns an error for an unknown kind, for bytes that are no members and for members without a voter. A follower stores no such entry of its leader and nothing behind it, acknowledges what precedes, says so once (`log.entry_refused`) and does not reply to what leaves it where it is, so that the leader sends it again with heartbeats only. A command without a known action ends the controller.

The offset for a state is that of its record, not of the field.

--- a/src/adapters/disk/record.rs
+++ b/src/adapters/disk/record.rs
@@ -100,7 +100,8 @@
 
 /// The result of scanning a file.
 pub(super) struct ScannedRecords<'a> {
-    pub(super) payloads: Vec<&'a [u8]>,
+    /// The payload of each record, with the record's offset.
+    pub(super) payloads: Vec<(usize, &'a [u8])>,
     /// Offset after the last complete record; any bytes that follow are a torn tail.
     pub(super) end: usize,
 }
@@ -124,7 +125,7 @@
                 reason,
             });
         }
-        payloads.push(record.payload);
+        payloads.push((end, record.payload));
         end += HEADER_BYTES + record.payload.len();
     }
     if end < bytes.len() && record_follows(&bytes[end + 1..]) {
--- a/src/adapters/disk/recover.rs
+++ b/src/adapters/disk/recover.rs
@@ -30,7 +30,7 @@
     let damaged = |reason| StoreError::damaged(segment, scan.end as u64, reason);
     let header = payloads
         .next()
-        .and_then(|payload| SegmentHeader::decode(*payload).ok())
+        .and_then(|(_, payload)| SegmentHeader::decode(*payload).ok())
         .ok_or_else(|| damaged("the first record can't be read"))?;
     if header.version != FORMAT_VERSION {
         return Err(StoreError::Version {
@@ -64,13 +64,19 @@
 fn replay<'a>(
     segment: &Path,
     header: &SegmentHeader,
-    payloads: impl Iterator<Item = &'a &'a [u8]>,
+    payloads: impl Iterator<Item = &'a (usize, &'a [u8])>,
 ) -> Result<(HardState, Vec<Entry>), StoreError> {
     let mut hard_state = HardState::default();
     let mut entries = Vec::new();
-    for payload in payloads {
-        let batch = StoredBatch::decode(*payload)
-            .map_err(|_| StoreError::damaged(segment, 0, "a record can't be decoded"))?;
+    for (offset, payload) in payloads {
+        let damaged = |reason| StoreError::damaged(segment, *offset as u64, reason);
+        let batch =
+            StoredBatch::decode(*payload).map_err(|_| damaged("a record can't be decoded"))?;
+        for entry in &batch.entries {
+            if let Err(e) = entry.membership() {
+                return Err(damaged(e.0));
+            }
+        }
         if let Some(stored) = batch.hard_state {
             hard_state = HardState {
                 term: stored.term,
@@ -78,7 +84,7 @@
             };
         }
         if !append(&mut entries, batch.entries, header.base_index) {
-            return Err(StoreError::damaged(segment, 0, "an entry is missing"));
+            return Err(damaged("an entry is missing"));
         }
     }
     Ok((hard_state, entries))
@@ -127,7 +133,7 @@
         };
     };
     let scan = record::scan(&bytes).map_err(|corruption| damaged(corruption.reason))?;
-    let &[payload] = scan.payloads.as_slice() else {
+    let &[(_, payload)] = scan.payloads.as_slice() else {
         return Err(damaged("its checksum is wrong"));
     };
     if scan.end < bytes.len() {
@@ -140,10 +146,13 @@
     if stored.index < header.base_index {
         return Err(damaged("it is older than the start of the log"));
     }
+    let membership = stored
+        .membership
+        .filter(|members| !members.voters.is_empty());
     Ok(Snapshot {
         index: stored.index,
         term: stored.term,
-        membership: stored.membership.unwrap_or_default(),
+        membership: membership.ok_or_else(|| damaged("it has no members that vote"))?,
         state: stored.state,
     })
 }
--- a/src/adapters/disk/store.rs
+++ b/src/adapters/disk/store.rs
@@ -116,6 +116,11 @@
         Ok((store, recovered, member))
     }
 
+    /// Returns the error for a snapshot whose state can't be decoded.
+    pub fn damaged_snapshot(&self, reason: &'static str) -> StoreError {
+        StoreError::damaged(&self.folder.snapshot(), 0, reason)
+    }
+
     /// Writes the hard state, the entries and the snapshot, in this order, and returns once all are synced.
     /// The entries replace stored ones from the first one's index on. After an error the store is unusable
     /// until [`LogStore::retry_persist`] succeeds, because it is unknown what a failed sync left on disk.
--- a/src/controller/driver.rs
+++ b/src/controller/driver.rs
@@ -28,8 +28,11 @@
     adapters::disk::{LogStore, StoreError},
     domain::MemberId,
     ports::Clock,
-    replication::{Batch, Effect, Input, LogWrite, Rejection, Replica, Role, Snapshot, Ticket},
-    state::{Command, Reply, State},
+    replication::{
+        Batch, Effect, FIRST_SNAPSHOT_INDEX, Input, LogWrite, Rejection, Replica, Role, Snapshot,
+        Ticket,
+    },
+    state::{Command, DamagedState, Reply, State},
     telemetry::Metrics,
     wire::{Entry, EntryKind, ReplicaMessage},
 };
@@ -276,7 +279,15 @@
         let reply = match entry.kind() {
             EntryKind::Command => {
                 let command = Command::decode(entry.data.clone())
-                    .with_context(|| format!("entry {} is not a command", entry.index))?;
+                    .ok()
+                    .filter(|command| command.action.is_some())
+                    .with_context(|| {
+                        let index = entry.index;
+                        format!(
+                            "entry {index} of the log is no command of this version; start the newest version, and if \
+                             this is it, move the data folder away and join as a new member"
+                        )
+                    })?;
                 self.state_mut().apply(entry.index, &command)
             }
             EntryKind::Open | EntryKind::Membership => {
@@ -295,7 +306,16 @@
     }
 
     fn restore(&mut self, snapshot: &Snapshot) -> anyhow::Result<()> {
-        let mut state = State::decode(&snapshot.state)?;
+        // Only the first snapshot, which forms a cluster, has no state; see `replication::Bootstrap`.
+        let decoded = match snapshot.state.is_empty() && snapshot.index > FIRST_SNAPSHOT_INDEX {
+            true => Err(DamagedState("it has no state")),
+            false => State::decode(&snapshot.state),
+        };
+        let mut state = decoded.map_err(|e| match &self.parts.store {
+            // It was written before it is restored.
+            Some(store) => anyhow::Error::new(store.damaged_snapshot(e.0)),
+            None => anyhow::Error::new(e),
+        })?;
         state.advance_index(snapshot.index);
         *self.state_mut() = state;
         self.snapshot_index = snapshot.index;
--- a/src/controller/operator_api.rs
+++ b/src/controller/operator_api.rs
@@ -169,7 +169,8 @@
     pub async fn history(&self) -> ApiResult<Vec<HistoryEntry>> {
         self.read_barrier().await?;
         let state = self.core.log.state();
-        Ok(state.configuration().history().map(history_entry).collect())
+        let history = state.configuration().history();
+        history.map(history_entry).collect()
     }
 
     /// Returns the operation that confirmed a revision, and its changes.
@@ -184,7 +185,7 @@
         };
         let first = format!(
             "Confirmed by operation {} at index {} of the log.",
-            operation_id(record),
+            operation_id(record)?,
             record.index
         );
         let events = std::iter::once(&first).chain(&record.changes);
@@ -349,17 +350,26 @@
     }
 }
 
-fn history_entry(record: &RevisionRecord) -> HistoryEntry {
-    HistoryEntry {
+fn history_entry(record: &RevisionRecord) -> ApiResult<HistoryEntry> {
+    Ok(HistoryEntry {
         revision: Revision(record.revision),
-        operation: operation_id(record),
+        operation: operation_id(record)?,
         at_unix_ms: record.at_unix_ms,
         changes: record.changes.clone(),
-    }
+    })
 }
 
-fn operation_id(record: &RevisionRecord) -> OperationId {
-    OperationId(Uuid::from_slice(&record.operation).unwrap_or_default())
+fn operation_id(record: &RevisionRecord) -> ApiResult<OperationId> {
+    let id = Uuid::from_slice(&record.operation);
+    id.map(OperationId).map_err(|e| {
+        let revision = record.revision;
+        let message = format!(
+            "the operation of revision {revision}, at index {} of the log, can't be read: {e}; report this as a fault",
+            record.index
+        );
+        log::error!("controller: {message}.");
+        ApiError::new(StatusCode::INTERNAL_SERVER_ERROR, "internal", message)
+    })
 }
 
 fn unknown_instance(name: &str) -> ApiError {
--- a/src/replication/bootstrap.rs
+++ b/src/replication/bootstrap.rs
@@ -20,7 +20,9 @@
 
 /// Index and term of the snapshot that holds the initial membership. They are not zero, so that a member
 /// that joins later receives this snapshot and not only the entries after it.
-const FIRST_INDEX_AND_TERM: u64 = 1;
+const FIRST_INDEX_AND_TERM: u64 = FIRST_SNAPSHOT_INDEX;
+/// Index of the only snapshot that may be without a state: the one that forms a cluster.
+pub const FIRST_SNAPSHOT_INDEX: u64 = 1;
 
 /// The next action of the bootstrap procedure.
 #[derive(Clone, Debug, PartialEq)]
--- a/src/replication/follower.rs
+++ b/src/replication/follower.rs
@@ -10,7 +10,10 @@
         }
         let round = request.round;
         let (matched, index) = match self.matches(&request) {
-            true => (true, self.store_entries(request)),
+            true => match self.store_entries(request) {
+                Some(index) => (true, index),
+                None => return,
+            },
             false => {
                 let hint = self
                     .log
@@ -34,27 +37,50 @@
     }
 
     /// Appends the entries that the log lacks and returns the last index that is known to match the
-    /// leader's log and is synced before the reply is sent.
-    fn store_entries(&mut self, request: AppendRequest) -> u64 {
-        let last = request.previous_index + request.entries.len() as u64;
-        let new_entries: Vec<Entry> = request
-            .entries
-            .into_iter()
-            .skip_while(|entry| {
-                entry.index <= self.commit || self.log.term(entry.index) == Some(entry.term)
-            })
-            .collect();
+    /// leader's log and is synced before the reply is sent. Returns `None` if the first entry that the log lacks can't
+    /// be read: a reply would make the leader send it again at once, and not only with its next heartbeat.
+    fn store_entries(&mut self, request: AppendRequest) -> Option<u64> {
+        let mut last = request.previous_index + request.entries.len() as u64;
+        let new_entries = request.entries.into_iter().skip_while(|entry| {
+            entry.index <= self.commit || self.log.term(entry.index) == Some(entry.term)
+        });
+        let mut new_entries: Vec<Entry> = new_entries.collect();
+        // Neither an entry that can't be read nor one after it is taken; the leader sends them again.
+        let unreadable = new_entries
+            .iter()
+            .position(|entry| entry.membership().is_err());
+        if let Some(position) = unreadable {
+            last = new_entries[position].index - 1;
+            self.report_unreadable(&new_entries[position]);
+            new_entries.truncate(position);
+        }
         if let Some(first) = new_entries.first() {
             self.truncate(first.index);
             for entry in &new_entries {
-                self.memberships.record_change(entry);
+                let read = self.memberships.record_change(entry);
+                read.expect("entries that can't be read were taken out");
                 self.log.append(entry.clone());
             }
             self.persist(new_entries, None);
         }
         let matched_index = last.max(self.commit);
         self.commit_to(request.commit.min(matched_index));
-        self.acknowledgeable_index(matched_index)
+        let is_stuck = unreadable == Some(0);
+        (!is_stuck).then(|| self.acknowledgeable_index(matched_index))
+    }
+
+    /// Logs an entry that can't be read, once: the leader sends it again and again.
+    fn report_unreadable(&mut self, entry: &Entry) {
+        let Err(e) = entry.membership() else { return };
+        let place = (entry.index, entry.term);
+        if self.refused.replace(place) != Some(place) {
+            log::error!(
+                event = "log.entry_refused", index = entry.index, entry_term = entry.term,
+                kind = entry.kind;
+                "replication: an entry of the leader is not stored: {e}; start this controller in the leader's version, \
+                 and if it is the same, restart the leader"
+            );
+        }
     }
 
     fn truncate(&mut self, from: u64) {
--- a/src/replication/leader.rs
+++ b/src/replication/leader.rs
@@ -117,7 +117,9 @@
         if let (Some(leader_state), Some(ticket)) = (self.leader_state_mut(), ticket) {
             leader_state.tickets.insert(entry.index, ticket);
         }
-        self.memberships.record_change(&entry);
+        self.memberships
+            .record_change(&entry)
+            .expect("a leader writes only entries that it can read");
         self.log.append(entry.clone());
         self.persist(vec![entry], None);
     }
--- a/src/replication/log.rs
+++ b/src/replication/log.rs
@@ -4,7 +4,7 @@
 
 use prost::Message;
 
-use crate::wire::{Entry, EntryKind, MembershipRecord};
+use crate::wire::{Entry, MembershipRecord, UnreadableEntry};
 
 /// The log after its compacted prefix. The index and term of the last compacted entry are kept, so that
 /// the consistency check of the entry after it still works.
@@ -120,13 +120,12 @@
         }
     }
 
-    /// Records an appended entry if it is a membership change.
-    pub(super) fn record_change(&mut self, entry: &Entry) {
-        if entry.kind != EntryKind::Membership as i32 {
-            return;
-        }
-        let record = MembershipRecord::decode(entry.data.clone()).unwrap_or_default();
-        self.changes.push((entry.index, record));
+    /// Records an appended entry if it is a membership change. An entry that can't be read must not be appended.
+    pub(super) fn record_change(&mut self, entry: &Entry) -> Result<(), UnreadableEntry> {
+        let record = entry.membership()?;
+        self.changes
+            .extend(record.map(|record| (entry.index, record)));
+        Ok(())
     }
 
     pub(super) fn truncate(&mut self, from: u64) {
--- a/src/replication/mod.rs
+++ b/src/replication/mod.rs
@@ -17,7 +17,7 @@
 mod snapshot;
 
 pub use batch::{Batch, LogWrite};
-pub use bootstrap::{Bootstrap, BootstrapStep};
+pub use bootstrap::{Bootstrap, BootstrapStep, FIRST_SNAPSHOT_INDEX};
 pub use leader::MAX_COMMAND_BYTES;
 pub use replica::{Replica, Role};
 
--- a/src/replication/replica.rs
+++ b/src/replication/replica.rs
@@ -60,6 +60,8 @@
     /// When the election timeout fires.
     pub(super) election_deadline: Duration,
     pub(super) incoming_snapshot: Option<IncomingSnapshot>,
+    /// Index and term of the entry or snapshot of a leader that was refused last because it can't be read.
+    pub(super) refused: Option<(u64, u64)>,
     /// Whether the term or vote changed without a `Persist` effect for it yet.
     hard_state_changed: bool,
     /// Whether the current step emitted a `Persist` with entries or a snapshot.
@@ -103,9 +105,10 @@
             entries,
         } = recovered;
         let mut memberships = MembershipHistory::new(snapshot.membership.clone());
-        entries
-            .iter()
-            .for_each(|entry| memberships.record_change(entry));
+        for entry in &entries {
+            let read = memberships.record_change(entry);
+            read.expect("the data folder gives only entries that can be read");
+        }
         let log = Log::new(snapshot.index, snapshot.term, entries);
         let mut replica = Self {
             own_id: own_id.0,
@@ -124,6 +127,7 @@
             no_votes_before: now + settings.election_timeout,
             election_deadline: now,
             incoming_snapshot: None,
+            refused: None,
             hard_state_changed: false,
             step_persists: false,
             rng: StdRng::seed_from_u64(seed),
--- a/src/replication/snapshot.rs
+++ b/src/replication/snapshot.rs
@@ -71,10 +71,24 @@
             self.incoming_snapshot = Some(incoming);
             return received;
         }
+        let membership = request
+            .membership
+            .filter(|members| !members.voters.is_empty());
+        let Some(membership) = membership else {
+            let place = (request.index, request.term);
+            if self.refused.replace(place) != Some(place) {
+                log::error!(
+                    event = "log.snapshot_refused", index = request.index, snapshot_term = request.term;
+                    "replication: a snapshot of the leader without members that vote is not installed; restart the leader, \
+                     and if this stays, replace it by a new member"
+                );
+            }
+            return 0;
+        };
         self.install(Snapshot {
             index: request.index,
             term: request.term,
-            membership: request.membership.unwrap_or_default(),
+            membership,
             state: incoming.state.freeze(),
         });
         received
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -46,10 +46,12 @@
     Nothing,
 }
 
-/// The snapshot of the state can't be decoded.
+/// The snapshot of the state can't be decoded, for this reason.
 #[derive(Debug, thiserror::Error)]
-#[error("the snapshot of the state is damaged; restore the data folder or join as a new member")]
-pub struct DamagedState;
+#[error(
+    "the snapshot of the state is damaged: {0}; restore the data folder or join as a new member"
+)]
+pub struct DamagedState(pub &'static str);
 
 /// The replicated state.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -193,14 +195,24 @@
         record.encode_to_vec().into()
     }
 
-    /// Decodes a snapshot. An empty one stands for the initial state.
+    /// Decodes a snapshot. An empty one stands for the initial state; any other must have all parts.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a part is missing or can't be decoded, since the state without it breaks promises.
     pub fn decode(bytes: &[u8]) -> Result<Self, DamagedState> {
-        let record = StateRecord::decode(bytes).map_err(|_| DamagedState)?;
-        Self::from_record(record).ok_or(DamagedState)
+        if bytes.is_empty() {
+            return Ok(Self::default());
+        }
+        let record = StateRecord::decode(bytes).map_err(|_| DamagedState("it can't be decoded"))?;
+        Self::from_record(record)
     }
 
-    fn from_record(record: StateRecord) -> Option<Self> {
-        Some(Self {
+    fn from_record(record: StateRecord) -> Result<Self, DamagedState> {
+        let instances = record
+            .instances
+            .ok_or(DamagedState("it has no instances"))?;
+        Ok(Self {
             index: record.index,
             configuration: Configuration::from_records(
                 record.revision,
@@ -208,12 +220,17 @@
                 record.intent,
                 record.history,
                 record.operations,
-            )?,
-            claims: Claims::from_records(record.claims, record.expired_before)?,
-            instances: Instances::from_record(record.instances.unwrap_or_default())?,
+            )
+            .ok_or(DamagedState("its intent can't be decoded"))?,
+            claims: Claims::from_records(record.claims, record.expired_before)
+                .ok_or(DamagedState("a claim can't be decoded"))?,
+            instances: Instances::from_record(instances)
+                .ok_or(DamagedState("an instance can't be decoded"))?,
             starts: Starts::from_records(record.starts),
             fence: record.fence,
-            published: record.published.unwrap_or_default(),
+            published: record
+                .published
+                .ok_or(DamagedState("it has no published document"))?,
             usage: Usage::from_records(record.usage),
         })
     }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -39,8 +39,8 @@
 };
 pub use replica::{
     AppendReply, AppendRequest, Entry, EntryKind, InstallSnapshot, InstallSnapshotReply,
-    MemberQuery, MemberReport, MembershipRecord, ReplicaMessage, ReplicaPayload, VoteReply,
-    VoteRequest,
+    MemberQuery, MemberReport, MembershipRecord, ReplicaMessage, ReplicaPayload, UnreadableEntry,
+    VoteReply, VoteRequest,
 };
 pub use tunnel::{TunnelData, TunnelEnd, TunnelOpen, TunnelOpened, TunnelRefused};
 
--- a/src/wire/replica.rs
+++ b/src/wire/replica.rs
@@ -1,5 +1,7 @@
 //! Messages of the replicated log between its members, in the manner of Raft.
 
+use prost::Message;
+
 /// A message with its sender and term.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct ReplicaMessage {
@@ -187,6 +189,35 @@
     pub data: bytes::Bytes,
 }
 
+/// Why an entry of the log can't be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0}")]
+pub struct UnreadableEntry(pub &'static str);
+
+impl Entry {
+    /// Returns the members that the entry puts in force, if it is a membership change.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the entry can't be read. It must then not count as stored: read as empty, it would make nobody a
+    /// majority.
+    pub fn membership(&self) -> Result<Option<MembershipRecord>, UnreadableEntry> {
+        match EntryKind::try_from(self.kind) {
+            Ok(EntryKind::Open | EntryKind::Command) => Ok(None),
+            Ok(EntryKind::Membership) => {
+                let record = MembershipRecord::decode(self.data.clone());
+                let record =
+                    record.map_err(|_| UnreadableEntry("an entry's members can't be decoded"))?;
+                match record.voters.is_empty() {
+                    true => Err(UnreadableEntry("an entry leaves no member with a vote")),
+                    false => Ok(Some(record)),
+                }
+            }
+            Err(_) => Err(UnreadableEntry("an entry has an unknown kind")),
+        }
+    }
+}
+
 /// The kinds of log entries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
 #[repr(i32)]
--- a/tests/disk_power_loss.rs
+++ b/tests/disk_power_loss.rs
@@ -198,7 +198,10 @@
                     after.snapshot = Snapshot {
                         index: covered.index,
                         term: covered.term,
-                        membership: MembershipRecord::default(),
+                        membership: MembershipRecord {
+                            voters: vec![1],
+                            ..MembershipRecord::default()
+                        },
                         state: Bytes::from_static(b"the state"),
                     };
                     after.entries.clear();
--- a/tests/replication_commit.rs
+++ b/tests/replication_commit.rs
@@ -179,6 +179,10 @@
     ReplicaPayload::InstallSnapshot(InstallSnapshot {
         index,
         term: 2,
+        membership: Some(MembershipRecord {
+            voters: vec![1, 2, 3, 4, 5],
+            ..MembershipRecord::default()
+        }),
         ..InstallSnapshot::default()
     })
 }
