Link: drop a frame that can't be decoded, keep the connection

What callers would see: one frame that can't be decoded (of another version, or text that is no UTF-8) closed the connection between two processes. Every call in progress on it failed, and where the same message came again after each reconnection, heartbeats, quotas and the list never came through.

Cause: `FrameCodec::decode` returned an error for it, which ends the connection on both sides, though a frame's length is known and the next one can be read.

Change: it is read as a frame without a body, which receivers drop already; the handshake takes none, so a peer that does not authenticate is refused as before. It is logged with offset and size at the first, second, fourth and so on of a connection (`link.frame_dropped`). A call whose reply is dropped ends at its own deadline. An oversized frame still ends the connection.

Open: the frames are counted in the log only, links have no metrics. Within a frame nothing is split: one row of a list or roster with text that is no UTF-8 drops its whole frame.

--- a/src/link/codec.rs
+++ b/src/link/codec.rs
@@ -6,17 +6,28 @@
 
 use crate::wire::{Frame, MAX_FRAME_BYTES};
 
-/// Encodes and decodes frames. An oversized or undecodable frame is an error, after which the connection
-/// is closed.
+/// Encodes and decodes frames. An undecodable frame is read as one without a body, which the receiver drops: its
+/// length is known, so it must not take the calls in progress and the frames after it with it. An oversized frame is an
+/// error, after which the connection is closed.
 #[derive(Debug)]
-pub(super) struct FrameCodec(LengthDelimitedCodec);
+pub(super) struct FrameCodec {
+    lengths: LengthDelimitedCodec,
+    /// Bytes taken from the connection.
+    offset: u64,
+    /// Number of undecodable frames.
+    undecodable: u64,
+}
 
 impl FrameCodec {
     pub(super) fn new() -> Self {
         let codec = LengthDelimitedCodec::builder()
             .max_frame_length(MAX_FRAME_BYTES)
             .new_codec();
-        Self(codec)
+        Self {
+            lengths: codec,
+            offset: 0,
+            undecodable: 0,
+        }
     }
 }
 
@@ -25,10 +36,27 @@
     type Error = std::io::Error;
 
     fn decode(&mut self, buf: &mut BytesMut) -> Result<Option<Frame>, Self::Error> {
-        let Some(bytes) = self.0.decode(buf)? else {
+        let before = buf.len();
+        let decoded = self.lengths.decode(buf)?;
+        let offset = self.offset;
+        self.offset += (before - buf.len()) as u64;
+        let Some(bytes) = decoded else {
             return Ok(None);
         };
-        let frame = Frame::decode(bytes.freeze()).map_err(std::io::Error::other)?;
+        let len = bytes.len();
+        let frame = Frame::decode(bytes.freeze()).unwrap_or_else(|e| {
+            self.undecodable += 1;
+            // At 1, 2, 4 and so on, so that a peer of another version can't fill the log.
+            if self.undecodable.is_power_of_two() {
+                log::warn!(
+                    event = "link.frame_dropped", offset = offset, bytes = len,
+                    undecodable = self.undecodable;
+                    "link: a frame of the peer can't be decoded and is dropped, the others hold; start the same version \
+                     on both sides: {e}"
+                );
+            }
+            Frame::default()
+        });
         Ok(Some(frame))
     }
 }
@@ -37,6 +65,6 @@
     type Error = std::io::Error;
 
     fn encode(&mut self, frame: Frame, buf: &mut BytesMut) -> Result<(), Self::Error> {
-        self.0.encode(Bytes::from(frame.encode_to_vec()), buf)
+        self.lengths.encode(Bytes::from(frame.encode_to_vec()), buf)
     }
 }
