Bound the log in bytes as well as in entries

A member that lost its disk was not made up for in time.

So the log held every document ever published.

--- a/src/controller/api_error.rs
+++ b/src/controller/api_error.rs
@@ -59,6 +59,7 @@
             LogError::Stopped => (StatusCode::SERVICE_UNAVAILABLE, "stopping", Ran::Unknown),
             LogError::ChangeRefused => (StatusCode::CONFLICT, "change_refused", Ran::No),
             LogError::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "too_large", Ran::No),
+            LogError::LogFull => (StatusCode::SERVICE_UNAVAILABLE, "log_full", Ran::No),
         };
         Self {
             ran,
--- a/src/controller/driver.rs
+++ b/src/controller/driver.rs
@@ -27,6 +27,7 @@
 use crate::{
     adapters::disk::{LogStore, StoreError},
     domain::MemberId,
+    policy::compact::SinceSnapshot,
     ports::Clock,
     replication::{
         Batch, Effect, FIRST_SNAPSHOT_INDEX, Input, LogWrite, Rejection, Replica, Role, Snapshot,
@@ -42,8 +43,6 @@
 /// Interval at which a failed write is retried: short compared to an election timeout, so that the
 /// controller resumes soon after space is freed.
 const DISK_RETRY_INTERVAL: Duration = Duration::from_millis(100);
-/// Minimum number of entries applied between two snapshots.
-const MIN_SNAPSHOT_ENTRIES: u64 = 16 * 1024;
 
 type ReplySender<R> = oneshot::Sender<Result<R, Rejection>>;
 
@@ -74,7 +73,7 @@
     parts: DriverParts<T>,
     pending: HashMap<Ticket, Pending>,
     next_ticket: u64,
-    snapshot_index: u64,
+    since_snapshot: SinceSnapshot,
     encoding: Option<JoinHandle<EncodedState>>,
     ticks: Interval,
     stop: CancellationToken,
@@ -92,7 +91,7 @@
         let mut ticks = interval(parts.tick);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         Self {
-            snapshot_index: parts.replica.applied(),
+            since_snapshot: SinceSnapshot::default(),
             ticks,
             parts,
             pending: HashMap::new(),
@@ -115,7 +114,11 @@
                     None => return Ok(()),
                 },
                 _ = self.ticks.tick() => {}
-                encoded = encoding_finished(&mut self.encoding) => inputs.push(encoded?),
+                encoded = encoding_finished(&mut self.encoding) => {
+                    let EncodedState { index, state } = encoded?;
+                    self.since_snapshot.snapshot_bytes = state.len() as u64;
+                    inputs.push(Input::Compact { index, state });
+                }
                 () = stop.cancelled() => return Ok(()),
             }
             self.drain_requests(&mut inputs);
@@ -295,6 +298,8 @@
                 Reply::Nothing
             }
         };
+        self.since_snapshot.entries += 1;
+        self.since_snapshot.bytes += entry.encoded_len() as u64;
         self.publish_view_index();
         let pending = ticket.and_then(|ticket| self.pending.remove(&ticket));
         if let Some(Pending::Entry { reply: tx, since }) = pending {
@@ -318,7 +323,10 @@
         })?;
         state.advance_index(snapshot.index);
         *self.state_mut() = state;
-        self.snapshot_index = snapshot.index;
+        self.since_snapshot = SinceSnapshot {
+            snapshot_bytes: snapshot.state.len() as u64,
+            ..SinceSnapshot::default()
+        };
         self.publish_view_index();
         Ok(())
     }
@@ -339,15 +347,19 @@
         }
         let state = {
             let state = self.state();
-            // A snapshot's cost grows with the number of claims, so the interval grows with it: the
-            // amortized cost per entry stays constant.
-            let between = MIN_SNAPSHOT_ENTRIES.max(state.claims().len() as u64);
-            if state.index() < self.snapshot_index + between {
+            let since = SinceSnapshot {
+                claims: state.claims().len() as u64,
+                ..self.since_snapshot
+            };
+            if !since.is_due() {
                 return;
             }
             state.clone()
         };
-        self.snapshot_index = state.index();
+        self.since_snapshot = SinceSnapshot {
+            snapshot_bytes: self.since_snapshot.snapshot_bytes,
+            ..SinceSnapshot::default()
+        };
         self.encoding = Some(tokio::task::spawn_blocking(move || EncodedState {
             index: state.index(),
             state: state.encode(),
@@ -433,13 +445,11 @@
 /// Waits for the encoded state; stays pending while no encoding is under way.
 async fn encoding_finished(
     encoding: &mut Option<JoinHandle<EncodedState>>,
-) -> anyhow::Result<Input> {
+) -> anyhow::Result<EncodedState> {
     let Some(handle) = encoding else {
         return std::future::pending().await;
     };
     let encoded = handle.await;
     *encoding = None;
-    let EncodedState { index, state } =
-        encoded.context("the thread that encodes the state ended unexpectedly")?;
-    Ok(Input::Compact { index, state })
+    encoded.context("the thread that encodes the state ended unexpectedly")
 }
--- a/src/controller/log.rs
+++ b/src/controller/log.rs
@@ -72,6 +72,11 @@
     /// The command exceeds the maximum size of an entry.
     #[error("the order is too large for the log; make it smaller")]
     TooLarge,
+    /// The log has reached its maximum size, because the disk does not take snapshots.
+    #[error(
+        "the log is full because the disk takes no snapshot; free or replace the disk, then resend"
+    )]
+    LogFull,
     /// The controller is stopping.
     #[error("this controller is stopping; ask another one")]
     Stopped,
@@ -84,6 +89,7 @@
             Rejection::Deposed => Self::Deposed,
             Rejection::ChangeRefused => Self::ChangeRefused,
             Rejection::TooLarge => Self::TooLarge,
+            Rejection::LogFull => Self::LogFull,
         }
     }
 }
--- a/src/replication/leader.rs
+++ b/src/replication/leader.rs
@@ -104,6 +104,9 @@
         if command.len() > MAX_COMMAND_BYTES {
             return self.reject(ticket, Rejection::TooLarge);
         }
+        if self.log.bytes() + command.len() as u64 > self.max_log_bytes() {
+            return self.reject(ticket, Rejection::LogFull);
+        }
         self.append_entry(EntryKind::Command, command, Some(ticket));
     }
 
--- a/src/replication/log.rs
+++ b/src/replication/log.rs
@@ -13,6 +13,8 @@
     base_index: u64,
     base_term: u64,
     entries: VecDeque<Entry>,
+    /// Total size of the entries.
+    bytes: u64,
 }
 
 impl Log {
@@ -20,10 +22,16 @@
         Self {
             base_index,
             base_term,
+            bytes: entries.iter().map(entry_bytes).sum(),
             entries: entries.into(),
         }
     }
 
+    /// Returns the total size of the entries.
+    pub(super) fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
     /// Index of the last compacted entry.
     pub(super) fn base_index(&self) -> u64 {
         self.base_index
@@ -52,13 +60,32 @@
 
     pub(super) fn append(&mut self, entry: Entry) {
         assert_eq!(entry.index, self.last_index() + 1, "the log has no gaps");
+        self.bytes += entry_bytes(&entry);
         self.entries.push_back(entry);
     }
 
     /// Removes the entries from an index on.
     pub(super) fn truncate(&mut self, from: u64) {
-        let keep = from.saturating_sub(self.base_index + 1);
-        self.entries.truncate(keep as usize);
+        let keep = from.saturating_sub(self.base_index + 1) as usize;
+        let removed = self.entries.iter().skip(keep).map(entry_bytes);
+        self.bytes -= removed.sum::<u64>();
+        self.entries.truncate(keep);
+    }
+
+    /// Returns the smallest index to which the log may be compacted so that the entries after it, up to and
+    /// including `last`, are within both limits.
+    pub(super) fn retention_start(&self, last: u64, max_entries: u64, max_bytes: u64) -> u64 {
+        let (mut start, mut bytes) = (last, 0);
+        while start > last.saturating_sub(max_entries)
+            && let Some(entry) = self.get(start)
+        {
+            bytes += entry_bytes(entry);
+            if bytes > max_bytes {
+                break;
+            }
+            start -= 1;
+        }
+        start
     }
 
     /// Returns entries from an index on within both limits, but at least one if there is any.
@@ -81,7 +108,8 @@
     /// Removes the entries up to an index. Does nothing if the index is not in the log.
     pub(super) fn compact(&mut self, to: u64) {
         let Some(term) = self.term(to) else { return };
-        self.entries.drain(..(to - self.base_index) as usize);
+        let removed = self.entries.drain(..(to - self.base_index) as usize);
+        self.bytes -= removed.map(|entry| entry_bytes(&entry)).sum::<u64>();
         self.base_index = to;
         self.base_term = term;
     }
@@ -105,6 +133,10 @@
     }
 }
 
+fn entry_bytes(entry: &Entry) -> u64 {
+    entry.encoded_len() as u64
+}
+
 /// The membership at the log's base index and every later change, committed or not.
 #[derive(Clone, Debug, Default)]
 pub(super) struct MembershipHistory {
--- a/src/replication/mod.rs
+++ b/src/replication/mod.rs
@@ -39,9 +39,14 @@
     pub election_timeout: Duration,
     /// Maximum number of entries in one append message.
     pub max_entries_per_append: usize,
-    /// Number of entries kept in the log behind a snapshot, so that slow followers can catch up without
-    /// the snapshot.
+    /// Maximum number of entries kept in the log behind a snapshot, so that slow followers can catch up
+    /// without the snapshot.
     pub retained_entries: u64,
+    /// Maximum size of the entries kept behind a snapshot, in bytes.
+    pub retained_bytes: u64,
+    /// Size of the log in memory, in bytes, from which on a leader refuses commands: compaction does not
+    /// keep up, for example because the disk hangs. It is raised to a multiple of a large snapshot's size.
+    pub max_log_bytes: u64,
 }
 
 impl Default for ReplicaSettings {
@@ -51,6 +56,8 @@
             election_timeout: Duration::from_millis(300),
             max_entries_per_append: 256,
             retained_entries: 4096,
+            retained_bytes: 8 * 1024 * 1024,
+            max_log_bytes: 32 * 1024 * 1024,
         }
     }
 }
@@ -158,6 +165,8 @@
     ChangeRefused,
     /// The command exceeds [`MAX_COMMAND_BYTES`]; nothing was appended.
     TooLarge,
+    /// The log has reached its maximum size, because snapshots are not written; nothing was appended.
+    LogFull,
 }
 
 /// An action for the driver, in order. `Send` effects that follow a `Persist` of the same step must
--- a/src/replication/progress.rs
+++ b/src/replication/progress.rs
@@ -6,6 +6,9 @@
 
 /// Maximum number of unacknowledged append messages to one follower.
 const MAX_IN_FLIGHT_APPENDS: usize = 16;
+/// Size of the entries in unacknowledged append messages to one follower, in bytes, from which on no more are
+/// sent. A follower whose disk hangs keeps no more than this and one message in memory.
+const MAX_IN_FLIGHT_BYTES: u64 = 4 * 1024 * 1024;
 
 #[derive(Clone, Debug)]
 pub(super) struct Progress {
@@ -25,12 +28,21 @@
 pub(super) enum ReplicationMode {
     /// It is not known where the logs match; one message at a time is sent to find out.
     Probe { waiting: bool },
-    /// Messages are sent without waiting for replies; holds the last index of each unacknowledged one.
-    Pipeline { in_flight: VecDeque<u64> },
+    /// Messages are sent without waiting for replies; holds the unacknowledged ones.
+    Pipeline { in_flight: VecDeque<SentAppend> },
     /// The next entry was compacted, so a snapshot is sent instead.
     Snapshot(SnapshotTransfer),
 }
 
+/// An unacknowledged append message.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SentAppend {
+    /// Index of its last entry.
+    last: u64,
+    /// Size of its entries.
+    bytes: u64,
+}
+
 /// A snapshot transfer, one chunk at a time.
 #[derive(Clone, Debug)]
 pub(super) struct SnapshotTransfer {
@@ -58,7 +70,7 @@
         self.next_index = self.next_index.max(self.match_index + 1);
         match &mut self.mode {
             ReplicationMode::Probe { .. } => self.enter_pipeline(),
-            ReplicationMode::Pipeline { in_flight } => in_flight.retain(|last| *last > index),
+            ReplicationMode::Pipeline { in_flight } => in_flight.retain(|sent| sent.last > index),
             ReplicationMode::Snapshot(transfer) if index >= transfer.snapshot.index => {
                 self.enter_pipeline()
             }
@@ -79,17 +91,20 @@
     pub(super) fn can_send(&self) -> bool {
         match &self.mode {
             ReplicationMode::Probe { waiting } => !waiting,
-            ReplicationMode::Pipeline { in_flight } => in_flight.len() < MAX_IN_FLIGHT_APPENDS,
+            ReplicationMode::Pipeline { in_flight } => {
+                let bytes: u64 = in_flight.iter().map(|sent| sent.bytes).sum();
+                in_flight.len() < MAX_IN_FLIGHT_APPENDS && bytes < MAX_IN_FLIGHT_BYTES
+            }
             ReplicationMode::Snapshot(_) => false,
         }
     }
 
-    /// Records that entries up to an index were sent.
-    pub(super) fn record_sent(&mut self, last: u64) {
+    /// Records that entries up to an index, of a total size, were sent.
+    pub(super) fn record_sent(&mut self, last: u64, bytes: u64) {
         match &mut self.mode {
             ReplicationMode::Probe { waiting } => *waiting = true,
             ReplicationMode::Pipeline { in_flight } => {
-                in_flight.push_back(last);
+                in_flight.push_back(SentAppend { last, bytes });
                 self.next_index = last + 1;
             }
             ReplicationMode::Snapshot(_) => {}
--- a/src/replication/replicate.rs
+++ b/src/replication/replicate.rs
@@ -1,5 +1,7 @@
 //! Log replication on the leader's side: sending entries and handling the replies.
 
+use prost::Message;
+
 use super::{Replica, progress::ReplicationMode};
 use crate::wire::{AppendReply, AppendRequest, Entry, ReplicaPayload};
 
@@ -38,9 +40,11 @@
             let Some(last) = entries.last().map(|entry| entry.index) else {
                 return sent;
             };
+            let bytes = entries.iter().map(|entry| entry.encoded_len() as u64);
+            let bytes = bytes.sum();
             self.send_append(to, next - 1, entries);
             if let Some(progress) = self.progress_mut(to) {
-                progress.record_sent(last);
+                progress.record_sent(last, bytes);
             }
             sent = true;
         }
--- a/src/replication/snapshot.rs
+++ b/src/replication/snapshot.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 
 use super::{
-    Effect, Replica, Snapshot,
+    Effect, Replica, ReplicaSettings, Snapshot,
     log::MembershipHistory,
     progress::{ReplicationMode, SnapshotTransfer},
     replica::{IncomingSnapshot, RoleState},
@@ -12,6 +12,8 @@
 
 /// Maximum size of the state in one snapshot message.
 const SNAPSHOT_CHUNK_BYTES: usize = 1024 * 1024;
+/// Minimum of the log's maximum size, as a multiple of the snapshot's size: the next snapshot is due before.
+const MAX_LOG_BYTES_PER_SNAPSHOT_BYTE: u64 = 4;
 
 impl Replica {
     pub(super) fn compact(&mut self, index: u64, state: Bytes) {
@@ -28,13 +30,47 @@
             state,
         };
         self.persist(Vec::new(), Some(self.snapshot.clone()));
-        let drop_to = index.saturating_sub(self.settings.retained_entries);
+        let drop_to = self.compaction_index(index);
         if drop_to > self.log.base_index() {
             self.log.compact(drop_to);
             self.memberships.compact(drop_to);
         }
     }
 
+    /// Returns the size from which on the log takes no more commands.
+    pub(super) fn max_log_bytes(&self) -> u64 {
+        let snapshot_bytes = self.snapshot.state.len() as u64;
+        let for_snapshot = snapshot_bytes.saturating_mul(MAX_LOG_BYTES_PER_SNAPSHOT_BYTE);
+        self.settings.max_log_bytes.max(for_snapshot)
+    }
+
+    /// Returns the index up to which entries are dropped once the snapshot at `index` is written. While an
+    /// older snapshot is sent to a member, the entries after that one are kept as well, so that the member
+    /// does not need another snapshot, unless they take up more than half of the log's maximum size.
+    fn compaction_index(&self, index: u64) -> u64 {
+        let ReplicaSettings {
+            retained_entries,
+            retained_bytes,
+            ..
+        } = self.settings;
+        let start = self
+            .log
+            .retention_start(index, retained_entries, retained_bytes);
+        let transfers = self.leader_state().into_iter().flat_map(|leader_state| {
+            let modes = leader_state.progress.values().map(|p| &p.mode);
+            modes.filter_map(|mode| match mode {
+                ReplicationMode::Snapshot(transfer) => Some(transfer.snapshot.index),
+                _ => None,
+            })
+        });
+        let half = self.max_log_bytes() / 2;
+        let for_transfers = self.log.retention_start(index, u64::MAX, half);
+        match transfers.min() {
+            Some(sent) => start.min(sent.max(for_transfers)),
+            None => start,
+        }
+    }
+
     pub(super) fn receive_snapshot(&mut self, from: u64, request: InstallSnapshot) {
         let round = request.round;
         let offset = match request.index <= self.commit {
