Read and rewrite the log one record at a time

Now the files are read record by record, and a record's entries share its bytes; a new segment is written in records of at most 1 MiB (a larger entry has one of its own). The header's number of synced records covers all of them, so damage in any of them is still never taken for a torn tail. The search for records behind an unreadable one holds a window, not the file.

--- a/src/adapters/disk/folder.rs
+++ b/src/adapters/disk/folder.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs::{self, File, OpenOptions, TryLockError},
-    io::Write,
+    io,
     path::{Path, PathBuf},
 };
 
@@ -72,21 +72,24 @@
         Ok(numbers)
     }
 
-    /// Reads a file. Returns `None` if it does not exist.
-    pub(super) fn read(&self, path: &Path) -> Result<Option<Vec<u8>>, StoreError> {
-        match fs::read(path) {
-            Ok(bytes) => Ok(Some(bytes)),
-            Err(error) if error.kind() == std::io::ErrorKind::NotFound => Ok(None),
+    /// Opens a file for reading. Returns `None` if it does not exist.
+    pub(super) fn open_for_reading(&self, path: &Path) -> Result<Option<File>, StoreError> {
+        match File::open(path) {
+            Ok(file) => Ok(Some(file)),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
             Err(error) => Err(StoreError::io("read", path)(error)),
         }
     }
 
     /// Replaces a file atomically: writes a temporary file, syncs it, renames it and syncs the folder.
-    pub(super) fn replace(&self, path: &Path, bytes: &[u8]) -> Result<(), StoreError> {
+    pub(super) fn replace(
+        &self,
+        path: &Path,
+        write: impl FnOnce(&mut File) -> io::Result<()>,
+    ) -> Result<(), StoreError> {
         let temporary = path.with_extension(TEMPORARY_EXTENSION);
         let mut file = File::create(&temporary).map_err(StoreError::io("create", &temporary))?;
-        file.write_all(bytes)
-            .map_err(StoreError::io("write", &temporary))?;
+        write(&mut file).map_err(StoreError::io("write", &temporary))?;
         file.sync_all()
             .map_err(StoreError::io("sync", &temporary))?;
         fs::rename(&temporary, path).map_err(StoreError::io("rename", &temporary))?;
--- a/src/adapters/disk/record.rs
+++ b/src/adapters/disk/record.rs
@@ -1,11 +1,20 @@
 //! The record format of all files: magic bytes, sequence number, length, CRC-32 and a Protobuf message.
 
+use std::{
+    fs::File,
+    io::{self, BufReader, Read, Seek, SeekFrom},
+};
+
+use bytes::Bytes;
 use prost::Message;
 
 use crate::wire::{Entry, MembershipRecord};
 
-const RECORD_MAGIC: [u8; 4] = *b"fcr1";
+const RECORD_MAGIC: [u8; MAGIC_BYTES] = *b"fcr1";
+const MAGIC_BYTES: usize = 4;
+const CHECKSUM_OFFSET: usize = 16;
 const HEADER_BYTES: usize = 20;
+const READ_BUFFER_BYTES: usize = 64 * 1024;
 
 /// The first record of a segment.
 #[derive(Clone, PartialEq, Message)]
@@ -54,7 +63,7 @@
     #[prost(message, optional, tag = "4")]
     pub(super) membership: Option<MembershipRecord>,
     #[prost(bytes = "bytes", tag = "5")]
-    pub(super) state: bytes::Bytes,
+    pub(super) state: Bytes,
 }
 
 /// Encodes a message as a record.
@@ -66,81 +75,168 @@
     bytes.extend((len as u32).to_le_bytes());
     bytes.extend([0; 4]);
     message.encode_raw(&mut bytes);
-    let crc = checksum(&bytes);
-    bytes[16..HEADER_BYTES].copy_from_slice(&crc.to_le_bytes());
+    let (header, payload) = bytes.split_at_mut(HEADER_BYTES);
+    let crc = checksum(header, payload);
+    header[CHECKSUM_OFFSET..].copy_from_slice(&crc.to_le_bytes());
     bytes
 }
 
-fn checksum(record: &[u8]) -> u32 {
+fn checksum(header: &[u8], payload: &[u8]) -> u32 {
     let mut hasher = crc32fast::Hasher::new();
-    hasher.update(&record[4..16]);
-    hasher.update(&record[HEADER_BYTES..]);
+    hasher.update(&header[MAGIC_BYTES..CHECKSUM_OFFSET]);
+    hasher.update(payload);
     hasher.finalize()
 }
 
-/// A complete record with a valid checksum.
-struct Record<'a> {
+/// The header of a record, if it begins with the magic bytes.
+struct RecordHeader {
     sequence: u64,
-    payload: &'a [u8],
+    len: u64,
+    checksum: u32,
 }
 
-fn parse(bytes: &[u8]) -> Option<Record<'_>> {
-    let head = bytes.get(..HEADER_BYTES)?;
-    if !head.starts_with(&RECORD_MAGIC) {
-        return None;
+impl RecordHeader {
+    fn parse(bytes: &[u8; HEADER_BYTES]) -> Option<Self> {
+        let bytes = bytes.strip_prefix(&RECORD_MAGIC)?;
+        let (sequence, bytes) = bytes.split_first_chunk()?;
+        let (len, bytes) = bytes.split_first_chunk()?;
+        let (checksum, _) = bytes.split_first_chunk()?;
+        Some(Self {
+            sequence: u64::from_le_bytes(*sequence),
+            len: u32::from_le_bytes(*len).into(),
+            checksum: u32::from_le_bytes(*checksum),
+        })
     }
-    let len = u32::from_le_bytes(head[12..16].try_into().ok()?) as usize;
-    let record = bytes.get(..HEADER_BYTES.checked_add(len)?)?;
-    let crc = u32::from_le_bytes(head[16..HEADER_BYTES].try_into().ok()?);
-    (checksum(record) == crc).then_some(Record {
-        sequence: u64::from_le_bytes(head[4..12].try_into().ok()?),
-        payload: &record[HEADER_BYTES..],
-    })
 }
 
-/// The result of scanning a file.
-pub(super) struct ScannedRecords<'a> {
-    /// The payload of each record, with the record's offset.
-    pub(super) payloads: Vec<(usize, &'a [u8])>,
-    /// Offset after the last complete record; any bytes that follow are a torn tail.
-    pub(super) end: usize,
+/// Why the next record can't be read.
+#[derive(Debug)]
+pub(super) enum ReadError {
+    /// An operating system call failed.
+    Io(io::Error),
+    /// The record is unreadable and can't be a torn tail, because complete records follow it.
+    Corrupt {
+        /// Byte offset of the record.
+        offset: u64,
+        /// What is wrong, for the error message.
+        reason: &'static str,
+    },
 }
 
-/// An unreadable record that can't be a torn tail, because complete records follow it.
-pub(super) struct Corruption {
-    pub(super) offset: usize,
-    pub(super) reason: &'static str,
+impl From<io::Error> for ReadError {
+    fn from(e: io::Error) -> Self {
+        Self::Io(e)
+    }
 }
 
-/// Reads records until the end or a torn tail. An unreadable record is a torn tail only if no complete
-/// record follows it, because a sync covers everything written before.
-pub(super) fn scan(bytes: &[u8]) -> Result<ScannedRecords<'_>, Corruption> {
-    let mut payloads = Vec::new();
-    let mut end = 0;
-    while let Some(record) = parse(&bytes[end..]) {
-        if record.sequence != payloads.len() as u64 {
+/// Reads the records of a file one after the other, so that never more than one is in memory.
+#[derive(Debug)]
+pub(super) struct RecordReader {
+    file: BufReader<File>,
+    len: u64,
+    end: u64,
+    records: u64,
+}
+
+impl RecordReader {
+    /// Reads from the beginning of a file.
+    pub(super) fn new(file: File) -> io::Result<Self> {
+        Ok(Self {
+            len: file.metadata()?.len(),
+            file: BufReader::with_capacity(READ_BUFFER_BYTES, file),
+            end: 0,
+            records: 0,
+        })
+    }
+
+    /// Returns the offset after the last complete record; any bytes that follow are a torn tail.
+    pub(super) fn end(&self) -> u64 {
+        self.end
+    }
+
+    /// Returns the number of complete records read.
+    pub(super) fn records(&self) -> u64 {
+        self.records
+    }
+
+    /// Returns the number of bytes after the last complete record.
+    pub(super) fn torn_bytes(&self) -> u64 {
+        self.len - self.end
+    }
+
+    /// Returns the next record's payload, or `None` at the end or at a torn tail. An unreadable record is a torn
+    /// tail only if no complete record follows it, because a sync covers everything written before.
+    pub(super) fn next(&mut self) -> Result<Option<Bytes>, ReadError> {
+        let offset = self.end;
+        let Some((sequence, payload)) = self.read_record()? else {
+            if offset < self.len && self.record_follows(offset + 1)? {
+                let reason = "its checksum is wrong and more records follow";
+                return Err(ReadError::Corrupt { offset, reason });
+            }
+            return Ok(None);
+        };
+        if sequence != self.records {
             let reason = "a record is missing";
-            return Err(Corruption {
-                offset: end,
-                reason,
-            });
+            return Err(ReadError::Corrupt { offset, reason });
         }
-        payloads.push((end, record.payload));
-        end += HEADER_BYTES + record.payload.len();
+        self.records += 1;
+        self.end += (HEADER_BYTES + payload.len()) as u64;
+        Ok(Some(payload.into()))
     }
-    if end < bytes.len() && record_follows(&bytes[end + 1..]) {
-        return Err(Corruption {
-            offset: end,
-            reason: "its checksum is wrong and more records follow",
-        });
+
+    fn read_record(&mut self) -> io::Result<Option<(u64, Vec<u8>)>> {
+        let Some(rest) = self.torn_bytes().checked_sub(HEADER_BYTES as u64) else {
+            return Ok(None);
+        };
+        let mut header = [0; HEADER_BYTES];
+        self.file.read_exact(&mut header)?;
+        let Some(parsed) = RecordHeader::parse(&header).filter(|header| header.len <= rest) else {
+            return Ok(None);
+        };
+        let mut payload = vec![0; parsed.len as usize];
+        self.file.read_exact(&mut payload)?;
+        let is_intact = checksum(&header, &payload) == parsed.checksum;
+        Ok(is_intact.then_some((parsed.sequence, payload)))
+    }
+
+    /// Returns whether there is a complete record anywhere from an offset on.
+    fn record_follows(&self, from: u64) -> io::Result<bool> {
+        let mut window = vec![0; READ_BUFFER_BYTES];
+        let mut at = from;
+        while at + HEADER_BYTES as u64 <= self.len {
+            let len = window.len().min((self.len - at) as usize);
+            let bytes = &mut window[..len];
+            read_at(self.file.get_ref(), bytes, at)?;
+            let starts = bytes.windows(MAGIC_BYTES).enumerate();
+            let starts = starts.filter(|(_, bytes)| *bytes == RECORD_MAGIC);
+            for (start, _) in starts {
+                if self.is_record(at + start as u64)? {
+                    return Ok(true);
+                }
+            }
+            // A magic number may lie across the windows.
+            at += (len - (MAGIC_BYTES - 1)) as u64;
+        }
+        Ok(false)
+    }
+
+    fn is_record(&self, at: u64) -> io::Result<bool> {
+        let Some(rest) = (self.len - at).checked_sub(HEADER_BYTES as u64) else {
+            return Ok(false);
+        };
+        let file = self.file.get_ref();
+        let mut header = [0; HEADER_BYTES];
+        read_at(file, &mut header, at)?;
+        let Some(parsed) = RecordHeader::parse(&header).filter(|header| header.len <= rest) else {
+            return Ok(false);
+        };
+        let mut payload = vec![0; parsed.len as usize];
+        read_at(file, &mut payload, at + HEADER_BYTES as u64)?;
+        Ok(checksum(&header, &payload) == parsed.checksum)
     }
-    Ok(ScannedRecords { payloads, end })
 }
 
-fn record_follows(bytes: &[u8]) -> bool {
-    bytes
-        .windows(RECORD_MAGIC.len())
-        .enumerate()
-        .filter(|(_, window)| *window == RECORD_MAGIC)
-        .any(|(at, _)| parse(&bytes[at..]).is_some())
+fn read_at(mut file: &File, buf: &mut [u8], at: u64) -> io::Result<()> {
+    file.seek(SeekFrom::Start(at))?;
+    file.read_exact(buf)
 }
--- a/src/adapters/disk/recover.rs
+++ b/src/adapters/disk/recover.rs
@@ -2,12 +2,13 @@
 
 use std::path::Path;
 
+use bytes::Bytes;
 use prost::Message;
 
 use super::{
     StoreError,
     folder::DataFolder,
-    record::{self, SegmentHeader, StoredBatch, StoredSnapshot},
+    record::{ReadError, RecordReader, SegmentHeader, StoredBatch, StoredSnapshot},
 };
 use crate::{
     domain::MemberId,
@@ -17,21 +18,17 @@
 
 pub(super) const FORMAT_VERSION: u32 = 1;
 
-/// Reads a data folder. Returns the member that it belongs to and its contents.
+/// Reads a data folder, one record at a time. Returns the member that it belongs to and its contents.
 pub(super) fn read_data_folder(
     folder: &DataFolder,
     segment: &Path,
 ) -> Result<(MemberId, Recovered), StoreError> {
-    let bytes = folder.read(segment)?.unwrap_or_default();
-    let scan = record::scan(&bytes).map_err(|corruption| {
-        StoreError::damaged(segment, corruption.offset as u64, corruption.reason)
-    })?;
-    let mut payloads = scan.payloads.iter();
-    let damaged = |reason| StoreError::damaged(segment, scan.end as u64, reason);
-    let header = payloads
-        .next()
-        .and_then(|(_, payload)| SegmentHeader::decode(*payload).ok())
-        .ok_or_else(|| damaged("the first record can't be read"))?;
+    let mut records = open_records(folder, segment)?
+        .ok_or_else(|| StoreError::damaged(segment, 0, "the file is missing"))?;
+    let first = next_payload(&mut records, segment)?;
+    let header = first
+        .and_then(|payload| SegmentHeader::decode(payload).ok())
+        .ok_or_else(|| StoreError::damaged(segment, 0, "the first record can't be read"))?;
     if header.version != FORMAT_VERSION {
         return Err(StoreError::Version {
             path: segment.to_owned(),
@@ -39,19 +36,18 @@
             expected: FORMAT_VERSION,
         });
     }
-    if (scan.payloads.len() as u64) < header.synced_records {
-        return Err(damaged(
-            "a record that was synced with the file can't be read",
-        ));
+    let (hard_state, entries) = replay(segment, &header, &mut records)?;
+    if records.records() < header.synced_records {
+        let reason = "a record that was synced with the file can't be read";
+        return Err(StoreError::damaged(segment, records.end(), reason));
     }
-    if scan.end < bytes.len() {
-        let torn = bytes.len() - scan.end;
+    let torn = records.torn_bytes();
+    if torn > 0 {
         log::warn!(
             "disk: {} ends with {torn} bytes of an incomplete record; truncating them",
             segment.display()
         );
     }
-    let (hard_state, entries) = replay(segment, &header, payloads)?;
     let snapshot = read_snapshot(folder, &header)?;
     let recovered = Recovered {
         hard_state,
@@ -61,17 +57,31 @@
     Ok((MemberId(header.member), recovered))
 }
 
-fn replay<'a>(
+fn open_records(folder: &DataFolder, path: &Path) -> Result<Option<RecordReader>, StoreError> {
+    let file = folder.open_for_reading(path)?;
+    let reader = file.map(RecordReader::new).transpose();
+    reader.map_err(StoreError::io("read", path))
+}
+
+fn next_payload(records: &mut RecordReader, path: &Path) -> Result<Option<Bytes>, StoreError> {
+    records.next().map_err(|e| match e {
+        ReadError::Io(e) => StoreError::io("read", path)(e),
+        ReadError::Corrupt { offset, reason } => StoreError::damaged(path, offset, reason),
+    })
+}
+
+fn replay(
     segment: &Path,
     header: &SegmentHeader,
-    payloads: impl Iterator<Item = &'a (usize, &'a [u8])>,
+    records: &mut RecordReader,
 ) -> Result<(HardState, Vec<Entry>), StoreError> {
     let mut hard_state = HardState::default();
     let mut entries = Vec::new();
-    for (offset, payload) in payloads {
-        let damaged = |reason| StoreError::damaged(segment, *offset as u64, reason);
+    let mut offset = records.end();
+    while let Some(payload) = next_payload(records, segment)? {
+        let damaged = |reason| StoreError::damaged(segment, offset, reason);
         let batch =
-            StoredBatch::decode(*payload).map_err(|_| damaged("a record can't be decoded"))?;
+            StoredBatch::decode(payload).map_err(|_| damaged("a record can't be decoded"))?;
         for entry in &batch.entries {
             if let Err(e) = entry.membership() {
                 return Err(damaged(e.0));
@@ -86,6 +96,7 @@
         if !append(&mut entries, batch.entries, header.base_index) {
             return Err(damaged("an entry is missing"));
         }
+        offset = records.end();
     }
     Ok((hard_state, entries))
 }
@@ -126,17 +137,20 @@
 fn read_snapshot(folder: &DataFolder, header: &SegmentHeader) -> Result<Snapshot, StoreError> {
     let path = folder.snapshot();
     let damaged = |reason| StoreError::damaged(&path, 0, reason);
-    let Some(bytes) = folder.read(&path)? else {
+    let Some(mut records) = open_records(folder, &path)? else {
         return match header.base_index {
             0 => Ok(Snapshot::default()),
             _ => Err(damaged("it is missing, but the log starts after it")),
         };
     };
-    let scan = record::scan(&bytes).map_err(|corruption| damaged(corruption.reason))?;
-    let &[(_, payload)] = scan.payloads.as_slice() else {
-        return Err(damaged("its checksum is wrong"));
-    };
-    if scan.end < bytes.len() {
+    let payload = next_payload(&mut records, &path)?;
+    let payload = payload.ok_or_else(|| damaged("its checksum is wrong"))?;
+    if records.torn_bytes() > 0 {
+        for entry in &batch.entries {
+            if let Err(e) = entry.membership() {
+                return Err(damaged(e.0));
+            }
+        }
         return Err(damaged("bytes follow its end"));
     }
     let stored = StoredSnapshot::decode(payload).map_err(|_| damaged("it can't be decoded"))?;
--- a/src/adapters/disk/store.rs
+++ b/src/adapters/disk/store.rs
@@ -8,6 +8,8 @@
     path::Path,
 };
 
+use prost::Message;
+
 use super::{
     StoreError,
     folder::DataFolder,
@@ -38,6 +40,10 @@
     }
 }
 
+/// Maximum size of the entries in one record of a new segment; a larger entry has a record of its own. It bounds the
+/// memory that writing the segment takes.
+const MAX_RECORD_BYTES: usize = 1024 * 1024;
+
 type WrapFile = Box<dyn Fn(File) -> Box<dyn LogFile> + Send>;
 
 /// The durable log, vote and snapshot of one member.
@@ -223,7 +229,8 @@
             state: snapshot.state.clone(),
         };
         let bytes = record::encode(0, &stored);
-        self.folder.replace(&self.folder.snapshot(), &bytes)?;
+        let path = self.folder.snapshot();
+        self.folder.replace(&path, |file| file.write_all(&bytes))?;
         let entries = mem::take(&mut self.contents.entries);
         self.contents.entries = recover::entries_after(snapshot, entries, base_index);
         self.contents.base = (snapshot.index, snapshot.term);
@@ -232,23 +239,44 @@
 }
 
 impl SegmentContents {
+    /// Splits the entries into those of each record. There is at least one record, which has the hard state.
+    fn records(&self) -> Vec<&[Entry]> {
+        let mut records = Vec::new();
+        let (mut start, mut bytes) = (0, 0);
+        for (position, entry) in self.entries.iter().enumerate() {
+            let len = entry.encoded_len();
+            if position > start && bytes + len > MAX_RECORD_BYTES {
+                records.push(&self.entries[start..position]);
+                (start, bytes) = (position, 0);
+            }
+            bytes += len;
+        }
+        records.push(&self.entries[start..]);
+        records
+    }
+
     /// Writes a new segment. Returns it opened for appending, and the sequence number of its next record.
     fn write_segment(&self, folder: &DataFolder, number: u64) -> Result<(File, u64), StoreError> {
+        let records = self.records();
         let header = SegmentHeader {
             version: FORMAT_VERSION,
             member: self.member.0,
             base_index: self.base.0,
             base_term: self.base.1,
-            synced_records: 2,
-        };
-        let batch = StoredBatch {
-            hard_state: Some(stored_hard_state(&self.hard_state)),
-            entries: self.entries.clone(),
+            synced_records: 1 + records.len() as u64,
         };
-        let mut bytes = record::encode(0, &header);
-        bytes.extend(record::encode(1, &batch));
         let path = folder.segment(number);
-        folder.replace(&path, &bytes)?;
+        folder.replace(&path, |file| {
+            file.write_all(&record::encode(0, &header))?;
+            for (sequence, entries) in (1..).zip(&records) {
+                let batch = StoredBatch {
+                    hard_state: (sequence == 1).then(|| stored_hard_state(&self.hard_state)),
+                    entries: entries.to_vec(),
+                };
+                file.write_all(&record::encode(sequence, &batch))?;
+            }
+            Ok(())
+        })?;
         Ok((folder.open_for_append(&path)?, header.synced_records))
     }
 }
@@ -263,7 +291,7 @@
 /// Returns a random identifier, so that an emptied folder does not come back as its former member.
 fn new_member(folder: &DataFolder) -> Result<MemberId, StoreError> {
     let snapshot = folder.snapshot();
-    if folder.read(&snapshot)?.is_some() {
+    if folder.open_for_reading(&snapshot)?.is_some() {
         let reason = "there is a snapshot but no log";
         return Err(StoreError::damaged(&snapshot, 0, reason));
     }
