Let a controller that lost its disk vote as soon as it has caught up

Cause: the learner was sent the log, which held every document since the start, and the leader looked at it 150 ms after adding it and then only in the next round, a second or more later. Now the leader also looks at a learner every 150 ms, for as long as a round takes, while its vote is wanted; policy::members says when.

That a transfer goes on where it stopped was so before; replication_resume guards it (it was not red).

--- a/src/controller/membership.rs
+++ b/src/controller/membership.rs
@@ -26,6 +26,8 @@
 const MEMBER_QUERY_TIMEOUT: Duration = Duration::from_millis(700);
 /// Most member changes in one round.
 const MAX_MEMBER_CHANGES_PER_ROUND: usize = 4;
+/// Most pauses in one round for a learner that is to vote once it has caught up; they take as long as the round.
+const MAX_CATCH_UP_PAUSES_PER_ROUND: usize = 6;
 /// Pause after a member change; a new member receives a log of usual size within this time.
 const LEARNER_CATCH_UP_DELAY: Duration = Duration::from_millis(150);
 /// Most log entries by which a member may lag and still count as caught up.
@@ -121,12 +123,19 @@
             self.leading_since = self.core.now();
         }
         self.log_missing_voters();
-        // Several changes fit into one round because a learner catches up during the pause between them.
-        for _ in 0..MAX_MEMBER_CHANGES_PER_ROUND {
+        // Several changes fit into one round because a learner catches up during the pauses between them.
+        let (mut changes, mut pauses) = (0, 0);
+        while changes < MAX_MEMBER_CHANGES_PER_ROUND {
             let members = self.members();
             let Some(change) = members.next_change() else {
-                return;
+                if !members.awaits_learner() || pauses == MAX_CATCH_UP_PAUSES_PER_ROUND {
+                    return;
+                }
+                pauses += 1;
+                sleep(LEARNER_CATCH_UP_DELAY).await;
+                continue;
             };
+            changes += 1;
             if let Err(e) = self.core.log.change_members(change).await {
                 log::warn!("controller: cannot apply the member change {change:?}: {e}.");
                 return;
--- a/src/policy/members.rs
+++ b/src/policy/members.rs
@@ -67,6 +67,16 @@
             .or_else(|| self.add_learner())
     }
 
+    /// Returns whether a learner that answers is to vote as soon as it has caught up.
+    pub fn awaits_learner(&self) -> bool {
+        self.wants_voter() && self.learners.iter().any(|m| !m.is_lost())
+    }
+
+    fn wants_voter(&self) -> bool {
+        let responsive = self.voters.iter().filter(|m| !m.is_lost()).count();
+        responsive < self.wanted && self.voters.len() <= self.wanted
+    }
+
     fn remove_lost_learner(&self) -> Option<MemberChange> {
         let is_gone = |m: &&Member| m.is_replaced || m.silence >= LEARNER_REMOVAL_TIMEOUT;
         let learner = self.learners.iter().find(is_gone)?;
@@ -87,8 +97,7 @@
     }
 
     fn promote_learner(&self) -> Option<MemberChange> {
-        let responsive = self.voters.iter().filter(|m| !m.is_lost()).count();
-        if responsive >= self.wanted || self.voters.len() > self.wanted {
+        if !self.wants_voter() {
             return None;
         }
         let is_ready = |m: &&Member| m.has_caught_up && !m.is_lost();
--- a/tests/policy_members.rs
+++ b/tests/policy_members.rs
@@ -156,3 +156,20 @@
     all.wanted = voters_needed(2);
     assert_eq!(all.missing_voters(), 2, "two losses need five voters");
 }
+
+#[test]
+fn a_learner_is_awaited_only_while_a_vote_is_free_or_lost() {
+    let lagging = Member {
+        has_caught_up: false,
+        ..member(4)
+    };
+    let mut all = members(vec![member(1), member(2), replaced(3)]);
+    assert!(!all.awaits_learner(), "there is none");
+    all.learners.push(lagging);
+    assert!(all.awaits_learner());
+    all.learners[0].silence = Duration::from_secs(3);
+    assert!(!all.awaits_learner(), "it does not answer");
+    all.learners[0].silence = Duration::ZERO;
+    all.voters[2] = member(3);
+    assert!(!all.awaits_learner(), "no vote is lost");
+}
