Start with a full disk, after a cut compaction, and never over the limit

What callers saw: a controller whose disk had no room for a second copy of its log did not start; one whose log took more memory than its machine has was killed at each start, without a word on what to do.

Cause: a start wrote the whole log to a second file before it removed the first, with what a crash had left (temporary files, older segments) still on the disk.

Now temporary files and segments older than the newest one are removed first; the newest one was synced as a whole before it got its name, and its name is synced before the removals. If the new segment can't be written, the old one is rewritten in place: the same bytes over themselves, then a sync, so a crash on the way changes nothing, and nothing depends on pages that an earlier process failed to sync. A new segment that got its name although its writing failed is removed before that, or else the start fails: it would be read in place of the one that is appended to. A temporary file that can't be completed is removed.

The memory limit's test needs the new call and was not run on it.

Open: the older log of a folder that was rewritten in place keeps its header, so damage in what was appended last is taken for a torn tail there, as it was before that start. The rewriting needs room on file systems that copy on write.

--- a/src/adapters/disk/error.rs
+++ b/src/adapters/disk/error.rs
@@ -44,6 +44,24 @@
         /// What is wrong, for the error message.
         reason: &'static str,
     },
+    /// Reading the folder would take more memory than the process may use, so that it would be killed.
+    #[error(
+        "{} needs about {needed_mib} MiB of memory to start (log {log_mib} MiB, snapshot {snapshot_mib} MiB) and the \
+         limit is {limit_mib} MiB; raise the memory of this machine or container above that, or, while a majority \
+         of the other controllers runs, start with an empty data folder, which joins as a new member", path.display()
+    )]
+    TooLarge {
+        /// The folder.
+        path: PathBuf,
+        /// Size of the log.
+        log_mib: u64,
+        /// Size of the snapshot.
+        snapshot_mib: u64,
+        /// Estimated memory of a start.
+        needed_mib: u64,
+        /// Memory that the process may use.
+        limit_mib: u64,
+    },
     /// An earlier write or sync failed, so that nothing more may be acknowledged.
     #[error("an earlier write to {} failed; restart the process once the disk works", .0.display())]
     Poisoned(PathBuf),
--- a/src/adapters/disk/mod.rs
+++ b/src/adapters/disk/mod.rs
@@ -6,9 +6,11 @@
 
 mod error;
 mod folder;
+mod memory;
 mod record;
 mod recover;
 mod store;
 
 pub use error::StoreError;
+pub use memory::memory_limit;
 pub use store::{LogFile, LogStore};
--- a/src/adapters/disk/recover.rs
+++ b/src/adapters/disk/recover.rs
@@ -18,11 +18,21 @@
 
 pub(super) const FORMAT_VERSION: u32 = 1;
 
-/// Reads a data folder, one record at a time. Returns the member that it belongs to and its contents.
+/// The contents of a data folder.
+pub(super) struct RecoveredFolder {
+    pub(super) member: MemberId,
+    pub(super) recovered: Recovered,
+    /// Number of complete records of the segment.
+    pub(super) records: u64,
+    /// Offset after the last one.
+    pub(super) end: u64,
+}
+
+/// Reads a data folder, one record at a time.
 pub(super) fn read_data_folder(
     folder: &DataFolder,
     segment: &Path,
-) -> Result<(MemberId, Recovered), StoreError> {
+) -> Result<RecoveredFolder, StoreError> {
     let mut records = open_records(folder, segment)?
         .ok_or_else(|| StoreError::damaged(segment, 0, "the file is missing"))?;
     let first = next_payload(&mut records, segment)?;
@@ -54,7 +64,12 @@
         entries: entries_after(&snapshot, entries, header.base_index),
         snapshot,
     };
-    Ok((MemberId(header.member), recovered))
+    Ok(RecoveredFolder {
+        member: MemberId(header.member),
+        recovered,
+        records: records.records(),
+        end: records.end(),
+    })
 }
 
 fn open_records(folder: &DataFolder, path: &Path) -> Result<Option<RecordReader>, StoreError> {
--- a/src/adapters/disk/store.rs
+++ b/src/adapters/disk/store.rs
@@ -14,7 +14,7 @@
     StoreError,
     folder::DataFolder,
     record::{self, SegmentHeader, StoredBatch, StoredHardState, StoredSnapshot},
-    recover::{self, FORMAT_VERSION},
+    recover::{self, FORMAT_VERSION, RecoveredFolder},
 };
 use crate::{
     domain::MemberId,
@@ -43,6 +43,11 @@
 /// Maximum size of the entries in one record of a new segment; a larger entry has a record of its own. It bounds the
 /// memory that writing the segment takes.
 const MAX_RECORD_BYTES: usize = 1024 * 1024;
+/// Memory of a controller without a log, for the estimate of what a start needs.
+const START_MEMORY_BYTES: u64 = 16 * 1024 * 1024;
+/// Memory per byte of the snapshot: the encoded state, the state itself, and its next encoded copy.
+const START_MEMORY_PER_SNAPSHOT_BYTE: u64 = 3;
+const MIB: u64 = 1024 * 1024;
 
 type WrapFile = Box<dyn Fn(File) -> Box<dyn LogFile> + Send>;
 
@@ -56,6 +61,8 @@
     file: Box<dyn LogFile>,
     wrap: WrapFile,
     poisoned: bool,
+    /// Whether the segment may lack contents or end in the middle of a record.
+    segment_failed: bool,
 }
 
 /// The current contents of the segment, with which a new segment starts.
@@ -85,41 +92,84 @@
         Self::open_with(folder, |file| Box::new(file))
     }
 
+    /// Like [`LogStore::open`], but fails with [`StoreError::TooLarge`] before it reads anything if a start would
+    /// take more memory than `memory_limit`, in bytes.
+    pub fn open_within(
+        folder: &Path,
+        memory_limit: Option<u64>,
+    ) -> Result<(Self, Recovered, MemberId), StoreError> {
+        Self::open_folder(folder, memory_limit, Box::new(|file| Box::new(file)))
+    }
+
     /// Like [`LogStore::open`], but wraps each segment file that it opens for appending.
     pub fn open_with(
         folder: &Path,
         wrap: impl Fn(File) -> Box<dyn LogFile> + Send + 'static,
+    ) -> Result<(Self, Recovered, MemberId), StoreError> {
+        Self::open_folder(folder, None, Box::new(wrap))
+    }
+
+    fn open_folder(
+        folder: &Path,
+        memory_limit: Option<u64>,
+        wrap: WrapFile,
     ) -> Result<(Self, Recovered, MemberId), StoreError> {
         let folder = DataFolder::open(folder)?;
-        let segments = folder.segments()?;
-        let newest = segments.last().copied();
-        let (member, recovered) = match newest {
-            Some(number) => recover::read_data_folder(&folder, &folder.segment(number))?,
-            None => (new_member(&folder)?, Recovered::default()),
+        folder.remove_leftovers()?;
+        let newest = folder.segments()?.last().copied();
+        let found = match newest {
+            Some(number) => {
+                let segment = folder.segment(number);
+                if let Some(limit) = memory_limit {
+                    check_memory(&folder, &segment, limit)?;
+                }
+                recover::read_data_folder(&folder, &segment)?
+            }
+            None => RecoveredFolder {
+                member: new_member(&folder)?,
+                recovered: Recovered::default(),
+                records: 0,
+                end: 0,
+            },
         };
+        let recovered = found.recovered;
         let contents = SegmentContents {
-            member,
+            member: found.member,
             hard_state: recovered.hard_state.clone(),
             base: (recovered.snapshot.index, recovered.snapshot.term),
             entries: recovered.entries.clone(),
         };
-        let number = newest.unwrap_or(0) + 1;
         // The data just read may exist only in the page cache, for example after a failed sync, so it is
-        // rewritten to a new segment before anything depends on it.
-        let (file, next_sequence) = contents.write_segment(&folder, number)?;
-        for old in segments {
-            folder.remove(&folder.segment(old))?;
-        }
+        // rewritten before anything depends on it: to a new segment, or in place if the disk has no space for one.
+        let number = newest.unwrap_or(0) + 1;
+        let (segment_number, file, next_sequence) =
+            match (contents.write_segment(&folder, number), newest) {
+                (Ok((file, next_sequence)), _) => {
+                    folder.remove_segments_before(number)?;
+                    (number, file, next_sequence)
+                }
+                (Err(e @ StoreError::Io { .. }), Some(newest)) => {
+                    log::warn!(
+                        "disk: rewriting the log in place, because a new one cannot be written: {e}"
+                    );
+                    folder.discard_segment(number)?;
+                    let segment = folder.segment(newest);
+                    folder.rewrite_in_place(&segment, found.end)?;
+                    (newest, folder.open_for_append(&segment)?, found.records)
+                }
+                (Err(e), _) => return Err(e),
+            };
         let store = Self {
             folder,
-            contents,
-            segment_number: number,
+            segment_number,
             next_sequence,
             file: wrap(file),
-            wrap: Box::new(wrap),
+            wrap,
             poisoned: false,
+            segment_failed: false,
+            contents,
         };
-        Ok((store, recovered, member))
+        Ok((store, recovered, found.member))
     }
 
     /// Returns the error for a snapshot whose state can't be decoded.
@@ -150,9 +200,9 @@
         Ok(())
     }
 
-    /// Retries a failed [`LogStore::persist`] by writing all contents to a new segment, because it is unknown
-    /// what the failed write left in the old one. Call it with the same hard state and snapshot, and again
-    /// if it fails.
+    /// Retries a failed [`LogStore::persist`]. If the segment was not written, this writes all contents to a new
+    /// one, because it is unknown what the failed write left in the old one. Call it with the same hard state and
+    /// snapshot, and again if it fails.
     pub fn retry_persist(
         &mut self,
         hard_state: Option<HardState>,
@@ -162,7 +212,9 @@
         if let Some(hard_state) = hard_state {
             self.contents.hard_state = hard_state;
         }
-        self.start_segment()?;
+        if self.segment_failed {
+            self.start_segment()?;
+        }
         if let Some(snapshot) = snapshot {
             self.rotate(snapshot)?;
         }
@@ -172,20 +224,15 @@
 
     /// Starts a new segment with all contents and removes the older ones.
     fn start_segment(&mut self) -> Result<(), StoreError> {
+        self.segment_failed = true;
         self.segment_number += 1;
         let (file, next_sequence) = self
             .contents
             .write_segment(&self.folder, self.segment_number)?;
         self.file = (self.wrap)(file);
         self.next_sequence = next_sequence;
-        let segments = self.folder.segments()?;
-        for old in segments
-            .into_iter()
-            .filter(|old| *old < self.segment_number)
-        {
-            self.folder.remove(&self.folder.segment(old))?;
-        }
-        Ok(())
+        self.segment_failed = false;
+        self.folder.remove_segments_before(self.segment_number)
     }
 
     fn append(
@@ -204,10 +251,12 @@
             let reason = "an entry to append would leave a gap in the log";
             return Err(StoreError::damaged(&path, 0, reason));
         }
+        self.segment_failed = true;
         self.file
             .append(&bytes)
             .map_err(StoreError::io("write", &path))?;
         self.file.sync().map_err(StoreError::io("sync", &path))?;
+        self.segment_failed = false;
         self.next_sequence += 1;
         if let Some(hard_state) = hard_state {
             self.contents.hard_state = hard_state;
@@ -281,6 +330,24 @@
     }
 }
 
+/// Fails if a start would take more memory than the limit. The log is in memory once, because the members that
+/// lag get its entries from there.
+fn check_memory(folder: &DataFolder, segment: &Path, limit: u64) -> Result<(), StoreError> {
+    let log = folder.size(segment)?;
+    let snapshot = folder.size(&folder.snapshot())?;
+    let needed = START_MEMORY_BYTES + log + snapshot * START_MEMORY_PER_SNAPSHOT_BYTE;
+    if needed <= limit {
+        return Ok(());
+    }
+    Err(StoreError::TooLarge {
+        path: folder.path().to_owned(),
+        log_mib: log.div_ceil(MIB),
+        snapshot_mib: snapshot.div_ceil(MIB),
+        needed_mib: needed.div_ceil(MIB),
+        limit_mib: limit / MIB,
+    })
+}
+
 fn stored_hard_state(hard_state: &HardState) -> StoredHardState {
     StoredHardState {
         term: hard_state.term,
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -58,7 +58,7 @@
 };
 use crate::{
     RunningRole,
-    adapters::disk::LogStore,
+    adapters::disk::{LogStore, memory_limit},
     domain::Incarnation,
     link::{self, Identity, LinkSettings, PeerKey},
     ports::{Clock, CloudApi, Platform, Ports, Upstreams},
@@ -339,7 +339,8 @@
     folder: &Path,
 ) -> anyhow::Result<(LogStore, Recovered, crate::domain::MemberId)> {
     let path = folder.to_owned();
-    let opened = tokio::task::spawn_blocking(move || LogStore::open(&path)).await;
+    let opened = tokio::task::spawn_blocking(move || LogStore::open_within(&path, memory_limit()));
+    let opened = opened.await;
     opened
         .context("the thread that opens the data folder ended unexpectedly")?
         .with_context(|| format!("the data folder {} cannot be opened", folder.display()))
