--- a/src/adapters/disk/recover.rs
+++ b/src/adapters/disk/recover.rs
@@ -161,11 +161,6 @@
     let payload = next_payload(&mut records, &path)?;
     let payload = payload.ok_or_else(|| damaged("its checksum is wrong"))?;
     if records.torn_bytes() > 0 {
-        for entry in &batch.entries {
-            if let Err(e) = entry.membership() {
-                return Err(damaged(e.0));
-            }
-        }
         return Err(damaged("bytes follow its end"));
     }
     let stored = StoredSnapshot::decode(payload).map_err(|_| damaged("it can't be decoded"))?;
--- a/src/link/tunnel.rs
+++ b/src/link/tunnel.rs
@@ -12,12 +12,11 @@
     time::{sleep, timeout},
 };
 use tokio_util::{
-    codec::Framed,
     io::{CopyToBytes, SinkWriter, StreamReader},
     sync::CancellationToken,
 };
 
-use super::{Identity, Peer, PeerKey, codec::FrameCodec, handshake};
+use super::{Identity, Peer, PeerKey, frame_stream, handshake};
 use crate::{
     adapters::tcp::set_socket_options,
     wire::{Body, Frame, TunnelData, TunnelEnd, TunnelOpen, TunnelOpened, TunnelRefused},
@@ -73,7 +72,7 @@
 ) -> Result<impl AsyncRead + AsyncWrite + Send + Unpin + 'static, TunnelError> {
     let stream = TcpStream::connect(peer).await?;
     set_socket_options(&stream)?;
-    let mut connection = Framed::new(stream, FrameCodec::new());
+    let mut connection = frame_stream(stream)?;
     handshake::connect(&mut connection, key, local).await?;
     connection.send(frame(Body::TunnelOpen(target))).await?;
     match connection
@@ -157,7 +156,7 @@
     handler: &impl TunnelHandler,
 ) -> io::Result<()> {
     set_socket_options(&stream)?;
-    let mut connection = Framed::new(stream, FrameCodec::new());
+    let mut connection = frame_stream(stream)?;
     let opening = async {
         let peer = handshake::accept(&mut connection, key, local).await?;
         let frame = connection.next().await.transpose()?;
