Check that a duty is still held before each of its calls

The platform saw orders of servers with an old fencing token after another controller had ordered with a newer one, later than the slack after a thaw: the leader checked once a round that it leads, and after a freeze it went on with the zones that were left, one order per answer.

Cause: the holder of a duty was fetched once a round and lent to every order of the round. The same held for the orders to stop and start instances of `placement_runner`, which kept its token for the term and checked the lead once a round.

Now a `DutyHolder` permits one call: it is passed by value and cannot be cloned, so each order and each report of usage needs one of its own. `PlacementRunner::term_fence` checks the same for each order. Orders to engines did so already.

Changed for the test: the fake cloud of tests/controllers may answer an order to stop late.

Open: a process that is frozen between the check and the write sends that one order right after the thaw, within the slack.

--- a/src/controller/duty.rs
+++ b/src/controller/duty.rs
@@ -5,6 +5,7 @@
 
 use super::core::Core;
 use crate::{
+    domain::FencingToken,
     ports::{Clock, DutyHolder},
     state::{Action, AllocateFence, Reply},
 };
@@ -22,7 +23,7 @@
 struct DutyTerm {
     term: u64,
     started_at: Duration,
-    holder: Option<DutyHolder>,
+    fence: Option<FencingToken>,
 }
 
 impl Duty {
@@ -35,8 +36,8 @@
         }
     }
 
-    /// Returns the term and the holder if this controller may act now. Allocates the fencing token once
-    /// the previous holder's lease has expired.
+    /// Returns the term and the holder for one call if this controller may act now, by a clock that advances while the
+    /// process is stopped. Allocates the fencing token once the previous holder's lease has expired.
     pub(super) async fn current_holder<T: Clock>(
         &mut self,
         core: &Core<T>,
@@ -45,7 +46,7 @@
             if self
                 .current
                 .take()
-                .is_some_and(|current| current.holder.is_some())
+                .is_some_and(|current| current.fence.is_some())
             {
                 log::info!(
                     event = "duty.lost", duty = self.name;
@@ -64,7 +65,7 @@
                 self.current.insert(DutyTerm {
                     term,
                     started_at: now,
-                    holder: None,
+                    fence: None,
                 })
             }
         };
@@ -72,15 +73,18 @@
         if now < current.started_at + self.lease {
             return None;
         }
-        if current.holder.is_none() {
-            current.holder = acquire(core, self.name).await;
+        if current.fence.is_none() {
+            current.fence = acquire(core, self.name).await;
         }
-        let holder = current.holder.clone()?;
-        core.leads().then_some((term, holder))
+        let holder = DutyHolder {
+            name: Arc::clone(&core.settings.name),
+            fence: current.fence?,
+        };
+        (core.leads() && core.fleet().term() == term).then_some((term, holder))
     }
 }
 
-async fn acquire<T: Clock>(core: &Core<T>, duty: &'static str) -> Option<DutyHolder> {
+async fn acquire<T: Clock>(core: &Core<T>, duty: &'static str) -> Option<FencingToken> {
     match core.propose(Action::AllocateFence(AllocateFence {})).await {
         Ok(applied) => {
             let Reply::Fence(fence) = applied.reply else {
@@ -92,10 +96,7 @@
                 "controller: holds the duty {duty}"
             );
             core.duties().insert(duty, fence);
-            Some(DutyHolder {
-                name: Arc::clone(&core.settings.name),
-                fence,
-            })
+            Some(fence)
         }
         Err(e) => {
             log::warn!("controller: cannot allocate a fencing token for duty {duty} yet: {e}.");
--- a/src/controller/placement_runner.rs
+++ b/src/controller/placement_runner.rs
@@ -242,7 +242,8 @@
             .retain(|name, _| leaving.contains_key(name));
     }
 
-    /// Returns the fencing token of this term; allocates it on first use.
+    /// Returns the fencing token for one order if this controller still leads in the term of this round; allocates it on
+    /// first use. The answer to the order before may have taken any time, also because this process was stopped.
     async fn term_fence<T: Clock>(&mut self, core: &Core<T>) -> Option<FencingToken> {
         if self.fence.is_none() {
             let action = Action::AllocateFence(AllocateFence {});
@@ -250,7 +251,8 @@
                 self.fence = Some(fence);
             }
         }
-        self.fence
+        let still_leads = core.leads() && core.fleet().term() == self.term;
+        self.fence.filter(|_| still_leads)
     }
 }
 
--- a/src/controller/scaler.rs
+++ b/src/controller/scaler.rs
@@ -103,7 +103,7 @@
                 self.measure(service, engine);
             }
         }
-        let Some((term, holder)) = self.duty.current_holder(&self.core).await else {
+        let Some((term, _)) = self.duty.current_holder(&self.core).await else {
             return;
         };
         if self.term != term {
@@ -114,11 +114,21 @@
         }
         for service in &services {
             if let Some(scaling) = &service.scaling {
-                self.scale_service(&holder, service, scaling).await;
+                let still_held = self.scale_service(service, scaling).await;
+                if !still_held {
+                    return;
+                }
             }
         }
     }
 
+    /// Returns the holder for one order if the duty is still held in the term of this round. The answer to the order
+    /// before may have taken any time, also because this process was stopped.
+    async fn holder_of_round(&mut self) -> Option<DutyHolder> {
+        let (term, holder) = self.duty.current_holder(&self.core).await?;
+        (term == self.term).then_some(holder)
+    }
+
     fn measure(&mut self, service: &RoutedService, engine: EngineSpec) {
         let now = self.core.now();
         let load = self.service_load(&service.name);
@@ -177,16 +187,12 @@
         }
     }
 
-    async fn scale_service(
-        &mut self,
-        holder: &DutyHolder,
-        service: &RoutedService,
-        scaling: &ScalingSpec,
-    ) {
+    /// Orders upstreams of a service; returns false if the duty was lost meanwhile.
+    async fn scale_service(&mut self, service: &RoutedService, scaling: &ScalingSpec) -> bool {
         let now = self.core.now();
         let present = self.present_by_zone(&service.name);
         let Some(state) = self.services.get_mut(&service.name) else {
-            return;
+            return true;
         };
         let total: u32 = present
             .values()
@@ -194,12 +200,15 @@
             .sum();
         let planned = state.meter.plan(now, total);
         let Some(needed) = planned.filter(|_| total > 0) else {
-            return;
+            return true;
         };
         let used = state.used;
         for wanted in scale::zone_targets(needed, &state.markets(scaling, now)) {
             let in_zone = present.get(&wanted.zone).copied().unwrap_or_default();
             if let Some(order) = self.next_order(&service.name, &wanted, in_zone) {
+                let Some(holder) = self.holder_of_round().await else {
+                    return false;
+                };
                 log::info!(
                     event = "order.sent", service:% = order.service, zone:% = order.zone,
                     count = order.count, reclaimable = order.reclaimable, fence = holder.fence.0,
@@ -209,6 +218,7 @@
                 self.send_order(holder, &order).await;
             }
         }
+        true
     }
 
     /// Counts the upstreams of a service that are not leaving, by zone.
@@ -257,7 +267,7 @@
         })
     }
 
-    async fn send_order(&mut self, holder: &DutyHolder, order: &UpstreamOrder) {
+    async fn send_order(&mut self, holder: DutyHolder, order: &UpstreamOrder) {
         let sent = timeout(ORDER_TIMEOUT, self.platform.order_upstreams(holder, order)).await;
         let now = self.core.now();
         let zones = self.services.get_mut(&order.service).map(|s| &mut s.zones);
--- a/src/controller/usage.rs
+++ b/src/controller/usage.rs
@@ -8,7 +8,7 @@
 
 use super::{core::Core, duty::Duty, metrics::DutyCounters, periodic::run_periodically};
 use crate::{
-    ports::{Clock, DutyHolder, Platform, WindowUsage},
+    ports::{Clock, Platform, WindowUsage},
     settings::Ingress,
     state::{Action, UsageRecord},
 };
@@ -66,7 +66,7 @@
 
 impl<T: Clock, P: Platform> Reporter<T, P> {
     async fn run_round(&mut self) {
-        let Some((term, holder)) = self.duty.current_holder(&self.core).await else {
+        let Some((term, _)) = self.duty.current_holder(&self.core).await else {
             return;
         };
         let newest = self.core.log.state().usage().newest_window();
@@ -75,7 +75,7 @@
             Some((held, sent)) if held == term => sent,
             _ => newest.unwrap_or_default().saturating_sub(RESENT_WINDOWS),
         };
-        let sent = self.send_reports(&holder, sent).await;
+        let sent = self.send_reports(term, sent).await;
         self.last_sent = Some((term, sent));
     }
 
@@ -110,15 +110,17 @@
     }
 
     /// Sends the committed windows after `sent`, and returns the last window that was sent.
-    async fn send_reports(&self, holder: &DutyHolder, mut sent: u64) -> u64 {
+    async fn send_reports(&mut self, term: u64, mut sent: u64) -> u64 {
         let due: Vec<UsageRecord> = {
             let state = self.core.log.state();
             state.usage().windows_after(sent).cloned().collect()
         };
         for record in due {
-            if !self.core.leads() {
+            let held = self.duty.current_holder(&self.core).await;
+            let Some((_, holder)) = held.filter(|(held, _)| *held == term) else {
                 break;
-            }
+            };
+            let fence = holder.fence.0;
             let usage = window_usage(&record);
             let answer = timeout(REPORT_TIMEOUT, self.platform.report_usage(holder, &usage)).await;
             let failure = match answer {
@@ -132,7 +134,7 @@
             };
             self.counters.failed.increment();
             log::warn!(
-                event = "usage.not_reported", window = record.window, fence = holder.fence.0;
+                event = "usage.not_reported", window = record.window, fence = fence;
                 "controller: cannot report the usage of a window yet: {failure}"
             );
             break;
--- a/src/platform/api.rs
+++ b/src/platform/api.rs
@@ -67,7 +67,7 @@
         &self,
         path: &str,
         body: &impl Serialize,
-        holder: &DutyHolder,
+        holder: DutyHolder,
     ) -> Result<(), CloudError> {
         let mut req = post_request(&self.target, path, body).map_err(no_answer)?;
         let name = HeaderValue::from_str(&holder.name).map_err(|_| {
@@ -109,7 +109,7 @@
 
     async fn report_usage(
         &self,
-        holder: &DutyHolder,
+        holder: DutyHolder,
         usage: &WindowUsage,
     ) -> Result<(), CloudError> {
         let counts = usage.counts.iter();
@@ -124,7 +124,7 @@
 
     async fn order_upstreams(
         &self,
-        holder: &DutyHolder,
+        holder: DutyHolder,
         order: &UpstreamOrder,
     ) -> Result<(), CloudError> {
         let body = ScaleBody {
--- a/src/ports/platform.rs
+++ b/src/ports/platform.rs
@@ -163,8 +163,9 @@
     pub slots: u32,
 }
 
-/// The current holder of a duty, on whose behalf calls to the platform are made.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// The current holder of a duty, on whose behalf one call to the platform is made. It is not cloned: each call needs a check
+/// of its own that the duty is still held, because time passes while the platform answers.
+#[derive(Debug, PartialEq, Eq)]
 pub struct DutyHolder {
     /// The holder's name.
     pub name: std::sync::Arc<str>,
@@ -184,7 +185,7 @@
     /// Reports the usage of one window to the platform.
     fn report_usage(
         &self,
-        holder: &DutyHolder,
+        holder: DutyHolder,
         usage: &WindowUsage,
     ) -> impl Future<Output = Result<(), CloudError>> + Send;
 
@@ -192,7 +193,7 @@
     /// now.
     fn order_upstreams(
         &self,
-        holder: &DutyHolder,
+        holder: DutyHolder,
         order: &UpstreamOrder,
     ) -> impl Future<Output = Result<(), CloudError>> + Send;
 
--- a/tests/controller_orders.rs
+++ b/tests/controller_orders.rs
@@ -11,7 +11,7 @@
 use flamingocroft::{
     controller::orders::{ActionOutcome, Engine, EngineAction, OrderPlanner, OrderTiming},
     domain::{Fencing, FencingToken, Incarnation},
-    ports::{EngineLoad, EngineOrder, OrderKind, OrderOutcome, Target},
+    ports::{EngineLoad, EngineOrder, OrderKind, OrderOutcome, ReclaimNotice, Target},
     settings::Timing,
 };
 
@@ -206,3 +206,41 @@
     assert_eq!(answer.unwrap(), OrderOutcome::Fenced);
     assert_eq!(cluster.upstreams.orders().last(), orders.last());
 }
+
+/// Guards against a round that goes on with its old fencing token after another controller may lead.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_order_follows_an_answer_that_took_longer_than_the_lease() {
+    const INSTANCES: [&str; 4] = ["i-1", "i-2", "i-3", "i-4"];
+    let listings = INSTANCES.map(|name| listing(name, "manifest", "z0"));
+    let cloud = FakeCloud::with_instances(listings.to_vec());
+    let timing = Timing {
+        cloud_poll: ms(50),
+        view_lease: ms(200),
+        ..Timing::default()
+    };
+    let mut cluster = Cluster::start_with(3, timing.clone(), Some(cloud)).await;
+    cluster.plan_and_confirm(&engines_intent("1", 4)).await;
+    let (leader, _) = cluster.leader().await;
+    let notice = |name: &str| ReclaimNotice {
+        instance: name.into(),
+        incarnation: Incarnation(1),
+        remaining: Duration::from_secs(600),
+    };
+    cluster.cloud.update(|cloud| {
+        cloud.answer_delay = ms(1000);
+        cloud.notices = INSTANCES.map(notice).to_vec();
+    });
+    let until = Instant::now() + Duration::from_secs(20);
+    while cluster.cloud.stopped() == 0 {
+        assert!(Instant::now() < until, "no instance is stopped");
+        tokio::time::sleep(ms(5)).await;
+    }
+    for other in (0..3).filter(|other| *other != leader) {
+        cluster.stop(other).await;
+    }
+    // The last answer of a follower renews the lease for the election timeout.
+    tokio::time::sleep(timing.election_timeout + ms(100)).await;
+    let before = cluster.cloud.stopped();
+    tokio::time::sleep(ms(2500)).await;
+    assert_eq!(cluster.cloud.stopped(), before, "orders without a lease");
+}
--- a/tests/controllers/cloud.rs
+++ b/tests/controllers/cloud.rs
@@ -1,6 +1,6 @@
 //! An in-memory cloud API.
 
-use std::sync::Mutex;
+use std::{sync::Mutex, time::Duration};
 
 use flamingocroft::{
     domain::{
@@ -22,6 +22,8 @@
     pub operations: Vec<OperationId>,
     pub refusals: u32,
     pub next: u64,
+    /// Time until an order to stop is answered; it takes effect at once.
+    pub answer_delay: Duration,
 }
 
 pub fn listing(name: &str, service: &str, zone: &str) -> InstanceListing {
@@ -55,6 +57,13 @@
     }
 }
 
+impl FakeCloud {
+    /// Returns how many orders to stop an instance were received.
+    pub fn stopped(&self) -> usize {
+        self.0.lock().unwrap().stopped.len()
+    }
+}
+
 impl CloudApi for FakeCloud {
     async fn instances(&self) -> Result<Vec<InstanceListing>, CloudError> {
         Ok(self.0.lock().unwrap().list.clone())
@@ -85,9 +94,13 @@
     }
 
     async fn stop(&self, instance: &InstanceName, _: FencingToken) -> Result<(), CloudError> {
-        let mut inner = self.0.lock().unwrap();
-        inner.list.retain(|listing| listing.name != *instance);
-        inner.stopped.push(instance.clone());
+        let delay = {
+            let mut inner = self.0.lock().unwrap();
+            inner.list.retain(|listing| listing.name != *instance);
+            inner.stopped.push(instance.clone());
+            inner.answer_delay
+        };
+        tokio::time::sleep(delay).await;
         Ok(())
     }
 }
