Drop the upstream that was tried when a silent stream goes on, and wait for another when it breaks off

A review of the change that keeps a stream at its silent upstream showed orders of events that it got wrong. All need a silent upstream and another one that has not answered yet: - The silent one sends an event, then the other answers: the caller got the pieces of two runs, before the first event also of two software versions. Now the request at the other one is dropped as soon as the stream goes on. - After 0.3 s the silent one was left also when only this stream was silent. Now it is left if the whole upstream shows no sign of life, and else the other one is. - The silent one breaks off and the other one rejects the request: the stream was cut without waiting for a third one. - Before the first byte, several requests could see the last of the retry budget, and all give their upstreams up. The retry is now paid when the first one is given up. - A long wait is recorded as the longest after which a stream is left, and one silence is recorded once.

Evidence: two further tests of platform_silence (joined from two, breaks off meanwhile); the first fails without the cancellation by construction of its script, it was not run on the code before.

--- a/src/ingress/forward/attempt.rs
+++ b/src/ingress/forward/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt of a request at an upstream, and the check that the response belongs to the request.
 
-use std::time::Duration;
+use std::{sync::atomic::Ordering, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -109,7 +109,12 @@
             let is_silent = !class.is_stream()
                 || in_flight.upstream.is_lost(timeout, now)
                 || now - sent >= response_targets.max_silence();
-            if is_silent && self.can_retry(&self.eligible(), now) {
+            // The retry is paid at once, as others that are given up at the same time would need the same budget.
+            if is_silent
+                && self.can_retry(&self.eligible(), now)
+                && self.core.budgets.try_spend(&self.service, now)
+            {
+                self.retry_paid.store(true, Ordering::Relaxed);
                 return;
             }
         }
@@ -124,7 +129,8 @@
     ) -> AttemptError {
         let upstream = &in_flight.upstream;
         if e.kind == UpstreamErrorKind::Silent {
-            in_flight.record_wait(Awaited::First, waited);
+            let longest = self.response_targets().max_silence();
+            in_flight.record_wait(Awaited::First, waited.min(longest));
         }
         // A partition or a tunnel may have ended the connection while the service is out of direct reach.
         let is_cut_off = self.core.reach.is_cut_off(&self.service);
--- a/src/ingress/forward/mod.rs
+++ b/src/ingress/forward/mod.rs
@@ -3,7 +3,13 @@
 mod attempt;
 mod response;
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -133,6 +139,8 @@
     counted_at: Option<u64>,
     /// Whether an upstream has the request, for the relay of a stream that another upstream began.
     handover: Handover,
+    /// Whether the next attempt was taken from the retry budget when its predecessor was given up.
+    retry_paid: AtomicBool,
 }
 
 impl<P: Platform, T: Clock> ForwardedRequest<P, T> {
@@ -215,6 +223,7 @@
             attempts: 0,
             counted_at: None,
             handover: Handover::default(),
+            retry_paid: AtomicBool::new(false),
             route,
         })
     }
@@ -251,7 +260,8 @@
                 return Err(self.error_or_pause(NotRun::NoUpstream, now));
             };
             let is_retry = !self.tried.is_empty();
-            if is_retry && !self.core.budgets.try_spend(&self.service, now) {
+            let is_paid = self.retry_paid.swap(false, Ordering::Relaxed);
+            if is_retry && !is_paid && !self.core.budgets.try_spend(&self.service, now) {
                 return Err(self.error_unless_run(NotRun::Busy));
             }
             self.core.counters.attempts.increment();
@@ -276,7 +286,8 @@
                     self.count_usage();
                     let in_flight = &mut accepted.source.in_flight;
                     in_flight.record_first_byte();
-                    in_flight.record_wait(Awaited::First, now.elapsed());
+                    let longest = self.response_targets().max_silence();
+                    in_flight.record_wait(Awaited::First, now.elapsed().min(longest));
                     // Only requests for engines are refused because of the waits of others.
                     if self.route.class.is_stream() && resume_after.is_none() {
                         let (upstreams, target) = (&self.core.upstreams, self.route.target);
--- a/src/ingress/forward/response.rs
+++ b/src/ingress/forward/response.rs
@@ -49,11 +49,25 @@
                 return Err(self as Box<dyn Resume>);
             }
             self.origin = origin;
-            self.handover = handover;
-            if previous == Previous::Gone {
-                self.wait_for_upstream().await;
-            }
-            let found = self.try_upstreams(after).await;
+            self.handover = handover.clone();
+            let attempt = async {
+                if previous == Previous::Gone {
+                    self.wait_for_upstream().await;
+                }
+                self.try_upstreams(after).await
+            };
+            let found = tokio::select! {
+                biased;
+                () = handover.cancelled() => None,
+                found = attempt => Some(found),
+            };
+            let Some(found) = found else {
+                log::info!(
+                    event = "stream.not_resumed", request = self.id(), previous:? = previous;
+                    "ingress: the previous upstream of a stream is at work"
+                );
+                return Err(self as Box<dyn Resume>);
+            };
             match found {
                 Ok(accepted) if accepted.head.status.is_success() => {
                     self.core.counters.resumed.increment();
--- a/src/ingress/relay.rs
+++ b/src/ingress/relay.rs
@@ -16,6 +16,7 @@
 use futures_util::future::BoxFuture;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::time::{Instant, Sleep, sleep, sleep_until};
+use tokio_util::sync::CancellationToken;
 
 use super::{
     crashes::{CrashWatch, RequestTraits},
@@ -86,17 +87,26 @@
     Silent,
 }
 
-/// Whether the request of a stream is at another upstream, which has not rejected it.
+/// The state of a stream's change from one upstream to another, shared by its relay and its request.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Handover(Arc<AtomicBool>);
+pub(super) struct Handover {
+    /// Whether the request is at another upstream, which has not rejected it.
+    is_sent: Arc<AtomicBool>,
+    cancelled: CancellationToken,
+}
 
 impl Handover {
     pub(super) fn set_sent(&self, sent: bool) {
-        self.0.store(sent, Ordering::Relaxed);
+        self.is_sent.store(sent, Ordering::Relaxed);
     }
 
     fn is_sent(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
+        self.is_sent.load(Ordering::Relaxed)
+    }
+
+    /// Completes when the stream stays at its upstream; the request at the other one is then dropped.
+    pub(super) async fn cancelled(&self) {
+        self.cancelled.cancelled().await;
     }
 }
 
@@ -160,6 +170,8 @@
     last_progress: Instant,
     /// Since when the relay waits for the upstream, as opposed to the caller.
     waiting_since: Option<Instant>,
+    /// Whether the current silence was recorded.
+    silence_recorded: bool,
     resuming: Option<Resuming>,
 }
 
@@ -167,14 +179,15 @@
 struct Resuming {
     result: BoxFuture<'static, Result<Resumed, Box<dyn Resume>>>,
     handover: Handover,
-    /// When the previous upstream is left, once the request is at another one.
+    previous: Previous,
+    /// When one of the upstreams is left, once the request is at another one.
     release: Option<Pin<Box<Sleep>>>,
 }
 
 impl Resuming {
     /// Completes when both upstreams have had the stream for [`MAX_HANDOVER_OVERLAP`].
     fn poll_release(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        if !self.handover.is_sent() {
+        if !self.handover.is_sent() || self.handover.cancelled.is_cancelled() {
             self.release = None;
             return Poll::Pending;
         }
@@ -228,6 +241,7 @@
             resumable,
             last_progress: Instant::now(),
             waiting_since: None,
+            silence_recorded: false,
             resuming: None,
         })))
     }
@@ -278,8 +292,8 @@
                     if let Some(e) = self.finish_resume(result) {
                         return Poll::Ready(Some(Err(e)));
                     }
-                } else if resuming.poll_release(cx).is_ready() && self.source.is_some() {
-                    self.leave_source("another upstream has the stream");
+                } else if resuming.poll_release(cx).is_ready() {
+                    self.release();
                 }
             }
             let Some(source) = &mut self.source else {
@@ -391,6 +405,8 @@
         }
         self.last_progress = now;
         let waiting_since = self.waiting_since.take();
+        let was_recorded = std::mem::take(&mut self.silence_recorded);
+        self.cancel_resume();
         let Some(source) = &self.source else {
             return;
         };
@@ -399,10 +415,12 @@
         self.context
             .reach
             .record_activity(service, source.lease.way());
-        if let Some(waiting_since) = waiting_since.filter(|_| self.context.is_stream) {
-            source
-                .in_flight
-                .record_wait(Awaited::Next, now - waiting_since);
+        if let Some(waiting_since) =
+            waiting_since.filter(|_| self.context.is_stream && !was_recorded)
+        {
+            let longest = self.context.response_targets.max_silence();
+            let waited = (now - waiting_since).min(longest);
+            source.in_flight.record_wait(Awaited::Next, waited);
         }
         if let Some(check) = &mut self.next_liveness_check {
             let timeout = source
@@ -412,6 +430,29 @@
         }
     }
 
+    /// Leaves a silent upstream that shows no other sign of life, or else the one that was tried in its place.
+    fn release(&mut self) {
+        let Some(source) = &self.source else {
+            return;
+        };
+        let response_targets = &self.context.response_targets;
+        let timeout = source
+            .in_flight
+            .silence_timeout(Awaited::Next, response_targets);
+        if source.in_flight.upstream.is_lost(timeout, Instant::now()) {
+            self.leave_source("another upstream has the stream");
+        } else {
+            self.cancel_resume();
+        }
+    }
+
+    /// Stays at the current upstream, which is at work, and drops the request at another one.
+    fn cancel_resume(&self) {
+        if let (Some(resuming), Some(_)) = (&self.resuming, &self.source) {
+            resuming.handover.cancelled.cancel();
+        }
+    }
+
     /// Returns whether another upstream can take the stream over now.
     fn can_resume(&self) -> bool {
         self.resumable.as_ref().is_some_and(|stream| {
@@ -429,13 +470,16 @@
         let origin = stream.origin.get().cloned();
         let placeholder: Box<dyn Resume> = Box::new(NoResume);
         let resume = std::mem::replace(&mut stream.resume, placeholder);
-        if let Some(source) = &self.source {
+        let is_new = !std::mem::replace(&mut self.silence_recorded, true);
+        if let Some(source) = self.source.as_ref().filter(|_| is_new) {
             source.in_flight.upstream.record_failure(Instant::now());
         }
         match (previous, &self.source) {
             (Previous::Silent, Some(source)) => {
                 let waited = self.waiting_since.map_or(Duration::ZERO, |at| at.elapsed());
-                source.in_flight.record_wait(Awaited::Next, waited);
+                if is_new {
+                    source.in_flight.record_wait(Awaited::Next, waited);
+                }
                 log::info!(
                     event = "stream.silent", request = self.id.as_str(), after:? = after,
                     upstream:% = source.in_flight.upstream.target.instance,
@@ -449,6 +493,7 @@
         self.resuming = Some(Resuming {
             result: resume.resume(after, origin, previous, handover.clone()),
             handover,
+            previous,
             release: None,
         });
         true
@@ -457,7 +502,7 @@
     /// Goes on with the upstream that has taken the stream over. Without one it stays with the previous upstream;
     /// an error is returned if that is gone too.
     fn finish_resume(&mut self, result: Result<Resumed, Box<dyn Resume>>) -> Option<RelayError> {
-        self.resuming = None;
+        let previous = self.resuming.take().map(|resuming| resuming.previous);
         let (source, resume) = match result {
             Ok(resumed) => (Some(resumed.source), resumed.resume),
             Err(resume) => (None, resume),
@@ -482,6 +527,14 @@
                 );
                 None
             }
+            // The previous upstream broke off meanwhile, and there may be time for another one.
+            (None, None) if previous == Some(Previous::Silent) => {
+                self.start_resume(
+                    Previous::Gone,
+                    "it broke off while another upstream was tried",
+                );
+                None
+            }
             (None, None) => Some(self.abort("no upstream can resume the stream")),
         }
     }
--- a/tests/platform_silence.rs
+++ b/tests/platform_silence.rs
@@ -148,6 +148,68 @@
     assert_eq!(servers.len(), 2);
 }
 
+/// Events of the second upstream could be cut in other places, or come from other software.
+#[tokio::test]
+async fn a_stream_that_goes_on_while_another_upstream_is_tried_is_not_joined_from_two() {
+    let second = "a piece of the other upstream";
+    for before in [0, 2] {
+        let begun = Mutex::new(HashSet::new());
+        let installation = start(2, move |_, seen| {
+            let id = seen.headers["x-flamingocroft-request-id"].clone();
+            if begun.lock().unwrap().insert(id) {
+                let chunks = (1..=EVENTS).map(|id| match id == before + 1 {
+                    true => (Duration::from_millis(750), event(id)),
+                    false => (PAUSE, event(id)),
+                });
+                return ServerAction::Timed(chunks.collect());
+            }
+            let after = resumed_after(seen);
+            let chunks = (after + 1..=EVENTS).map(|id| format!("id: {id}\ndata: {second}\n\n"));
+            ServerAction::StreamAfter(Duration::from_millis(250), chunks.collect())
+        })
+        .await;
+        let body = stream(&installation, "r1").await.unwrap();
+        let joined = body.contains(second) && body.contains("data: piece 8");
+        assert!(
+            !joined && body.matches("id: ").count() == EVENTS as usize,
+            "{body}"
+        );
+        if before > 0 {
+            assert_eq!(body, events(1..=EVENTS).concat());
+        }
+        assert_eq!(installation.log.requests().len(), 2);
+    }
+}
+
+#[tokio::test]
+async fn a_stream_goes_on_elsewhere_when_its_silent_upstream_breaks_off_meanwhile() {
+    let tries = Mutex::new(0);
+    let installation = start(3, move |_, seen| {
+        let mut tries = tries.lock().unwrap();
+        *tries += 1;
+        let after = resumed_after(seen);
+        match *tries {
+            1 => ServerAction::StallAfter(events(1..=2)),
+            2 => ServerAction::Reset,
+            _ => ServerAction::Stream {
+                chunks: events(after + 1..=EVENTS),
+                complete: true,
+            },
+        }
+    })
+    .await;
+    let mut more = document(2);
+    for route in more["Routes"].as_array_mut().unwrap() {
+        route["TargetGapMs"] = json!(300);
+        route["TimeoutMs"] = json!(8000);
+        route["MaxAttempts"] = json!(3);
+    }
+    installation.publish(&more).await;
+    sleep(Duration::from_millis(500)).await;
+    let body = stream(&installation, "r1").await;
+    assert_eq!(body, Ok(events(1..=EVENTS).concat()));
+}
+
 #[tokio::test]
 async fn a_slow_first_byte_is_awaited_when_no_other_upstream_is_left() {
     let installation = start(1, |_, _| ServerAction::RespondAfter(SILENCE)).await;
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -82,6 +82,8 @@
     StallAfter(Vec<String>),
     /// Streams chunks with a pause before each, then ends properly.
     Paced(Vec<String>, Duration),
+    /// Streams chunks after a delay without a response head, then ends properly.
+    StreamAfter(Duration, Vec<String>),
     /// Like [`Self::Paced`], with a pause of its own before each chunk.
     Timed(Vec<(Duration, String)>),
 }
@@ -332,7 +334,7 @@
         let settings = Arc::new(Settings::read(&file).unwrap());
         let (stop, end) = (self.stop_gateway.clone(), self.stop.clone());
         let metrics = Metrics::new().unwrap();
-        start_gateway(settings, &metrics, stop, end).await;
+        start_gateway(settings, Arc::new(TcpDialer), &metrics, stop, end).await;
         metrics
     }
 
--- a/tests/platform_support/servers.rs
+++ b/tests/platform_support/servers.rs
@@ -219,6 +219,11 @@
             timed(chunks, guard)
         }
         ServerAction::Timed(chunks) => timed(chunks, guard),
+        ServerAction::StreamAfter(delay, chunks) => {
+            sleep(delay).await;
+            let end = futures_util::stream::empty().boxed();
+            signed(Response::new(stream(chunks, end, guard)))
+        }
     };
     if let Some(id) = id {
         res.headers_mut().insert("x-flamingocroft-request-id", id);
