--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -18,20 +18,14 @@
 
 use std::{io, time::Duration};
 
-use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio_util::codec::Framed;
 
-/// Bytes that the kernel holds unsent for a connection at most. Without a limit it takes megabytes at once, which
-/// hides for seconds whether a slow network still makes progress and puts small messages behind them.
-const MAX_UNSENT_BYTES: u32 = 32 * 1024;
+use crate::adapters::tcp::set_write_options;
 
 /// Prepares a new TCP connection for frames.
 fn frame_stream(stream: TcpStream) -> io::Result<handshake::Connection> {
-    stream.set_nodelay(true)?;
-    if let Err(e) = SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES) {
-        log::debug!("link: the kernel does not limit unsent bytes: {e}.");
-    }
+    set_write_options(&stream)?;
     let watched = activity::Watched::new(stream);
     Ok(Framed::new(watched, codec::FrameCodec::new()))
 }
--- a/src/policy/rate_limit.rs
+++ b/src/policy/rate_limit.rs
@@ -82,8 +82,12 @@
         self.gateways
     }
 
-    /// Returns this gateway's part of a number of requests; the parts of all gateways add up to it.
+    /// Returns this gateway's part of a number of requests; the parts of all gateways add up to it. A gateway that knows of
+    /// none yet takes one.
     pub(super) fn share(self, total: usize) -> usize {
+        if self.gateways == 0 {
+            return total.min(1);
+        }
         let holders = total.min(self.gateways);
         let rank = self.rank.filter(|rank| *rank < holders);
         rank.map_or(0, |rank| {
--- a/tests/disk_start.rs
+++ b/tests/disk_start.rs
@@ -29,7 +29,10 @@
     Snapshot {
         index,
         term: 1,
-        membership: MembershipRecord::default(),
+        membership: MembershipRecord {
+            voters: vec![7],
+            ..MembershipRecord::default()
+        },
         state: Bytes::from(vec![1; bytes]),
     }
 }
--- a/tests/platform_brittle.rs
+++ b/tests/platform_brittle.rs
@@ -35,8 +35,9 @@
 
 #[tokio::test]
 async fn a_statement_that_is_no_number_changes_nothing() {
-    let installation = Installation::start(1, |_, _| {
-        ServerAction::NotExecutedWith(vec![("server-brittle", "very")])
+    let installation = Installation::start(1, |_, seen| match seen.path.as_str() {
+        "/once/x" => ServerAction::NotExecutedWith(vec![("server-brittle", "very")]),
+        _ => ServerAction::Respond(StatusCode::OK, Vec::new()),
     })
     .await;
     installation.publish(&document(1)).await;
--- a/tests/policy_brittle.rs
+++ b/tests/policy_brittle.rs
@@ -219,6 +219,15 @@
     assert!(check(&brittleness, 4, 10).is_ok());
 }
 
+#[test]
+fn a_gateway_that_knows_of_no_gateway_sends_one_request() {
+    let place = Place::find("i-1", "a", std::iter::empty());
+    let mut brittleness = Brittleness::default();
+    brittleness.record_statement(Some(5));
+    assert!(brittleness.check(place, 4, 0, Duration::ZERO).is_ok());
+    assert!(brittleness.check(place, 4, 1, Duration::ZERO).is_err());
+}
+
 #[test]
 fn an_upstream_that_bears_no_rejection_still_gets_requests() {
     let all: Vec<String> = (0..200).map(|n| format!("gateway-{n}")).collect();
