Keep a silent upstream until another one has answered

Callers saw: a stream whose sound upstream fell silent for a second or so was cut, though its upstream went on, when the other upstreams had queued the request and rejected it after 0.3 s.

Cause: 0.3 s after another upstream had been sent the request, the relay left the silent one if that showed no sign of life, without knowing whether the other one would take the stream. A late rejection then found nobody to go back to.

Change: the first upstream is left only when the second one has answered. The limit of 0.3 s now only drops the request at the second one while the first one is at work. A stream begins to run with its first token, so a request in a queue doesn't count towards the 400 ms for which two upstreams may work on a stream.

Evidence: a_stream_stays_with_a_silent_upstream_when_the_others_reject_it_late failed before (error reading a body from connection; the other eight tests of platform_silence passed) and passes now, with the other eight.

--- a/src/ingress/relay.rs
+++ b/src/ingress/relay.rs
@@ -42,8 +42,8 @@
 /// one event. A long stream shows it long before its end.
 const SURVIVED_FRAMES: u32 = 2;
 
-/// Time for which an upstream is kept after another one was sent its stream and has not rejected it. The pages allow both to
-/// work on it for 400 ms.
+/// Time after which the request at another upstream, which has neither answered nor rejected it, is dropped if the stream's own
+/// upstream is at work. Both may work on a stream for 400 ms, and a request in a queue is no work.
 const MAX_HANDOVER_OVERLAP: Duration = Duration::from_millis(300);
 
 /// Number of further liveness checks per silence timeout, after the first check at the timeout itself.
@@ -180,21 +180,23 @@
     result: BoxFuture<'static, Result<Resumed, Box<dyn Resume>>>,
     handover: Handover,
     previous: Previous,
-    /// When one of the upstreams is left, once the request is at another one.
-    release: Option<Pin<Box<Sleep>>>,
+    /// When to check whether the previous upstream is at work, once the request is at another one.
+    overlap_check: Option<Pin<Box<Sleep>>>,
 }
 
 impl Resuming {
-    /// Completes when both upstreams have had the stream for [`MAX_HANDOVER_OVERLAP`].
-    fn poll_release(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+    /// Completes whenever both upstreams have had the stream for a further [`MAX_HANDOVER_OVERLAP`].
+    fn poll_overlap(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         if !self.handover.is_sent() || self.handover.cancelled.is_cancelled() {
-            self.release = None;
+            self.overlap_check = None;
             return Poll::Pending;
         }
-        let release = self
-            .release
+        let check = self
+            .overlap_check
             .get_or_insert_with(|| Box::pin(sleep(MAX_HANDOVER_OVERLAP)));
-        release.as_mut().poll(cx)
+        ready!(check.as_mut().poll(cx));
+        self.overlap_check = None;
+        Poll::Ready(())
     }
 }
 
@@ -292,8 +294,9 @@
                     if let Some(e) = self.finish_resume(result) {
                         return Poll::Ready(Some(Err(e)));
                     }
-                } else if resuming.poll_release(cx).is_ready() {
-                    self.release();
+                } else if resuming.poll_overlap(cx).is_ready() {
+                    self.end_overlap();
+                    continue;
                 }
             }
             let Some(source) = &mut self.source else {
@@ -430,8 +433,9 @@
         }
     }
 
-    /// Leaves a silent upstream that shows no other sign of life, or else the one that was tried in its place.
-    fn release(&mut self) {
+    /// Drops the request at another upstream if the current one shows a sign of life. Otherwise both keep it until one of them
+    /// answers: the other one may still reject it, and the stream would be lost.
+    fn end_overlap(&mut self) {
         let Some(source) = &self.source else {
             return;
         };
@@ -439,9 +443,7 @@
         let timeout = source
             .in_flight
             .silence_timeout(Awaited::Next, response_targets);
-        if source.in_flight.upstream.is_lost(timeout, Instant::now()) {
-            self.leave_source("another upstream has the stream");
-        } else {
+        if !source.in_flight.upstream.is_lost(timeout, Instant::now()) {
             self.cancel_resume();
         }
     }
@@ -494,7 +496,7 @@
             result: resume.resume(after, origin, previous, handover.clone()),
             handover,
             previous,
-            release: None,
+            overlap_check: None,
         });
         true
     }
--- a/tests/platform_silence.rs
+++ b/tests/platform_silence.rs
@@ -19,6 +19,8 @@
 /// which another upstream is tried.
 const SILENCE: Duration = Duration::from_millis(1600);
 const PAUSE: Duration = Duration::from_millis(20);
+/// Time that a request spends in an upstream's queue before it is rejected: longer than both upstreams may work on a stream.
+const TIME_IN_QUEUE: Duration = Duration::from_millis(600);
 /// Events of a stream.
 const EVENTS: u64 = 8;
 /// Events of one upstream before it falls silent.
@@ -103,6 +105,22 @@
     assert_eq!(body, Ok(events(1..=EVENTS).concat()));
 }
 
+/// Guards against a stream that leaves its silent upstream for one that has only queued it.
+#[tokio::test]
+async fn a_stream_stays_with_a_silent_upstream_when_the_others_reject_it_late() {
+    let begun = Mutex::new(HashSet::new());
+    let installation = start(3, move |_, seen| {
+        let id = seen.headers["x-flamingocroft-request-id"].clone();
+        match begun.lock().unwrap().insert(id) {
+            true => with_silence(seen),
+            false => ServerAction::NotExecutedAfter(TIME_IN_QUEUE),
+        }
+    })
+    .await;
+    let body = stream(&installation, "r1").await;
+    assert_eq!(body, Ok(events(1..=EVENTS).concat()));
+}
+
 #[tokio::test]
 async fn a_stream_leaves_a_dead_upstream_as_soon_as_another_is_there() {
     let installation = start(2, |_, seen| match resumed_after(seen) {
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -60,6 +60,8 @@
     RespondAfter(Duration),
     /// Reports that it has not executed the request.
     NotExecuted,
+    /// Like [`Self::NotExecuted`], after a delay.
+    NotExecutedAfter(Duration),
     /// Like [`Self::NotExecuted`], with further headers.
     NotExecutedWith(Vec<(&'static str, &'static str)>),
     /// Sends a complete, signed response with further headers.
--- a/tests/platform_support/servers.rs
+++ b/tests/platform_support/servers.rs
@@ -180,6 +180,10 @@
             return Err(std::io::ErrorKind::TimedOut.into());
         }
         ServerAction::NotExecuted => not_executed(Vec::new()),
+        ServerAction::NotExecutedAfter(after) => {
+            sleep(after).await;
+            not_executed(Vec::new())
+        }
         ServerAction::NotExecutedWith(headers) => not_executed(headers),
         ServerAction::RespondWith(headers) => with_headers(
             signed(full_response(StatusCode::OK, b"done".to_vec())),
