Scale: survive a least count above the greatest one

Operators saw: nothing.

Change: the greatest count holds.

Evidence: a_least_count_above_the_greatest_one_orders_the_greatest failed before (min > max. min = 13, max = 12) and passes now, with the other twelve tests of policy_scale.

--- a/src/policy/scale.rs
+++ b/src/policy/scale.rs
@@ -187,6 +187,13 @@
     pub max: u32,
 }
 
+impl ZoneMarket {
+    /// Returns the fewest upstreams to order. A table may state a least count above the greatest one, which then holds.
+    fn least(&self) -> u32 {
+        self.min.min(self.max)
+    }
+}
+
 /// Target counts of one zone.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ZoneTarget {
@@ -219,7 +226,9 @@
         .iter()
         .zip(&on_demand_counts)
         .map(|(market, on_demand)| {
-            let left = market.max.saturating_sub(on_demand.total().max(market.min));
+            let left = market
+                .max
+                .saturating_sub(on_demand.total().max(market.least()));
             let price = market.reclaimable_price.unwrap_or(market.price);
             offer(market, price, left, true)
         })
@@ -234,8 +243,8 @@
         .map(|(market, (on_demand, reclaimable))| ZoneTarget {
             zone: market.zone.clone(),
             reclaimable: reclaimable.reclaimable,
-            on_demand: on_demand.on_demand.max(market.min),
-            kept: (on_demand.on_demand + missing).clamp(market.min, market.max),
+            on_demand: on_demand.on_demand.max(market.least()),
+            kept: (on_demand.on_demand + missing).clamp(market.least(), market.max),
         })
         .collect()
 }
--- a/tests/policy_scale.rs
+++ b/tests/policy_scale.rs
@@ -245,6 +245,23 @@
     }
 }
 
+/// Guards against a panic, which ended all orders of a controller: the table's checks allow such bounds.
+#[test]
+fn a_least_count_above_the_greatest_one_orders_the_greatest() {
+    let crossed = markets(true).into_iter().map(|market| ZoneMarket {
+        min: market.max + 1,
+        ..market
+    });
+    let need = Need {
+        sufficient: 9,
+        comfortable: 15,
+    };
+    for target in zone_targets(need, &crossed.collect::<Vec<_>>()) {
+        assert_eq!((target.on_demand, target.kept), (12, 12), "{target:?}");
+        assert_eq!(target.reclaimable, 0);
+    }
+}
+
 /// Three reclaimable upstreams are present when the zone refuses a fourth one.
 #[test]
 fn a_sold_out_zone_keeps_its_reclaimable_upstreams() {
