--- a/tests/platform_support/daemons.rs
+++ b/tests/platform_support/daemons.rs
@@ -24,6 +24,14 @@
     log_level: String,
 }
 
+/// Returns the program of the current build.
+pub fn current_program() -> &'static Path {
+    let Some(program) = option_env!("CARGO_BIN_EXE_flamingocroftd") else {
+        unreachable!("Cargo names the program for tests only; examples start no processes")
+    };
+    Path::new(program)
+}
+
 impl Drop for Daemon {
     fn drop(&mut self) {
         self.kill();
@@ -37,14 +45,21 @@
 
     /// Starts a process with a log level.
     pub fn start_with_log_level(settings: &Path, log_level: &str) -> Self {
-        let Some(program) = option_env!("CARGO_BIN_EXE_flamingocroftd") else {
-            unreachable!("Cargo names the program for tests only; examples start no processes")
-        };
+        Self::start_program(current_program(), settings, log_level, Stdio::null())
+    }
+
+    /// Starts a process of another build.
+    pub fn start_program(
+        program: &Path,
+        settings: &Path,
+        log_level: &str,
+        output: impl Into<Stdio>,
+    ) -> Self {
         let child = Command::new(program)
             .arg("--settings")
             .arg(settings)
             .env("RUST_LOG", log_level)
-            .stdout(Stdio::null())
+            .stdout(output)
             .spawn()
             .unwrap();
         Self {
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -228,6 +228,14 @@
         data_folder(self.folder.path(), self.hosts[controller])
     }
 
+    /// Writes the settings of a further gateway. Returns the file and the address of its machine.
+    pub fn add_gateway_file(&self) -> (PathBuf, IpAddr) {
+        let host = unique_host();
+        let (folder, hosts) = (self.folder.path(), &self.hosts);
+        let file = write_settings(folder, host, "gateway", hosts, self.api_address);
+        (file, host.into())
+    }
+
     /// Gives the gateway a slow link to the first controller. Call it before the gateway starts.
     pub async fn slow_down_gateway(&self, link: SlowLink) {
         give_slow_link(&self.gateway_file, self.hosts[0], link).await;
