Tests: resend what a controller asks to resend, and poll with a pause

Traced: an answer was 503, "the quorum did not answer in time; the order may still take effect, so resend it", and the test read the first answer as success. That is what operators are told, and what their tool does.

Change: plan, confirm and history of the tests' cluster ask again, the leader that is named or another controller, for 20 s at most. What is asserted stays: one order of two wins, a resent one has the first one's revision and index, the history has as many entries as orders. It is as strict, since a resent order must not take effect twice. Tests that polled without a pause poll each 10 ms.

--- a/tests/controller_confirm.rs
+++ b/tests/controller_confirm.rs
@@ -8,14 +8,16 @@
     time::{Duration, Instant},
 };
 
-use controllers::{Cluster, FakeGateway, confirm_request, intent, new_confirm_request};
+use controllers::{
+    Cluster, FakeGateway, POLL_INTERVAL, confirm_request, intent, new_confirm_request,
+};
 use flamingocroft::{
     domain::{Intent, MemberId, Ran},
-    operator::{Confirmed, HistoryEntry, MemberChanged, MemberRequest},
+    operator::{Confirmed, MemberChanged, MemberRequest},
     settings::Timing,
 };
 use hyper::{Method, StatusCode};
-use tokio::{io::AsyncWriteExt, net::TcpStream};
+use tokio::{io::AsyncWriteExt, net::TcpStream, time::sleep};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn one_of_two_concurrent_confirms_on_the_same_revision_wins() {
@@ -54,7 +56,7 @@
     let (leader, _) = cluster.leader().await;
     let third: Confirmed = cluster.confirm(leader, &plan).await.read();
     assert_eq!((third.revision, third.index), (first.revision, first.index));
-    let history: Vec<HistoryEntry> = cluster.get(leader, "history").await.read();
+    let history = cluster.history(leader).await;
     assert_eq!(history.len(), 2, "{history:?}");
 }
 
@@ -82,7 +84,7 @@
     let (next, _) = cluster.leader().await;
     let answer: Confirmed = cluster.confirm(next, &plan).await.read();
     assert_eq!(answer.revision.0, 1);
-    let history: Vec<HistoryEntry> = cluster.get(next, "history").await.read();
+    let history = cluster.history(next).await;
     assert_eq!(history.len(), 1);
 }
 
@@ -129,6 +131,7 @@
             Instant::now() < deadline,
             "the isolated follower still names a leader"
         );
+        sleep(POLL_INTERVAL).await;
     }
     let answer = cluster
         .post(isolated, "confirm", &new_confirm_request(1, intent(2)))
@@ -153,6 +156,7 @@
             return;
         }
         assert!(Instant::now() < deadline, "{:?}", answer.body);
+        sleep(POLL_INTERVAL).await;
     }
 }
 
@@ -231,6 +235,7 @@
         }
         assert_eq!(answer.status, StatusCode::CONFLICT, "{:?}", answer.body);
         assert!(Instant::now() < deadline, "{request:?} is still refused");
+        sleep(POLL_INTERVAL).await;
     }
 }
 
--- a/tests/controller_orders.rs
+++ b/tests/controller_orders.rs
@@ -185,7 +185,7 @@
             return orders;
         }
         assert!(Instant::now() < until, "last {:?}", orders.last());
-        tokio::task::yield_now().await;
+        tokio::time::sleep(controllers::POLL_INTERVAL).await;
     }
 }
 
--- a/tests/controllers/mod.rs
+++ b/tests/controllers/mod.rs
@@ -28,7 +28,7 @@
         OperationId, Price, Revision, Service, ServiceKind, Zone,
     },
     link::{Identity, Link, LinkSettings, PeerKey},
-    operator::{ConfirmRequest, Confirmed, ErrorBody, Plan, Status},
+    operator::{ConfirmRequest, Confirmed, ErrorBody, HistoryEntry, Plan, Status},
     ports::{Clock, Ports},
     settings::{ControllerEntry, Limits, Role, Settings, Timing},
     telemetry::Metrics,
@@ -40,12 +40,14 @@
 use serde::{Serialize, de::DeserializeOwned};
 use sha2::{Digest, Sha256};
 use tempfile::TempDir;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
 pub const OPERATOR_TOKEN: &str = "operators-token-for-tests";
 pub const PEER_KEY: &[u8] = b"a-shared-key-for-the-tests-only";
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
+/// Pause between two polls, which leaves the processor to what is waited for.
+pub const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Longer than a confirm waits for gateways after its commit.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -202,7 +204,7 @@
                 }
             }
             assert!(Instant::now() < deadline, "no leader was elected in time");
-            tokio::task::yield_now().await;
+            sleep(POLL_INTERVAL).await;
         }
     }
 
@@ -218,6 +220,7 @@
                 Instant::now() < deadline,
                 "the status never had the property; last status: {status:?}"
             );
+            sleep(POLL_INTERVAL).await;
         }
     }
 
@@ -260,16 +263,44 @@
                 return MemberId(report.member);
             }
             assert!(Instant::now() < deadline, "no member report in time");
-            tokio::task::yield_now().await;
+            sleep(POLL_INTERVAL).await;
         }
     }
 
     pub async fn plan(&self, index: usize, intent: &Intent) -> Plan {
-        self.post(index, "plan", intent).await.read()
+        self.ask(index, Method::POST, "plan", intent).await.read()
     }
 
     pub async fn confirm(&self, index: usize, plan: &Plan) -> Answer {
-        self.post(index, "confirm", &confirm_request(plan)).await
+        let request = confirm_request(plan);
+        self.ask(index, Method::POST, "confirm", &request).await
+    }
+
+    /// Returns the history of the configuration, from a controller or from the leader that it names.
+    pub async fn history(&self, index: usize) -> Vec<HistoryEntry> {
+        self.ask(index, Method::GET, "history", &()).await.read()
+    }
+
+    /// Calls a controller and, as the operator's tool does, the leader again while no leader or quorum answers in time; an
+    /// order takes effect once, however often it is sent.
+    async fn ask(&self, index: usize, method: Method, call: &str, body: &impl Serialize) -> Answer {
+        let body = Bytes::from(serde_json::to_vec(body).unwrap());
+        let running = self.controllers.iter().filter(|one| one.running.is_some());
+        let mut others = running.map(|one| one.settings.http_address).cycle();
+        let deadline = Instant::now() + TEST_TIMEOUT;
+        let mut next = self.controllers[index].settings.http_address;
+        loop {
+            let sent = send_to(next, method.clone(), call, OPERATOR_TOKEN, body.clone());
+            let answer = sent.await;
+            let leader = match answer.status {
+                StatusCode::MISDIRECTED_REQUEST => answer.error().error.leader,
+                StatusCode::SERVICE_UNAVAILABLE | StatusCode::BAD_GATEWAY => None,
+                _ => return answer,
+            };
+            assert!(Instant::now() < deadline, "{call}: {:?}", answer.body);
+            next = leader.or_else(|| others.next()).unwrap();
+            sleep(POLL_INTERVAL).await;
+        }
     }
 
     /// Plans and confirms an intent at the leader.
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -23,7 +23,7 @@
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
     sync::{Notify, watch},
-    time::{Instant, timeout},
+    time::{Instant, sleep, timeout},
 };
 use tokio_util::sync::CancellationToken;
 
@@ -31,6 +31,8 @@
 /// Maximum time for an expected event; exceeding it fails the test.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Pause between two polls, which leaves the processor to what is waited for.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Length of a message that a throttled link carries in several times the silence that a link bears.
 const LARGE_BYTES: usize = 3 * 1024 * 1024;
 /// Rate of a throttled link in each direction, in bytes per second.
@@ -135,7 +137,7 @@
         loop {
             match link.call(message(text), CALL_TIMEOUT).await {
                 Ok(body) => return body,
-                Err(_) => tokio::task::yield_now().await,
+                Err(_) => sleep(POLL_INTERVAL).await,
             }
         }
     };
@@ -318,7 +320,7 @@
 async fn call_until_answered_within(link: &Link, deadline: Duration) {
     let attempt = async {
         while link.call(message("after"), deadline).await.is_err() {
-            tokio::task::yield_now().await;
+            sleep(POLL_INTERVAL).await;
         }
     };
     timeout(TEST_TIMEOUT, attempt).await.unwrap();
@@ -344,7 +346,7 @@
     link.send(Body::LeavingNotice(LeavingNotice::default()));
     let delivered = async {
         while handler.handled.load(Ordering::SeqCst) == before {
-            tokio::task::yield_now().await;
+            sleep(POLL_INTERVAL).await;
         }
     };
     timeout(TEST_TIMEOUT, delivered).await.unwrap();
