Play troubles of the controllers while a build is replaced

Change: upgrade_roll also kills each controller, takes one's disk away, or freezes each for 1.5 s while two builds run. Its callers pause for 50 ms between two requests, so that they leave the processor to the processes.

--- a/tests/upgrade_roll.rs
+++ b/tests/upgrade_roll.rs
@@ -36,6 +36,12 @@
 const EVENTS: u64 = 8;
 /// The `ConfigApplyMs` of the smallest deployments.
 const CONFIG_APPLY: Duration = Duration::from_millis(2000);
+/// The `ContactMs` and `CatchUpS` of the smallest deployments.
+const CONTACT: Duration = Duration::from_millis(3000);
+const CATCH_UP: Duration = Duration::from_secs(4);
+const FREEZE: Duration = Duration::from_millis(1500);
+/// Pause of a caller between two requests, which leaves the processor to the processes.
+const THINK_TIME: Duration = Duration::from_millis(50);
 /// How often callers ask for addresses.
 const REFRESH: Duration = Duration::from_millis(500);
 const LATER_KEY: &str = "key-that-is-taken-away";
@@ -81,10 +87,23 @@
 /// A process and how to see that it works again.
 struct Place {
     daemon: Daemon,
+    program: PathBuf,
     settings: PathBuf,
     role: Role,
 }
 
+/// What befalls the controllers while two builds run.
+#[derive(Clone, Copy)]
+enum Trouble {
+    None,
+    /// Each is killed and starts again.
+    Kills,
+    /// One loses its disk.
+    LostDisk,
+    /// Each stands still for a while, so the leader does too.
+    Freezes,
+}
+
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Role {
     Controller(SocketAddr),
@@ -95,11 +114,18 @@
     fn start(program: &Path, settings: PathBuf, role: Role) -> Self {
         Self {
             daemon: start_logged(program, &settings),
+            program: program.into(),
             settings,
             role,
         }
     }
 
+    /// Starts the same program again after it was killed.
+    async fn restart(&mut self) {
+        self.daemon = start_logged(&self.program, &self.settings);
+        self.wait_until_it_works().await;
+    }
+
     /// Stops the process as an operator would, and starts another program in its place.
     async fn replace(&mut self, program: &Path) {
         self.daemon.terminate();
@@ -108,8 +134,8 @@
             assert!(begun.elapsed() < TEST_TIMEOUT, "a process does not end");
             sleep(Duration::from_millis(20)).await;
         }
-        self.daemon = start_logged(program, &self.settings);
-        self.wait_until_it_works().await;
+        self.program = program.into();
+        self.restart().await;
     }
 
     async fn wait_until_it_works(&self) {
@@ -221,6 +247,7 @@
     async fn run(self: Arc<Self>, hosts: Vec<IpAddr>) {
         let (mut known, mut asked) = (Vec::new(), None::<Instant>);
         while !self.ended.load(Ordering::Relaxed) {
+            sleep(THINK_TIME).await;
             if asked.is_none_or(|at| at.elapsed() >= REFRESH) {
                 asked = Some(Instant::now());
                 known = resolve(&hosts).await.unwrap_or(known);
@@ -247,10 +274,45 @@
     }
 }
 
-/// Replaces all processes in an order of their indices, and changes the table while half of them are replaced.
-async fn roll(from: &Path, to: &Path, order: impl Fn(usize) -> usize) {
+impl Trouble {
+    /// Brings the trouble about and waits until the controllers could bear the next one.
+    async fn strike(self, controllers: &mut [Place], folders: &[PathBuf]) {
+        match self {
+            Self::None => {}
+            Self::Kills => {
+                for place in controllers {
+                    place.daemon.kill();
+                    place.restart().await;
+                    sleep(CONTACT).await;
+                }
+            }
+            Self::LostDisk => {
+                let last = controllers.last_mut().unwrap();
+                last.daemon.kill();
+                std::fs::remove_dir_all(folders.last().unwrap()).unwrap();
+                last.restart().await;
+                sleep(CATCH_UP).await;
+            }
+            Self::Freezes => {
+                for place in controllers {
+                    place.daemon.suspend();
+                    sleep(FREEZE).await;
+                    place.daemon.resume();
+                    sleep(CONTACT).await;
+                }
+            }
+        }
+    }
+}
+
+/// Replaces all processes in an order of their indices. While the first ones are replaced, a trouble strikes the controllers,
+/// and later the table changes.
+async fn roll(from: &Path, to: &Path, order: impl Fn(usize) -> usize, trouble: Trouble) {
     let prepared = PreparedInstallation::prepare(CONTROLLERS, 3, serve).await;
     let controls = prepared.controls();
+    let folders: Vec<PathBuf> = (0..CONTROLLERS)
+        .map(|one| prepared.data_folder(one))
+        .collect();
     let mut places: Vec<Place> = prepared
         .controller_files
         .iter()
@@ -276,6 +338,9 @@
     let half = places.len() / 2;
     for step in 0..places.len() {
         places[order(step)].replace(to).await;
+        if step == 0 {
+            trouble.strike(&mut places[..CONTROLLERS], &folders).await;
+        }
         if step == half {
             publish(&controls, &table(2, false, 1400)).await;
             sleep(CONFIG_APPLY).await;
@@ -324,16 +389,37 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn controllers_are_replaced_before_gateways_without_a_loss() {
-    roll(&earlier_program(), current_program(), |step| step).await;
+    let (from, to) = (earlier_program(), current_program());
+    roll(&from, to, |step| step, Trouble::None).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn gateways_are_replaced_before_controllers_without_a_loss() {
+    let (from, to) = (earlier_program(), current_program());
     let last = CONTROLLERS + GATEWAYS - 1;
-    roll(&earlier_program(), current_program(), |step| last - step).await;
+    roll(&from, to, |step| last - step, Trouble::None).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_replacement_is_rolled_back_without_a_loss() {
-    roll(current_program(), &earlier_program(), |step| step).await;
+    let (from, to) = (current_program(), earlier_program());
+    roll(from, &to, |step| step, Trouble::None).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn controllers_that_are_killed_during_a_replacement_lose_nothing() {
+    let (from, to) = (earlier_program(), current_program());
+    roll(&from, to, |step| step, Trouble::Kills).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_disk_that_is_lost_during_a_replacement_loses_nothing() {
+    let (from, to) = (earlier_program(), current_program());
+    roll(&from, to, |step| step, Trouble::LostDisk).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn controllers_that_freeze_during_a_replacement_lose_nothing() {
+    let (from, to) = (earlier_program(), current_program());
+    roll(&from, to, |step| step, Trouble::Freezes).await;
 }
