--- a/tests/upgrade_roll.rs
+++ b/tests/upgrade_roll.rs
@@ -319,8 +319,7 @@
         .zip(&controls)
         .map(|(file, control)| Place::start(from, file.clone(), Role::Controller(*control)))
         .collect();
-    let mut gateways = vec![prepared.add_gateway_file(), prepared.add_gateway_file()];
-    gateways.truncate(GATEWAYS);
+    let gateways: Vec<_> = (0..GATEWAYS).map(|_| prepared.add_gateway_file()).collect();
     let hosts: Vec<IpAddr> = gateways.iter().map(|(_, host)| *host).collect();
     for (file, host) in gateways {
         places.push(Place::start(from, file, Role::Gateway(host)));
@@ -350,7 +349,7 @@
     publish(&controls, &table(3, true, 10)).await;
     sleep(CONFIG_APPLY).await;
     load.ended.store(true, Ordering::Relaxed);
-    while callers.join_next().await.is_some() {}
+    callers.join_all().await;
     let read = call_any(&controls, Method::GET, "/api/config/get", "").await;
     assert_eq!(version_of(&read), 3);
     println!("{:?}", load.outcomes.lock().unwrap());
