Record an answer when it ends, not when its head comes

What operators saw: `request.answered` with status 200 and a count of `answered` for answers that broke off, some before a byte of them had gone out. Logs and metrics could not tell a caller who got nothing from one who got a whole answer.

Cause: the line and the count were made when the upstream's head had come.

Change: both are made once, at the end of the body: `answered` or `upstream_failed` if it was whole, `cut` if it was cut off, `caller_left` if the caller's connection ended first. `answer.cut` names route, status, attempt and framing, and when the answer began. Two new values of the label `outcome`; the lines keep their names.

Test: an_answer_that_does_not_reach_its_caller_whole_is_not_counted_as_answered (the outcomes are new, so it cannot pass before).

--- a/src/ingress/forward/response.rs
+++ b/src/ingress/forward/response.rs
@@ -6,11 +6,12 @@
 use hyper::{Response, StatusCode};
 use tokio::time::{Instant, sleep};
 
-use super::{ForwardedRequest, attempt::AcceptedResponse, millis};
+use super::{ForwardedRequest, attempt::AcceptedResponse};
 use crate::{
     adapters::http::{EndsWithConnection, Framing, RespondBy},
     domain::RequestClass,
     ingress::{
+        answer_record::AnswerRecord,
         events::EventSplitter,
         headers::without_connection_headers,
         origins::StreamOrigin,
@@ -20,7 +21,6 @@
     },
     policy::origins::{Origin, StreamId},
     ports::{Clock, Platform},
-    telemetry::RequestOutcome,
 };
 
 /// Poll interval for an upstream that can resume a broken stream; several polls fit into the time after
@@ -110,11 +110,12 @@
     pub(super) fn into_response(self, accepted: AcceptedResponse) -> Response<Relay> {
         let AcceptedResponse { head, source } = accepted;
         let framing = source.framing;
-        self.record_response(head.status, framing, &source.in_flight);
+        let record = self.record_response(head.status, framing, &source.in_flight);
         let (deadline, id) = (self.deadline, self.id().to_owned());
         let context = RelayContext {
             account: self.metrics.clone(),
             arrived: self.arrived,
+            record: Some(record),
             is_stream: self.route.class.is_stream() && head.status.is_success(),
             response_targets: self.response_targets(),
             traits: Arc::clone(&self.traits),
@@ -148,31 +149,30 @@
         StreamOrigin::new(origins, stream, self.origin.clone())
     }
 
-    /// Counts and logs a request that got an upstream's response.
-    fn record_response(&self, status: StatusCode, framing: Framing, in_flight: &InFlightGuard) {
-        let duration = self.arrived.elapsed();
-        self.metrics.record_first_token(duration);
-        let (level, outcome, message) = match status.is_success() {
-            true => (
-                log::Level::Info,
-                RequestOutcome::Answered,
-                "a request is answered",
-            ),
-            false => (
-                log::Level::Warn,
-                RequestOutcome::UpstreamFailed,
-                "a request is answered with the upstream's failure",
-            ),
-        };
-        self.count_outcome(outcome);
-        log::log!(
-            level,
-            event = "request.answered", request = self.id(), route = &*self.route.name,
-            upstream:% = in_flight.upstream.target.instance, status = status.as_u16(),
-            attempt = self.tried.len(), choice = in_flight.reason.name(), framing:? = framing,
-            ms = millis(duration);
-            "ingress: {message}"
-        );
+    /// Records that a response begins, and returns what is recorded when it ends.
+    fn record_response(
+        &self,
+        status: StatusCode,
+        framing: Framing,
+        in_flight: &InFlightGuard,
+    ) -> AnswerRecord {
+        let begun = Instant::now();
+        self.metrics
+            .record_first_token(begun.duration_since(self.arrived));
+        AnswerRecord {
+            id: self.id().to_owned(),
+            route: Arc::clone(&self.route.name),
+            class: self.route.class,
+            account: self.metrics.clone(),
+            counters: Arc::clone(&self.core.counters),
+            status,
+            framing,
+            attempts: self.tried.len(),
+            upstream: in_flight.upstream.target.instance.clone(),
+            choice: in_flight.reason.name(),
+            arrived: self.arrived,
+            begun,
+        }
     }
 
     /// Waits until an untried upstream is available and the retry budget allows an attempt, but no longer than
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -3,6 +3,7 @@
 
 mod admit;
 mod announce;
+mod answer_record;
 mod controllers;
 mod counters;
 mod crashes;
@@ -71,7 +72,7 @@
     quotas: Quotas,
     budgets: RetryBudgets,
     usage: UsageCounter,
-    counters: Counters,
+    counters: Arc<Counters>,
     crashes: Arc<CrashWatch>,
     origins: Arc<Origins>,
     controllers: ControllerContacts,
@@ -175,7 +176,7 @@
         quotas: Quotas::new(ingress.quota_rule()),
         budgets: RetryBudgets::new(&ingress),
         usage: UsageCounter::new(ingress.usage_window),
-        counters: Counters::new(metrics),
+        counters: Arc::new(Counters::new(metrics)),
         crashes: Arc::new(CrashWatch::new(metrics)),
         origins: Arc::new(Origins::new(metrics)),
         controllers: ControllerContacts::default(),
--- a/src/ingress/relay.rs
+++ b/src/ingress/relay.rs
@@ -19,6 +19,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{
+    answer_record::{AnswerEnd, AnswerRecord},
     crashes::{CrashWatch, RequestTraits},
     events::{EventBoundary, EventSplitter},
     origins::StreamOrigin,
@@ -138,6 +139,8 @@
     pub(super) account: AccountMetrics,
     /// When the request arrived.
     pub(super) arrived: Instant,
+    /// What is recorded when the response ends.
+    pub(super) record: Option<AnswerRecord>,
     /// Whether the response is an event stream, whose pauses between events are measured.
     pub(super) is_stream: bool,
     /// The latency targets of the request's route.
@@ -590,6 +593,7 @@
                 .record_answer(self.context.arrived.elapsed());
             source.in_flight.upstream.record_success();
             self.context.crashes.record_answer(&self.context.traits);
+            self.record_end(AnswerEnd::Whole);
             source.lease.return_to_pool();
         }
     }
@@ -597,18 +601,20 @@
     /// Logs why the response is cut off and drops the upstream's body, which closes its connection.
     fn abort(&mut self, reason: &str) -> RelayError {
         let source = self.source.take();
-        let instance = source
+        let upstream = source
             .as_ref()
             .map(|source| &source.in_flight.upstream.target.instance);
-        log::warn!(
-            event = "answer.cut", request = self.id.as_str(),
-            upstream = instance.map(|name| name.as_str()).unwrap_or_default();
-            "ingress: an answer is cut off: {reason}"
-        );
+        self.record_end(AnswerEnd::Cut { reason, upstream });
         self.resuming = None;
         reason.to_owned().into()
     }
 
+    fn record_end(&mut self, end: AnswerEnd<'_>) {
+        if let Some(record) = self.context.record.take() {
+            record.end(end);
+        }
+    }
+
     fn is_ended(&self) -> bool {
         let ended = |source: &UpstreamBody| source.body.is_end_stream();
         self.resuming.is_none()
@@ -625,6 +631,7 @@
         if self.source.as_ref().is_some_and(is_ended) && !self.is_inside_event() {
             self.complete();
         }
+        self.record_end(AnswerEnd::CallerLeft);
     }
 }
 
--- a/src/telemetry/recorder.rs
+++ b/src/telemetry/recorder.rs
@@ -124,10 +124,14 @@
 /// How a request of a published route ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum RequestOutcome {
-    /// A successful response of an upstream was forwarded.
+    /// A successful response of an upstream was forwarded whole.
     Answered,
-    /// An error response of an upstream was forwarded.
+    /// An error response of an upstream was forwarded whole.
     UpstreamFailed,
+    /// The response of an upstream was cut off after it had begun.
+    Cut,
+    /// The caller's connection ended before the response.
+    CallerLeft,
     /// The request was refused and has not run.
     Refused,
     /// The request may have run, and the caller got no response of an upstream.
@@ -138,9 +142,11 @@
 
 impl RequestOutcome {
     /// All outcomes, in the order of their discriminants.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 7] = [
         Self::Answered,
         Self::UpstreamFailed,
+        Self::Cut,
+        Self::CallerLeft,
         Self::Refused,
         Self::Failed,
         Self::NotAllowed,
@@ -151,6 +157,8 @@
         match self {
             Self::Answered => "answered",
             Self::UpstreamFailed => "upstream_failed",
+            Self::Cut => "cut",
+            Self::CallerLeft => "caller_left",
             Self::Refused => "refused",
             Self::Failed => "failed",
             Self::NotAllowed => "not_allowed",
--- a/tests/platform_metrics.rs
+++ b/tests/platform_metrics.rs
@@ -3,9 +3,12 @@
 mod metric_text;
 mod platform_support;
 
+use std::time::Duration;
+
 use hyper::{Method, StatusCode};
 use metric_text::value;
 use platform_support::{Installation, ServerAction, document, wait_until};
+use tokio::time::timeout;
 
 #[tokio::test]
 async fn requests_are_counted_by_class_account_and_outcome() {
@@ -83,6 +86,39 @@
     assert!(value(&text, "ingress_retry_budget_left{service=\"app\"}") > 0.0);
 }
 
+#[tokio::test]
+async fn an_answer_that_does_not_reach_its_caller_whole_is_not_counted_as_answered() {
+    let installation = Installation::start(1, |_, seen| match seen.path.as_str() {
+        "/stream/cut" => ServerAction::Stream {
+            chunks: vec!["id: 1\ndata: x\n\n".into()],
+            complete: false,
+        },
+        _ => ServerAction::StallAfter(vec!["id: 1\ndata: x\n\n".into()]),
+    })
+    .await;
+    installation.publish(&document(1)).await;
+    let before = installation.metrics[1].render();
+    let stream = |text: &str, outcome: &str| {
+        let line = format!("ingress_requests_total{{class=\"stream\",outcome=\"{outcome}\"}}");
+        value(text, &line)
+    };
+    let res = installation
+        .send(Method::POST, "/stream/cut", "r1", "")
+        .await;
+    assert!(res.body.is_err());
+    let left = installation.send(Method::POST, "/stream/left", "r2", "");
+    assert!(
+        timeout(Duration::from_millis(500), left).await.is_err(),
+        "the stream has an end"
+    );
+    wait_until("both ends are counted", || async {
+        let text = installation.metrics[1].render();
+        let counted = |outcome| stream(&text, outcome) - stream(&before, outcome);
+        (counted("cut"), counted("caller_left"), counted("answered")) == (1.0, 1.0, 0.0)
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn gauges_show_the_state_of_a_gateway_and_a_controller() {
     let installation =
