Let an answer begin before its head goes to the caller

What callers saw: a connection closed without a byte for a request that had been read whole, neither an answer nor a refusal, and that also for requests that may be repeated.

Cause: the head went to the HTTP library as soon as the upstream had sent it. When the error of the body was read with it, the library closed the connection before it had written the head. The class: committing to an answer before it is known to exist.

What breaks off before is an attempt that may have run: another upstream, where the route and the budgets allow it, and otherwise 502. Nothing that may run only once is sent again. First events of streams go out at once.

Tests (platform_first_bytes): a head and a break-off in one segment for a length, chunks and neither; for each kind of request; with the configuration changing beside it.

--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -377,6 +377,6 @@
 }
 
 /// Returns an error for a connection that ended before the response was complete.
-pub(super) fn cut_error(message: &str) -> UpstreamError {
+pub(crate) fn cut_error(message: &str) -> UpstreamError {
     UpstreamError::new(UpstreamErrorKind::Cut, Sent::Maybe, message)
 }
--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -19,7 +19,7 @@
 mod weights;
 
 pub(crate) use client::{
-    Client, FullResponse, PooledConnection, Reuse, StreamingResponse, Way, get_request,
+    Client, FullResponse, PooledConnection, Reuse, StreamingResponse, Way, cut_error, get_request,
     post_request,
 };
 pub use cloud::HttpCloud;
--- a/src/ingress/forward/attempt.rs
+++ b/src/ingress/forward/attempt.rs
@@ -9,12 +9,13 @@
 
 use super::{ForwardedRequest, millis};
 use crate::{
-    adapters::http::{Framing, PooledConnection, StreamingResponse},
+    adapters::http::{Framing, PooledConnection, StreamingResponse, cut_error},
     domain::InstanceName,
     ingress::{
         errors::{Failure, NotRun},
         headers::means_not_run,
         relay::{UpstreamBody, liveness_check_interval},
+        response_body::ResponseBody,
         upstream::Upstream,
         upstreams::InFlightGuard,
     },
@@ -60,7 +61,7 @@
             Ok(response) => response,
             Err(e) => return Err(self.record_failure(&in_flight, &e, now.elapsed())),
         };
-        self.check_response(in_flight, response, sent_at)
+        self.check_response(in_flight, response, now, sent_at).await
     }
 
     /// Sends the request on a connection and waits for the head of the response. An upstream that stays silent is given up
@@ -155,12 +156,13 @@
         }
     }
 
-    /// Decides whether a response is genuine and final, and may be relayed to the caller. Its request was sent at
-    /// `sent_at`.
-    fn check_response(
+    /// Decides whether a response is genuine and final, and may be relayed to the caller, once its body has begun. Its
+    /// request was sent at `sent`, which is `sent_at` on the clock of stated limits.
+    async fn check_response(
         &self,
         in_flight: InFlightGuard,
         response: StreamingResponse,
+        sent: Instant,
         sent_at: Duration,
     ) -> Result<AcceptedResponse, AttemptError> {
         let status = response.res.status();
@@ -214,9 +216,14 @@
         }
         upstream.record_activity(now);
         let (head, body) = response.res.into_parts();
+        let framing = Framing::of(&head, &body);
+        let body = ResponseBody::begin(body).await.map_err(|e| {
+            let e = cut_error(&format!("the answer broke off before its body began: {e}"));
+            self.record_failure(&in_flight, &e, sent.elapsed())
+        })?;
         Ok(AcceptedResponse {
             source: UpstreamBody {
-                framing: Framing::of(&head, &body),
+                framing,
                 body,
                 lease: response.connection,
                 in_flight,
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -18,6 +18,7 @@
 mod quota;
 mod reach;
 mod relay;
+mod response_body;
 mod retry_budgets;
 mod shutdown;
 mod upstream;
--- a/src/ingress/relay.rs
+++ b/src/ingress/relay.rs
@@ -14,7 +14,7 @@
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::body::{Body, Frame, SizeHint};
 use tokio::time::{Instant, Sleep, sleep, sleep_until};
 use tokio_util::sync::CancellationToken;
 
@@ -24,6 +24,7 @@
     events::{EventBoundary, EventSplitter},
     origins::StreamOrigin,
     reach::Reach,
+    response_body::ResponseBody,
     shutdown::RequestTimer,
     upstreams::InFlightGuard,
 };
@@ -63,7 +64,7 @@
 /// upstream's work.
 #[derive(Debug)]
 pub(super) struct UpstreamBody {
-    pub(super) body: Incoming,
+    pub(super) body: ResponseBody,
     /// What shows the end of the body.
     pub(super) framing: Framing,
     pub(super) lease: PooledConnection,
--- a/tests/platform_support/raw.rs
+++ b/tests/platform_support/raw.rs
@@ -42,6 +42,12 @@
     NoLengthStreamReset,
     /// Like [`Self::NoLengthStream`], but the stream stays open after the last event.
     NoLengthStreamOpen,
+    /// The head announces a length, and the connection ends in the middle of the body, all in one segment.
+    CutLength,
+    /// The head announces chunks, and the connection ends with the head.
+    CutChunks,
+    /// The head announces neither, and the connection is reset with the head.
+    CutNoLength,
 }
 
 /// Number of events of a raw server's stream.
@@ -115,14 +121,17 @@
         .map(|(_, value)| value.trim().to_owned())
 }
 
-fn answer(id: &str, text: &str) -> String {
+fn head_of(id: &str, framing: &str) -> String {
     format!(
         "HTTP/1.1 200 OK\r\nX-Flamingocroft-Request-Id: {id}\r\n\
-         X-Flamingocroft-Response-Seal: seal\r\nContent-Length: {}\r\n\r\n{text}",
-        text.len()
+         X-Flamingocroft-Response-Seal: seal\r\n{framing}\r\n"
     )
 }
 
+fn answer(id: &str, text: &str) -> String {
+    head_of(id, &format!("Content-Length: {}\r\n", text.len())) + text
+}
+
 /// Responds to each request with its own identifier, according to the behavior.
 async fn serve(
     mut stream: TcpStream,
@@ -160,10 +169,7 @@
             | RawBehavior::NoLengthStreamOpen => (after + 1..=EVENTS).map(event).collect(),
             _ => format!("answer to {id}"),
         };
-        let without_length = format!(
-            "HTTP/1.1 200 OK\r\nX-Flamingocroft-Request-Id: {id}\r\n\
-             X-Flamingocroft-Response-Seal: seal\r\n\r\n{body}"
-        );
+        let without_length = head_of(&id, "") + &body;
         let sent = match behavior {
             RawBehavior::Correct => stream.write_all(own.as_bytes()).await,
             RawBehavior::ExtraResponse => stream.write_all((own + &foreign).as_bytes()).await,
@@ -188,6 +194,21 @@
                 let _ = stream.write_all(without_length.as_bytes()).await;
                 return;
             }
+            RawBehavior::CutLength => {
+                let cut = &own[..own.len() - 3];
+                let _ = stream.write_all(cut.as_bytes()).await;
+                return;
+            }
+            RawBehavior::CutChunks => {
+                let head = head_of(&id, "Transfer-Encoding: chunked\r\n");
+                let _ = stream.write_all(head.as_bytes()).await;
+                return;
+            }
+            RawBehavior::CutNoLength => {
+                let _ = stream.write_all(head_of(&id, "").as_bytes()).await;
+                stream.set_zero_linger().unwrap();
+                return;
+            }
             RawBehavior::NoLengthStreamOpen => {
                 let _ = stream.write_all(without_length.as_bytes()).await;
                 // Waits until the caller closes the connection.
