Leave a silent upstream before its first byte only for another answer

Cause: the exchange with a silent upstream ended when another one might get the request, not when another one had answered.

Change: a silent attempt goes on beside the next one. The first answer ends the others; a rejection or a failure ends only its own. When no other upstream is left, the silent ones are waited for until the deadline. Attempts, retry budget, quota and usage count as before; a request that all upstreams rejected is now answered 503, as it has not run, where it was 502.

Tests (platform_first_bytes): a_silent_upstream_answers_whole_when_the_others_reject_the_request (at once and after 600 ms) and a_request_that_all_upstreams_reject_has_not_run_though_one_was_silent_first fail on the code before; a_silent_upstream_is_left_when_another_has_answered guards what held.

--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -9,6 +9,7 @@
 };
 
 use bytes::Bytes;
+use futures_util::future::BoxFuture;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode,
@@ -71,6 +72,13 @@
     pub(crate) connection: PooledConnection,
 }
 
+/// A request on its connection, whose response is awaited. Dropping it closes the connection.
+pub(crate) struct Exchange {
+    connection: PooledConnection,
+    response: BoxFuture<'static, Result<Response<Incoming>, UpstreamError>>,
+    deadline: Instant,
+}
+
 /// A connection in use. Dropping it closes it, unless it is returned to the pool.
 #[derive(Debug)]
 pub(crate) struct PooledConnection {
@@ -91,15 +99,12 @@
         self.way
     }
 
-    /// Sends a request and waits for the head of its response until the deadline.
-    pub(crate) async fn send(
-        &mut self,
-        req: Request<Full<Bytes>>,
-        deadline: Instant,
-    ) -> Result<Response<Incoming>, UpstreamError> {
-        match timeout_at(deadline, self.connection.send(req)).await {
-            Ok(result) => result,
-            Err(_) => Err(self.silence_error("no answer before the deadline")),
+    /// Starts to send a request whose response is awaited until the deadline.
+    pub(crate) fn start(mut self, req: Request<Full<Bytes>>, deadline: Instant) -> Exchange {
+        Exchange {
+            response: Box::pin(self.connection.send(req)),
+            connection: self,
+            deadline,
         }
     }
 
@@ -109,13 +114,49 @@
         self.idle.put(self.connection);
     }
 
-    /// Returns an error for a connection that went silent. If it was a reused one, the idle connections to
-    /// the target may be affected by the same cause, so they are closed as well.
+    /// Returns an error for a connection that went silent.
     pub(crate) fn silence_error(&self, message: &str) -> UpstreamError {
+        self.record_silence();
+        UpstreamError::new(UpstreamErrorKind::Silent, Sent::Maybe, message)
+    }
+
+    /// Closes the idle connections to the target if this one was among them: the cause of its silence may affect them as
+    /// well.
+    pub(crate) fn record_silence(&self) {
         if self.reused {
             self.idle.clear();
         }
-        UpstreamError::new(UpstreamErrorKind::Silent, Sent::Maybe, message)
+    }
+}
+
+impl Exchange {
+    /// Waits for the head of the response until the deadline. The wait can be dropped and begun again.
+    pub(crate) async fn response(&mut self) -> Result<Response<Incoming>, UpstreamError> {
+        match timeout_at(self.deadline, &mut self.response).await {
+            Ok(result) => result,
+            Err(_) => Err(self
+                .connection
+                .silence_error("no answer before the deadline")),
+        }
+    }
+
+    /// Waits for the head of the response until the deadline, and returns it with its connection.
+    pub(crate) async fn await_response(mut self) -> Result<StreamingResponse, UpstreamError> {
+        let res = self.response().await?;
+        Ok(self.into_streaming(res))
+    }
+
+    /// Returns the response with the connection on which its body follows.
+    pub(crate) fn into_streaming(self, res: Response<Incoming>) -> StreamingResponse {
+        StreamingResponse {
+            res,
+            connection: self.connection,
+        }
+    }
+
+    /// Returns the connection.
+    pub(crate) fn connection(&self) -> &PooledConnection {
+        &self.connection
     }
 }
 
@@ -183,9 +224,8 @@
         reuse: Reuse,
         deadline: Instant,
     ) -> Result<StreamingResponse, UpstreamError> {
-        let mut connection = self.connect(target, reuse, deadline).await?;
-        let res = connection.send(req, deadline).await?;
-        Ok(StreamingResponse { res, connection })
+        let connection = self.connect(target, reuse, deadline).await?;
+        connection.start(req, deadline).await_response().await
     }
 
     /// Sends a request once and reads the complete response.
--- a/src/adapters/http/connection.rs
+++ b/src/adapters/http/connection.rs
@@ -121,29 +121,32 @@
         self.last_used = Instant::now();
     }
 
-    /// Sends a request and waits for the response head.
-    pub(super) async fn send(
+    /// Sends a request and waits for the response head. The connection must outlive the returned future.
+    pub(super) fn send(
         &mut self,
         req: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, UpstreamError> {
-        self.sender.try_send_request(req).await.map_err(|mut e| {
-            // hyper hands the request back only if it never began to write it.
-            match e.take_message() {
-                Some(_) => UpstreamError::new(
-                    UpstreamErrorKind::Connect,
-                    Sent::No,
-                    format!(
-                        "the connection was closed before the request: {}",
-                        e.error()
+    ) -> impl Future<Output = Result<Response<Incoming>, UpstreamError>> + Send + use<> {
+        let response = self.sender.try_send_request(req);
+        async {
+            response.await.map_err(|mut e| {
+                // hyper hands the request back only if it never began to write it.
+                match e.take_message() {
+                    Some(_) => UpstreamError::new(
+                        UpstreamErrorKind::Connect,
+                        Sent::No,
+                        format!(
+                            "the connection was closed before the request: {}",
+                            e.error()
+                        ),
                     ),
-                ),
-                None => UpstreamError::new(
-                    UpstreamErrorKind::Cut,
-                    Sent::Maybe,
-                    format!("no answer before the connection ended: {}", e.error()),
-                ),
-            }
-        })
+                    None => UpstreamError::new(
+                        UpstreamErrorKind::Cut,
+                        Sent::Maybe,
+                        format!("no answer before the connection ended: {}", e.error()),
+                    ),
+                }
+            })
+        }
     }
 }
 
--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -19,8 +19,8 @@
 mod weights;
 
 pub(crate) use client::{
-    Client, FullResponse, PooledConnection, Reuse, StreamingResponse, Way, cut_error, get_request,
-    post_request,
+    Client, Exchange, FullResponse, PooledConnection, Reuse, StreamingResponse, Way, cut_error,
+    get_request, post_request,
 };
 pub use cloud::HttpCloud;
 pub(crate) use framing::{Framing, end_with_connection};
--- a/src/ingress/forward/attempt.rs
+++ b/src/ingress/forward/attempt.rs
@@ -1,18 +1,24 @@
 //! One attempt of a request at an upstream, and the check that the response belongs to the request.
 
-use std::{sync::atomic::Ordering, time::Duration};
+use std::{pin::pin, sync::atomic::Ordering, time::Duration};
 
 use bytes::Bytes;
+use futures_util::{
+    future::BoxFuture,
+    stream::{FuturesUnordered, StreamExt},
+};
 use http_body_util::Full;
-use hyper::{Request, StatusCode, Version, header, http::response::Parts};
+use hyper::{
+    Request, Response, StatusCode, Version, body::Incoming, header, http::response::Parts,
+};
 use tokio::time::{Instant, interval_at};
 
 use super::{ForwardedRequest, millis};
 use crate::{
-    adapters::http::{Framing, PooledConnection, StreamingResponse, cut_error},
+    adapters::http::{Exchange, Framing, StreamingResponse, cut_error},
     domain::InstanceName,
     ingress::{
-        errors::{Failure, NotRun},
+        errors::{Failure, NotRun, RequestError},
         headers::means_not_run,
         relay::{UpstreamBody, liveness_check_interval},
         response_body::ResponseBody,
@@ -30,6 +36,17 @@
 pub(super) struct AcceptedResponse {
     pub(super) head: Parts,
     pub(super) source: UpstreamBody,
+    /// When the request was sent to the upstream.
+    pub(super) sent: Instant,
+}
+
+/// A request that was sent to an upstream.
+pub(super) struct SentAttempt {
+    in_flight: InFlightGuard,
+    exchange: Exchange,
+    sent: Instant,
+    /// The same time on the clock of stated limits.
+    sent_at: Duration,
 }
 
 /// How an attempt ended without a response for the caller.
@@ -38,63 +55,157 @@
     NotRun(NotRun),
     /// The request may have run at the upstream.
     MayHaveRun(Failure),
+    /// The upstream is silent and may still answer, and another one may get the request.
+    Silent(Box<SentAttempt>),
+}
+
+type Exchanged = (Box<SentAttempt>, Result<Response<Incoming>, UpstreamError>);
+
+/// The attempts of a request whose upstreams are silent. Each may still answer, and is left only when another upstream has
+/// answered.
+#[derive(Default)]
+pub(super) struct SilentAttempts {
+    waiting: FuturesUnordered<BoxFuture<'static, Exchanged>>,
+    /// The failure of the last of them that ended and may have run.
+    failure: Option<Failure>,
+}
+
+impl SilentAttempts {
+    pub(super) fn add(&mut self, mut attempt: Box<SentAttempt>) {
+        self.waiting.push(Box::pin(async move {
+            let result = attempt.exchange.response().await;
+            (attempt, result)
+        }));
+    }
+
+    /// Returns whether an upstream may have the request, or may have run it.
+    pub(super) fn may_have_run(&self) -> bool {
+        self.failure.is_some() || !self.waiting.is_empty()
+    }
+
+    fn record(&mut self, e: AttemptError) {
+        if let AttemptError::MayHaveRun(failure) = e {
+            self.failure = Some(failure);
+        }
+    }
 }
 
 impl<P: Platform, T: Clock> ForwardedRequest<P, T> {
+    /// Makes an attempt while the upstreams of silent ones may still answer. The first answer ends the others.
+    pub(super) async fn attempt_beside(
+        &self,
+        silent: &mut SilentAttempts,
+        in_flight: InFlightGuard,
+        resume_after: Option<u64>,
+    ) -> Result<AcceptedResponse, AttemptError> {
+        let mut attempt = pin!(self.attempt(in_flight, resume_after));
+        loop {
+            tokio::select! {
+                result = &mut attempt => return result,
+                Some((earlier, result)) = silent.waiting.next() => {
+                    match self.finish(*earlier, result).await {
+                        Ok(accepted) => return Ok(accepted),
+                        Err(e) => silent.record(e),
+                    }
+                }
+            }
+        }
+    }
+
+    /// Waits for the upstreams of silent attempts when no other one can be tried.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why no other one can be tried if none of them may have run the request.
+    pub(super) async fn await_silent(
+        &self,
+        mut silent: SilentAttempts,
+        reason: RequestError,
+    ) -> Result<AcceptedResponse, RequestError> {
+        while let Some((attempt, result)) = silent.waiting.next().await {
+            match self.finish(*attempt, result).await {
+                Ok(accepted) => return Ok(accepted),
+                Err(e) => silent.record(e),
+            }
+        }
+        Err(silent.failure.map_or(reason, RequestError::from))
+    }
+
     /// Sends the request to one upstream and classifies its response, its failure or its silence.
-    pub(super) async fn attempt(
+    async fn attempt(
         &self,
         in_flight: InFlightGuard,
         resume_after: Option<u64>,
     ) -> Result<AcceptedResponse, AttemptError> {
-        let now = Instant::now();
+        let sent = Instant::now();
         let sent_at = self.core.clock.monotonic();
-        let left = self.time_left(now);
+        let left = self.time_left(sent);
         let upstream = &in_flight.upstream;
         let req = self.build_request(upstream.target.instance.clone(), left, resume_after);
-        let sent = async {
-            let (reach, client) = (&self.core.reach, &self.core.client);
-            let connection = reach.connect(client, upstream, self.id(), self.deadline);
-            self.send(connection.await?, req, &in_flight, now).await
+        let (reach, client) = (&self.core.reach, &self.core.client);
+        let connection = reach.connect(client, upstream, self.id(), self.deadline);
+        let exchange = match connection.await {
+            Ok(connection) => connection.start(req, self.deadline),
+            Err(e) => return Err(self.record_failure(&in_flight, &e, sent.elapsed())),
         };
-        let response = match sent.await {
-            Ok(response) => response,
-            Err(e) => return Err(self.record_failure(&in_flight, &e, now.elapsed())),
+        self.handover.set_sent(true);
+        let mut attempt = SentAttempt {
+            in_flight,
+            exchange,
+            sent,
+            sent_at,
+        };
+        let result = tokio::select! {
+            result = attempt.exchange.response() => result,
+            () = self.wait_until_given_up(&attempt.in_flight, sent) => {
+                self.record_silence(&attempt);
+                return Err(AttemptError::Silent(Box::new(attempt)));
+            }
         };
-        self.check_response(in_flight, response, now, sent_at).await
+        self.finish(attempt, result).await
     }
 
-    /// Sends the request on a connection and waits for the head of the response. An upstream that stays silent is given up
-    /// only if another one may get the request.
-    async fn send(
+    /// Classifies the end of an exchange.
+    async fn finish(
         &self,
-        mut connection: PooledConnection,
-        req: Request<Full<Bytes>>,
-        in_flight: &InFlightGuard,
-        sent: Instant,
-    ) -> Result<StreamingResponse, UpstreamError> {
-        self.handover.set_sent(true);
-        let result = tokio::select! {
-            result = connection.send(req, self.deadline) => Some(result),
-            () = self.wait_until_given_up(in_flight, sent) => None,
-        };
+        attempt: SentAttempt,
+        result: Result<Response<Incoming>, UpstreamError>,
+    ) -> Result<AcceptedResponse, AttemptError> {
+        let SentAttempt {
+            in_flight,
+            exchange,
+            sent,
+            sent_at,
+        } = attempt;
         match result {
-            Some(result) => Ok(StreamingResponse {
-                res: result?,
-                connection,
-            }),
-            None if self.route.class.is_stream() => {
-                let message = "the engine has been silent for too long";
-                Err(UpstreamError::new(
-                    UpstreamErrorKind::Silent,
-                    Sent::Maybe,
-                    message,
-                ))
+            Ok(res) => {
+                let response = exchange.into_streaming(res);
+                self.check_response(in_flight, response, sent, sent_at)
+                    .await
             }
-            None => Err(connection.silence_error("no answer within the silence timeout")),
+            Err(e) => Err(self.record_failure(&in_flight, &e, sent.elapsed())),
         }
     }
 
+    /// Records that an upstream is silent, and that another one is tried.
+    fn record_silence(&self, attempt: &SentAttempt) {
+        let in_flight = &attempt.in_flight;
+        let waited = attempt.sent.elapsed();
+        // Engines are silent while they read a prompt, whatever the connection.
+        if !self.route.class.is_stream() {
+            attempt.exchange.connection().record_silence();
+        }
+        let longest = self.response_targets().max_silence();
+        in_flight.record_wait(Awaited::First, waited.min(longest));
+        in_flight.upstream.record_failure(Instant::now());
+        log::info!(
+            event = "attempt.silent", request = self.id(),
+            upstream:% = in_flight.upstream.target.instance, attempt = self.tried.len(),
+            waited_ms = millis(waited);
+            "ingress: an upstream is silent, and another one is tried"
+        );
+    }
+
     /// Waits until an upstream counts as lost and another one may get the request; otherwise waits forever.
     async fn wait_until_given_up(&self, in_flight: &InFlightGuard, sent: Instant) {
         let class = self.route.class;
@@ -229,6 +340,7 @@
                 in_flight,
             },
             head,
+            sent,
         })
     }
 
--- a/src/ingress/forward/mod.rs
+++ b/src/ingress/forward/mod.rs
@@ -20,7 +20,7 @@
 };
 use tokio::time::{Instant, timeout_at};
 
-use self::attempt::{AcceptedResponse, AttemptError};
+use self::attempt::{AcceptedResponse, AttemptError, SilentAttempts};
 use super::{
     Core,
     admit::{find_account, take_quota},
@@ -236,10 +236,44 @@
         self.try_upstreams(None).await
     }
 
-    /// Tries one upstream after the other; a resumed stream continues after the event `resume_after`.
+    /// Tries upstreams until one responds; a resumed stream continues after the event `resume_after`.
     async fn try_upstreams(
         &mut self,
         resume_after: Option<u64>,
+    ) -> Result<AcceptedResponse, RequestError> {
+        let mut silent = SilentAttempts::default();
+        let result = match self.try_each(resume_after, &mut silent).await {
+            Err(reason) if silent.may_have_run() => self.await_silent(silent, reason).await,
+            result => result,
+        };
+        let mut accepted = match result {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                if let RequestError::NotRun(_) = error {
+                    self.revoke_usage();
+                }
+                return Err(error);
+            }
+        };
+        self.count_usage();
+        let waited = accepted.sent.elapsed();
+        let in_flight = &mut accepted.source.in_flight;
+        in_flight.record_first_byte();
+        let longest = self.response_targets().max_silence();
+        in_flight.record_wait(Awaited::First, waited.min(longest));
+        // Only requests for engines are refused because of the waits of others.
+        if self.route.class.is_stream() && resume_after.is_none() {
+            let (upstreams, target) = (&self.core.upstreams, self.route.target);
+            upstreams.record_first_wait(&self.service, waited, target, self.new_tokens());
+        }
+        Ok(accepted)
+    }
+
+    /// Tries one upstream after the other, beside the attempts whose upstreams are silent.
+    async fn try_each(
+        &mut self,
+        resume_after: Option<u64>,
+        silent: &mut SilentAttempts,
     ) -> Result<AcceptedResponse, RequestError> {
         let mut unexecuted = 0;
         loop {
@@ -279,29 +313,19 @@
             if !self.route.class.is_stream() {
                 self.count_usage();
             }
-            let result = self.attempt(in_flight, resume_after).await;
-            self.handover.set_sent(result.is_ok());
+            let result = self.attempt_beside(silent, in_flight, resume_after).await;
+            self.handover
+                .set_sent(result.is_ok() || silent.may_have_run());
             match result {
-                Ok(mut accepted) => {
-                    self.count_usage();
-                    let in_flight = &mut accepted.source.in_flight;
-                    in_flight.record_first_byte();
-                    let longest = self.response_targets().max_silence();
-                    in_flight.record_wait(Awaited::First, now.elapsed().min(longest));
-                    // Only requests for engines are refused because of the waits of others.
-                    if self.route.class.is_stream() && resume_after.is_none() {
-                        let (upstreams, target) = (&self.core.upstreams, self.route.target);
-                        upstreams.record_first_wait(
-                            &self.service,
-                            now.elapsed(),
-                            target,
-                            self.new_tokens(),
-                        );
-                    }
-                    return Ok(accepted);
+                Ok(accepted) => return Ok(accepted),
+                Err(AttemptError::Silent(attempt)) => {
+                    silent.add(attempt);
+                    self.handover.set_sent(true);
                 }
                 Err(AttemptError::NotRun(reason)) => {
-                    self.revoke_usage();
+                    if !silent.may_have_run() {
+                        self.revoke_usage();
+                    }
                     unexecuted += 1;
                     if unexecuted >= MAX_UNEXECUTED_ATTEMPTS || self.attempts_exhausted() {
                         return Err(self.error_or_pause(reason, Instant::now()));
--- a/src/ingress/forward/response.rs
+++ b/src/ingress/forward/response.rs
@@ -108,7 +108,7 @@
 impl<P: Platform, T: Clock> ForwardedRequest<P, T> {
     /// Builds the response for the caller, whose body resumes itself if the route allows it.
     pub(super) fn into_response(self, accepted: AcceptedResponse) -> Response<Relay> {
-        let AcceptedResponse { head, source } = accepted;
+        let AcceptedResponse { head, source, .. } = accepted;
         let framing = source.framing;
         let record = self.record_response(head.status, framing, &source.in_flight);
         let (deadline, id) = (self.deadline, self.id().to_owned());
--- a/tests/platform_first_bytes.rs
+++ b/tests/platform_first_bytes.rs
@@ -1,10 +1,11 @@
-//! Answers that break off before a byte of their body has gone to the caller.
+//! Answers that break off, or are silent, before a byte of their body has gone to the caller.
 
 mod platform_support;
 
 use std::{
+    collections::HashSet,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicUsize, Ordering},
     },
     time::Duration,
@@ -29,6 +30,8 @@
 const REPEATABLE: [&str; 2] = ["/safe/x", "/resumed/x"];
 /// Paths of requests that may run once only.
 const ONCE: [&str; 2] = ["/once/x", "/stream/x"];
+/// Longer than any silence after which another upstream is tried.
+const SILENCE: Duration = Duration::from_millis(1600);
 
 /// Sends a request; returns `None` if its connection ends without an answer.
 async fn try_send(installation: &Installation, path: &str, id: &str) -> Option<Answer> {
@@ -163,3 +166,80 @@
         assert!(!server.received.lock().unwrap().is_empty());
     }
 }
+
+/// Returns a script by which the upstream that sees a request first acts otherwise than those that see it later.
+fn first_and_others(
+    first: impl Fn() -> ServerAction + Send + Sync,
+    others: impl Fn() -> ServerAction + Send + Sync,
+) -> impl Fn(usize, &ReceivedRequest) -> ServerAction + Send + Sync {
+    let begun = Mutex::new(HashSet::new());
+    move |_, seen| {
+        let id = seen.headers["x-flamingocroft-request-id"].clone();
+        if id == "probe" {
+            return ServerAction::Respond(StatusCode::OK, Vec::new());
+        }
+        match begun.lock().unwrap().insert(id) {
+            true => first(),
+            false => others(),
+        }
+    }
+}
+
+async fn start(
+    script: impl Fn(usize, &ReceivedRequest) -> ServerAction + Send + Sync + 'static,
+) -> Installation {
+    let installation = Installation::start(3, script).await;
+    installation.publish(&document(1)).await;
+    installation
+}
+
+#[tokio::test]
+async fn a_silent_upstream_answers_whole_when_the_others_reject_the_request() {
+    for late in [Duration::ZERO, Duration::from_millis(600)] {
+        let script = first_and_others(
+            || ServerAction::RespondAfter(SILENCE),
+            move || ServerAction::NotExecutedAfter(late),
+        );
+        let installation = start(script).await;
+        for path in REPEATABLE {
+            let id = format!("r{}", path.len());
+            let answer = try_send(&installation, path, &id).await.unwrap();
+            let seen = (answer.status, answer.text());
+            assert_eq!(seen, (StatusCode::OK, "late".into()), "{path} {late:?}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_silent_upstream_is_left_when_another_has_answered() {
+    let script = first_and_others(
+        || ServerAction::Silent,
+        || ServerAction::Respond(StatusCode::OK, b"done".to_vec()),
+    );
+    let installation = start(script).await;
+    for path in REPEATABLE {
+        let id = format!("r{}", path.len());
+        let answer = try_send(&installation, path, &id).await.unwrap();
+        let seen = (answer.status, answer.text());
+        assert_eq!(seen, (StatusCode::OK, "done".into()), "{path}");
+    }
+    wait_until("the silent upstreams are left", || async {
+        installation.log.in_progress.load(Ordering::Relaxed) == 0
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_request_that_all_upstreams_reject_has_not_run_though_one_was_silent_first() {
+    let script = first_and_others(
+        || ServerAction::NotExecutedAfter(SILENCE),
+        || ServerAction::NotExecuted,
+    );
+    let installation = start(script).await;
+    for path in REPEATABLE {
+        let id = format!("r{}", path.len());
+        let answer = try_send(&installation, path, &id).await.unwrap();
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{path}");
+        assert!(answer.headers.contains_key("retry-after"), "{path}");
+    }
+}
