Report connections that end before a response is complete

Callers saw a connection end without an answer to a request that was read whole, and nothing told so: the server wrote a debug line without the request, its stage or the side that ended it.

The server now tracks the request of a connection until the last byte of its response is flushed. If the connection ends before, one line `connection.ended_early` names the request, its stage (reading the body, waiting for the service, answering), the bytes sent, the time since its head and the cause, and `ingress_connections_ended_early_total` counts it by cause. The caller's body is wrapped, so that the server knows when it is read; an `Observer` gives the platform's identifier of the request and counts. The first recorded cause counts, since what follows from it is only its echo. A guard reports, so that a cancelled task and one that panics are reported too.

--- a/src/adapters/http/caller.rs
+++ b/src/adapters/http/caller.rs
@@ -4,14 +4,19 @@
 //! during a connection.
 
 use std::{
-    io,
+    error::Error,
+    fmt, io,
     pin::Pin,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     task::{Context, Poll, Waker, ready},
     time::Duration,
 };
 
-use hyper::body::{Body, Frame, SizeHint};
+use bytes::Bytes;
+use hyper::{
+    body::{Body, Frame, Incoming, SizeHint},
+    header::HeaderValue,
+};
 use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
@@ -19,7 +24,10 @@
     time::{Instant, Sleep, sleep_until},
 };
 
-use super::ServerOptions;
+use super::{
+    ServerOptions,
+    early_end::{EarlyEnd, EndCause, RequestStage},
+};
 
 /// The phase of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,7 +40,7 @@
     Request,
 }
 
-/// The phase of a connection and when it began, shared by the stream and the request handler.
+/// The phase of a connection, when it began and its current request, shared by the stream and the request handler.
 #[derive(Clone, Debug)]
 pub(super) struct Progress(Arc<Mutex<State>>);
 
@@ -46,6 +54,22 @@
     ends_response: bool,
     /// The deadline of the response, if it has one.
     respond_by: Option<Instant>,
+    /// The request whose response is not yet sent completely.
+    request: Option<CurrentRequest>,
+    /// What ended the connection, and its text.
+    end: Option<(EndCause, String)>,
+}
+
+#[derive(Debug)]
+struct CurrentRequest {
+    id: Option<HeaderValue>,
+    /// When its head was complete.
+    begun: Instant,
+    stage: RequestStage,
+    /// Bytes of the response sent so far.
+    sent_bytes: u64,
+    /// Whether the HTTP library has the whole response.
+    is_produced: bool,
 }
 
 impl Progress {
@@ -56,23 +80,56 @@
             reader: None,
             ends_response: false,
             respond_by: None,
+            request: None,
+            end: None,
         })))
     }
 
-    /// Sets the deadline of the next response.
-    pub(super) fn set_response_deadline(&self, respond_by: Option<Instant>) {
-        self.lock().respond_by = respond_by;
+    /// Marks that a request head is complete. The request ends when its response is sent completely.
+    pub(super) fn begin_request(&self, id: Option<HeaderValue>, has_body: bool) {
+        let mut state = self.lock();
+        state.enter(Phase::Request);
+        state.request = Some(CurrentRequest {
+            id,
+            begun: state.since,
+            stage: match has_body {
+                true => RequestStage::ReadingBody,
+                false => RequestStage::Waiting,
+            },
+            sent_bytes: 0,
+            is_produced: false,
+        });
+    }
+
+    /// Marks that the response begins; it may have a deadline, and only the end of the connection may show its end.
+    pub(super) fn begin_response(&self, respond_by: Option<Instant>, ends_connection: bool) {
+        let mut state = self.lock();
+        state.respond_by = respond_by;
+        state.ends_response = ends_connection;
+        if let Some(request) = &mut state.request {
+            request.stage = RequestStage::Answering;
+        }
     }
 
-    /// Marks that only the end of the connection shows the end of the response.
-    pub(super) fn end_response_with_connection(&self) {
-        self.lock().ends_response = true;
+    /// Records what ends the connection; the first cause counts.
+    pub(super) fn record_end(&self, cause: EndCause, reason: &dyn fmt::Display) {
+        let end = &mut self.lock().end;
+        end.get_or_insert_with(|| (cause, reason.to_string()));
     }
 
-    /// Marks that a request head is complete. The request ends when the returned guard is dropped.
-    pub(super) fn begin_request(&self) -> RequestGuard {
-        self.lock().enter(Phase::Request);
-        RequestGuard(self.clone())
+    /// Returns the request that the end of the connection left without a complete response, if there is one.
+    pub(super) fn take_unanswered(&self) -> Option<EarlyEnd> {
+        let mut state = self.lock();
+        let request = state.request.take()?;
+        let (cause, reason) = state.end.take().unwrap_or_default();
+        Some(EarlyEnd {
+            request: request.id,
+            stage: request.stage,
+            since_head: request.begun.elapsed(),
+            sent_bytes: request.sent_bytes,
+            cause,
+            reason,
+        })
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -85,47 +142,123 @@
         self.phase = phase;
         self.since = Instant::now();
     }
+
+    /// Marks that the service waits for no more of the request; it may have responded already.
+    fn finish_body(&mut self) {
+        if let Some(request) = &mut self.request
+            && request.stage == RequestStage::ReadingBody
+        {
+            request.stage = RequestStage::Waiting;
+        }
+    }
+
+    fn record_sent(&mut self, bytes: usize) {
+        if let Some(request) = &mut self.request
+            && request.stage == RequestStage::Answering
+        {
+            request.sent_bytes += bytes as u64;
+        }
+    }
+
+    /// Ends the request if the HTTP library has passed its whole response on.
+    fn finish_flush(&mut self) {
+        self.request.take_if(|request| request.is_produced);
+    }
 }
 
-/// Marks the connection as idle and wakes its reader when the request ends.
-pub(super) struct RequestGuard(Progress);
+/// The body of a caller's request.
+#[derive(Debug)]
+pub struct CallerBody {
+    body: Incoming,
+    /// The connection, until it knows that the body is read.
+    progress: Option<Progress>,
+}
 
-impl Drop for RequestGuard {
-    fn drop(&mut self) {
-        let mut state = self.0.lock();
-        state.enter(Phase::Idle);
-        let reader = state.reader.take();
-        drop(state);
-        if let Some(reader) = reader {
-            reader.wake();
+impl CallerBody {
+    pub(super) fn new(body: Incoming, progress: &Progress) -> Self {
+        let progress = (!body.is_end_stream()).then(|| progress.clone());
+        Self { body, progress }
+    }
+}
+
+impl Body for CallerBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        let is_read = frame.is_none() || self.body.is_end_stream();
+        if let Some(progress) = self.progress.take_if(|_| is_read) {
+            progress.lock().finish_body();
         }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
     }
 }
 
-/// A response body that ends its request when it is dropped.
+/// A response body that records its errors and tells the connection when it is dropped.
 pub(super) struct GuardedBody<B> {
     body: B,
-    _request: RequestGuard,
+    progress: Progress,
+    has_failed: bool,
 }
 
 impl<B> GuardedBody<B> {
-    pub(super) fn new(body: B, request: RequestGuard) -> Self {
+    pub(super) fn new(body: B, progress: Progress) -> Self {
         Self {
             body,
-            _request: request,
+            progress,
+            has_failed: false,
         }
     }
 }
 
-impl<B: Body + Unpin> Body for GuardedBody<B> {
+impl<B> Drop for GuardedBody<B> {
+    fn drop(&mut self) {
+        let mut state = self.progress.lock();
+        if let Some(request) = &mut state.request {
+            request.is_produced = !self.has_failed;
+        }
+        state.enter(Phase::Idle);
+        let reader = state.reader.take();
+        drop(state);
+        if let Some(reader) = reader {
+            reader.wake();
+        }
+    }
+}
+
+impl<B> Body for GuardedBody<B>
+where
+    B: Body + Unpin,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
     type Data = B::Data;
-    type Error = B::Error;
+    type Error = Box<dyn Error + Send + Sync>;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+    ) -> Poll<Option<Result<Frame<B::Data>, Self::Error>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        Poll::Ready(frame.map(|frame| {
+            frame.map_err(|e| {
+                let e = e.into();
+                self.has_failed = true;
+                self.progress.record_end(EndCause::BodyFailed, &e);
+                e
+            })
+        }))
     }
 
     fn is_end_stream(&self) -> bool {
@@ -205,8 +338,12 @@
         cx: &mut Context<'_>,
         written: Poll<io::Result<usize>>,
     ) -> Poll<io::Result<usize>> {
-        if written.is_ready() {
+        if let Poll::Ready(result) = &written {
             self.blocked = None;
+            match result {
+                Ok(bytes) => self.progress.lock().record_sent(*bytes),
+                Err(e) => self.progress.record_end(EndCause::CallerReset, e),
+            }
             return written;
         }
         let (since, timer) = self.blocked.get_or_insert_with(|| {
@@ -220,6 +357,8 @@
         }
         ready!(timer.as_mut().poll(cx));
         let message = "the caller did not take the response in time";
+        self.progress
+            .record_end(EndCause::ResponseTimeout, &message);
         Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, message)))
     }
 }
@@ -233,14 +372,24 @@
         let held = buf.filled().len();
         if let Poll::Ready(result) = Pin::new(&mut self.io).poll_read(cx, buf) {
             let mut state = self.progress.lock();
-            if buf.filled().len() > held && state.phase == Phase::Idle {
+            let is_empty = buf.filled().len() == held;
+            if !is_empty && state.phase == Phase::Idle {
                 state.enter(Phase::Head);
             }
             drop(state);
+            match &result {
+                Err(e) => self.progress.record_end(EndCause::CallerReset, e),
+                Ok(()) if is_empty && buf.remaining() > 0 => {
+                    let reason = "the caller closed the connection";
+                    self.progress.record_end(EndCause::CallerClosed, &reason);
+                }
+                Ok(()) => {}
+            }
             return Poll::Ready(result);
         }
         ready!(self.poll_deadline(cx));
         let message = "the caller sent no complete request head in time";
+        self.progress.record_end(EndCause::RequestTimeout, &message);
         Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, message)))
     }
 }
@@ -273,7 +422,9 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_flush(cx)
+        ready!(Pin::new(&mut self.io).poll_flush(cx))?;
+        self.progress.lock().finish_flush();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -7,6 +7,7 @@
 mod client;
 mod cloud;
 mod connection;
+mod early_end;
 mod events;
 mod framing;
 mod generation;
@@ -18,11 +19,14 @@
 mod upstreams;
 mod weights;
 
+pub use caller::CallerBody;
 pub(crate) use client::{
     Client, Exchange, FullResponse, PooledConnection, Reuse, StreamingResponse, Way, cut_error,
     get_request, post_request,
 };
 pub use cloud::HttpCloud;
+pub(crate) use early_end::no_observer;
+pub use early_end::{EndCause, Observer};
 pub(crate) use framing::{Framing, end_with_connection};
 pub(crate) use json_items::read_json_items;
 pub(crate) use server::{EndsWithConnection, RespondBy};
--- a/src/adapters/http/server.rs
+++ b/src/adapters/http/server.rs
@@ -16,7 +16,8 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use super::{
-    caller::{CallerStream, GuardedBody, Progress},
+    caller::{CallerBody, CallerStream, GuardedBody, Progress},
+    early_end::{EndCause, Observer},
     framing::end_with_connection,
 };
 
@@ -62,14 +63,15 @@
 
 /// Serves until the token is cancelled, then shuts down gracefully: each connection ends after its current
 /// response. A connection reads the current timeouts whenever it starts to wait, and the maximum head size
-/// when it opens.
+/// when it opens. The observer is told of connections that end before a response is complete.
 pub async fn serve<S, B>(
     listener: TcpListener,
     options: impl Fn() -> ServerOptions + Send + Sync + 'static,
+    observer: Arc<dyn Observer>,
     service: S,
     stop: CancellationToken,
 ) where
-    S: Service<Request<Incoming>, Response = Response<B>, Error = Infallible>
+    S: Service<Request<CallerBody>, Response = Response<B>, Error = Infallible>
         + Send
         + Sync
         + 'static,
@@ -92,6 +94,7 @@
                 let served = serve_connection(
                     stream,
                     Arc::clone(&options),
+                    Arc::clone(&observer),
                     Arc::clone(&service),
                     stop.clone(),
                 );
@@ -121,11 +124,12 @@
 async fn serve_connection<S, B, O>(
     stream: TcpStream,
     options: Arc<O>,
+    observer: Arc<dyn Observer>,
     service: Arc<S>,
     stop: CancellationToken,
 ) where
     O: Fn() -> ServerOptions,
-    S: Service<Request<Incoming>, Response = Response<B>, Error = Infallible>
+    S: Service<Request<CallerBody>, Response = Response<B>, Error = Infallible>
         + Send
         + Sync
         + 'static,
@@ -141,19 +145,25 @@
     let progress = Progress::new();
     let max_head_bytes = options().max_head_bytes.max(MIN_HYPER_BUFFER_BYTES);
     let io = TokioIo::new(CallerStream::new(stream, progress.clone(), options));
-    let service = service_fn(move |req| {
-        let request = progress.begin_request();
-        let response = service.call(req);
+    // Dropped after the connection, also when that is cancelled or panics.
+    let report = EndReport {
+        progress: progress.clone(),
+        observer: Arc::clone(&observer),
+    };
+    let service = service_fn(move |req: Request<Incoming>| {
+        let id = observer.request_id(req.headers());
+        progress.begin_request(id, !req.body().is_end_stream());
+        let response = service.call(req.map(|body| CallerBody::new(body, &progress)));
         let progress = progress.clone();
         async move {
             let mut res = response.await?;
             let respond_by = res.extensions().get().map(|RespondBy(at)| *at);
-            progress.set_response_deadline(respond_by);
-            if res.extensions().get::<EndsWithConnection>().is_some() {
-                progress.end_response_with_connection();
+            let ends_connection = res.extensions().get::<EndsWithConnection>().is_some();
+            progress.begin_response(respond_by, ends_connection);
+            if ends_connection {
                 end_with_connection(&mut res);
             }
-            Ok::<_, Infallible>(res.map(|body| GuardedBody::new(body, request)))
+            Ok::<_, Infallible>(res.map(|body| GuardedBody::new(body, progress)))
         }
     });
     let served = http1::Builder::new()
@@ -167,7 +177,34 @@
             served.await
         }
     };
-    if let Err(e) = result {
-        log::debug!("http: a connection failed: {e}.");
+    match result {
+        Err(e) => {
+            log::debug!("http: a connection failed: {e}.");
+            report.progress.record_end(EndCause::Other, &e);
+        }
+        Ok(()) => {
+            let reason = "the HTTP library closed it";
+            report.progress.record_end(EndCause::Other, &reason);
+        }
+    }
+}
+
+/// Reports a request without a complete response when its connection has ended.
+struct EndReport {
+    progress: Progress,
+    observer: Arc<dyn Observer>,
+}
+
+impl Drop for EndReport {
+    fn drop(&mut self) {
+        // Without a cause so far, the connection was cancelled or its task unwinds.
+        let (cause, reason) = match std::thread::panicking() {
+            true => (EndCause::Panicked, "the task of the connection panicked"),
+            false => (EndCause::Shutdown, "the shutdown timeout passed"),
+        };
+        self.progress.record_end(cause, &reason);
+        if let Some(end) = self.progress.take_unanswered() {
+            end.report(&*self.observer);
+        }
     }
 }
--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -6,5 +6,7 @@
 pub(crate) mod tcp;
 
 pub use clock::SystemClock;
-pub use http::{HttpCloud, HttpUpstreams, HttpWeights};
+pub use http::{
+    CallerBody, EndCause, HttpCloud, HttpUpstreams, HttpWeights, Observer, ServerOptions, serve,
+};
 pub use tcp::TcpDialer;
--- a/src/ingress/forward/mod.rs
+++ b/src/ingress/forward/mod.rs
@@ -15,7 +15,6 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
     HeaderMap, Method, Request, Response, Uri,
-    body::Incoming,
     header::{self, HeaderValue},
 };
 use tokio::time::{Instant, timeout_at};
@@ -33,6 +32,7 @@
     upstreams::InFlightGuard,
 };
 use crate::{
+    adapters::http::CallerBody,
     domain::{AccountName, InstanceName, RequestClass, Route, RouteIndex, ServiceName},
     policy::{
         origins::{Origin, StreamId},
@@ -50,7 +50,7 @@
 /// Handles one request and returns the response for the caller.
 pub(super) async fn handle<P: Platform, T: Clock>(
     core: Arc<Core<P, T>>,
-    req: Request<Incoming>,
+    req: Request<CallerBody>,
 ) -> Response<Relay> {
     let arrived = Instant::now();
     let facts = core.platform.read_request(req.headers());
@@ -100,7 +100,7 @@
 }
 
 impl AdmissionContext {
-    fn new(req: &Request<Incoming>) -> Self {
+    fn new(req: &Request<CallerBody>) -> Self {
         Self {
             host: host(req).unwrap_or_default().to_owned(),
             uri: req.uri().clone(),
@@ -147,7 +147,7 @@
     /// Finds the route and the account, reads the body and takes the request's units from the quota.
     async fn admit(
         core: Arc<Core<P, T>>,
-        req: Request<Incoming>,
+        req: Request<CallerBody>,
         facts: RequestMetadata,
         arrived: Instant,
         admission: &mut AdmissionContext,
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -4,6 +4,7 @@
 mod admit;
 mod announce;
 mod answer_record;
+mod callers;
 mod controllers;
 mod counters;
 mod crashes;
@@ -40,9 +41,10 @@
 use tokio_util::sync::CancellationToken;
 
 use self::{
-    announce::Announcer, controllers::ControllerContacts, counters::Counters, crashes::CrashWatch,
-    errors::NotRun, origins::Origins, quota::Quotas, reach::Reach, retry_budgets::RetryBudgets,
-    shutdown::Shutdown, upstreams::Upstreams, usage::UsageCounter,
+    announce::Announcer, callers::CallerObserver, controllers::ControllerContacts,
+    counters::Counters, crashes::CrashWatch, errors::NotRun, origins::Origins, quota::Quotas,
+    reach::Reach, retry_budgets::RetryBudgets, shutdown::Shutdown, upstreams::Upstreams,
+    usage::UsageCounter,
 };
 use crate::{
     RunningRole,
@@ -229,7 +231,9 @@
             }
         }
     };
-    let mut served = tokio::spawn(serve(listener, options, service, closing.clone()));
+    let observer = Arc::new(CallerObserver::new(Arc::clone(&core.platform), metrics));
+    let served = serve(listener, options, observer, service, closing.clone());
+    let mut served = tokio::spawn(served);
     let directory = Directory::new(&core);
     let task = tokio::spawn(async move {
         tokio::select! {
--- a/src/platform/api.rs
+++ b/src/platform/api.rs
@@ -140,6 +140,10 @@
         table::parse(document)
     }
 
+    fn request_id(&self, headers: &HeaderMap) -> Option<HeaderValue> {
+        headers::request_id(headers)
+    }
+
     fn read_request(&self, headers: &HeaderMap) -> RequestMetadata {
         headers::read_request(headers)
     }
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -6,7 +6,6 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     Method, Request, Response, StatusCode,
-    body::Incoming,
     header::{CONTENT_TYPE, HeaderValue, LOCATION},
     service::service_fn,
 };
@@ -14,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    adapters::http::{ServerOptions, serve},
+    adapters::http::{CallerBody, ServerOptions, no_observer, serve},
     controller::publisher::{PublishError, Publisher},
     ports::{Clock, Platform},
 };
@@ -37,12 +36,19 @@
         let publisher = Arc::clone(&publisher);
         async move { Ok::<_, Infallible>(handle(&publisher, req).await) }
     });
-    serve(listener, ServerOptions::default, service, stop).await;
+    serve(
+        listener,
+        ServerOptions::default,
+        no_observer(),
+        service,
+        stop,
+    )
+    .await;
 }
 
 async fn handle<T: Clock, P: Platform>(
     publisher: &Publisher<T, P>,
-    req: Request<Incoming>,
+    req: Request<CallerBody>,
 ) -> Response<Full<Bytes>> {
     let path = req.uri().path().to_owned();
     match (req.method(), path.as_str()) {
--- a/src/platform/directory.rs
+++ b/src/platform/directory.rs
@@ -7,7 +7,6 @@
 use http_body_util::Full;
 use hyper::{
     Request, Response, StatusCode,
-    body::Incoming,
     header::{CONTENT_TYPE, HeaderValue},
     service::service_fn,
 };
@@ -16,7 +15,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    adapters::http::{ServerOptions, serve},
+    adapters::http::{CallerBody, ServerOptions, no_observer, serve},
     ingress::Directory,
 };
 
@@ -40,13 +39,20 @@
         let res = handle_resolve(&directory, &req);
         async move { Ok::<_, Infallible>(res) }
     });
-    serve(listener, ServerOptions::default, service, stop).await;
+    serve(
+        listener,
+        ServerOptions::default,
+        no_observer(),
+        service,
+        stop,
+    )
+    .await;
 }
 
 /// Serves the platform's readiness check of this gateway until the token is cancelled.
 pub async fn serve_ready(directory: Directory, listener: TcpListener, stop: CancellationToken) {
     let directory = Arc::new(directory);
-    let service = service_fn(move |req: Request<Incoming>| {
+    let service = service_fn(move |req: Request<CallerBody>| {
         let status = match (req.uri().path(), directory.is_open()) {
             (READINESS_PATH, true) => StatusCode::OK,
             (READINESS_PATH, false) => StatusCode::SERVICE_UNAVAILABLE,
@@ -54,10 +60,17 @@
         };
         async move { Ok::<_, Infallible>(empty_response(status)) }
     });
-    serve(listener, ServerOptions::default, service, stop).await;
+    serve(
+        listener,
+        ServerOptions::default,
+        no_observer(),
+        service,
+        stop,
+    )
+    .await;
 }
 
-fn handle_resolve(directory: &Directory, req: &Request<Incoming>) -> Response<Full<Bytes>> {
+fn handle_resolve(directory: &Directory, req: &Request<CallerBody>) -> Response<Full<Bytes>> {
     if req.uri().path() != RESOLVE_PATH {
         return empty_response(StatusCode::NOT_FOUND);
     }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -60,6 +60,11 @@
     HeaderName::from_static("x-flamingocroft-fencing-token"),
 ];
 
+/// Returns the caller's identifier of a request.
+pub(super) fn request_id(headers: &HeaderMap) -> Option<HeaderValue> {
+    headers.get(&REQUEST_ID).cloned()
+}
+
 /// Reads the headers of a caller's request.
 pub(super) fn read_request(headers: &HeaderMap) -> RequestMetadata {
     let key = header_text(headers, &AUTHORIZATION).and_then(|value| {
--- a/src/ports/platform.rs
+++ b/src/ports/platform.rs
@@ -4,7 +4,7 @@
 use std::{future::Future, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use hyper::{HeaderMap, StatusCode};
+use hyper::{HeaderMap, StatusCode, header::HeaderValue};
 
 use super::{CloudError, RejectedItems};
 use crate::domain::{
@@ -214,6 +214,9 @@
     /// Parses a published document into a route table.
     fn read_table(&self, document: &Bytes) -> Result<RouteTable, InvalidTable>;
 
+    /// Returns the caller's identifier of a request.
+    fn request_id(&self, headers: &HeaderMap) -> Option<HeaderValue>;
+
     /// Extracts the metadata of a caller's request from its headers.
     fn read_request(&self, headers: &HeaderMap) -> RequestMetadata;
 
--- a/src/telemetry/serve.rs
+++ b/src/telemetry/serve.rs
@@ -4,19 +4,19 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, Response, StatusCode, body::Incoming, service::service_fn};
+use hyper::{Request, Response, StatusCode, service::service_fn};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
 use super::Metrics;
-use crate::adapters::http::{ServerOptions, serve};
+use crate::adapters::http::{CallerBody, ServerOptions, no_observer, serve};
 
 /// URL path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
 /// Serves the metrics until the token is cancelled.
 pub async fn serve_metrics(metrics: Metrics, listener: TcpListener, stop: CancellationToken) {
-    let service = service_fn(move |req: Request<Incoming>| {
+    let service = service_fn(move |req: Request<CallerBody>| {
         let metrics = metrics.clone();
         async move {
             let mut res = Response::new(Full::<Bytes>::default());
@@ -27,5 +27,12 @@
             Ok::<_, Infallible>(res)
         }
     });
-    serve(listener, ServerOptions::default, service, stop).await;
+    serve(
+        listener,
+        ServerOptions::default,
+        no_observer(),
+        service,
+        stop,
+    )
+    .await;
 }
