Count a connection as idle only once its response is sent

A caller that took a long answer slowly, but steadily, was cut off within it after the idle timeout; a lower IdleTimeoutMs that came with a change of the configuration applied to such answers too. A connection became idle when the HTTP library dropped the body of the response, and with up to a whole frame of it unsent it was read under the idle timeout.

Now it becomes idle when the flush after the body is complete. Until then the limit for a write that the caller does not take applies, which each byte taken renews. A request also no longer inherits the deadline of the response before it, which the limit for its "100 Continue" would have counted from.

--- a/src/adapters/http/caller.rs
+++ b/src/adapters/http/caller.rs
@@ -89,6 +89,7 @@
     pub(super) fn begin_request(&self, id: Option<HeaderValue>, has_body: bool) {
         let mut state = self.lock();
         state.enter(Phase::Request);
+        state.respond_by = None;
         state.request = Some(CurrentRequest {
             id,
             begun: state.since,
@@ -160,9 +161,11 @@
         }
     }
 
-    /// Ends the request if the HTTP library has passed its whole response on.
-    fn finish_flush(&mut self) {
-        self.request.take_if(|request| request.is_produced);
+    /// Ends the request if the HTTP library has passed its whole response on. Returns the reader to wake.
+    fn finish_flush(&mut self) -> Option<Waker> {
+        self.request.take_if(|request| request.is_produced)?;
+        self.enter(Phase::Idle);
+        self.reader.take()
     }
 }
 
@@ -225,16 +228,9 @@
 
 impl<B> Drop for GuardedBody<B> {
     fn drop(&mut self) {
-        let mut state = self.progress.lock();
-        if let Some(request) = &mut state.request {
+        if let Some(request) = &mut self.progress.lock().request {
             request.is_produced = !self.has_failed;
         }
-        state.enter(Phase::Idle);
-        let reader = state.reader.take();
-        drop(state);
-        if let Some(reader) = reader {
-            reader.wake();
-        }
     }
 }
 
@@ -423,7 +419,10 @@
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(Pin::new(&mut self.io).poll_flush(cx))?;
-        self.progress.lock().finish_flush();
+        let reader = self.progress.lock().finish_flush();
+        if let Some(reader) = reader {
+            reader.wake();
+        }
         Poll::Ready(Ok(()))
     }
 
--- a/tests/adapters_server.rs
+++ b/tests/adapters_server.rs
@@ -24,6 +24,8 @@
 
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 const REQUEST_ID: &str = "x-test-request-id";
+/// Length of a response that does not fit into the buffers of a connection.
+const LONG_BYTES: usize = 32 * 1024 * 1024;
 
 type TestBody = UnsyncBoxBody<Bytes, io::Error>;
 
@@ -54,6 +56,10 @@
             sleep(Duration::from_millis(100)).await;
             Err(io::Error::other("the source failed"))
         })),
+        "/long" => {
+            let body = Full::from(vec![b'x'; LONG_BYTES]).map_err(|never| match never {});
+            Response::new(body.boxed_unsync())
+        }
         _ => whole("done"),
     }
 }
@@ -263,6 +269,15 @@
     assert!(line["message"].contains("the source failed"), "{line:?}");
 }
 
+#[tokio::test]
+async fn a_caller_that_does_not_take_its_answer_is_reported() {
+    let server = TestServer::start(quick()).await;
+    let _deaf = server.send("/long", "deaf", 9, 9).await;
+    server
+        .assert_report("deaf", "Answering", EndCause::ResponseTimeout)
+        .await;
+}
+
 #[tokio::test]
 async fn connections_cut_at_shutdown_are_reported_with_the_stage_of_their_request() {
     for (path, sent, stage) in [("/done", 4, "ReadingBody"), ("/silent", 9, "Waiting")] {
@@ -290,3 +305,20 @@
         .unwrap();
     assert_eq!(*server.counts.0.lock().unwrap(), []);
 }
+
+/// Guards against the idle timeout of a connection whose last bytes of a response are not yet taken.
+#[tokio::test]
+async fn an_answer_that_its_caller_takes_slowly_is_not_cut_by_the_idle_timeout() {
+    let server = TestServer::start(quick()).await;
+    let mut caller = server.send("/long", "slow", 9, 9).await;
+    let mut taken = 0;
+    let mut buf = vec![0; LONG_BYTES / 64];
+    while taken < LONG_BYTES {
+        // In all several times the idle timeout.
+        sleep(Duration::from_millis(20)).await;
+        match timeout(TEST_TIMEOUT, caller.read(&mut buf)).await.unwrap() {
+            Ok(0) | Err(_) => panic!("the answer is cut after {taken} bytes"),
+            Ok(read) => taken += read,
+        }
+    }
+}
