Answer a request whose handling panics with 502

A panic in the handler of a request ended the task of its connection: the caller saw it close without a byte, and nothing but the panic's own line on standard error told of it, without the request.

All users of `serve`, and the interface of `/v1`, now call their service through one function that catches panics. Before the response the caller gets a 502, never a 503, since the request may have run; the connection stays usable. Within the body the panic becomes an error of the body, which closes the connection. Both are logged as an error, `request.panicked`, with the request and the text of the panic. The operators' interface of controllers, which warp serves itself, is as before.

Without the catch, `a_panic_before_the_answer_gives_the_caller_a_502_and_leaves_the_connection_usable` fails: the connection closes after 0 bytes. A panic within the body was reported as the end of the connection before, without its text.

--- a/src/adapters/http/caller.rs
+++ b/src/adapters/http/caller.rs
@@ -27,6 +27,7 @@
 use super::{
     ServerOptions,
     early_end::{EarlyEnd, EndCause, RequestStage},
+    panics::BodyPanicked,
 };
 
 /// The phase of a connection.
@@ -249,9 +250,13 @@
         let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
         Poll::Ready(frame.map(|frame| {
             frame.map_err(|e| {
-                let e = e.into();
+                let e: Self::Error = e.into();
                 self.has_failed = true;
-                self.progress.record_end(EndCause::BodyFailed, &e);
+                let cause = match e.is::<BodyPanicked>() {
+                    true => EndCause::Panicked,
+                    false => EndCause::BodyFailed,
+                };
+                self.progress.record_end(cause, &e);
                 e
             })
         }))
--- a/src/adapters/http/early_end.rs
+++ b/src/adapters/http/early_end.rs
@@ -85,6 +85,9 @@
         None
     }
 
+    /// Adds what the platform requires to the headers of a response that the server itself makes.
+    fn mark_failure(&self, _request: Option<&HeaderValue>, _headers: &mut HeaderMap) {}
+
     /// Counts a connection that ended before the response of its request was complete.
     fn count_early_end(&self, _cause: EndCause) {}
 }
--- a/src/adapters/http/server.rs
+++ b/src/adapters/http/server.rs
@@ -19,6 +19,7 @@
     caller::{CallerBody, CallerStream, GuardedBody, Progress},
     early_end::{EndCause, Observer},
     framing::end_with_connection,
+    panics::call_catching_panics,
 };
 
 /// Delay after a failed `accept`, for example when file descriptors are exhausted.
@@ -63,7 +64,7 @@
 
 /// Serves until the token is cancelled, then shuts down gracefully: each connection ends after its current
 /// response. A connection reads the current timeouts whenever it starts to wait, and the maximum head size
-/// when it opens. The observer is told of connections that end before a response is complete.
+/// when it opens. If the service panics before its response, the caller gets status 502. The observer is told of connections that end before a response is complete.
 pub async fn serve<S, B>(
     listener: TcpListener,
     options: impl Fn() -> ServerOptions + Send + Sync + 'static,
@@ -152,10 +153,14 @@
     };
     let service = service_fn(move |req: Request<Incoming>| {
         let id = observer.request_id(req.headers());
-        progress.begin_request(id, !req.body().is_end_stream());
-        let response = service.call(req.map(|body| CallerBody::new(body, &progress)));
+        progress.begin_request(id.clone(), !req.body().is_end_stream());
+        let req = req.map(|body| CallerBody::new(body, &progress));
+        let (service, observer) = (Arc::clone(&service), Arc::clone(&observer));
         let progress = progress.clone();
         async move {
+            let response = call_catching_panics(&*service, req, id.as_ref(), |head| {
+                observer.mark_failure(id.as_ref(), head);
+            });
             let mut res = response.await?;
             let respond_by = res.extensions().get().map(|RespondBy(at)| *at);
             let ends_connection = res.extensions().get::<EndsWithConnection>().is_some();
--- a/src/gateway/http/mod.rs
+++ b/src/gateway/http/mod.rs
@@ -14,7 +14,7 @@
 
 use std::{io, sync::Arc, time::Duration};
 
-use hyper::server::conn::http1;
+use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::{
     rt::{TokioIo, TokioTimer},
     service::TowerToHyperService,
@@ -25,7 +25,10 @@
 use warp::Filter;
 
 use super::core::Gateway;
-use crate::ports::{Clock, Upstreams};
+use crate::{
+    adapters::http::call_catching_panics,
+    ports::{Clock, Upstreams},
+};
 
 /// Size of the read buffer, which bounds the head of a request; the handler has a lower limit.
 const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
@@ -77,7 +80,11 @@
         .and(warp::header::headers_cloned())
         .and(warp::body::stream())
         .then(routes::handle_request);
-    let service = TowerToHyperService::new(warp::service(filter));
+    let service = Arc::new(TowerToHyperService::new(warp::service(filter)));
+    let service = service_fn(move |req| {
+        let service = Arc::clone(&service);
+        async move { call_catching_panics(&*service, req, None, |_| {}).await }
+    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(head_timeout)
--- a/src/ingress/callers.rs
+++ b/src/ingress/callers.rs
@@ -35,6 +35,11 @@
         self.platform.request_id(headers)
     }
 
+    fn mark_failure(&self, request: Option<&HeaderValue>, headers: &mut HeaderMap) {
+        let id = request.and_then(|id| id.to_str().ok()).unwrap_or_default();
+        self.platform.mark_refusal(headers, id, None);
+    }
+
     fn count_early_end(&self, cause: EndCause) {
         let causes = EndCause::ALL.iter().zip(&self.early_ends);
         for (_, counter) in causes.filter(|(other, _)| **other == cause) {
--- a/tests/adapters_server.rs
+++ b/tests/adapters_server.rs
@@ -44,6 +44,7 @@
 
 async fn respond(req: Request<CallerBody>) -> Response<TestBody> {
     let path = req.uri().path().to_owned();
+    assert_ne!(path, "/panics", "the handler failed");
     // What cannot be read is not answered.
     if req.into_body().collect().await.is_err() {
         return std::future::pending().await;
@@ -56,6 +57,11 @@
             sleep(Duration::from_millis(100)).await;
             Err(io::Error::other("the source failed"))
         })),
+        "/body-panics" => piece_and(stream::once(async {
+            // Waits until the piece before was sent.
+            sleep(Duration::from_millis(100)).await;
+            panic!("the body failed")
+        })),
         "/long" => {
             let body = Full::from(vec![b'x'; LONG_BYTES]).map_err(|never| match never {});
             Response::new(body.boxed_unsync())
@@ -72,6 +78,10 @@
         headers.get(REQUEST_ID).cloned()
     }
 
+    fn mark_failure(&self, _: Option<&HeaderValue>, headers: &mut HeaderMap) {
+        headers.insert("x-test-failure", HeaderValue::from_static("1"));
+    }
+
     fn count_early_end(&self, cause: EndCause) {
         self.0.lock().unwrap().push(cause);
     }
@@ -95,8 +105,9 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let (counts, stop) = (Arc::<Counts>::default(), CancellationToken::new());
-        let service = service_fn(|req: Request<CallerBody>| async {
-            Ok::<_, Infallible>(respond(req).await)
+        let service = service_fn(|req: Request<CallerBody>| {
+            assert_ne!(req.uri().path(), "/panics-at-once", "the handler failed");
+            async { Ok::<_, Infallible>(respond(req).await) }
         });
         let options = move || options.clone();
         tokio::spawn(serve(
@@ -306,6 +317,38 @@
     assert_eq!(*server.counts.0.lock().unwrap(), []);
 }
 
+#[tokio::test]
+async fn a_panic_before_the_answer_gives_the_caller_a_502_and_leaves_the_connection_usable() {
+    let server = TestServer::start(quick()).await;
+    for path in ["/panics", "/panics-at-once"] {
+        let mut caller = server.send(path, path, 9, 9).await;
+        let answer = read_until(&mut caller, "\r\n\r\n").await;
+        assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+        assert!(answer.contains("x-test-failure: 1"), "{answer}");
+        let line = server.line("request.panicked", path).await;
+        assert!(line["message"].contains("the handler failed"), "{line:?}");
+        let next = b"GET /done HTTP/1.1\r\nHost: a\r\n\r\n";
+        caller.write_all(next).await.unwrap();
+        read_until(&mut caller, "done").await;
+    }
+    assert_eq!(*server.counts.0.lock().unwrap(), []);
+}
+
+#[tokio::test]
+async fn a_panic_within_the_answer_ends_the_connection_and_is_reported() {
+    let server = TestServer::start(quick()).await;
+    let mut caller = server.send("/body-panics", "body-panics", 9, 9).await;
+    let mut answer = Vec::new();
+    let read = timeout(TEST_TIMEOUT, caller.read_to_end(&mut answer)).await;
+    read.expect("the connection stays open").unwrap();
+    assert!(!answer.ends_with(b"0\r\n\r\n"), "the answer looks complete");
+    let line = server.line("request.panicked", "body-panics").await;
+    assert!(line["message"].contains("the body failed"), "{line:?}");
+    server
+        .assert_report("body-panics", "Answering", EndCause::Panicked)
+        .await;
+}
+
 /// Guards against the idle timeout of a connection whose last bytes of a response are not yet taken.
 #[tokio::test]
 async fn an_answer_that_its_caller_takes_slowly_is_not_cut_by_the_idle_timeout() {
