Add the token counts of a prompt without overflow

A request that states tokens for its prompt or its response overflowed their sum where quotas count tokens: builds with overflow checks panicked, which closed the connection without an answer, and others let the request pass for almost no units. The sum is now taken in floating point, as quotas count.

--- a/src/ingress/quota.rs
+++ b/src/ingress/quota.rs
@@ -308,7 +308,7 @@
     match (unit, prompt) {
         (QuotaUnit::Requests, _) => 1.0,
         (QuotaUnit::Tokens { .. }, Some(prompt)) => {
-            (prompt.prompt_tokens + prompt.max_output_tokens) as f64
+            prompt.prompt_tokens as f64 + prompt.max_output_tokens as f64
         }
         (QuotaUnit::Tokens { plain }, None) => plain,
     }
