Bound the durations of a published table

A table whose TimeoutMs, TargetLatencyMs, TargetGapMs, HeaderTimeoutMs or IdleTimeoutMs is very large was accepted, and then requests under it ended without an answer: "overflow when adding duration to instant" and "overflow when multiplying duration by scalar" panicked in the task of the connection, some of them whenever a connection waited for its next byte. Values beyond what a duration can hold counted as zero instead, so that an endless idle limit closed connections at once.

The parser now bounds each duration by 366 days, at the one place where all of them are read. Times and small multiples of it can be added, and nobody waits for that long.

--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -9,6 +9,9 @@
     RouteTable, RoutedService, ScalingSpec, ServiceName, ZoneName,
 };
 
+/// Longest duration that a document can state, in place of longer ones. Times and multiples of it can be added.
+const MAX_DURATION: Duration = Duration::from_secs(366 * 24 * 60 * 60);
+
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct Document {
@@ -231,6 +234,8 @@
     }
 }
 
+/// Returns a duration between zero and [`MAX_DURATION`].
 fn millis(ms: f64) -> Duration {
-    Duration::try_from_secs_f64(ms / 1000.0).unwrap_or_default()
+    let seconds = (ms / 1000.0).clamp(0.0, MAX_DURATION.as_secs_f64());
+    Duration::try_from_secs_f64(seconds).unwrap_or_default()
 }
