Test answers on /v1 that break off in the same segment as their head

On the published routes such an answer closes the caller's connection without a byte. The own interface doesn't have the fault: plain answers are read whole before their head goes out, and a generation is accepted with its first token.

--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -17,6 +17,7 @@
 
 use flamingocroft::{
     RunningRole,
+    adapters::HttpUpstreams,
     domain::{FencingToken, Incarnation, InstanceName},
     gateway,
     link::{self, Handler, Identity, LinkSettings, PeerKey},
@@ -297,6 +298,30 @@
         }
     }
 
+    /// Starts a gateway that uses instances over HTTP, and returns its address.
+    pub async fn start_http_gateway(&self, instances: Vec<InstanceRecord>) -> SocketAddr {
+        self.leader.set_instances(instances);
+        let settings = Settings {
+            name: "http".into(),
+            ..self.settings.clone()
+        };
+        let ports = Ports {
+            upstreams: Arc::new(HttpUpstreams::new(&settings.timing)),
+            cloud: None::<Arc<FakeCloud>>,
+            clock: Arc::new(TestClock::new()),
+            metrics: Metrics::new().unwrap(),
+        };
+        let running = gateway::start(Arc::new(settings), ports, CancellationToken::new())
+            .await
+            .unwrap();
+        let address = running.http_address;
+        eventually("the gateway is ready", || async move {
+            http::Call::get("/readyz").send(address).await.status == 200
+        })
+        .await;
+        address
+    }
+
     pub fn address(&self, at: usize) -> SocketAddr {
         self.gateways[at].address
     }
@@ -392,6 +417,14 @@
     }
 }
 
+/// Returns an instance that is reached over HTTP.
+pub fn instance_at(name: &str, service: &str, zone: &str, address: SocketAddr) -> InstanceRecord {
+    InstanceRecord {
+        address: address.to_string(),
+        ..instance(name, service, zone, 0)
+    }
+}
+
 /// Returns shares of `slots` for each account and service.
 pub fn shares(slots: u32) -> Vec<ShareRecord> {
     let share = |service: &str, account: &str| ShareRecord {
