Keep a silent instance on /v1 until another one has answered

Callers saw: 502 after `first_byte_timeout_ms`, although the engine or plain server was at work and answered a moment later, when the others rejected the request or were silent too, or when there was no other one. A call with an Idempotency-Key was reported as possibly run. A stream whose only engine paused was generated again.

Cause: a silence ended the attempt, in `generate::attempt` and in the HTTP adapter, and for plain calls the time to the first byte was the time of the whole attempt, before it was known whether another instance would take the request.

Change: after the same limits another instance is tried beside the silent one, if the retry budget and the three attempts allow it. The first one that sends a token (a plain server: its answer) has the request, and the connections to the others are closed. If the others reject it or fail, the silent one keeps it until the deadline of the request. Calls with an Idempotency-Key wait for their one instance until then. The adapter no longer ends a response after a silence; it closes the idle connections that the same cause may affect, as before. `explain` names a silent instance.

While a gateway stops, a request without a token at a silent instance, and a plain call, end when the hand-over begins, so that their callers get an answer in place of a closed connection. The hand-over now also begins when only plain calls are left, for which the shutdown did not wait as work.

`adapters_generate`, `a_silent_connection_is_kept_and_later_requests_get_new_ones`, is new. `short_timing` of the adapters' tests now limits the whole request to the same 700 ms, since the adapter ends a silent response by its deadline; the expected errors are unchanged.

Not covered: an accepted stream whose connection is dead, while no other engine exists, now stays on it until its deadline. Before, it was generated again over a new connection.

--- a/src/adapters/http/generation.rs
+++ b/src/adapters/http/generation.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Frame, Incoming};
 use tokio::time::{Instant, timeout_at};
 
 use super::{
@@ -31,17 +31,21 @@
     decoder: SseDecoder,
     end: Option<StreamEnd>,
     deadline: Instant,
+    /// When the connection counts as silent.
+    silent_at: Instant,
     token_timeout: Duration,
 }
 
 impl GenerationReader {
-    /// Creates a reader of a response whose first token must arrive by `deadline`, and each further one
-    /// within `token_timeout` after the previous one.
+    /// Creates a reader of a response that must end by `deadline`. After a silence until `silent_at`, or of
+    /// `token_timeout` after a token, the idle connections to the engine are closed, as far as they may be affected by
+    /// the same cause; the response itself goes on.
     pub(super) fn new(
         response: StreamingResponse,
         id: RequestId,
         first_offset: u32,
         deadline: Instant,
+        silent_at: Instant,
         token_timeout: Duration,
     ) -> Self {
         Self {
@@ -52,6 +56,7 @@
             decoder: SseDecoder::default(),
             end: None,
             deadline,
+            silent_at,
             token_timeout,
         }
     }
@@ -75,7 +80,7 @@
                 return self.finish().await;
             }
             if let Some(token) = self.parse_event(&event)? {
-                self.deadline = Instant::now() + self.token_timeout;
+                self.silent_at = Instant::now() + self.token_timeout;
                 return Ok(StreamItem::Token(token));
             }
         }
@@ -98,11 +103,16 @@
     }
 
     async fn next_chunk(&mut self) -> Result<Option<Bytes>, UpstreamError> {
-        let frame = timeout_at(self.deadline, self.body.frame()).await;
-        match frame {
-            Ok(Some(Ok(frame))) => Ok(Some(frame.into_data().unwrap_or_default())),
-            Ok(Some(Err(e))) => Err(cut_error(&format!("the stream broke off: {e}"))),
-            Ok(None) => Ok(None),
+        if self.silent_at < self.deadline {
+            if let Ok(frame) = timeout_at(self.silent_at, self.body.frame()).await {
+                return frame_data(frame);
+            }
+            let e = self.silence_error();
+            log::debug!("http: an engine is silent: {e}.");
+            self.silent_at = self.deadline;
+        }
+        match timeout_at(self.deadline, self.body.frame()).await {
+            Ok(frame) => frame_data(frame),
             Err(_) => Err(self.silence_error()),
         }
     }
@@ -164,7 +174,7 @@
                 "the end mark came without a reason".to_owned(),
             ));
         };
-        self.deadline = Instant::now() + self.token_timeout;
+        self.deadline = self.deadline.min(Instant::now() + self.token_timeout);
         // The response is complete. If the body does not end here, only the connection is closed.
         if let Ok(None) = self.next_chunk().await
             && let Some(connection) = self.connection.take()
@@ -175,6 +185,16 @@
     }
 }
 
+fn frame_data(
+    frame: Option<Result<Frame<Bytes>, hyper::Error>>,
+) -> Result<Option<Bytes>, UpstreamError> {
+    match frame {
+        Some(Ok(frame)) => Ok(Some(frame.into_data().unwrap_or_default())),
+        Some(Err(e)) => Err(cut_error(&format!("the stream broke off: {e}"))),
+        None => Ok(None),
+    }
+}
+
 fn finish_reason(text: &str) -> Result<FinishReason, UpstreamError> {
     match text {
         "stop" => Ok(FinishReason::Stop),
--- a/src/adapters/http/upstreams.rs
+++ b/src/adapters/http/upstreams.rs
@@ -3,15 +3,18 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http_body_util::Full;
 use hyper::{
-    Method,
+    Method, Request,
     header::{self, HeaderName, HeaderValue},
 };
 use serde::Deserialize;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 use super::{
-    client::{Client, Reuse, build_request, get_request, post_request, rejected_error},
+    client::{
+        Client, Reuse, StreamingResponse, build_request, get_request, post_request, rejected_error,
+    },
     framing::Framing,
     generation::GenerationReader,
     messages::{CacheEventsReply, CompletionBody, LoadReply, OrderBody},
@@ -50,6 +53,32 @@
     fn first_byte_deadline(&self) -> Instant {
         Instant::now() + self.first_byte_timeout
     }
+
+    fn request_deadline(&self) -> Instant {
+        Instant::now() + self.request_timeout
+    }
+
+    /// Sends a request once and waits for the head of its response until the deadline. If a reused connection is silent
+    /// for longer than the time to the first byte, the idle ones to the target are closed, so that later requests do
+    /// not wait on them.
+    async fn exchange(
+        &self,
+        target: &Target,
+        req: Request<Full<Bytes>>,
+        reuse: Reuse,
+        deadline: Instant,
+    ) -> Result<StreamingResponse, UpstreamError> {
+        let connection = self.client.connect(target, reuse, deadline).await?;
+        let mut exchange = connection.start(req, deadline);
+        let res = match timeout(self.first_byte_timeout, exchange.response()).await {
+            Ok(res) => res?,
+            Err(_) => {
+                exchange.connection().record_silence();
+                exchange.response().await?
+            }
+        };
+        Ok(exchange.into_streaming(res))
+    }
 }
 
 /// A JSON object whose fields are ignored.
@@ -62,19 +91,24 @@
         target: &Target,
         req: &Completion,
     ) -> Result<TokenStream, UpstreamError> {
-        let deadline = self.first_byte_deadline();
+        let (deadline, silent_at) = (self.request_deadline(), self.first_byte_deadline());
         let body = CompletionBody::from(req);
         let post = post_request(target, "/v1/completions", &body)?;
         let response = self
-            .client
             .exchange(target, post, Reuse::Allowed, deadline)
             .await?;
         if !response.res.status().is_success() {
             return Err(response.read_body(deadline).await?.into_error());
         }
         let first = req.prefix.len() as u32;
-        let generation =
-            GenerationReader::new(response, req.id, first, deadline, self.token_timeout);
+        let generation = GenerationReader::new(
+            response,
+            req.id,
+            first,
+            deadline,
+            silent_at,
+            self.token_timeout,
+        );
         Ok(generation.into_stream())
     }
 
@@ -140,7 +174,7 @@
         order: &EngineOrder,
     ) -> Result<OrderOutcome, UpstreamError> {
         let req = post_request(target, "/orders", &OrderBody::from(order))?;
-        let deadline = Instant::now() + self.request_timeout;
+        let deadline = self.request_deadline();
         let response = self
             .client
             .fetch(target, req, Reuse::Forbidden, deadline)
@@ -167,7 +201,8 @@
         if let Some(key) = key {
             req.headers_mut().insert(IDEMPOTENCY_KEY, key);
         }
-        let response = self.client.fetch(target, req, reuse, deadline).await?;
+        let response = self.exchange(target, req, reuse, deadline).await?;
+        let response = response.read_body(deadline).await?;
         let content_type = response
             .headers
             .get(header::CONTENT_TYPE)
--- a/src/gateway/explain.rs
+++ b/src/gateway/explain.rs
@@ -32,6 +32,8 @@
     Routed(InstanceName),
     /// An attempt failed.
     Failed(InstanceName, UpstreamErrorKind),
+    /// An instance is silent, and keeps the request until another one has answered.
+    Silent(InstanceName),
     /// Moved away from an instance that is leaving.
     Moved(InstanceName),
     /// Preempted by a paying request and queued again.
@@ -52,6 +54,7 @@
             Self::Admitted(account) => write!(f, "admitted for account {account}"),
             Self::Routed(instance) => write!(f, "sent to {instance}, the lowest routing cost"),
             Self::Failed(instance, kind) => write!(f, "the attempt at {instance} failed: {kind:?}"),
+            Self::Silent(instance) => write!(f, "{instance} is silent, and another one is tried"),
             Self::Moved(instance) => write!(f, "moved away from {instance}, which is leaving"),
             Self::Preempted => f.write_str("put back into the queue in favour of paying work"),
             Self::HandedOver(gateway) => write!(f, "handed over to gateway {gateway}"),
--- a/src/gateway/generate/task.rs
+++ b/src/gateway/generate/task.rs
@@ -95,7 +95,7 @@
     pub(super) may_have_arrived: bool,
     pub(super) last_error: Option<UpstreamError>,
     /// Whether the request continues without its cached work, so that its prompt is computed again.
-    resumed_without_cache: bool,
+    pub(super) resumed_without_cache: bool,
     /// The instance to which the cached keys and values of this request were moved.
     preferred_instance: Option<InstanceName>,
     /// Whether no other gateway took the request over, so that it stays here until it ends.
@@ -173,15 +173,13 @@
             }
             let Some(choice) = self.choose_instance() else {
                 if self.accepted {
-                    self.tried_instances.clear();
+                    self.include_failed_instances();
                     sleep(RESUME_BACKOFF_BASE).await;
                     continue;
                 }
                 return RequestOutcome::Failed(self.no_instance_refusal());
             };
-            let started = Instant::now();
-            let attempt_outcome = Attempt::new(self, &choice).run().await;
-            self.record_spending(&choice, started.elapsed());
+            let (choice, attempt_outcome) = Attempt::new(self, choice).run().await;
             if let Some(outcome) = self.handle_attempt_outcome(&choice, attempt_outcome).await {
                 return outcome;
             }
@@ -234,18 +232,8 @@
         choice: &Choice,
         e: &UpstreamError,
     ) -> Option<RequestOutcome> {
-        let member = &choice.member;
-        let name = &member.instance.name;
-        self.record(DecisionKind::Failed(name.clone(), e.kind));
-        log::debug!("gateway: an attempt at {name} failed: {e}.");
-        let now = self.gateway.clock.monotonic();
-        member.state.record_failure(e.kind, now);
-        self.may_have_arrived |= e.sent == Sent::Maybe;
-        self.resumed_without_cache |= self.accepted;
-        self.failed_attempts += 1;
-        self.tried_instances.push(name.clone());
-        self.last_error = Some(e.clone());
-        match (self.decide_retry(e).await, self.accepted) {
+        self.record_failure(choice, e);
+        match (self.decide_retry(e, 0).await, self.accepted) {
             (Retry::After(delay), _) => sleep(delay).await,
             // An accepted request is retried until its deadline, regardless of the retry budget.
             (Retry::GiveUp, true) => sleep(self.resume_backoff()).await,
@@ -259,12 +247,40 @@
         None
     }
 
-    async fn decide_retry(&self, e: &UpstreamError) -> Retry {
+    /// Records that the request failed at an instance.
+    pub(super) fn record_failure(&mut self, choice: &Choice, e: &UpstreamError) {
+        let member = &choice.member;
+        let name = &member.instance.name;
+        self.record(DecisionKind::Failed(name.clone(), e.kind));
+        log::debug!("gateway: an attempt at {name} failed: {e}.");
+        let now = self.gateway.clock.monotonic();
+        member.state.record_failure(e.kind, now);
+        self.may_have_arrived |= e.sent == Sent::Maybe;
+        self.resumed_without_cache |= self.accepted;
+        self.failed_attempts += 1;
+        self.exclude_instance(name);
+        self.last_error = Some(e.clone());
+    }
+
+    /// Excludes an instance from the choice until the next token.
+    pub(super) fn exclude_instance(&mut self, name: &InstanceName) {
+        if !self.tried_instances.contains(name) {
+            self.tried_instances.push(name.clone());
+        }
+    }
+
+    /// Lets the instances at which the request failed be chosen again.
+    pub(super) fn include_failed_instances(&mut self) {
+        self.tried_instances.clear();
+    }
+
+    /// Decides whether the request is tried again, while `silent` instances that have it are silent.
+    pub(super) async fn decide_retry(&self, e: &UpstreamError, silent: usize) -> Retry {
         let failure = Failure {
             kind: e.kind,
             sent: e.sent,
             idempotent: true,
-            attempts: self.failed_attempts,
+            attempts: self.failed_attempts.saturating_add(silent as u32),
             remaining: self.remaining_time(),
             random: rand::random(),
         };
@@ -275,7 +291,7 @@
     }
 
     /// Returns the exponential backoff after consecutive failures without a token in between.
-    fn resume_backoff(&self) -> Duration {
+    pub(super) fn resume_backoff(&self) -> Duration {
         RESUME_BACKOFF_BASE * 2_u32.pow(self.failed_attempts.min(MAX_BACKOFF_DOUBLINGS))
     }
 
@@ -439,7 +455,7 @@
         })
     }
 
-    fn record_spending(&self, choice: &Choice, taken: Duration) {
+    pub(super) fn record_spending(&self, choice: &Choice, taken: Duration) {
         let snapshot = self.gateway.snapshot.load();
         let Some(service) = snapshot.service_for_model(&self.request.completion.model) else {
             return;
--- a/src/gateway/http/services.rs
+++ b/src/gateway/http/services.rs
@@ -199,7 +199,7 @@
         content_type: content_type.map(str::to_owned),
         body,
         key: prepared.key.map(|key| key.to_string()),
-        timeout: gateway.settings.timing.first_byte_timeout,
+        timeout: gateway.settings.timing.request_timeout,
     }
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -148,7 +148,7 @@
     // An aborted task drops this guard, which ends all background tasks of the gateway.
     let _closing = gateway.closed.clone().drop_guard();
     let stop_http = CancellationToken::new();
-    let http = tokio::spawn(http::serve(
+    let mut http = tokio::spawn(http::serve(
         listener,
         Arc::clone(&gateway),
         stop_http.clone(),
@@ -160,16 +160,18 @@
     let end = Instant::now() + limit;
     gateway.work.close();
     let reserve = MAX_HAND_OVER_TIME.min(limit / 2);
-    if timeout_at(end - reserve, gateway.work.wait())
-        .await
-        .is_err()
-    {
+    let drained = async {
+        gateway.work.wait().await;
+        stop_http.cancel();
+        let _ = (&mut http).await;
+    };
+    if timeout_at(end - reserve, drained).await.is_err() {
         log::info!("gateway: handing over {} requests.", gateway.work.len());
         gateway.hand_over.cancel();
         let _ = timeout_at(end, gateway.work.wait()).await;
+        stop_http.cancel();
+        let _ = timeout_at(end, http).await;
     }
-    stop_http.cancel();
-    let _ = timeout_at(end, http).await;
     log::info!("gateway: stopped.");
     Ok(())
 }
--- a/src/gateway/refusals.rs
+++ b/src/gateway/refusals.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     domain::{Ran, Refusal, RefusalKind},
-    ports::{UpstreamError, UpstreamErrorKind},
+    ports::{Sent, UpstreamError, UpstreamErrorKind},
 };
 
 /// Retry delay for callers when no instance accepts work or the last attempt failed.
@@ -40,3 +40,12 @@
     }
     .retry_after(UPSTREAM_RETRY_AFTER)
 }
+
+/// Returns the error of an instance that is silent.
+pub(crate) fn silence_error() -> UpstreamError {
+    UpstreamError::new(
+        UpstreamErrorKind::Silent,
+        Sent::Maybe,
+        "nothing came for too long",
+    )
+}
--- a/src/gateway/services.rs
+++ b/src/gateway/services.rs
@@ -1,11 +1,12 @@
 //! Calls of plain services: idempotent ones are retried at other instances, the others are
-//! dispatched at most once under a claim.
+//! dispatched at most once under a claim. A silent instance keeps a call until another one has answered.
 
 use std::{sync::Arc, time::Duration};
 
+use futures_util::{StreamExt, stream::FuturesUnordered};
 use tokio::{
     sync::oneshot,
-    time::{Instant, sleep},
+    time::{Instant, sleep, sleep_until},
 };
 
 use super::{
@@ -13,7 +14,7 @@
     claims::{ClaimResult, GrantedClaim},
     core::{Gateway, InFlight},
     explain::DecisionKind,
-    refusals::{no_upstream, upstream_failed},
+    refusals::{no_upstream, silence_error, upstream_failed},
     route::{self, Choice, RoutingPrompt},
     view::{AccountEntry, ServiceEntry},
 };
@@ -22,7 +23,7 @@
         BodyDigest, IdempotencyKey, InstanceName, Refusal, RefusalKind, RequestId, ServiceName,
     },
     policy::retry::{Failure, Retry},
-    ports::{Clock, Sent, ServiceCall, ServiceReply, UpstreamError, Upstreams},
+    ports::{Clock, Sent, ServiceCall, ServiceReply, UpstreamError, UpstreamErrorKind, Upstreams},
     wire::StoredOutcome,
 };
 
@@ -55,27 +56,55 @@
 }
 
 impl<U: Upstreams, T: Clock> Gateway<U, T> {
-    /// Makes an idempotent call, and retries it at another instance after a failure while the retry
-    /// budget and the time allow it.
+    /// Makes an idempotent call. While the retry budget and the time allow it, the call is made at another
+    /// instance after a failure, and beside an instance that is silent; the first answer counts.
     pub(crate) async fn call_idempotent(&self, call: &PlainCall) -> Result<PlainAnswer, Refusal> {
         let mut tried = Vec::new();
         let mut may_have_arrived = false;
-        let mut choice = self.choose_plain(&call.service, &tried)?;
+        let mut running = FuturesUnordered::new();
+        let mut newest = self.choose_plain(&call.service, &tried)?;
+        let mut next = Some(newest.clone());
+        let mut newest_is_silent = false;
+        let mut next_check = Instant::now();
         loop {
-            let e = match self.dispatch(&choice, call).await {
-                Ok(reply) => return Ok(PlainAnswer::Fresh(reply)),
-                Err(e) => e,
+            if let Some(choice) = next.take() {
+                newest = choice.clone();
+                newest_is_silent = false;
+                tried.push(choice.member.instance.name.clone());
+                running.push(async move {
+                    let result = self.dispatch(&choice, call).await;
+                    (choice, result)
+                });
+                next_check = Instant::now() + self.settings.timing.first_byte_timeout;
+            }
+            let e = tokio::select! {
+                Some((choice, result)) = running.next() => {
+                    let e = match result {
+                        Ok(reply) => return Ok(PlainAnswer::Fresh(reply)),
+                        Err(e) => e,
+                    };
+                    may_have_arrived |= e.sent == Sent::Maybe;
+                    let was_newest = choice.member.instance.name == newest.member.instance.name;
+                    if !was_newest && !newest_is_silent {
+                        continue;
+                    }
+                    e
+                }
+                () = sleep_until(next_check) => {
+                    next_check = Instant::now() + self.settings.timing.first_byte_timeout;
+                    if !std::mem::replace(&mut newest_is_silent, true) {
+                        self.record_plain_silence(call, &newest);
+                    }
+                    silence_error()
+                }
             };
-            may_have_arrived |= e.sent == Sent::Maybe;
-            tried.push(choice.member.instance.name.clone());
-            let failed = || upstream_failed(&e, may_have_arrived);
-            match self.decide_plain_retry(call, &e, tried.len() as u32).await {
-                Retry::After(delay) => sleep(delay).await,
-                Retry::GiveUp => return Err(failed()),
+            if let Retry::After(delay) = self.decide_plain_retry(call, &e, &tried).await {
+                sleep(delay).await;
+                next = self.choose_plain(&call.service, &tried).ok();
+            }
+            if next.is_none() && running.is_empty() {
+                return Err(upstream_failed(&e, may_have_arrived));
             }
-            choice = self
-                .choose_plain(&call.service, &tried)
-                .map_err(|_| failed())?;
         }
     }
 
@@ -152,14 +181,16 @@
         let name = &member.instance.name;
         self.record_plain_decision(call, DecisionKind::Routed(name.clone()));
         let _in_progress = member.state.begin_request();
-        let started = Instant::now();
+        let _cost = AttemptCost::start(self, choice, call);
         let left = self.remaining_time(call);
         let attempt = ServiceCall {
             timeout: call.call.timeout.min(left),
             ..call.call.clone()
         };
-        let result = self.upstreams.call(&member.target, &attempt).await;
-        self.record_plain_cost(choice, call, started.elapsed());
+        let result = tokio::select! {
+            result = self.upstreams.call(&member.target, &attempt) => result,
+            () = self.silent_at_shutdown() => Err(silence_error()),
+        };
         match &result {
             Ok(_) => member.state.clear_suspicion(),
             Err(e) => {
@@ -170,12 +201,31 @@
         result
     }
 
+    /// Waits until this gateway is about to stop and its upstream has had the time to the first byte, so that the
+    /// caller still gets an answer.
+    async fn silent_at_shutdown(&self) {
+        let silent_at = Instant::now() + self.settings.timing.first_byte_timeout;
+        self.hand_over.cancelled().await;
+        sleep_until(silent_at).await;
+    }
+
+    fn record_plain_silence(&self, call: &PlainCall, choice: &Choice) {
+        let member = &choice.member;
+        let silent = DecisionKind::Silent(member.instance.name.clone());
+        self.record_plain_decision(call, silent);
+        let now = self.clock.monotonic();
+        member.state.record_failure(UpstreamErrorKind::Silent, now);
+    }
+
     async fn decide_plain_retry(
         &self,
         call: &PlainCall,
         e: &UpstreamError,
-        attempts: u32,
+        tried: &[InstanceName],
     ) -> Retry {
+        if self.choose_plain(&call.service, tried).is_err() {
+            return Retry::GiveUp;
+        }
         let Some(service) = self.plain_service(&call.service) else {
             return Retry::GiveUp;
         };
@@ -183,7 +233,7 @@
             kind: e.kind,
             sent: e.sent,
             idempotent: true,
-            attempts,
+            attempts: u32::try_from(tried.len()).unwrap_or(u32::MAX),
             remaining: self.remaining_time(call),
             random: rand::random(),
         };
@@ -213,6 +263,33 @@
     }
 }
 
+/// Records the cost of an attempt when it ends or is dropped.
+struct AttemptCost<'a, U: Upstreams, T: Clock> {
+    gateway: &'a Gateway<U, T>,
+    choice: &'a Choice,
+    call: &'a PlainCall,
+    started: Instant,
+}
+
+impl<'a, U: Upstreams, T: Clock> AttemptCost<'a, U, T> {
+    fn start(gateway: &'a Gateway<U, T>, choice: &'a Choice, call: &'a PlainCall) -> Self {
+        Self {
+            gateway,
+            choice,
+            call,
+            started: Instant::now(),
+        }
+    }
+}
+
+impl<U: Upstreams, T: Clock> Drop for AttemptCost<'_, U, T> {
+    fn drop(&mut self) {
+        let taken = self.started.elapsed();
+        self.gateway
+            .record_plain_cost(self.choice, self.call, taken);
+    }
+}
+
 /// Returns the path for the claim's digest, which covers the name of the service too.
 fn digest_path(call: &PlainCall) -> String {
     format!("{}{}", call.service, call.call.path)
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -190,11 +190,11 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "connect_timeout_ms")]
     pub connect_timeout: Duration,
-    /// Longest wait for the first token or the response of an upstream.
+    /// Silence of an upstream before its first token or its response after which another one is tried.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "first_byte_timeout_ms")]
     pub first_byte_timeout: Duration,
-    /// Longest wait for the next token of an upstream.
+    /// Silence of an upstream between two tokens after which another one is tried.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "token_timeout_ms")]
     pub token_timeout: Duration,
--- a/tests/adapters_generate.rs
+++ b/tests/adapters_generate.rs
@@ -2,7 +2,7 @@
 
 mod adapters_support;
 
-use std::sync::Arc;
+use std::{pin::pin, sync::Arc, time::Duration};
 
 use adapters_support::{
     completion, eventually, read_generation, short_timing, target, timing, unused_address,
@@ -15,12 +15,14 @@
         UpstreamErrorKind::{self, Busy, Connect, Cut, Leaving, Protocol, Rejected, Silent},
         Upstreams,
     },
+    settings::Timing,
 };
 use futures_util::{StreamExt, future::join_all};
 use standin::{
     Faults,
     engine::{self, EngineParams, answer_seed, answer_token},
 };
+use tokio::time::timeout;
 
 const PROMPT: &str = "Draft the manifest of pile 3.";
 
@@ -329,3 +331,25 @@
     assert_eq!(tokens, expected_tokens(PROMPT, 2));
     assert_eq!(engine.connections(), 3);
 }
+
+#[tokio::test]
+async fn a_silent_connection_is_kept_and_later_requests_get_new_ones() {
+    const SILENCE_TIMEOUT: Duration = Duration::from_millis(300);
+    let engine = engine::start(EngineParams::default()).await.unwrap();
+    let upstreams = HttpUpstreams::new(&Timing {
+        first_byte_timeout: SILENCE_TIMEOUT,
+        ..timing()
+    });
+    let target = target(engine.address());
+    let short = completion(PROMPT, 2);
+    let both = join_all([0, 1].map(|_| read_generation(&upstreams, &target, &short))).await;
+    assert!(both.iter().all(|(_, end)| end.is_ok()));
+    engine.silence_open_connections();
+    let mut silent = pin!(upstreams.generate(&target, &short));
+    let waited = timeout(SILENCE_TIMEOUT * 2, silent.as_mut()).await;
+    assert!(waited.is_err(), "the silent connection is kept");
+    let (tokens, end) = read_generation(&upstreams, &target, &short).await;
+    end.unwrap();
+    assert_eq!(tokens, expected_tokens(PROMPT, 2));
+    assert_eq!(engine.connections(), 3);
+}
--- a/tests/adapters_support/mod.rs
+++ b/tests/adapters_support/mod.rs
@@ -41,6 +41,7 @@
     Timing {
         first_byte_timeout: Duration::from_millis(700),
         token_timeout: Duration::from_millis(700),
+        request_timeout: Duration::from_millis(700),
         ..timing()
     }
 }
--- a/tests/gateway_support/upstreams.rs
+++ b/tests/gateway_support/upstreams.rs
@@ -6,6 +6,7 @@
         Arc, Mutex,
         atomic::{AtomicU32, Ordering},
     },
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -34,6 +35,10 @@
     NoEnd(u32),
     /// Skips the token at this offset.
     Skip(u32),
+    /// Is silent for a while after this many tokens of an attempt, and then goes on; a plain call is answered late.
+    Pause(u32, Duration),
+    /// Like [`Self::Refuse`], after a while.
+    RefuseLate(UpstreamErrorKind, Sent, Duration),
 }
 
 /// An attempt at a generation at one instance.
@@ -166,9 +171,14 @@
     }
 
     /// Counts a request unless no byte of it arrives.
-    fn arrive(&self, fault: Fault) -> Result<(), UpstreamError> {
+    async fn arrive(&self, fault: Fault) -> Result<(), UpstreamError> {
+        if let Fault::RefuseLate(.., late) = fault {
+            sleep(late).await;
+        }
         let refused = match fault {
-            Fault::Refuse(kind, sent) => Some(UpstreamError::new(kind, sent, "injected failure")),
+            Fault::Refuse(kind, sent) | Fault::RefuseLate(kind, sent, _) => {
+                Some(UpstreamError::new(kind, sent, "injected failure"))
+            }
             _ => None,
         };
         if refused.as_ref().is_none_or(|e| e.sent == Sent::Maybe) {
@@ -211,7 +221,9 @@
             .map(token)
             .chain([end])
             .collect(),
-        Fault::None | Fault::Refuse(..) => whole.map(token).chain([end]).collect(),
+        Fault::None | Fault::Refuse(..) | Fault::RefuseLate(..) | Fault::Pause(..) => {
+            whole.map(token).chain([end]).collect()
+        }
     }
 }
 
@@ -227,10 +239,14 @@
             prompt: req.prompt.clone(),
             prefix: req.prefix.len(),
         });
-        self.arrive(fault)?;
+        self.arrive(fault).await?;
         let allowed_tokens = self.allowed_tokens.subscribe();
         self.streams.fetch_add(1, Ordering::SeqCst);
         let open = Arc::new(OpenStream(Arc::clone(&self.streams)));
+        let pause = match fault {
+            Fault::Pause(tokens, time) => Some((req.prefix.len() as u32 + tokens, time)),
+            _ => None,
+        };
         let paced = stream::iter(items(req, fault)).then(move |item| {
             let _open = Arc::clone(&open);
             let mut allowed_tokens = allowed_tokens.clone();
@@ -238,6 +254,9 @@
                 if let Ok(StreamItem::Token(token)) = &item {
                     let offset = token.offset;
                     let _ = allowed_tokens.wait_for(|tokens| offset < *tokens).await;
+                    if let Some((_, time)) = pause.filter(|(at, _)| *at == offset) {
+                        sleep(time).await;
+                    }
                 }
                 item
             }
@@ -293,9 +312,14 @@
         call: &ServiceCall,
     ) -> Result<ServiceReply, UpstreamError> {
         let fault = self.fault(target);
-        self.arrive(fault)?;
-        if matches!(fault, Fault::Silent(_)) {
-            sleep(call.timeout).await;
+        self.arrive(fault).await?;
+        let late = match fault {
+            Fault::Silent(_) => Duration::MAX,
+            Fault::Pause(_, time) => time,
+            _ => Duration::ZERO,
+        };
+        sleep(late.min(call.timeout)).await;
+        if late > call.timeout {
             let kind = UpstreamErrorKind::Silent;
             return Err(UpstreamError::new(kind, Sent::Maybe, "no answer in time"));
         }
