Keep a request at its engine until a peer has taken it over

Callers saw: 503 for a request whose engine was at work, when its gateway stopped and no other gateway took the request over, and the engines were busy for a second attempt. A stream in that place began again at an engine.

Cause: the hand-over ended the attempt, which closed the connection to the engine, before a peer had been asked.

Change: the attempt asks the peers while it keeps the connection, and ends when one has acknowledged. Tokens that arrive meanwhile wait in the connection, so the peer's copy has all tokens that were relayed, as before. If no peer takes the request, the attempt reads on. For the time of the acknowledgement's way back, the old generation and the peer's may both be at an engine.

--- a/src/gateway/generate/attempt.rs
+++ b/src/gateway/generate/attempt.rs
@@ -10,7 +10,7 @@
 
 use super::{Subscription, task::GenerationTask};
 use crate::{
-    domain::{InstanceName, Token},
+    domain::{GatewayEntry, InstanceName, Token},
     gateway::{
         admission::ServiceUsage,
         explain::DecisionKind,
@@ -42,8 +42,8 @@
     InstanceLeaving(Option<InstanceName>),
     /// Paying work preempts this free request.
     Preempted,
-    /// This gateway is leaving and must hand the request over.
-    HandOver,
+    /// This gateway is leaving, and another one has taken the request over.
+    HandedOver(Box<GatewayEntry>),
     /// No subscriber is left.
     Abandoned,
     /// The attempt failed.
@@ -212,7 +212,7 @@
                 Some(AttemptOutcome::InstanceLeaving(to))
             }
             AttemptEvent::Preempted => self.handle_preemption(),
-            AttemptEvent::HandOver => Some(AttemptOutcome::HandOver),
+            AttemptEvent::HandOver => self.hand_over().await,
             AttemptEvent::ReadersGone => Some(AttemptOutcome::Abandoned),
         }
     }
@@ -276,10 +276,11 @@
         None
     }
 
-    /// Returns whether this gateway is about to stop, so that a caller without a token gets a refusal in place of a
-    /// closed connection.
+    /// Returns whether this gateway is about to stop and no other one has taken the request, so that a caller without a
+    /// token gets a refusal in place of a closed connection.
     fn must_refuse_silence(&self) -> bool {
-        !self.task.accepted && self.task.gateway.hand_over.is_cancelled()
+        let task = &self.task;
+        !task.accepted && task.gateway.hand_over.is_cancelled() && !task.may_hand_over()
     }
 
     /// Tries another instance beside the silent ones, if one may have the request.
@@ -322,6 +323,16 @@
         self.start_generation(choice);
     }
 
+    /// Hands the request over. It stays at its instance until another gateway has taken it; tokens that
+    /// arrive meanwhile wait, so that the other gateway has all that were relayed.
+    async fn hand_over(&mut self) -> Option<AttemptOutcome> {
+        let new_owner = self.task.hand_over().await;
+        if new_owner.is_none() && self.generations.iter().all(|other| other.is_silent) {
+            self.next_trial = Instant::now();
+        }
+        new_owner.map(AttemptOutcome::HandedOver)
+    }
+
     fn clear_suspicion(&self) {
         if let Some(generation) = self.generations.first() {
             generation.choice.member.state.clear_suspicion();
--- a/src/gateway/generate/task.rs
+++ b/src/gateway/generate/task.rs
@@ -16,7 +16,7 @@
     token_timing::TokenTiming,
 };
 use crate::{
-    domain::{Completion, FinishReason, InstanceName, Priority, Refusal, Token},
+    domain::{Completion, FinishReason, GatewayEntry, InstanceName, Priority, Refusal, Token},
     gateway::{
         admission::{AdmissionRequest, Permit},
         core::{Gateway, InFlight},
@@ -162,9 +162,9 @@
                 return RequestOutcome::Failed(self.deadline_refusal());
             }
             if self.must_hand_over()
-                && let Some(outcome) = self.hand_over().await
+                && let Some(new_owner) = self.hand_over().await
             {
-                return outcome;
+                return RequestOutcome::HandedOver(new_owner);
             }
             match self.ensure_permit().await {
                 Ok(true) => {}
@@ -221,7 +221,7 @@
                 self.record(DecisionKind::Preempted);
                 None
             }
-            AttemptOutcome::HandOver => self.hand_over().await,
+            AttemptOutcome::HandedOver(new_owner) => Some(RequestOutcome::HandedOver(new_owner)),
             AttemptOutcome::Abandoned => Some(RequestOutcome::Abandoned),
             AttemptOutcome::Failed(e) => self.handle_failure(choice, &e).await,
         }
@@ -297,16 +297,10 @@
 
     /// Hands the request over to another gateway. `None` means that none took it and that it
     /// continues here.
-    async fn hand_over(&mut self) -> Option<RequestOutcome> {
+    pub(super) async fn hand_over(&mut self) -> Option<Box<GatewayEntry>> {
         let new_owner = self.gateway.peers.hand_over(&self.request).await;
-        self.resumed_without_cache = true;
-        match new_owner {
-            Some(entry) => Some(RequestOutcome::HandedOver(Box::new(entry))),
-            None => {
-                self.hand_over_failed = true;
-                None
-            }
-        }
+        self.hand_over_failed = new_owner.is_none();
+        new_owner.map(Box::new)
     }
 
     fn must_hand_over(&self) -> bool {
--- a/tests/gateway_hand_over.rs
+++ b/tests/gateway_hand_over.rs
@@ -8,12 +8,13 @@
 use flamingocroft::{
     domain::Incarnation,
     link::{Identity, Link, LinkError, LinkSettings, PeerKey},
+    ports::{Sent, UpstreamErrorKind},
     wire::{Body, JournalAck, JournalPut, JournalRemove, JournalTokens, JournaledRequest},
 };
 use gateway_support::{
     Bench, Options, PEER_KEY, eventually,
     http::{Call, Event, Events, OTHER_TOKEN},
-    upstreams::{answer_text, token_text},
+    upstreams::{Fault, answer_text, token_text},
 };
 use serde_json::Value;
 use uuid::Uuid;
@@ -269,6 +270,44 @@
     bench.gateways[0].wait_until_stopped().await.unwrap();
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_stays_at_its_engine_when_no_peer_takes_it_over() {
+    const SHUTDOWN: Duration = Duration::from_secs(3);
+    // The hand-over begins after half of the shutdown time.
+    const AFTER_HAND_OVER: Duration = Duration::from_millis(2000);
+    for tokens in [0, 5] {
+        let mut options = Options {
+            engines: 1,
+            ..Options::default()
+        };
+        options.timing.shutdown = SHUTDOWN;
+        options.timing.first_byte_timeout = Duration::from_secs(60);
+        options.timing.token_timeout = Duration::from_secs(60);
+        let mut bench = Bench::start(options).await;
+        bench.upstreams.allow_tokens(tokens);
+        let address = bench.address(0);
+        let call = Call::complete("p", TOKENS, false);
+        let caller = tokio::spawn(async move { call.send(address).await });
+        let upstreams = &bench.upstreams;
+        eventually("the generation starts", || async {
+            upstreams.open_streams() == 1
+        })
+        .await;
+        bench
+            .upstreams
+            .fail("e0", Fault::Refuse(UpstreamErrorKind::Busy, Sent::Maybe));
+        bench.gateways[0].stop.cancel();
+        tokio::time::sleep(AFTER_HAND_OVER).await;
+        bench.upstreams.allow_tokens(u32::MAX);
+        let reply = caller.await.unwrap();
+        assert_eq!(reply.status, 200, "{tokens}: {}", reply.text);
+        let text = &reply.json()["choices"][0]["text"];
+        assert_eq!(text, &answer_text("p", 5, TOKENS));
+        assert_eq!(bench.upstreams.attempts().len(), 1);
+        bench.gateways[0].wait_until_stopped().await.unwrap();
+    }
+}
+
 fn counter(metrics: &str, name: &str) -> u64 {
     let name = format!("flamingocroft_gateway_{name}_total ");
     let line = metrics.lines().find_map(|line| line.strip_prefix(&name));
