Test a silent engine that goes on first, and a stream among dead engines

The first lets the silent engine go on while another one has the request too. The second counts the engines that an accepted stream is at: at most three, and it goes on as soon as one of the others is sound.

--- a/tests/gateway_silence.rs
+++ b/tests/gateway_silence.rs
@@ -153,6 +153,54 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_engine_that_goes_on_before_the_other_answers_keeps_the_request() {
+    for tokens in [0, 3] {
+        let (bench, prompt) = bench(2).await;
+        let pause = SILENCE_TIMEOUT * 2;
+        bench.upstreams.fail("e0", Fault::Pause(tokens, pause));
+        bench.upstreams.fail("e1", Fault::Silent(0));
+        let (first, other) = (attempts_at(&bench, "e0"), attempts_at(&bench, "e1"));
+        let text = complete(bench.address(0), &prompt, true).await;
+        assert_eq!(text, answer_text(&prompt, 5, TOKENS));
+        assert_eq!(attempts_at(&bench, "e0"), first + 1, "{tokens}");
+        assert_eq!(attempts_at(&bench, "e1"), other + 1, "{tokens}");
+        let upstreams = &bench.upstreams;
+        eventually("the other engine is left", || async {
+            upstreams.open_streams() == 0
+        })
+        .await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_among_dead_engines_is_at_few_of_them_and_outlives_them() {
+    const ENGINES: usize = 6;
+    const MAX_AT_ONCE: u32 = 3;
+    let (bench, prompt) = bench(ENGINES).await;
+    bench.upstreams.fail("e0", Fault::Silent(3));
+    for at in 1..ENGINES {
+        bench.upstreams.fail(&format!("e{at}"), Fault::Silent(0));
+    }
+    let before = bench.upstreams.attempts().len();
+    let (address, sent) = (bench.address(0), prompt.clone());
+    let caller = tokio::spawn(async move { complete(address, &sent, true).await });
+    let upstreams = &bench.upstreams;
+    eventually("most engines were tried", || async {
+        assert!(upstreams.open_streams() <= MAX_AT_ONCE);
+        upstreams.attempts().len() >= before + ENGINES - 1
+    })
+    .await;
+    for at in 1..ENGINES {
+        bench.upstreams.fail(&format!("e{at}"), Fault::None);
+    }
+    assert_eq!(caller.await.unwrap(), answer_text(&prompt, 5, TOKENS));
+    eventually("the dead engines are left", || async {
+        upstreams.open_streams() == 0
+    })
+    .await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_all_engines_reject_late_did_not_run_only_if_nothing_arrived() {
     for sent in [Sent::No, Sent::Maybe] {
