Read no claim status of a later build as a grant

What callers saw: nothing yet, since no build sends another status. While builds are replaced, a controller of a build that adds one would have made a gateway of this build dispatch the call, so that it could run twice.

Cause: prost's getter reads an unknown value of an enum as its default, which for ClaimStatus is Granted.

Evidence: a_claim_status_of_a_later_build_is_not_read_as_granted failed before the change: "it ran: 1: POST /releases x", one call reached the upstream where none may.

The gateway now converts the status itself.

--- a/src/gateway/claims.rs
+++ b/src/gateway/claims.rs
@@ -13,7 +13,7 @@
     domain::{AccountName, BodyDigest, IdempotencyKey, Refusal, RefusalKind},
     ports::{Clock, ServiceReply, Upstreams},
     wire::{
-        Body, ClaimReply, ClaimRequest, ClaimStatus, OutcomeReply, OutcomeRequest, ReleaseRequest,
+        Body, ClaimRequest, ClaimStatus, OutcomeReply, OutcomeRequest, ReleaseRequest,
         StoredOutcome,
     },
 };
@@ -84,12 +84,21 @@
             drop(guard);
             return Err(no_quorum());
         };
-        if reply.status() == ClaimStatus::Granted {
+        // A status of a later build must not be read as the default one, which is a grant.
+        let Ok(status) = ClaimStatus::try_from(reply.status) else {
+            log::warn!(
+                "gateway: a claim got the unknown status {}; start the newest version here.",
+                reply.status
+            );
+            drop(guard);
+            return Err(no_quorum());
+        };
+        if status == ClaimStatus::Granted {
             return Ok(ClaimResult::Granted(guard.disarm()));
         }
         // The leader has no claim to release after any other answer.
         guard.disarm();
-        claim_result(reply)
+        claim_result(status, reply.outcome)
     }
 
     fn check_key_age(&self, key: IdempotencyKey) -> Result<(), Refusal> {
@@ -226,12 +235,12 @@
     }
 }
 
-fn claim_result(reply: ClaimReply) -> Result<ClaimResult, Refusal> {
-    match reply.status() {
-        ClaimStatus::Done => reply
-            .outcome
-            .map(ClaimResult::Recorded)
-            .ok_or_else(answer_lost),
+fn claim_result(
+    status: ClaimStatus,
+    outcome: Option<StoredOutcome>,
+) -> Result<ClaimResult, Refusal> {
+    match status {
+        ClaimStatus::Done => outcome.map(ClaimResult::Recorded).ok_or_else(answer_lost),
         ClaimStatus::Granted | ClaimStatus::Unknown => Err(answer_lost()),
         ClaimStatus::InProgress => Err(Refusal::unknown(
             RefusalKind::InProgress,
--- a/tests/gateway_claims.rs
+++ b/tests/gateway_claims.rs
@@ -125,6 +125,19 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_claim_status_of_a_later_build_is_not_read_as_granted() {
+    const LATER_STATUS: i32 = 99;
+    let bench = bench(1).await;
+    let mode = ClaimMode::AlwaysCode(LATER_STATUS);
+    bench.leader.set_claim_mode(mode);
+    let call = Call::release(Uuid::now_v7(), "x");
+    let reply = call.send(bench.address(0)).await;
+    assert_eq!(bench.upstreams.reached(), 0, "it ran: {}", reply.text);
+    assert_eq!(refused(&reply), refusal(503, "no_quorum", "unknown"));
+    assert_eq!(reply.header("retry-after"), Some("2"));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn keys_outside_the_accepted_time_are_refused_without_a_claim() {
     let bench = bench(1).await;
--- a/tests/gateway_support/leader.rs
+++ b/tests/gateway_support/leader.rs
@@ -26,6 +26,8 @@
     Silent,
     /// With this status, whatever was recorded.
     Always(ClaimStatus),
+    /// With the code of a status that only a later build knows.
+    AlwaysCode(i32),
 }
 
 struct Record {
@@ -251,14 +253,19 @@
         match mode {
             ClaimMode::Settled => Some(Body::ClaimReply(reply)),
             ClaimMode::Silent => None,
-            ClaimMode::Always(status) => Some(Body::ClaimReply(ClaimReply {
-                status: status as i32,
-                outcome: None,
-            })),
+            ClaimMode::Always(status) => Some(with_code(status as i32)),
+            ClaimMode::AlwaysCode(code) => Some(with_code(code)),
         }
     }
 }
 
+fn with_code(status: i32) -> Body {
+    Body::ClaimReply(ClaimReply {
+        status,
+        outcome: None,
+    })
+}
+
 fn settle(state: &mut State, claim: ClaimRequest) -> ClaimReply {
     let key = [claim.account.as_bytes(), &claim.key].concat();
     let record = state.claims.entry(key).or_insert_with(|| Record {
