--- a/src/state/claims.rs
+++ b/src/state/claims.rs
@@ -252,14 +252,15 @@
             .collect()
     }
 
-    /// Builds the claims from a snapshot. Returns `None` if a record is malformed.
+    /// Builds the claims from a snapshot. Returns `None` if a record is malformed or its standing is one of a later
+    /// version: read as the default one, its attempt could dispatch again.
     pub fn from_records(records: Vec<ClaimRecord>, expired_before: u64) -> Option<Self> {
         let mut claims = Self {
             expired_before,
             ..Self::default()
         };
         for record in records {
-            let standing = record.standing();
+            let standing = Standing::try_from(record.standing).ok()?;
             let request = record.request?;
             let key = claim_key(&request)?;
             if standing == Standing::Open {
--- a/tests/state_claims.rs
+++ b/tests/state_claims.rs
@@ -1,7 +1,9 @@
 //! Claims: which attempt gets the right to dispatch a call, and which status the others get.
 
 use flamingocroft::{
-    state::{Action, ClaimCommand, Command, ExpireClaims, MarkUnknown, Reply, State},
+    state::{
+        Action, ClaimCommand, ClaimRecord, Claims, Command, ExpireClaims, MarkUnknown, Reply, State,
+    },
     wire::{ClaimRequest, ClaimStatus, OutcomeRequest, ReleaseRequest, StoredOutcome},
 };
 
@@ -223,3 +225,19 @@
     bytes.extend([0xff; 5]);
     assert!(State::decode(&bytes).is_err());
 }
+
+#[test]
+fn a_snapshot_with_a_claim_of_a_later_build_is_not_read_as_an_open_claim() {
+    const LATER_STANDING: i32 = 99;
+    let record = |standing| ClaimRecord {
+        request: Some(request(NOW_MS, 1)),
+        standing,
+        outcome: None,
+    };
+    assert!(Claims::from_records(vec![record(0)], 0).is_some());
+    assert_eq!(
+        Claims::from_records(vec![record(LATER_STANDING)], 0),
+        None,
+        "its attempt would dispatch it again"
+    );
+}
