Link: refuse a request that is not known at once

What callers of a link saw: a request that the peer's build does not know, or can't decode, was met with silence until the call's deadline, and so was a call whose reply can't be decoded. Only the time told "not known" from "lost".

Cause: the accepting side dropped a frame without a known message, and the codec gave up the call's number with an undecodable message, though it stands before the message in the frame.

Evidence: a_request_that_the_peer_does_not_know_is_refused_at_once_and_not_met_with_silence and a_reply_that_cannot_be_read_ends_its_call_at_once failed before the change: no result within 1 s of a deadline of 5 s.

The codec keeps the number and the direction of an undecodable frame. The accepting side answers an unknown request with a Failure, which every build since the first reads; the connecting side ends the call of an unreadable reply as Unanswered, because the peer may have acted. Frames without a call are dropped as before, and the connection stays.

--- a/src/link/codec.rs
+++ b/src/link/codec.rs
@@ -6,9 +6,18 @@
 
 use crate::wire::{Frame, MAX_FRAME_BYTES};
 
-/// Encodes and decodes frames. An undecodable frame is read as one without a body, which the receiver drops: its
-/// length is known, so it must not take the calls in progress and the frames after it with it. An oversized frame is an
-/// error, after which the connection is closed.
+/// The part of a frame that all builds read, for one whose message can't be decoded.
+#[derive(Clone, PartialEq, prost::Message)]
+struct FrameHead {
+    #[prost(uint64, tag = "1")]
+    correlation: u64,
+    #[prost(bool, tag = "2")]
+    reply: bool,
+}
+
+/// Encodes and decodes frames. An undecodable frame is read as one without a body: its length is known, so it must not
+/// take the calls in progress and the frames after it with it. If its call can still be told, it keeps it, so that the
+/// call ends at once. An oversized frame is an error, after which the connection is closed.
 #[derive(Debug)]
 pub(super) struct FrameCodec {
     lengths: LengthDelimitedCodec,
@@ -44,7 +53,8 @@
             return Ok(None);
         };
         let len = bytes.len();
-        let frame = Frame::decode(bytes.freeze()).unwrap_or_else(|e| {
+        let bytes = bytes.freeze();
+        let frame = Frame::decode(bytes.clone()).unwrap_or_else(|e| {
             self.undecodable += 1;
             // At 1, 2, 4 and so on, so that a peer of another version can't fill the log.
             if self.undecodable.is_power_of_two() {
@@ -55,7 +65,12 @@
                      on both sides: {e}"
                 );
             }
-            Frame::default()
+            let head = FrameHead::decode(bytes).unwrap_or_default();
+            Frame {
+                correlation: head.correlation,
+                reply: head.reply,
+                body: None,
+            }
         });
         Ok(Some(frame))
     }
--- a/src/link/server.rs
+++ b/src/link/server.rs
@@ -11,7 +11,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{Identity, LinkSettings, PeerKey, activity::Activity, handshake};
-use crate::wire::{Body, Frame, Ping};
+use crate::wire::{Body, Failure, Frame, Ping};
 
 /// An authenticated peer.
 pub type Peer = Identity;
@@ -123,6 +123,7 @@
 
     fn dispatch(&self, peer: &Arc<Peer>, frame: Frame, tx: &mpsc::Sender<Frame>) {
         let Some(body) = frame.body else {
+            refuse_unknown(peer, &frame, tx);
             return;
         };
         if let Body::Ping(ping) = body {
@@ -148,3 +149,21 @@
         });
     }
 }
+
+/// Tells the peer that its request is not known here, so that it does not wait for a reply.
+fn refuse_unknown(peer: &Peer, frame: &Frame, tx: &mpsc::Sender<Frame>) {
+    if frame.reply || frame.correlation == 0 {
+        return;
+    }
+    log::debug!("link: {} sent a request that is not known here.", peer.name);
+    let failure = Failure {
+        message: "this process does not know the request; start the newest version of it"
+            .to_owned(),
+    };
+    // A full queue means that the peer reads too slowly; its call then ends by its deadline.
+    let _ = tx.try_send(Frame {
+        correlation: frame.correlation,
+        reply: true,
+        body: Some(Body::Failure(failure)),
+    });
+}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -56,7 +56,7 @@
     /// Whether this frame is a reply.
     #[prost(bool, tag = "2")]
     pub reply: bool,
-    /// The message. A frame without one is dropped.
+    /// The message. A request without one that is known is refused; any other frame without one is dropped.
     #[prost(
         oneof = "Body",
         tags = "10, 11, 12, 13, 14, 20, 21, 22, 23, 24, 25, 26, 27, 30, 31, 32, 33, 34, 40, 41, 42, 43, 44, 50, 51, 52, 53, 54, 55, 56, 57, 58, 59, 60, 61, 62, 63, 70, 71, 72, 73, 74"
--- a/tests/link_frames.rs
+++ b/tests/link_frames.rs
@@ -11,7 +11,7 @@
 
 use flamingocroft::{
     domain::Incarnation,
-    link::{Handler, Identity, Link, LinkSettings, Peer, PeerKey, serve},
+    link::{Handler, Identity, Link, LinkError, LinkSettings, Peer, PeerKey, serve},
     wire::{Body, NotLeader},
 };
 use tokio::{
@@ -44,6 +44,106 @@
     })
 }
 
+fn identity(name: &str) -> Identity {
+    Identity {
+        name: name.into(),
+        incarnation: Incarnation(1),
+    }
+}
+
+/// Starts a server and returns its key and address.
+async fn start_server() -> (PeerKey, SocketAddr) {
+    let key = PeerKey::new(b"a shared key of some length").unwrap();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let serving = serve(
+        listener,
+        key.clone(),
+        identity("server"),
+        LinkSettings::default(),
+        Arc::new(Echo),
+        CancellationToken::new(),
+    );
+    tokio::spawn(serving);
+    (key, address)
+}
+
+/// What a proxy changes in a request.
+#[derive(Clone, Copy)]
+enum Change {
+    /// The message becomes one that only a later build knows.
+    LaterMessage,
+    /// The message can't be decoded.
+    Undecodable,
+}
+
+impl Change {
+    /// Changes the frames of [`message`] among some bytes.
+    fn apply(self, bytes: &mut [u8]) {
+        let (from, to) = match self {
+            Self::LaterMessage => (b"\xca\x01\x04\x0a\x02c1", b"\xca\x3e\x04\x0a\x02c1"),
+            Self::Undecodable => (b"\xca\x01\x04\x0a\x02c1", b"\xca\x01\x04\x0a\x02\xff\xfe"),
+        };
+        for at in 0..bytes.len().saturating_sub(from.len() - 1) {
+            if bytes[at..].starts_with(from) {
+                bytes[at..at + to.len()].copy_from_slice(to);
+            }
+        }
+    }
+}
+
+/// Copies bytes with a change.
+async fn copy_changed(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, change: Option<Change>) {
+    let mut buf = [0; 64 * 1024];
+    while let Ok(len @ 1..) = from.read(&mut buf).await {
+        if let Some(change) = change {
+            change.apply(&mut buf[..len]);
+        }
+        to.write_all(&buf[..len]).await.unwrap();
+    }
+}
+
+/// Starts a proxy that changes requests or replies, and returns a link through it.
+async fn link_with_change(change: Change, in_reply: bool) -> Link {
+    let (key, server) = start_server().await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let proxy = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((near, _)) = listener.accept().await {
+            let far = TcpStream::connect(server).await.unwrap();
+            let ((near_rx, near_tx), (far_rx, far_tx)) = (near.into_split(), far.into_split());
+            tokio::spawn(copy_changed(near_rx, far_tx, (!in_reply).then_some(change)));
+            tokio::spawn(copy_changed(far_rx, near_tx, in_reply.then_some(change)));
+        }
+    });
+    let link = Link::connect(proxy, key, identity("client"), LinkSettings::default());
+    while link.peer().is_none() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    link
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_the_peer_does_not_know_is_refused_at_once_and_not_met_with_silence() {
+    for change in [Change::LaterMessage, Change::Undecodable] {
+        let link = link_with_change(change, false).await;
+        let reply = timeout(CALL_TIMEOUT / 5, link.call(message(), CALL_TIMEOUT)).await;
+        let Ok(Err(LinkError::Failed(message))) = reply else {
+            panic!("{reply:?}");
+        };
+        assert!(message.contains("start the newest version"), "{message}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_reply_that_cannot_be_read_ends_its_call_at_once() {
+    for change in [Change::LaterMessage, Change::Undecodable] {
+        let link = link_with_change(change, true).await;
+        let reply = timeout(CALL_TIMEOUT / 5, link.call(message(), CALL_TIMEOUT)).await;
+        assert_eq!(reply, Ok(Err(LinkError::Unanswered)));
+    }
+}
+
 /// Copies bytes, and writes undecodable frames between them each time the watched value changes.
 async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut inject: watch::Receiver<()>) {
     let mut buf = [0; 64 * 1024];
@@ -78,27 +178,10 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn an_undecodable_frame_ends_neither_the_connection_nor_a_call() {
-    let key = PeerKey::new(b"a shared key of some length").unwrap();
-    let identity = |name: &str| Identity {
-        name: name.into(),
-        incarnation: Incarnation(1),
-    };
-    let settings = LinkSettings::default;
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let server = listener.local_addr().unwrap();
-    let stop = CancellationToken::new();
-    let serving = serve(
-        listener,
-        key.clone(),
-        identity("server"),
-        settings(),
-        Arc::new(Echo),
-        stop.clone(),
-    );
-    tokio::spawn(serving);
+    let (key, server) = start_server().await;
     let (inject, injected) = watch::channel(());
     let (proxy, opened) = start_proxy(server, injected).await;
-    let link = Link::connect(proxy, key, identity("client"), settings());
+    let link = Link::connect(proxy, key, identity("client"), LinkSettings::default());
     let connected = async { while link.call(message(), CALL_TIMEOUT).await.is_err() {} };
     timeout(CALL_TIMEOUT * 4, connected).await.unwrap();
     let before = opened.load(Ordering::SeqCst);
