--- a/examples/support/mod.rs
+++ b/examples/support/mod.rs
@@ -7,5 +7,7 @@
 pub mod intent;
 pub mod operators;
 pub mod processes;
+pub mod recorder;
+pub mod records;
 pub mod shape;
 pub mod upstreams;
--- a/examples/support/processes.rs
+++ b/examples/support/processes.rs
@@ -22,7 +22,7 @@
 
 use super::{
     operators,
-    shape::{Shape, plan_daemon_settings},
+    shape::{DaemonSettings, Shape, plan_daemon_settings},
     upstreams::{Upstreams, start_upstreams},
 };
 
@@ -85,6 +85,12 @@
         Ok(())
     }
 
+    /// Starts another program in the daemon's place after its process has ended.
+    pub fn restart_as(&mut self, program: &Path) -> anyhow::Result<()> {
+        self.program = program.to_owned();
+        self.restart()
+    }
+
     /// Starts the daemon again after its process has ended.
     pub fn restart(&mut self) -> anyhow::Result<()> {
         self.child = spawn(&self.program, &self.file)?;
@@ -158,6 +164,16 @@
     pub async fn start(shape: &Shape, program: &Path, folder: &Path) -> anyhow::Result<Self> {
         let upstreams = start_upstreams(shape).await?;
         let daemon_settings = plan_daemon_settings(shape, folder, upstreams.cloud.address())?;
+        Self::start_daemons(upstreams, &daemon_settings, program, folder).await
+    }
+
+    /// Starts daemons with these settings and waits until a leader answers.
+    pub async fn start_daemons(
+        upstreams: Upstreams,
+        daemon_settings: &DaemonSettings,
+        program: &Path,
+        folder: &Path,
+    ) -> anyhow::Result<Self> {
         let start = |settings: &Vec<Settings>| {
             settings
                 .iter()
--- a/tests/platform_support/daemons.rs
+++ b/tests/platform_support/daemons.rs
@@ -27,11 +27,17 @@
 /// Returns the program of the current build.
 pub fn current_program() -> &'static Path {
     let Some(program) = option_env!("CARGO_BIN_EXE_flamingocroftd") else {
-        unreachable!("Cargo names the program for tests only; examples start no processes")
+        unreachable!("Cargo names the program for tests only; examples name theirs")
     };
     Path::new(program)
 }
 
+/// Returns the program that `EARLIER_DAEMON` names, or else that of the current build.
+pub fn earlier_program() -> PathBuf {
+    let named = std::env::var_os("EARLIER_DAEMON");
+    named.map_or_else(|| current_program().into(), PathBuf::from)
+}
+
 impl Drop for Daemon {
     fn drop(&mut self) {
         self.kill();
--- a/tests/upgrade_roll.rs
+++ b/tests/upgrade_roll.rs
@@ -20,7 +20,9 @@
 use hyper::{Method, StatusCode};
 use platform_support::{
     API_KEY, PreparedInstallation, ReceivedRequest, ServerAction, TEST_TIMEOUT, call,
-    daemons::{Daemon, call_any, call_following_redirect, current_program, version_of},
+    daemons::{
+        Daemon, call_any, call_following_redirect, current_program, earlier_program, version_of,
+    },
     document, wait_until,
 };
 use rand::seq::IndexedRandom;
@@ -46,12 +48,6 @@
 const REFRESH: Duration = Duration::from_millis(500);
 const LATER_KEY: &str = "key-that-is-taken-away";
 
-/// Returns the program with which the installation starts.
-fn earlier_program() -> PathBuf {
-    let named = std::env::var_os("EARLIER_DAEMON");
-    named.map_or_else(|| current_program().into(), PathBuf::from)
-}
-
 fn events(after: u64) -> Vec<String> {
     let ids = after + 1..=EVENTS;
     ids.map(|id| format!("id: {id}\ndata: piece {id}\n\n"))
