Tunnel: break off at a frame that can't be read, and send no bytes with a gap

What an upstream saw: if a frame of a tunnel towards it could not be read, the bytes behind the frame followed at once, so that it could take a request with a hole for a whole one. No build sends such a frame; a damaged one, or one of a later build, is enough.

Cause: the gateway that carries a tunnel skipped every frame without data, among them those that the codec gives as frames without a message. The other end of the tunnel already breaks off.

Evidence: a_tunnel_with_an_unreadable_frame_breaks_off_and_sends_no_bytes_with_a_gap failed before the change: of "first", "lost" and "third" the upstream received "firstthird".

--- a/src/link/tunnel.rs
+++ b/src/link/tunnel.rs
@@ -188,9 +188,12 @@
     let (mut read, mut write) = upstream.into_split();
     let to_upstream = async {
         while let Some(frame) = frames.next().await {
-            if let Some(Body::TunnelData(data)) = frame?.body {
-                write.write_all(&data.bytes).await?;
-            }
+            // Any other frame may have held bytes, without which those behind it must not go on.
+            let Some(Body::TunnelData(data)) = frame?.body else {
+                let message = "the peer sent a frame that can't be read; start the same version on both sides";
+                return Err(io::Error::new(io::ErrorKind::InvalidData, message));
+            };
+            write.write_all(&data.bytes).await?;
         }
         Ok(())
     };
--- a/tests/link_frames.rs
+++ b/tests/link_frames.rs
@@ -11,8 +11,11 @@
 
 use flamingocroft::{
     domain::Incarnation,
-    link::{Handler, Identity, Link, LinkError, LinkSettings, Peer, PeerKey, serve},
-    wire::{Body, NotLeader},
+    link::{
+        Handler, Identity, Link, LinkError, LinkSettings, Peer, PeerKey, TunnelHandler,
+        open_tunnel, serve, serve_tunnels,
+    },
+    wire::{Body, NotLeader, TunnelOpen, TunnelRefused},
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -75,14 +78,17 @@
     LaterMessage,
     /// The message can't be decoded.
     Undecodable,
+    /// Bytes of a tunnel come in a message that only a later build knows.
+    LaterData,
 }
 
 impl Change {
-    /// Changes the frames of [`message`] among some bytes.
+    /// Changes the frames of [`message`], or those of a tunnel that say "lost", among some bytes.
     fn apply(self, bytes: &mut [u8]) {
-        let (from, to) = match self {
+        let (from, to): (&[u8], &[u8]) = match self {
             Self::LaterMessage => (b"\xca\x01\x04\x0a\x02c1", b"\xca\x3e\x04\x0a\x02c1"),
             Self::Undecodable => (b"\xca\x01\x04\x0a\x02c1", b"\xca\x01\x04\x0a\x02\xff\xfe"),
+            Self::LaterData => (b"\xca\x04\x06\x0a\x04lost", b"\xca\x3e\x06\x0a\x04lost"),
         };
         for at in 0..bytes.len().saturating_sub(from.len() - 1) {
             if bytes[at..].starts_with(from) {
@@ -103,9 +109,8 @@
     }
 }
 
-/// Starts a proxy that changes requests or replies, and returns a link through it.
-async fn link_with_change(change: Change, in_reply: bool) -> Link {
-    let (key, server) = start_server().await;
+/// Starts a proxy to a server that changes requests or replies, and returns its address.
+async fn start_changing_proxy(server: SocketAddr, change: Change, in_reply: bool) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let proxy = listener.local_addr().unwrap();
     tokio::spawn(async move {
@@ -116,6 +121,13 @@
             tokio::spawn(copy_changed(far_rx, near_tx, in_reply.then_some(change)));
         }
     });
+    proxy
+}
+
+/// Returns a link through a proxy that changes requests or replies.
+async fn link_with_change(change: Change, in_reply: bool) -> Link {
+    let (key, server) = start_server().await;
+    let proxy = start_changing_proxy(server, change, in_reply).await;
     let link = Link::connect(proxy, key, identity("client"), LinkSettings::default());
     while link.peer().is_none() {
         tokio::time::sleep(Duration::from_millis(10)).await;
@@ -144,6 +156,54 @@
     }
 }
 
+/// Connects each tunnel to one upstream.
+struct ToUpstream(SocketAddr);
+
+impl TunnelHandler for ToUpstream {
+    async fn connect(&self, _: &Peer, _: TunnelOpen) -> Result<TcpStream, TunnelRefused> {
+        Ok(TcpStream::connect(self.0).await.unwrap())
+    }
+
+    fn ended(&self, _: &Peer, _: std::io::Result<()>) {}
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_tunnel_with_an_unreadable_frame_breaks_off_and_sends_no_bytes_with_a_gap() {
+    let key = PeerKey::new(b"a shared key of some length").unwrap();
+    let upstream = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let server = listener.local_addr().unwrap();
+    let handler = Arc::new(ToUpstream(upstream.local_addr().unwrap()));
+    let stop = CancellationToken::new();
+    tokio::spawn(serve_tunnels(
+        listener,
+        key.clone(),
+        identity("server"),
+        handler,
+        stop,
+    ));
+    let proxy = start_changing_proxy(server, Change::LaterData, false).await;
+    let local = identity("client");
+    let open = open_tunnel(proxy, &key, &local, TunnelOpen::default());
+    let mut tunnel = open.await.unwrap();
+    let (mut accepted, _) = upstream.accept().await.unwrap();
+    let read = tokio::spawn(async move {
+        let mut bytes = Vec::new();
+        // How the connection ends does not matter, only what came before.
+        let _ = accepted.read_to_end(&mut bytes).await;
+        String::from_utf8(bytes).unwrap()
+    });
+    for part in ["first", "lost", "third"] {
+        // Once the tunnel has broken off, writing fails.
+        let _ = tunnel.write_all(part.as_bytes()).await;
+        let _ = tunnel.flush().await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    drop(tunnel);
+    let received = timeout(CALL_TIMEOUT, read).await.unwrap().unwrap();
+    assert_eq!(received, "first");
+}
+
 /// Copies bytes, and writes undecodable frames between them each time the watched value changes.
 async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut inject: watch::Receiver<()>) {
     let mut buf = [0; 64 * 1024];
