Let a refusal reach a caller that is still sending its request

A request that is refused before its body is read (404, 401, 413, or 503 without a table) was answered, and then its connection was closed with bytes on the way. The system then resets it: a caller that was still sending got an error in place of the refusal. The response also promised that the connection stays open, so that a next request on it was lost.

If the service has responded and not read the body, the server now reads the rest, up to 256 KiB and 50 ms, before the response goes out, and the connection stays usable. Otherwise the response says `Connection: close`; after it the server closes only its sending side and reads and drops what comes for up to 2 s and 8 MiB. The same goes for a request head that the HTTP library refuses. A caller that expects "100 Continue" is not asked for a body that nobody reads, and one that never sends the rest is disconnected after the 2 s.

`platform_refusals` sends bodies of 2,000 to 110,000 bytes, with a write that fails failing the request.

--- a/src/adapters/http/caller.rs
+++ b/src/adapters/http/caller.rs
@@ -6,6 +6,7 @@
 use std::{
     error::Error,
     fmt, io,
+    mem::MaybeUninit,
     pin::Pin,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     task::{Context, Poll, Waker, ready},
@@ -13,6 +14,7 @@
 };
 
 use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
 use hyper::{
     body::{Body, Frame, Incoming, SizeHint},
     header::HeaderValue,
@@ -21,7 +23,7 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
-    time::{Instant, Sleep, sleep_until},
+    time::{Instant, Sleep, sleep, sleep_until, timeout},
 };
 
 use super::{
@@ -30,6 +32,18 @@
     panics::BodyPanicked,
 };
 
+/// Longest rest of a request's body that is read when the service has responded without it, in bytes.
+const MAX_DRAINED_BYTES: usize = 256 * 1024;
+/// Time for which a response waits for that rest.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(50);
+/// Time for which a closed connection is read while its caller may still be sending. Bytes that nobody reads would reset
+/// the connection, and the caller could lose the response.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Bytes that are read meanwhile.
+const MAX_LINGER_BYTES: usize = 8 * 1024 * 1024;
+/// Size of the buffer for bytes that are dropped.
+const LINGER_BUFFER_BYTES: usize = 16 * 1024;
+
 /// The phase of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
@@ -57,6 +71,10 @@
     respond_by: Option<Instant>,
     /// The request whose response is not yet sent completely.
     request: Option<CurrentRequest>,
+    /// The body of the request, if the service did not read all of it.
+    unread: Option<Incoming>,
+    /// Whether the connection is closed although the caller may still be sending.
+    lingers: bool,
     /// What ended the connection, and its text.
     end: Option<(EndCause, String)>,
 }
@@ -82,6 +100,8 @@
             ends_response: false,
             respond_by: None,
             request: None,
+            unread: None,
+            lingers: false,
             end: None,
         })))
     }
@@ -113,6 +133,22 @@
         }
     }
 
+    /// Reads the rest of a request's body that the service did not read, if it is short and arrives soon. Otherwise the
+    /// connection lingers when it is closed, and false is returned. A caller that waits for "100 Continue" gets none.
+    pub(super) async fn drain_request(&self, expects_continue: bool) -> bool {
+        let Some(unread) = self.lock().unread.take() else {
+            return true;
+        };
+        let is_short = unread.size_hint().lower() <= MAX_DRAINED_BYTES as u64;
+        let is_drained = is_short && !expects_continue && {
+            let rest = Limited::new(unread, MAX_DRAINED_BYTES);
+            let drained = timeout(DRAIN_TIMEOUT, drain(rest)).await;
+            drained.unwrap_or(false)
+        };
+        self.lock().lingers = !is_drained;
+        is_drained
+    }
+
     /// Records what ends the connection; the first cause counts.
     pub(super) fn record_end(&self, cause: EndCause, reason: &dyn fmt::Display) {
         let end = &mut self.lock().end;
@@ -173,7 +209,7 @@
 /// The body of a caller's request.
 #[derive(Debug)]
 pub struct CallerBody {
-    body: Incoming,
+    body: Option<Incoming>,
     /// The connection, until it knows that the body is read.
     progress: Option<Progress>,
 }
@@ -181,7 +217,18 @@
 impl CallerBody {
     pub(super) fn new(body: Incoming, progress: &Progress) -> Self {
         let progress = (!body.is_end_stream()).then(|| progress.clone());
-        Self { body, progress }
+        Self {
+            body: Some(body),
+            progress,
+        }
+    }
+}
+
+impl Drop for CallerBody {
+    fn drop(&mut self) {
+        if let Some(progress) = &self.progress {
+            progress.lock().unread = self.body.take();
+        }
     }
 }
 
@@ -193,8 +240,11 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
-        let is_read = frame.is_none() || self.body.is_end_stream();
+        let Some(body) = &mut self.body else {
+            return Poll::Ready(None);
+        };
+        let frame = ready!(Pin::new(&mut *body).poll_frame(cx));
+        let is_read = frame.is_none() || body.is_end_stream();
         if let Some(progress) = self.progress.take_if(|_| is_read) {
             progress.lock().finish_body();
         }
@@ -202,11 +252,23 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.body.as_ref().is_none_or(Body::is_end_stream)
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        let hint = self.body.as_ref().map(Body::size_hint);
+        hint.unwrap_or_else(|| SizeHint::with_exact(0))
+    }
+}
+
+/// Reads a body to its end; returns whether it was complete.
+async fn drain(mut body: impl Body + Unpin) -> bool {
+    loop {
+        match body.frame().await {
+            Some(Ok(_)) => {}
+            Some(Err(_)) => return false,
+            None => return true,
+        }
     }
 }
 
@@ -282,6 +344,14 @@
     blocked: Option<(Instant, Pin<Box<Sleep>>)>,
     /// Whether the connection is reset when it ends before the response is complete.
     resets: bool,
+    /// The end of a connection whose sending side is closed.
+    linger: Option<Linger>,
+}
+
+/// The limits of the time in which a closed connection is still read.
+struct Linger {
+    timer: Pin<Box<Sleep>>,
+    left_bytes: usize,
 }
 
 impl<O: Fn() -> ServerOptions> CallerStream<O> {
@@ -293,6 +363,7 @@
             timer: None,
             blocked: None,
             resets: false,
+            linger: None,
         }
     }
 
@@ -406,6 +477,23 @@
         self.set_linger(Some(Duration::ZERO))
     }
 
+    /// Reads and drops what the caller still sends until it closes the connection or a limit is reached.
+    fn poll_linger(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let Some(linger) = &mut self.linger else {
+            return Poll::Ready(Ok(()));
+        };
+        let mut bytes = [MaybeUninit::uninit(); LINGER_BUFFER_BYTES];
+        while linger.left_bytes > 0 && linger.timer.as_mut().poll(cx).is_pending() {
+            let mut buf = ReadBuf::uninit(&mut bytes);
+            ready!(Pin::new(&mut self.io).poll_read(cx, &mut buf))?;
+            match buf.filled().len() {
+                0 => break,
+                read => linger.left_bytes = linger.left_bytes.saturating_sub(read),
+            }
+        }
+        Poll::Ready(Ok(()))
+    }
+
     fn set_linger(&self, linger: Option<Duration>) -> io::Result<()> {
         SockRef::from(&self.io).set_linger(linger)
     }
@@ -432,12 +520,26 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.linger.is_some() {
+            return self.poll_linger(cx);
+        }
         // hyper shuts the connection down only after a complete response.
         if std::mem::take(&mut self.resets) {
             self.progress.lock().ends_response = false;
             self.set_linger(None)?;
         }
-        Pin::new(&mut self.io).poll_shutdown(cx)
+        ready!(Pin::new(&mut self.io).poll_shutdown(cx))?;
+        let state = self.progress.lock();
+        let lingers = state.lingers || state.phase == Phase::Head;
+        drop(state);
+        if !lingers {
+            return Poll::Ready(Ok(()));
+        }
+        self.linger = Some(Linger {
+            timer: Box::pin(sleep(LINGER_TIMEOUT)),
+            left_bytes: MAX_LINGER_BYTES,
+        });
+        self.poll_linger(cx)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/adapters/http/server.rs
+++ b/src/adapters/http/server.rs
@@ -5,6 +5,7 @@
 use hyper::{
     Request, Response,
     body::{Body, Incoming},
+    header::{self, HeaderValue},
     server::conn::http1,
     service::{Service, service_fn},
 };
@@ -155,6 +156,7 @@
         let id = observer.request_id(req.headers());
         progress.begin_request(id.clone(), !req.body().is_end_stream());
         let req = req.map(|body| CallerBody::new(body, &progress));
+        let expects_continue = req.headers().contains_key(header::EXPECT);
         let (service, observer) = (Arc::clone(&service), Arc::clone(&observer));
         let progress = progress.clone();
         async move {
@@ -162,6 +164,10 @@
                 observer.mark_failure(id.as_ref(), head);
             });
             let mut res = response.await?;
+            if !progress.drain_request(expects_continue).await {
+                let close = HeaderValue::from_static("close");
+                res.headers_mut().insert(header::CONNECTION, close);
+            }
             let respond_by = res.extensions().get().map(|RespondBy(at)| *at);
             let ends_connection = res.extensions().get::<EndsWithConnection>().is_some();
             progress.begin_response(respond_by, ends_connection);
