--- a/tests/platform_refusals.rs
+++ b/tests/platform_refusals.rs
@@ -198,3 +198,20 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn the_refusal_of_a_large_head_reaches_a_caller_that_is_still_sending() {
+    let gateway = start().await;
+    for _ in 0..REPETITIONS {
+        let mut caller = TcpStream::connect(gateway.caller_address).await.unwrap();
+        let large = format!("GET /safe/x HTTP/1.1\r\nX-Large: {}", "x".repeat(60_000));
+        // The bytes that follow are part of the same header.
+        let more = 400;
+        let sending = Sending::InPieces {
+            count: 4,
+            pause: Duration::from_millis(3),
+        };
+        let status = send_whole(&mut caller, &large, more, sending).await;
+        assert_eq!(status.as_deref(), Ok("431"));
+    }
+}
