Log the way of each attempt and what a further one would have needed

A request that was refused or failed while some upstreams were out of reach left no trace of the way that its attempts took, nor of what ended the search: the route's maximum, the retry budget, or the lack of an upstream that was not tried. request.answered and attempt.failed now name the way (and attempt.failed the service, the reason of the choice and the attempt's own time), and request.ended these three inputs.

--- a/src/ingress/answer_record.rs
+++ b/src/ingress/answer_record.rs
@@ -7,7 +7,7 @@
 
 use super::{counters::Counters, millis};
 use crate::{
-    adapters::http::Framing,
+    adapters::http::{Framing, Way},
     domain::{InstanceName, RequestClass},
     telemetry::{AccountMetrics, RequestOutcome},
 };
@@ -22,6 +22,8 @@
     pub(super) counters: Arc<Counters>,
     pub(super) status: StatusCode,
     pub(super) framing: Framing,
+    /// How the connection reached the upstream that began the answer.
+    pub(super) way: Way,
     /// Number of attempts until the answer began.
     pub(super) attempts: usize,
     /// The upstream that began the answer.
@@ -73,7 +75,8 @@
                     level,
                     event = "request.answered", request = id, route = route,
                     upstream:% = self.upstream, status = status, attempt = self.attempts,
-                    choice = self.choice, framing:? = self.framing, first_ms = first_ms, ms = ms;
+                    choice = self.choice, framing:? = self.framing, way:? = self.way,
+                    first_ms = first_ms, ms = ms;
                     "ingress: {message}"
                 );
                 outcome
--- a/src/ingress/forward/attempt.rs
+++ b/src/ingress/forward/attempt.rs
@@ -15,7 +15,7 @@
 
 use super::{ForwardedRequest, millis};
 use crate::{
-    adapters::http::{Exchange, Framing, StreamingResponse, cut_error},
+    adapters::http::{Exchange, Framing, StreamingResponse, Way, cut_error},
     domain::InstanceName,
     ingress::{
         errors::{Failure, NotRun, RequestError},
@@ -146,7 +146,7 @@
         let connection = reach.connect(client, upstream, self.id(), self.deadline);
         let exchange = match connection.await {
             Ok(connection) => connection.start(req, self.deadline),
-            Err(e) => return Err(self.record_failure(&in_flight, &e, sent.elapsed())),
+            Err(e) => return Err(self.record_failure(&in_flight, &e, None, sent.elapsed())),
         };
         self.handover.set_sent(true);
         let mut attempt = SentAttempt {
@@ -183,7 +183,10 @@
                 self.check_response(in_flight, response, sent, sent_at)
                     .await
             }
-            Err(e) => Err(self.record_failure(&in_flight, &e, sent.elapsed())),
+            Err(e) => {
+                let way = Some(exchange.connection().way());
+                Err(self.record_failure(&in_flight, &e, way, sent.elapsed()))
+            }
         }
     }
 
@@ -237,6 +240,7 @@
         &self,
         in_flight: &InFlightGuard,
         e: &UpstreamError,
+        way: Option<Way>,
         waited: Duration,
     ) -> AttemptError {
         let upstream = &in_flight.upstream;
@@ -254,7 +258,8 @@
         upstream.record_failure(Instant::now());
         log::warn!(
             event = "attempt.failed", request = self.id(), upstream:% = upstream.target.instance,
-            attempt = self.tried.len(), sent:? = e.sent, kind:? = e.kind,
+            service:% = self.service, attempt = self.tried.len(), sent:? = e.sent, kind:? = e.kind,
+            way:? = way, choice = in_flight.reason.name(), waited_ms = millis(waited),
             ms = millis(self.arrived.elapsed());
             "ingress: an attempt failed: {e}"
         );
@@ -330,7 +335,7 @@
         let framing = Framing::of(&head, &body);
         let body = ResponseBody::begin(body).await.map_err(|e| {
             let e = cut_error(&format!("the answer broke off before its body began: {e}"));
-            self.record_failure(&in_flight, &e, sent.elapsed())
+            self.record_failure(&in_flight, &e, Some(way), sent.elapsed())
         })?;
         Ok(AcceptedResponse {
             source: UpstreamBody {
--- a/src/ingress/forward/mod.rs
+++ b/src/ingress/forward/mod.rs
@@ -439,10 +439,18 @@
         if !matches!(error, RequestError::NotRun(_)) {
             drop(self.core.shutdown.measure(&self.route.name, self.arrived));
         }
+        let now = Instant::now();
+        let has_retry_left = self.core.budgets.has_retry_left(&self.service, now);
+        let has_untried = self
+            .core
+            .upstreams
+            .has_eligible(&self.service, &self.eligible(), now);
         log::warn!(
             event = "request.ended", request = self.id(), route = &*self.route.name,
             version = self.table.table.version, service:% = self.service, outcome:? = error,
-            attempts = self.tried.len(), left_ms = millis(self.time_left(Instant::now())),
+            attempts = self.tried.len(), max_attempts = self.route.max_attempts,
+            has_retry_left = has_retry_left, has_untried = has_untried,
+            left_ms = millis(self.time_left(now)),
             ms = millis(self.arrived.elapsed());
             "ingress: a request ended without an upstream's response"
         );
--- a/src/ingress/forward/response.rs
+++ b/src/ingress/forward/response.rs
@@ -15,9 +15,10 @@
         events::EventSplitter,
         headers::without_connection_headers,
         origins::StreamOrigin,
-        relay::{Handover, Previous, Relay, RelayContext, Resume, ResumeState, Resumed},
+        relay::{
+            Handover, Previous, Relay, RelayContext, Resume, ResumeState, Resumed, UpstreamBody,
+        },
         upstream::Eligible,
-        upstreams::InFlightGuard,
     },
     policy::origins::{Origin, StreamId},
     ports::{Clock, Platform},
@@ -110,7 +111,7 @@
     pub(super) fn into_response(self, accepted: AcceptedResponse) -> Response<Relay> {
         let AcceptedResponse { head, source, .. } = accepted;
         let framing = source.framing;
-        let record = self.record_response(head.status, framing, &source.in_flight);
+        let record = self.record_response(head.status, &source);
         let (deadline, id) = (self.deadline, self.id().to_owned());
         let context = RelayContext {
             account: self.metrics.clone(),
@@ -150,12 +151,8 @@
     }
 
     /// Records that a response begins, and returns what is recorded when it ends.
-    fn record_response(
-        &self,
-        status: StatusCode,
-        framing: Framing,
-        in_flight: &InFlightGuard,
-    ) -> AnswerRecord {
+    fn record_response(&self, status: StatusCode, source: &UpstreamBody) -> AnswerRecord {
+        let in_flight = &source.in_flight;
         let begun = Instant::now();
         self.metrics
             .record_first_token(begun.duration_since(self.arrived));
@@ -166,7 +163,8 @@
             account: self.metrics.clone(),
             counters: Arc::clone(&self.core.counters),
             status,
-            framing,
+            framing: source.framing,
+            way: source.lease.way(),
             attempts: self.tried.len(),
             upstream: in_flight.upstream.target.instance.clone(),
             choice: in_flight.reason.name(),
