Decide reach for each pair of gateway and upstream

Seen: gateways that reached some of the upstreams of a service refused callers and answered late.

In the second spell three gateways did not reach most of the engines but some of them, and counted the service as cut off and as reached again four times each in ten seconds, since any direct connection that opened ended the state. Attempts at the other engines ended as Connect with nothing sent, and used up what the route and the budget allow: of the 128 requests that ended as Unreachable, 93 had a route with one attempt and 35 with two, and all had an available upstream that was not tried; 34 ended as Busy because no retry was left. The engines in reach took the rest, and 93 requests were refused as Overloaded, nearly all by the same three gateways.

Now each pair is decided on its own (policy::reachability). A direct connection that fails or takes 0.1 s makes the gateway ask others while the direct one goes on; once a tunnel opened, the upstream stays a candidate like any other at the price of a hop, until a probe connects directly. A request to which nothing was sent uses up neither an attempt of its route nor a retry.

Tests: platform_partition plays four gateways before six servers with each pair cut by a seeded share, hanging, reset and with new connections refused.

--- a/examples/experiment/gateway.rs
+++ b/examples/experiment/gateway.rs
@@ -107,6 +107,7 @@
                     in_progress: known.in_progress,
                     cached_tokens: known.cached_tokens(now, prompt, event_age),
                     prefill_wait: Duration::ZERO,
+                    is_behind_gateway: false,
                     suspect: known.suspect_until > now,
                 };
                 (i, candidate)
--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -89,11 +89,6 @@
 }
 
 impl PooledConnection {
-    /// Returns whether an idle connection was reused.
-    pub(crate) fn is_reused(&self) -> bool {
-        self.reused
-    }
-
     /// Returns how the connection reaches its upstream.
     pub(crate) fn way(&self) -> Way {
         self.way
--- a/src/gateway/route.rs
+++ b/src/gateway/route.rs
@@ -120,6 +120,7 @@
         in_progress: state.in_progress(),
         cached_tokens: cached_tokens(member, prompt, now),
         prefill_wait: Duration::ZERO,
+        is_behind_gateway: false,
         suspect: state.is_suspect(now),
     }
 }
--- a/src/ingress/counters.rs
+++ b/src/ingress/counters.rs
@@ -232,7 +232,13 @@
     metrics.register_gauge(
         "ingress_services_cut_off",
         "Services whose upstreams are reached only through other gateways.",
-        move || shared.reach.cut_off_count() as u64,
+        move || shared.upstreams.cut_off_services() as u64,
+    );
+    let shared = Arc::clone(core);
+    metrics.register_gauge(
+        "ingress_upstreams_cut_off",
+        "Upstreams that are reached only through other gateways.",
+        move || shared.upstreams.cut_off_count() as u64,
     );
     let shared = Arc::clone(core);
     metrics.register_gauge(
--- a/src/ingress/forward/attempt.rs
+++ b/src/ingress/forward/attempt.rs
@@ -248,9 +248,8 @@
             let longest = self.response_targets().max_silence();
             in_flight.record_wait(Awaited::First, waited.min(longest));
         }
-        // A partition or a tunnel may have ended the connection while the service is out of direct reach.
-        let is_cut_off = self.core.reach.is_cut_off(&self.service);
-        if e.kind == UpstreamErrorKind::Cut && e.sent == Sent::Maybe && !is_cut_off {
+        // A partition or a tunnel may have ended the connection while the upstream is out of direct reach.
+        if e.kind == UpstreamErrorKind::Cut && e.sent == Sent::Maybe && !upstream.is_cut_off() {
             self.core
                 .crashes
                 .record_cut_off(&self.traits, upstream, false);
@@ -288,8 +287,9 @@
             .read_answer(status, response.res.headers());
         let upstream = &in_flight.upstream;
         let now = Instant::now();
-        let way = response.connection.way();
-        self.core.reach.record_activity(&self.service, way);
+        if response.connection.way() == Way::Direct {
+            upstream.reach().record_activity();
+        }
         self.apply_signals(upstream, &facts, now);
         let is_foreign = facts.id.as_deref().is_some_and(|id| id != self.id());
         if is_foreign || (status.is_success() && !facts.signed) {
@@ -335,7 +335,12 @@
         let framing = Framing::of(&head, &body);
         let body = ResponseBody::begin(body).await.map_err(|e| {
             let e = cut_error(&format!("the answer broke off before its body began: {e}"));
-            self.record_failure(&in_flight, &e, Some(way), sent.elapsed())
+            self.record_failure(
+                &in_flight,
+                &e,
+                Some(response.connection.way()),
+                sent.elapsed(),
+            )
         })?;
         Ok(AcceptedResponse {
             source: UpstreamBody {
--- a/src/ingress/forward/mod.rs
+++ b/src/ingress/forward/mod.rs
@@ -133,6 +133,8 @@
     origin: Option<Origin>,
     /// The upstreams that were tried, in order.
     tried: Vec<InstanceName>,
+    /// Number of upstreams in `tried` to which nothing was sent.
+    unsent: usize,
     /// Number of attempts that may have run.
     attempts: u32,
     /// When the request was counted in the account's usage, in milliseconds since the Unix epoch.
@@ -220,6 +222,7 @@
             deadline,
             origin,
             tried: Vec::new(),
+            unsent: 0,
             attempts: 0,
             counted_at: None,
             handover: Handover::default(),
@@ -293,7 +296,7 @@
             let Some(in_flight) = self.choose_upstream(now) else {
                 return Err(self.error_or_pause(NotRun::NoUpstream, now));
             };
-            let is_retry = !self.tried.is_empty();
+            let is_retry = self.attempts_sent() > 0;
             let is_paid = self.retry_paid.swap(false, Ordering::Relaxed);
             if is_retry && !is_paid && !self.core.budgets.try_spend(&self.service, now) {
                 return Err(self.error_unless_run(NotRun::Busy));
@@ -327,6 +330,7 @@
                         self.revoke_usage();
                     }
                     unexecuted += 1;
+                    self.unsent += usize::from(reason == NotRun::Unreachable);
                     if unexecuted >= MAX_UNEXECUTED_ATTEMPTS || self.attempts_exhausted() {
                         return Err(self.error_or_pause(reason, Instant::now()));
                     }
@@ -369,7 +373,12 @@
     }
 
     fn attempts_exhausted(&self) -> bool {
-        self.tried.len() >= self.route.max_attempts as usize
+        self.attempts_sent() >= self.route.max_attempts as usize
+    }
+
+    /// Returns the number of upstreams to which the request was sent.
+    fn attempts_sent(&self) -> usize {
+        self.tried.len() - self.unsent
     }
 
     /// Returns the reason why the request has not run, or [`Failure::Unclear`] if an earlier attempt may have
--- a/src/ingress/forward/response.rs
+++ b/src/ingress/forward/response.rs
@@ -121,7 +121,6 @@
             response_targets: self.response_targets(),
             traits: Arc::clone(&self.traits),
             crashes: Arc::clone(&self.core.crashes),
-            reach: Arc::clone(&self.core.reach),
             _timer: self.core.shutdown.measure(&self.route.name, self.arrived),
         };
         // A resumed stream could not keep to a length that was announced.
--- a/src/ingress/reach.rs
+++ b/src/ingress/reach.rs
@@ -1,6 +1,6 @@
-//! How this gateway reaches upstreams: directly, or through another gateway while no upstream of a service can be reached
-//! directly. This gateway decides, counts and answers the requests either way; the other one only carries the bytes of
-//! a connection. See docs/DECISIONS.md, "Gateways that do not reach the upstreams".
+//! How this gateway reaches upstreams: each directly, or through another gateway while it cannot be reached directly. This
+//! gateway decides, counts and answers the requests either way; the other one only carries the bytes of a connection. See
+//! docs/DECISIONS.md, "Gateways that do not reach the upstreams".
 
 use std::{
     collections::HashMap,
@@ -14,11 +14,10 @@
 };
 
 use arc_swap::ArcSwap;
-use futures_util::future::join_all;
-use rand::seq::IndexedRandom;
+use futures_util::{StreamExt, stream::FuturesUnordered};
 use tokio::{
     net::TcpStream,
-    time::{Instant, interval, timeout, timeout_at},
+    time::{Instant, interval, sleep, timeout, timeout_at},
 };
 use tokio_util::sync::CancellationToken;
 
@@ -27,24 +26,29 @@
     adapters::http::{Client, PooledConnection, Reuse, Way},
     domain::{InstanceName, ServiceName},
     link::{Identity, Peer, PeerKey, TunnelError, TunnelHandler, open_tunnel},
-    policy::reachability::{DirectReach, Helper, rank_helpers},
-    ports::{Clock, Dialer, Platform, Sent, Target, UpstreamError, UpstreamErrorKind},
+    policy::reachability::{Helper, HelperReach, Plan, rank_helpers},
+    ports::{Clock, Dialer, Platform, Sent, UpstreamError, UpstreamErrorKind},
     telemetry::{Counter, Metrics},
     wire::{IngressRecord, TunnelOpen, TunnelRefused},
 };
 
 /// Interval at which it is checked whether upstreams are to be probed.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Number of upstreams in one probe.
-const PROBED_UPSTREAMS: usize = 3;
+/// Maximum number of probes that begin in one [`CHECK_INTERVAL`], so that their number does not grow with the upstreams.
+const MAX_PROBES_PER_CHECK: usize = 8;
+/// Time that a direct connection may take before other gateways are asked as well. An upstream in reach takes a few
+/// milliseconds, and a request whose time to its first answer is a few hundred can afford the rest.
+const ASK_DELAY: Duration = Duration::from_millis(100);
+/// Time after which a further gateway is asked while the ones before have not answered.
+const NEXT_HELPER_DELAY: Duration = Duration::from_millis(75);
 /// Maximum time to open a tunnel, over all gateways that are asked for it.
-const TUNNEL_TIMEOUT: Duration = Duration::from_millis(1200);
-/// Maximum time for one gateway to open a tunnel.
-const HELPER_TIMEOUT: Duration = Duration::from_millis(600);
+const TUNNEL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum number of gateways that are asked to open one tunnel.
 const MAX_HELPERS: usize = 4;
-/// Time for which a gateway that opened no tunnel is asked last.
+/// Time for which a gateway that opened no tunnel is asked last, or not at all for an upstream that it did not reach.
 const HELPER_BACKOFF: Duration = Duration::from_secs(1);
+/// Maximum number of pairs of gateway and upstream that are known not to reach each other.
+const MAX_UNREACHABLE_PAIRS: usize = 4096;
 /// Maximum number of tunnels that this gateway carries for others.
 const MAX_CARRIED_TUNNELS: usize = 1024;
 
@@ -56,6 +60,62 @@
     address: SocketAddr,
 }
 
+/// What other gateways showed of their ways and their load.
+#[derive(Debug, Default)]
+struct KnownHelpers {
+    /// Until when a gateway that could not be asked, or refused for its own sake, is asked last.
+    failed: HashMap<Arc<str>, Instant>,
+    /// Until when a gateway is not asked for an upstream that it did not reach.
+    unreachable: HashMap<(Arc<str>, InstanceName), Instant>,
+    /// The gateway that opened the last tunnel to an upstream.
+    reached: HashMap<InstanceName, Arc<str>>,
+    /// Number of connections that each gateway carries for others, as it last said.
+    carried: HashMap<Arc<str>, u32>,
+}
+
+impl KnownHelpers {
+    fn record_opened(&mut self, other: &OtherGateway, instance: &InstanceName, carried: u32) {
+        self.failed.remove(&other.name);
+        self.carried.insert(Arc::clone(&other.name), carried);
+        self.reached
+            .insert(instance.clone(), Arc::clone(&other.name));
+    }
+
+    fn record_failure(&mut self, other: &OtherGateway, instance: &InstanceName, e: &TunnelError) {
+        let until = Instant::now() + HELPER_BACKOFF;
+        if self.reached.get(instance) == Some(&other.name) {
+            self.reached.remove(instance);
+        }
+        match e {
+            TunnelError::Unreachable(_) => {
+                if self.unreachable.len() < MAX_UNREACHABLE_PAIRS {
+                    let pair = (Arc::clone(&other.name), instance.clone());
+                    self.unreachable.insert(pair, until);
+                }
+            }
+            TunnelError::Refused { carried, .. } => {
+                self.carried.insert(Arc::clone(&other.name), *carried);
+                self.failed.insert(Arc::clone(&other.name), until);
+            }
+            TunnelError::NoPeer(_) => {
+                self.failed.insert(Arc::clone(&other.name), until);
+            }
+        }
+    }
+
+    fn remove_expired(&mut self, now: Instant) {
+        self.failed.retain(|_, until| *until > now);
+        self.unreachable.retain(|_, until| *until > now);
+    }
+
+    /// Forgets gateways that are no longer listed.
+    fn retain(&mut self, others: &[OtherGateway]) {
+        let is_listed = |name: &Arc<str>| others.iter().any(|other| other.name == *name);
+        self.reached.retain(|_, name| is_listed(name));
+        self.carried.retain(|name, _| is_listed(name));
+    }
+}
+
 /// The ways from this gateway to the upstreams.
 #[derive(Debug)]
 pub(super) struct Reach {
@@ -63,10 +123,8 @@
     own: Identity,
     dialer: Arc<dyn Dialer>,
     connect_timeout: Duration,
-    services: Mutex<HashMap<ServiceName, DirectReach>>,
     others: ArcSwap<Vec<OtherGateway>>,
-    /// Until when a gateway that opened no tunnel is asked last.
-    failed_helpers: Mutex<HashMap<Arc<str>, Instant>>,
+    known: Mutex<KnownHelpers>,
     /// Number of tunnels that this gateway carries for others.
     carried: AtomicUsize,
     started: Instant,
@@ -90,9 +148,8 @@
             own,
             dialer,
             connect_timeout,
-            services: Mutex::default(),
             others: ArcSwap::default(),
-            failed_helpers: Mutex::default(),
+            known: Mutex::default(),
             carried: AtomicUsize::new(0),
             started: Instant::now(),
             opened: counter(
@@ -126,19 +183,9 @@
                 address: gateway.peer_address.parse().ok()?,
             })
         });
-        self.others.store(Arc::new(others.collect()));
-    }
-
-    /// Returns the number of services whose upstreams this gateway does not reach directly.
-    pub(super) fn cut_off_count(&self) -> usize {
-        let services = self.services();
-        services.values().filter(|reach| reach.is_cut_off()).count()
-    }
-
-    /// Returns whether no upstream of a service is reached directly.
-    pub(super) fn is_cut_off(&self, service: &ServiceName) -> bool {
-        let services = self.services();
-        services.get(service).is_some_and(DirectReach::is_cut_off)
+        let others: Vec<OtherGateway> = others.collect();
+        self.known().retain(&others);
+        self.others.store(Arc::new(others));
     }
 
     /// Returns the number of tunnels that this gateway carries for others.
@@ -146,16 +193,7 @@
         self.carried.load(Ordering::Relaxed)
     }
 
-    /// Records a sign of life of an upstream on a connection.
-    pub(super) fn record_activity(&self, service: &ServiceName, way: Way) {
-        if way == Way::Direct
-            && let Some(reach) = self.services().get_mut(service)
-        {
-            reach.record_activity();
-        }
-    }
-
-    /// Connects to an upstream, through another gateway if its service cannot be reached directly.
+    /// Connects to an upstream, through another gateway if it cannot be reached directly.
     ///
     /// # Errors
     ///
@@ -167,31 +205,54 @@
         request: &str,
         deadline: Instant,
     ) -> Result<PooledConnection, UpstreamError> {
-        let (service, target) = (&upstream.service, &upstream.target);
-        let is_cut_off = self.with_service(service, |reach| {
-            reach.record_send(self.started.elapsed());
-            reach.is_cut_off()
-        });
-        if !is_cut_off {
-            let result = client.connect(target, Reuse::Allowed, deadline).await;
-            match &result {
-                Ok(connection) if connection.is_reused() => {}
-                Ok(_) => self.record_connected(client, service),
-                Err(_) => self.record_connect_failure(service, &target.instance),
-            }
-            return result;
+        let plan = upstream.reach().plan();
+        let idle = match plan {
+            Plan::Direct => client.take_idle(&upstream.target, Way::Direct),
+            Plan::Both | Plan::Tunnel => client.take_idle(&upstream.target, Way::Tunnel),
+        };
+        let connection = match idle {
+            Some(connection) => connection,
+            None => self.open(client, upstream, plan, request, deadline).await?,
+        };
+        if connection.way() == Way::Direct {
+            upstream.reach().record_send(self.started.elapsed());
         }
-        if let Some(tunnel) = client.take_idle(target, Way::Tunnel) {
-            return Ok(tunnel);
+        Ok(connection)
+    }
+
+    /// Opens a connection on the way that works first.
+    async fn open(
+        &self,
+        client: &Client,
+        upstream: &Upstream,
+        plan: Plan,
+        request: &str,
+        deadline: Instant,
+    ) -> Result<PooledConnection, UpstreamError> {
+        let mut direct =
+            std::pin::pin!(client.connect(&upstream.target, Reuse::Forbidden, deadline));
+        let soon = match plan {
+            Plan::Direct => timeout(ASK_DELAY, &mut direct).await.ok(),
+            Plan::Both | Plan::Tunnel => None,
+        };
+        match soon {
+            Some(Ok(connection)) => {
+                self.record_connected(client, upstream);
+                return Ok(connection);
+            }
+            Some(Err(_)) => {
+                upstream.reach().record_connect_failure();
+                return self.open_tunnel(client, upstream, request, deadline).await;
+            }
+            None if plan == Plan::Direct => upstream.reach().record_connect_failure(),
+            None => {}
         }
-        // The direct way is tried as well, so that its return is noticed with the next request.
-        let mut direct = std::pin::pin!(client.connect(target, Reuse::Forbidden, deadline));
         let mut tunnel = std::pin::pin!(self.open_tunnel(client, upstream, request, deadline));
         tokio::select! {
             biased;
             result = &mut direct => match result {
                 Ok(connection) => {
-                    self.record_connected(client, service);
+                    self.record_connected(client, upstream);
                     Ok(connection)
                 }
                 Err(_) => tunnel.await,
@@ -200,13 +261,14 @@
                 Ok(connection) => Ok(connection),
                 Err(_) => {
                     let connection = direct.await?;
-                    self.record_connected(client, service);
+                    self.record_connected(client, upstream);
                     Ok(connection)
                 }
             },
         }
     }
 
+    /// Opens a connection through another gateway. If one does not answer soon, a further one is asked as well.
     async fn open_tunnel(
         &self,
         client: &Client,
@@ -215,21 +277,27 @@
         deadline: Instant,
     ) -> Result<PooledConnection, UpstreamError> {
         let opening = async {
-            for other in self.helpers(upstream) {
-                let opened = self.open_through(client, upstream, &other).await;
-                match opened {
-                    Ok(connection) => {
-                        self.opened.increment();
-                        log::info!(
-                            event = "tunnel.opened", request = request, through = &*other.name,
-                            upstream:% = upstream.target.instance;
-                            "ingress: gateway {} connects this one to an upstream", other.name
-                        );
+            let mut helpers = self.helpers(upstream).into_iter();
+            let mut asked = FuturesUnordered::new();
+            loop {
+                let next = helpers.next();
+                let is_last = next.is_none();
+                asked.extend(next.map(|other| async move {
+                    let opened = self.open_through(client, upstream, &other).await;
+                    (other, opened)
+                }));
+                let answer = tokio::select! {
+                    answer = asked.next() => answer?,
+                    () = sleep(NEXT_HELPER_DELAY), if !is_last => continue,
+                };
+                match answer {
+                    (other, Ok(connection)) => {
+                        self.record_tunnel(client, upstream, &other, request);
                         return Some(connection);
                     }
-                    Err(e) => {
-                        let until = Instant::now() + HELPER_BACKOFF;
-                        self.failed_helpers().insert(Arc::clone(&other.name), until);
+                    (other, Err(e)) => {
+                        self.known()
+                            .record_failure(&other, &upstream.target.instance, &e);
                         log::info!(
                             event = "tunnel.failed", request = request, through = &*other.name,
                             upstream:% = upstream.target.instance;
@@ -239,7 +307,6 @@
                     }
                 }
             }
-            None
         };
         let end = deadline.min(Instant::now() + TUNNEL_TIMEOUT);
         let opened = timeout_at(end, opening).await;
@@ -265,114 +332,119 @@
             address: upstream.target.address.to_string(),
         };
         let opening = open_tunnel(other.address, &self.key, &self.own, open);
-        let tunnel = timeout(HELPER_TIMEOUT, opening)
-            .await
-            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        let (tunnel, opened) = opening.await?;
         let connection = client.connect_over(&upstream.target, tunnel).await;
-        connection.map_err(|e| io::Error::other(e.to_string()).into())
+        let connection = connection.map_err(|e| io::Error::other(e.to_string()))?;
+        let instance = &upstream.target.instance;
+        self.known().record_opened(other, instance, opened.carried);
+        Ok(connection)
     }
 
     /// Returns the gateways to ask for a tunnel, in order.
     fn helpers(&self, upstream: &Upstream) -> Vec<OtherGateway> {
         let others = self.others.load();
-        let now = Instant::now();
-        let mut failed = self.failed_helpers();
-        failed.retain(|_, until| *until > now);
-        let helper = |other: &OtherGateway| Helper {
-            is_near_upstream: other.zone == upstream.zone.as_str(),
-            has_failed: failed.contains_key(&other.name),
-            random: rand::random(),
+        let mut known = self.known();
+        known.remove_expired(Instant::now());
+        let instance = &upstream.target.instance;
+        let helper = |other: &OtherGateway| {
+            let pair = (Arc::clone(&other.name), instance.clone());
+            let reach = match known.reached.get(instance) {
+                Some(name) if *name == other.name => HelperReach::Reached,
+                _ if known.unreachable.contains_key(&pair) => HelperReach::Unreachable,
+                _ => HelperReach::Unknown,
+            };
+            Helper {
+                reach,
+                is_near_upstream: other.zone == upstream.zone.as_str(),
+                has_failed: known.failed.contains_key(&other.name),
+                carried: known.carried.get(&other.name).copied().unwrap_or(0),
+                random: rand::random(),
+            }
         };
         let helpers: Vec<Helper> = others.iter().map(helper).collect();
         let order = rank_helpers(&helpers).into_iter().take(MAX_HELPERS);
         order.map(|at| others[at].clone()).collect()
     }
 
-    fn record_connected(&self, client: &Client, service: &ServiceName) {
-        if self.with_service(service, DirectReach::record_connected) {
-            client.close_idle(Way::Tunnel, |_| true);
+    fn record_connected(&self, client: &Client, upstream: &Upstream) {
+        if upstream.reach().record_connected() {
+            client.close_idle(Way::Tunnel, |target| *target == upstream.target);
             log::info!(
-                event = "upstreams.reached", service:% = service;
-                "ingress: the upstreams of service {service} are reached directly again"
+                event = "upstream.reached", upstream:% = upstream.target.instance,
+                service:% = upstream.service;
+                "ingress: an upstream is reached directly again"
             );
         }
     }
 
-    fn record_connect_failure(&self, service: &ServiceName, instance: &InstanceName) {
-        self.with_service(service, |reach| reach.record_connect_failure(instance));
-    }
-
-    /// Probes some upstreams of a service by opening connections, which are kept for requests.
-    async fn probe(&self, client: &Client, service: &ServiceName, upstreams: &[Arc<Upstream>]) {
-        let picked: Vec<_> = upstreams
-            .choose_multiple(&mut rand::rng(), PROBED_UPSTREAMS)
-            .collect();
-        let end = Instant::now() + self.connect_timeout;
-        let probes = picked
-            .iter()
-            .map(|upstream| client.connect(&upstream.target, Reuse::Forbidden, end));
-        let opened: Vec<_> = join_all(probes).await.into_iter().flatten().collect();
-        if !opened.is_empty() {
-            for connection in opened {
-                connection.return_to_pool();
-            }
-            return self.record_connected(client, service);
-        }
-        let now = self.started.elapsed();
-        if !picked.is_empty() && self.with_service(service, |reach| reach.record_failed_probe(now))
-        {
+    fn record_tunnel(
+        &self,
+        client: &Client,
+        upstream: &Upstream,
+        other: &OtherGateway,
+        request: &str,
+    ) {
+        self.opened.increment();
+        log::info!(
+            event = "tunnel.opened", request = request, through = &*other.name,
+            upstream:% = upstream.target.instance;
+            "ingress: gateway {} connects this one to an upstream", other.name
+        );
+        if upstream.reach().record_tunnel() {
+            upstream.record_new_way(Instant::now());
+            client.close_idle(Way::Direct, |target| *target == upstream.target);
             log::warn!(
-                event = "upstreams.cut_off", service:% = service, probed = picked.len(),
-                gateways = self.others.load().len();
-                "ingress: no upstream of service {service} is reached directly; requests go through other gateways"
+                event = "upstream.cut_off", upstream:% = upstream.target.instance,
+                service:% = upstream.service, through = &*other.name;
+                "ingress: an upstream is not reached directly; requests go through other gateways"
             );
-            let targets: Vec<Target> = upstreams
-                .iter()
-                .map(|upstream| upstream.target.clone())
-                .collect();
-            client.close_idle(Way::Direct, |target| targets.contains(target));
-        }
-    }
-
-    fn with_service<R>(&self, service: &ServiceName, act: impl FnOnce(&mut DirectReach) -> R) -> R {
-        let mut services = self.services();
-        // Only the first request of a service needs to clone its name.
-        match services.get_mut(service) {
-            Some(reach) => act(reach),
-            None => act(services.entry(service.clone()).or_default()),
         }
     }
 
-    fn services(&self) -> MutexGuard<'_, HashMap<ServiceName, DirectReach>> {
-        self.services.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Probes an upstream on the direct way, and on others if none is known. What opens is kept for requests.
+    async fn probe(&self, client: &Client, upstream: &Upstream) {
+        let end = Instant::now() + self.connect_timeout;
+        let opened = client
+            .connect(&upstream.target, Reuse::Forbidden, end)
+            .await;
+        let connection = match opened {
+            Ok(connection) => {
+                self.record_connected(client, upstream);
+                connection
+            }
+            Err(_) if upstream.is_cut_off() => return,
+            Err(_) => {
+                upstream.reach().record_connect_failure();
+                let end = Instant::now() + TUNNEL_TIMEOUT;
+                match self.open_tunnel(client, upstream, "", end).await {
+                    Ok(tunnel) => tunnel,
+                    Err(_) => return upstream.reach().record_failed_probe(),
+                }
+            }
+        };
+        connection.return_to_pool();
     }
 
-    fn failed_helpers(&self) -> MutexGuard<'_, HashMap<Arc<str>, Instant>> {
-        self.failed_helpers
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    fn known(&self) -> MutexGuard<'_, KnownHelpers> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// Probes the upstreams of services that seem to be out of reach until the token is cancelled.
+/// Probes the upstreams that seem to be out of reach until the token is cancelled.
 pub(super) async fn run<P: Platform, T: Clock>(core: Arc<Core<P, T>>, stop: CancellationToken) {
     let mut checks = interval(CHECK_INTERVAL);
     let probing = async {
         loop {
             checks.tick().await;
             let now = core.reach.started.elapsed();
-            let due: Vec<ServiceName> = core
-                .reach
-                .services()
-                .iter_mut()
-                .filter_map(|(service, reach)| reach.begin_probe(now).then(|| service.clone()))
-                .collect();
-            for service in due {
+            let mut due = core.upstreams.all();
+            due.retain(|upstream| upstream.reach().needs_probe(now));
+            // Those that were probed longest ago come first, so that each has its turn.
+            due.sort_by_key(|upstream| upstream.reach().probed_at());
+            for upstream in due.into_iter().take(MAX_PROBES_PER_CHECK) {
+                upstream.reach().begin_probe(now);
                 let core = Arc::clone(&core);
-                tokio::spawn(async move {
-                    let upstreams = core.upstreams.staying(&service);
-                    core.reach.probe(&core.client, &service, &upstreams).await;
-                });
+                tokio::spawn(async move { core.reach.probe(&core.client, &upstream).await });
             }
         }
     };
@@ -409,6 +481,10 @@
         opened
     }
 
+    fn carried(&self) -> u32 {
+        u32::try_from(self.0.reach.carried_count()).unwrap_or(u32::MAX)
+    }
+
     fn ended(&self, peer: &Peer, result: io::Result<()>) {
         self.0.reach.carried.fetch_sub(1, Ordering::Relaxed);
         log::debug!(
@@ -424,6 +500,7 @@
         let refused = |unreachable, reason: &str| TunnelRefused {
             unreachable,
             reason: reason.to_owned(),
+            carried: self.carried(),
         };
         if core.shutdown.is_begun() {
             return Err(refused(false, "it is shutting down"));
@@ -439,8 +516,8 @@
         else {
             return Err(refused(false, "it does not know the upstream"));
         };
-        if reach.is_cut_off(&service) {
-            return Err(refused(false, "it does not reach the service either"));
+        if upstream.is_cut_off() {
+            return Err(refused(true, "it does not reach the upstream either"));
         }
         match timeout(
             reach.connect_timeout,
@@ -449,7 +526,7 @@
         .await
         {
             Ok(Ok(stream)) => {
-                reach.record_connected(&core.client, &service);
+                reach.record_connected(&core.client, &upstream);
                 Ok(stream)
             }
             Ok(Err(e)) => Err(refused(true, &e.to_string())),
--- a/src/ingress/relay.rs
+++ b/src/ingress/relay.rs
@@ -23,13 +23,12 @@
     crashes::{CrashWatch, RequestTraits},
     events::{EventBoundary, EventSplitter},
     origins::StreamOrigin,
-    reach::Reach,
     response_body::ResponseBody,
     shutdown::RequestTimer,
     upstreams::InFlightGuard,
 };
 use crate::{
-    adapters::http::{Framing, PooledConnection},
+    adapters::http::{Framing, PooledConnection, Way},
     policy::{
         origins::Origin,
         silence::{Awaited, ResponseTargets},
@@ -148,7 +147,6 @@
     pub(super) response_targets: ResponseTargets,
     pub(super) traits: Arc<RequestTraits>,
     pub(super) crashes: Arc<CrashWatch>,
-    pub(super) reach: Arc<Reach>,
     /// Measures the request until its response has ended.
     pub(super) _timer: RequestTimer,
 }
@@ -418,10 +416,9 @@
             return;
         };
         source.in_flight.upstream.record_activity(now);
-        let service = &source.in_flight.upstream.service;
-        self.context
-            .reach
-            .record_activity(service, source.lease.way());
+        if source.lease.way() == Way::Direct {
+            source.in_flight.upstream.reach().record_activity();
+        }
         if let Some(waiting_since) =
             waiting_since.filter(|_| self.context.is_stream && !was_recorded)
         {
@@ -566,7 +563,7 @@
     fn handle_cut_off(&mut self, reason: &str) -> Option<RelayError> {
         if let (Some(source), ..SURVIVED_FRAMES) = (&self.source, self.frames) {
             let upstream = &source.in_flight.upstream;
-            if !self.context.reach.is_cut_off(&upstream.service) {
+            if !upstream.is_cut_off() {
                 let (traits, crashes) = (&self.context.traits, &self.context.crashes);
                 crashes.record_cut_off(traits, upstream, true);
             }
--- a/src/ingress/upstream.rs
+++ b/src/ingress/upstream.rs
@@ -18,6 +18,7 @@
         brittle::Brittleness,
         origins::Origin,
         rate_limit::{Place, Statement, UpstreamLimit},
+        reachability::DirectReach,
         route::{Candidate, Report},
     },
     ports::{ReportedLoad, Target},
@@ -72,6 +73,8 @@
     slots: u32,
     in_flight: AtomicU32,
     load: Mutex<Load>,
+    /// This gateway's own way to the upstream.
+    reach: Mutex<DirectReach>,
     /// Origin of the times in the backlog and the availability.
     created: Instant,
 }
@@ -149,6 +152,7 @@
             slots: row.slots,
             in_flight: AtomicU32::new(0),
             load: Mutex::default(),
+            reach: Mutex::default(),
             created: Instant::now(),
         })
     }
@@ -350,6 +354,12 @@
         self.load().silent_since = Some(now);
     }
 
+    /// Records that the upstream is reached on another way than before, so that what the earlier one showed is void.
+    pub(super) fn record_new_way(&self, now: Instant) {
+        self.record_success();
+        self.record_activity(now);
+    }
+
     /// Records a failed exchange, which makes the upstream suspect for a while.
     pub(super) fn record_failure(&self, now: Instant) {
         let mut load = self.load();
@@ -375,6 +385,16 @@
         has_requests && load.silent_since.is_some_and(silent)
     }
 
+    /// Returns whether only other gateways reach the upstream.
+    pub(super) fn is_cut_off(&self) -> bool {
+        self.reach().is_cut_off()
+    }
+
+    /// Returns this gateway's own way to the upstream.
+    pub(super) fn reach(&self) -> MutexGuard<'_, DirectReach> {
+        self.reach.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn load(&self) -> MutexGuard<'_, Load> {
         self.load.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -387,6 +407,10 @@
         speed: f64,
         now: Instant,
     ) -> Candidate {
+        let (is_cut_off, is_lost) = {
+            let reach = self.reach();
+            (reach.is_cut_off(), reach.is_lost())
+        };
         let load = self.load();
         Candidate {
             instance: self.target.instance.clone(),
@@ -404,7 +428,9 @@
                 Placement::Home => Duration::ZERO,
                 Placement::Backlog => load.backlog.drain_time(speed, self.since_created(now)),
             },
-            suspect: load.suspect_until.is_some_and(|until| until > now)
+            is_behind_gateway: is_cut_off,
+            suspect: is_lost
+                || load.suspect_until.is_some_and(|until| until > now)
                 || self.is_silent(&load, timeout, now),
         }
     }
--- a/src/ingress/upstreams.rs
+++ b/src/ingress/upstreams.rs
@@ -354,13 +354,31 @@
         upstream.record_rejection(&self.gateways.load(), now);
     }
 
-    /// Returns the upstreams of a service that are not leaving.
-    pub(super) fn staying(&self, service: &ServiceName) -> Vec<Arc<Upstream>> {
+    /// Returns all upstreams.
+    pub(super) fn all(&self) -> Vec<Arc<Upstream>> {
         let services = self.services.load();
-        let all = services.get(service).into_iter().flatten();
-        all.filter(|upstream| !upstream.is_leaving())
-            .map(Arc::clone)
-            .collect()
+        services.values().flatten().map(Arc::clone).collect()
+    }
+
+    /// Returns the number of services of which no upstream is reached directly and some only through other gateways.
+    pub(super) fn cut_off_services(&self) -> usize {
+        let services = self.services.load();
+        let is_cut_off = |upstreams: &&Vec<Arc<Upstream>>| {
+            let out_of_reach = |upstream: &Arc<Upstream>| {
+                let reach = upstream.reach();
+                reach.is_cut_off() || reach.is_lost()
+            };
+            upstreams.iter().all(out_of_reach)
+                && upstreams.iter().any(|upstream| upstream.is_cut_off())
+        };
+        services.values().filter(is_cut_off).count()
+    }
+
+    /// Returns the number of upstreams that are reached only through other gateways.
+    pub(super) fn cut_off_count(&self) -> usize {
+        let services = self.services.load();
+        let all = services.values().flatten();
+        all.filter(|upstream| upstream.is_cut_off()).count()
     }
 
     /// Finds an upstream of a service.
--- a/src/link/tunnel.rs
+++ b/src/link/tunnel.rs
@@ -38,8 +38,13 @@
     #[error("the other gateway does not reach the upstream: {0}; try another upstream")]
     Unreachable(String),
     /// The peer opens no tunnel to the upstream.
-    #[error("the other gateway opens no tunnel: {0}; ask another one")]
-    Refused(String),
+    #[error("the other gateway opens no tunnel: {reason}; ask another one")]
+    Refused {
+        /// Why, as it said.
+        reason: String,
+        /// Number of connections that it carries for others.
+        carried: u32,
+    },
     /// The peer could not be reached or does not speak the protocol.
     #[error("no connection to the other gateway: {0}; ask another one")]
     NoPeer(#[from] io::Error),
@@ -54,12 +59,15 @@
         open: TunnelOpen,
     ) -> impl Future<Output = Result<TcpStream, TunnelRefused>> + Send;
 
+    /// Returns the number of connections that are carried for others now.
+    fn carried(&self) -> u32;
+
     /// Called when an accepted tunnel has ended, with the error that broke it off.
     fn ended(&self, peer: &Peer, result: io::Result<()>);
 }
 
 /// Opens a tunnel to an upstream through the peer at an address. Its bytes are those of a connection to the upstream; a read
-/// fails if the tunnel breaks off before the upstream has ended the connection.
+/// fails if the tunnel breaks off before the upstream has ended the connection. Also returns what the peer said of its load.
 ///
 /// # Errors
 ///
@@ -69,27 +77,36 @@
     key: &PeerKey,
     local: &Identity,
     target: TunnelOpen,
-) -> Result<impl AsyncRead + AsyncWrite + Send + Unpin + 'static, TunnelError> {
+) -> Result<
+    (
+        impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
+        TunnelOpened,
+    ),
+    TunnelError,
+> {
     let stream = TcpStream::connect(peer).await?;
     set_socket_options(&stream)?;
     let mut connection = frame_stream(stream)?;
     handshake::connect(&mut connection, key, local).await?;
     connection.send(frame(Body::TunnelOpen(target))).await?;
-    match connection
+    let opened = match connection
         .next()
         .await
         .transpose()?
         .and_then(|frame| frame.body)
     {
-        Some(Body::TunnelOpened(_)) => {}
+        Some(Body::TunnelOpened(opened)) => opened,
         Some(Body::TunnelRefused(refused)) => {
             return Err(match refused.unreachable {
                 true => TunnelError::Unreachable(refused.reason),
-                false => TunnelError::Refused(refused.reason),
+                false => TunnelError::Refused {
+                    reason: refused.reason,
+                    carried: refused.carried,
+                },
             });
         }
         _ => return Err(io::Error::from(io::ErrorKind::InvalidData).into()),
-    }
+    };
     let (sink, frames) = connection.split();
     let chunks = stream::unfold(Some(frames), |frames| async move {
         let mut frames = frames?;
@@ -116,7 +133,8 @@
         }))))
     });
     let reader = StreamReader::new(Box::pin(chunks));
-    Ok(join(reader, SinkWriter::new(CopyToBytes::new(sink))))
+    let tunnel = join(reader, SinkWriter::new(CopyToBytes::new(sink)));
+    Ok((tunnel, opened))
 }
 
 /// Accepts tunnels until the token is cancelled, which breaks off the open ones.
@@ -170,7 +188,9 @@
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     match handler.connect(&peer, open).await {
         Ok(upstream) => {
-            let opened = frame(Body::TunnelOpened(TunnelOpened {}));
+            let opened = frame(Body::TunnelOpened(TunnelOpened {
+                carried: handler.carried(),
+            }));
             let result = match connection.send(opened).await {
                 Ok(()) => carry(connection, upstream).await,
                 Err(e) => Err(e),
--- a/src/policy/route.rs
+++ b/src/policy/route.rs
@@ -49,6 +49,8 @@
     pub cached_tokens: Option<u32>,
     /// Estimated time for which it prefills other prompts before it begins with this request.
     pub prefill_wait: Duration,
+    /// Whether this gateway reaches it only through another one, which costs as much as crossing a zone.
+    pub is_behind_gateway: bool,
     /// Whether its last request failed or timed out.
     pub suspect: bool,
 }
@@ -184,7 +186,8 @@
     let expected = if is_home { req.prompt_tokens } else { 0 };
     let cached = candidate.cached_tokens.unwrap_or(expected);
     let uncached = f64::from(req.prompt_tokens.saturating_sub(cached));
-    let crossing = if candidate.zone == req.zone { 0.0 } else { 1.0 };
+    let crossing = f64::from(u8::from(candidate.zone != req.zone))
+        + f64::from(u8::from(candidate.is_behind_gateway));
     ScoredCandidate {
         position,
         rank: rendezvous(req.home, &candidate.instance),
--- a/src/wire/tunnel.rs
+++ b/src/wire/tunnel.rs
@@ -18,7 +18,11 @@
 
 /// The connection to the upstream is open; data may follow.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
-pub struct TunnelOpened {}
+pub struct TunnelOpened {
+    /// Number of connections that the accepting gateway carries for others now.
+    #[prost(uint32, tag = "1")]
+    pub carried: u32,
+}
 
 /// The accepting gateway opens no connection to the upstream.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -29,6 +33,9 @@
     /// Why, for the log.
     #[prost(string, tag = "2")]
     pub reason: String,
+    /// Number of connections that the accepting gateway carries for others now.
+    #[prost(uint32, tag = "3")]
+    pub carried: u32,
 }
 
 /// Bytes of the connection.
--- a/tests/platform_partition.rs
+++ b/tests/platform_partition.rs
@@ -3,7 +3,12 @@
 mod metric_text;
 mod platform_support;
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use flamingocroft::telemetry::Metrics;
 use hyper::{Method, StatusCode};
@@ -14,6 +19,7 @@
     raw::{RawBehavior, RawServer},
     wait_until,
 };
+use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::{
     task::JoinSet,
     time::{Instant, sleep},
@@ -204,3 +210,124 @@
         assert_eq!(res.body.is_ok(), is_whole, "{res:?}");
     }
 }
+
+const PARTLY_CUT_GATEWAYS: usize = 4;
+const PARTLY_CUT_SERVERS: usize = 6;
+/// Shares of the pairs of gateway and server that are cut, one after the other.
+const CUT_SHARES: [f64; 4] = [0.25, 0.5, 0.75, 1.0];
+/// Time for which a server works on a request.
+const WORK: Duration = Duration::from_millis(100);
+/// Requests that a server works on at a time, with which the callers use less than half and two thirds of all servers.
+const LOW_LOAD_SLOTS: usize = 6;
+const HIGH_LOAD_SLOTS: usize = 4;
+/// Requests to each gateway in one measurement.
+const PARTLY_CUT_MEASURED: usize = 120;
+
+/// How often each request that may run once has run.
+type Runs = Arc<Mutex<HashMap<String, usize>>>;
+
+/// Servers that reject what exceeds their slots.
+fn serve_within(
+    slots: usize,
+    runs: &Runs,
+) -> impl Fn(usize, &ReceivedRequest) -> ServerAction + use<> {
+    let running: Mutex<Vec<Vec<Instant>>> = Mutex::new(vec![Vec::new(); PARTLY_CUT_SERVERS]);
+    let runs = Arc::clone(runs);
+    move |server, seen| {
+        let now = Instant::now();
+        let running = &mut running.lock().unwrap()[server];
+        running.retain(|begun| now.duration_since(*begun) < WORK);
+        if running.len() >= slots {
+            return ServerAction::NotExecuted;
+        }
+        running.push(now);
+        match seen.path.as_str() {
+            "/resumed/x" => ServerAction::Paced(vec!["id: 1\ndata: 1\n\n".to_owned()], WORK),
+            "/once/x" => {
+                let id = seen.headers["x-flamingocroft-request-id"].to_str().unwrap();
+                *runs.lock().unwrap().entry(id.to_owned()).or_default() += 1;
+                ServerAction::RespondAfter(WORK)
+            }
+            _ => ServerAction::RespondAfter(WORK),
+        }
+    }
+}
+
+async fn send_to_all(gateways: &[SocketAddr], name: &str, count: usize) -> Vec<usize> {
+    let mut runs = JoinSet::new();
+    for (i, gateway) in gateways.iter().copied().enumerate() {
+        let name = format!("{name}-{i}");
+        runs.spawn(async move { (i, send_steadily(gateway, &name, count).await) });
+    }
+    let mut served = runs.join_all().await;
+    served.sort_unstable();
+    served.into_iter().map(|(_, served)| served).collect()
+}
+
+/// Each gateway serves its callers within a tenth of what it does without a cut while each server is reached by some gateway.
+async fn callers_are_served_while_pairs_are_cut(cut: Cut, slots: usize, seed: u64) {
+    let (first, runs) = (PartitionDialer::new(), Runs::default());
+    let (with, script) = (Arc::clone(&first), serve_within(slots, &runs));
+    let installation = Installation::start_with(PARTLY_CUT_SERVERS, with, script).await;
+    let added = add_gateways(&installation, PARTLY_CUT_GATEWAYS - 1).await;
+    let dialers: Vec<_> = [first]
+        .into_iter()
+        .chain(added.iter().map(|gateway| Arc::clone(&gateway.dialer)))
+        .collect();
+    let addresses: Vec<_> = [installation.caller_address]
+        .into_iter()
+        .chain(added.iter().map(|gateway| gateway.address))
+        .collect();
+    let servers: Vec<SocketAddr> = installation
+        .listed
+        .lock()
+        .unwrap()
+        .iter()
+        .filter_map(|entry| entry["Address"].as_str()?.parse().ok())
+        .collect();
+    assert_eq!(servers.len(), PARTLY_CUT_SERVERS);
+    let uncut = send_to_all(&addresses, "uncut", PARTLY_CUT_MEASURED).await;
+    let mut rng = StdRng::seed_from_u64(seed);
+    let warm_up = (CONTACT.as_millis() / INTERVAL.as_millis()) as usize;
+    for share in CUT_SHARES {
+        for server in &servers {
+            let reached_by = rng.random_range(0..dialers.len());
+            for (i, dialer) in dialers.iter().enumerate() {
+                let is_cut = rng.random_bool(share) && i != reached_by;
+                dialer.set_for(*server, if is_cut { cut } else { Cut::None });
+            }
+        }
+        send_to_all(&addresses, &format!("early-{share}"), warm_up).await;
+        let served = send_to_all(&addresses, &format!("late-{share}"), PARTLY_CUT_MEASURED).await;
+        println!("{cut:?}, {slots} slots, seed {seed}, {share} cut: {served:?}, uncut {uncut:?}");
+        for (served, uncut) in served.iter().zip(&uncut) {
+            assert!(
+                served * 10 >= uncut * 9,
+                "{share} cut: {served} served, {uncut} uncut"
+            );
+        }
+    }
+    let runs = runs.lock().unwrap();
+    assert!(!runs.is_empty());
+    assert!(runs.values().all(|runs| *runs == 1), "a request ran twice");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gateways_that_reach_a_part_of_the_servers_serve_low_load() {
+    callers_are_served_while_pairs_are_cut(Cut::Hang, LOW_LOAD_SLOTS, 1).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gateways_that_reach_a_part_of_the_servers_serve_high_load() {
+    callers_are_served_while_pairs_are_cut(Cut::Hang, HIGH_LOAD_SLOTS, 2).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gateways_whose_connections_to_a_part_of_the_servers_are_reset_serve_high_load() {
+    callers_are_served_while_pairs_are_cut(Cut::Reset, HIGH_LOAD_SLOTS, 3).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gateways_that_cannot_open_connections_to_a_part_of_the_servers_serve_high_load() {
+    callers_are_served_while_pairs_are_cut(Cut::LiveOn, HIGH_LOAD_SLOTS, 4).await;
+}
--- a/tests/platform_support/partition.rs
+++ b/tests/platform_support/partition.rs
@@ -1,10 +1,11 @@
 //! A gateway's connections to servers, which a test can cut off.
 
 use std::{
+    collections::HashMap,
     io,
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
@@ -32,23 +33,49 @@
     LiveOn,
 }
 
-/// Opens connections that a test can cut.
+/// Opens connections that a test can cut, all or those to some servers.
 #[derive(Debug)]
 pub struct PartitionDialer {
-    cut: watch::Sender<Cut>,
+    cuts: Mutex<Cuts>,
     opened: AtomicU64,
 }
 
+#[derive(Debug)]
+struct Cuts {
+    /// What happens to servers that were not dialled yet.
+    default: Cut,
+    servers: HashMap<SocketAddr, watch::Sender<Cut>>,
+}
+
 impl PartitionDialer {
     pub fn new() -> Arc<Self> {
         Arc::new(Self {
-            cut: watch::Sender::new(Cut::None),
+            cuts: Mutex::new(Cuts {
+                default: Cut::None,
+                servers: HashMap::new(),
+            }),
             opened: AtomicU64::new(0),
         })
     }
 
     pub fn set(&self, cut: Cut) {
-        self.cut.send_replace(cut);
+        let mut cuts = self.cuts.lock().unwrap();
+        cuts.default = cut;
+        for server in cuts.servers.values() {
+            server.send_replace(cut);
+        }
+    }
+
+    /// Sets what happens to the connections to one server.
+    pub fn set_for(&self, server: SocketAddr, cut: Cut) {
+        self.server(server).send_replace(cut);
+    }
+
+    fn server(&self, address: SocketAddr) -> watch::Sender<Cut> {
+        let mut cuts = self.cuts.lock().unwrap();
+        let default = cuts.default;
+        let added = || watch::Sender::new(default);
+        cuts.servers.entry(address).or_insert_with(added).clone()
     }
 
     /// Returns the number of connections that were opened.
@@ -57,7 +84,8 @@
     }
 
     async fn open(&self, address: SocketAddr) -> io::Result<TcpStream> {
-        let mut cut = self.cut.subscribe();
+        let server_cut = self.server(address);
+        let mut cut = server_cut.subscribe();
         if *cut.borrow() == Cut::LiveOn {
             return Err(io::ErrorKind::ConnectionRefused.into());
         }
@@ -71,7 +99,7 @@
             stream.set_nodelay(true)?;
         }
         self.opened.fetch_add(1, Ordering::Relaxed);
-        tokio::spawn(carry(near, server, self.cut.subscribe()));
+        tokio::spawn(carry(near, server, cut));
         Ok(gateway)
     }
 }
--- a/tests/policy_backlog.rs
+++ b/tests/policy_backlog.rs
@@ -125,6 +125,7 @@
         in_progress: 0,
         cached_tokens: None,
         prefill_wait: backlog.drain_time(TOKENS_PER_SECOND, now),
+        is_behind_gateway: false,
         suspect: false,
     };
     engines.iter().zip(backlogs).map(row).collect()
--- a/tests/policy_route.rs
+++ b/tests/policy_route.rs
@@ -35,6 +35,7 @@
         in_progress: 0,
         cached_tokens: None,
         prefill_wait: Duration::ZERO,
+        is_behind_gateway: false,
         suspect: false,
     }
 }
