Ask other gateways at once when a silent upstream's probe hangs

A probe of a silent upstream waited for the whole connect timeout (0.3 s) before it asked other gateways, while a request asks them after 0.1 s; meanwhile requests went to connections that hang. Probes now open a connection as requests do.

--- a/src/ingress/reach.rs
+++ b/src/ingress/reach.rs
@@ -403,26 +403,26 @@
 
     /// Probes an upstream on the direct way, and on others if none is known. What opens is kept for requests.
     async fn probe(&self, client: &Client, upstream: &Upstream) {
-        let end = Instant::now() + self.connect_timeout;
-        let opened = client
-            .connect(&upstream.target, Reuse::Forbidden, end)
-            .await;
-        let connection = match opened {
-            Ok(connection) => {
+        let now = Instant::now();
+        let opened = if upstream.is_cut_off() {
+            let end = now + self.connect_timeout;
+            let opened = client.connect(&upstream.target, Reuse::Forbidden, end);
+            let opened = opened.await;
+            if opened.is_ok() {
                 self.record_connected(client, upstream);
-                connection
             }
-            Err(_) if upstream.is_cut_off() => return,
-            Err(_) => {
-                upstream.reach().record_connect_failure();
-                let end = Instant::now() + TUNNEL_TIMEOUT;
-                match self.open_tunnel(client, upstream, "", end).await {
-                    Ok(tunnel) => tunnel,
-                    Err(_) => return upstream.reach().record_failed_probe(),
-                }
+            opened
+        } else {
+            let end = now + self.connect_timeout + TUNNEL_TIMEOUT;
+            let opened = self.open(client, upstream, Plan::Direct, "", end).await;
+            if opened.is_err() {
+                upstream.reach().record_failed_probe();
             }
+            opened
         };
-        connection.return_to_pool();
+        if let Ok(connection) = opened {
+            connection.return_to_pool();
+        }
     }
 
     fn known(&self) -> MutexGuard<'_, KnownHelpers> {
