Begin an answer with its body, also near the deadline and beside other attempts

The wait now ends with the deadline, as an attempt without an answer (504). While another upstream may answer, an answer now begins with its body only; the same for a stream that goes on at a silent upstream.

A request that may be repeated and has no answer at its deadline is answered 504 like any other; it was 502.

--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -149,6 +149,11 @@
         }
     }
 
+    /// Returns the connection, on which the body of the response follows.
+    pub(crate) fn into_connection(self) -> PooledConnection {
+        self.connection
+    }
+
     /// Returns the connection.
     pub(crate) fn connection(&self) -> &PooledConnection {
         &self.connection
--- a/src/ingress/events.rs
+++ b/src/ingress/events.rs
@@ -131,6 +131,11 @@
     }
 }
 
+/// Returns whether bytes hold the blank line that ends an event.
+pub(super) fn has_event_end(bytes: &[u8]) -> bool {
+    find(bytes, b"\n\n").is_some() || find(bytes, b"\r\n\r\n").is_some()
+}
+
 fn find(bytes: &[u8], part: &[u8]) -> Option<usize> {
     bytes.windows(part.len()).position(|window| window == part)
 }
--- a/src/ingress/forward/attempt.rs
+++ b/src/ingress/forward/attempt.rs
@@ -15,13 +15,13 @@
 
 use super::{ForwardedRequest, millis};
 use crate::{
-    adapters::http::{Exchange, Framing, StreamingResponse, Way, cut_error},
-    domain::InstanceName,
+    adapters::http::{Exchange, Framing, PooledConnection, Way, cut_error},
+    domain::{InstanceName, RequestClass},
     ingress::{
         errors::{Failure, NotRun, RequestError},
         headers::means_not_run,
         relay::{UpstreamBody, liveness_check_interval},
-        response_body::ResponseBody,
+        response_body::{BeginError, Beginning, ResponseBody},
         upstream::Upstream,
         upstreams::InFlightGuard,
     },
@@ -59,7 +59,39 @@
     Silent(Box<SentAttempt>),
 }
 
-type Exchanged = (Box<SentAttempt>, Result<Response<Incoming>, UpstreamError>);
+/// An upstream's response whose body has begun.
+struct BegunResponse {
+    head: Parts,
+    framing: Framing,
+    body: ResponseBody,
+}
+
+impl BegunResponse {
+    /// Waits until the body of a response begins; `is_only` says that no other upstream may answer.
+    async fn begin(
+        res: Response<Incoming>,
+        beginning: Beginning,
+        is_only: bool,
+        deadline: Instant,
+    ) -> Result<Self, UpstreamError> {
+        let (head, body) = res.into_parts();
+        let framing = Framing::of(&head, &body);
+        let body = ResponseBody::begin(body, beginning, is_only, deadline).await;
+        let body = body.map_err(|e| match e {
+            BeginError::BrokeOff(_) => cut_error(&e.to_string()),
+            BeginError::TooLate => {
+                UpstreamError::new(UpstreamErrorKind::Silent, Sent::Maybe, e.to_string())
+            }
+        })?;
+        Ok(Self {
+            head,
+            framing,
+            body,
+        })
+    }
+}
+
+type Exchanged = (Box<SentAttempt>, Result<BegunResponse, UpstreamError>);
 
 /// The attempts of a request whose upstreams are silent. Each may still answer, and is left only when another upstream has
 /// answered.
@@ -71,9 +103,13 @@
 }
 
 impl SilentAttempts {
-    pub(super) fn add(&mut self, mut attempt: Box<SentAttempt>) {
+    /// Adds an attempt that goes on until its body begins or the deadline passes.
+    fn add(&mut self, mut attempt: Box<SentAttempt>, beginning: Beginning, deadline: Instant) {
         self.waiting.push(Box::pin(async move {
-            let result = attempt.exchange.response().await;
+            let result = match attempt.exchange.response().await {
+                Ok(res) => BegunResponse::begin(res, beginning, false, deadline).await,
+                Err(e) => Err(e),
+            };
             (attempt, result)
         }));
     }
@@ -98,12 +134,13 @@
         in_flight: InFlightGuard,
         resume_after: Option<u64>,
     ) -> Result<AcceptedResponse, AttemptError> {
-        let mut attempt = pin!(self.attempt(in_flight, resume_after));
+        let is_only = silent.waiting.is_empty() && !self.is_beside_stream;
+        let mut attempt = pin!(self.attempt(in_flight, resume_after, is_only));
         loop {
             tokio::select! {
                 result = &mut attempt => return result,
                 Some((earlier, result)) = silent.waiting.next() => {
-                    match self.finish(*earlier, result).await {
+                    match self.finish(*earlier, result) {
                         Ok(accepted) => return Ok(accepted),
                         Err(e) => silent.record(e),
                     }
@@ -123,7 +160,7 @@
         reason: RequestError,
     ) -> Result<AcceptedResponse, RequestError> {
         while let Some((attempt, result)) = silent.waiting.next().await {
-            match self.finish(*attempt, result).await {
+            match self.finish(*attempt, result) {
                 Ok(accepted) => return Ok(accepted),
                 Err(e) => silent.record(e),
             }
@@ -136,6 +173,7 @@
         &self,
         in_flight: InFlightGuard,
         resume_after: Option<u64>,
+        is_only: bool,
     ) -> Result<AcceptedResponse, AttemptError> {
         let sent = Instant::now();
         let sent_at = self.core.clock.monotonic();
@@ -162,14 +200,33 @@
                 return Err(AttemptError::Silent(Box::new(attempt)));
             }
         };
-        self.finish(attempt, result).await
+        let result = match result {
+            Ok(res) => BegunResponse::begin(res, self.beginning(), is_only, self.deadline).await,
+            Err(e) => Err(e),
+        };
+        self.finish(attempt, result)
+    }
+
+    /// Keeps an attempt whose upstream is silent.
+    pub(super) fn keep_silent(&self, silent: &mut SilentAttempts, attempt: Box<SentAttempt>) {
+        silent.add(attempt, self.beginning(), self.deadline);
+    }
+
+    /// Returns how much of a body is there when it begins: the relay of a resumable stream holds partial events back.
+    fn beginning(&self) -> Beginning {
+        match self.route.class {
+            RequestClass::ResumableStream => Beginning::Event,
+            RequestClass::Idempotent | RequestClass::NonIdempotent | RequestClass::Stream => {
+                Beginning::Frame
+            }
+        }
     }
 
     /// Classifies the end of an exchange.
-    async fn finish(
+    fn finish(
         &self,
         attempt: SentAttempt,
-        result: Result<Response<Incoming>, UpstreamError>,
+        result: Result<BegunResponse, UpstreamError>,
     ) -> Result<AcceptedResponse, AttemptError> {
         let SentAttempt {
             in_flight,
@@ -178,10 +235,9 @@
             sent_at,
         } = attempt;
         match result {
-            Ok(res) => {
-                let response = exchange.into_streaming(res);
-                self.check_response(in_flight, response, sent, sent_at)
-                    .await
+            Ok(response) => {
+                let connection = exchange.into_connection();
+                self.check_response(in_flight, connection, response, sent, sent_at)
             }
             Err(e) => {
                 let way = Some(exchange.connection().way());
@@ -271,23 +327,24 @@
         }
     }
 
-    /// Decides whether a response is genuine and final, and may be relayed to the caller, once its body has begun. Its
+    /// Decides whether a response is genuine and final, and may be relayed to the caller. Its
     /// request was sent at `sent`, which is `sent_at` on the clock of stated limits.
-    async fn check_response(
+    fn check_response(
         &self,
         in_flight: InFlightGuard,
-        response: StreamingResponse,
+        connection: PooledConnection,
+        response: BegunResponse,
         sent: Instant,
         sent_at: Duration,
     ) -> Result<AcceptedResponse, AttemptError> {
-        let status = response.res.status();
+        let status = response.head.status;
         let facts = self
             .core
             .platform
-            .read_answer(status, response.res.headers());
+            .read_answer(status, &response.head.headers);
         let upstream = &in_flight.upstream;
         let now = Instant::now();
-        if response.connection.way() == Way::Direct {
+        if connection.way() == Way::Direct {
             upstream.reach().record_activity();
         }
         self.apply_signals(upstream, &facts, now);
@@ -331,22 +388,16 @@
             return Err(AttemptError::MayHaveRun(Failure::Unclear));
         }
         upstream.record_activity(now);
-        let (head, body) = response.res.into_parts();
-        let framing = Framing::of(&head, &body);
-        let body = ResponseBody::begin(body).await.map_err(|e| {
-            let e = cut_error(&format!("the answer broke off before its body began: {e}"));
-            self.record_failure(
-                &in_flight,
-                &e,
-                Some(response.connection.way()),
-                sent.elapsed(),
-            )
-        })?;
+        let BegunResponse {
+            head,
+            framing,
+            body,
+        } = response;
         Ok(AcceptedResponse {
             source: UpstreamBody {
                 framing,
                 body,
-                lease: response.connection,
+                lease: connection,
                 in_flight,
             },
             head,
--- a/src/ingress/forward/mod.rs
+++ b/src/ingress/forward/mod.rs
@@ -141,6 +141,8 @@
     counted_at: Option<u64>,
     /// Whether an upstream has the request, for the relay of a stream that another upstream began.
     handover: Handover,
+    /// Whether the caller has the beginning of the stream from an upstream that is silent and may go on.
+    is_beside_stream: bool,
     /// Whether the next attempt was taken from the retry budget when its predecessor was given up.
     retry_paid: AtomicBool,
 }
@@ -226,6 +228,7 @@
             attempts: 0,
             counted_at: None,
             handover: Handover::default(),
+            is_beside_stream: false,
             retry_paid: AtomicBool::new(false),
             route,
         })
@@ -322,7 +325,7 @@
             match result {
                 Ok(accepted) => return Ok(accepted),
                 Err(AttemptError::Silent(attempt)) => {
-                    silent.add(attempt);
+                    self.keep_silent(silent, attempt);
                     self.handover.set_sent(true);
                 }
                 Err(AttemptError::NotRun(reason)) => {
@@ -337,7 +340,8 @@
                 }
                 Err(AttemptError::MayHaveRun(failure)) => {
                     self.attempts += 1;
-                    if !self.route.class.may_repeat() || self.attempts_exhausted() {
+                    let is_late = Instant::now() >= self.deadline;
+                    if is_late || !self.route.class.may_repeat() || self.attempts_exhausted() {
                         return Err(failure.into());
                     }
                 }
--- a/src/ingress/forward/response.rs
+++ b/src/ingress/forward/response.rs
@@ -51,6 +51,7 @@
             }
             self.origin = origin;
             self.handover = handover.clone();
+            self.is_beside_stream = previous == Previous::Silent;
             let attempt = async {
                 if previous == Previous::Gone {
                     self.wait_for_upstream().await;
--- a/src/ingress/response_body.rs
+++ b/src/ingress/response_body.rs
@@ -10,7 +10,9 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout_at};
+
+use super::events::has_event_end;
 
 /// Longest body that is read whole before its head goes to the caller, in bytes.
 const MAX_HELD_BYTES: u64 = 64 * 1024;
@@ -25,14 +27,39 @@
     is_read: bool,
 }
 
+/// How much of a body is there when it begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Beginning {
+    /// The first frame, or all of a short body of known length.
+    Frame,
+    /// The first frame that completes an event.
+    Event,
+}
+
+/// Why a body did not begin.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum BeginError {
+    /// The upstream broke it off.
+    #[error("the answer broke off before its body began: {0}")]
+    BrokeOff(#[from] hyper::Error),
+    /// The deadline passed; another upstream may have had more time.
+    #[error("no body came before the deadline")]
+    TooLate,
+}
+
 impl ResponseBody {
-    /// Waits a short time for the first frame of a body, or for all of a short one of known length. A body that breaks off
-    /// meanwhile has not reached the caller, so another response can take its place.
+    /// Waits until a body begins. If no other upstream may answer, it waits a short time only, after which the head may go
+    /// out alone. A body that breaks off meanwhile has not reached the caller, so another response can take its place.
     ///
     /// # Errors
     ///
-    /// Fails if the body breaks off.
-    pub(super) async fn begin(rest: Incoming) -> hyper::Result<Self> {
+    /// Fails if the body breaks off, or if the deadline passes first.
+    pub(super) async fn begin(
+        rest: Incoming,
+        beginning: Beginning,
+        is_only: bool,
+        deadline: Instant,
+    ) -> Result<Self, BeginError> {
         let is_short = rest
             .size_hint()
             .exact()
@@ -42,20 +69,31 @@
             rest,
             is_read: false,
         };
-        match timeout(MAX_HEAD_DELAY, body.hold(is_short)).await {
-            Ok(result) => result.map(|()| body),
-            Err(_) => Ok(body),
+        let short_wait = deadline.min(Instant::now() + MAX_HEAD_DELAY);
+        match timeout_at(short_wait, body.hold(is_short, beginning)).await {
+            Ok(result) => result?,
+            Err(_) if short_wait < deadline && is_only => {}
+            Err(_) => timeout_at(deadline, body.hold(is_short, beginning))
+                .await
+                .map_err(|_| BeginError::TooLate)??,
         }
+        Ok(body)
     }
 
-    async fn hold(&mut self, is_short: bool) -> hyper::Result<()> {
+    /// Reads until the body begins; can be dropped and begun again.
+    async fn hold(&mut self, is_short: bool, beginning: Beginning) -> hyper::Result<()> {
         while !self.rest.is_end_stream() {
             let Some(frame) = self.rest.frame().await else {
-                self.is_read = true;
-                return Ok(());
+                break;
+            };
+            let frame = frame?;
+            let ends_event = frame.data_ref().is_none_or(|data| has_event_end(data));
+            self.held.push_back(frame);
+            let is_begun = match beginning {
+                Beginning::Frame => !is_short,
+                Beginning::Event => ends_event,
             };
-            self.held.push_back(frame?);
-            if !is_short {
+            if is_begun {
                 return Ok(());
             }
         }
--- a/tests/platform_first_bytes.rs
+++ b/tests/platform_first_bytes.rs
@@ -103,6 +103,34 @@
     .await;
 }
 
+#[tokio::test]
+async fn a_resumable_stream_that_breaks_off_inside_its_first_event_is_a_502() {
+    let (installation, _server) = start_installation(RawBehavior::CutEvent).await;
+    let answer = try_send(&installation, "/resumed/x", "r1").await.unwrap();
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+}
+
+#[tokio::test]
+async fn a_head_without_a_body_shortly_before_the_deadline_is_a_504() {
+    let installation = Installation::start(1, |_, seen| {
+        match seen.headers["x-flamingocroft-request-id"] == "probe" {
+            true => ServerAction::Respond(StatusCode::OK, Vec::new()),
+            false => ServerAction::HeadAfter(Duration::from_millis(450)),
+        }
+    })
+    .await;
+    let mut short = document(1);
+    for route in short["Routes"].as_array_mut().unwrap() {
+        route["TimeoutMs"] = json!(500);
+    }
+    installation.publish(&short).await;
+    for path in PATHS {
+        let answer = try_send(&installation, path, "r1").await;
+        let status = answer.map(|answer| answer.status);
+        assert_eq!(status, Some(StatusCode::GATEWAY_TIMEOUT), "{path}");
+    }
+}
+
 #[tokio::test]
 async fn an_answer_that_breaks_off_before_its_first_byte_is_made_elsewhere_if_it_may_be_repeated() {
     for (behavior, path) in with_each_cut(REPEATABLE) {
@@ -210,6 +238,21 @@
     }
 }
 
+#[tokio::test]
+async fn a_silent_upstream_is_not_left_for_a_head_without_a_body() {
+    let script = first_and_others(
+        || ServerAction::RespondAfter(SILENCE),
+        || ServerAction::HeadAfter(Duration::ZERO),
+    );
+    let installation = start(script).await;
+    for path in REPEATABLE {
+        let id = format!("r{}", path.len());
+        let answer = try_send(&installation, path, &id).await.unwrap();
+        let seen = (answer.status, answer.body);
+        assert_eq!(seen, (StatusCode::OK, Ok("late".into())), "{path}");
+    }
+}
+
 #[tokio::test]
 async fn a_silent_upstream_is_left_when_another_has_answered() {
     let script = first_and_others(
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -82,6 +82,8 @@
     Stream { chunks: Vec<String>, complete: bool },
     /// Streams chunks and then stalls without an end.
     StallAfter(Vec<String>),
+    /// Sends a head after a delay, and never a body.
+    HeadAfter(Duration),
     /// Streams chunks with a pause before each, then ends properly.
     Paced(Vec<String>, Duration),
     /// Streams chunks after a delay without a response head, then ends properly.
--- a/tests/platform_support/raw.rs
+++ b/tests/platform_support/raw.rs
@@ -46,6 +46,8 @@
     CutLength,
     /// The head announces chunks, and the connection ends with the head.
     CutChunks,
+    /// Like [`Self::CutChunks`], behind a part of an event.
+    CutEvent,
     /// The head announces neither, and the connection is reset with the head.
     CutNoLength,
 }
@@ -199,9 +201,13 @@
                 let _ = stream.write_all(cut.as_bytes()).await;
                 return;
             }
-            RawBehavior::CutChunks => {
+            RawBehavior::CutChunks | RawBehavior::CutEvent => {
+                let part = match behavior {
+                    RawBehavior::CutEvent => "6\r\nid: 1\n\r\n",
+                    _ => "",
+                };
                 let head = head_of(&id, "Transfer-Encoding: chunked\r\n");
-                let _ = stream.write_all(head.as_bytes()).await;
+                let _ = stream.write_all((head + part).as_bytes()).await;
                 return;
             }
             RawBehavior::CutNoLength => {
--- a/tests/platform_support/servers.rs
+++ b/tests/platform_support/servers.rs
@@ -218,6 +218,11 @@
             let end = futures_util::stream::pending().boxed();
             signed(Response::new(stream(chunks, end, guard)))
         }
+        ServerAction::HeadAfter(delay) => {
+            sleep(delay).await;
+            let end = futures_util::stream::pending().boxed();
+            signed(Response::new(stream(Vec::new(), end, guard)))
+        }
         ServerAction::Paced(chunks, pause) => {
             let chunks = chunks.into_iter().map(|chunk| (pause, chunk)).collect();
             timed(chunks, guard)
