--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -13,6 +13,7 @@
 pub mod members;
 pub mod origins;
 pub mod overload;
+pub mod pace;
 pub mod place;
 pub mod prefix;
 pub mod quarantine;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -68,6 +68,9 @@
     /// Address of the cloud API, if there is one.
     #[serde(default)]
     pub cloud_address: Option<SocketAddr>,
+    /// What the machine gives to the process, if it is known.
+    #[serde(default)]
+    pub machine: Option<Machine>,
     /// Limits on requests of callers.
     #[serde(default)]
     pub limits: Limits,
@@ -128,6 +131,20 @@
     }
 }
 
+/// What the machine gives to the process. Parts that are unknown are left out.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Machine {
+    /// Memory, in mebibytes; a process that uses more is ended.
+    pub memory_mb: Option<u64>,
+    /// Processor time, in cores.
+    pub cores: Option<f64>,
+    /// File descriptors that may be open at once.
+    pub descriptors: Option<u64>,
+    /// Bandwidth of its link, in megabits per second.
+    pub link_mbps: Option<f64>,
+}
+
 /// Limits on requests of callers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/src/settings/schema.rs
+++ b/src/settings/schema.rs
@@ -49,6 +49,37 @@
     optional("outcome_bytes", FieldType::Integer { min: 1, max: MIB }),
 ];
 
+const MACHINE: &[Field] = &[
+    optional(
+        "memory_mb",
+        FieldType::Integer {
+            min: 16,
+            max: 1 << 30,
+        },
+    ),
+    optional(
+        "cores",
+        FieldType::Decimal {
+            min: 1e-3,
+            max: 1e5,
+        },
+    ),
+    optional(
+        "descriptors",
+        FieldType::Integer {
+            min: 64,
+            max: 1 << 30,
+        },
+    ),
+    optional(
+        "link_mbps",
+        FieldType::Decimal {
+            min: 1e-3,
+            max: 1e9,
+        },
+    ),
+];
+
 const TIMING: &[Field] = &[
     optional("replica_heartbeat_ms", DURATION_MS),
     optional("election_timeout_ms", DURATION_MS),
@@ -125,6 +156,7 @@
     optional("data_folder", FieldType::Text),
     optional("operator_token_sha256", FieldType::Sha256),
     optional("cloud_address", FieldType::Address),
+    optional("machine", FieldType::Object(MACHINE)),
     optional("limits", FieldType::Object(LIMITS)),
     optional("timing", FieldType::Object(TIMING)),
 ];
--- a/tests/controllers/mod.rs
+++ b/tests/controllers/mod.rs
@@ -444,6 +444,7 @@
         data_folder: Some(folder.join(&*entry.name)),
         operator_token_sha256: Some(hash),
         cloud_address: has_cloud.then_some(entry.http_address),
+        machine: None,
         limits: Limits::default(),
         timing,
     }
