Learn the speeds of upstreams and place requests by them

Cause: placing knows one speed for a whole service, so that the slowest engines of an uneven fleet get as many requests as the fastest.

Change: gateways report what they observe of each upstream, controllers estimate relative speeds from all reports, the leader tells those that changed, and gateways place by them: homes in proportion to speed, and queues, backlogs and lost prefixes at each upstream's own speed. The fourth figure of the load header is read. Setting: ingress.learn_paces.

--- a/src/controller/core.rs
+++ b/src/controller/core.rs
@@ -115,6 +115,12 @@
         self.fleet_changed.subscribe()
     }
 
+    /// Returns whether the speeds of upstreams are learned.
+    pub(super) fn learns_paces(&self) -> bool {
+        let ingress = self.settings.ingress.as_ref();
+        ingress.is_some_and(|ingress| ingress.learn_paces)
+    }
+
     /// Locks the registry of ingress gateways that follow; hold the lock only briefly.
     pub fn followers(&self) -> MutexGuard<'_, Followers> {
         self.followers
--- a/src/controller/followers.rs
+++ b/src/controller/followers.rs
@@ -11,7 +11,12 @@
 
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-use super::{core::Core, crashes::Crashes, list_history::ListHistory};
+use super::{
+    core::Core,
+    crashes::Crashes,
+    list_history::ListHistory,
+    paces::{self, Paces},
+};
 use crate::{
     domain::ServiceName,
     link::Peer,
@@ -68,6 +73,7 @@
     engine_speeds: BTreeMap<ServiceName, f64>,
     upstream_list: ListHistory,
     crashes: Crashes,
+    paces: Paces,
     /// Usage by window that earlier incarnations of the gateways counted.
     earlier_incarnations_usage: BTreeMap<u64, Vec<AccountCount>>,
     reserves: HashMap<String, TokenBucket>,
@@ -434,6 +440,16 @@
         &mut self.crashes
     }
 
+    /// Returns the speeds of upstreams.
+    pub fn paces(&self) -> &Paces {
+        &self.paces
+    }
+
+    /// Returns the speeds of upstreams for changes.
+    pub fn paces_mut(&mut self) -> &mut Paces {
+        &mut self.paces
+    }
+
     /// Returns the list of upstreams.
     pub fn upstream_list(&self) -> &ListHistory {
         &self.upstream_list
@@ -484,6 +500,9 @@
     if core.followers().crashes_mut().handle_follow(now, &follow) {
         core.notify_followers_changed();
     }
+    if core.learns_paces() {
+        paces::record_report(core, &follow.paces);
+    }
     if core.followers().handle_follow(core.now(), &follow) {
         if record.leaving {
             core.notify_gateway_leaves();
@@ -554,7 +573,12 @@
         .upstream_list_mut()
         .changes_since(now, follow.held_list_version.unwrap_or_default());
     let (suspects, quarantined) = followers.crashes().news_for(now, follow);
+    let paces = follow
+        .held_paces_version
+        .filter(|_| leads && core.learns_paces())
+        .and_then(|held| followers.paces().changes_since(held));
     FollowReply {
+        paces,
         suspects,
         quarantined,
         leads,
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -27,6 +27,7 @@
 pub mod orders;
 mod origins;
 mod outstanding_shares;
+pub mod paces;
 mod peers;
 mod periodic;
 pub mod placement;
--- a/src/gateway/route.rs
+++ b/src/gateway/route.rs
@@ -7,6 +7,7 @@
 use crate::{
     domain::{InstanceName, RoutingWeights, ZoneName},
     policy::{
+        pace::Pace,
         prefix::{Prefix, count_tokens, home, prefixes},
         route::{self, Candidate, Report, RouteRequest},
     },
@@ -120,6 +121,7 @@
         in_progress: state.in_progress(),
         cached_tokens: cached_tokens(member, prompt, now),
         prefill_wait: Duration::ZERO,
+        pace: Pace::default(),
         is_behind_gateway: false,
         suspect: state.is_suspect(now),
     }
--- a/src/ingress/counters.rs
+++ b/src/ingress/counters.rs
@@ -275,6 +275,51 @@
         let read = move || shared.upstreams.mean_waits(awaited);
         metrics.register_labelled_gauge(name, help, "service", read);
     }
+    let bounds = [
+        (
+            "ingress_pace_slowest",
+            "Learned speed of each service's slowest upstream, relative to the mean.",
+            (|min, _| min) as fn(f64, f64) -> f64,
+        ),
+        (
+            "ingress_pace_fastest",
+            "Learned speed of each service's fastest upstream, relative to the mean.",
+            |_, max| max,
+        ),
+        (
+            "ingress_pace_spread",
+            "Learned speed of each service's fastest upstream, relative to the slowest.",
+            |min, max| max / min,
+        ),
+    ];
+    for (name, help, of) in bounds {
+        let shared = Arc::clone(core);
+        metrics.register_labelled_gauge(name, help, "service", move || {
+            let bounds = shared.upstreams.pace_bounds().into_iter();
+            bounds
+                .map(|(service, min, max)| (service, of(min, max)))
+                .collect()
+        });
+    }
+    let shared = Arc::clone(core);
+    metrics.register_labelled_gauge(
+        "ingress_expected_wait_seconds",
+        "Wait for a first byte that a request of mean size may expect now.",
+        "service",
+        move || {
+            let zone = &shared.settings.zone;
+            shared.upstreams.expected_waits(zone, Instant::now())
+        },
+    );
+    let shared = Arc::clone(core);
+    metrics.register_gauge(
+        "ingress_pace_age_seconds",
+        "Time since the leader told a change of the learned speeds.",
+        move || {
+            let age = shared.upstreams.paces.age(Instant::now());
+            age.unwrap_or_default().as_secs()
+        },
+    );
     let shared = Arc::clone(core);
     metrics.register_labelled_gauge(
         "ingress_leader",
--- a/src/ingress/follow.rs
+++ b/src/ingress/follow.rs
@@ -199,6 +199,9 @@
         let mut request = self.state_report(name);
         let crashes = &self.core.crashes;
         let reported = crashes.add_to_request(name, &mut request, Instant::now());
+        let paces = &self.core.upstreams.paces;
+        request.paces = paces.report_to(name, Instant::now());
+        request.held_paces_version = paces.held_version();
         (request, reported)
     }
 
@@ -247,6 +250,9 @@
         stop: &CancellationToken,
     ) {
         self.core.upstreams.set_prefill_speeds(&reply.speeds);
+        if let Some(paces) = reply.paces.as_ref().filter(|_| reply.leads) {
+            self.core.upstreams.apply_paces(paces);
+        }
         for record in &reply.controllers {
             self.add_from_record(record, stop);
         }
--- a/src/ingress/forward/mod.rs
+++ b/src/ingress/forward/mod.rs
@@ -267,6 +267,9 @@
         in_flight.record_first_byte();
         let longest = self.response_targets().max_silence();
         in_flight.record_wait(Awaited::First, waited.min(longest));
+        if !self.route.class.is_stream() {
+            in_flight.record_service_time(waited);
+        }
         // Only requests for engines are refused because of the waits of others.
         if self.route.class.is_stream() && resume_after.is_none() {
             let (upstreams, target) = (&self.core.upstreams, self.route.target);
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -16,6 +16,7 @@
 mod forward;
 mod headers;
 mod origins;
+mod paces;
 mod quota;
 mod reach;
 mod relay;
@@ -173,7 +174,7 @@
     let core = Arc::new(Core {
         routes: ArcSwap::default(),
         roster: ArcSwap::default(),
-        upstreams: Arc::default(),
+        upstreams: Arc::new(Upstreams::new(ingress.learn_paces)),
         client: Client::with_dialer(connect_timeout, dialer),
         reach: Arc::new(reach),
         quotas: Quotas::new(ingress.quota_rule()),
--- a/src/ingress/upstream.rs
+++ b/src/ingress/upstream.rs
@@ -14,9 +14,10 @@
     domain::{Incarnation, InstanceName, ServiceName, SoftwareVersion, ZoneName},
     policy::{
         availability::Availability,
-        backlog::{Backlog, Placement, SentPrompt},
+        backlog::{Backlog, SentPrompt},
         brittle::Brittleness,
         origins::Origin,
+        pace::{self, Pace, USUAL_PERCENT},
         rate_limit::{Place, Statement, UpstreamLimit},
         reachability::DirectReach,
         route::{Candidate, Report},
@@ -72,6 +73,8 @@
     software: SoftwareVersion,
     slots: u32,
     in_flight: AtomicU32,
+    /// Learned speed, in percent of the service's mean.
+    speed_percent: AtomicU32,
     load: Mutex<Load>,
     /// This gateway's own way to the upstream.
     reach: Mutex<DirectReach>,
@@ -151,6 +154,7 @@
             software: row.software.as_str().into(),
             slots: row.slots,
             in_flight: AtomicU32::new(0),
+            speed_percent: AtomicU32::new(USUAL_PERCENT),
             load: Mutex::default(),
             reach: Mutex::default(),
             created: Instant::now(),
@@ -399,19 +403,65 @@
         self.load.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the number of requests that the upstream serves concurrently.
+    pub(super) fn slots(&self) -> u32 {
+        self.slots
+    }
+
+    /// Returns the learned speed, in percent of the service's mean.
+    pub(super) fn speed_percent(&self) -> u32 {
+        self.speed_percent.load(Ordering::Relaxed)
+    }
+
+    /// Sets the learned speed and returns the one before, both in percent of the service's mean.
+    pub(super) fn set_speed_percent(&self, percent: u32) -> u32 {
+        self.speed_percent.swap(percent.max(1), Ordering::Relaxed)
+    }
+
+    /// Returns the prefill speed, given that of a usual upstream, both in prompt tokens per second.
+    pub(super) fn prefill_speed(&self, usual: f64) -> f64 {
+        match self.speed_percent() {
+            USUAL_PERCENT => usual,
+            percent => usual * f64::from(percent) / f64::from(USUAL_PERCENT),
+        }
+    }
+
+    /// Returns the requests for each of the upstream's slots, as it reported last; zero if it never did.
+    pub(super) fn reported_load(&self) -> f64 {
+        let reported = self.load().reported;
+        reported.map_or(0.0, |(reported, _)| {
+            f64::from(reported.running) / f64::from(self.slots.max(1))
+                + f64::from(reported.waiting) / f64::from(self.slots.max(1))
+        })
+    }
+
+    /// Returns the silence after which the upstream counts as lost, given that of a usual one.
+    pub(super) fn silence_timeout(&self, usual: Duration) -> Duration {
+        pace::silence_timeout(usual, self.speed_percent())
+    }
+
     /// Returns the upstream as a candidate for routing; a silence beyond the timeout makes it suspect.
-    pub(super) fn candidate(
-        &self,
-        placement: Placement,
-        timeout: Duration,
-        speed: f64,
-        now: Instant,
-    ) -> Candidate {
+    pub(super) fn candidate(&self, view: &CandidateView, now: Instant) -> Candidate {
         let (is_cut_off, is_lost) = {
             let reach = self.reach();
             (reach.is_cut_off(), reach.is_lost())
         };
+        let timeout = self.silence_timeout(view.silence_timeout);
+        let speed = self.prefill_speed(view.prefill_speed);
         let load = self.load();
+        let stretch = match load.reported {
+            Some((reported, at)) if view.uses_statements => {
+                let percent = reported.pace_percent.unwrap_or(USUAL_PERCENT);
+                pace::stretch(percent, now.duration_since(at))
+            }
+            _ => 1.0,
+        };
+        let prompts_before = match view.counts_backlog {
+            true => load.backlog.drain_time(speed, self.since_created(now)),
+            false => Duration::ZERO,
+        };
+        // Only a momentary slowness costs a request its own prompt; homes in proportion to speed answer for a lasting one.
+        let own_prompt = f64::from(view.new_tokens) / speed * (stretch - 1.0).max(0.0);
         Candidate {
             instance: self.target.instance.clone(),
             zone: self.zone.clone(),
@@ -424,9 +474,10 @@
             sent_since_report: load.sent_since_report,
             in_progress: self.in_flight.load(Ordering::Relaxed),
             cached_tokens: None,
-            prefill_wait: match placement {
-                Placement::Home => Duration::ZERO,
-                Placement::Backlog => load.backlog.drain_time(speed, self.since_created(now)),
+            prefill_wait: prompts_before + Duration::from_secs_f64(own_prompt),
+            pace: Pace {
+                speed: f64::from(self.speed_percent()) / f64::from(USUAL_PERCENT),
+                stretch,
             },
             is_behind_gateway: is_cut_off,
             suspect: is_lost
@@ -435,3 +486,18 @@
         }
     }
 }
+
+/// How a gateway looks at the candidates for a request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CandidateView {
+    /// Silence after which a usual upstream is suspect.
+    pub(super) silence_timeout: Duration,
+    /// Prefill speed of a usual upstream, in prompt tokens per second.
+    pub(super) prefill_speed: f64,
+    /// Whether the prompts sent to an upstream before count.
+    pub(super) counts_backlog: bool,
+    /// Whether the time that upstreams state for work now counts.
+    pub(super) uses_statements: bool,
+    /// Prompt tokens of the request that no upstream has cached.
+    pub(super) new_tokens: u32,
+}
--- a/src/ingress/upstreams.rs
+++ b/src/ingress/upstreams.rs
@@ -4,7 +4,7 @@
     collections::{HashMap, HashSet},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicU32, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -17,22 +17,24 @@
 
 use super::{
     errors::NotRun,
-    upstream::{Eligible, GatewaySet, Upstream},
+    paces::Paces,
+    upstream::{CandidateView, Eligible, GatewaySet, Upstream},
 };
 use crate::{
-    domain::{InstanceName, ServiceName},
+    domain::{InstanceName, ServiceName, ZoneName},
     policy::{
         availability::MAX_LIST_LAG,
         backlog::{self, DEFAULT_PREFILL_TOKENS_PER_SECOND, Placement, PromptMix, SentPrompt},
         overload::LoadShedder,
-        route::{self, Reason, RouteRequest},
+        pace::{Outlook, USUAL_PERCENT},
+        route::{self, Reason, RouteRequest, UsualWork},
         silence::{Awaited, PauseTracker, ResponseTargets},
         speed::PrefillStats,
     },
     ports::Target,
     wire::{
-        IngressRecord, PrefillSpeed, PromptAnnouncement, ServiceLoad, UpstreamLimitReport,
-        UpstreamList, UpstreamRow,
+        IngressRecord, PaceTable, PrefillSpeed, PromptAnnouncement, ServiceLoad,
+        UpstreamLimitReport, UpstreamList, UpstreamRow,
     },
 };
 
@@ -43,6 +45,9 @@
 /// reached one of them.
 const OTHER_GATEWAY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Fewest pauses of a stream that tell its upstream's pace.
+const MIN_PAUSES: u32 = 2;
+
 type ByService = HashMap<ServiceName, Vec<Arc<Upstream>>>;
 
 /// Upstreams that announced that they are leaving and are no longer listed, with the time of removal.
@@ -59,6 +64,7 @@
     prefill_speeds: ArcSwap<HashMap<ServiceName, f64>>,
     departed: Mutex<Departed>,
     gateways: ArcSwap<GatewaySet>,
+    pub(super) paces: Paces,
 }
 
 /// Measures this gateway's use of a service.
@@ -122,6 +128,9 @@
     pub(super) speed: f64,
     /// The prompt in the upstream's backlog, until the response begins.
     prompt: Option<SentPrompt>,
+    /// Pauses between the events of the response, and their sum in microseconds.
+    pauses: AtomicU32,
+    paused_us: AtomicU64,
     upstreams: Arc<Upstreams>,
 }
 
@@ -144,12 +153,20 @@
         awaited: Awaited,
         response_targets: &ResponseTargets,
     ) -> Duration {
-        self.upstreams
-            .silence_timeout(&self.upstream.service, awaited, response_targets)
+        let usual =
+            self.upstreams
+                .silence_timeout(&self.upstream.service, awaited, response_targets);
+        let timeout = self.upstream.silence_timeout(usual);
+        timeout.min(usual.max(response_targets.max_silence()))
     }
 
     /// Records how long a first byte or an event was waited for, including waits that were given up.
     pub(super) fn record_wait(&self, awaited: Awaited, wait: Duration) {
+        if awaited == Awaited::Next {
+            let us = u64::try_from(wait.as_micros()).unwrap_or(u64::MAX);
+            self.pauses.fetch_add(1, Ordering::Relaxed);
+            self.paused_us.fetch_add(us, Ordering::Relaxed);
+        }
         let mut pause_trackers = self.upstreams.pause_trackers();
         // Only the first wait of a service needs to clone its name.
         match pause_trackers.get_mut(&self.upstream.service) {
@@ -162,9 +179,25 @@
     }
 }
 
+impl InFlightGuard {
+    /// Records how long the upstream took for a response that is no stream.
+    pub(super) fn record_service_time(&self, time: Duration) {
+        self.upstreams.paces.record(&self.upstream, time);
+    }
+
+    fn record_pace(&self) {
+        let pauses = self.pauses.load(Ordering::Relaxed);
+        if pauses >= MIN_PAUSES {
+            let paused = Duration::from_micros(self.paused_us.load(Ordering::Relaxed));
+            self.upstreams.paces.record(&self.upstream, paused / pauses);
+        }
+    }
+}
+
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
         self.finish_prompt(false);
+        self.record_pace();
         self.upstreams
             .with_meter(&self.upstream.service, |meter| meter.count -= 1);
         self.upstream.release();
@@ -181,6 +214,46 @@
 }
 
 impl Upstreams {
+    /// Starts without upstreams; `learns_paces` says whether their speeds are learned and used.
+    pub(super) fn new(learns_paces: bool) -> Self {
+        Self {
+            paces: Paces::new(learns_paces),
+            ..Self::default()
+        }
+    }
+
+    /// Applies the speeds of upstreams that the leader tells.
+    pub(super) fn apply_paces(&self, table: &PaceTable) {
+        self.paces.apply(table, Instant::now());
+        for upstream in self.services.load().values().flatten() {
+            self.set_pace(upstream);
+        }
+    }
+
+    fn set_pace(&self, upstream: &Upstream) {
+        let percent = self.paces.percent(&upstream.target.instance);
+        let before = upstream.set_speed_percent(percent);
+        if before != percent {
+            log::info!(
+                event = "upstream.pace", upstream:% = upstream.target.instance,
+                service:% = upstream.service, percent = percent, before = before;
+                "ingress: requests are placed by another speed of an upstream"
+            );
+        }
+    }
+
+    /// Returns the slowest and the fastest learned speed of each service's upstreams, as multiples of the service's mean.
+    pub(super) fn pace_bounds(&self) -> Vec<(String, f64, f64)> {
+        let services = self.services.load();
+        let bounds = |(service, all): (&ServiceName, &Vec<Arc<Upstream>>)| {
+            let percents = || all.iter().map(|upstream| upstream.speed_percent());
+            let of_usual = |percent| f64::from(percent) / f64::from(USUAL_PERCENT);
+            let (min, max) = (percents().min()?, percents().max()?);
+            Some((service.to_string(), of_usual(min), of_usual(max)))
+        };
+        services.iter().filter_map(bounds).collect()
+    }
+
     /// Replaces the list of upstreams and keeps the state of those that remain. Returns the targets of those
     /// that were removed.
     pub(super) fn replace_list(&self, list: &UpstreamList) -> HashSet<Target> {
@@ -243,6 +316,7 @@
                     row.instance
                 );
             }
+            self.set_pace(&upstream);
             listed.insert(upstream.target.clone());
             let service = ServiceName::from(row.service.as_str());
             services.entry(service).or_default().push(upstream);
@@ -449,13 +523,25 @@
         let gateways = self.gateways.load();
         let usable: Vec<_> = available(all, eligible, &gateways, now).collect();
         let placement = self.placement(service);
+        // Homes of unequal speed fill unequally, and a request may find less to wait for elsewhere.
+        let is_uneven = usable
+            .iter()
+            .any(|upstream| upstream.speed_percent() != USUAL_PERCENT);
+        let view = CandidateView {
+            silence_timeout,
+            prefill_speed: speed,
+            counts_backlog: placement == Placement::Backlog || is_uneven,
+            uses_statements: self.paces.is_enabled(),
+            new_tokens,
+        };
         let candidates: Vec<_> = usable
             .iter()
-            .map(|upstream| upstream.candidate(placement, silence_timeout, speed, now))
+            .map(|upstream| upstream.candidate(&view, now))
             .collect();
         let weights = backlog::routing_weights(placement, speed);
         let (chosen, reason) = route::choose_with_reason(req, &candidates, &weights)?;
         let upstream = Arc::clone(usable[chosen]);
+        let speed = upstream.prefill_speed(speed);
         let prompt = upstream.record_send(new_tokens, speed, now);
         self.in_flight.count.fetch_add(1, Ordering::Relaxed);
         self.with_meter(service, |meter| {
@@ -468,16 +554,97 @@
             reason,
             speed,
             prompt: Some(prompt),
+            pauses: AtomicU32::new(0),
+            paused_us: AtomicU64::new(0),
             upstreams: Arc::clone(self),
         })
     }
 
+    /// Returns what a request may expect of the best eligible upstream of a service now, or `None` while too little is known.
+    /// No upstream has the last `new_tokens` of the prompt cached.
+    pub(super) fn outlook(
+        &self,
+        service: &ServiceName,
+        req: &RouteRequest,
+        new_tokens: u32,
+        eligible: &Eligible<'_>,
+        now: Instant,
+    ) -> Option<Outlook> {
+        if !self.paces.is_enabled() {
+            return None;
+        }
+        let services = self.services.load();
+        let all = services.get(service)?;
+        let gateways = self.gateways.load();
+        let mean_wait = |awaited| {
+            let seconds = self.pause_trackers().get(service)?.mean(awaited);
+            (seconds > 0.0).then(|| Duration::from_secs_f64(seconds))
+        };
+        let first = mean_wait(Awaited::First)?;
+        let known_speed = self.prefill_speeds.load().get(service).copied();
+        let reading = |tokens: u32| match (tokens, known_speed) {
+            (0, _) => Some(Duration::ZERO),
+            (_, None) => None,
+            (_, Some(speed)) => Some(Duration::from_secs_f64(f64::from(tokens) / speed)),
+        };
+        let usable: Vec<_> = available(all, eligible, &gateways, now).collect();
+        let slots = usable.iter().map(|upstream| upstream.slots()).max()?;
+        let work = UsualWork {
+            own: match new_tokens {
+                0 => first,
+                _ => reading(new_tokens)?,
+            },
+            recompute: reading(req.prompt_tokens)?,
+            turn: first / slots.max(1),
+            pause: mean_wait(Awaited::Next).unwrap_or_default(),
+        };
+        let view = CandidateView {
+            silence_timeout: Duration::MAX,
+            prefill_speed: self.prefill_speed(service),
+            counts_backlog: true,
+            uses_statements: true,
+            new_tokens: 0,
+        };
+        let candidates: Vec<_> = usable
+            .iter()
+            .map(|upstream| upstream.candidate(&view, now))
+            .collect();
+        route::outlook(req, &candidates, &work)
+    }
+
+    /// Returns the wait for the first byte that a request of mean size may expect at the best upstream of each service, in
+    /// seconds, as far as it is known.
+    pub(super) fn expected_waits(&self, zone: &ZoneName, now: Instant) -> Vec<(String, f64)> {
+        let mixes: Vec<_> = {
+            let meters = self.meters.lock().unwrap_or_else(PoisonError::into_inner);
+            let mixes = meters.iter();
+            mixes
+                .map(|(service, meter)| (service.clone(), meter.mix.mean_tokens()))
+                .collect()
+        };
+        let eligible = Eligible {
+            tried: &[],
+            origin: None,
+        };
+        let expected = |(service, (shared, new)): (ServiceName, (u32, u32))| {
+            let req = RouteRequest {
+                zone: zone.clone(),
+                prompt_tokens: shared,
+                home: rand::random(),
+            };
+            let outlook = self.outlook(&service, &req, new, &eligible, now)?;
+            Some((service.to_string(), outlook.first.as_secs_f64()))
+        };
+        mixes.into_iter().filter_map(expected).collect()
+    }
+
     /// Applies the announcement of a prompt that another gateway just sent.
     pub(super) fn record_remote_prompt(&self, prompt: &PromptAnnouncement, now: Instant) {
         let service = ServiceName::from(prompt.service.as_str());
         // An upstream that this gateway does not know yet cannot be chosen here.
         if let Some(upstream) = self.find(&service, &prompt.instance) {
-            upstream.record_remote_prompt(prompt.tokens, self.prefill_speed(&service), now);
+            let speed = upstream.prefill_speed(self.prefill_speed(&service));
+            upstream.record_remote_prompt(prompt.tokens, speed, now);
         }
     }
 
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -33,7 +33,8 @@
 const RESPONSE_SEAL: HeaderName = HeaderName::from_static("x-flamingocroft-response-seal");
 /// Present if the server has not executed the request and never will.
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-flamingocroft-not-executed");
-/// The numbers of running requests, waiting requests and slots, separated by commas.
+/// The numbers of running requests, waiting requests and slots, separated by commas; some servers add how long work takes
+/// there now, in percent of the usual time.
 const SERVER_LOAD: HeaderName = HeaderName::from_static("x-flamingocroft-server-load");
 
 /// "1" if the server is leaving and wants no further requests.
@@ -182,9 +183,16 @@
         running: numbers.next()??,
         waiting: numbers.next()??,
         slots: numbers.next()??,
+        pace_percent: value.split(',').nth(3).and_then(read_pace),
     })
 }
 
+/// Parses a time in percent of the usual one; returns `None` for anything else, which then says nothing.
+fn read_pace(value: &str) -> Option<u32> {
+    let percent: f64 = value.trim().parse().ok()?;
+    (percent.is_finite() && percent > 0.0).then(|| percent.round() as u32)
+}
+
 /// Adds the request's identifier and, if known, the retry delay to an error response.
 pub(super) fn mark_refusal(headers: &mut HeaderMap, id: &str, retry_after: Option<Duration>) {
     set_header(headers, REQUEST_ID, id);
--- a/src/policy/backlog.rs
+++ b/src/policy/backlog.rs
@@ -68,6 +68,15 @@
         average(&mut self.weight, 1.0);
     }
 
+    /// Returns the mean numbers of shared and of new prompt tokens.
+    pub fn mean_tokens(&self) -> (u32, u32) {
+        let mean = |sum: f64| match self.weight > 0.0 {
+            true => (sum / self.weight) as u32,
+            false => 0,
+        };
+        (mean(self.shared_tokens), mean(self.new_tokens))
+    }
+
     /// Returns how the next prompt is placed. Until a few dozen prompts are known, they go to their
     /// homes, because gateways that start at the same time know nothing of each other's prompts.
     pub fn placement(&self) -> Placement {
--- a/src/policy/route.rs
+++ b/src/policy/route.rs
@@ -5,9 +5,14 @@
 //! Instances of nearly equal cost are ordered by a rendezvous hash of the conversation. Gateways
 //! that see the same stale report therefore do not all choose the same instance, and every gateway
 //! finds a conversation's home instance without coordination. See docs/DECISIONS.md, "Routing".
+//!
+//! Instances of unequal speed have homes in proportion to their speeds, by weighted rendezvous hashing,
+//! and their queues cost what they take there. This answers a load that spread evenly would fill the
+//! slow ones first. See docs/design/PACES.md.
 
 use std::{cmp::Reverse, time::Duration};
 
+use super::pace::{Outlook, Pace};
 use crate::domain::{InstanceName, RoutingWeights, ZoneName};
 
 /// Time constant of the decay of trust in a load report: at this age its deviation from the
@@ -49,6 +54,8 @@
     pub cached_tokens: Option<u32>,
     /// Estimated time for which it prefills other prompts before it begins with this request.
     pub prefill_wait: Duration,
+    /// How fast it works.
+    pub pace: Pace,
     /// Whether this gateway reaches it only through another one, which costs as much as crossing a zone.
     pub is_behind_gateway: bool,
     /// Whether its last request failed or timed out.
@@ -122,17 +129,17 @@
     let all_suspect = candidates.iter().all(|c| c.suspect);
     let is_usable = |c: &Candidate| all_suspect || !c.suspect;
     let means = Means::of(candidates.iter().filter(|c| is_usable(c)));
-    let home = candidates
-        .iter()
-        .enumerate()
-        .filter(|(_, c)| is_usable(c))
-        .max_by_key(|(_, c)| rendezvous(req.home, &c.instance))
-        .map(|(i, _)| i);
+    let ranking = Ranking::of(candidates);
+    let home = home(req, candidates, ranking, is_usable);
     let scored: Vec<ScoredCandidate> = candidates
         .iter()
         .enumerate()
         .filter(|(_, c)| is_usable(c))
-        .map(|(i, c)| score(req, weights, means, i, c, home == Some(i)))
+        .map(|(i, c)| ScoredCandidate {
+            position: i,
+            rank: ranking.rank(req, c),
+            ..score(req, weights, means, c, home == Some(i))
+        })
         .collect();
     let cheapest = scored
         .iter()
@@ -153,7 +160,93 @@
     Some((position, reason))
 }
 
+/// What a request takes at an upstream of usual speed.
+#[derive(Clone, Copy, Debug)]
+pub struct UsualWork {
+    /// Time for its own work.
+    pub own: Duration,
+    /// Time to prefill the part of its prompt that is shared with others, where it is not cached.
+    pub recompute: Duration,
+    /// Time until a full upstream begins the next request of its queue.
+    pub turn: Duration,
+    /// Mean pause between two events of its answer.
+    pub pause: Duration,
+}
+
+/// Returns what a request may expect of the candidate that begins it first; `None` without candidates.
+pub fn outlook(req: &RouteRequest, candidates: &[Candidate], work: &UsualWork) -> Option<Outlook> {
+    let all_suspect = candidates.iter().all(|c| c.suspect);
+    let is_usable = |c: &Candidate| all_suspect || !c.suspect;
+    let means = Means::of(candidates.iter().filter(|c| is_usable(c)));
+    let home = home(req, candidates, Ranking::of(candidates), is_usable);
+    let all = candidates.iter().enumerate();
+    let outlooks = all.filter(|(_, c)| is_usable(c)).map(|(i, candidate)| {
+        let slots = f64::from(candidate.slots.max(1));
+        let queued = ((load(candidate, means) - 1.0) * slots).max(0.0);
+        let slowness = candidate.pace.slowness();
+        let recompute = match home == Some(i) {
+            true => Duration::ZERO,
+            false => work.recompute,
+        };
+        let own = (work.own + recompute).mul_f64(slowness);
+        Outlook {
+            first: candidate.prefill_wait + work.turn.mul_f64(queued * slowness) + own,
+            pause: work.pause.mul_f64(slowness),
+            work_seconds: own.as_secs_f64(),
+        }
+    });
+    outlooks.min_by_key(|outlook| outlook.first)
+}
+
+/// Returns the position of the conversation's home among the usable candidates.
+fn home(
+    req: &RouteRequest,
+    candidates: &[Candidate],
+    ranking: Ranking,
+    is_usable: impl Fn(&Candidate) -> bool,
+) -> Option<usize> {
+    let all = candidates.iter().enumerate();
+    all.filter(|(_, c)| is_usable(c))
+        .max_by_key(|(_, c)| ranking.rank(req, c))
+        .map(|(i, _)| i)
+}
+
+/// How the candidates for a conversation are ordered; its home is the one with the highest rank.
+#[derive(Clone, Copy, Debug)]
+enum Ranking {
+    /// By their rendezvous hashes.
+    Even,
+    /// By weighted rendezvous hashing, which gives each homes in proportion to its speed.
+    BySpeed,
+}
+
+impl Ranking {
+    fn of(candidates: &[Candidate]) -> Self {
+        match candidates.iter().all(|c| c.pace.speed == 1.0) {
+            true => Self::Even,
+            false => Self::BySpeed,
+        }
+    }
+
+    fn rank(self, req: &RouteRequest, candidate: &Candidate) -> u64 {
+        let hash = rendezvous(req.home, &candidate.instance);
+        match self {
+            Self::Even => hash,
+            Self::BySpeed => weighted_rank(hash, candidate.pace.speed),
+        }
+    }
+}
+
+/// Returns the rank of a hash with a weight: that of `-ln(hash) / weight`, the lowest first.
+fn weighted_rank(hash: u64, weight: f64) -> u64 {
+    let uniform = (hash as f64 + 1.0) / (u64::MAX as f64 + 1.0);
+    let distance = -uniform.min(1.0).ln() / weight;
+    // The bits of floating-point numbers that are not negative have the same order as the numbers.
+    u64::MAX - distance.abs().to_bits()
+}
+
 /// A candidate with the terms of its cost, in milliseconds.
+#[derive(Default)]
 struct ScoredCandidate {
     position: usize,
     rank: u64,
@@ -177,7 +270,6 @@
     req: &RouteRequest,
     weights: &RoutingWeights,
     means: Means,
-    position: usize,
     candidate: &Candidate,
     is_home: bool,
 ) -> ScoredCandidate {
@@ -188,13 +280,13 @@
     let uncached = f64::from(req.prompt_tokens.saturating_sub(cached));
     let crossing = f64::from(u8::from(candidate.zone != req.zone))
         + f64::from(u8::from(candidate.is_behind_gateway));
+    let slowness = candidate.pace.slowness();
     ScoredCandidate {
-        position,
-        rank: rendezvous(req.home, &candidate.instance),
-        wait: queued_requests(candidate, means) * weights.ms_per_queued_request
+        wait: queued_requests(candidate, means) * weights.ms_per_queued_request * slowness
             + candidate.prefill_wait.as_secs_f64() * 1000.0,
-        prefill: uncached / 1000.0 * weights.ms_per_thousand_uncached_tokens,
+        prefill: uncached / 1000.0 * weights.ms_per_thousand_uncached_tokens * slowness,
         crossing: crossing * weights.ms_per_zone_crossing,
+        ..ScoredCandidate::default()
     }
 }
 
--- a/src/ports/platform.rs
+++ b/src/ports/platform.rs
@@ -175,6 +175,8 @@
     pub waiting: u32,
     /// Maximum number of requests that it runs concurrently.
     pub slots: u32,
+    /// Time that work takes there now, in percent of the usual time; missing if it does not tell.
+    pub pace_percent: Option<u32>,
 }
 
 /// The current holder of a duty, on whose behalf one call to the platform is made. It is not cloned: each call needs a check
--- a/src/settings/ingress.rs
+++ b/src/settings/ingress.rs
@@ -64,6 +64,9 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "retry_window_ms", default = "retry_window")]
     pub retry_window: Duration,
+    /// Whether the speeds of upstreams are learned and requests are placed by them; see docs/design/PACES.md.
+    #[serde(default)]
+    pub learn_paces: bool,
 }
 
 impl Ingress {
--- a/src/wire/follow.rs
+++ b/src/wire/follow.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use prost::Message;
 
-use super::{AnsweredCause, CutOffReport, QuarantinedCause, SuspectList};
+use super::{AnsweredCause, CutOffReport, PaceReport, PaceTable, QuarantinedCause, SuspectList};
 use crate::policy::{rate_limit::Statement, speed::PrefillStats};
 
 /// A gateway's poll, with the versions that it already holds and its reports.
@@ -67,6 +67,12 @@
     /// Everything that the gateway holds in quarantine.
     #[prost(message, repeated, tag = "18")]
     pub quarantined: Vec<QuarantinedCause>,
+    /// What the gateway observed of the speeds of upstreams since its last report.
+    #[prost(message, repeated, tag = "30")]
+    pub paces: Vec<PaceReport>,
+    /// Version of the speeds of upstreams that the gateway holds; missing if it learns none.
+    #[prost(uint64, optional, tag = "31")]
+    pub held_paces_version: Option<u64>,
 }
 
 /// What an upstream stated to a gateway about the requests that it accepts from all gateways together.
@@ -179,6 +185,9 @@
     /// Whether the controller sends the document in blocks; those of earlier versions send it whole only.
     #[prost(bool, tag = "12")]
     pub sends_blocks: bool,
+    /// From the leader: speeds of upstreams, if the gateway lacks some.
+    #[prost(message, optional, tag = "30")]
+    pub paces: Option<PaceTable>,
 }
 
 /// Prefill speed of the engines of a service.
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -8,6 +8,7 @@
 mod follow;
 mod journal;
 mod origins;
+mod pace;
 mod quarantine;
 mod replica;
 mod tunnel;
@@ -34,6 +35,7 @@
     JournalAck, JournalAppend, JournalPut, JournalRemove, JournalTokens, JournaledRequest,
 };
 pub use origins::{OriginAck, OriginQuery, OriginRecord, OriginReply, OriginReport};
+pub use pace::{ObservedPace, PaceReport, PaceRow, PaceTable};
 pub use quarantine::{
     AnsweredCause, CauseKind, CauseRecord, CutOffReport, QuarantinedCause, SuspectList,
 };
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -220,6 +220,16 @@
         }
     }
 
+    /// Lets the controllers and the gateway learn the speeds of servers.
+    pub fn learn_paces(&self) {
+        for file in self.controller_files.iter().chain([&self.gateway_file]) {
+            let text = std::fs::read_to_string(file).unwrap();
+            let mut settings: Value = serde_json::from_str(&text).unwrap();
+            settings["ingress"]["learn_paces"] = json!(true);
+            std::fs::write(file, settings.to_string()).unwrap();
+        }
+    }
+
     /// Returns the addresses of the controllers' operator interfaces.
     pub fn controls(&self) -> Vec<SocketAddr> {
         self.hosts.iter().copied().map(control_address).collect()
--- a/tests/policy_backlog.rs
+++ b/tests/policy_backlog.rs
@@ -10,6 +10,7 @@
             AnnouncementLimiter, Backlog, DEFAULT_PREFILL_TOKENS_PER_SECOND, Placement, PromptMix,
             SentPrompt, routing_weights,
         },
+        pace::Pace,
         route::{Candidate, RouteRequest, choose},
     },
 };
@@ -125,6 +126,7 @@
         in_progress: 0,
         cached_tokens: None,
         prefill_wait: backlog.drain_time(TOKENS_PER_SECOND, now),
+        pace: Pace::default(),
         is_behind_gateway: false,
         suspect: false,
     };
--- a/tests/policy_route.rs
+++ b/tests/policy_route.rs
@@ -7,7 +7,10 @@
 
 use flamingocroft::{
     domain::RoutingWeights,
-    policy::route::{Candidate, Report, RouteRequest, choose},
+    policy::{
+        pace::Pace,
+        route::{Candidate, Report, RouteRequest, choose},
+    },
 };
 use proptest::prelude::*;
 
@@ -35,6 +38,7 @@
         in_progress: 0,
         cached_tokens: None,
         prefill_wait: Duration::ZERO,
+        pace: Pace::default(),
         is_behind_gateway: false,
         suspect: false,
     }
