--- a/src/controller/core.rs
+++ b/src/controller/core.rs
@@ -18,6 +18,7 @@
     followers::Followers,
     log::{Applied, Log, LogError},
     peers::Peers,
+    rollouts::RunningRollouts,
 };
 use crate::{
     domain::FencingToken,
@@ -51,6 +52,7 @@
     fleet: Mutex<Fleet>,
     followers: Mutex<Followers>,
     origins: Mutex<OriginLedger>,
+    rollouts: Mutex<RunningRollouts>,
     followers_changed: watch::Sender<u64>,
     gateway_leaves: watch::Sender<u64>,
     fleet_changed: watch::Sender<u64>,
@@ -86,6 +88,7 @@
             fleet: Mutex::new(fleet),
             followers: Mutex::new(followers),
             origins: Mutex::new(OriginLedger::new(MAX_ORIGINS)),
+            rollouts: Mutex::default(),
             followers_changed: watch::channel(0).0,
             gateway_leaves: watch::channel(0).0,
             fleet_changed: watch::channel(0).0,
@@ -100,6 +103,11 @@
         self.origins.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks what gateways reported of roll-outs; hold the lock only briefly.
+    pub fn rollouts(&self) -> MutexGuard<'_, RunningRollouts> {
+        self.rollouts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the registry of gateways; hold the lock only briefly.
     pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
         self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
--- a/src/controller/followers.rs
+++ b/src/controller/followers.rs
@@ -11,7 +11,7 @@
 
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-use super::{core::Core, crashes::Crashes, list_history::ListHistory};
+use super::{core::Core, crashes::Crashes, list_history::ListHistory, rollouts};
 use crate::{
     domain::ServiceName,
     link::Peer,
@@ -496,6 +496,7 @@
         );
         core.notify_followers_changed();
     }
+    rollouts::record_reports(core, &follow);
     let wait = Duration::from_millis(follow.wait_ms).min(MAX_FOLLOW_WAIT);
     let received_at = Instant::now();
     let deadline = received_at + wait;
@@ -511,6 +512,7 @@
             || reply.list.is_some()
             || reply.suspects.is_some()
             || !reply.quarantined.is_empty()
+            || rollouts::has_news(&reply, &follow)
         {
             return Some(Body::FollowReply(reply));
         }
@@ -543,6 +545,7 @@
     let version = core.log.state().published().version;
     let leads = core.leads();
     let now = core.now();
+    let rollouts = rollouts::news(core, leads, follow);
     let mut followers = core.followers();
     let roster = followers.roster_since(now, follow.held_roster_version);
     let mut accounts = |mode| match leads {
@@ -557,6 +560,7 @@
     FollowReply {
         suspects,
         quarantined,
+        rollouts,
         leads,
         version,
         sends_blocks: true,
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -32,6 +32,7 @@
 pub mod placement;
 mod placement_runner;
 pub mod publisher;
+pub mod rollouts;
 mod scaler;
 mod shares;
 mod stated_limits;
@@ -116,6 +117,7 @@
             ingress,
             stop.clone(),
         ));
+        tasks.spawn(rollouts::run(Arc::clone(core), stop.clone()));
         tasks.spawn(membership::run(Arc::clone(core), stop.clone()));
         tasks.spawn(link_reloaded_controllers(
             Arc::clone(core),
--- a/src/controller/publisher.rs
+++ b/src/controller/publisher.rs
@@ -81,7 +81,7 @@
         }
     }
 
-    async fn read_barrier(&self) -> Result<(), PublishError> {
+    pub(super) async fn read_barrier(&self) -> Result<(), PublishError> {
         self.core
             .log
             .read_barrier()
@@ -89,7 +89,7 @@
             .map_err(|e| self.publish_error(e))
     }
 
-    fn publish_error(&self, e: LogError) -> PublishError {
+    pub(super) fn publish_error(&self, e: LogError) -> PublishError {
         match (e, self.core.leader()) {
             (LogError::NotLeader, Some(leader)) if leader.name != self.core.settings.name => {
                 PublishError::NotLeader(leader.http_address)
--- /dev/null
+++ b/src/controller/rollouts.rs
@@ -0,0 +1,457 @@
+//! Roll-outs of software versions: operators' orders, the leader's decisions about them, and what gateways are told. Every
+//! controller collects the gateways' reports, so that a new leader goes on with them. See docs/design/ROLLOUTS.md.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use tokio_util::sync::CancellationToken;
+
+use super::{
+    core::Core,
+    log::LogError,
+    periodic::run_periodically,
+    publisher::{PublishError, Publisher},
+};
+use crate::{
+    policy::rollout::{Decision, Reason, Rollout, Slots},
+    ports::{Clock, Platform},
+    settings::RolloutLimits,
+    state::{Action, Reply, RolloutOrder, SettleRollout, StartRollout},
+    telemetry::Counter,
+    wire::{
+        FollowReply, FollowRequest, RolloutLease, RolloutNews, RolloutRecord, RolloutState,
+        UpstreamRow,
+    },
+};
+
+/// Interval between two decisions; several of them fall into each window in which versions are compared.
+const DECISION_INTERVAL: Duration = Duration::from_millis(100);
+/// Time after a completed roll-out for which gateways are told of it: the platform lists the old servers for seconds.
+const COMPLETED_TOLD: Duration = Duration::from_secs(30);
+/// Time in which an operator may send an order again whose acknowledgement was lost.
+const REPEAT_TIME: Duration = Duration::from_secs(10);
+/// Longest duration of an order.
+const MAX_DURATION: Duration = Duration::from_secs(24 * 60 * 60);
+/// Longest name of a software version, in bytes.
+const MAX_VERSION_BYTES: usize = 256;
+/// Bits of the version of news that count the leader's changes; the others are the log index of the last change.
+const CHANGE_BITS: u32 = 24;
+
+/// Why an order was not accepted, or a roll-out can't be read.
+#[derive(Debug, thiserror::Error)]
+pub enum RolloutError {
+    /// Roll-outs are not set up.
+    #[error("roll-outs are not set up; set ingress.rollout")]
+    Off,
+    /// The order can't be carried out.
+    #[error("the order is not valid: {0}")]
+    Invalid(&'static str),
+    /// Another roll-out of the service runs.
+    #[error("a roll-out of the service to {0} is in progress; wait for its end")]
+    InProgress(String),
+    /// There was no order for the service.
+    #[error("no roll-out of the service was ordered")]
+    NotOrdered,
+    /// This controller does not lead, or has no quorum.
+    #[error(transparent)]
+    Unavailable(#[from] PublishError),
+}
+
+/// The roll-outs that run, with what gateways reported of them.
+#[derive(Debug, Default)]
+pub struct RunningRollouts {
+    /// By the log index of the order.
+    running: BTreeMap<u64, Running>,
+    /// Counts what gateways must be told at once.
+    changes: u64,
+}
+
+#[derive(Debug)]
+struct Running {
+    order: RolloutOrder,
+    rollout: Rollout,
+    /// The end that was decided and is not committed yet.
+    end: Option<RolloutState>,
+}
+
+impl Running {
+    /// Returns the time since the order.
+    fn age(&self, unix_ms: u64) -> Duration {
+        Duration::from_millis(unix_ms.saturating_sub(self.order.started_unix_ms))
+    }
+}
+
+impl RunningRollouts {
+    /// Returns how many run.
+    pub fn count(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Takes over which orders run according to the log.
+    fn update<'a>(&mut self, limits: &RolloutLimits, orders: impl Iterator<Item = &'a RolloutOrder>) {
+        let is_running = |order: &&RolloutOrder| order.state() == RolloutState::Running;
+        let orders: BTreeMap<u64, &RolloutOrder> = orders
+            .filter(is_running)
+            .map(|order| (order.index, order))
+            .collect();
+        self.running.retain(|index, _| orders.contains_key(index));
+        for (index, order) in orders {
+            self.running.entry(index).or_insert_with(|| {
+                let duration = Duration::from_millis(order.order.duration_ms);
+                Running {
+                    order: order.clone(),
+                    rollout: Rollout::new(limits.bounds(), duration),
+                    end: None,
+                }
+            });
+        }
+    }
+}
+
+fn limits<T>(core: &Core<T>) -> Option<RolloutLimits> {
+    core.settings.ingress.as_ref()?.rollout
+}
+
+/// Records what a gateway reports of roll-outs.
+pub(super) fn record_reports<T: Clock>(core: &Core<T>, follow: &FollowRequest) {
+    let (Some(limits), Some(gateway)) = (limits(core), &follow.gateway) else {
+        return;
+    };
+    if follow.rollouts.is_empty() {
+        return;
+    }
+    let now = core.clock.unix_ms();
+    let state = core.log.state();
+    let mut rollouts = core.rollouts();
+    rollouts.update(&limits, state.rollouts().iter());
+    for report in &follow.rollouts {
+        if let Some(running) = rollouts.running.get_mut(&report.order) {
+            let age = running.age(now);
+            let report = report.report(follow.incarnation);
+            running.rollout.record(&gateway.name, report, age);
+        }
+    }
+}
+
+/// Returns whether a reply has news of roll-outs that the gateway does not hold.
+pub(super) fn has_news(reply: &FollowReply, follow: &FollowRequest) -> bool {
+    let version = reply.rollouts.as_ref().map(|news| news.version);
+    version.is_some() && version != follow.held_rollouts_version
+}
+
+/// Returns what a gateway is told of roll-outs.
+pub(super) fn news<T: Clock>(
+    core: &Core<T>,
+    leads: bool,
+    follow: &FollowRequest,
+) -> Option<RolloutNews> {
+    let limits = limits(core)?;
+    let held = follow.held_rollouts_version?;
+    let now = core.clock.unix_ms();
+    let lease_ms = millis(limits.bounds().lease());
+    let state = core.log.state();
+    let rollouts = core.rollouts();
+    let index = state.rollouts().index();
+    let changes = if leads { rollouts.changes } else { 0 };
+    let version = (index << CHANGE_BITS) | (changes & ((1 << CHANGE_BITS) - 1));
+    let gateway = follow.gateway.as_ref().map_or("", |gateway| &*gateway.name);
+    let record = |order: &RolloutOrder| {
+        let running = rollouts.running.get(&order.index).filter(|_| leads);
+        let lease = running.map(|running| {
+            let lease = running.rollout.lease(gateway);
+            RolloutLease {
+                share: lease.share,
+                allowance: lease.allowance,
+                lease_ms,
+            }
+        });
+        RolloutRecord {
+            order: order.index,
+            service: order.order.service.clone(),
+            target: order.order.target.clone(),
+            state: order.state,
+            lease,
+            ended_ago_ms: match order.state() {
+                RolloutState::Running => 0,
+                _ => now.saturating_sub(order.ended_unix_ms),
+            },
+        }
+    };
+    let told = |order: &&RolloutOrder| match order.state() {
+        RolloutState::Completed => {
+            now.saturating_sub(order.ended_unix_ms) < millis(COMPLETED_TOLD)
+        }
+        RolloutState::Running | RolloutState::RolledBack => true,
+    };
+    // Leases are renewed with every reply; ends are told once.
+    if index == 0 || (version == held && rollouts.running.is_empty()) {
+        return None;
+    }
+    Some(RolloutNews {
+        version,
+        rollouts: state.rollouts().iter().filter(told).map(record).collect(),
+    })
+}
+
+/// Decides about the roll-outs while this controller leads, until the token is cancelled.
+pub(super) async fn run<T: Clock>(core: Arc<Core<T>>, stop: CancellationToken) {
+    let Some(limits) = limits(&core) else {
+        return;
+    };
+    let shared = Arc::clone(&core);
+    core.metrics.register_gauge(
+        "controller_rollouts",
+        "Roll-outs that run.",
+        move || shared.rollouts().count() as u64,
+    );
+    let counter = |state| {
+        let labels = [("state", state)];
+        let (name, help) = ("controller_rollouts_ended", "Roll-outs that this leader ended.");
+        core.metrics.register_labelled_counter(name, help, &labels)
+    };
+    let worker = Worker {
+        completed: counter("completed"),
+        rolled_back: counter("rolled_back"),
+        limits,
+        core: Arc::clone(&core),
+    };
+    run_periodically(DECISION_INTERVAL, &stop, worker, |worker| async move {
+        worker.run_round().await;
+        worker
+    })
+    .await;
+}
+
+struct Worker<T> {
+    core: Arc<Core<T>>,
+    limits: RolloutLimits,
+    completed: Counter,
+    rolled_back: Counter,
+}
+
+impl<T: Clock> Worker<T> {
+    async fn run_round(&self) {
+        let leads = self.core.leads();
+        let now = self.core.clock.unix_ms();
+        let ends = {
+            let followers = self.core.followers();
+            let rows = followers.upstream_list().rows();
+            let state = self.core.log.state();
+            let mut rollouts = self.core.rollouts();
+            rollouts.update(&self.limits, state.rollouts().iter());
+            let before = rollouts.changes;
+            let RunningRollouts { running, changes } = &mut *rollouts;
+            for running in running.values_mut() {
+                match leads {
+                    true => decide(running, changes, rows, now),
+                    false => running.rollout.follow(),
+                }
+            }
+            let is_changed = rollouts.changes != before;
+            let ends = rollouts.running.iter();
+            let ends: Vec<_> = ends
+                .filter(|_| leads)
+                .filter_map(|(index, running)| Some((*index, running.end?)))
+                .collect();
+            drop((rollouts, state, followers));
+            if is_changed {
+                self.core.notify_followers_changed();
+            }
+            ends
+        };
+        for (order, state) in ends {
+            self.commit_end(order, state).await;
+        }
+    }
+
+    async fn commit_end(&self, order: u64, state: RolloutState) {
+        let action = Action::SettleRollout(SettleRollout {
+            order,
+            state: state.into(),
+        });
+        match self.core.propose(action).await {
+            Ok(_) => {
+                log::info!(
+                    event = "rollout.ended", order = order, state:? = state;
+                    "controller: a roll-out has ended"
+                );
+                match state {
+                    RolloutState::Completed => self.completed.increment(),
+                    RolloutState::RolledBack | RolloutState::Running => {
+                        self.rolled_back.increment();
+                    }
+                }
+            }
+            Err(e) => log::warn!(
+                event = "rollout.not_committed", order = order, state:? = state;
+                "controller: the end of a roll-out can't be committed yet: {e}"
+            ),
+        }
+    }
+}
+
+fn decide(running: &mut Running, changes: &mut u64, rows: &[UpstreamRow], unix_ms: u64) {
+    if running.end.is_some() {
+        return;
+    }
+    let age = running.age(unix_ms);
+    let order = &running.order.order;
+    let slots = count_slots(rows, &order.service, &order.target);
+    let decision = running.rollout.decide(age, slots);
+    let (requests, exposed) = running.rollout.exposure();
+    let (service, target) = (order.service.as_str(), order.target.as_str());
+    match decision {
+        Decision::Continue => {}
+        Decision::Enter(stage) => {
+            *changes += 1;
+            log::info!(
+                event = "rollout.share", service = service, target = target, stage:? = stage,
+                share = running.rollout.share(), age_ms = millis(age), requests = requests,
+                exposed = exposed, slots_old = slots.old, slots_new = slots.new;
+                "controller: the share of a roll-out changes"
+            );
+        }
+        Decision::Complete => {
+            *changes += 1;
+            running.end = Some(RolloutState::Completed);
+            log::info!(
+                event = "rollout.completed", service = service, target = target,
+                age_ms = millis(age), requests = requests, exposed = exposed,
+                slots_old = slots.old, slots_new = slots.new;
+                "controller: the new version serves alone"
+            );
+        }
+        Decision::RollBack(reason) => {
+            *changes += 1;
+            running.end = Some(RolloutState::RolledBack);
+            let (reason, route) = match &reason {
+                Reason::Failures(route) => ("failures", route.as_str()),
+                Reason::Slow(route) => ("slow", route.as_str()),
+                Reason::Deadline => ("deadline", ""),
+            };
+            log::warn!(
+                event = "rollout.rolled_back", service = service, target = target,
+                reason = reason, route = route, stage:? = running.rollout.stage(),
+                age_ms = millis(age), requests = requests, exposed = exposed,
+                slots_old = slots.old, slots_new = slots.new;
+                "controller: a new version gets nothing more"
+            );
+            running.rollout.follow();
+        }
+    }
+}
+
+/// Counts the slots of a service's servers that may get requests.
+fn count_slots(rows: &[UpstreamRow], service: &str, target: &str) -> Slots {
+    let mut slots = Slots::default();
+    for row in rows {
+        if row.service != service || row.leaving || row.reported_leaving {
+            continue;
+        }
+        match row.software == target {
+            true => slots.new += u64::from(row.slots),
+            false => slots.old += u64::from(row.slots),
+        }
+    }
+    slots
+}
+
+impl<T: Clock, P: Platform> Publisher<T, P> {
+    /// Returns whether operators may order roll-outs.
+    pub fn has_rollouts(&self) -> bool {
+        limits(&self.core).is_some()
+    }
+
+    /// Records an operator's order to move the requests of a service to a software version. An order that is sent again is
+    /// acknowledged without effect.
+    ///
+    /// # Errors
+    ///
+    /// Fails if roll-outs are not set up, if the order can't be carried out, while another one of the service runs, if this
+    /// controller does not lead, or without a quorum.
+    pub async fn start_rollout(
+        &self,
+        service: &str,
+        target: &str,
+        duration: Duration,
+    ) -> Result<(), RolloutError> {
+        let core = &self.core;
+        limits(core).ok_or(RolloutError::Off)?;
+        if target.is_empty() || target.len() > MAX_VERSION_BYTES {
+            return Err(RolloutError::Invalid("the target is no software version"));
+        }
+        let duration_ms = millis(duration);
+        if duration_ms == 0 || duration > MAX_DURATION {
+            return Err(RolloutError::Invalid("the duration can't be kept"));
+        }
+        self.read_barrier().await?;
+        let order = StartRollout {
+            service: service.to_owned(),
+            target: target.to_owned(),
+            duration_ms,
+        };
+        self.check_service(service)?;
+        if let Some(held) = core.log.state().rollouts().get(service)
+            && self.is_repeated(held, &order)?
+        {
+            return Ok(());
+        }
+        let slots = count_slots(core.followers().upstream_list().rows(), service, target);
+        if slots.old == 0 && slots.new > 0 {
+            return Err(RolloutError::Invalid(
+                "all servers of the service run the target already",
+            ));
+        }
+        let applied = core.propose(Action::StartRollout(order)).await;
+        let applied = applied.map_err(|e: LogError| self.publish_error(e))?;
+        if applied.reply != Reply::Accepted(true) {
+            return Err(RolloutError::InProgress("another version".to_owned()));
+        }
+        log::info!(
+            event = "rollout.started", service = service, target = target, order = applied.index,
+            duration_ms = duration_ms, slots_old = slots.old, slots_new = slots.new;
+            "controller: a roll-out is ordered"
+        );
+        Ok(())
+    }
+
+    fn check_service(&self, service: &str) -> Result<(), RolloutError> {
+        let document = self.core.log.state().published().document.clone();
+        let table = self.platform.read_table(&document);
+        let is_known = table.is_ok_and(|table| {
+            let mut services = table.services.iter();
+            services.any(|known| known.name.as_str() == service)
+        });
+        match is_known {
+            true => Ok(()),
+            false => Err(RolloutError::Invalid("the service is not published")),
+        }
+    }
+
+    /// Returns whether an order is one that was recorded already.
+    fn is_repeated(&self, held: &RolloutOrder, order: &StartRollout) -> Result<bool, RolloutError> {
+        let age = self.core.clock.unix_ms().saturating_sub(held.started_unix_ms);
+        match held.state() {
+            RolloutState::Running if held.order == *order => Ok(true),
+            RolloutState::Running => Err(RolloutError::InProgress(held.order.target.clone())),
+            _ => Ok(held.order == *order && age < millis(REPEAT_TIME)),
+        }
+    }
+
+    /// Returns the target of a service's last roll-out, and how far it is.
+    ///
+    /// # Errors
+    ///
+    /// Fails if roll-outs are not set up, if none was ordered, if this controller does not lead, or without a quorum.
+    pub async fn rollout(&self, service: &str) -> Result<(String, RolloutState), RolloutError> {
+        limits(&self.core).ok_or(RolloutError::Off)?;
+        self.read_barrier().await?;
+        let state = self.core.log.state();
+        let held = state.rollouts().get(service);
+        let held = held.ok_or(RolloutError::NotOrdered)?;
+        Ok((held.order.target.clone(), held.state()))
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/src/ingress/follow.rs
+++ b/src/ingress/follow.rs
@@ -24,6 +24,8 @@
 /// Long-poll timeout: without a change, a controller replies after this time as a heartbeat. It is a third
 /// of the silence after which a controller drops a gateway from the roster.
 pub(super) const FOLLOW_WAIT: Duration = Duration::from_millis(700);
+/// The same while a roll-out runs: a verdict on a version waits for what all gateways report.
+const ROLLOUT_WAIT: Duration = Duration::from_millis(300);
 /// Time that a reply may take beyond [`FOLLOW_WAIT`].
 const REPLY_GRACE: Duration = Duration::from_millis(800);
 /// Timeout of the notice that this gateway leaves; a controller may delay its reply to batch changes.
@@ -121,7 +123,7 @@
     async fn follow(self: &Arc<Self>, name: &str, link: &Link, stop: &CancellationToken) {
         let mut is_answering = false;
         loop {
-            let sent = self.core.clock.monotonic();
+            let (sent, sent_at) = (self.core.clock.monotonic(), Instant::now());
             let (request, reported) = self.follow_request(name);
             let request = Body::Follow(request);
             let result = link.call(request, FOLLOW_WAIT + REPLY_GRACE).await;
@@ -150,6 +152,9 @@
                     self.core
                         .controllers
                         .record_reply(name, reply.leads, Instant::now());
+                    if let Some(news) = &reply.rollouts {
+                        self.core.rollouts.apply(name, news, sent_at);
+                    }
                     let leads = reply.leads;
                     if leads {
                         self.core.quotas.apply_lease(&reply, sent);
@@ -214,7 +219,17 @@
         drop(controllers);
         let (quota_uses, window_fraction) =
             self.core.quotas.usage_report(self.core.clock.monotonic());
+        let rollouts = &self.core.rollouts;
+        let wait = match rollouts.is_running() {
+            true => ROLLOUT_WAIT,
+            false => FOLLOW_WAIT,
+        };
+        let upstreams = &self.core.upstreams;
         FollowRequest {
+            rollouts: rollouts.reports(Instant::now(), |service, target| {
+                upstreams.in_progress_beside(service, target)
+            }),
+            held_rollouts_version: rollouts.held_version(name),
             quota_uses,
             window_fraction,
             gateway: Some(self.core.record()),
@@ -224,7 +239,7 @@
                 .max(self.core.routes.load().table.version),
             held_list_version: Some(*self.list.lock().unwrap_or_else(PoisonError::into_inner)),
             held_roster_version,
-            wait_ms: FOLLOW_WAIT.as_millis() as u64,
+            wait_ms: wait.as_millis() as u64,
             usage: self.core.usage.newest_windows(self.core.clock.unix_ms()),
             demands: self.core.quotas.demands(self.core.clock.monotonic()),
             incarnation: self.own.incarnation.0,
--- a/src/ingress/forward/mod.rs
+++ b/src/ingress/forward/mod.rs
@@ -28,7 +28,8 @@
     headers::{host, without_connection_headers},
     millis,
     relay::{Handover, Relay},
-    upstream::Eligible,
+    rollout::{Outcome, Versions},
+    upstream::{Eligible, Upstream},
     upstreams::InFlightGuard,
 };
 use crate::{
@@ -143,6 +144,8 @@
     handover: Handover,
     /// Whether the caller has the beginning of the stream from an upstream that is silent and may go on.
     is_beside_stream: bool,
+    /// The software versions that may get the next attempt.
+    versions: Versions,
     /// Whether the next attempt was taken from the retry budget when its predecessor was given up.
     retry_paid: AtomicBool,
 }
@@ -229,6 +232,7 @@
             counted_at: None,
             handover: Handover::default(),
             is_beside_stream: false,
+            versions: Versions::default(),
             retry_paid: AtomicBool::new(false),
             route,
         })
@@ -236,6 +240,7 @@
 
     /// Sends the request to upstreams until one responds.
     async fn forward(&mut self) -> Result<AcceptedResponse, RequestError> {
+        self.core.rollouts.record_request(&self.service);
         self.core
             .budgets
             .record_request(&self.service, Instant::now());
@@ -296,7 +301,7 @@
             // Also before a further attempt, since the first one may have been a crash.
             check_quarantine(&self.core, &self.traits)
                 .map_err(|reason| self.error_unless_run(reason))?;
-            let Some(in_flight) = self.choose_upstream(now) else {
+            let Some(in_flight) = self.choose_version(now) else {
                 return Err(self.error_or_pause(NotRun::NoUpstream, now));
             };
             let is_retry = self.attempts_sent() > 0;
@@ -314,6 +319,7 @@
                 self.core.counters.retries.increment();
             }
             self.tried.push(in_flight.upstream.target.instance.clone());
+            let attempted = Arc::clone(&in_flight.upstream);
             // A plain service is counted as running at once, even if its response never arrives; an engine is
             // counted with its first event.
             if !self.route.class.is_stream() {
@@ -322,6 +328,7 @@
             let result = self.attempt_beside(silent, in_flight, resume_after).await;
             self.handover
                 .set_sent(result.is_ok() || silent.may_have_run());
+            self.record_for_rollout(&attempted, &result);
             match result {
                 Ok(accepted) => return Ok(accepted),
                 Err(AttemptError::Silent(attempt)) => {
@@ -434,9 +441,57 @@
         Eligible {
             tried: &self.tried,
             origin: self.origin.as_ref(),
+            versions: &self.versions,
         }
     }
 
+    /// Chooses an upstream of a version that may get the request.
+    fn choose_version(&mut self, now: Instant) -> Option<InFlightGuard> {
+        let rollouts = Arc::clone(&self.core.rollouts);
+        let origin = self.origin.as_ref();
+        // Only a request that was not sent yet tries a new version.
+        let draw = match self.attempts_sent() {
+            0 => rand::random(),
+            _ => 1.0,
+        };
+        self.versions = rollouts.versions(&self.service, origin, draw, now);
+        let mut chosen = self.choose_upstream(now);
+        if chosen.is_none()
+            && let Some(versions) = rollouts.otherwise(&self.service, &self.versions)
+        {
+            self.versions = versions;
+            chosen = self.choose_upstream(now);
+        }
+        self.versions = rollouts.for_retry(&self.service, self.origin.as_ref(), now);
+        chosen
+    }
+
+    /// Records what an attempt at an upstream was worth, for the verdict on its version.
+    fn record_for_rollout(
+        &self,
+        attempted: &Upstream,
+        result: &Result<AcceptedResponse, AttemptError>,
+    ) {
+        let (upstream, outcome) = match result {
+            Ok(accepted) => {
+                let outcome = match accepted.head.status.is_server_error() {
+                    true => Outcome::Failed,
+                    false => Outcome::Begun {
+                        wait: accepted.sent.elapsed(),
+                        target: self.route.target,
+                    },
+                };
+                (&*accepted.source.in_flight.upstream, outcome)
+            }
+            Err(AttemptError::MayHaveRun(_) | AttemptError::Silent(_)) => {
+                (attempted, Outcome::Failed)
+            }
+            Err(AttemptError::NotRun(_)) => return,
+        };
+        let rollouts = &self.core.rollouts;
+        rollouts.record(&self.service, &self.route.name, upstream.software(), outcome);
+    }
+
     /// Returns the number of prompt tokens that are unique to this request, so that no upstream has them
     /// cached.
     fn new_tokens(&self) -> u32 {
--- a/src/ingress/forward/response.rs
+++ b/src/ingress/forward/response.rs
@@ -33,6 +33,7 @@
         let eligible = Eligible {
             tried: &self.tried,
             origin,
+            versions: &self.versions,
         };
         (after.is_none() || origin.is_some()) && self.can_retry(&eligible, Instant::now())
     }
@@ -122,6 +123,8 @@
             response_targets: self.response_targets(),
             traits: Arc::clone(&self.traits),
             crashes: Arc::clone(&self.core.crashes),
+            rollouts: Arc::clone(&self.core.rollouts),
+            route: Arc::clone(&self.route.name),
             _timer: self.core.shutdown.measure(&self.route.name, self.arrived),
         };
         // A resumed stream could not keep to a length that was announced.
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -21,6 +21,7 @@
 mod relay;
 mod response_body;
 mod retry_budgets;
+mod rollout;
 mod shutdown;
 mod upstream;
 mod upstreams;
@@ -43,7 +44,7 @@
 use self::{
     announce::Announcer, callers::CallerObserver, controllers::ControllerContacts,
     counters::Counters, crashes::CrashWatch, errors::NotRun, origins::Origins, quota::Quotas,
-    reach::Reach, retry_budgets::RetryBudgets, shutdown::Shutdown, upstreams::Upstreams,
+    reach::Reach, retry_budgets::RetryBudgets, rollout::Rollouts, shutdown::Shutdown, upstreams::Upstreams,
     usage::UsageCounter,
 };
 use crate::{
@@ -74,6 +75,7 @@
     reach: Arc<Reach>,
     quotas: Quotas,
     budgets: RetryBudgets,
+    rollouts: Arc<Rollouts>,
     usage: UsageCounter,
     counters: Arc<Counters>,
     crashes: Arc<CrashWatch>,
@@ -178,6 +180,7 @@
         reach: Arc::new(reach),
         quotas: Quotas::new(ingress.quota_rule()),
         budgets: RetryBudgets::new(&ingress),
+        rollouts: Arc::new(Rollouts::new(ingress.rollout.is_some(), metrics)),
         usage: UsageCounter::new(ingress.usage_window),
         counters: Arc::new(Counters::new(metrics)),
         crashes: Arc::new(CrashWatch::new(metrics)),
--- a/src/ingress/relay.rs
+++ b/src/ingress/relay.rs
@@ -24,6 +24,7 @@
     events::{EventBoundary, EventSplitter},
     origins::StreamOrigin,
     response_body::ResponseBody,
+    rollout::{Outcome, Rollouts},
     shutdown::RequestTimer,
     upstreams::InFlightGuard,
 };
@@ -147,6 +148,10 @@
     pub(super) response_targets: ResponseTargets,
     pub(super) traits: Arc<RequestTraits>,
     pub(super) crashes: Arc<CrashWatch>,
+    /// Where it is recorded that an answer broke off.
+    pub(super) rollouts: Arc<Rollouts>,
+    /// The name of the request's route.
+    pub(super) route: Arc<str>,
     /// Measures the request until its response has ended.
     pub(super) _timer: RequestTimer,
 }
@@ -561,6 +566,11 @@
     /// Records that the upstream broke its response off and starts to resume it. Returns an error if that is not
     /// possible.
     fn handle_cut_off(&mut self, reason: &str) -> Option<RelayError> {
+        if let Some(source) = &self.source {
+            let upstream = &source.in_flight.upstream;
+            let (rollouts, route) = (&self.context.rollouts, &self.context.route);
+            rollouts.record(&upstream.service, route, upstream.software(), Outcome::BrokeOff);
+        }
         if let (Some(source), ..SURVIVED_FRAMES) = (&self.source, self.frames) {
             let upstream = &source.in_flight.upstream;
             if !upstream.is_cut_off() {
--- a/src/ingress/upstream.rs
+++ b/src/ingress/upstream.rs
@@ -10,6 +10,7 @@
 
 use tokio::time::Instant;
 
+use super::rollout::Versions;
 use crate::{
     domain::{Incarnation, InstanceName, ServiceName, SoftwareVersion, ZoneName},
     policy::{
@@ -86,6 +87,8 @@
     pub(super) tried: &'a [InstanceName],
     /// What began the stream that the request resumes.
     pub(super) origin: Option<&'a Origin>,
+    /// The software versions that may get it.
+    pub(super) versions: &'a Versions,
 }
 
 impl Eligible<'_> {
@@ -93,6 +96,7 @@
     pub(super) fn includes(&self, upstream: &Upstream) -> bool {
         !self.tried.contains(&upstream.target.instance)
             && self.origin.is_none_or(|origin| upstream.continues(origin))
+            && self.versions.include(&upstream.software)
     }
 }
 
@@ -172,6 +176,16 @@
         })
     }
 
+    /// Returns the version of its software, which is empty if it is not known.
+    pub(super) fn software(&self) -> &SoftwareVersion {
+        &self.software
+    }
+
+    /// Returns the number of this gateway's requests in progress.
+    pub(super) fn in_progress(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
     /// Returns whether a stream of an origin can go on at the upstream.
     pub(super) fn continues(&self, origin: &Origin) -> bool {
         self.service == origin.service && self.software == origin.software
--- a/src/ingress/upstreams.rs
+++ b/src/ingress/upstreams.rs
@@ -20,7 +20,7 @@
     upstream::{Eligible, GatewaySet, Upstream},
 };
 use crate::{
-    domain::{InstanceName, ServiceName},
+    domain::{InstanceName, ServiceName, SoftwareVersion},
     policy::{
         availability::MAX_LIST_LAG,
         backlog::{self, DEFAULT_PREFILL_TOKENS_PER_SECOND, Placement, PromptMix, SentPrompt},
@@ -402,6 +402,14 @@
         all.is_some_and(|all| available(all, eligible, &gateways, now).next().is_some())
     }
 
+    /// Returns the number of requests in progress at a service's servers of other versions than one.
+    pub(super) fn in_progress_beside(&self, service: &ServiceName, version: &SoftwareVersion) -> u64 {
+        let services = self.services.load();
+        let all = services.get(service).into_iter().flatten();
+        let others = all.filter(|upstream| upstream.software() != version);
+        others.map(|upstream| u64::from(upstream.in_progress())).sum()
+    }
+
     /// Returns the silence after which an upstream of a service is considered lost.
     pub(super) fn silence_timeout(
         &self,
--- a/src/policy/rollout.rs
+++ b/src/policy/rollout.rs
@@ -6,8 +6,8 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-/// Time for which a gateway may use a lease, from when it sent the request that the lease answers.
-pub const LEASE: Duration = Duration::from_millis(1500);
+/// Longest time for which a gateway may use a lease: it renews it several times within it.
+const MAX_LEASE: Duration = Duration::from_millis(1500);
 /// Time over which both versions are compared; several polls of all gateways fit into two of them.
 const WINDOW: Duration = Duration::from_millis(500);
 /// Time before the deadline at which an order that is not completed is rolled back, so that the end is committed in time.
@@ -64,6 +64,16 @@
     pub share: f64,
     /// Requests beyond it.
     pub slack: f64,
+    /// Time from a bad version's 50th bad answer after which it gets no requests.
+    pub rollback: Duration,
+}
+
+impl Bounds {
+    /// Returns for how long a gateway may use a lease, from when it sent the request that the lease answers. A gateway that
+    /// is told nothing stops well within the bound.
+    pub fn lease(&self) -> Duration {
+        MAX_LEASE.min(self.rollback / 3)
+    }
 }
 
 /// Returns the class of an answer's wait, given the route's target: zero if callers notice no difference, then one more
@@ -81,20 +91,45 @@
 pub struct Answers {
     /// Answers by the class of their wait; see [`wait_class`].
     pub waits: [u64; WAIT_CLASSES],
-    /// Failures and answers that broke off. An answer that broke off is also among the others.
-    pub bad: u64,
+    /// Requests that failed or were not answered in time.
+    pub failed: u64,
+    /// Answers that broke off; they are counted by their wait as well.
+    pub broken: u64,
 }
 
 impl Answers {
+    /// Returns the number of answers that began.
+    fn begun(&self) -> u64 {
+        self.waits.iter().sum()
+    }
+
     /// Returns the number of answers and failures.
     pub fn count(&self) -> u64 {
-        self.waits.iter().sum::<u64>().max(self.bad)
+        self.begun() + self.failed
+    }
+
+    /// Returns the number of bad ones.
+    pub fn bad(&self) -> u64 {
+        self.failed + self.broken
+    }
+
+    /// Returns the number of good ones.
+    pub fn good(&self) -> u64 {
+        self.begun().saturating_sub(self.broken)
+    }
+
+    /// Adds others as one class of waits, for sums of routes whose classes can't be compared.
+    fn add_unclassed(&mut self, other: &Self) {
+        self.waits[0] += other.begun();
+        self.failed += other.failed;
+        self.broken += other.broken;
     }
 
     fn combine(&self, other: &Self, f: impl Fn(u64, u64) -> u64) -> Self {
         Self {
             waits: std::array::from_fn(|class| f(self.waits[class], other.waits[class])),
-            bad: f(self.bad, other.bad),
+            failed: f(self.failed, other.failed),
+            broken: f(self.broken, other.broken),
         }
     }
 }
@@ -208,8 +243,8 @@
         self.granted.max(self.report.exposed)
     }
 
-    fn is_in_touch(&self, now: Duration) -> bool {
-        now.saturating_sub(self.heard) <= LEASE
+    fn is_in_touch(&self, now: Duration, lease: Duration) -> bool {
+        now.saturating_sub(self.heard) <= lease
     }
 }
 
@@ -219,6 +254,7 @@
     /// Recent sums of the old version, decayed.
     old: [f64; WAIT_CLASSES],
     old_bad: f64,
+    old_count: f64,
     failures: f64,
     slow: f64,
 }
@@ -229,19 +265,18 @@
         for (kept, count) in self.old.iter_mut().zip(waits) {
             *kept = *kept * KEPT_PART + *count as f64;
         }
-        self.old_bad = self.old_bad * KEPT_PART + window.old.bad as f64;
-        let answers: f64 = self.old.iter().sum();
+        self.old_bad = self.old_bad * KEPT_PART + window.old.bad() as f64;
+        self.old_count = self.old_count * KEPT_PART + window.old.count() as f64;
         let new_count = window.new.count() as f64;
-        let new_bad = window.new.bad as f64;
-        let old_count = answers.max(self.old_bad);
-        add_score(&mut self.failures, new_bad, new_count, self.old_bad, old_count);
+        let new_bad = window.new.bad() as f64;
+        add_score(&mut self.failures, new_bad, new_count, self.old_bad, self.old_count);
+        let answers: f64 = self.old.iter().sum();
         let slow_from = self.median() + SLOW_CLASSES;
         let slow_old: f64 = self.old.iter().skip(slow_from).sum();
         let slow_new: u64 = window.new.waits.iter().skip(slow_from).sum();
-        let new_waits: u64 = window.new.waits.iter().sum();
         // Without answers of the old version there is nothing to compare waits with.
         if answers >= 1.0 {
-            add_score(&mut self.slow, slow_new as f64, new_waits as f64, slow_old, answers);
+            add_score(&mut self.slow, slow_new as f64, window.new.begun() as f64, slow_old, answers);
         }
     }
 
@@ -264,16 +299,12 @@
 /// Adds to a score how much more likely the bad answers of a window are for a bad version than for a sound one. The score
 /// starts again at zero, so that a version that turns bad later is not protected by its past.
 fn add_score(score: &mut f64, bad: f64, count: f64, old_bad: f64, old_count: f64) {
-    let rate = (old_bad + 0.5) / (old_count + 5.0).max(1.0);
-    let rate = if old_count < 1.0 { 0.0 } else { rate.min(1.0) };
-    let uncertainty = match old_bad > 0.0 {
-        true => (rate * (1.0 - rate) / old_count.max(1.0)).sqrt(),
-        false => 0.0,
-    };
-    let rate = if old_bad > 0.0 { rate } else { 0.0 };
+    let rate = old_bad / old_count.max(1.0);
+    let uncertainty = (rate * (1.0 - rate) / old_count.max(1.0)).sqrt();
     let sound = (rate + uncertainty + SOUND_EXCESS).min(0.75);
     let bad_rate = (sound + BAD_EXCESS).min(0.95);
-    let step = bad * (bad_rate / sound).ln() + (count - bad) * ((1.0 - bad_rate) / (1.0 - sound)).ln();
+    let good = (count - bad).max(0.0);
+    let step = bad * (bad_rate / sound).ln() + good * ((1.0 - bad_rate) / (1.0 - sound)).ln();
     *score = (*score + step.min(MAX_WINDOW_SCORE)).max(0.0);
 }
 
@@ -399,7 +430,7 @@
 
     /// Decides how the order goes on. Only the leader calls this, a few times in each window.
     pub fn decide(&mut self, now: Duration, slots: Slots) -> Decision {
-        let grant_from = *self.grant_from.get_or_insert(now + LEASE);
+        let grant_from = *self.grant_from.get_or_insert(now + self.bounds.lease());
         if now >= self.window_since + WINDOW
             && let Some(reason) = self.close_window(now)
         {
@@ -484,9 +515,9 @@
     fn has_evidence(&self) -> bool {
         let mut good = 0;
         for answers in self.sums().values() {
-            let answered = answers.new.count() - answers.new.bad;
-            good += answered;
-            if answers.old.count() >= TRIED_ROUTE_ANSWERS && answered < MIN_ROUTE_ANSWERS {
+            good += answers.new.good();
+            let is_busy = answers.old.count() >= TRIED_ROUTE_ANSWERS;
+            if is_busy && answers.new.good() < MIN_ROUTE_ANSWERS {
                 return false;
             }
         }
@@ -495,8 +526,7 @@
 
     fn good_answers(&self) -> u64 {
         let sums = self.sums();
-        let good = sums.values().map(|answers| answers.new.count() - answers.new.bad);
-        good.sum()
+        sums.values().map(|answers| answers.new.good()).sum()
     }
 
     fn is_doubtful(&self) -> bool {
@@ -528,11 +558,8 @@
         for (route, sum) in &sums {
             let before = self.weighed.get(route).copied().unwrap_or_default();
             let window = sum.combine(&before, u64::saturating_sub);
-            // Waits are classed by the target of their route, so all routes together can only be compared by failures.
-            all.old.bad += window.old.bad;
-            all.old.waits[0] += window.old.waits.iter().sum::<u64>();
-            all.new.bad += window.new.bad;
-            all.new.waits[0] += window.new.waits.iter().sum::<u64>();
+            all.old.add_unclassed(&window.old);
+            all.new.add_unclassed(&window.new);
             let evidence = self.evidence.entry(route.clone()).or_default();
             evidence.weigh(&window);
             if evidence.failures >= BAD_SCORE {
@@ -557,6 +584,7 @@
         let most = largest * requests as f64 + self.bounds.slack * SLACK_PART;
         let mut left = (most as u64).saturating_sub(committed);
         let per_second = 1.0 / self.window_length.as_secs_f64();
+        let lease = self.bounds.lease();
         let wanted = |gateway: &Gateway| {
             let rate = gateway.in_window as f64 * per_second;
             let ahead = (rate * share * ALLOWANCE_TIME.as_secs_f64()).ceil() as u64;
@@ -566,7 +594,7 @@
         let mut asking: Vec<_> = self
             .gateways
             .values_mut()
-            .filter(|gateway| gateway.is_in_touch(now))
+            .filter(|gateway| gateway.is_in_touch(now, lease))
             .map(|gateway| (wanted(gateway), gateway))
             .filter(|(wanted, _)| *wanted > 0)
             .collect();
--- a/src/settings/ingress.rs
+++ b/src/settings/ingress.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
-use crate::policy::quota::QuotaRule;
+use crate::policy::{quota::QuotaRule, rollout::Bounds};
 
 /// Settings of a process that serves or publishes routes.
 #[serde_as]
@@ -64,6 +64,35 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "retry_window_ms", default = "retry_window")]
     pub retry_window: Duration,
+    /// Bounds of roll-outs; operators can't order any if absent.
+    #[serde(default)]
+    pub rollout: Option<RolloutLimits>,
+}
+
+/// What a software version may get until it is known to be sound; see docs/design/ROLLOUTS.md.
+#[serde_as]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RolloutLimits {
+    /// Fraction of a service's requests, from an order to its deadline, that a bad version may get.
+    pub exposure_share: f64,
+    /// Requests that it may get in addition to `exposure_share`.
+    pub exposure_slack: f64,
+    /// Time from a bad version's 50th bad answer after which it gets no requests.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "rollback_ms")]
+    pub rollback: Duration,
+}
+
+impl RolloutLimits {
+    /// Returns the bounds that the decisions keep.
+    pub fn bounds(&self) -> Bounds {
+        Bounds {
+            share: self.exposure_share,
+            slack: self.exposure_slack,
+            rollback: self.rollback,
+        }
+    }
 }
 
 impl Ingress {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -10,7 +10,7 @@
 pub(crate) mod seeds;
 mod validate;
 
-pub use ingress::Ingress;
+pub use ingress::{Ingress, RolloutLimits};
 pub use problem::{FileError, Problem, read_json_file};
 pub use reload::{Reloader, SettingsWatch};
 
--- a/src/settings/schema.rs
+++ b/src/settings/schema.rs
@@ -97,6 +97,12 @@
     optional("claim_retention_ms", DURATION_MS),
 ];
 
+const ROLLOUT: &[Field] = &[
+    required("exposure_share", FieldType::Decimal { min: 1e-3, max: 1.0 }),
+    required("exposure_slack", FieldType::Decimal { min: 0.0, max: 1e6 }),
+    required("rollback_ms", DURATION_MS),
+];
+
 const INGRESS: &[Field] = &[
     required("address", FieldType::Address),
     optional("ready_address", FieldType::Address),
@@ -125,6 +131,7 @@
     optional("retry_ratio", FieldType::Decimal { min: 0.0, max: 1.0 }),
     optional("retry_slack", FieldType::Decimal { min: 0.0, max: 1e6 }),
     optional("retry_window_ms", DURATION_MS),
+    optional("rollout", FieldType::Object(ROLLOUT)),
 ];
 
 /// Schema of the settings file of a daemon.
--- a/src/state/command.rs
+++ b/src/state/command.rs
@@ -3,7 +3,10 @@
 
 use bytes::Bytes;
 
-use super::usage::UsageRecord;
+use super::{
+    rollouts::{SettleRollout, StartRollout},
+    usage::UsageRecord,
+};
 use crate::wire::{ClaimRequest, InstanceRecord, LeavingNotice, OutcomeRequest, ReleaseRequest};
 
 /// A command and the time at which the leader proposed it.
@@ -15,7 +18,7 @@
     /// The action; a command without one changes nothing.
     #[prost(
         oneof = "Action",
-        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23"
     )]
     pub action: Option<Action>,
 }
@@ -59,6 +62,12 @@
     /// Records the usage of a window.
     #[prost(message, tag = "21")]
     RecordUsage(UsageRecord),
+    /// Orders a roll-out, unless another one of the service runs.
+    #[prost(message, tag = "22")]
+    StartRollout(StartRollout),
+    /// Ends a roll-out.
+    #[prost(message, tag = "23")]
+    SettleRollout(SettleRollout),
 }
 
 /// A compare-and-set of the intent.
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -6,6 +6,7 @@
 mod configuration;
 mod instances;
 mod published;
+mod rollouts;
 mod starts;
 mod usage;
 
@@ -19,6 +20,7 @@
     AppliedAt, EventRecord, GONE, InstanceHistory, Instances, InstancesRecord, LEAVING, LIVE,
 };
 pub use published::Published;
+pub use rollouts::{RolloutOrder, Rollouts, SettleRollout, StartRollout};
 pub use starts::{StartRecord, Starts};
 pub use usage::{Usage, UsageRecord};
 
@@ -64,6 +66,7 @@
     fence: u64,
     published: Published,
     usage: Usage,
+    rollouts: Rollouts,
 }
 
 impl State {
@@ -102,12 +105,18 @@
         &self.usage
     }
 
+    /// Returns the roll-outs, the last one of each service.
+    pub fn rollouts(&self) -> &Rollouts {
+        &self.rollouts
+    }
+
     /// Returns the log index of the last change that gateways must see.
     pub fn view_index(&self) -> u64 {
         self.configuration
             .index()
             .max(self.instances.changed_index())
             .max(self.published.index)
+            .max(self.rollouts.index())
     }
 
     /// Returns the log index that a gateway's view must include for it to accept new work: that of the last
@@ -161,6 +170,12 @@
             }
             Action::Publish(publish) => Reply::Accepted(self.published.publish(index, publish)),
             Action::RecordUsage(record) => Reply::Accepted(self.usage.record(record)),
+            Action::StartRollout(order) => {
+                Reply::Accepted(self.rollouts.start(index, at.unix_ms, order))
+            }
+            Action::SettleRollout(settle) => {
+                Reply::Accepted(self.rollouts.settle(index, at.unix_ms, settle))
+            }
         }
     }
 
@@ -191,6 +206,7 @@
             starts: self.starts.open_orders().cloned().collect(),
             published: Some(self.published.clone()),
             usage: self.usage.records(),
+            rollouts: self.rollouts.records(),
         };
         record.encode_to_vec().into()
     }
@@ -232,6 +248,7 @@
                 .published
                 .ok_or(DamagedState("it has no published document"))?,
             usage: Usage::from_records(record.usage),
+            rollouts: Rollouts::from_records(record.rollouts),
         })
     }
 }
@@ -264,4 +281,6 @@
     published: Option<Published>,
     #[prost(message, repeated, tag = "13")]
     usage: Vec<UsageRecord>,
+    #[prost(message, repeated, tag = "14")]
+    rollouts: Vec<RolloutOrder>,
 }
--- a/src/wire/follow.rs
+++ b/src/wire/follow.rs
@@ -6,7 +6,9 @@
 use bytes::Bytes;
 use prost::Message;
 
-use super::{AnsweredCause, CutOffReport, QuarantinedCause, SuspectList};
+use super::{
+    AnsweredCause, CutOffReport, QuarantinedCause, RolloutNews, RolloutReport, SuspectList,
+};
 use crate::policy::{rate_limit::Statement, speed::PrefillStats};
 
 /// A gateway's poll, with the versions that it already holds and its reports.
@@ -67,6 +69,12 @@
     /// Everything that the gateway holds in quarantine.
     #[prost(message, repeated, tag = "18")]
     pub quarantined: Vec<QuarantinedCause>,
+    /// What the gateway counted since each order of a roll-out that runs.
+    #[prost(message, repeated, tag = "30")]
+    pub rollouts: Vec<RolloutReport>,
+    /// Version of this controller's news of roll-outs that the gateway holds; missing if it is not set up for roll-outs.
+    #[prost(uint64, optional, tag = "31")]
+    pub held_rollouts_version: Option<u64>,
 }
 
 /// What an upstream stated to a gateway about the requests that it accepts from all gateways together.
@@ -179,6 +187,9 @@
     /// Whether the controller sends the document in blocks; those of earlier versions send it whole only.
     #[prost(bool, tag = "12")]
     pub sends_blocks: bool,
+    /// The roll-outs, if the gateway is set up for them and there is any.
+    #[prost(message, optional, tag = "30")]
+    pub rollouts: Option<RolloutNews>,
 }
 
 /// Prefill speed of the engines of a service.
