--- a/src/controller/rollouts.rs
+++ b/src/controller/rollouts.rs
@@ -87,7 +87,11 @@
     }
 
     /// Takes over which orders run according to the log.
-    fn update<'a>(&mut self, limits: &RolloutLimits, orders: impl Iterator<Item = &'a RolloutOrder>) {
+    fn update<'a>(
+        &mut self,
+        limits: &RolloutLimits,
+        orders: impl Iterator<Item = &'a RolloutOrder>,
+    ) {
         let is_running = |order: &&RolloutOrder| order.state() == RolloutState::Running;
         let orders: BTreeMap<u64, &RolloutOrder> = orders
             .filter(is_running)
@@ -177,9 +181,7 @@
         }
     };
     let told = |order: &&RolloutOrder| match order.state() {
-        RolloutState::Completed => {
-            now.saturating_sub(order.ended_unix_ms) < millis(COMPLETED_TOLD)
-        }
+        RolloutState::Completed => now.saturating_sub(order.ended_unix_ms) < millis(COMPLETED_TOLD),
         RolloutState::Running | RolloutState::RolledBack => true,
     };
     // Leases are renewed with every reply; ends are told once.
@@ -198,14 +200,16 @@
         return;
     };
     let shared = Arc::clone(&core);
-    core.metrics.register_gauge(
-        "controller_rollouts",
-        "Roll-outs that run.",
-        move || shared.rollouts().count() as u64,
-    );
+    core.metrics
+        .register_gauge("controller_rollouts", "Roll-outs that run.", move || {
+            shared.rollouts().count() as u64
+        });
     let counter = |state| {
         let labels = [("state", state)];
-        let (name, help) = ("controller_rollouts_ended", "Roll-outs that this leader ended.");
+        let (name, help) = (
+            "controller_rollouts_ended",
+            "Roll-outs that this leader ended.",
+        );
         core.metrics.register_labelled_counter(name, help, &labels)
     };
     let worker = Worker {
@@ -429,7 +433,11 @@
 
     /// Returns whether an order is one that was recorded already.
     fn is_repeated(&self, held: &RolloutOrder, order: &StartRollout) -> Result<bool, RolloutError> {
-        let age = self.core.clock.unix_ms().saturating_sub(held.started_unix_ms);
+        let age = self
+            .core
+            .clock
+            .unix_ms()
+            .saturating_sub(held.started_unix_ms);
         match held.state() {
             RolloutState::Running if held.order == *order => Ok(true),
             RolloutState::Running => Err(RolloutError::InProgress(held.order.target.clone())),
--- a/src/ingress/follow.rs
+++ b/src/ingress/follow.rs
@@ -26,6 +26,8 @@
 pub(super) const FOLLOW_WAIT: Duration = Duration::from_millis(700);
 /// The same while a roll-out runs: a verdict on a version waits for what all gateways report.
 const ROLLOUT_WAIT: Duration = Duration::from_millis(300);
+/// Part of that for each gateway, which bounds a controller to about 500 polls per second.
+const ROLLOUT_WAIT_PER_GATEWAY: Duration = Duration::from_millis(2);
 /// Time that a reply may take beyond [`FOLLOW_WAIT`].
 const REPLY_GRACE: Duration = Duration::from_millis(800);
 /// Timeout of the notice that this gateway leaves; a controller may delay its reply to batch changes.
@@ -221,7 +223,11 @@
             self.core.quotas.usage_report(self.core.clock.monotonic());
         let rollouts = &self.core.rollouts;
         let wait = match rollouts.is_running() {
-            true => ROLLOUT_WAIT,
+            true => {
+                let gateways = u32::try_from(self.core.roster.load().len()).unwrap_or(u32::MAX);
+                let fair = ROLLOUT_WAIT_PER_GATEWAY.saturating_mul(gateways);
+                fair.clamp(ROLLOUT_WAIT, FOLLOW_WAIT)
+            }
             false => FOLLOW_WAIT,
         };
         let upstreams = &self.core.upstreams;
--- a/src/ingress/forward/mod.rs
+++ b/src/ingress/forward/mod.rs
@@ -489,7 +489,12 @@
             Err(AttemptError::NotRun(_)) => return,
         };
         let rollouts = &self.core.rollouts;
-        rollouts.record(&self.service, &self.route.name, upstream.software(), outcome);
+        rollouts.record(
+            &self.service,
+            &self.route.name,
+            upstream.software(),
+            outcome,
+        );
     }
 
     /// Returns the number of prompt tokens that are unique to this request, so that no upstream has them
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -44,8 +44,8 @@
 use self::{
     announce::Announcer, callers::CallerObserver, controllers::ControllerContacts,
     counters::Counters, crashes::CrashWatch, errors::NotRun, origins::Origins, quota::Quotas,
-    reach::Reach, retry_budgets::RetryBudgets, rollout::Rollouts, shutdown::Shutdown, upstreams::Upstreams,
-    usage::UsageCounter,
+    reach::Reach, retry_budgets::RetryBudgets, rollout::Rollouts, shutdown::Shutdown,
+    upstreams::Upstreams, usage::UsageCounter,
 };
 use crate::{
     RunningRole,
--- a/src/ingress/relay.rs
+++ b/src/ingress/relay.rs
@@ -569,7 +569,12 @@
         if let Some(source) = &self.source {
             let upstream = &source.in_flight.upstream;
             let (rollouts, route) = (&self.context.rollouts, &self.context.route);
-            rollouts.record(&upstream.service, route, upstream.software(), Outcome::BrokeOff);
+            rollouts.record(
+                &upstream.service,
+                route,
+                upstream.software(),
+                Outcome::BrokeOff,
+            );
         }
         if let (Some(source), ..SURVIVED_FRAMES) = (&self.source, self.frames) {
             let upstream = &source.in_flight.upstream;
--- a/src/ingress/rollout.rs
+++ b/src/ingress/rollout.rs
@@ -277,9 +277,7 @@
         let is_from_target = origin.is_some_and(|origin| origin.software == rollout.target);
         match rollout.state {
             RolloutState::Completed => Versions::Any,
-            RolloutState::Running
-                if is_from_target || rollout.counts.lease(now).share >= 1.0 =>
-            {
+            RolloutState::Running if is_from_target || rollout.counts.lease(now).share >= 1.0 => {
                 Versions::Any
             }
             RolloutState::Running | RolloutState::RolledBack => {
--- a/src/ingress/upstreams.rs
+++ b/src/ingress/upstreams.rs
@@ -403,11 +403,17 @@
     }
 
     /// Returns the number of requests in progress at a service's servers of other versions than one.
-    pub(super) fn in_progress_beside(&self, service: &ServiceName, version: &SoftwareVersion) -> u64 {
+    pub(super) fn in_progress_beside(
+        &self,
+        service: &ServiceName,
+        version: &SoftwareVersion,
+    ) -> u64 {
         let services = self.services.load();
         let all = services.get(service).into_iter().flatten();
         let others = all.filter(|upstream| upstream.software() != version);
-        others.map(|upstream| u64::from(upstream.in_progress())).sum()
+        others
+            .map(|upstream| u64::from(upstream.in_progress()))
+            .sum()
     }
 
     /// Returns the silence after which an upstream of a service is considered lost.
--- a/src/policy/rollout.rs
+++ b/src/policy/rollout.rs
@@ -269,14 +269,26 @@
         self.old_count = self.old_count * KEPT_PART + window.old.count() as f64;
         let new_count = window.new.count() as f64;
         let new_bad = window.new.bad() as f64;
-        add_score(&mut self.failures, new_bad, new_count, self.old_bad, self.old_count);
+        add_score(
+            &mut self.failures,
+            new_bad,
+            new_count,
+            self.old_bad,
+            self.old_count,
+        );
         let answers: f64 = self.old.iter().sum();
         let slow_from = self.median() + SLOW_CLASSES;
         let slow_old: f64 = self.old.iter().skip(slow_from).sum();
         let slow_new: u64 = window.new.waits.iter().skip(slow_from).sum();
         // Without answers of the old version there is nothing to compare waits with.
         if answers >= 1.0 {
-            add_score(&mut self.slow, slow_new as f64, window.new.begun() as f64, slow_old, answers);
+            add_score(
+                &mut self.slow,
+                slow_new as f64,
+                window.new.begun() as f64,
+                slow_old,
+                answers,
+            );
         }
     }
 
@@ -326,7 +338,7 @@
     past_routes: BTreeMap<String, RouteAnswers>,
     window_since: Duration,
     window_length: Duration,
-    /// Sums when the window began.
+    /// Sums of all gateways at the end of the last window, which decisions are based on.
     weighed: BTreeMap<String, RouteAnswers>,
     evidence: BTreeMap<String, Evidence>,
     overall: Evidence,
@@ -363,7 +375,9 @@
     pub fn share(&self) -> f64 {
         match self.stage {
             Stage::Held => 0.0,
-            Stage::Trial(step) => self.bounds.share * SMALL_SHARES[step.min(SMALL_SHARES.len() - 1)],
+            Stage::Trial(step) => {
+                self.bounds.share * SMALL_SHARES[step.min(SMALL_SHARES.len() - 1)]
+            }
             Stage::HandingOver(share) => share,
             Stage::Draining => 1.0,
         }
@@ -371,7 +385,10 @@
 
     /// Returns the requests of the service, and those that the target got or may get.
     pub fn exposure(&self) -> (u64, u64) {
-        let requests = self.gateways.values().map(|gateway| gateway.report.requests);
+        let requests = self
+            .gateways
+            .values()
+            .map(|gateway| gateway.report.requests);
         let committed = self.gateways.values().map(Gateway::committed);
         (
             self.past_requests + requests.sum::<u64>(),
@@ -485,7 +502,11 @@
     /// still hold when the verdict is there.
     fn first_hand_over(&self, now: Duration) -> Stage {
         let (requests, committed) = self.exposure();
-        let in_window: u64 = self.gateways.values().map(|gateway| gateway.in_window).sum();
+        let in_window: u64 = self
+            .gateways
+            .values()
+            .map(|gateway| gateway.in_window)
+            .sum();
         let per_second = in_window as f64 / self.window_length.as_secs_f64();
         let left = self.duration.saturating_sub(now).as_secs_f64();
         let all = requests as f64 + per_second * left;
@@ -514,7 +535,7 @@
 
     fn has_evidence(&self) -> bool {
         let mut good = 0;
-        for answers in self.sums().values() {
+        for answers in self.weighed.values() {
             good += answers.new.good();
             let is_busy = answers.old.count() >= TRIED_ROUTE_ANSWERS;
             if is_busy && answers.new.good() < MIN_ROUTE_ANSWERS {
@@ -525,8 +546,10 @@
     }
 
     fn good_answers(&self) -> u64 {
-        let sums = self.sums();
-        sums.values().map(|answers| answers.new.good()).sum()
+        self.weighed
+            .values()
+            .map(|answers| answers.new.good())
+            .sum()
     }
 
     fn is_doubtful(&self) -> bool {
@@ -537,8 +560,12 @@
         let mut sums = self.past_routes.clone();
         for gateway in self.gateways.values() {
             for (route, answers) in &gateway.report.routes {
-                let sum = sums.entry(route.clone()).or_default();
-                *sum = sum.combine(answers, |a, b| a + b);
+                match sums.get_mut(route) {
+                    Some(sum) => *sum = sum.combine(answers, |a, b| a + b),
+                    None => {
+                        sums.insert(route.clone(), *answers);
+                    }
+                }
             }
         }
         sums
--- a/src/settings/schema.rs
+++ b/src/settings/schema.rs
@@ -98,7 +98,13 @@
 ];
 
 const ROLLOUT: &[Field] = &[
-    required("exposure_share", FieldType::Decimal { min: 1e-3, max: 1.0 }),
+    required(
+        "exposure_share",
+        FieldType::Decimal {
+            min: 1e-3,
+            max: 1.0,
+        },
+    ),
     required("exposure_slack", FieldType::Decimal { min: 0.0, max: 1e6 }),
     required("rollback_ms", DURATION_MS),
 ];
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -43,7 +43,9 @@
     MemberQuery, MemberReport, MembershipRecord, ReplicaMessage, ReplicaPayload, UnreadableEntry,
     VoteReply, VoteRequest,
 };
-pub use rollout::{RolloutLease, RolloutNews, RolloutRecord, RolloutReport, RolloutRoute, RolloutState};
+pub use rollout::{
+    RolloutLease, RolloutNews, RolloutRecord, RolloutReport, RolloutRoute, RolloutState,
+};
 pub use tunnel::{TunnelData, TunnelEnd, TunnelOpen, TunnelOpened, TunnelRefused};
 
 /// Maximum size of a frame that a process accepts, in bytes.
--- a/tests/platform_deploy.rs
+++ b/tests/platform_deploy.rs
@@ -31,7 +31,17 @@
     }
 }
 
-/// Renders a template's values and list sections, which are all that the templates use of the syntax.
+/// Returns the value of a dotted name.
+fn find<'a>(fields: &'a Value, name: &str) -> &'a Value {
+    name.split('.')
+        .fold(fields, |value, name| match name.parse::<usize>() {
+            Ok(index) => &value[index],
+            Err(_) => &value[name],
+        })
+}
+
+/// Renders a template's values, list sections and sections of a single value, which are all that the templates use of the
+/// syntax.
 fn render(template: &str, fields: &Value) -> String {
     let mut out = template.to_owned();
     while let Some(begin) = out.find("{{#") {
@@ -40,21 +50,22 @@
         let close = format!("{{{{/{name}}}}}");
         let end = out.find(&close).unwrap();
         let body = out[name_end + 2..end].to_owned();
-        let entries = fields[&name].as_array().unwrap();
-        let rendered: Vec<_> = entries
-            .iter()
-            .map(|entry| body.replace("{{.}}", &text(entry)).replace("{{,}}", ""))
-            .collect();
-        out.replace_range(begin..end + close.len(), &rendered.join(","));
+        let rendered = match find(fields, &name) {
+            Value::Null => String::new(),
+            Value::Array(entries) => {
+                let entries = entries.iter();
+                let rendered: Vec<_> = entries
+                    .map(|entry| body.replace("{{.}}", &text(entry)).replace("{{,}}", ""))
+                    .collect();
+                rendered.join(",")
+            }
+            _ => body.to_owned(),
+        };
+        out.replace_range(begin..end + close.len(), &rendered);
     }
     while let Some(begin) = out.find("{{") {
         let end = begin + out[begin..].find("}}").unwrap();
-        let value = out[begin + 2..end].split('.').fold(fields, |value, name| {
-            match name.parse::<usize>() {
-                Ok(index) => &value[index],
-                Err(_) => &value[name],
-            }
-        });
+        let value = find(fields, &out[begin + 2..end]);
         assert!(!value.is_null(), "no value for {}", &out[begin..end + 2]);
         let value = text(value);
         out.replace_range(begin..end + 2, &value);
@@ -69,6 +80,23 @@
     Settings::read_without_file_checks(&file).unwrap()
 }
 
+#[test]
+fn roll_outs_are_set_up_where_the_platform_states_their_bounds() {
+    let mut fields = platform_fields(USERS[0]);
+    for template in ["deploy/gateway.jsonc", "deploy/controller.jsonc"] {
+        assert_eq!(settings(template, &fields).ingress.unwrap().rollout, None);
+    }
+    fields["Bounds"]["ExposureShare"] = json!(0.2);
+    fields["Bounds"]["ExposureSlack"] = json!(30);
+    fields["Bounds"]["RollbackMs"] = json!(4000);
+    for template in ["deploy/gateway.jsonc", "deploy/controller.jsonc"] {
+        let rollout = settings(template, &fields).ingress.unwrap().rollout;
+        let bounds = rollout.unwrap().bounds();
+        assert_eq!((bounds.share, bounds.slack), (0.2, 30.0));
+        assert_eq!(bounds.rollback.as_millis(), 4000);
+    }
+}
+
 #[test]
 fn both_templates_render_to_valid_settings() {
     for user in USERS {
--- a/tests/policy_rollout.rs
+++ b/tests/policy_rollout.rs
@@ -65,6 +65,8 @@
     gateways: Vec<Gateway>,
     per_second: f64,
     duration_ms: u64,
+    /// When a version turns bad that does so later.
+    turns_bad_ms: u64,
     slots: Slots,
     rng: StdRng,
 }
@@ -91,6 +93,7 @@
             gateways: gateways.collect(),
             per_second,
             duration_ms,
+            turns_bad_ms: rng.random_range(duration_ms / 10..duration_ms * 45 / 100),
             slots: Slots { old: 640, new: 640 },
             rng,
         }
@@ -111,8 +114,8 @@
             Version::Sound => (false, wait),
             _ if !is_new => (false, wait),
             Version::BadAtOnce => (fails(0.3), wait),
-            Version::BadLater => (at > self.duration_ms * 3 / 10 && fails(0.3), wait),
-            Version::BadUnderLoad => (share > 0.05 && fails(0.3), wait),
+            Version::BadLater => (at > self.turns_bad_ms && fails(0.3), wait),
+            Version::BadUnderLoad => (share > BOUNDS.share && fails(0.3), wait),
             Version::BadOnOneRoute => (route == ROUTES[1] && fails(0.4), wait),
             Version::Slow => match fails(0.5) {
                 true => (false, wait * 5),
@@ -126,8 +129,7 @@
         let (mut requests, mut exposed, mut bad) = (0, 0, 0);
         let (mut counted_from, mut last_sent) = (None, 0);
         let mut end = None;
-        let per_step =
-            self.per_second * STEP_MS as f64 / 1000.0 / self.gateways.len() as f64;
+        let per_step = self.per_second * STEP_MS as f64 / 1000.0 / self.gateways.len() as f64;
         let mut at = 0;
         // Requests go on until the deadline, which the bound counts.
         while at < self.duration_ms {
@@ -227,11 +229,17 @@
 
 fn assert_bounded(end: &End, what: &str) {
     assert!(
-        matches!(end.decision, Decision::RollBack(Reason::Failures(_) | Reason::Slow(_))),
+        matches!(
+            end.decision,
+            Decision::RollBack(Reason::Failures(_) | Reason::Slow(_))
+        ),
         "{what}: {end:?}"
     );
     let bound = BOUNDS.share * end.requests as f64 + BOUNDS.slack;
-    assert!(end.exposed as f64 <= bound, "{what}: more than {bound}: {end:?}");
+    assert!(
+        end.exposed as f64 <= bound,
+        "{what}: more than {bound}: {end:?}"
+    );
     assert!(end.went_on <= BOUNDS.rollback, "{what}: {end:?}");
 }
 
@@ -251,7 +259,10 @@
         for version in BAD {
             for seed in 0..SEEDS / 4 {
                 let end = Day::new(version, gateways, per_second, seed).play();
-                assert_bounded(&end, &format!("{version:?}, {gateways} gateways, seed {seed}"));
+                assert_bounded(
+                    &end,
+                    &format!("{version:?}, {gateways} gateways, seed {seed}"),
+                );
             }
         }
     }
@@ -259,7 +270,11 @@
 
 #[test]
 fn a_sound_version_is_completed_by_its_deadline() {
-    for version in [Version::Sound, Version::BesideFailures, Version::BesideCrash] {
+    for version in [
+        Version::Sound,
+        Version::BesideFailures,
+        Version::BesideCrash,
+    ] {
         for seed in 0..SEEDS {
             for (gateways, per_second) in [(8, 800.0), (3, 300.0), (200, 900.0)] {
                 let mut day = Day::new(version, gateways, per_second, seed);
@@ -297,7 +312,11 @@
 fn few_answers_complete_nothing() {
     for seed in 0..SEEDS {
         let end = Day::new(Version::Sound, 8, 2.0, seed).play();
-        assert_eq!(end.decision, Decision::RollBack(Reason::Deadline), "seed {seed}");
+        assert_eq!(
+            end.decision,
+            Decision::RollBack(Reason::Deadline),
+            "seed {seed}"
+        );
     }
 }
 
@@ -307,7 +326,11 @@
         let mut day = Day::new(Version::Sound, 8, 800.0, seed);
         day.slots.new = new;
         let end = day.play();
-        assert_eq!(end.decision, Decision::RollBack(Reason::Deadline), "{new} slots");
+        assert_eq!(
+            end.decision,
+            Decision::RollBack(Reason::Deadline),
+            "{new} slots"
+        );
     }
 }
 
@@ -349,12 +372,22 @@
         requests: 1000,
         exposed: 72,
         allowance: 80,
-        routes: BTreeMap::from([("query".to_owned(), RouteAnswers { old: answers, new: answers })]),
+        routes: BTreeMap::from([(
+            "query".to_owned(),
+            RouteAnswers {
+                old: answers,
+                new: answers,
+            },
+        )]),
         ..GatewayReport::default()
     };
     rollout.record("g", report.clone(), second(8));
     assert_eq!(rollout.decide(second(8), slots), Decision::Continue);
-    assert_eq!(rollout.lease("g"), Lease::default(), "an earlier leader's leases may hold");
+    assert_eq!(
+        rollout.lease("g"),
+        Lease::default(),
+        "an earlier leader's leases may hold"
+    );
     rollout.record("g", report, second(10));
     assert_eq!(
         rollout.decide(second(10), slots),
