--- a/src/controller/followers.rs
+++ b/src/controller/followers.rs
@@ -16,6 +16,7 @@
     crashes::Crashes,
     list_history::ListHistory,
     paces::{self, Paces},
+    rollouts,
 };
 use crate::{
     domain::ServiceName,
@@ -515,6 +516,7 @@
         );
         core.notify_followers_changed();
     }
+    rollouts::record_reports(core, &follow);
     let wait = Duration::from_millis(follow.wait_ms).min(MAX_FOLLOW_WAIT);
     let received_at = Instant::now();
     let deadline = received_at + wait;
@@ -530,6 +532,7 @@
             || reply.list.is_some()
             || reply.suspects.is_some()
             || !reply.quarantined.is_empty()
+            || rollouts::has_news(&reply, &follow)
         {
             return Some(Body::FollowReply(reply));
         }
@@ -562,6 +565,7 @@
     let version = core.log.state().published().version;
     let leads = core.leads();
     let now = core.now();
+    let rollouts = rollouts::news(core, leads, follow);
     let mut followers = core.followers();
     let roster = followers.roster_since(now, follow.held_roster_version);
     let mut accounts = |mode| match leads {
@@ -581,6 +585,7 @@
         paces,
         suspects,
         quarantined,
+        rollouts,
         leads,
         version,
         sends_blocks: true,
--- a/src/ingress/upstreams.rs
+++ b/src/ingress/upstreams.rs
@@ -18,10 +18,11 @@
 use super::{
     errors::NotRun,
     paces::Paces,
+    rollout::Versions,
     upstream::{CandidateView, Eligible, GatewaySet, Upstream},
 };
 use crate::{
-    domain::{InstanceName, ServiceName, ZoneName},
+    domain::{InstanceName, ServiceName, SoftwareVersion, ZoneName},
     policy::{
         availability::MAX_LIST_LAG,
         backlog::{self, DEFAULT_PREFILL_TOKENS_PER_SECOND, Placement, PromptMix, SentPrompt},
@@ -476,6 +477,20 @@
         all.is_some_and(|all| available(all, eligible, &gateways, now).next().is_some())
     }
 
+    /// Returns the number of requests in progress at a service's servers of other versions than one.
+    pub(super) fn in_progress_beside(
+        &self,
+        service: &ServiceName,
+        version: &SoftwareVersion,
+    ) -> u64 {
+        let services = self.services.load();
+        let all = services.get(service).into_iter().flatten();
+        let others = all.filter(|upstream| upstream.software() != version);
+        others
+            .map(|upstream| u64::from(upstream.in_progress()))
+            .sum()
+    }
+
     /// Returns the silence after which an upstream of a service is considered lost.
     pub(super) fn silence_timeout(
         &self,
@@ -625,6 +640,7 @@
         let eligible = Eligible {
             tried: &[],
             origin: None,
+            versions: &Versions::Any,
         };
         let expected = |(service, (shared, new)): (ServiceName, (u32, u32))| {
             let req = RouteRequest {
--- a/src/wire/follow.rs
+++ b/src/wire/follow.rs
@@ -6,7 +6,10 @@
 use bytes::Bytes;
 use prost::Message;
 
-use super::{AnsweredCause, CutOffReport, PaceReport, PaceTable, QuarantinedCause, SuspectList};
+use super::{
+    AnsweredCause, CutOffReport, PaceReport, PaceTable, QuarantinedCause, RolloutNews,
+    RolloutReport, SuspectList,
+};
 use crate::policy::{rate_limit::Statement, speed::PrefillStats};
 
 /// A gateway's poll, with the versions that it already holds and its reports.
@@ -73,6 +76,12 @@
     /// Version of the speeds of upstreams that the gateway holds; missing if it learns none.
     #[prost(uint64, optional, tag = "31")]
     pub held_paces_version: Option<u64>,
+    /// What the gateway counted since each order of a roll-out that runs.
+    #[prost(message, repeated, tag = "34")]
+    pub rollouts: Vec<RolloutReport>,
+    /// Version of this controller's news of roll-outs that the gateway holds; missing if it is not set up for roll-outs.
+    #[prost(uint64, optional, tag = "35")]
+    pub held_rollouts_version: Option<u64>,
 }
 
 /// What an upstream stated to a gateway about the requests that it accepts from all gateways together.
@@ -188,6 +197,9 @@
     /// From the leader: speeds of upstreams, if the gateway lacks some.
     #[prost(message, optional, tag = "30")]
     pub paces: Option<PaceTable>,
+    /// The roll-outs, if the gateway is set up for them and there is any.
+    #[prost(message, optional, tag = "34")]
+    pub rollouts: Option<RolloutNews>,
 }
 
 /// Prefill speed of the engines of a service.
