--- a/src/controller/followers.rs
+++ b/src/controller/followers.rs
@@ -11,7 +11,7 @@
 
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-use super::{core::Core, crashes::Crashes, list_history::ListHistory};
+use super::{core::Core, crashes::Crashes, list_history::ListHistory, room::RoomReports};
 use crate::{
     domain::ServiceName,
     link::Peer,
@@ -22,7 +22,7 @@
     ports::Clock,
     wire::{
         AccountCount, Body, FollowReply, FollowRequest, IngressRecord, PrefillSpeed, QuotaValue,
-        ReserveReply, ReserveRequest, Roster, ServiceLoad,
+        ReserveReply, ReserveRequest, Roster, ServiceLoad, ServiceRoom,
     },
 };
 
@@ -68,6 +68,7 @@
     engine_speeds: BTreeMap<ServiceName, f64>,
     upstream_list: ListHistory,
     crashes: Crashes,
+    rooms: RoomReports,
     /// Usage by window that earlier incarnations of the gateways counted.
     earlier_incarnations_usage: BTreeMap<u64, Vec<AccountCount>>,
     reserves: HashMap<String, TokenBucket>,
@@ -169,6 +170,7 @@
         let (name, incarnation) = (&record.name, follow.incarnation);
         self.quota_book
             .handle_report(name, incarnation, follow.window_fraction, uses, now);
+        self.rooms.record(now, name, &follow.rooms);
         follower.demands.clone_from(&follow.demands);
         follower.held_shares.clone_from(&follow.held_shares);
         follower.loads.clone_from(&follow.loads);
@@ -424,6 +426,11 @@
         bucket.take(units, limit, now)
     }
 
+    /// Returns the demand of all gateways for each service.
+    pub fn rooms(&mut self, now: Duration) -> Vec<ServiceRoom> {
+        self.rooms.sums(now)
+    }
+
     /// Returns the crashes of upstreams that gateways reported.
     pub fn crashes(&self) -> &Crashes {
         &self.crashes
@@ -554,12 +561,17 @@
         .upstream_list_mut()
         .changes_since(now, follow.held_list_version.unwrap_or_default());
     let (suspects, quarantined) = followers.crashes().news_for(now, follow);
+    let rooms = match leads && follow.shares_room {
+        true => followers.rooms(now),
+        false => Vec::new(),
+    };
     FollowReply {
         suspects,
         quarantined,
         leads,
         version,
         sends_blocks: true,
+        rooms,
         list,
         roster,
         open_accounts,
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -32,6 +32,7 @@
 pub mod placement;
 mod placement_runner;
 pub mod publisher;
+pub mod room;
 mod scaler;
 mod shares;
 mod stated_limits;
--- a/src/ingress/admit.rs
+++ b/src/ingress/admit.rs
@@ -59,6 +59,9 @@
         }
         Ok(Body::ReserveReply(reply)) => {
             let granted_in = Duration::from_millis(reply.wait_ms);
+            let now = core.clock.monotonic();
+            core.quotas
+                .record_refusal(account, shortfall.units, granted_in, now);
             let wait = match shortfall.allowed > 0.0 {
                 true => granted_in,
                 false => shortfall.wait.min(granted_in),
--- a/src/ingress/counters.rs
+++ b/src/ingress/counters.rs
@@ -166,7 +166,9 @@
                 let counter = match reason {
                     NotRun::OverQuota(_) => &self.over_quota,
                     NotRun::NoTable => &self.no_table,
-                    NotRun::Overloaded(_) => &self.overloaded,
+                    NotRun::Overloaded(_) | NotRun::OverShare(_) | NotRun::Hopeless(_) => {
+                        &self.overloaded
+                    }
                     NotRun::NoUpstream => &self.no_upstream,
                     NotRun::UnknownOrigin => &self.unknown_origin,
                     NotRun::Quarantined => &self.quarantined,
@@ -300,6 +302,20 @@
         },
     );
     let shared = Arc::clone(core);
+    metrics.register_labelled_gauge(
+        "ingress_room_level",
+        "How much of a service's demand is refused, from zero to one.",
+        "service",
+        move || shared.room.levels(),
+    );
+    let shared = Arc::clone(core);
+    metrics.register_labelled_gauge(
+        "ingress_room_refused_fraction",
+        "Fraction of an account's work that is refused for want of room.",
+        "account",
+        move || shared.room.refused_fractions(),
+    );
+    let shared = Arc::clone(core);
     metrics.register_labelled_gauge(
         "ingress_retry_budget_left",
         "Further attempts that this gateway may make now.",
--- a/src/ingress/errors.rs
+++ b/src/ingress/errors.rs
@@ -22,6 +22,12 @@
     /// The service is overloaded: queued requests already wait too long. The caller may retry after the
     /// duration.
     Overloaded(Duration),
+    /// The service has too little room, and the account asks for more than its fair share. The caller may retry
+    /// after the duration.
+    OverShare(Duration),
+    /// The service has so little room that the answer could not begin before the deadline. The caller may retry
+    /// after the duration.
+    Hopeless(Duration),
     /// All upstreams of the service asked for a pause; the first pause ends after the duration.
     Paused(Duration),
     /// All upstreams of the service limit their requests or asked for a pause; the first one accepts a request
@@ -61,6 +67,8 @@
             Self::OverQuota(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::NoTable
             | Self::Overloaded(_)
+            | Self::OverShare(_)
+            | Self::Hopeless(_)
             | Self::Paused(_)
             | Self::Limited(_)
             | Self::Quarantined
@@ -75,7 +83,11 @@
 
     fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::Overloaded(after) | Self::Paused(after) | Self::Leaving(after) => Some(after),
+            Self::Overloaded(after)
+            | Self::OverShare(after)
+            | Self::Hopeless(after)
+            | Self::Paused(after)
+            | Self::Leaving(after) => Some(after),
             Self::OverQuota(after) => Some(after.max(BUSY_RETRY_AFTER)),
             Self::Limited(after) => Some(after.clamp(BUSY_RETRY_AFTER, MAX_LIMITED_RETRY_AFTER)),
             Self::NoTable | Self::NoUpstream => Some(RECOVERY_RETRY_AFTER),
--- a/src/ingress/follow.rs
+++ b/src/ingress/follow.rs
@@ -121,7 +121,7 @@
     async fn follow(self: &Arc<Self>, name: &str, link: &Link, stop: &CancellationToken) {
         let mut is_answering = false;
         loop {
-            let sent = self.core.clock.monotonic();
+            let (sent, asked) = (self.core.clock.monotonic(), Instant::now());
             let (request, reported) = self.follow_request(name);
             let request = Body::Follow(request);
             let result = link.call(request, FOLLOW_WAIT + REPLY_GRACE).await;
@@ -153,6 +153,7 @@
                     let leads = reply.leads;
                     if leads {
                         self.core.quotas.apply_lease(&reply, sent);
+                        self.core.room.apply_sums(&reply, asked);
                         self.core.leader.store(Some(Arc::new(link.clone())));
                     }
                     self.apply_reply(name, link, reply, stop).await;
@@ -214,7 +215,20 @@
         drop(controllers);
         let (quota_uses, window_fraction) =
             self.core.quotas.usage_report(self.core.clock.monotonic());
+        // Only the leader needs the demand of all gateways; without a known one, any controller may lead.
+        let shares_room = self.core.room.is_enabled();
+        let leader = self.core.controllers.leader();
+        let may_lead = leader.is_none_or(|leader| leader == name);
+        let rooms = match shares_room && may_lead {
+            true => self.core.room.report(|service| {
+                let (level, _) = self.core.upstreams.overload(service, Instant::now());
+                level
+            }),
+            false => Vec::new(),
+        };
         FollowRequest {
+            rooms,
+            shares_room,
             quota_uses,
             window_fraction,
             gateway: Some(self.core.record()),
--- a/src/ingress/forward/mod.rs
+++ b/src/ingress/forward/mod.rs
@@ -28,6 +28,7 @@
     headers::{host, without_connection_headers},
     millis,
     relay::{Handover, Relay},
+    room::check_before_body,
     upstream::Eligible,
     upstreams::InFlightGuard,
 };
@@ -172,6 +173,15 @@
         let mut service = route.pick_service(draw).ok_or(Failure::NoRoute)?.clone();
         let timeout = facts.timeout.unwrap_or(route.timeout).min(route.timeout);
         let deadline = arrived + timeout;
+        let asked = check_before_body(
+            &core,
+            &table,
+            &route,
+            &service,
+            account.as_ref(),
+            &facts,
+            deadline,
+        )?;
         let (head, body) = req.into_parts();
         let limit = table.table.limits.body_bytes;
         let body = timeout_at(deadline, Limited::new(body, limit).collect())
@@ -193,7 +203,7 @@
             service.clone_from(&origin.service);
         }
         // A stream that the caller resumes has been served in part already, so it is not refused.
-        if route.class.is_stream() && facts.resume_after.is_none() {
+        if route.class.is_stream() && facts.resume_after.is_none() && !core.room.is_enabled() {
             let rank = || table.urgency(&service, &route, account.as_ref());
             if let Some(after) = core
                 .upstreams
@@ -207,6 +217,7 @@
                 .await
                 .map_err(|_| NotRun::TooLate)??;
         }
+        core.room.record_admitted(asked.as_ref());
         let metrics = core.counters.account_metrics(account.as_ref());
         Ok(Self {
             core,
@@ -440,11 +451,8 @@
     /// Returns the number of prompt tokens that are unique to this request, so that no upstream has them
     /// cached.
     fn new_tokens(&self) -> u32 {
-        let Some(prompt) = &self.facts.prompt else {
-            return 0;
-        };
-        let own = prompt.parts.last();
-        own.map_or(prompt.prompt_tokens as u32, |part| part.tokens as u32)
+        let prompt = self.facts.prompt.as_ref();
+        prompt.map_or(0, PromptSizes::new_tokens)
     }
 
     /// Logs and counts the error and builds the response for the caller.
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -21,6 +21,7 @@
 mod relay;
 mod response_body;
 mod retry_budgets;
+mod room;
 mod shutdown;
 mod upstream;
 mod upstreams;
@@ -43,8 +44,8 @@
 use self::{
     announce::Announcer, callers::CallerObserver, controllers::ControllerContacts,
     counters::Counters, crashes::CrashWatch, errors::NotRun, origins::Origins, quota::Quotas,
-    reach::Reach, retry_budgets::RetryBudgets, shutdown::Shutdown, upstreams::Upstreams,
-    usage::UsageCounter,
+    reach::Reach, retry_budgets::RetryBudgets, room::Room, shutdown::Shutdown,
+    upstreams::Upstreams, usage::UsageCounter,
 };
 use crate::{
     RunningRole,
@@ -73,6 +74,7 @@
     client: Client,
     reach: Arc<Reach>,
     quotas: Quotas,
+    room: Room,
     budgets: RetryBudgets,
     usage: UsageCounter,
     counters: Arc<Counters>,
@@ -177,6 +179,7 @@
         client: Client::with_dialer(connect_timeout, dialer),
         reach: Arc::new(reach),
         quotas: Quotas::new(ingress.quota_rule()),
+        room: Room::new(ingress.share_room, metrics),
         budgets: RetryBudgets::new(&ingress),
         usage: UsageCounter::new(ingress.usage_window),
         counters: Arc::new(Counters::new(metrics)),
--- a/src/ingress/quota.rs
+++ b/src/ingress/quota.rs
@@ -37,6 +37,8 @@
 /// from the sending of the request that it answers. It is long enough for a new leader to be found in nearly
 /// all cases, and short compared to a quota window.
 const OPEN_MODE_LEASE: Duration = Duration::from_secs(3);
+/// Longest time for which a refusal of the leader is taken to hold; callers get a later time from the leader.
+const KNOWN_REFUSAL_LIFETIME: Duration = Duration::from_millis(500);
 /// Time constant of the exponential moving average of demand.
 const DEMAND_AVERAGING_TIME: Duration = Duration::from_secs(2);
 
@@ -79,6 +81,16 @@
     per_request: f64,
     /// Requests so far, which set the weight of the next one in that average.
     requests: u32,
+    refused: Option<LeaderRefusal>,
+}
+
+/// The last refusal of the leader.
+#[derive(Clone, Copy, Debug)]
+struct LeaderRefusal {
+    units: f64,
+    at: Duration,
+    /// When the leader may grant the units.
+    granted_at: Duration,
 }
 
 /// A request that this gateway's part of the quota does not cover.
@@ -151,6 +163,7 @@
                         admitted: AdmittedWindow::new(window),
                         per_request: 0.0,
                         requests: 0,
+                        refused: None,
                     }
                 }
             };
@@ -202,6 +215,52 @@
         taken
     }
 
+    /// Records that the leader did not grant units and may do so after `wait`.
+    pub(super) fn record_refusal(
+        &self,
+        account: &AccountName,
+        units: f64,
+        wait: Duration,
+        now: Duration,
+    ) {
+        if let Some(entry) = self.state().accounts.get_mut(account) {
+            entry.refused = Some(LeaderRefusal {
+                units,
+                at: now,
+                granted_at: now + wait,
+            });
+        }
+    }
+
+    /// Returns the retry delay of a request that neither this gateway's part nor the leader covers, as the leader
+    /// said for one that was no larger. Nothing is taken.
+    pub(super) fn known_refusal(
+        &self,
+        account: &AccountName,
+        prompt: Option<&PromptSizes>,
+        now: Duration,
+    ) -> Option<Duration> {
+        let mut state = self.state();
+        let (part, mode) = (state.part(account, now), state.mode(account, now));
+        let entry = state.accounts.get_mut(account)?;
+        let refused = entry.refused?;
+        if now >= refused.granted_at.min(refused.at + KNOWN_REFUSAL_LIFETIME) {
+            return None;
+        }
+        let units = request_units(entry.unit, prompt);
+        let own = gateway_limit(entry.admission.gateways, part);
+        let is_covered = match mode {
+            QuotaMode::Open => true,
+            QuotaMode::Divided => entry.bucket.check(units, own, now).is_ok(),
+            QuotaMode::Asked => false,
+        };
+        if is_covered || units < refused.units {
+            return None;
+        }
+        entry.record_demand(units, now);
+        Some(refused.granted_at - now)
+    }
+
     /// Records units that the leader granted from its reserve.
     pub(super) fn record_grant(&self, account: &AccountName, units: f64, now: Duration) {
         if let Some(entry) = self.state().accounts.get_mut(account) {
--- a/src/ingress/upstreams.rs
+++ b/src/ingress/upstreams.rs
@@ -500,7 +500,7 @@
     }
 
     /// Returns the prefill speed of an engine of a service, in prompt tokens per second.
-    fn prefill_speed(&self, service: &ServiceName) -> f64 {
+    pub(super) fn prefill_speed(&self, service: &ServiceName) -> f64 {
         self.prefill_speeds
             .load()
             .get(service)
@@ -539,6 +539,20 @@
         meter.load_shedder.refuse(rank, rand::random(), now)
     }
 
+    /// Returns the level by which requests for a service are refused because others wait too long, from zero to
+    /// one, and the mean of their waits.
+    pub(super) fn overload(&self, service: &ServiceName, now: Instant) -> (f64, Duration) {
+        let mut meters = self.meters.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(meter) = meters.get_mut(service) else {
+            return (0.0, Duration::ZERO);
+        };
+        let now = now.duration_since(meter.started);
+        (
+            meter.load_shedder.level(now),
+            meter.load_shedder.mean_wait(),
+        )
+    }
+
     /// Returns this gateway's use of each service.
     pub(super) fn service_loads(&self, now: Instant) -> Vec<ServiceLoad> {
         let services = self.services.load();
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -22,6 +22,7 @@
 pub mod rate_limit;
 pub mod reachability;
 pub mod retry;
+pub mod room;
 pub mod route;
 pub mod scale;
 pub mod shutdown;
--- a/src/policy/overload.rs
+++ b/src/policy/overload.rs
@@ -68,6 +68,17 @@
         draw: f64,
         now: Duration,
     ) -> Option<Duration> {
+        let level = self.level(now);
+        if level <= 0.0 {
+            return None;
+        }
+        let above = level - URGENT_REFUSAL_LEVEL * (1.0 - rank());
+        let fraction = (above / URGENT_REFUSAL_LEVEL).clamp(0.0, MAX_REFUSED_FRACTION);
+        (draw < fraction).then(|| self.mean_wait().max(MIN_RETRY_AFTER))
+    }
+
+    /// Returns the refusal level at a time, from zero (nothing is refused) to one.
+    pub fn level(&mut self, now: Duration) -> f64 {
         self.decay(now);
         let passed = now.saturating_sub(self.level_updated_at);
         self.level_updated_at = now;
@@ -82,16 +93,11 @@
         };
         self.level =
             (self.level + LEVEL_GAIN_PER_SECOND * excess * step.as_secs_f64()).clamp(0.0, 1.0);
-        if self.level <= 0.0 {
-            return None;
-        }
-        let above = self.level - URGENT_REFUSAL_LEVEL * (1.0 - rank());
-        let fraction = (above / URGENT_REFUSAL_LEVEL).clamp(0.0, MAX_REFUSED_FRACTION);
-        (draw < fraction).then(|| self.mean_wait().max(MIN_RETRY_AFTER))
+        self.level
     }
 
     /// Returns the mean of the recent waits.
-    fn mean_wait(&self) -> Duration {
+    pub fn mean_wait(&self) -> Duration {
         let mean = self.wait_seconds / self.count.max(1e-9);
         Duration::try_from_secs_f64(mean).unwrap_or(Duration::MAX)
     }
--- a/src/ports/platform.rs
+++ b/src/ports/platform.rs
@@ -99,6 +99,14 @@
     pub parts: Vec<PromptPart>,
 }
 
+impl PromptSizes {
+    /// Returns the number of prompt tokens that are unique to the request, so that no upstream has them cached.
+    pub fn new_tokens(&self) -> u32 {
+        let own = self.parts.last();
+        own.map_or(self.prompt_tokens, |part| part.tokens) as u32
+    }
+}
+
 /// One segment of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPart {
--- a/src/settings/ingress.rs
+++ b/src/settings/ingress.rs
@@ -64,6 +64,10 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "retry_window_ms", default = "retry_window")]
     pub retry_window: Duration,
+    /// Whether a gateway divides a service with too little room fairly among the accounts, and refuses requests
+    /// for which there is none before it reads their bodies. See docs/design/ROOM.md.
+    #[serde(default)]
+    pub share_room: bool,
 }
 
 impl Ingress {
--- a/src/settings/schema.rs
+++ b/src/settings/schema.rs
@@ -125,6 +125,7 @@
     optional("retry_ratio", FieldType::Decimal { min: 0.0, max: 1.0 }),
     optional("retry_slack", FieldType::Decimal { min: 0.0, max: 1e6 }),
     optional("retry_window_ms", DURATION_MS),
+    optional("share_room", FieldType::Bool),
 ];
 
 /// Schema of the settings file of a daemon.
--- a/src/wire/follow.rs
+++ b/src/wire/follow.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use prost::Message;
 
-use super::{AnsweredCause, CutOffReport, QuarantinedCause, SuspectList};
+use super::{AnsweredCause, CutOffReport, QuarantinedCause, ServiceRoom, SuspectList};
 use crate::policy::{rate_limit::Statement, speed::PrefillStats};
 
 /// A gateway's poll, with the versions that it already holds and its reports.
@@ -67,6 +67,12 @@
     /// Everything that the gateway holds in quarantine.
     #[prost(message, repeated, tag = "18")]
     pub quarantined: Vec<QuarantinedCause>,
+    /// To the leader: this gateway's demand for each service, if it shares the room of services.
+    #[prost(message, repeated, tag = "40")]
+    pub rooms: Vec<ServiceRoom>,
+    /// Whether the gateway shares the room of services, and so wants the demand of all gateways.
+    #[prost(bool, tag = "41")]
+    pub shares_room: bool,
 }
 
 /// What an upstream stated to a gateway about the requests that it accepts from all gateways together.
@@ -179,6 +185,9 @@
     /// Whether the controller sends the document in blocks; those of earlier versions send it whole only.
     #[prost(bool, tag = "12")]
     pub sends_blocks: bool,
+    /// From the leader: the demand of all gateways for each service.
+    #[prost(message, repeated, tag = "40")]
+    pub rooms: Vec<ServiceRoom>,
 }
 
 /// Prefill speed of the engines of a service.
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -10,6 +10,7 @@
 mod origins;
 mod quarantine;
 mod replica;
+mod room;
 mod tunnel;
 
 pub use claims::{
@@ -42,6 +43,7 @@
     MemberQuery, MemberReport, MembershipRecord, ReplicaMessage, ReplicaPayload, UnreadableEntry,
     VoteReply, VoteRequest,
 };
+pub use room::{AccountWork, ServiceRoom};
 pub use tunnel::{TunnelData, TunnelEnd, TunnelOpen, TunnelOpened, TunnelRefused};
 
 /// Maximum size of a frame that a process accepts, in bytes.
