--- a/src/controller/room.rs
+++ b/src/controller/room.rs
@@ -28,6 +28,7 @@
     /// Sum of the levels, each multiplied by the demand of its gateway.
     level: f64,
     demand: f64,
+    admitted: f64,
     accounts: BTreeMap<&'a str, f64>,
 }
 
@@ -57,6 +58,9 @@
     let mut services: BTreeMap<&str, Sum<'_>> = BTreeMap::new();
     for report in reports {
         let sum = services.entry(&report.service).or_default();
+        if report.admitted > 0.0 {
+            sum.admitted += f64::from(report.admitted);
+        }
         for held in report.accounts.iter().filter(|held| held.work > 0.0) {
             let work = f64::from(held.work);
             sum.level += f64::from(report.level.clamp(0.0, 1.0)) * work;
@@ -80,6 +84,7 @@
                 service: service.to_owned(),
                 level: (sum.level / sum.demand) as f32,
                 accounts,
+                admitted: sum.admitted as f32,
             }
         })
         .collect()
--- a/src/ingress/room.rs
+++ b/src/ingress/room.rs
@@ -9,12 +9,13 @@
 
 use tokio::time::Instant;
 
-use super::{Core, errors::NotRun, millis};
+use super::{Core, errors::NotRun, millis, upstream::Eligible};
 use crate::{
     domain::{AccountName, Route, RouteIndex, ServiceName},
     policy::{
         pace::Outlook,
-        room::{self, AccountDemand, DemandMeter},
+        room::{self, AccountDemand, Demand, DemandMeter, Pressure},
+        route::RouteRequest,
     },
     ports::{Clock, Platform, RequestMetadata},
     telemetry::{Counter, Metrics},
@@ -24,8 +25,8 @@
 /// Lease of the sums of all gateways' demand, counted from the sending of the request that they answer. It
 /// covers the election of a leader.
 const SUMS_LEASE: Duration = Duration::from_secs(3);
-/// Time for which the fractions of a service are reused, so that a refusal costs a look-up.
-const PLAN_MAX_AGE: Duration = Duration::from_millis(100);
+/// Time for which the outlook and the fractions of a service are reused, so that a refusal costs a look-up.
+const PLAN_MAX_AGE: Duration = Duration::from_millis(50);
 /// Least time between two log lines about the refusals of one account, or about one service.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -65,6 +66,7 @@
 #[derive(Debug, Default)]
 struct ServiceState {
     meter: DemandMeter,
+    pressure: Pressure,
     /// The demand at all gateways and their mean level, and the end of the lease.
     sums: Option<Sums>,
     plan: Plan,
@@ -76,7 +78,7 @@
 
 #[derive(Debug)]
 struct Sums {
-    demands: Vec<AccountDemand>,
+    demand: Demand,
     level: f64,
     until: Duration,
 }
@@ -88,6 +90,8 @@
     /// This gateway's own level, and the one that it refuses by.
     own_level: f64,
     level: f64,
+    /// What a request may expect of the best upstream.
+    outlook: Option<Outlook>,
     /// Whether the plan follows from the demand at all gateways.
     is_overall: bool,
     /// The fraction of each account's work to refuse; accounts within their shares are left out.
@@ -127,18 +131,28 @@
     /// Counts the demand of a request that its quota covers.
     pub(super) fn record_admitted(&self, asked: Option<&Asked>) {
         if let Some(asked) = asked {
-            self.record(asked, self.started.elapsed());
+            let mut services = self.services();
+            if let Some(state) = services.get_mut(&asked.service) {
+                let (work, rank, now) = (asked.work, asked.rank, self.started.elapsed());
+                let meter = &mut state.meter;
+                meter.record_admitted(&asked.account, work, rank, now);
+            }
         }
     }
 
     /// Returns this gateway's demand for each service, and the level of each.
-    pub(super) fn report(&self, level: impl Fn(&ServiceName) -> f64) -> Vec<ServiceRoom> {
+    /// Its own level for each service includes `shed`, which follows from the waits of earlier requests.
+    pub(super) fn report(&self, shed: impl Fn(&ServiceName) -> f64) -> Vec<ServiceRoom> {
         let now = self.started.elapsed();
         let mut services = self.services();
-        let all = services.iter_mut().map(|(service, state)| ServiceRoom {
-            service: service.to_string(),
-            level: level(service) as f32,
-            accounts: to_wire(state.meter.demands(now)),
+        let all = services.iter_mut().map(|(service, state)| {
+            let demand = state.meter.demand(now);
+            ServiceRoom {
+                service: service.to_string(),
+                level: shed(service).max(state.pressure.level()) as f32,
+                admitted: demand.admitted as f32,
+                accounts: to_wire(demand.accounts),
+            }
         });
         all.filter(|room| !room.accounts.is_empty()).collect()
     }
@@ -153,7 +167,7 @@
         for room in &reply.rooms {
             let service = ServiceName::from(room.service.as_str());
             services.entry(service).or_default().sums = Some(Sums {
-                demands: from_wire(&room.accounts),
+                demand: from_wire(room),
                 level: f64::from(room.level).clamp(0.0, 1.0),
                 until,
             });
@@ -180,32 +194,32 @@
         largest.into_iter().collect()
     }
 
-    fn record(&self, asked: &Asked, now: Duration) {
-        let mut services = self.services();
-        if !services.contains_key(&asked.service) {
-            services.insert(asked.service.clone(), ServiceState::default());
-        }
-        if let Some(state) = services.get_mut(&asked.service) {
-            let (work, rank) = (asked.work, asked.rank);
-            state.meter.record(&asked.account, work, rank, now);
-        }
-    }
-
-    /// Decides whether the account's share has room for a request. Returns the cause if not.
+    /// Decides whether there is room for a request that has `time_left`. Returns the cause if not. `shed` is the
+    /// level that follows from the waits of earlier requests.
     fn check(
         &self,
         asked: &Asked,
         table: &RouteIndex,
-        own_level: f64,
-        outlook: Option<Outlook>,
+        target: Duration,
+        shed: f64,
+        outlook: impl FnOnce() -> Option<Outlook>,
         time_left: Duration,
     ) -> Result<(), Cause> {
         let now = self.started.elapsed();
         let mut services = self.services();
+        if !services.contains_key(&asked.service) {
+            services.insert(asked.service.clone(), ServiceState::default());
+        }
         let Some(state) = services.get_mut(&asked.service) else {
             return Ok(());
         };
-        state.refresh(&asked.service, table, own_level, now);
+        if state.plan.is_due(now) {
+            let outlook = outlook();
+            if let Some(outlook) = &outlook {
+                state.pressure.record(outlook, target, now);
+            }
+            state.make_plan(&asked.service, table, shed, outlook, now);
+        }
         if state.plan.level <= 0.0 {
             return Ok(());
         }
@@ -213,15 +227,16 @@
         let fraction = fraction.unwrap_or_default();
         let mean_rank = state.meter.mean_rank();
         let probability = room::refusal_probability(fraction, asked.rank, mean_rank);
+        let outlook = state.plan.outlook.as_ref();
         let cause = if rand::random::<f64>() < probability {
             Cause::OverShare
-        } else if outlook.is_some_and(|outlook| room::is_hopeless(&outlook, time_left)) {
+        } else if outlook.is_some_and(|outlook| room::is_hopeless(outlook, time_left)) {
             Cause::Hopeless
         } else {
             return Ok(());
         };
         let (work, rank) = (asked.work, asked.rank);
-        state.meter.record(&asked.account, work, rank, now);
+        state.meter.record_refused(&asked.account, work, rank, now);
         state.log_refusal(asked, cause, fraction, now);
         Err(cause)
     }
@@ -231,25 +246,36 @@
     }
 }
 
-impl ServiceState {
-    /// Makes a new plan if the one in force is too old.
-    fn refresh(&mut self, service: &ServiceName, table: &RouteIndex, own: f64, now: Duration) {
+impl Plan {
+    fn is_due(&self, now: Duration) -> bool {
         let is_fresh = |at| now.saturating_sub(at) < PLAN_MAX_AGE;
-        if self.plan.made_at.is_some_and(is_fresh) {
-            return;
-        }
+        !self.made_at.is_some_and(is_fresh)
+    }
+}
+
+impl ServiceState {
+    fn make_plan(
+        &mut self,
+        service: &ServiceName,
+        table: &RouteIndex,
+        shed: f64,
+        outlook: Option<Outlook>,
+        now: Duration,
+    ) {
+        let own = shed.max(self.pressure.level());
         let sums = self.sums.as_ref().filter(|sums| now < sums.until);
         let level = room::level(own, sums.map(|sums| sums.level));
-        let (demands, is_overall) = match sums {
-            Some(sums) => (sums.demands.clone(), true),
-            None => (self.meter.demands(now), false),
+        let (demand, is_overall) = match sums {
+            Some(sums) => (sums.demand.clone(), true),
+            None => (self.meter.demand(now), false),
         };
-        let fractions = room::refused_fractions(&demands, |name| weight(table, name), level);
-        let accounts = demands.into_iter().map(|demand| demand.account);
+        let fractions = room::refused_fractions(&demand, |name| weight(table, name), level);
+        let accounts = demand.accounts.into_iter().map(|held| held.account);
         self.plan = Plan {
             made_at: Some(now),
             own_level: own,
             level,
+            outlook,
             is_overall,
             refused: accounts
                 .zip(fractions)
@@ -341,8 +367,21 @@
         rank: room::rank_with_time(rank, time_left, route.timeout),
     };
     let (level, expected) = core.upstreams.overload(service, now);
-    let outlook = mean_outlook(expected, asked.work);
-    let Err(cause) = room.check(&asked, table, level, Some(outlook), time_left) else {
+    let outlook = || {
+        let req = RouteRequest {
+            zone: core.settings.zone.clone(),
+            prompt_tokens: 0,
+            home: 0,
+        };
+        let eligible = Eligible {
+            tried: &[],
+            origin: None,
+        };
+        let upstreams = &core.upstreams;
+        upstreams.outlook(service, &req, new_tokens, &eligible, now)
+    };
+    let checked = room.check(&asked, table, route.target, level, outlook, time_left);
+    let Err(cause) = checked else {
         return Ok(Some(asked));
     };
     room.refused[cause as usize].increment();
@@ -353,15 +392,6 @@
     })
 }
 
-/// Returns what a request may expect if it waits as long as the recent ones.
-fn mean_outlook(mean_wait: Duration, work_seconds: f64) -> Outlook {
-    Outlook {
-        first: mean_wait,
-        pause: Duration::ZERO,
-        work_seconds,
-    }
-}
-
 /// Returns the weight of an account: the rate that its quota grants it, or without a quota the mean of the others.
 fn weight(table: &RouteIndex, name: &AccountName) -> f64 {
     let rate = |quota: &crate::domain::Quota| quota.per_second.max(f64::MIN_POSITIVE);
@@ -394,14 +424,15 @@
         .collect()
 }
 
-fn from_wire(accounts: &[AccountWork]) -> Vec<AccountDemand> {
-    let valid = accounts
-        .iter()
-        .filter(|held| held.work.is_finite() && held.work > 0.0);
-    valid
-        .map(|held| AccountDemand {
-            account: held.account.as_str().into(),
-            work: f64::from(held.work),
-        })
-        .collect()
+fn from_wire(room: &ServiceRoom) -> Demand {
+    let accounts = room.accounts.iter();
+    let valid = accounts.filter(|held| held.work.is_finite() && held.work > 0.0);
+    let accounts = valid.map(|held| AccountDemand {
+        account: held.account.as_str().into(),
+        work: f64::from(held.work),
+    });
+    Demand {
+        accounts: accounts.collect(),
+        admitted: f64::from(room.admitted).max(0.0),
+    }
 }
--- a/src/ingress/upstream.rs
+++ b/src/ingress/upstream.rs
@@ -322,6 +322,12 @@
             .add_announced(tokens, speed, self.since_created(now));
     }
 
+    /// Returns how long the engine takes for the prompts that were sent to it.
+    pub(super) fn prefill_wait(&self, speed: f64, now: Instant) -> Duration {
+        let since = self.since_created(now);
+        self.load().backlog.drain_time(speed, since)
+    }
+
     fn since_created(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.created)
     }
--- a/src/ingress/upstreams.rs
+++ b/src/ingress/upstreams.rs
@@ -25,6 +25,7 @@
         availability::MAX_LIST_LAG,
         backlog::{self, DEFAULT_PREFILL_TOKENS_PER_SECOND, Placement, PromptMix, SentPrompt},
         overload::LoadShedder,
+        pace::Outlook,
         route::{self, Reason, RouteRequest},
         silence::{Awaited, PauseTracker, ResponseTargets},
         speed::PrefillStats,
@@ -553,6 +554,31 @@
         )
     }
 
+    /// Returns what a request may expect of the best upstream now, or `None` if the service has none that accepts
+    /// requests. The wait is that for the prompts which gateways announced.
+    pub(super) fn outlook(
+        &self,
+        service: &ServiceName,
+        _req: &RouteRequest,
+        new_tokens: u32,
+        eligible: &Eligible<'_>,
+        now: Instant,
+    ) -> Option<Outlook> {
+        let services = self.services.load();
+        let all = services.get(service)?;
+        let (speed, gateways) = (self.prefill_speed(service), self.gateways.load());
+        let usable = available(all, eligible, &gateways, now);
+        let wait = usable
+            .map(|upstream| upstream.prefill_wait(speed, now))
+            .min()?;
+        let work_seconds = f64::from(new_tokens) / speed;
+        Some(Outlook {
+            first: wait + Duration::try_from_secs_f64(work_seconds).unwrap_or(Duration::MAX),
+            pause: Duration::ZERO,
+            work_seconds,
+        })
+    }
+
     /// Returns this gateway's use of each service.
     pub(super) fn service_loads(&self, now: Instant) -> Vec<ServiceLoad> {
         let services = self.services.load();
--- a/src/policy/room.rs
+++ b/src/policy/room.rs
@@ -28,6 +28,21 @@
 /// Most by which the level of one gateway differs from the mean of all. A gateway sees few
 /// requests, and those that wait there may wait because of an account that it does not serve.
 const MAX_LEVEL_DIFFERENCE: f64 = 0.4;
+/// Wait for the first event that is expected at the best upstream, as a fraction of the target,
+/// from which requests are refused; the rest covers that not all get the best one.
+const SCARCE_WAIT_FRACTION: f64 = 0.25;
+/// That fraction of the target at which the level is highest; at upstreams that are not the best no
+/// request would be in time.
+const FULL_WAIT_FRACTION: f64 = 0.75;
+/// Change per second of the lasting part of the level, for an expected wait of one target more.
+const PRESSURE_GAIN_PER_SECOND: f64 = 2.0;
+/// Longest time between two outlooks that counts for that change.
+const MAX_PRESSURE_STEP: Duration = Duration::from_millis(200);
+/// Time constant of the moving average of the expected waits; short compared with a target.
+const PRESSURE_AVERAGING_TIME: Duration = Duration::from_millis(100);
+/// Fraction of the work admitted lately within which an account's share is never refused; the rest
+/// covers that the averages lag.
+const PROTECTED_FRACTION: f64 = 0.9;
 /// Whole parts into which demand and weights are scaled for the division.
 const SCALE: f64 = 1e6;
 /// Shortest retry delay; a service that is scarce stays so for about that long.
@@ -44,6 +59,15 @@
     pub work: f64,
 }
 
+/// What all accounts ask of a service, and what it was given lately.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Demand {
+    /// The accounts with demand.
+    pub accounts: Vec<AccountDemand>,
+    /// Work that was admitted, in seconds of an engine per second.
+    pub admitted: f64,
+}
+
 /// Estimates the work of a request, in seconds of an engine that reads `speed` prompt tokens a
 /// second.
 pub fn work_seconds(new_tokens: u32, output_tokens: u64, speed: f64) -> f64 {
@@ -58,12 +82,20 @@
     /// Mean urgency rank of the requests, weighted by their work.
     mean_rank: f64,
     total: f64,
+    admitted: f64,
     decayed_at: Duration,
 }
 
 impl DemandMeter {
-    /// Records a request that takes `work` seconds of an engine and has this urgency rank.
-    pub fn record(&mut self, account: &AccountName, work: f64, rank: f64, now: Duration) {
+    /// Records that a request was admitted that takes `work` seconds of an engine.
+    pub fn record_admitted(&mut self, account: &AccountName, work: f64, rank: f64, now: Duration) {
+        self.record_refused(account, work, rank, now);
+        self.admitted += work.max(0.0) / DEMAND_AVERAGING_TIME.as_secs_f64();
+    }
+
+    /// Records that a request was refused for want of room. Requests that their quotas refuse are not
+    /// owed, and so are no demand.
+    pub fn record_refused(&mut self, account: &AccountName, work: f64, rank: f64, now: Duration) {
         self.decay(now);
         let rate = work.max(0.0) / DEMAND_AVERAGING_TIME.as_secs_f64();
         self.total += rate;
@@ -81,15 +113,17 @@
         self.accounts.insert(account.clone(), rate);
     }
 
-    /// Returns the demand of each account.
-    pub fn demands(&mut self, now: Duration) -> Vec<AccountDemand> {
+    /// Returns the demand of each account and the work that was admitted.
+    pub fn demand(&mut self, now: Duration) -> Demand {
         self.decay(now);
-        let all = self.accounts.iter();
-        all.map(|(account, work)| AccountDemand {
+        let all = self.accounts.iter().map(|(account, work)| AccountDemand {
             account: account.clone(),
             work: *work,
-        })
-        .collect()
+        });
+        Demand {
+            accounts: all.collect(),
+            admitted: self.admitted,
+        }
     }
 
     /// Returns the mean urgency rank of the recent requests.
@@ -101,6 +135,7 @@
         let passed = now.saturating_sub(self.decayed_at).as_secs_f64();
         let decay = (-passed / DEMAND_AVERAGING_TIME.as_secs_f64()).exp();
         self.total *= decay;
+        self.admitted *= decay;
         self.accounts.retain(|_, demand| {
             *demand *= decay;
             *demand >= MIN_DEMAND
@@ -109,6 +144,40 @@
     }
 }
 
+/// Follows how long requests are expected to wait against their targets, from the outlook at the
+/// best upstream. It rises before the first answer is late, also at a gateway with few requests.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Pressure {
+    /// Expected wait as a fraction of the target.
+    fraction: f64,
+    /// The part of the level that lasts, which follows the excess of the demand.
+    lasting: f64,
+    updated_at: Duration,
+}
+
+impl Pressure {
+    /// Records what a request with latency target `target` may expect.
+    pub fn record(&mut self, outlook: &Outlook, target: Duration, now: Duration) {
+        let passed = now.saturating_sub(self.updated_at);
+        let step = passed.min(MAX_PRESSURE_STEP).as_secs_f64() * PRESSURE_GAIN_PER_SECOND;
+        let passed = passed.as_secs_f64();
+        let old = (-passed / PRESSURE_AVERAGING_TIME.as_secs_f64()).exp();
+        let fraction = outlook.first.as_secs_f64() / target.as_secs_f64().max(1e-3);
+        self.fraction = self.fraction * old + fraction * (1.0 - old);
+        let above = self.fraction - SCARCE_WAIT_FRACTION;
+        self.lasting = (self.lasting + above * step).clamp(0.0, 1.0);
+        self.updated_at = self.updated_at.max(now);
+    }
+
+    /// Returns the level that follows: zero while the expected waits are short, one if no request
+    /// would be in time.
+    pub fn level(&self) -> f64 {
+        let above = self.fraction - SCARCE_WAIT_FRACTION;
+        let present = (above / (FULL_WAIT_FRACTION - SCARCE_WAIT_FRACTION)).max(0.0);
+        (present + self.lasting).clamp(0.0, 1.0)
+    }
+}
+
 /// Returns the level by which a gateway refuses, from its own one and the mean of all gateways, if
 /// that is known. Zero refuses nothing, one the most.
 pub fn level(own: f64, mean: Option<f64>) -> f64 {
@@ -119,33 +188,41 @@
     level.clamp(0.0, 1.0)
 }
 
-/// Returns the fraction of each account's work to refuse at a level, in the order of `demands`. The
-/// room left is divided by max-min fairness with the weights that `weight` returns, so an account
-/// within its share has a fraction of zero.
+/// Returns the fraction of each account's work to refuse at a level, in the order of the accounts.
+/// The room left is divided by max-min fairness with the weights that `weight` returns. An account
+/// within its share of that room, or of the work that was admitted lately, has a fraction of zero.
 pub fn refused_fractions(
-    demands: &[AccountDemand],
+    demand: &Demand,
     weight: impl Fn(&AccountName) -> f64,
     level: f64,
 ) -> Vec<f64> {
-    let total: f64 = demands.iter().map(|demand| demand.work).sum();
+    let accounts = &demand.accounts;
+    let total: f64 = accounts.iter().map(|held| held.work).sum();
     if level <= 0.0 || total <= 0.0 {
-        return vec![0.0; demands.len()];
+        return vec![0.0; accounts.len()];
     }
-    let weights: Vec<f64> = demands.iter().map(|held| weight(&held.account)).collect();
+    let weights: Vec<f64> = accounts.iter().map(|held| weight(&held.account)).collect();
     let weight_total: f64 = weights.iter().sum::<f64>().max(f64::MIN_POSITIVE);
-    let parts = |value: f64, of: f64| ((value / of * SCALE) as u32).max(1);
-    let asked: Vec<u32> = demands.iter().map(|held| parts(held.work, total)).collect();
-    let scaled: Vec<u32> = weights
+    let scaled = |value: f64, of: f64| ((value / of * SCALE) as u32).max(1);
+    let asked: Vec<u32> = accounts
+        .iter()
+        .map(|held| scaled(held.work, total))
+        .collect();
+    let weights: Vec<u32> = weights
         .iter()
-        .map(|own| parts(*own, weight_total))
+        .map(|own| scaled(*own, weight_total))
         .collect();
-    let room = (1.0 - MAX_REFUSED_FRACTION * level.min(1.0)) * SCALE;
-    let shares = max_min::divide(&asked, &scaled, room as u32);
-    let fractions = shares.iter().zip(&asked).zip(&scaled);
-    fractions
-        .map(|((share, asked), scaled)| {
-            let kept = f64::from(*share).max(MIN_KEPT_FRACTION * f64::from(*scaled));
-            (1.0 - kept / f64::from(*asked)).max(0.0)
+    let shares = |fraction: f64| max_min::divide(&asked, &weights, (fraction * SCALE) as u32);
+    let left = shares(1.0 - MAX_REFUSED_FRACTION * level.min(1.0));
+    let protected = shares((demand.admitted * PROTECTED_FRACTION / total).clamp(0.0, 1.0));
+    (0..asked.len())
+        .map(|i| {
+            let least = MIN_KEPT_FRACTION * f64::from(weights[i]);
+            let kept = f64::from(left[i]).max(least);
+            match protected[i] >= asked[i] {
+                true => 0.0,
+                false => (1.0 - kept / f64::from(asked[i])).max(0.0),
+            }
         })
         .collect()
 }
--- a/src/wire/room.rs
+++ b/src/wire/room.rs
@@ -13,6 +13,9 @@
     /// The accounts with demand.
     #[prost(message, repeated, tag = "3")]
     pub accounts: Vec<AccountWork>,
+    /// Work that was admitted, in seconds of an engine per second.
+    #[prost(float, tag = "4")]
+    pub admitted: f32,
 }
 
 /// What an account asks of a service.
