--- a/src/controller/followers.rs
+++ b/src/controller/followers.rs
@@ -17,6 +17,7 @@
     list_history::ListHistory,
     paces::{self, Paces},
     rollouts,
+    room::RoomReports,
 };
 use crate::{
     domain::ServiceName,
@@ -28,7 +29,7 @@
     ports::Clock,
     wire::{
         AccountCount, Body, FollowReply, FollowRequest, IngressRecord, PrefillSpeed, QuotaValue,
-        ReserveReply, ReserveRequest, Roster, ServiceLoad,
+        ReserveReply, ReserveRequest, Roster, ServiceLoad, ServiceRoom,
     },
 };
 
@@ -75,6 +76,7 @@
     upstream_list: ListHistory,
     crashes: Crashes,
     paces: Paces,
+    rooms: RoomReports,
     /// Usage by window that earlier incarnations of the gateways counted.
     earlier_incarnations_usage: BTreeMap<u64, Vec<AccountCount>>,
     reserves: HashMap<String, TokenBucket>,
@@ -176,6 +178,7 @@
         let (name, incarnation) = (&record.name, follow.incarnation);
         self.quota_book
             .handle_report(name, incarnation, follow.window_fraction, uses, now);
+        self.rooms.record(now, name, &follow.rooms);
         follower.demands.clone_from(&follow.demands);
         follower.held_shares.clone_from(&follow.held_shares);
         follower.loads.clone_from(&follow.loads);
@@ -431,6 +434,11 @@
         bucket.take(units, limit, now)
     }
 
+    /// Returns the demand of all gateways for each service.
+    pub fn rooms(&mut self, now: Duration) -> Vec<ServiceRoom> {
+        self.rooms.sums(now)
+    }
+
     /// Returns the crashes of upstreams that gateways reported.
     pub fn crashes(&self) -> &Crashes {
         &self.crashes
@@ -581,6 +589,10 @@
         .held_paces_version
         .filter(|_| leads && core.learns_paces())
         .and_then(|held| followers.paces().changes_since(held));
+    let rooms = match leads && follow.shares_room {
+        true => followers.rooms(now),
+        false => Vec::new(),
+    };
     FollowReply {
         paces,
         suspects,
@@ -589,6 +601,7 @@
         leads,
         version,
         sends_blocks: true,
+        rooms,
         list,
         roster,
         open_accounts,
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -34,6 +34,7 @@
 mod placement_runner;
 pub mod publisher;
 pub mod rollouts;
+pub mod room;
 mod scaler;
 mod shares;
 mod stated_limits;
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -23,6 +23,7 @@
 mod response_body;
 mod retry_budgets;
 mod rollout;
+mod room;
 mod shutdown;
 mod upstream;
 mod upstreams;
@@ -45,7 +46,7 @@
 use self::{
     announce::Announcer, callers::CallerObserver, controllers::ControllerContacts,
     counters::Counters, crashes::CrashWatch, errors::NotRun, origins::Origins, quota::Quotas,
-    reach::Reach, retry_budgets::RetryBudgets, rollout::Rollouts, shutdown::Shutdown,
+    reach::Reach, retry_budgets::RetryBudgets, rollout::Rollouts, room::Room, shutdown::Shutdown,
     upstreams::Upstreams, usage::UsageCounter,
 };
 use crate::{
@@ -75,6 +76,7 @@
     client: Client,
     reach: Arc<Reach>,
     quotas: Quotas,
+    room: Room,
     budgets: RetryBudgets,
     rollouts: Arc<Rollouts>,
     usage: UsageCounter,
@@ -180,6 +182,7 @@
         client: Client::with_dialer(connect_timeout, dialer),
         reach: Arc::new(reach),
         quotas: Quotas::new(ingress.quota_rule()),
+        room: Room::new(ingress.share_room, metrics),
         budgets: RetryBudgets::new(&ingress),
         rollouts: Arc::new(Rollouts::new(ingress.rollout.is_some(), metrics)),
         usage: UsageCounter::new(ingress.usage_window),
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -23,6 +23,7 @@
 pub mod reachability;
 pub mod retry;
 pub mod rollout;
+pub mod room;
 pub mod route;
 pub mod scale;
 pub mod shutdown;
--- a/src/settings/ingress.rs
+++ b/src/settings/ingress.rs
@@ -70,6 +70,10 @@
     /// Bounds of roll-outs; operators can't order any if absent.
     #[serde(default)]
     pub rollout: Option<RolloutLimits>,
+    /// Whether a gateway divides a service with too little room fairly among the accounts, and refuses requests
+    /// for which there is none before it reads their bodies. See docs/design/ROOM.md.
+    #[serde(default)]
+    pub share_room: bool,
 }
 
 /// What a software version may get until it is known to be sound; see docs/design/ROLLOUTS.md.
--- a/src/settings/schema.rs
+++ b/src/settings/schema.rs
@@ -139,6 +139,7 @@
     optional("retry_window_ms", DURATION_MS),
     optional("learn_paces", FieldType::Bool),
     optional("rollout", FieldType::Object(ROLLOUT)),
+    optional("share_room", FieldType::Bool),
 ];
 
 /// Schema of the settings file of a daemon.
--- a/src/wire/follow.rs
+++ b/src/wire/follow.rs
@@ -8,7 +8,7 @@
 
 use super::{
     AnsweredCause, CutOffReport, PaceReport, PaceTable, QuarantinedCause, RolloutNews,
-    RolloutReport, SuspectList,
+    RolloutReport, ServiceRoom, SuspectList,
 };
 use crate::policy::{rate_limit::Statement, speed::PrefillStats};
 
@@ -82,6 +82,12 @@
     /// Version of this controller's news of roll-outs that the gateway holds; missing if it is not set up for roll-outs.
     #[prost(uint64, optional, tag = "35")]
     pub held_rollouts_version: Option<u64>,
+    /// To the leader: this gateway's demand for each service, if it shares the room of services.
+    #[prost(message, repeated, tag = "40")]
+    pub rooms: Vec<ServiceRoom>,
+    /// Whether the gateway shares the room of services, and so wants the demand of all gateways.
+    #[prost(bool, tag = "41")]
+    pub shares_room: bool,
 }
 
 /// What an upstream stated to a gateway about the requests that it accepts from all gateways together.
@@ -200,6 +206,9 @@
     /// The roll-outs, if the gateway is set up for them and there is any.
     #[prost(message, optional, tag = "34")]
     pub rollouts: Option<RolloutNews>,
+    /// From the leader: the demand of all gateways for each service.
+    #[prost(message, repeated, tag = "40")]
+    pub rooms: Vec<ServiceRoom>,
 }
 
 /// Prefill speed of the engines of a service.
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -12,6 +12,7 @@
 mod quarantine;
 mod replica;
 mod rollout;
+mod room;
 mod tunnel;
 
 pub use claims::{
@@ -48,6 +49,7 @@
 pub use rollout::{
     RolloutLease, RolloutNews, RolloutRecord, RolloutReport, RolloutRoute, RolloutState,
 };
+pub use room::{AccountWork, ServiceRoom};
 pub use tunnel::{TunnelData, TunnelEnd, TunnelOpen, TunnelOpened, TunnelRefused};
 
 /// Maximum size of a frame that a process accepts, in bytes.
