--- a/tests/platform_paces.rs
+++ b/tests/platform_paces.rs
@@ -12,14 +12,17 @@
     controller::paces::Paces,
     domain::Incarnation,
     link::{self, Handler, Identity, LinkSettings, Peer, PeerKey},
+    platform::Api,
     policy::pace::PaceSums,
+    ports::Platform,
+    settings::Timing,
     telemetry::Metrics,
     wire::{
         Body, Document, FollowReply, ListVersion, ObservedPace, PaceReport, UpstreamList,
         UpstreamRow,
     },
 };
-use hyper::{Method, StatusCode};
+use hyper::{HeaderMap, Method, StatusCode};
 use metric_text::value;
 use platform_support::{
     Installation, PEER_KEY, PreparedInstallation, ReceivedRequest, ServerAction, TEST_TIMEOUT,
@@ -176,6 +179,29 @@
     assert_eq!(spread(&installation.metrics[1]), 1.0);
 }
 
+/// The load header's fourth figure says how long work takes now; without a figure it says nothing, and the others still count.
+#[test]
+fn the_pace_that_a_server_states_is_read() {
+    let api = Api::new("127.0.0.1:1".parse().unwrap(), &Timing::default());
+    for (value, percent) in [
+        ("1,2,8", None),
+        ("1,2,8,250", Some(250)),
+        ("1, 2, 8, 99.6", Some(100)),
+        ("1,2,8,0", None),
+        ("1,2,8,-5", None),
+        ("1,2,8,NaN", None),
+        ("1,2,8,", None),
+        ("1,2,8,1e30", Some(u32::MAX)),
+        ("1,2,8,120,7,x", Some(120)),
+    ] {
+        let mut headers = HeaderMap::new();
+        headers.insert("x-flamingocroft-server-load", value.parse().unwrap());
+        let load = api.read_answer(StatusCode::OK, &headers).load.unwrap();
+        assert_eq!((load.running, load.waiting, load.slots), (1, 2, 8));
+        assert_eq!(load.pace_percent, percent, "{value}");
+    }
+}
+
 /// One server of two works four times as long: it gets fewer requests once that is learned, and still some.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_slow_server_gets_fewer_requests_and_still_some() {
