--- a/src/ingress/relay.rs
+++ b/src/ingress/relay.rs
@@ -271,6 +271,7 @@
             return Poll::Ready(step);
         }
         ready!(passing.deadline.as_mut().poll(cx));
+        passing.record_broken();
         Poll::Ready(Some(Err(
             passing.abort("the deadline of the response passed")
         )))
@@ -566,16 +567,7 @@
     /// Records that the upstream broke its response off and starts to resume it. Returns an error if that is not
     /// possible.
     fn handle_cut_off(&mut self, reason: &str) -> Option<RelayError> {
-        if let Some(source) = &self.source {
-            let upstream = &source.in_flight.upstream;
-            let (rollouts, route) = (&self.context.rollouts, &self.context.route);
-            rollouts.record(
-                &upstream.service,
-                route,
-                upstream.software(),
-                Outcome::BrokeOff,
-            );
-        }
+        self.record_broken();
         if let (Some(source), ..SURVIVED_FRAMES) = (&self.source, self.frames) {
             let upstream = &source.in_flight.upstream;
             if !upstream.is_cut_off() {
@@ -590,6 +582,20 @@
         (!self.start_resume(Previous::Gone, reason)).then(|| self.abort(reason))
     }
 
+    /// Records that the upstream's answer broke off or did not end in time, for the verdict on its version.
+    fn record_broken(&self) {
+        if let Some(source) = &self.source {
+            let upstream = &source.in_flight.upstream;
+            let (rollouts, route) = (&self.context.rollouts, &self.context.route);
+            rollouts.record(
+                &upstream.service,
+                route,
+                upstream.software(),
+                Outcome::BrokeOff,
+            );
+        }
+    }
+
     fn is_inside_event(&self) -> bool {
         match (&self.resumable, self.boundary) {
             (Some(stream), _) => stream.events.is_inside_event(),
