Give callers to gateways by their capacity

Entry instances of one deployment differ by a factor of three in each of their parts, and callers pick one of the addresses of an answer at random, so a small gateway got as many callers as a large one. A gateway now states its capacity, from its machine's parts and the delay of its event loop, with the record that it sends anyway, and an answer is a random subset in which each gateway is with a probability in proportion to it. Equal or unknown capacities give the same answer as before. The settings of the recording example get the new field, without which tests/recorded_builds.rs did not compile.

tests/policy_capacity.rs: over 20,000 answers of 12, 18, 111 and 333 gateways between 75 and 250, each share is within a fifth of its due. What callers gain on a deployment is not measured here.

--- a/examples/support/shape.rs
+++ b/examples/support/shape.rs
@@ -123,6 +123,7 @@
         data_folder: None,
         operator_token_sha256: Some(hash(OPERATOR_TOKEN)),
         cloud_address: Some(cloud),
+        machine: None,
         limits: Limits::default(),
         timing: shape.timing.clone(),
     };
--- a/src/ingress/counters.rs
+++ b/src/ingress/counters.rs
@@ -217,6 +217,12 @@
         },
     );
     let shared = Arc::clone(core);
+    metrics.register_gauge(
+        "ingress_capacity",
+        "Callers that this gateway can take relative to others; zero if unknown.",
+        move || u64::from(shared.capacity.announced()),
+    );
+    let shared = Arc::clone(core);
     metrics.register_gauge(
         "ingress_in_progress",
         "Requests in progress at upstreams.",
--- a/src/ingress/directory.rs
+++ b/src/ingress/directory.rs
@@ -4,6 +4,7 @@
 
 use super::Core;
 use crate::{
+    policy::capacity,
     ports::{Clock, Platform},
     wire::IngressRecord,
 };
@@ -65,23 +66,33 @@
 
     /// Returns the gateway addresses for a caller in a zone.
     pub fn addresses(&self, zone: &str) -> Vec<SocketAddr> {
-        select_addresses(&self.source.gateways(), &self.source.own(), zone)
+        select_addresses(
+            &self.source.gateways(),
+            &self.source.own(),
+            zone,
+            rand::random(),
+        )
     }
 }
 
-/// Returns the addresses of the open gateways in the zone, or in all zones if the zone has too few. This
-/// gateway's own record takes precedence over the controllers' last record of it.
-pub(super) fn select_addresses(
+/// Returns addresses of open gateways in the zone, or in all zones if the zone has too few, drawn by the
+/// gateways' capacities; `draw` is a random number, uniform between zero and one. This gateway's own record
+/// takes precedence over the controllers' last record of it.
+pub fn select_addresses(
     gateways: &[IngressRecord],
     own: &IngressRecord,
     zone: &str,
+    draw: f64,
 ) -> Vec<SocketAddr> {
     let others = gateways.iter().filter(|gateway| gateway.name != own.name);
     let open: Vec<_> = others.chain([own]).filter(|gateway| gateway.open).collect();
     let in_zone = open.iter().filter(|gateway| gateway.zone == zone).count();
-    open.iter()
+    let usable: Vec<(SocketAddr, u32)> = open
+        .iter()
         .filter(|gateway| in_zone < MIN_GATEWAYS_IN_ZONE || gateway.zone == zone)
-        .filter_map(|gateway| gateway.caller_address.parse().ok())
-        .take(MAX_ADDRESSES)
-        .collect()
+        .filter_map(|gateway| Some((gateway.caller_address.parse().ok()?, gateway.capacity)))
+        .collect();
+    let capacities: Vec<u32> = usable.iter().map(|(_, capacity)| *capacity).collect();
+    let drawn = capacity::draw(&capacities, MAX_ADDRESSES, draw).into_iter();
+    drawn.map(|index| usable[index].0).collect()
 }
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -5,6 +5,7 @@
 mod announce;
 mod answer_record;
 mod callers;
+mod capacity;
 mod controllers;
 mod counters;
 mod crashes;
@@ -26,7 +27,7 @@
 mod upstreams;
 mod usage;
 
-pub use directory::Directory;
+pub use directory::{Directory, select_addresses};
 pub use events::{EventSplitter, SplitError};
 
 use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
@@ -41,10 +42,10 @@
 use tokio_util::sync::CancellationToken;
 
 use self::{
-    announce::Announcer, callers::CallerObserver, controllers::ControllerContacts,
-    counters::Counters, crashes::CrashWatch, errors::NotRun, origins::Origins, quota::Quotas,
-    reach::Reach, retry_budgets::RetryBudgets, shutdown::Shutdown, upstreams::Upstreams,
-    usage::UsageCounter,
+    announce::Announcer, callers::CallerObserver, capacity::OwnCapacity,
+    controllers::ControllerContacts, counters::Counters, crashes::CrashWatch, errors::NotRun,
+    origins::Origins, quota::Quotas, reach::Reach, retry_budgets::RetryBudgets, shutdown::Shutdown,
+    upstreams::Upstreams, usage::UsageCounter,
 };
 use crate::{
     RunningRole,
@@ -80,6 +81,7 @@
     origins: Arc<Origins>,
     controllers: ControllerContacts,
     announcer: Announcer,
+    capacity: OwnCapacity,
     /// Address at which other gateways reach this one with datagrams.
     peer_address: SocketAddr,
     /// The link to the controller that last claimed leadership.
@@ -104,6 +106,7 @@
             open: self.is_open(),
             leaving: self.shutdown.is_begun(),
             peer_address: self.peer_address.to_string(),
+            capacity: self.capacity.announced(),
         }
     }
 
@@ -184,6 +187,7 @@
         origins: Arc::new(Origins::new(metrics)),
         controllers: ControllerContacts::default(),
         announcer: Announcer::new(datagrams, metrics),
+        capacity: OwnCapacity::new(settings.machine.as_ref()),
         peer_address,
         leader: ArcSwapOption::empty(),
         incarnation: identity.incarnation.0,
@@ -211,6 +215,7 @@
         ended.clone(),
     ));
     tokio::spawn(announce::run(Arc::clone(&core), ended.clone()));
+    tokio::spawn(capacity::run(Arc::clone(&core), ended.clone()));
     let closing = CancellationToken::new();
     let service = {
         let core = Arc::clone(&core);
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -7,6 +7,7 @@
 pub mod backlog;
 pub mod blocks;
 pub mod brittle;
+pub mod capacity;
 pub mod compact;
 mod fit;
 mod max_min;
--- a/src/wire/follow.rs
+++ b/src/wire/follow.rs
@@ -213,6 +213,9 @@
     /// Whether it is shutting down, which it does until its process ends.
     #[prost(bool, tag = "6")]
     pub leaving: bool,
+    /// How many callers it can take relative to other gateways; zero if unknown. See docs/design/GATEWAY_CAPACITY.md.
+    #[prost(uint32, tag = "7")]
+    pub capacity: u32,
 }
 
 /// Announces to the other gateways that the sender is sending a prompt to an engine.
