--- a/examples/support/shape.rs
+++ b/examples/support/shape.rs
@@ -12,7 +12,7 @@
 use anyhow::Context;
 use flamingocroft::{
     domain::ZoneName,
-    settings::{ControllerEntry, Limits, Role, Settings, Timing},
+    settings::{ControllerEntry, Limits, Machine, Role, Settings, Timing},
 };
 use sha2::{Digest, Sha256};
 use standin::{cloud::CloudParams, engine::EngineParams};
@@ -51,6 +51,8 @@
     pub cloud: CloudParams,
     /// The daemons' timing.
     pub timing: Timing,
+    /// What the machine gives to each daemon.
+    pub machine: Option<Machine>,
 }
 
 impl Default for Shape {
@@ -66,6 +68,7 @@
             },
             cloud: CloudParams::default(),
             timing: Timing::default(),
+            machine: None,
         }
     }
 }
@@ -123,6 +126,7 @@
         data_folder: None,
         operator_token_sha256: Some(hash(OPERATOR_TOKEN)),
         cloud_address: Some(cloud),
+        machine: shape.machine.clone(),
         limits: Limits::default(),
         timing: shape.timing.clone(),
     };
