Bound the memory of request bodies and close waiting connections for new ones

Cause: published routes, /v1 and the controllers' operator interface collected each body up to its own limit, so many of them at once held any sum; connections were not bounded either. Change: policy::memory_budget and policy::connections decide, adapters::http::RequestMemory and Connections act. Bodies are copied into one counted buffer; unfinished ones give their memory up, stalled and large ones of the account that holds most first. Refused for want of memory is 503 with Retry-After and NotRun. A document over its limit gets 413 in place of 400.

--- a/src/adapters/http/caller.rs
+++ b/src/adapters/http/caller.rs
@@ -31,6 +31,7 @@
     early_end::{EarlyEnd, EndCause, RequestStage},
     panics::BodyPanicked,
 };
+use crate::policy::connections::Awaits;
 
 /// Longest rest of a request's body that is read when the service has responded without it, in bytes.
 const MAX_DRAINED_BYTES: usize = 256 * 1024;
@@ -84,6 +85,8 @@
     id: Option<HeaderValue>,
     /// When its head was complete.
     begun: Instant,
+    /// When a byte of its body arrived last.
+    read_at: Instant,
     stage: RequestStage,
     /// Bytes of the response sent so far.
     sent_bytes: u64,
@@ -106,6 +109,20 @@
         })))
     }
 
+    /// Returns what the caller has to send next, and since when; `None` if it is not its turn.
+    pub(super) fn waiting(&self) -> Option<(Awaits, Instant)> {
+        let state = self.lock();
+        match state.phase {
+            Phase::Idle => Some((Awaits::Request, state.since)),
+            Phase::Head => Some((Awaits::Head, state.since)),
+            Phase::Request => {
+                let request = state.request.as_ref()?;
+                let reads = request.stage == RequestStage::ReadingBody;
+                reads.then_some((Awaits::Body, request.read_at))
+            }
+        }
+    }
+
     /// Marks that a request head is complete. The request ends when its response is sent completely.
     pub(super) fn begin_request(&self, id: Option<HeaderValue>, has_body: bool) {
         let mut state = self.lock();
@@ -114,6 +131,7 @@
         state.request = Some(CurrentRequest {
             id,
             begun: state.since,
+            read_at: state.since,
             stage: match has_body {
                 true => RequestStage::ReadingBody,
                 false => RequestStage::Waiting,
@@ -190,6 +208,16 @@
         }
     }
 
+    fn record_read(&mut self) {
+        match (self.phase, &mut self.request) {
+            (Phase::Idle, _) => self.enter(Phase::Head),
+            (Phase::Request, Some(request)) if request.stage == RequestStage::ReadingBody => {
+                request.read_at = Instant::now();
+            }
+            _ => {}
+        }
+    }
+
     fn record_sent(&mut self, bytes: usize) {
         if let Some(request) = &mut self.request
             && request.stage == RequestStage::Answering
@@ -445,8 +473,8 @@
         if let Poll::Ready(result) = Pin::new(&mut self.io).poll_read(cx, buf) {
             let mut state = self.progress.lock();
             let is_empty = buf.filled().len() == held;
-            if !is_empty && state.phase == Phase::Idle {
-                state.enter(Phase::Head);
+            if !is_empty {
+                state.record_read();
             }
             drop(state);
             match &result {
--- a/src/adapters/http/early_end.rs
+++ b/src/adapters/http/early_end.rs
@@ -88,6 +88,9 @@
     /// Adds what the platform requires to the headers of a response that the server itself makes.
     fn mark_failure(&self, _request: Option<&HeaderValue>, _headers: &mut HeaderMap) {}
 
+    /// Counts a connection that was closed for want of room, either a waiting one or a new one.
+    fn count_closed_for_room(&self) {}
+
     /// Counts a connection that ended before the response of its request was complete.
     fn count_early_end(&self, _cause: EndCause) {}
 }
--- a/src/adapters/http/server.rs
+++ b/src/adapters/http/server.rs
@@ -18,6 +18,7 @@
 
 use super::{
     caller::{CallerBody, CallerStream, GuardedBody, Progress},
+    connections::Connections,
     early_end::{EndCause, Observer},
     framing::end_with_connection,
     panics::call_catching_panics,
@@ -48,6 +49,8 @@
     pub head_timeout: Duration,
     /// Maximum size of a request head, in bytes.
     pub max_head_bytes: usize,
+    /// Maximum number of open connections. Over it one that is in no request is closed for a new one.
+    pub max_connections: usize,
     /// Maximum time for open connections to finish on shutdown; the rest are closed.
     pub drain_timeout: Duration,
 }
@@ -58,6 +61,7 @@
             idle_timeout: Duration::from_secs(15),
             head_timeout: Duration::from_secs(3),
             max_head_bytes: 16 * 1024,
+            max_connections: usize::MAX,
             drain_timeout: Duration::from_millis(500),
         }
     }
@@ -86,6 +90,7 @@
     let options = Arc::new(options);
     let tasks = TaskTracker::new();
     let closed = CancellationToken::new();
+    let connections = Connections::default();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -93,13 +98,20 @@
         };
         match accepted {
             Ok((stream, _)) => {
+                let progress = Progress::new();
+                let max = options().max_connections;
+                let Some(slot) = connections.open(&progress, max, &*observer) else {
+                    continue;
+                };
                 let served = serve_connection(
                     stream,
+                    progress,
                     Arc::clone(&options),
                     Arc::clone(&observer),
                     Arc::clone(&service),
                     stop.clone(),
                 );
+                let served = slot.run(served);
                 tasks.spawn(closed.clone().run_until_cancelled_owned(served));
             }
             Err(e) => {
@@ -125,6 +137,7 @@
 
 async fn serve_connection<S, B, O>(
     stream: TcpStream,
+    progress: Progress,
     options: Arc<O>,
     observer: Arc<dyn Observer>,
     service: Arc<S>,
@@ -144,7 +157,6 @@
         log::debug!("http: setting TCP_NODELAY on a connection failed: {e}.");
         return;
     }
-    let progress = Progress::new();
     let max_head_bytes = options().max_head_bytes.max(MIN_HYPER_BUFFER_BYTES);
     let io = TokioIo::new(CallerStream::new(stream, progress.clone(), options));
     // Dropped after the connection, also when that is cancelled or panics.
--- a/src/controller/publisher.rs
+++ b/src/controller/publisher.rs
@@ -7,8 +7,10 @@
 
 use super::{core::Core, log::LogError};
 use crate::{
+    adapters::http::RequestMemory,
     domain::InvalidTable,
     ports::{Clock, Platform},
+    settings::Machine,
     state::{Action, Publish},
 };
 
@@ -81,6 +83,13 @@
         }
     }
 
+    /// Returns what the machine gives to the process, and the memory for documents that arrive. Call it once in a process.
+    pub(crate) fn machine(&self) -> (Machine, RequestMemory) {
+        let machine = self.core.settings.machine.as_ref();
+        let memory = RequestMemory::new(machine, &self.core.metrics);
+        (machine.cloned().unwrap_or_default(), memory)
+    }
+
     async fn read_barrier(&self) -> Result<(), PublishError> {
         self.core
             .log
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -20,6 +20,7 @@
     view::{AccountEntry, LeaderClient, Lease, Snapshot},
 };
 use crate::{
+    adapters::http::RequestMemory,
     domain::{GatewayEntry, Refusal, RefusalKind, ViewVersion},
     link::Identity,
     ports::{Clock, Upstreams},
@@ -62,6 +63,8 @@
     pub(crate) counters: Counters,
     pub(crate) claim_attempts: AtomicU64,
     pub(crate) requests_in_progress: Arc<AtomicU32>,
+    /// The memory for the bodies of requests.
+    pub(crate) memory: RequestMemory,
 }
 
 /// Counts one request in progress at this gateway until it is dropped.
--- a/src/gateway/http/routes.rs
+++ b/src/gateway/http/routes.rs
@@ -118,12 +118,12 @@
         (["v1", "requests", id], &Method::GET) => requests::resume_answer(gateway, head, id).await,
         (["v1", "completions"], &Method::POST) => {
             let caller = admit_caller(gateway, head)?;
-            let body = body::read_body(gateway, head, body).await?;
+            let body = body::read_body(gateway, head, &caller.account.name, body).await?;
             completions::generate(gateway, caller, &body, false).await
         }
         (["v1", "chat", "completions"], &Method::POST) => {
             let caller = admit_caller(gateway, head)?;
-            let body = body::read_body(gateway, head, body).await?;
+            let body = body::read_body(gateway, head, &caller.account.name, body).await?;
             completions::generate(gateway, caller, &body, true).await
         }
         (["v1", "services", service, ..], _) => {
@@ -143,7 +143,7 @@
 ) -> Result<Response, Refusal> {
     let caller = admit_caller(gateway, head)?;
     let call = services::prepare_call(gateway, head, caller, service)?;
-    let body = body::read_body(gateway, head, body).await?;
+    let body = body::read_body(gateway, head, call.account(), body).await?;
     services::make_call(gateway, head, call, body).await
 }
 
--- a/src/gateway/http/services.rs
+++ b/src/gateway/http/services.rs
@@ -16,7 +16,7 @@
 };
 use crate::{
     adapters::http::end_with_connection,
-    domain::{IdempotencyKey, Ran, Refusal, RefusalKind, RequestId, ServiceName},
+    domain::{AccountName, IdempotencyKey, Ran, Refusal, RefusalKind, RequestId, ServiceName},
     gateway::{
         core::Gateway,
         explain::DecisionKind,
@@ -48,6 +48,13 @@
     arrived: Instant,
 }
 
+impl PreparedCall {
+    /// Returns the account that makes the call.
+    pub(super) fn account(&self) -> &AccountName {
+        &self.caller.account.name
+    }
+}
+
 /// Validates a call before its body is read.
 pub(super) fn prepare_call<U: Upstreams, T: Clock>(
     gateway: &Gateway<U, T>,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -36,6 +36,7 @@
 };
 use crate::{
     RunningRole,
+    adapters::http::RequestMemory,
     domain::Incarnation,
     link::{self, Identity, LinkSettings, PeerKey},
     ports::{Clock, CloudApi, Ports, Upstreams},
@@ -136,6 +137,7 @@
         counters: Counters::new(&ports.metrics),
         claim_attempts: Default::default(),
         requests_in_progress: Arc::default(),
+        memory: RequestMemory::new(settings.machine.as_ref(), &ports.metrics),
         identity,
         settings,
     })
--- a/src/ingress/callers.rs
+++ b/src/ingress/callers.rs
@@ -14,6 +14,7 @@
 pub(super) struct CallerObserver<P> {
     platform: Arc<P>,
     early_ends: [Counter; EndCause::ALL.len()],
+    closed_for_room: Counter,
 }
 
 impl<P> CallerObserver<P> {
@@ -26,6 +27,10 @@
         Self {
             platform,
             early_ends,
+            closed_for_room: metrics.register_counter(
+                "ingress_connections_closed_for_room",
+                "Connections of callers that were closed because there were too many.",
+            ),
         }
     }
 }
@@ -40,6 +45,10 @@
         self.platform.mark_refusal(headers, id, None);
     }
 
+    fn count_closed_for_room(&self) {
+        self.closed_for_room.increment();
+    }
+
     fn count_early_end(&self, cause: EndCause) {
         let causes = EndCause::ALL.iter().zip(&self.early_ends);
         for (_, counter) in causes.filter(|(other, _)| **other == cause) {
--- a/src/ingress/counters.rs
+++ b/src/ingress/counters.rs
@@ -44,6 +44,7 @@
     pub(super) rates_stated: Counter,
     over_quota: Counter,
     no_table: Counter,
+    no_memory: Counter,
     overloaded: Counter,
     no_upstream: Counter,
     unknown_origin: Counter,
@@ -104,6 +105,10 @@
                 "ingress_refused_no_table",
                 "Requests before any table arrived.",
             ),
+            no_memory: counter(
+                "ingress_refused_no_memory",
+                "Requests without memory for their bodies.",
+            ),
             overloaded: counter(
                 "ingress_refused_overloaded",
                 "Requests refused because others wait too long.",
@@ -166,6 +171,7 @@
                 let counter = match reason {
                     NotRun::OverQuota(_) => &self.over_quota,
                     NotRun::NoTable => &self.no_table,
+                    NotRun::NoMemory => &self.no_memory,
                     NotRun::Overloaded(_) => &self.overloaded,
                     NotRun::NoUpstream => &self.no_upstream,
                     NotRun::UnknownOrigin => &self.unknown_origin,
--- a/src/ingress/errors.rs
+++ b/src/ingress/errors.rs
@@ -8,7 +8,7 @@
 use hyper::{Response, StatusCode};
 
 use super::relay::Relay;
-use crate::ports::Platform;
+use crate::{policy::memory_budget::STALLED_TIME, ports::Platform};
 
 /// Why a request has not run, with the guarantee that it never will.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -17,6 +17,8 @@
     NoTable,
     /// The request body did not arrive in time.
     BodySlow,
+    /// The bodies of other requests hold the memory for them.
+    NoMemory,
     /// The account has used up its quota; it may retry after the duration.
     OverQuota(Duration),
     /// The service is overloaded: queued requests already wait too long. The caller may retry after the
@@ -50,6 +52,9 @@
 /// election and one read of the instance list until gateways know them again.
 const RECOVERY_RETRY_AFTER: Duration = Duration::from_millis(1000);
 
+/// Retry delay while bodies fill the memory for them; those that stall give it up by then.
+const NO_MEMORY_RETRY_AFTER: Duration = STALLED_TIME;
+
 /// Longest retry delay for callers when upstreams limit their requests; another gateway may send one to them
 /// sooner, and the limits may end.
 const MAX_LIMITED_RETRY_AFTER: Duration = Duration::from_secs(2);
@@ -60,6 +65,7 @@
             Self::BodySlow => StatusCode::REQUEST_TIMEOUT,
             Self::OverQuota(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::NoTable
+            | Self::NoMemory
             | Self::Overloaded(_)
             | Self::Paused(_)
             | Self::Limited(_)
@@ -79,6 +85,7 @@
             Self::OverQuota(after) => Some(after.max(BUSY_RETRY_AFTER)),
             Self::Limited(after) => Some(after.clamp(BUSY_RETRY_AFTER, MAX_LIMITED_RETRY_AFTER)),
             Self::NoTable | Self::NoUpstream => Some(RECOVERY_RETRY_AFTER),
+            Self::NoMemory => Some(NO_MEMORY_RETRY_AFTER),
             Self::UnknownOrigin | Self::Busy | Self::Unreachable => Some(BUSY_RETRY_AFTER),
             Self::BodySlow | Self::TooLate | Self::Quarantined => None,
         }
--- a/src/ingress/forward/mod.rs
+++ b/src/ingress/forward/mod.rs
@@ -12,7 +12,6 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
     HeaderMap, Method, Request, Response, Uri,
     header::{self, HeaderValue},
@@ -23,6 +22,7 @@
 use super::{
     Core,
     admit::{find_account, take_quota},
+    body,
     crashes::RequestTraits,
     errors::{Failure, NotRun, RequestError, error_response},
     headers::{host, without_connection_headers},
@@ -173,15 +173,8 @@
         let timeout = facts.timeout.unwrap_or(route.timeout).min(route.timeout);
         let deadline = arrived + timeout;
         let (head, body) = req.into_parts();
-        let limit = table.table.limits.body_bytes;
-        let body = timeout_at(deadline, Limited::new(body, limit).collect())
-            .await
-            .map_err(|_| NotRun::BodySlow)?
-            .map_err(|e| match e.is::<LengthLimitError>() {
-                true => Failure::BodyTooLarge,
-                false => Failure::BodyCut,
-            })?
-            .to_bytes();
+        let limits = &table.table.limits;
+        let body = body::read(&core, body, limits, account.as_ref(), deadline).await?;
         let traits = Arc::new(RequestTraits::new(&facts, &head, account.as_ref(), &body));
         check_quarantine(&core, &traits)?;
         core.check_shutdown(&route, deadline)?;
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -4,6 +4,7 @@
 mod admit;
 mod announce;
 mod answer_record;
+mod body;
 mod callers;
 mod controllers;
 mod counters;
@@ -48,10 +49,10 @@
 };
 use crate::{
     RunningRole,
-    adapters::http::{Client, ServerOptions, serve},
+    adapters::http::{Client, RequestMemory, ServerOptions, serve},
     domain::{Incarnation, Route, RouteIndex},
     link::{DatagramSocket, Identity, Link, PeerKey, serve_tunnels},
-    policy::shutdown::ShutdownPlan,
+    policy::{connections::max_connections, shutdown::ShutdownPlan},
     ports::{Clock, Dialer, Platform},
     settings::{Ingress, Settings, SettingsWatch},
     telemetry::Metrics,
@@ -72,6 +73,8 @@
     upstreams: Arc<Upstreams>,
     client: Client,
     reach: Arc<Reach>,
+    /// The memory for the bodies of requests.
+    memory: RequestMemory,
     quotas: Quotas,
     budgets: RetryBudgets,
     usage: UsageCounter,
@@ -176,6 +179,7 @@
         upstreams: Arc::default(),
         client: Client::with_dialer(connect_timeout, dialer),
         reach: Arc::new(reach),
+        memory: RequestMemory::new(settings.machine.as_ref(), metrics),
         quotas: Quotas::new(ingress.quota_rule()),
         budgets: RetryBudgets::new(&ingress),
         usage: UsageCounter::new(ingress.usage_window),
@@ -221,12 +225,15 @@
     };
     let options = {
         let core = Arc::clone(&core);
+        let machine = settings.machine.clone().unwrap_or_default();
+        let max_connections = max_connections(machine.descriptors, machine.memory_mb);
         move || {
             let limits = core.routes.load().table.limits;
             ServerOptions {
                 idle_timeout: limits.idle_timeout,
                 head_timeout: limits.head_timeout,
                 max_head_bytes: limits.head_bytes,
+                max_connections,
                 drain_timeout: core.shutdown.time_until_cut(Instant::now()),
             }
         }
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -3,18 +3,22 @@
 use std::{convert::Infallible, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyDataStream, Full};
 use hyper::{
     Method, Request, Response, StatusCode,
-    header::{CONTENT_TYPE, HeaderValue, LOCATION},
+    body::Body,
+    header::{CONTENT_TYPE, HeaderValue, LOCATION, RETRY_AFTER},
     service::service_fn,
 };
 use tokio::{net::TcpListener, time::timeout};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    adapters::http::{CallerBody, ServerOptions, no_observer, serve},
+    adapters::http::{
+        BodyLimits, CallerBody, CollectError, RequestMemory, ServerOptions, no_observer, serve,
+    },
     controller::publisher::{PublishError, Publisher},
+    policy::connections::max_connections,
     ports::{Clock, Platform},
 };
 
@@ -22,7 +26,7 @@
 const GET_PATH: &str = "/api/config/get";
 
 /// Maximum size of a configuration document; the log accepts no larger entry.
-const MAX_DOCUMENT_BYTES: usize = 4 * 1024 * 1024;
+const MAX_DOCUMENT_BYTES: u64 = 4 * 1024 * 1024;
 /// Timeout for receiving a document.
 const DOCUMENT_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -32,36 +36,32 @@
     listener: TcpListener,
     stop: CancellationToken,
 ) {
+    let (machine, memory) = publisher.machine();
+    let max_connections = max_connections(machine.descriptors, machine.memory_mb);
     let service = service_fn(move |req| {
-        let publisher = Arc::clone(&publisher);
-        async move { Ok::<_, Infallible>(handle(&publisher, req).await) }
+        let (publisher, memory) = (Arc::clone(&publisher), memory.clone());
+        async move { Ok::<_, Infallible>(handle(&publisher, &memory, req).await) }
     });
-    serve(
-        listener,
-        ServerOptions::default,
-        no_observer(),
-        service,
-        stop,
-    )
-    .await;
+    let options = move || ServerOptions {
+        max_connections,
+        ..ServerOptions::default()
+    };
+    serve(listener, options, no_observer(), service, stop).await;
 }
 
 async fn handle<T: Clock, P: Platform>(
     publisher: &Publisher<T, P>,
+    memory: &RequestMemory,
     req: Request<CallerBody>,
 ) -> Response<Full<Bytes>> {
     let path = req.uri().path().to_owned();
     match (req.method(), path.as_str()) {
         (&Method::POST, PUT_PATH) => {
-            let body = Limited::new(req.into_body(), MAX_DOCUMENT_BYTES).collect();
-            let document = match timeout(DOCUMENT_TIMEOUT, body).await {
-                Ok(Ok(body)) => body.to_bytes(),
-                Ok(Err(e)) => {
+            let document = match read_document(memory, req.into_body()).await {
+                Ok(document) => document,
+                Err(e) => {
                     log::info!("controller: a document was not received completely: {e}.");
-                    return reply(StatusCode::BAD_REQUEST, "the document did not arrive whole");
-                }
-                Err(_) => {
-                    return reply(StatusCode::REQUEST_TIMEOUT, "the document came too slowly");
+                    return read_error_reply(e);
                 }
             };
             match publisher.publish(document).await {
@@ -82,6 +82,35 @@
     }
 }
 
+/// Reads a document. It becomes part of the state, so it leaves the memory for requests.
+async fn read_document(memory: &RequestMemory, body: CallerBody) -> Result<Bytes, CollectError> {
+    let limits = BodyLimits {
+        bytes: MAX_DOCUMENT_BYTES,
+        announced: body.size_hint().exact(),
+        account: Arc::default(),
+        max_silence: DOCUMENT_TIMEOUT,
+    };
+    let body = memory.collect(BodyDataStream::new(body), limits);
+    let body = timeout(DOCUMENT_TIMEOUT, body).await;
+    let body = body.map_err(|_| CollectError::Silent)??;
+    Ok(Bytes::copy_from_slice(&body))
+}
+
+fn read_error_reply(e: CollectError) -> Response<Full<Bytes>> {
+    match e {
+        CollectError::TooLarge => reply(StatusCode::PAYLOAD_TOO_LARGE, "the document is too large"),
+        CollectError::Cut => reply(StatusCode::BAD_REQUEST, "the document did not arrive whole"),
+        CollectError::Silent => reply(StatusCode::REQUEST_TIMEOUT, "the document came too slowly"),
+        CollectError::NoMemory => {
+            let message = "other documents hold the memory; the document was not published";
+            let mut res = reply(StatusCode::SERVICE_UNAVAILABLE, message);
+            res.headers_mut()
+                .insert(RETRY_AFTER, HeaderValue::from_static("1"));
+            res
+        }
+    }
+}
+
 fn error_reply(e: &PublishError, path: &str) -> Response<Full<Bytes>> {
     log::info!("controller: {path} failed: {e}.");
     let message = e.to_string();
