--- a/src/ingress/follow.rs
+++ b/src/ingress/follow.rs
@@ -1,4 +1,4 @@
-//! Follows the controllers with long polls: each one is sent_at for changes, and the newest of all replies
+//! Follows the controllers with long polls: each one is asked for changes, and the newest of all replies
 //! is used. A gateway that reaches no controller keeps serving from its last state.
 
 use std::{
