--- a/src/controller/scaler.rs
+++ b/src/controller/scaler.rs
@@ -221,14 +221,19 @@
         true
     }
 
-    /// Counts the upstreams of a service that are not leaving, by zone.
+    /// Counts the upstreams of a service that are not leaving, by zone. Those of a roll-out's target are not counted, since the
+    /// platform starts and stops them on its own.
     fn present_by_zone(&self, service: &ServiceName) -> HashMap<ZoneName, PresentUpstreams> {
         let followers = self.core.followers();
+        let state = self.core.log.state();
         let mut zones: HashMap<ZoneName, PresentUpstreams> = HashMap::new();
         let rows = followers.upstream_list().rows().iter();
-        for row in rows
-            .filter(|row| row.service == service.as_str() && !row.leaving && !row.reported_leaving)
-        {
+        for row in rows.filter(|row| {
+            row.service == service.as_str()
+                && !row.leaving
+                && !row.reported_leaving
+                && state.rollouts().is_in_service(&row.service, &row.software)
+        }) {
             let in_zone = zones.entry(row.zone.as_str().into()).or_default();
             match row.reclaimable {
                 true => in_zone.reclaimable += 1,
--- a/src/state/rollouts.rs
+++ b/src/state/rollouts.rs
@@ -74,6 +74,13 @@
         self.0.values()
     }
 
+    /// Returns whether servers of a version are a service's own: those of a target are beside them until it serves alone.
+    pub fn is_in_service(&self, service: &str, software: &str) -> bool {
+        self.0.get(service).is_none_or(|held| {
+            held.state() == RolloutState::Completed || held.order.target != software
+        })
+    }
+
     /// Records an order. Returns whether it is the service's order now: another one that runs stays.
     pub fn start(&mut self, index: u64, unix_ms: u64, order: &StartRollout) -> bool {
         if let Some(held) = self.0.get(&order.service)
--- a/tests/naive/mod.rs
+++ b/tests/naive/mod.rs
@@ -4,9 +4,12 @@
 use flamingocroft::{
     state::{
         Action, ClaimCommand, Command, ConfirmIntent, ConfirmOutcome, Observation, Publish, Reply,
-        Sighting, UsageRecord,
+        Sighting, StartRollout, UsageRecord,
+    },
+    wire::{
+        ClaimReply, ClaimRequest, ClaimStatus, InstanceRecord, LeavingNotice, RolloutState,
+        StoredOutcome,
     },
-    wire::{ClaimReply, ClaimRequest, ClaimStatus, InstanceRecord, LeavingNotice, StoredOutcome},
 };
 
 #[derive(Clone, Debug, PartialEq)]
@@ -54,9 +57,18 @@
     starts: Vec<(u64, String)>,
     published: Vec<Publish>,
     usage: Vec<UsageRecord>,
+    /// All orders of roll-outs that were accepted, with their log index.
+    rollouts: Vec<(u64, StartRollout, RolloutState)>,
 }
 
 impl Naive {
+    /// Returns the last order of a service's roll-out, and its state.
+    pub fn rollout(&self, service: &str) -> Option<(u64, String, RolloutState)> {
+        let mut rollouts = self.rollouts.iter();
+        let last = rollouts.rfind(|(_, order, _)| order.service == service);
+        last.map(|(index, order, state)| (*index, order.target.clone(), *state))
+    }
+
     pub fn revision(&self) -> u64 {
         self.revision
     }
@@ -137,6 +149,28 @@
                 }
                 Reply::Accepted(is_newer)
             }
+            Action::StartRollout(order) => {
+                let of_service =
+                    |(_, held, _): &&(_, StartRollout, _)| held.service == order.service;
+                let last = self.rollouts.iter().rfind(of_service);
+                if let Some((_, held, RolloutState::Running)) = last {
+                    return Reply::Accepted(held == order);
+                }
+                let running = RolloutState::Running;
+                self.rollouts.push((index, order.clone(), running));
+                Reply::Accepted(true)
+            }
+            Action::SettleRollout(settle) => {
+                let is_open = |(at, _, state): &&mut (u64, _, RolloutState)| {
+                    *at == settle.order && *state == RolloutState::Running
+                };
+                let open = self.rollouts.iter_mut().find(is_open);
+                let is_found = open.is_some();
+                if let Some((_, _, state)) = open {
+                    *state = settle.state();
+                }
+                Reply::Accepted(is_found)
+            }
             Action::AllocateFence(_) => {
                 self.fence += 1;
                 Reply::Fence(flamingocroft::domain::FencingToken(self.fence))
--- a/tests/state_differential.rs
+++ b/tests/state_differential.rs
@@ -7,8 +7,8 @@
 use flamingocroft::{
     state::{
         Action, AllocateFence, ClaimCommand, Command, ConfirmIntent, ExpireClaims, MarkUnknown,
-        Observation, ObserveInstances, Publish, SettleStart, Sighting, StartOrder, State,
-        UsageRecord,
+        Observation, ObserveInstances, Publish, SettleRollout, SettleStart, Sighting, StartOrder,
+        StartRollout, State, UsageRecord,
     },
     wire::{
         AccountCount, ClaimRequest, InstanceRecord, LeavingNotice, OutcomeRequest, ReleaseRequest,
@@ -20,6 +20,8 @@
 
 const START_MS: u64 = 1_700_000_000_000;
 const RETENTION_MS: u64 = 1000;
+/// Services with roll-outs.
+const SERVICES: [&str; 2] = ["a", "b"];
 
 fn key(created: u64, tail: u8) -> Vec<u8> {
     let mut key = created.to_be_bytes()[2..].to_vec();
@@ -126,6 +128,16 @@
             window,
             counts: vec![AccountCount { account: "a".into(), count }],
         })),
+        3 => (0..2u8, 1..4u8, 1..3u64).prop_map(|(service, target, duration)| {
+            Action::StartRollout(StartRollout {
+                service: SERVICES[usize::from(service)].into(),
+                target: format!("v{target}"),
+                duration_ms: duration * 1000,
+            })
+        }),
+        3 => (1..40u64, 1..3i32).prop_map(|(order, state)| {
+            Action::SettleRollout(SettleRollout { order, state })
+        }),
     ]
 }
 
@@ -160,6 +172,11 @@
             prop_assert_eq!((published.version, published.document.clone()), held.unwrap_or_default());
             let usage: Vec<_> = state.usage().windows_after(0).cloned().collect();
             prop_assert_eq!(usage, naive.usage());
+            for service in SERVICES {
+                let held = state.rollouts().get(service);
+                let held = held.map(|held| (held.index, held.order.target.clone(), held.state()));
+                prop_assert_eq!(held, naive.rollout(service));
+            }
             let present: Vec<_> = state.instances().present().cloned().collect();
             prop_assert_eq!(present, naive.present());
             let starts = state.starts().open_orders().map(|start| (start.index, start.instance.clone()));
