--- a/src/controller/followers.rs
+++ b/src/controller/followers.rs
@@ -11,7 +11,14 @@
 
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-use super::{core::Core, crashes::Crashes, list_history::ListHistory, rollouts};
+use super::{
+    core::Core,
+    crashes::Crashes,
+    list_history::ListHistory,
+    paces::{self, Paces},
+    rollouts,
+    room::RoomReports,
+};
 use crate::{
     domain::ServiceName,
     link::Peer,
@@ -22,7 +29,7 @@
     ports::Clock,
     wire::{
         AccountCount, Body, FollowReply, FollowRequest, IngressRecord, PrefillSpeed, QuotaValue,
-        ReserveReply, ReserveRequest, Roster, ServiceLoad,
+        ReserveReply, ReserveRequest, Roster, ServiceLoad, ServiceRoom,
     },
 };
 
@@ -68,6 +75,8 @@
     engine_speeds: BTreeMap<ServiceName, f64>,
     upstream_list: ListHistory,
     crashes: Crashes,
+    paces: Paces,
+    rooms: RoomReports,
     /// Usage by window that earlier incarnations of the gateways counted.
     earlier_incarnations_usage: BTreeMap<u64, Vec<AccountCount>>,
     reserves: HashMap<String, TokenBucket>,
@@ -169,6 +178,7 @@
         let (name, incarnation) = (&record.name, follow.incarnation);
         self.quota_book
             .handle_report(name, incarnation, follow.window_fraction, uses, now);
+        self.rooms.record(now, name, &follow.rooms);
         follower.demands.clone_from(&follow.demands);
         follower.held_shares.clone_from(&follow.held_shares);
         follower.loads.clone_from(&follow.loads);
@@ -424,6 +434,11 @@
         bucket.take(units, limit, now)
     }
 
+    /// Returns the demand of all gateways for each service.
+    pub fn rooms(&mut self, now: Duration) -> Vec<ServiceRoom> {
+        self.rooms.sums(now)
+    }
+
     /// Returns the crashes of upstreams that gateways reported.
     pub fn crashes(&self) -> &Crashes {
         &self.crashes
@@ -434,6 +449,16 @@
         &mut self.crashes
     }
 
+    /// Returns the speeds of upstreams.
+    pub fn paces(&self) -> &Paces {
+        &self.paces
+    }
+
+    /// Returns the speeds of upstreams for changes.
+    pub fn paces_mut(&mut self) -> &mut Paces {
+        &mut self.paces
+    }
+
     /// Returns the list of upstreams.
     pub fn upstream_list(&self) -> &ListHistory {
         &self.upstream_list
@@ -484,6 +509,9 @@
     if core.followers().crashes_mut().handle_follow(now, &follow) {
         core.notify_followers_changed();
     }
+    if core.learns_paces() {
+        paces::record_report(core, &follow.paces);
+    }
     if core.followers().handle_follow(core.now(), &follow) {
         if record.leaving {
             core.notify_gateway_leaves();
@@ -557,13 +585,23 @@
         .upstream_list_mut()
         .changes_since(now, follow.held_list_version.unwrap_or_default());
     let (suspects, quarantined) = followers.crashes().news_for(now, follow);
+    let paces = follow
+        .held_paces_version
+        .filter(|_| leads && core.learns_paces())
+        .and_then(|held| followers.paces().changes_since(held));
+    let rooms = match leads && follow.shares_room {
+        true => followers.rooms(now),
+        false => Vec::new(),
+    };
     FollowReply {
+        paces,
         suspects,
         quarantined,
         rollouts,
         leads,
         version,
         sends_blocks: true,
+        rooms,
         list,
         roster,
         open_accounts,
--- a/src/ingress/counters.rs
+++ b/src/ingress/counters.rs
@@ -166,7 +166,9 @@
                 let counter = match reason {
                     NotRun::OverQuota(_) => &self.over_quota,
                     NotRun::NoTable => &self.no_table,
-                    NotRun::Overloaded(_) => &self.overloaded,
+                    NotRun::Overloaded(_) | NotRun::OverShare(_) | NotRun::Hopeless(_) => {
+                        &self.overloaded
+                    }
                     NotRun::NoUpstream => &self.no_upstream,
                     NotRun::UnknownOrigin => &self.unknown_origin,
                     NotRun::Quarantined => &self.quarantined,
@@ -217,6 +219,12 @@
         },
     );
     let shared = Arc::clone(core);
+    metrics.register_gauge(
+        "ingress_capacity",
+        "Callers that this gateway can take relative to others; zero if unknown.",
+        move || u64::from(shared.capacity.announced()),
+    );
+    let shared = Arc::clone(core);
     metrics.register_gauge(
         "ingress_in_progress",
         "Requests in progress at upstreams.",
@@ -275,6 +283,51 @@
         let read = move || shared.upstreams.mean_waits(awaited);
         metrics.register_labelled_gauge(name, help, "service", read);
     }
+    let bounds = [
+        (
+            "ingress_pace_slowest",
+            "Learned speed of each service's slowest upstream, relative to the mean.",
+            (|min, _| min) as fn(f64, f64) -> f64,
+        ),
+        (
+            "ingress_pace_fastest",
+            "Learned speed of each service's fastest upstream, relative to the mean.",
+            |_, max| max,
+        ),
+        (
+            "ingress_pace_spread",
+            "Learned speed of each service's fastest upstream, relative to the slowest.",
+            |min, max| max / min,
+        ),
+    ];
+    for (name, help, of) in bounds {
+        let shared = Arc::clone(core);
+        metrics.register_labelled_gauge(name, help, "service", move || {
+            let bounds = shared.upstreams.pace_bounds().into_iter();
+            bounds
+                .map(|(service, min, max)| (service, of(min, max)))
+                .collect()
+        });
+    }
+    let shared = Arc::clone(core);
+    metrics.register_labelled_gauge(
+        "ingress_expected_wait_seconds",
+        "Wait for a first byte that a request of mean size may expect now.",
+        "service",
+        move || {
+            let zone = &shared.settings.zone;
+            shared.upstreams.expected_waits(zone, Instant::now())
+        },
+    );
+    let shared = Arc::clone(core);
+    metrics.register_gauge(
+        "ingress_pace_age_seconds",
+        "Time since the leader told a change of the learned speeds.",
+        move || {
+            let age = shared.upstreams.paces.age(Instant::now());
+            age.unwrap_or_default().as_secs()
+        },
+    );
     let shared = Arc::clone(core);
     metrics.register_labelled_gauge(
         "ingress_leader",
@@ -300,6 +353,20 @@
         },
     );
     let shared = Arc::clone(core);
+    metrics.register_labelled_gauge(
+        "ingress_room_level",
+        "How much of a service's demand is refused, from zero to one.",
+        "service",
+        move || shared.room.levels(),
+    );
+    let shared = Arc::clone(core);
+    metrics.register_labelled_gauge(
+        "ingress_room_refused_fraction",
+        "Fraction of an account's work that is refused for want of room.",
+        "account",
+        move || shared.room.refused_fractions(),
+    );
+    let shared = Arc::clone(core);
     metrics.register_labelled_gauge(
         "ingress_retry_budget_left",
         "Further attempts that this gateway may make now.",
--- a/src/ingress/follow.rs
+++ b/src/ingress/follow.rs
@@ -1,4 +1,4 @@
-//! Follows the controllers with long polls: each one is asked for changes, and the newest of all replies
+//! Follows the controllers with long polls: each one is sent_at for changes, and the newest of all replies
 //! is used. A gateway that reaches no controller keeps serving from its last state.
 
 use std::{
@@ -160,6 +160,7 @@
                     let leads = reply.leads;
                     if leads {
                         self.core.quotas.apply_lease(&reply, sent);
+                        self.core.room.apply_sums(&reply, sent_at);
                         self.core.leader.store(Some(Arc::new(link.clone())));
                     }
                     self.apply_reply(name, link, reply, stop).await;
@@ -206,6 +207,9 @@
         let mut request = self.state_report(name);
         let crashes = &self.core.crashes;
         let reported = crashes.add_to_request(name, &mut request, Instant::now());
+        let paces = &self.core.upstreams.paces;
+        request.paces = paces.report_to(name, Instant::now());
+        request.held_paces_version = paces.held_version();
         (request, reported)
     }
 
@@ -231,11 +235,24 @@
             false => FOLLOW_WAIT,
         };
         let upstreams = &self.core.upstreams;
+        // Only the leader needs the demand of all gateways; without a known one, any controller may lead.
+        let shares_room = self.core.room.is_enabled();
+        let leader = self.core.controllers.leader();
+        let may_lead = leader.is_none_or(|leader| leader == name);
+        let rooms = match shares_room && may_lead {
+            true => self.core.room.report(|service| {
+                let (level, _) = self.core.upstreams.overload(service, Instant::now());
+                level
+            }),
+            false => Vec::new(),
+        };
         FollowRequest {
             rollouts: rollouts.reports(Instant::now(), |service, target| {
                 upstreams.in_progress_beside(service, target)
             }),
             held_rollouts_version: rollouts.held_version(name),
+            rooms,
+            shares_room,
             quota_uses,
             window_fraction,
             gateway: Some(self.core.record()),
@@ -268,6 +285,9 @@
         stop: &CancellationToken,
     ) {
         self.core.upstreams.set_prefill_speeds(&reply.speeds);
+        if let Some(paces) = reply.paces.as_ref().filter(|_| reply.leads) {
+            self.core.upstreams.apply_paces(paces);
+        }
         for record in &reply.controllers {
             self.add_from_record(record, stop);
         }
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -5,6 +5,7 @@
 mod announce;
 mod answer_record;
 mod callers;
+mod capacity;
 mod controllers;
 mod counters;
 mod crashes;
@@ -16,18 +17,20 @@
 mod forward;
 mod headers;
 mod origins;
+mod paces;
 mod quota;
 mod reach;
 mod relay;
 mod response_body;
 mod retry_budgets;
 mod rollout;
+mod room;
 mod shutdown;
 mod upstream;
 mod upstreams;
 mod usage;
 
-pub use directory::Directory;
+pub use directory::{Directory, select_addresses};
 pub use events::{EventSplitter, SplitError};
 
 use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
@@ -42,10 +45,10 @@
 use tokio_util::sync::CancellationToken;
 
 use self::{
-    announce::Announcer, callers::CallerObserver, controllers::ControllerContacts,
-    counters::Counters, crashes::CrashWatch, errors::NotRun, origins::Origins, quota::Quotas,
-    reach::Reach, retry_budgets::RetryBudgets, rollout::Rollouts, shutdown::Shutdown,
-    upstreams::Upstreams, usage::UsageCounter,
+    announce::Announcer, callers::CallerObserver, capacity::OwnCapacity,
+    controllers::ControllerContacts, counters::Counters, crashes::CrashWatch, errors::NotRun,
+    origins::Origins, quota::Quotas, reach::Reach, retry_budgets::RetryBudgets, rollout::Rollouts,
+    room::Room, shutdown::Shutdown, upstreams::Upstreams, usage::UsageCounter,
 };
 use crate::{
     RunningRole,
@@ -74,6 +77,7 @@
     client: Client,
     reach: Arc<Reach>,
     quotas: Quotas,
+    room: Room,
     budgets: RetryBudgets,
     rollouts: Arc<Rollouts>,
     usage: UsageCounter,
@@ -82,6 +86,7 @@
     origins: Arc<Origins>,
     controllers: ControllerContacts,
     announcer: Announcer,
+    capacity: OwnCapacity,
     /// Address at which other gateways reach this one with datagrams.
     peer_address: SocketAddr,
     /// The link to the controller that last claimed leadership.
@@ -106,6 +111,7 @@
             open: self.is_open(),
             leaving: self.shutdown.is_begun(),
             peer_address: self.peer_address.to_string(),
+            capacity: self.capacity.announced(),
         }
     }
 
@@ -175,10 +181,11 @@
     let core = Arc::new(Core {
         routes: ArcSwap::default(),
         roster: ArcSwap::default(),
-        upstreams: Arc::default(),
+        upstreams: Arc::new(Upstreams::new(ingress.learn_paces)),
         client: Client::with_dialer(connect_timeout, dialer),
         reach: Arc::new(reach),
         quotas: Quotas::new(ingress.quota_rule()),
+        room: Room::new(ingress.share_room, metrics),
         budgets: RetryBudgets::new(&ingress),
         rollouts: Arc::new(Rollouts::new(ingress.rollout.is_some(), metrics)),
         usage: UsageCounter::new(ingress.usage_window),
@@ -187,6 +194,7 @@
         origins: Arc::new(Origins::new(metrics)),
         controllers: ControllerContacts::default(),
         announcer: Announcer::new(datagrams, metrics),
+        capacity: OwnCapacity::new(settings.machine.as_ref()),
         peer_address,
         leader: ArcSwapOption::empty(),
         incarnation: identity.incarnation.0,
@@ -214,6 +222,7 @@
         ended.clone(),
     ));
     tokio::spawn(announce::run(Arc::clone(&core), ended.clone()));
+    tokio::spawn(capacity::run(Arc::clone(&core), ended.clone()));
     let closing = CancellationToken::new();
     let service = {
         let core = Arc::clone(&core);
--- a/src/ports/platform.rs
+++ b/src/ports/platform.rs
@@ -99,6 +99,14 @@
     pub parts: Vec<PromptPart>,
 }
 
+impl PromptSizes {
+    /// Returns the number of prompt tokens that are unique to the request, so that no upstream has them cached.
+    pub fn new_tokens(&self) -> u32 {
+        let own = self.parts.last();
+        own.map_or(self.prompt_tokens, |part| part.tokens) as u32
+    }
+}
+
 /// One segment of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPart {
@@ -175,6 +183,8 @@
     pub waiting: u32,
     /// Maximum number of requests that it runs concurrently.
     pub slots: u32,
+    /// Time that work takes there now, in percent of the usual time; missing if it does not tell.
+    pub pace_percent: Option<u32>,
 }
 
 /// The current holder of a duty, on whose behalf one call to the platform is made. It is not cloned: each call needs a check
--- a/src/settings/ingress.rs
+++ b/src/settings/ingress.rs
@@ -64,9 +64,16 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "retry_window_ms", default = "retry_window")]
     pub retry_window: Duration,
+    /// Whether the speeds of upstreams are learned and requests are placed by them; see docs/design/PACES.md.
+    #[serde(default)]
+    pub learn_paces: bool,
     /// Bounds of roll-outs; operators can't order any if absent.
     #[serde(default)]
     pub rollout: Option<RolloutLimits>,
+    /// Whether a gateway divides a service with too little room fairly among the accounts, and refuses requests
+    /// for which there is none before it reads their bodies. See docs/design/ROOM.md.
+    #[serde(default)]
+    pub share_room: bool,
 }
 
 /// What a software version may get until it is known to be sound; see docs/design/ROLLOUTS.md.
--- a/src/wire/follow.rs
+++ b/src/wire/follow.rs
@@ -7,7 +7,8 @@
 use prost::Message;
 
 use super::{
-    AnsweredCause, CutOffReport, QuarantinedCause, RolloutNews, RolloutReport, SuspectList,
+    AnsweredCause, CutOffReport, PaceReport, PaceTable, QuarantinedCause, RolloutNews,
+    RolloutReport, ServiceRoom, SuspectList,
 };
 use crate::policy::{rate_limit::Statement, speed::PrefillStats};
 
@@ -69,12 +70,24 @@
     /// Everything that the gateway holds in quarantine.
     #[prost(message, repeated, tag = "18")]
     pub quarantined: Vec<QuarantinedCause>,
-    /// What the gateway counted since each order of a roll-out that runs.
+    /// What the gateway observed of the speeds of upstreams since its last report.
     #[prost(message, repeated, tag = "30")]
+    pub paces: Vec<PaceReport>,
+    /// Version of the speeds of upstreams that the gateway holds; missing if it learns none.
+    #[prost(uint64, optional, tag = "31")]
+    pub held_paces_version: Option<u64>,
+    /// What the gateway counted since each order of a roll-out that runs.
+    #[prost(message, repeated, tag = "34")]
     pub rollouts: Vec<RolloutReport>,
     /// Version of this controller's news of roll-outs that the gateway holds; missing if it is not set up for roll-outs.
-    #[prost(uint64, optional, tag = "31")]
+    #[prost(uint64, optional, tag = "35")]
     pub held_rollouts_version: Option<u64>,
+    /// To the leader: this gateway's demand for each service, if it shares the room of services.
+    #[prost(message, repeated, tag = "40")]
+    pub rooms: Vec<ServiceRoom>,
+    /// Whether the gateway shares the room of services, and so wants the demand of all gateways.
+    #[prost(bool, tag = "41")]
+    pub shares_room: bool,
 }
 
 /// What an upstream stated to a gateway about the requests that it accepts from all gateways together.
@@ -187,9 +200,15 @@
     /// Whether the controller sends the document in blocks; those of earlier versions send it whole only.
     #[prost(bool, tag = "12")]
     pub sends_blocks: bool,
-    /// The roll-outs, if the gateway is set up for them and there is any.
+    /// From the leader: speeds of upstreams, if the gateway lacks some.
     #[prost(message, optional, tag = "30")]
+    pub paces: Option<PaceTable>,
+    /// The roll-outs, if the gateway is set up for them and there is any.
+    #[prost(message, optional, tag = "34")]
     pub rollouts: Option<RolloutNews>,
+    /// From the leader: the demand of all gateways for each service.
+    #[prost(message, repeated, tag = "40")]
+    pub rooms: Vec<ServiceRoom>,
 }
 
 /// Prefill speed of the engines of a service.
@@ -224,6 +243,9 @@
     /// Whether it is shutting down, which it does until its process ends.
     #[prost(bool, tag = "6")]
     pub leaving: bool,
+    /// How many callers it can take relative to other gateways; zero if unknown. See docs/design/GATEWAY_CAPACITY.md.
+    #[prost(uint32, tag = "7")]
+    pub capacity: u32,
 }
 
 /// Announces to the other gateways that the sender is sending a prompt to an engine.
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -8,9 +8,11 @@
 mod follow;
 mod journal;
 mod origins;
+mod pace;
 mod quarantine;
 mod replica;
 mod rollout;
+mod room;
 mod tunnel;
 
 pub use claims::{
@@ -35,6 +37,7 @@
     JournalAck, JournalAppend, JournalPut, JournalRemove, JournalTokens, JournaledRequest,
 };
 pub use origins::{OriginAck, OriginQuery, OriginRecord, OriginReply, OriginReport};
+pub use pace::{ObservedPace, PaceReport, PaceRow, PaceTable};
 pub use quarantine::{
     AnsweredCause, CauseKind, CauseRecord, CutOffReport, QuarantinedCause, SuspectList,
 };
@@ -46,6 +49,7 @@
 pub use rollout::{
     RolloutLease, RolloutNews, RolloutRecord, RolloutReport, RolloutRoute, RolloutState,
 };
+pub use room::{AccountWork, ServiceRoom};
 pub use tunnel::{TunnelData, TunnelEnd, TunnelOpen, TunnelOpened, TunnelRefused};
 
 /// Maximum size of a frame that a process accepts, in bytes.
