--- a/tests/platform_deploy.rs
+++ b/tests/platform_deploy.rs
@@ -83,6 +83,7 @@
 #[test]
 fn roll_outs_are_set_up_where_the_platform_states_their_bounds() {
     let mut fields = platform_fields(USERS[0]);
+    fields["Limits"] = json!({"MemoryMb": 160, "CpuShare": 0.12, "MaxFds": 4100, "LinkMbps": 10});
     for template in ["deploy/gateway.jsonc", "deploy/controller.jsonc"] {
         assert_eq!(settings(template, &fields).ingress.unwrap().rollout, None);
     }
