--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -5,7 +5,7 @@
 use super::{CmdError, Options, Run, output::format_table};
 use crate::{
     domain::{Instance, InstanceState},
-    operator::{GatewayStatus, MemberStatus, Status},
+    operator::{GatewayStatus, MemberStatus, RolloutStatus, Status},
 };
 
 /// Shows the controllers, gateways and instances as the leader sees them.
@@ -23,9 +23,16 @@
     let members: Vec<_> = status.members.iter().map(member_row).collect();
     let gateways: Vec<_> = status.gateways.iter().map(gateway_row).collect();
     let instances: Vec<_> = status.instances.iter().map(instance_row).collect();
+    let rollouts = match status.rollouts.is_empty() {
+        true => String::new(),
+        false => {
+            let rows: Vec<_> = status.rollouts.iter().map(rollout_row).collect();
+            format!("Roll-outs\n{}", format_table(&rows))
+        }
+    };
     format!(
         "Revision {} (leader {}, term {}, commit {})\n\
-         Controllers\n{}Gateways\n{}Instances\n{}",
+         Controllers\n{}Gateways\n{}Instances\n{}{rollouts}",
         status.revision,
         status.controller,
         status.term,
@@ -46,6 +53,15 @@
     ]
 }
 
+fn rollout_row(rollout: &RolloutStatus) -> Vec<String> {
+    vec![
+        rollout.service.clone(),
+        format!("to {}", rollout.target),
+        rollout.state.clone(),
+        format!("share {:.3}", rollout.share),
+    ]
+}
+
 fn gateway_row(gateway: &GatewayStatus) -> Vec<String> {
     let state = if gateway.leaving { "leaving" } else { "live" };
     vec![
--- a/src/controller/operator_api.rs
+++ b/src/controller/operator_api.rs
@@ -6,7 +6,7 @@
 use uuid::Uuid;
 use warp::http::StatusCode;
 
-use super::{api_error::ApiError, convert, core::Core, intent_diff, log::LogError};
+use super::{api_error::ApiError, convert, core::Core, intent_diff, log::LogError, rollouts};
 use crate::{
     domain::{Instance, InstanceName, Intent, MemberId, Money, OperationId, Revision},
     operator::{
@@ -61,6 +61,7 @@
             members,
             gateways,
             instances: convert::present_instances(state.instances()),
+            rollouts: rollouts::statuses(&self.core, state.rollouts()),
         })
     }
 
--- a/src/controller/rollouts.rs
+++ b/src/controller/rollouts.rs
@@ -12,10 +12,11 @@
     publisher::{PublishError, Publisher},
 };
 use crate::{
+    operator::RolloutStatus,
     policy::rollout::{Decision, Reason, Rollout, Slots},
     ports::{Clock, Platform},
     settings::RolloutLimits,
-    state::{Action, Reply, RolloutOrder, SettleRollout, StartRollout},
+    state::{Action, Reply, RolloutOrder, Rollouts, SettleRollout, StartRollout},
     telemetry::Counter,
     wire::{
         FollowReply, FollowRequest, RolloutLease, RolloutNews, RolloutRecord, RolloutState,
@@ -115,6 +116,30 @@
     core.settings.ingress.as_ref()?.rollout
 }
 
+/// Returns the roll-outs for operators.
+pub(super) fn statuses<T: Clock>(core: &Core<T>, orders: &Rollouts) -> Vec<RolloutStatus> {
+    let rollouts = core.rollouts();
+    let status = |order: &RolloutOrder| {
+        let running = rollouts.running.get(&order.index);
+        RolloutStatus {
+            service: order.order.service.clone(),
+            target: order.order.target.clone(),
+            state: state_name(order.state()).to_owned(),
+            share: running.map_or(0.0, |running| running.rollout.share()),
+        }
+    };
+    orders.iter().map(status).collect()
+}
+
+/// Returns the name of a state for operators.
+fn state_name(state: RolloutState) -> &'static str {
+    match state {
+        RolloutState::Running => "running",
+        RolloutState::Completed => "completed",
+        RolloutState::RolledBack => "rolled_back",
+    }
+}
+
 /// Records what a gateway reports of roll-outs.
 pub(super) fn record_reports<T: Clock>(core: &Core<T>, follow: &FollowRequest) {
     let (Some(limits), Some(gateway)) = (limits(core), &follow.gateway) else {
--- a/src/ingress/forward/mod.rs
+++ b/src/ingress/forward/mod.rs
@@ -469,7 +469,7 @@
             self.versions = versions;
             chosen = self.choose_upstream(now);
         }
-        self.versions = rollouts.for_retry(&self.service, self.origin.as_ref(), now);
+        self.versions = rollouts.usual_versions(&self.service, self.origin.as_ref(), now);
         chosen
     }
 
--- a/src/ingress/rollout.rs
+++ b/src/ingress/rollout.rs
@@ -263,8 +263,9 @@
         }
     }
 
-    /// Returns which versions may get a further attempt after one that went to `versions`.
-    pub(super) fn for_retry(
+    /// Returns which versions may get an attempt that tries no new version, of a request that resumes a stream of `origin` or
+    /// none.
+    pub(super) fn usual_versions(
         &self,
         service: &ServiceName,
         origin: Option<&Origin>,
@@ -274,14 +275,17 @@
         let Some(rollout) = services.get(service) else {
             return Versions::Any;
         };
-        let is_from_target = origin.is_some_and(|origin| origin.software == rollout.target);
+        let target = || rollout.target.clone();
         match rollout.state {
+            RolloutState::RolledBack => Versions::Except(target()),
+            RolloutState::Completed if now < rollout.exclude_until => Versions::Only(target()),
             RolloutState::Completed => Versions::Any,
-            RolloutState::Running if is_from_target || rollout.counts.lease(now).share >= 1.0 => {
-                Versions::Any
-            }
-            RolloutState::Running | RolloutState::RolledBack => {
-                Versions::Except(rollout.target.clone())
+            RolloutState::Running => {
+                let is_from_target = origin.is_some_and(|origin| origin.software == rollout.target);
+                match is_from_target || rollout.counts.lease(now).share >= 1.0 {
+                    true => Versions::Any,
+                    false => Versions::Except(target()),
+                }
             }
         }
     }
--- a/src/ingress/room.rs
+++ b/src/ingress/room.rs
@@ -9,7 +9,7 @@
 
 use tokio::time::Instant;
 
-use super::{Core, errors::NotRun, millis, rollout::Versions, upstream::Eligible};
+use super::{Core, errors::NotRun, millis, upstream::Eligible};
 use crate::{
     domain::{AccountName, Route, RouteIndex, ServiceName},
     policy::{
@@ -373,10 +373,12 @@
             prompt_tokens: 0,
             home: 0,
         };
+        // Idle servers of a version that is only tried are no room.
+        let versions = core.rollouts.usual_versions(service, None, now);
         let eligible = Eligible {
             tried: &[],
             origin: None,
-            versions: &Versions::Any,
+            versions: &versions,
         };
         let upstreams = &core.upstreams;
         upstreams.outlook(service, &req, new_tokens, &eligible, now)
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -62,6 +62,22 @@
     pub gateways: Vec<GatewayStatus>,
     /// The upstream instances.
     pub instances: Vec<Instance>,
+    /// The last roll-out of each service.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rollouts: Vec<RolloutStatus>,
+}
+
+/// A roll-out of a software version, as the leader knows it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RolloutStatus {
+    /// The service.
+    pub service: String,
+    /// The version to which its requests move.
+    pub target: String,
+    /// `running`, `completed` or `rolled_back`.
+    pub state: String,
+    /// Fraction of the requests that go to the target of one that runs.
+    pub share: f64,
 }
 
 /// A controller, as the leader knows it.
