--- a/src/adapters/http/connections.rs
+++ b/src/adapters/http/connections.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use tokio::time::Instant;
+use tokio::{sync::Notify, time::Instant};
 use tokio_util::sync::CancellationToken;
 
 use super::{caller::Progress, early_end::Observer};
@@ -18,11 +18,21 @@
 
 /// The open connections of a server; clones share them.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Connections(Arc<Mutex<Open>>);
+pub(super) struct Connections(Arc<Shared>);
+
+#[derive(Debug, Default)]
+struct Shared {
+    open: Mutex<Open>,
+    /// Notified when a connection has ended.
+    ended: Notify,
+}
 
 #[derive(Debug, Default)]
 struct Open {
     next_id: u64,
+    /// Connections that have not ended, also those that are being closed.
+    count: usize,
+    /// Those that are not being closed.
     connections: HashMap<u64, (Progress, CancellationToken)>,
     /// When it was logged last that there are too many.
     logged: Option<Instant>,
@@ -37,13 +47,25 @@
 }
 
 impl Connections {
-    /// Adds a connection. Over the maximum a waiting one is closed for it; `None` if all are in requests.
-    pub(super) fn open(
+    /// Adds a connection. Over the maximum a waiting one is closed before; `None` if all are in requests.
+    pub(super) async fn open(
         &self,
         progress: &Progress,
         max: usize,
         observer: &dyn Observer,
     ) -> Option<Slot> {
+        self.make_room(max, observer)?;
+        loop {
+            let ended = self.0.ended.notified();
+            if let Some(slot) = self.try_open(progress, max) {
+                return Some(slot);
+            }
+            ended.await;
+        }
+    }
+
+    /// Begins to close a waiting connection if all places are taken.
+    fn make_room(&self, max: usize, observer: &dyn Observer) -> Option<()> {
         let mut open = self.lock();
         if open.connections.len() >= max {
             observer.count_closed_for_room();
@@ -52,6 +74,15 @@
             let (_, closed) = open.connections.remove(&chosen?)?;
             closed.cancel();
         }
+        Some(())
+    }
+
+    fn try_open(&self, progress: &Progress, max: usize) -> Option<Slot> {
+        let mut open = self.lock();
+        if open.count >= max {
+            return None;
+        }
+        open.count += 1;
         let id = open.next_id;
         open.next_id += 1;
         let closed = CancellationToken::new();
@@ -62,7 +93,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Open> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.0.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -101,6 +132,10 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.open.lock().connections.remove(&self.id);
+        let mut open = self.open.lock();
+        open.connections.remove(&self.id);
+        open.count -= 1;
+        drop(open);
+        self.open.0.ended.notify_one();
     }
 }
--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -34,7 +34,6 @@
 pub(crate) use json_items::read_json_items;
 pub use memory::RequestMemory;
 pub(crate) use memory::{BodyLimits, CollectError};
-pub(crate) use panics::call_catching_panics;
 pub(crate) use server::{EndsWithConnection, RespondBy};
 pub use server::{ServerOptions, serve};
 pub use upstreams::HttpUpstreams;
--- a/src/adapters/http/server.rs
+++ b/src/adapters/http/server.rs
@@ -1,6 +1,6 @@
 //! An HTTP/1.1 server for interfaces that need raw paths, streamed bodies or control over each connection.
 
-use std::{convert::Infallible, error::Error, future::Future, sync::Arc, time::Duration};
+use std::{convert::Infallible, error::Error, future::Future, io, sync::Arc, time::Duration};
 
 use hyper::{
     Request, Response,
@@ -10,6 +10,7 @@
     service::{Service, service_fn},
 };
 use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::{
     net::{TcpListener, TcpStream},
     time::{Instant, timeout},
@@ -53,6 +54,8 @@
     pub max_connections: usize,
     /// Maximum time for open connections to finish on shutdown; the rest are closed.
     pub drain_timeout: Duration,
+    /// Time after which a connection is closed if the caller acknowledges no data or keepalive probe.
+    pub tcp_user_timeout: Option<Duration>,
 }
 
 impl Default for ServerOptions {
@@ -63,6 +66,7 @@
             max_head_bytes: 16 * 1024,
             max_connections: usize::MAX,
             drain_timeout: Duration::from_millis(500),
+            tcp_user_timeout: None,
         }
     }
 }
@@ -100,7 +104,7 @@
             Ok((stream, _)) => {
                 let progress = Progress::new();
                 let max = options().max_connections;
-                let Some(slot) = connections.open(&progress, max, &*observer) else {
+                let Some(slot) = connections.open(&progress, max, &*observer).await else {
                     continue;
                 };
                 let served = serve_connection(
@@ -153,8 +157,8 @@
     B::Data: Send,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
-    if let Err(e) = stream.set_nodelay(true) {
-        log::debug!("http: setting TCP_NODELAY on a connection failed: {e}.");
+    if let Err(e) = set_socket_options(&stream, options().tcp_user_timeout) {
+        log::debug!("http: setting the options of a connection failed: {e}.");
         return;
     }
     let max_head_bytes = options().max_head_bytes.max(MIN_HYPER_BUFFER_BYTES);
@@ -212,6 +216,21 @@
     }
 }
 
+/// Disables Nagle's algorithm, since tokens are small and must not wait for more of them, and detects a vanished caller
+/// with keepalive probes.
+fn set_socket_options(stream: &TcpStream, user_timeout: Option<Duration>) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let Some(timeout) = user_timeout else {
+        return Ok(());
+    };
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(timeout / 2)
+        .with_interval(timeout / 6);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(user_timeout)
+}
+
 /// Reports a request without a complete response when its connection has ended.
 struct EndReport {
     progress: Progress,
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -235,6 +235,7 @@
                 max_head_bytes: limits.head_bytes,
                 max_connections,
                 drain_timeout: core.shutdown.time_until_cut(Instant::now()),
+                ..ServerOptions::default()
             }
         }
     };
