Bound the buffers of connections to upstreams and of /v1 callers

Cause: a connection to an upstream read up to 400 KiB ahead of a caller that reads nothing, and one of /v1 up to 64 KiB of a body. Change: 64 KiB at upstreams; 24 KiB at /v1, whose handler refuses heads over 16 KiB.

--- a/src/adapters/http/connection.rs
+++ b/src/adapters/http/connection.rs
@@ -29,6 +29,10 @@
 /// nothing of it is read.
 const REST_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Size of the read buffer, in bytes. It bounds the head of a response, and what a connection holds of a body while its caller
+/// reads nothing.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
+
 /// An open HTTP/1.1 connection.
 #[derive(Debug)]
 pub(super) struct Connection {
@@ -44,7 +48,10 @@
         io: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
     ) -> hyper::Result<Self> {
         let (io, progress) = TrackedStream::new(io);
-        let (mut sender, connection) = http1::handshake(TokioIo::new(io)).await?;
+        let (mut sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(io))
+            .await?;
         let task = tokio::spawn(async move {
             // The exchange reports the error as well, and an idle connection that ends is not an error.
             let _ = connection.await;
--- a/src/gateway/http/mod.rs
+++ b/src/gateway/http/mod.rs
@@ -26,8 +26,8 @@
     ports::{Clock, Upstreams},
 };
 
-/// Size of the read buffer, which bounds the head of a request; the handler has a lower limit.
-const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
+/// Size of the read buffer of each connection, which bounds the head of a request; the handler has a lower limit.
+const MAX_READ_BUFFER_BYTES: usize = 24 * 1024;
 
 /// Time after which a connection is closed if the caller acknowledges no data or keepalive probe.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(30);
