--- a/tests/caller_memory.rs
+++ b/tests/caller_memory.rs
@@ -4,7 +4,7 @@
 mod crowd_support;
 mod platform_support;
 
-use std::path::Path;
+use std::{path::Path, time::Duration};
 
 use crowd_support::{
     Aim, BODIES, CROWD, Crowd, DESCRIPTORS, MAX_BODY_BYTES, MEMORY_MB, Watch, alone, send_all,
@@ -14,9 +14,12 @@
     API_KEY, PreparedInstallation, ServerAction, call, daemons::Daemons, document,
 };
 use serde_json::{Value, json};
+use tokio::{io::AsyncReadExt, time::timeout};
 
 /// Length of a large answer, in bytes.
 const LARGE_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+/// Wait for an answer that a connection may not get.
+const READ_TIMEOUT: Duration = Duration::from_millis(50);
 /// The largest configuration document, in bytes.
 const MAX_DOCUMENT_BYTES: usize = 4 * 1024 * 1024;
 
@@ -131,6 +134,28 @@
     check(&[Crowd::ReadsNothing], CROWD / 2).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_gives_its_memory_up_is_refused_as_not_run() {
+    let _alone = alone().await;
+    let daemons = start().await;
+    let gateway = Watch::start("gateway", daemons.gateway.id());
+    let stay = send_all(&aim(&daemons), &[Crowd::Whole], CROWD).await;
+    gateway.settle().await;
+    let mut refused = 0;
+    for mut caller in stay {
+        let mut answer = vec![0; 1024];
+        // Those that keep their memory get no answer yet.
+        if let Ok(read) = timeout(READ_TIMEOUT, caller.read(&mut answer)).await {
+            let answer = String::from_utf8_lossy(&answer[..read.unwrap()]).to_lowercase();
+            assert!(answer.starts_with("http/1.1 503 "), "{answer}");
+            assert!(answer.contains("retry-after: "), "{answer}");
+            refused += 1;
+        }
+    }
+    assert!(refused > 0);
+    assert!(daemons.installation.log.requests().is_empty());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn all_kinds_mixed() {
     let mut kinds = BODIES.to_vec();
