Take no part of an answer for a whole one, and no odd status for an answer

A 2xx with neither length nor chunks counted as whole when its connection ended in order, also while the request was still being written. It now counts as broken off unless the whole request was taken; a refusal needs no upload. Final statuses outside 200 to 599, which reached the caller as they came, make a 502, count against the upstream and are tried elsewhere where the class allows. The same holds for calls of /v1. An answer that is not HTTP is an error of the protocol and no cause of a crash.

A tunnel wrote each buffer as one frame, so an upload of 8 MiB exceeded the largest frame and always failed. It is written in parts now, and a tunnel whose upstream ends while a part of the request is unwritten breaks off.

--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -1,6 +1,7 @@
 //! An HTTP client that sends one request per exchange over pooled connections and never retries.
 
 use std::{
+    ops::RangeInclusive,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -36,6 +37,17 @@
 /// Maximum size of a response body that is buffered, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
 
+/// Why a response that ends with its connection is not complete.
+pub(crate) const UNREAD_REQUEST: &str =
+    "the upstream ended the connection before it had taken the whole request";
+/// Statuses that a final response may have; informational ones come before it.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
+/// Returns whether a status is one that a final response may have.
+pub(crate) fn is_final_status(status: StatusCode) -> bool {
+    FINAL_STATUSES.contains(&status.as_u16())
+}
+
 /// Whether a request may be sent over an idle pooled connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Reuse {
@@ -94,6 +106,12 @@
         self.way
     }
 
+    /// Returns whether a response with a status may be complete when only the end of the connection shows its end: a success
+    /// is none before the upstream has taken the whole request, while it may refuse a request that it has not read.
+    pub(crate) fn may_end_response(&self, status: StatusCode) -> bool {
+        !status.is_success() || self.connection.has_written()
+    }
+
     /// Starts to send a request whose response is awaited until the deadline.
     pub(crate) fn start(mut self, req: Request<Full<Bytes>>, deadline: Instant) -> Exchange {
         Exchange {
@@ -316,6 +334,12 @@
         let body = Limited::new(body, MAX_RESPONSE_BYTES);
         let collected = timeout_at(deadline, body.collect()).await;
         let body = match collected {
+            Ok(Ok(_))
+                if framing == Framing::Connection
+                    && !self.connection.may_end_response(head.status) =>
+            {
+                return Err(cut_error(UNREAD_REQUEST));
+            }
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(e)) => return Err(cut_error(&e.to_string())),
             Err(_) => {
--- a/src/adapters/http/connection.rs
+++ b/src/adapters/http/connection.rs
@@ -17,7 +17,10 @@
     time::{Instant, timeout},
 };
 
-use super::tracked_stream::{RequestProgress, TrackedStream};
+use super::{
+    client::protocol_error,
+    tracked_stream::{RequestProgress, TrackedStream},
+};
 use crate::ports::{Dialer, Sent, UpstreamError, UpstreamErrorKind};
 
 /// Idle time after which a connection is not reused.
@@ -88,6 +91,11 @@
         self.progress.borrow().answered_early
     }
 
+    /// Returns whether the kernel, or the tunnel, has taken all bytes of the last request.
+    pub(super) fn has_written(&self) -> bool {
+        self.progress.borrow().written
+    }
+
     /// Waits a bounded time until the connection can accept a request after a complete exchange; returns false if it
     /// cannot.
     pub(super) async fn wait_until_ready(&mut self) -> bool {
@@ -139,6 +147,9 @@
                             e.error()
                         ),
                     ),
+                    None if e.error().is_parse() => {
+                        protocol_error(format!("the answer is not HTTP: {}", e.error()))
+                    }
                     None => UpstreamError::new(
                         UpstreamErrorKind::Cut,
                         Sent::Maybe,
--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -22,8 +22,8 @@
 
 pub use caller::CallerBody;
 pub(crate) use client::{
-    Client, Exchange, FullResponse, PooledConnection, Reuse, Way, cut_error, get_request,
-    post_request,
+    Client, Exchange, FullResponse, PooledConnection, Reuse, UNREAD_REQUEST, Way, cut_error,
+    get_request, is_final_status, post_request,
 };
 pub use cloud::HttpCloud;
 pub(crate) use early_end::no_observer;
--- a/src/adapters/http/upstreams.rs
+++ b/src/adapters/http/upstreams.rs
@@ -13,7 +13,8 @@
 
 use super::{
     client::{
-        Client, Reuse, StreamingResponse, build_request, get_request, post_request, rejected_error,
+        Client, Reuse, StreamingResponse, build_request, get_request, is_final_status,
+        post_request, protocol_error, rejected_error,
     },
     framing::Framing,
     generation::GenerationReader,
@@ -202,6 +203,13 @@
             req.headers_mut().insert(IDEMPOTENCY_KEY, key);
         }
         let response = self.exchange(target, req, reuse, deadline).await?;
+        let status = response.res.status();
+        if !is_final_status(status) {
+            return Err(protocol_error(format!(
+                "{} is no status of an answer",
+                status.as_u16()
+            )));
+        }
         let response = response.read_body(deadline).await?;
         let content_type = response
             .headers
--- a/src/ingress/forward/attempt.rs
+++ b/src/ingress/forward/attempt.rs
@@ -15,7 +15,9 @@
 
 use super::{ForwardedRequest, millis};
 use crate::{
-    adapters::http::{Exchange, Framing, PooledConnection, Way, cut_error},
+    adapters::http::{
+        Exchange, Framing, PooledConnection, UNREAD_REQUEST, Way, cut_error, is_final_status,
+    },
     domain::{InstanceName, RequestClass},
     ingress::{
         errors::{Failure, NotRun, RequestError},
@@ -91,6 +93,13 @@
     }
 }
 
+impl BegunResponse {
+    /// Returns whether its connection has ended it, and its body has no bytes beyond those that are held.
+    fn has_ended(&self) -> bool {
+        self.framing == Framing::Connection && self.body.is_read()
+    }
+}
+
 type Exchanged = (Box<SentAttempt>, Result<BegunResponse, UpstreamError>);
 
 /// The attempts of a request whose upstreams are silent. Each may still answer, and is left only when another upstream has
@@ -234,6 +243,13 @@
             sent,
             sent_at,
         } = attempt;
+        let result = result.and_then(|response| {
+            let status = response.head.status;
+            match response.has_ended() && !exchange.connection().may_end_response(status) {
+                true => Err(cut_error(UNREAD_REQUEST)),
+                false => Ok(response),
+            }
+        });
         match result {
             Ok(response) => {
                 let connection = exchange.into_connection();
@@ -359,6 +375,16 @@
             );
             return Err(AttemptError::MayHaveRun(Failure::Unclear));
         }
+        if !is_final_status(status) {
+            upstream.record_failure(now);
+            log::warn!(
+                event = "answer.no_status", request = self.id(),
+                upstream:% = upstream.target.instance, status = status.as_u16(),
+                attempt = self.tried.len();
+                "ingress: rejected a response whose status is none of a final response"
+            );
+            return Err(AttemptError::MayHaveRun(Failure::Unclear));
+        }
         // A misdirected request was received by another upstream.
         if status != StatusCode::MISDIRECTED_REQUEST {
             self.apply_limit(upstream, facts.rate, sent_at);
--- a/src/ingress/forward/response.rs
+++ b/src/ingress/forward/response.rs
@@ -118,6 +118,7 @@
             account: self.metrics.clone(),
             arrived: self.arrived,
             record: Some(record),
+            status: head.status,
             is_stream: self.route.class.is_stream() && head.status.is_success(),
             response_targets: self.response_targets(),
             traits: Arc::clone(&self.traits),
--- a/src/ingress/relay.rs
+++ b/src/ingress/relay.rs
@@ -14,7 +14,10 @@
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use hyper::body::{Body, Frame, SizeHint};
+use hyper::{
+    StatusCode,
+    body::{Body, Frame, SizeHint},
+};
 use tokio::time::{Instant, Sleep, sleep, sleep_until};
 use tokio_util::sync::CancellationToken;
 
@@ -28,7 +31,7 @@
     upstreams::InFlightGuard,
 };
 use crate::{
-    adapters::http::{Framing, PooledConnection, Way},
+    adapters::http::{Framing, PooledConnection, UNREAD_REQUEST, Way},
     policy::{
         origins::Origin,
         silence::{Awaited, ResponseTargets},
@@ -70,6 +73,18 @@
     pub(super) in_flight: InFlightGuard,
 }
 
+impl UpstreamBody {
+    /// Returns whether the end of the body, if it comes now, shows that a response with a status is complete.
+    fn may_end(&self, status: StatusCode) -> bool {
+        self.framing != Framing::Connection || self.lease.may_end_response(status)
+    }
+
+    /// Returns whether the body of a response with a status is complete.
+    fn has_ended(&self, status: StatusCode) -> bool {
+        self.body.is_end_stream() && self.may_end(status)
+    }
+}
+
 /// What a stream needs to be resumed at another upstream.
 pub(super) struct ResumeState {
     /// Buffers the stream up to complete events; partial events are not relayed.
@@ -141,6 +156,7 @@
     pub(super) arrived: Instant,
     /// What is recorded when the response ends.
     pub(super) record: Option<AnswerRecord>,
+    pub(super) status: StatusCode,
     /// Whether the response is an event stream, whose pauses between events are measured.
     pub(super) is_stream: bool,
     /// The latency targets of the request's route.
@@ -320,6 +336,7 @@
                 }
                 Poll::Ready(None) => {
                     let framing = source.framing;
+                    let may_end = source.may_end(self.context.status);
                     if self.is_inside_event() {
                         if let Some(e) = self.handle_cut_off("the stream ended inside an event") {
                             return Poll::Ready(Some(Err(e)));
@@ -330,6 +347,12 @@
                         let reason = "only the upstream's connection ended the rest of the stream";
                         return Poll::Ready(Some(Err(self.abort(reason))));
                     }
+                    if !may_end {
+                        if let Some(e) = self.handle_cut_off(UNREAD_REQUEST) {
+                            return Poll::Ready(Some(Err(e)));
+                        }
+                        continue;
+                    }
                     self.complete();
                     return Poll::Ready(None);
                 }
@@ -614,7 +637,7 @@
     }
 
     fn is_ended(&self) -> bool {
-        let ended = |source: &UpstreamBody| source.body.is_end_stream();
+        let ended = |source: &UpstreamBody| source.has_ended(self.context.status);
         self.resuming.is_none()
             && self.resumable.is_none()
             && self.boundary.is_none()
@@ -625,7 +648,7 @@
 impl Drop for Passing {
     fn drop(&mut self) {
         // A body of known length is not polled again after its last byte.
-        let is_ended = |source: &UpstreamBody| source.body.is_end_stream();
+        let is_ended = |source: &UpstreamBody| source.has_ended(self.context.status);
         if self.source.as_ref().is_some_and(is_ended) && !self.is_inside_event() {
             self.complete();
         }
--- a/src/ingress/response_body.rs
+++ b/src/ingress/response_body.rs
@@ -80,6 +80,11 @@
         Ok(body)
     }
 
+    /// Returns whether the upstream's body was read to its end.
+    pub(super) fn is_read(&self) -> bool {
+        self.is_read
+    }
+
     /// Reads until the body begins; can be dropped and begun again.
     async fn hold(&mut self, is_short: bool, beginning: Beginning) -> hyper::Result<()> {
         while !self.rest.is_end_stream() {
--- a/src/link/tunnel.rs
+++ b/src/link/tunnel.rs
@@ -2,7 +2,18 @@
 //! in frames. The end of a tunnel shows whether the upstream ended the connection or something broke it off. See
 //! docs/DESIGN.md, "Tunnels".
 
-use std::{future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    future::Future,
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    task::{Context, Poll},
+    time::Duration,
+};
 
 use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt, future, stream};
@@ -133,8 +144,30 @@
         }))))
     });
     let reader = StreamReader::new(Box::pin(chunks));
-    let tunnel = join(reader, SinkWriter::new(CopyToBytes::new(sink)));
-    Ok((tunnel, opened))
+    let writer = InParts(SinkWriter::new(CopyToBytes::new(sink)));
+    Ok((join(reader, writer), opened))
+}
+
+/// Writes at most [`MAX_DATA_BYTES`] at once, because each write becomes a frame, and the size of those is limited.
+struct InParts<W>(W);
+
+impl<W: AsyncWrite + Unpin> AsyncWrite for InParts<W> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let part = &buf[..buf.len().min(MAX_DATA_BYTES)];
+        Pin::new(&mut self.0).poll_write(cx, part)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_shutdown(cx)
+    }
 }
 
 /// Accepts tunnels until the token is cancelled, which breaks off the open ones.
@@ -206,6 +239,7 @@
 async fn carry(connection: handshake::Connection, upstream: TcpStream) -> io::Result<()> {
     let (mut sink, mut frames) = connection.split();
     let (mut read, mut write) = upstream.into_split();
+    let is_writing = AtomicBool::new(false);
     let to_upstream = async {
         while let Some(frame) = frames.next().await {
             // Any other frame may have held bytes, without which those behind it must not go on.
@@ -213,7 +247,9 @@
                 let message = "the peer sent a frame that can't be read; start the same version on both sides";
                 return Err(io::Error::new(io::ErrorKind::InvalidData, message));
             };
+            is_writing.store(true, Ordering::Relaxed);
             write.write_all(&data.bytes).await?;
+            is_writing.store(false, Ordering::Relaxed);
         }
         Ok(())
     };
@@ -222,6 +258,11 @@
         loop {
             buf.reserve(MAX_DATA_BYTES);
             if read.read_buf(&mut buf).await? == 0 {
+                if is_writing.load(Ordering::Relaxed) {
+                    let message =
+                        "the upstream ended the connection before it had read the request";
+                    return Err(io::Error::new(io::ErrorKind::ConnectionReset, message));
+                }
                 sink.send(frame(Body::TunnelEnd(TunnelEnd {}))).await?;
                 // The peer closes the tunnel when it has read the end.
                 sleep(ENDED_TIMEOUT).await;
--- a/tests/adapters_call.rs
+++ b/tests/adapters_call.rs
@@ -249,3 +249,85 @@
         assert_eq!(reply.ends_with_connection, ends_with_connection, "{answer}");
     }
 }
+
+/// Serves connections that read a part of the request, answer and close their side, or read it all first.
+async fn serve_early(answer: &'static str, reads_all: bool) -> std::net::SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            tokio::spawn(async move {
+                let mut buf = vec![0; 16 * 1024];
+                let mut read = 0;
+                while read == 0 || (reads_all && read < LONG_BODY) {
+                    read += stream.read(&mut buf).await.unwrap();
+                }
+                let _ = stream.write_all(answer.as_bytes()).await;
+                let _ = stream.shutdown().await;
+                // Closing a socket with unread bytes would reset the connection at once.
+                tokio::time::sleep(Duration::from_millis(300)).await;
+            });
+        }
+    });
+    address
+}
+
+/// More than the buffers of a connection to a service that does not read hold.
+const LONG_BODY: usize = 16 * 1024 * 1024;
+
+#[tokio::test]
+async fn a_success_that_only_its_connection_ends_is_none_before_the_request_was_taken() {
+    let success = "HTTP/1.1 200 OK\r\n\r\ndone";
+    let empty = "HTTP/1.1 200 OK\r\n\r\n";
+    let refusal = "HTTP/1.1 403 Forbidden\r\n\r\nno";
+    let framed = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
+    for (answer, reads_all, expected) in [
+        (success, false, Err(Cut)),
+        (empty, false, Err(Cut)),
+        (success, true, Ok(200)),
+        (refusal, false, Ok(403)),
+        (framed, false, Ok(200)),
+    ] {
+        let upstreams = HttpUpstreams::new(&timing());
+        let mut call = release_call(KEY, LONG_TIMEOUT);
+        call.body = vec![b'u'; LONG_BODY].into();
+        let address = serve_early(answer, reads_all).await;
+        let reply = upstreams.call(&target(address), &call).await;
+        let reply = reply.map(|reply| reply.status).map_err(|e| e.kind);
+        assert_eq!(reply, expected, "{answer}, {reads_all}");
+    }
+}
+
+#[tokio::test]
+async fn a_status_that_is_none_breaks_the_protocol() {
+    for (answer, kind) in [
+        (
+            "HTTP/1.1 000 No\r\nContent-Length: 0\r\n\r\n",
+            UpstreamErrorKind::Protocol,
+        ),
+        (
+            "HTTP/1.1 099 No\r\nContent-Length: 0\r\n\r\n",
+            UpstreamErrorKind::Protocol,
+        ),
+        ("HTTP/1.1 100 No\r\nContent-Length: 0\r\n\r\n", Cut),
+        (
+            "HTTP/1.1 101 No\r\nContent-Length: 0\r\n\r\n",
+            UpstreamErrorKind::Protocol,
+        ),
+        (
+            "HTTP/1.1 600 No\r\nContent-Length: 0\r\n\r\n",
+            UpstreamErrorKind::Protocol,
+        ),
+        (
+            "HTTP/1.1 999 No\r\nContent-Length: 0\r\n\r\n",
+            UpstreamErrorKind::Protocol,
+        ),
+    ] {
+        let upstreams = HttpUpstreams::new(&timing());
+        let call = release_call(KEY, LONG_TIMEOUT);
+        let address = serve_raw(answer).await;
+        let e = upstreams.call(&target(address), &call).await.unwrap_err();
+        assert_eq!((e.kind, e.sent), (kind, Maybe), "{answer}");
+    }
+}
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -216,6 +216,7 @@
             data_folder: None,
             operator_token_sha256: Some(hash("operator-token")),
             cloud_address: None,
+            machine: None,
             limits: options.limits,
             timing: options.timing,
         };
