--- a/tests/policy_pace.rs
+++ b/tests/policy_pace.rs
@@ -11,6 +11,7 @@
     },
     wire::{ObservedPace, PaceReport},
 };
+use prost::Message;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 /// Requests that a test upstream serves at once.
@@ -385,6 +386,31 @@
     );
 }
 
+/// The size that the messages are bounded for: docs/design/PACES.md states 12 replies of at most 8 KB.
+#[test]
+fn three_thousand_speeds_are_told_in_small_replies() {
+    let mut paces = Paces::default();
+    let work = |upstream: usize| WORK.mul_f64(if upstream % 2 == 0 { 0.5 } else { 2.0 });
+    let observed = (0..3000).map(|upstream| {
+        let mut sums = PaceSums::default();
+        (0..50).for_each(|_| sums.record(work(upstream), 0.5));
+        ObservedPace::new(format!("i-0123456789abc-{upstream:04}"), &sums)
+    });
+    let report = PaceReport {
+        service: "chat".into(),
+        upstreams: observed.collect(),
+    };
+    let changes = paces.handle_report(INTERVAL, &[report]);
+    assert_eq!(changes.len(), 3000);
+    let (mut held, mut replies, mut told) = (0, 0, 0);
+    while let Some(table) = paces.changes_since(held) {
+        assert_eq!(table.is_delta, replies > 0);
+        assert!(table.encoded_len() <= 8192, "{}", table.encoded_len());
+        (held, replies, told) = (table.version, replies + 1, told + table.rows.len());
+    }
+    assert_eq!((replies, told), (12, 3000));
+}
+
 #[test]
 fn sums_that_no_request_makes_are_ignored() {
     let mut paces = Paces::default();
