Share a service's scarce room fairly among accounts

Cause: a gateway with few requests a second never sees three waits within 300 ms, so it sheds nothing; and what is shed is taken from all accounts alike. Change: the level follows the outlook and the waits of the last second; the leader adds up the demand of all gateways, and the account beyond its share is refused first, before its body is read.

--- a/src/ingress/follow.rs
+++ b/src/ingress/follow.rs
@@ -220,10 +220,7 @@
         let leader = self.core.controllers.leader();
         let may_lead = leader.is_none_or(|leader| leader == name);
         let rooms = match shares_room && may_lead {
-            true => self.core.room.report(|service| {
-                let (level, _) = self.core.upstreams.overload(service, Instant::now());
-                level
-            }),
+            true => self.core.room.report(),
             false => Vec::new(),
         };
         FollowRequest {
--- a/src/ingress/forward/mod.rs
+++ b/src/ingress/forward/mod.rs
@@ -282,6 +282,8 @@
         if self.route.class.is_stream() && resume_after.is_none() {
             let (upstreams, target) = (&self.core.upstreams, self.route.target);
             upstreams.record_first_wait(&self.service, waited, target, self.new_tokens());
+            let room = &self.core.room;
+            room.record_first_wait(&self.service, waited, target);
         }
         Ok(accepted)
     }
--- a/src/ingress/room.rs
+++ b/src/ingress/room.rs
@@ -14,7 +14,7 @@
     domain::{AccountName, Route, RouteIndex, ServiceName},
     policy::{
         pace::Outlook,
-        room::{self, AccountDemand, Demand, DemandMeter, Pressure},
+        room::{self, AccountDemand, Demand, DemandMeter, Pressure, View},
         route::RouteRequest,
     },
     ports::{Clock, Platform, RequestMetadata},
@@ -23,8 +23,8 @@
 };
 
 /// Lease of the sums of all gateways' demand, counted from the sending of the request that they answer. It
-/// covers the election of a leader.
-const SUMS_LEASE: Duration = Duration::from_secs(3);
+/// covers two polls; older sums would protect an account that has begun to ask for more.
+const SUMS_LEASE: Duration = Duration::from_secs(2);
 /// Time for which the outlook and the fractions of a service are reused, so that a refusal costs a look-up.
 const PLAN_MAX_AGE: Duration = Duration::from_millis(50);
 /// Least time between two log lines about the refusals of one account, or about one service.
@@ -140,16 +140,34 @@
         }
     }
 
+    /// Records how long a request waited for the first byte of its answer, given the route's target.
+    pub(super) fn record_first_wait(
+        &self,
+        service: &ServiceName,
+        wait: Duration,
+        target: Duration,
+    ) {
+        let now = self.started.elapsed();
+        if let Some(state) = self.services().get_mut(service) {
+            state.pressure.record_wait(wait, target, now);
+        }
+    }
+
+    fn mean_wait(&self, service: &ServiceName) -> Duration {
+        let services = self.services();
+        let state = services.get(service);
+        state.map_or(Duration::ZERO, |state| state.pressure.mean_wait())
+    }
+
     /// Returns this gateway's demand for each service, and the level of each.
-    /// Its own level for each service includes `shed`, which follows from the waits of earlier requests.
-    pub(super) fn report(&self, shed: impl Fn(&ServiceName) -> f64) -> Vec<ServiceRoom> {
+    pub(super) fn report(&self) -> Vec<ServiceRoom> {
         let now = self.started.elapsed();
         let mut services = self.services();
         let all = services.iter_mut().map(|(service, state)| {
             let demand = state.meter.demand(now);
             ServiceRoom {
                 service: service.to_string(),
-                level: shed(service).max(state.pressure.level()) as f32,
+                level: state.pressure.level(now) as f32,
                 admitted: demand.admitted as f32,
                 accounts: to_wire(demand.accounts),
             }
@@ -194,14 +212,12 @@
         largest.into_iter().collect()
     }
 
-    /// Decides whether there is room for a request that has `time_left`. Returns the cause if not. `shed` is the
-    /// level that follows from the waits of earlier requests.
+    /// Decides whether there is room for a request that has `time_left`. Returns the cause if not.
     fn check(
         &self,
         asked: &Asked,
         table: &RouteIndex,
         target: Duration,
-        shed: f64,
         outlook: impl FnOnce() -> Option<Outlook>,
         time_left: Duration,
     ) -> Result<(), Cause> {
@@ -218,7 +234,7 @@
             if let Some(outlook) = &outlook {
                 state.pressure.record(outlook, target, now);
             }
-            state.make_plan(&asked.service, table, shed, outlook, now);
+            state.make_plan(&asked.service, table, outlook, now);
         }
         if state.plan.level <= 0.0 {
             return Ok(());
@@ -258,17 +274,17 @@
         &mut self,
         service: &ServiceName,
         table: &RouteIndex,
-        shed: f64,
         outlook: Option<Outlook>,
         now: Duration,
     ) {
-        let own = shed.max(self.pressure.level());
+        let own = self.pressure.level(now);
         let sums = self.sums.as_ref().filter(|sums| now < sums.until);
-        let level = room::level(own, sums.map(|sums| sums.level));
-        let (demand, is_overall) = match sums {
-            Some(sums) => (sums.demand.clone(), true),
-            None => (self.meter.demand(now), false),
+        let view = View::choose(own, sums.map(|sums| sums.level));
+        let demand = match (view, sums) {
+            (View::Overall(_), Some(sums)) => sums.demand.clone(),
+            (View::Overall(_) | View::Own(_), _) => self.meter.demand(now),
         };
+        let level = view.level();
         let fractions = room::refused_fractions(&demand, |name| weight(table, name), level);
         let accounts = demand.accounts.into_iter().map(|held| held.account);
         self.plan = Plan {
@@ -276,7 +292,7 @@
             own_level: own,
             level,
             outlook,
-            is_overall,
+            is_overall: matches!(view, View::Overall(_)),
             refused: accounts
                 .zip(fractions)
                 .filter(|(_, fraction)| *fraction > 0.0)
@@ -366,7 +382,6 @@
         work: room::work_seconds(new_tokens, output, core.upstreams.prefill_speed(service)),
         rank: room::rank_with_time(rank, time_left, route.timeout),
     };
-    let (level, expected) = core.upstreams.overload(service, now);
     let outlook = || {
         let req = RouteRequest {
             zone: core.settings.zone.clone(),
@@ -380,12 +395,12 @@
         let upstreams = &core.upstreams;
         upstreams.outlook(service, &req, new_tokens, &eligible, now)
     };
-    let checked = room.check(&asked, table, route.target, level, outlook, time_left);
+    let checked = room.check(&asked, table, route.target, outlook, time_left);
     let Err(cause) = checked else {
         return Ok(Some(asked));
     };
     room.refused[cause as usize].increment();
-    let after = room::retry_after(expected, time_left, rand::random());
+    let after = room::retry_after(room.mean_wait(service), time_left, rand::random());
     Err(match cause {
         Cause::Hopeless => NotRun::Hopeless(after),
         Cause::OverShare | Cause::OverQuota => NotRun::OverShare(after),
--- a/src/ingress/upstreams.rs
+++ b/src/ingress/upstreams.rs
@@ -540,20 +540,6 @@
         meter.load_shedder.refuse(rank, rand::random(), now)
     }
 
-    /// Returns the level by which requests for a service are refused because others wait too long, from zero to
-    /// one, and the mean of their waits.
-    pub(super) fn overload(&self, service: &ServiceName, now: Instant) -> (f64, Duration) {
-        let mut meters = self.meters.lock().unwrap_or_else(PoisonError::into_inner);
-        let Some(meter) = meters.get_mut(service) else {
-            return (0.0, Duration::ZERO);
-        };
-        let now = now.duration_since(meter.started);
-        (
-            meter.load_shedder.level(now),
-            meter.load_shedder.mean_wait(),
-        )
-    }
-
     /// Returns what a request may expect of the best upstream now, or `None` if the service has none that accepts
     /// requests. The wait is that for the prompts which gateways announced.
     pub(super) fn outlook(
--- a/src/policy/overload.rs
+++ b/src/policy/overload.rs
@@ -8,9 +8,9 @@
 
 use std::time::Duration;
 
-/// Time constant of the exponential decay of the recorded waits: a few times a usual wait, and
-/// short compared with a burst.
-const DECAY_TIME: Duration = Duration::from_millis(300);
+/// Default time constant of the exponential decay of the recorded waits: a few times a usual wait,
+/// and short compared with a burst.
+const DEFAULT_DECAY_TIME: Duration = Duration::from_millis(300);
 /// Fraction of the target up to which a wait is acceptable. The rest covers what follows after the
 /// first byte has reached the gateway, and the time until refusals take effect.
 const ACCEPTABLE_WAIT_FRACTION: f64 = 0.5;
@@ -34,10 +34,11 @@
 
 /// Sheds load of one service at one gateway, from how long its requests wait for the first byte of
 /// their answers.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct LoadShedder {
+    decay_time: Duration,
     /// Number of first bytes, number of those that came too late, and the sum of their waits in
-    /// seconds, each with exponential decay over [`DECAY_TIME`].
+    /// seconds, each with exponential decay over `decay_time`.
     count: f64,
     long_count: f64,
     wait_seconds: f64,
@@ -47,7 +48,27 @@
     level_updated_at: Duration,
 }
 
+impl Default for LoadShedder {
+    fn default() -> Self {
+        Self::with_decay_time(DEFAULT_DECAY_TIME)
+    }
+}
+
 impl LoadShedder {
+    /// Makes one whose recorded waits decay with a time constant. A gateway with few requests needs
+    /// a long one: fewer than three waits tell nothing.
+    pub fn with_decay_time(decay_time: Duration) -> Self {
+        Self {
+            decay_time,
+            count: 0.0,
+            long_count: 0.0,
+            wait_seconds: 0.0,
+            level: 0.0,
+            decayed_at: Duration::ZERO,
+            level_updated_at: Duration::ZERO,
+        }
+    }
+
     /// Records the first byte of an answer, which a request with latency target `target` waited
     /// `wait` for.
     pub fn record_first_byte(&mut self, wait: Duration, target: Duration, now: Duration) {
@@ -104,7 +125,7 @@
 
     fn decay(&mut self, now: Duration) {
         let passed = now.saturating_sub(self.decayed_at).as_secs_f64();
-        let decay = (-passed / DECAY_TIME.as_secs_f64()).exp();
+        let decay = (-passed / self.decay_time.as_secs_f64()).exp();
         for sum in [
             &mut self.count,
             &mut self.long_count,
--- a/src/policy/room.rs
+++ b/src/policy/room.rs
@@ -5,12 +5,12 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use super::{max_min, pace::Outlook};
+use super::{max_min, overload::LoadShedder, pace::Outlook};
 use crate::domain::AccountName;
 
 /// Time constant of the moving average of an account's demand: some requests at a usual rate, and
 /// short compared with a burst.
-const DEMAND_AVERAGING_TIME: Duration = Duration::from_secs(2);
+const DEMAND_AVERAGING_TIME: Duration = Duration::from_secs(1);
 /// Demand below which an account is forgotten, in seconds of an engine per second.
 const MIN_DEMAND: f64 = 1e-6;
 /// Most accounts whose demand is kept for a service; those with the least are forgotten.
@@ -25,8 +25,8 @@
 const MIN_KEPT_FRACTION: f64 = 0.15;
 /// Largest probability with which a request is refused, so that no kind of request is shut out.
 const MAX_REFUSAL_PROBABILITY: f64 = 0.98;
-/// Most by which the level of one gateway differs from the mean of all. A gateway sees few
-/// requests, and those that wait there may wait because of an account that it does not serve.
+/// Most by which the level of one gateway differs from the mean of all while it refuses by the sums
+/// of all. Beyond, the load has risen since the sums were made.
 const MAX_LEVEL_DIFFERENCE: f64 = 0.4;
 /// Wait for the first event that is expected at the best upstream, as a fraction of the target,
 /// from which requests are refused; the rest covers that not all get the best one.
@@ -43,6 +43,9 @@
 /// Fraction of the work admitted lately within which an account's share is never refused; the rest
 /// covers that the averages lag.
 const PROTECTED_FRACTION: f64 = 0.9;
+/// Time constant of the decay of the waits of earlier requests: a few requests at a gateway that
+/// serves few of them.
+const WAIT_DECAY_TIME: Duration = Duration::from_secs(1);
 /// Whole parts into which demand and weights are scaled for the division.
 const SCALE: f64 = 1e6;
 /// Shortest retry delay; a service that is scarce stays so for about that long.
@@ -144,18 +147,41 @@
     }
 }
 
-/// Follows how long requests are expected to wait against their targets, from the outlook at the
-/// best upstream. It rises before the first answer is late, also at a gateway with few requests.
-#[derive(Clone, Copy, Debug, Default)]
+/// Follows how long requests wait against their targets: those answered, and those to come, from the
+/// outlook at the best upstream. The outlook rises before the first answer is late, also at a gateway
+/// with few requests; the answers show what it misses.
+#[derive(Clone, Debug)]
 pub struct Pressure {
     /// Expected wait as a fraction of the target.
     fraction: f64,
     /// The part of the level that lasts, which follows the excess of the demand.
     lasting: f64,
     updated_at: Duration,
+    answered: LoadShedder,
+}
+
+impl Default for Pressure {
+    fn default() -> Self {
+        Self {
+            fraction: 0.0,
+            lasting: 0.0,
+            updated_at: Duration::ZERO,
+            answered: LoadShedder::with_decay_time(WAIT_DECAY_TIME),
+        }
+    }
 }
 
 impl Pressure {
+    /// Records how long a request waited for the first byte of its answer.
+    pub fn record_wait(&mut self, wait: Duration, target: Duration, now: Duration) {
+        self.answered.record_first_byte(wait, target, now);
+    }
+
+    /// Returns the mean of the recent waits.
+    pub fn mean_wait(&self) -> Duration {
+        self.answered.mean_wait()
+    }
+
     /// Records what a request with latency target `target` may expect.
     pub fn record(&mut self, outlook: &Outlook, target: Duration, now: Duration) {
         let passed = now.saturating_sub(self.updated_at);
@@ -171,21 +197,41 @@
 
     /// Returns the level that follows: zero while the expected waits are short, one if no request
     /// would be in time.
-    pub fn level(&self) -> f64 {
+    pub fn level(&mut self, now: Duration) -> f64 {
         let above = self.fraction - SCARCE_WAIT_FRACTION;
         let present = (above / (FULL_WAIT_FRACTION - SCARCE_WAIT_FRACTION)).max(0.0);
-        (present + self.lasting).clamp(0.0, 1.0)
+        let expected = (present + self.lasting).clamp(0.0, 1.0);
+        expected.max(self.answered.level(now))
     }
 }
 
-/// Returns the level by which a gateway refuses, from its own one and the mean of all gateways, if
-/// that is known. Zero refuses nothing, one the most.
-pub fn level(own: f64, mean: Option<f64>) -> f64 {
-    let level = match mean {
-        Some(mean) => own.clamp(mean - MAX_LEVEL_DIFFERENCE, mean + MAX_LEVEL_DIFFERENCE),
-        None => own,
-    };
-    level.clamp(0.0, 1.0)
+/// What a gateway refuses by.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum View {
+    /// The demand of all gateways, at this level.
+    Overall(f64),
+    /// The demand at this gateway, at this level.
+    Own(f64),
+}
+
+impl View {
+    /// Chooses the view from a gateway's own level and the mean level of all gateways, if their sums
+    /// are known. Levels are from zero, which refuses nothing, to one.
+    pub fn choose(own: f64, mean: Option<f64>) -> Self {
+        match mean {
+            // The sums are older than the load.
+            Some(mean) if own > mean + MAX_LEVEL_DIFFERENCE => Self::Own(own.min(1.0)),
+            Some(mean) => Self::Overall(own.max(mean - MAX_LEVEL_DIFFERENCE).clamp(0.0, 1.0)),
+            None => Self::Own(own.clamp(0.0, 1.0)),
+        }
+    }
+
+    /// Returns the level.
+    pub fn level(self) -> f64 {
+        match self {
+            Self::Overall(level) | Self::Own(level) => level,
+        }
+    }
 }
 
 /// Returns the fraction of each account's work to refuse at a level, in the order of the accounts.
