Do not take the failures of an upstream for its speed

Cause: the wait for a plain response counted whatever its status, so that a server that fails at once was learned as the fastest and got more requests.

Change: only successful responses count.

--- a/src/ingress/forward/mod.rs
+++ b/src/ingress/forward/mod.rs
@@ -267,7 +267,8 @@
         in_flight.record_first_byte();
         let longest = self.response_targets().max_silence();
         in_flight.record_wait(Awaited::First, waited.min(longest));
-        if !self.route.class.is_stream() {
+        // A failure is often faster than any work.
+        if !self.route.class.is_stream() && accepted.head.status.is_success() {
             in_flight.record_service_time(waited);
         }
         // Only requests for engines are refused because of the waits of others.
--- a/tests/platform_paces.rs
+++ b/tests/platform_paces.rs
@@ -202,6 +202,29 @@
     }
 }
 
+/// A server that fails at once is not a fast one.
+#[tokio::test(flavor = "multi_thread")]
+async fn failures_do_not_count_as_speed() {
+    let prepared = PreparedInstallation::prepare(1, 2, |server, _| match server {
+        0 => ServerAction::Respond(StatusCode::INTERNAL_SERVER_ERROR, Vec::new()),
+        _ => ServerAction::RespondAfter(Duration::from_millis(40)),
+    })
+    .await;
+    prepared.learn_paces();
+    let installation = Installation::start_prepared(prepared).await;
+    installation.publish(&document(1)).await;
+    // Longer than two reports and two estimates take.
+    let end = Instant::now() + Duration::from_secs(10);
+    let mut turn = 0;
+    while Instant::now() < end {
+        let id = format!("turn-{turn}");
+        turn += 1;
+        installation.send(Method::POST, "/once/x", &id, "").await;
+    }
+    assert!(turn > 100, "{turn}");
+    assert_eq!(spread(&installation.metrics[1]), 1.0);
+}
+
 /// One server of two works four times as long: it gets fewer requests once that is learned, and still some.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_slow_server_gets_fewer_requests_and_still_some() {
