Give the experiment's candidates a pace

Cause: candidates of routing have a pace, and the example did not set it. Change: the usual pace. A test says is_multiple_of as the linter asks.

--- a/examples/experiment/gateway.rs
+++ b/examples/experiment/gateway.rs
@@ -6,6 +6,7 @@
     domain::Priority,
     policy::{
         admit::AdmitRequest,
+        pace::Pace,
         prefix::{Prefix, PrefixIndex},
         retry::RetryBudget,
         route::{Candidate, Report},
@@ -107,6 +108,7 @@
                     in_progress: known.in_progress,
                     cached_tokens: known.cached_tokens(now, prompt, event_age),
                     prefill_wait: Duration::ZERO,
+                    pace: Pace::default(),
                     is_behind_gateway: false,
                     suspect: known.suspect_until > now,
                 };
--- a/tests/policy_pace.rs
+++ b/tests/policy_pace.rs
@@ -390,7 +390,7 @@
 #[test]
 fn three_thousand_speeds_are_told_in_small_replies() {
     let mut paces = Paces::default();
-    let work = |upstream: usize| WORK.mul_f64(if upstream % 2 == 0 { 0.5 } else { 2.0 });
+    let work = |upstream: usize| WORK.mul_f64(if upstream.is_multiple_of(2) { 0.5 } else { 2.0 });
     let observed = (0..3000).map(|upstream| {
         let mut sums = PaceSums::default();
         (0..50).for_each(|_| sums.record(work(upstream), 0.5));
