--- a/src/policy/room.rs
+++ b/src/policy/room.rs
@@ -30,10 +30,10 @@
 const MAX_LEVEL_DIFFERENCE: f64 = 0.4;
 /// Wait for the first event that is expected at the best upstream, as a fraction of the target,
 /// from which requests are refused; the rest covers that not all get the best one.
-const SCARCE_WAIT_FRACTION: f64 = 0.25;
+const SCARCE_WAIT_FRACTION: f64 = 0.15;
 /// That fraction of the target at which the level is highest; at upstreams that are not the best no
 /// request would be in time.
-const FULL_WAIT_FRACTION: f64 = 0.75;
+const FULL_WAIT_FRACTION: f64 = 0.5;
 /// Change per second of the lasting part of the level, for an expected wait of one target more.
 const PRESSURE_GAIN_PER_SECOND: f64 = 2.0;
 /// Longest time between two outlooks that counts for that change.
@@ -188,7 +188,9 @@
         let step = passed.min(MAX_PRESSURE_STEP).as_secs_f64() * PRESSURE_GAIN_PER_SECOND;
         let passed = passed.as_secs_f64();
         let old = (-passed / PRESSURE_AVERAGING_TIME.as_secs_f64()).exp();
-        let fraction = outlook.first.as_secs_f64() / target.as_secs_f64().max(1e-3);
+        // A long prompt at an idle upstream takes its time although nothing is scarce.
+        let wait = (outlook.first.as_secs_f64() - outlook.work_seconds).max(0.0);
+        let fraction = wait / target.as_secs_f64().max(1e-3);
         self.fraction = self.fraction * old + fraction * (1.0 - old);
         let above = self.fraction - SCARCE_WAIT_FRACTION;
         self.lasting = (self.lasting + above * step).clamp(0.0, 1.0);
--- a/tests/controller_followers.rs
+++ b/tests/controller_followers.rs
@@ -6,8 +6,9 @@
     controller::followers::Followers,
     policy::speed::PrefillStats,
     wire::{
-        AccountCount, FollowRequest, IngressRecord, ListVersion, QuotaValue, ReserveRequest,
-        Roster, ServiceLoad, UpstreamLimitReport, UpstreamRow, WindowCount,
+        AccountCount, AccountWork, FollowRequest, IngressRecord, ListVersion, QuotaValue,
+        ReserveRequest, Roster, ServiceLoad, ServiceRoom, UpstreamLimitReport, UpstreamRow,
+        WindowCount,
     },
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -590,3 +591,28 @@
         assert_eq!(delay_of(&leave("g1")), leave_delay);
     }
 }
+
+#[test]
+fn the_demand_of_all_gateways_is_added_up_and_that_of_silent_ones_ends() {
+    let mut followers = Followers::new(Duration::from_secs(1));
+    let reporting = |name: &str, work, level| FollowRequest {
+        rooms: vec![ServiceRoom {
+            service: "engines".into(),
+            level,
+            admitted: work,
+            accounts: vec![AccountWork {
+                account: "depot".into(),
+                work,
+            }],
+        }],
+        ..follow(name, true, 0.0)
+    };
+    followers.handle_follow(at(0), &reporting("a", 3.0, 1.0));
+    followers.handle_follow(at(2000), &reporting("b", 1.0, 0.0));
+    let sums = followers.rooms(at(2500));
+    assert_eq!((sums[0].level, sums[0].admitted), (0.75, 4.0));
+    assert_eq!(sums[0].accounts[0].work, 4.0);
+    // The gateway that is silent counts no more.
+    let sums = followers.rooms(at(3500));
+    assert_eq!((sums[0].level, sums[0].admitted), (0.0, 1.0));
+}
