Roll-outs: slow answers of servers that just started are no verdict

A version whose servers were in their cold start looked slow beside warm ones. While any of them is cold, waits are not weighed and the service is not handed over.

--- a/src/controller/rollouts.rs
+++ b/src/controller/rollouts.rs
@@ -335,7 +335,7 @@
             log::info!(
                 event = "rollout.share", service = service, target = target, stage:? = stage,
                 share = running.rollout.share(), age_ms = millis(age), requests = requests,
-                exposed = exposed, slots_old = slots.old, slots_new = slots.new;
+                exposed = exposed, slots_old = slots.old, slots_new = slots.new, slots_cold = slots.cold;
                 "controller: the share of a roll-out changes"
             );
         }
@@ -376,10 +376,12 @@
         if row.service != service || row.leaving || row.reported_leaving {
             continue;
         }
-        match row.software == target {
-            true => slots.new += u64::from(row.slots),
-            false => slots.old += u64::from(row.slots),
-        }
+        let count = match (row.software == target, row.cold_left_ms) {
+            (false, _) => &mut slots.old,
+            (true, 0) => &mut slots.new,
+            (true, _) => &mut slots.cold,
+        };
+        *count += u64::from(row.slots);
     }
     slots
 }
@@ -425,7 +427,7 @@
             return Ok(());
         }
         let slots = count_slots(core.followers().upstream_list().rows(), service, target);
-        if slots.old == 0 && slots.new > 0 {
+        if slots.old == 0 && slots.new + slots.cold > 0 {
             return Err(RolloutError::Invalid(
                 "all servers of the service run the target already",
             ));
--- a/src/policy/rollout.rs
+++ b/src/policy/rollout.rs
@@ -178,6 +178,8 @@
     pub old: u64,
     /// Slots of the target.
     pub new: u64,
+    /// Slots of the target's servers that are still slow after their start, which are not among the others.
+    pub cold: u64,
 }
 
 /// What a gateway may send to the target.
@@ -449,7 +451,7 @@
     pub fn decide(&mut self, now: Duration, slots: Slots) -> Decision {
         let grant_from = *self.grant_from.get_or_insert(now + self.bounds.lease());
         if now >= self.window_since + WINDOW
-            && let Some(reason) = self.close_window(now)
+            && let Some(reason) = self.close_window(now, slots)
         {
             return Decision::RollBack(reason);
         }
@@ -491,7 +493,8 @@
             Stage::Trial(step) if step + 1 < SMALL_SHARES.len() => Some(Stage::Trial(step + 1)),
             Stage::Trial(_) => {
                 let is_tried = now >= self.duration.mul_f64(MIN_TRIAL) && self.has_evidence();
-                (is_tried && self.can_carry(slots)).then(|| self.first_hand_over(now))
+                let is_warm = slots.cold == 0;
+                (is_tried && is_warm && self.can_carry(slots)).then(|| self.first_hand_over(now))
             }
             Stage::HandingOver(_) => self.can_carry(slots).then_some(Stage::Draining),
             Stage::Held | Stage::Draining => None,
@@ -571,8 +574,9 @@
         sums
     }
 
-    /// Weighs what was reported in a window, and returns why the version is bad, if it is.
-    fn close_window(&mut self, now: Duration) -> Option<Reason> {
+    /// Weighs what was reported in a window, and returns why the version is bad, if it is. While servers of the target are slow
+    /// after their start, slow answers say nothing.
+    fn close_window(&mut self, now: Duration, slots: Slots) -> Option<Reason> {
         self.window_length = now.saturating_sub(self.window_since).max(WINDOW);
         self.window_since = now;
         for gateway in self.gateways.values_mut() {
@@ -589,6 +593,9 @@
             all.new.add_unclassed(&window.new);
             let evidence = self.evidence.entry(route.clone()).or_default();
             evidence.weigh(&window);
+            if slots.cold > 0 {
+                evidence.slow = 0.0;
+            }
             if evidence.failures >= BAD_SCORE {
                 verdict = Some(Reason::Failures(route.clone()));
             } else if evidence.slow >= BAD_SCORE {
