--- a/src/adapters/http/connection.rs
+++ b/src/adapters/http/connection.rs
@@ -17,7 +17,10 @@
     time::{Instant, timeout},
 };
 
-use super::tracked_stream::{RequestProgress, TrackedStream};
+use super::{
+    client::protocol_error,
+    tracked_stream::{RequestProgress, TrackedStream},
+};
 use crate::ports::{Dialer, Sent, UpstreamError, UpstreamErrorKind};
 
 /// Idle time after which a connection is not reused.
@@ -29,6 +32,10 @@
 /// nothing of it is read.
 const REST_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Size of the read buffer, in bytes. It bounds the head of a response, and what a connection holds of a body while its caller
+/// reads nothing.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
+
 /// An open HTTP/1.1 connection.
 #[derive(Debug)]
 pub(super) struct Connection {
@@ -44,7 +51,10 @@
         io: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
     ) -> hyper::Result<Self> {
         let (io, progress) = TrackedStream::new(io);
-        let (mut sender, connection) = http1::handshake(TokioIo::new(io)).await?;
+        let (mut sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(io))
+            .await?;
         let task = tokio::spawn(async move {
             // The exchange reports the error as well, and an idle connection that ends is not an error.
             let _ = connection.await;
@@ -88,6 +98,11 @@
         self.progress.borrow().answered_early
     }
 
+    /// Returns whether the kernel, or the tunnel, has taken all bytes of the last request.
+    pub(super) fn has_written(&self) -> bool {
+        self.progress.borrow().written
+    }
+
     /// Waits a bounded time until the connection can accept a request after a complete exchange; returns false if it
     /// cannot.
     pub(super) async fn wait_until_ready(&mut self) -> bool {
@@ -139,6 +154,9 @@
                             e.error()
                         ),
                     ),
+                    None if e.error().is_parse() => {
+                        protocol_error(format!("the answer is not HTTP: {}", e.error()))
+                    }
                     None => UpstreamError::new(
                         UpstreamErrorKind::Cut,
                         Sent::Maybe,
--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -24,8 +24,8 @@
 
 pub use caller::CallerBody;
 pub(crate) use client::{
-    Client, Exchange, FullResponse, PooledConnection, Reuse, Way, cut_error, get_request,
-    post_request,
+    Client, Exchange, FullResponse, PooledConnection, Reuse, UNREAD_REQUEST, Way, cut_error,
+    get_request, is_final_status, post_request,
 };
 pub use cloud::HttpCloud;
 pub(crate) use early_end::no_observer;
@@ -34,7 +34,6 @@
 pub(crate) use json_items::read_json_items;
 pub use memory::RequestMemory;
 pub(crate) use memory::{BodyLimits, CollectError};
-pub(crate) use panics::call_catching_panics;
 pub(crate) use server::{EndsWithConnection, RespondBy};
 pub use server::{ServerOptions, serve};
 pub use upstreams::HttpUpstreams;
--- a/src/ingress/upstreams.rs
+++ b/src/ingress/upstreams.rs
@@ -600,7 +600,7 @@
         let reading = |tokens: u32| match (tokens, known_speed) {
             (0, _) => Some(Duration::ZERO),
             (_, None) => None,
-            (_, Some(speed)) => Some(Duration::from_secs_f64(f64::from(tokens) / speed)),
+            (_, Some(speed)) => Duration::try_from_secs_f64(f64::from(tokens) / speed).ok(),
         };
         let usable: Vec<_> = available(all, eligible, &gateways, now).collect();
         let slots = usable.iter().map(|upstream| upstream.slots()).max()?;
@@ -722,20 +722,6 @@
         meter.load_shedder.refuse(rank, rand::random(), now)
     }
 
-    /// Returns the level by which requests for a service are refused because others wait too long, from zero to
-    /// one, and the mean of their waits.
-    pub(super) fn overload(&self, service: &ServiceName, now: Instant) -> (f64, Duration) {
-        let mut meters = self.meters.lock().unwrap_or_else(PoisonError::into_inner);
-        let Some(meter) = meters.get_mut(service) else {
-            return (0.0, Duration::ZERO);
-        };
-        let now = now.duration_since(meter.started);
-        (
-            meter.load_shedder.level(now),
-            meter.load_shedder.mean_wait(),
-        )
-    }
-
     /// Returns this gateway's use of each service.
     pub(super) fn service_loads(&self, now: Instant) -> Vec<ServiceLoad> {
         let services = self.services.load();
