Keep strained gateways from taking others out of the addresses that callers get

Cause: the number of addresses of an answer was rounded down, so one gateway that announced less took each other one out of some answers, and callers leave connections to addresses that a newer answer lacks. Found by a review. Change: each gateway is in an answer with its capacity as a part of the largest one, so the largest are in all; the number of addresses varies by one. Conclusion: fleets of equal gateways keep all of them in all answers, also while one is strained.

--- a/src/policy/capacity.rs
+++ b/src/policy/capacity.rs
@@ -125,7 +125,8 @@
 
     /// Returns what is left of a rated capacity.
     pub fn apply(&self, rated: u32) -> u32 {
-        (rated * self.level / LEVELS).max(1)
+        let left = u64::from(rated) * u64::from(self.level) / u64::from(LEVELS);
+        u32::try_from(left).unwrap_or(u32::MAX).max(1)
     }
 
     fn set_level(&mut self, level: u32, now: Duration) {
@@ -140,8 +141,9 @@
 /// caller may use, zero if unknown; `most` bounds the answer, and `draw` is a random number, uniform between zero and one.
 ///
 /// Callers pick an address of the answer with equal chances. Each gateway is in the answer with a probability in proportion
-/// to its capacity, the largest in nearly all, so that the expected share of callers follows the capacities. An answer holds at least
-/// [`MIN_ADDRESSES`]. Equal capacities give the first `most` gateways.
+/// to its capacity, the largest in all, so that the expected share of callers follows the capacities and a gateway that is
+/// strained takes no other one out of answers. An answer holds at least [`MIN_ADDRESSES`]. Equal capacities give the first
+/// `most` gateways.
 pub fn draw(capacities: &[u32], most: usize, draw: f64) -> Vec<usize> {
     let count = capacities.len();
     let weights = weights(capacities);
@@ -150,12 +152,17 @@
     if is_equal || count <= MIN_ADDRESSES {
         return (0..count.min(most)).collect();
     }
-    let sum: f64 = weights.iter().sum();
-    let size = ((sum / largest) as usize).clamp(MIN_ADDRESSES, count);
-    let probabilities = inclusion_probabilities(&weights, size.min(most));
+    // The largest ones are in every answer, unless that would be too short or too long.
+    let sum = weights.iter().sum::<f64>() / largest;
+    let least = MIN_ADDRESSES.min(most);
+    let probabilities = match sum {
+        short if short < least as f64 => inclusion_probabilities(&weights, least),
+        long if long > most as f64 => inclusion_probabilities(&weights, most),
+        _ => weights.iter().map(|weight| weight / largest).collect(),
+    };
     // Systematic sampling: the gateways whose parts of the line hold `draw` plus an integer.
     let mut end = 0.0;
-    let mut drawn = Vec::with_capacity(size);
+    let mut drawn = Vec::new();
     for (index, probability) in probabilities.into_iter().enumerate() {
         let begin: f64 = end;
         end += probability;
