End a service's pressure as soon as room has come back

Cause: the lasting part of the level fell by a quarter of what it rose by, and an idle time counted for 200 ms only, so the first request after a spike and seconds of silence met idle engines and was refused. Found by a review. Change: the step is capped only while the level rises, and with nothing to wait for it falls as fast as it rises at a wait of one target. Conclusion: an idle service refuses nothing.

--- a/src/policy/room.rs
+++ b/src/policy/room.rs
@@ -34,7 +34,7 @@
 /// That fraction of the target at which the level is highest; at upstreams that are not the best no
 /// request would be in time.
 const FULL_WAIT_FRACTION: f64 = 0.5;
-/// Change per second of the lasting part of the level, for an expected wait of one target more.
+/// Change per second of the lasting part of the level, for an expected wait of one target more, or of none at all.
 const PRESSURE_GAIN_PER_SECOND: f64 = 2.0;
 /// Longest time between two outlooks that counts for that change.
 const MAX_PRESSURE_STEP: Duration = Duration::from_millis(200);
@@ -185,15 +185,19 @@
     /// Records what a request with latency target `target` may expect.
     pub fn record(&mut self, outlook: &Outlook, target: Duration, now: Duration) {
         let passed = now.saturating_sub(self.updated_at);
-        let step = passed.min(MAX_PRESSURE_STEP).as_secs_f64() * PRESSURE_GAIN_PER_SECOND;
-        let passed = passed.as_secs_f64();
-        let old = (-passed / PRESSURE_AVERAGING_TIME.as_secs_f64()).exp();
+        let old = (-passed.as_secs_f64() / PRESSURE_AVERAGING_TIME.as_secs_f64()).exp();
         // A long prompt at an idle upstream takes its time although nothing is scarce.
         let wait = (outlook.first.as_secs_f64() - outlook.work_seconds).max(0.0);
         let fraction = wait / target.as_secs_f64().max(1e-3);
         self.fraction = self.fraction * old + fraction * (1.0 - old);
+        // An idle time raises nothing in one step, but all of it counts as time in which room came back.
         let above = self.fraction - SCARCE_WAIT_FRACTION;
-        self.lasting = (self.lasting + above * step).clamp(0.0, 1.0);
+        let (excess, step) = match above > 0.0 {
+            true => (above, passed.min(MAX_PRESSURE_STEP)),
+            false => (above / SCARCE_WAIT_FRACTION, passed),
+        };
+        let change = excess * step.as_secs_f64() * PRESSURE_GAIN_PER_SECOND;
+        self.lasting = (self.lasting + change).clamp(0.0, 1.0);
         self.updated_at = self.updated_at.max(now);
     }
 
--- a/tests/policy_room.rs
+++ b/tests/policy_room.rs
@@ -499,3 +499,27 @@
     );
     assert!(refusal_probability(0.4, returned, 1.0) < refusal_probability(0.4, new, 1.0));
 }
+
+#[test]
+fn pressure_ends_when_room_has_come_back() {
+    let target = Duration::from_millis(500);
+    let outlook = |wait_ms| Outlook {
+        first: Duration::from_millis(wait_ms),
+        pause: Duration::ZERO,
+        work_seconds: 0.0,
+    };
+    let mut pressure = Pressure::default();
+    let mut now = Duration::ZERO;
+    for _ in 0..40 {
+        now += Duration::from_millis(50);
+        pressure.record(&outlook(500), target, now);
+    }
+    assert!(pressure.level(now) > 0.9, "no request would be in time");
+    now += Duration::from_secs(5);
+    pressure.record(&outlook(0), target, now);
+    let level = pressure.level(now);
+    assert_eq!(
+        level, 0.0,
+        "the first request after an idle time finds room"
+    );
+}
