Roll-outs: an end holds only while it is true, and a lone version serves

Cause, from a review: 1. An end that could not be committed was kept, so a Completed was proposed as soon as the controller led again, although old servers served everything by then. 2. With no gateway heard, and with one silent for 1.5 to 3 s whose lease had ended, the old servers counted as idle. 3. A gateway out of touch for over 30 s across the end was never told Completed and kept refusing the target. 4. A service whose every server runs an excluded target had no upstream; an order before the leader's list was read was checked against an empty one. 5. The age of an order followed steps of the wall clock. 6. A request that went elsewhere was taken off the count of whichever order was held by then, which could wrap; sums of what gateways report could overflow.

Change: the undecided end is cleared while not leading and after a Completed that was not committed; idle needs a counted gateway, each heard within half the lease; ends are told whatever their age; the target serves where no listed server of another version stays, and such requests of a running order count as exposed; 503 while the list of the term is unread; the wall clock is read once for an order; the count is corrected at the order that took it; sums saturate.

--- a/src/controller/rollouts.rs
+++ b/src/controller/rollouts.rs
@@ -26,8 +26,6 @@
 
 /// Interval between two decisions; several of them fall into each window in which versions are compared.
 const DECISION_INTERVAL: Duration = Duration::from_millis(100);
-/// Time after a completed roll-out for which gateways are told of it: the platform lists the old servers for seconds.
-const COMPLETED_TOLD: Duration = Duration::from_secs(30);
 /// Time in which an operator may send an order again whose acknowledgement was lost.
 const REPEAT_TIME: Duration = Duration::from_secs(10);
 /// Longest duration of an order.
@@ -43,6 +41,9 @@
     /// Roll-outs are not set up.
     #[error("roll-outs are not set up; set ingress.rollout")]
     Off,
+    /// The leader has not read the platform's list yet, without which nobody can tell whether the order can be carried out.
+    #[error("the list of upstreams was not read yet; send the order again")]
+    ListUnread,
     /// The order can't be carried out.
     #[error("the order is not valid: {0}")]
     Invalid(&'static str),
@@ -72,12 +73,16 @@
     rollout: Rollout,
     /// The end that was decided and is not committed yet.
     end: Option<RolloutState>,
+    /// Time from the order until this controller learned of it, by the wall clock.
+    learned_age: Duration,
+    /// When it learned of it, by the monotonic clock.
+    learned: Duration,
 }
 
 impl Running {
-    /// Returns the time since the order.
-    fn age(&self, unix_ms: u64) -> Duration {
-        Duration::from_millis(unix_ms.saturating_sub(self.order.started_unix_ms))
+    /// Returns the time since the order. The wall clock may step by seconds, so it is read only once.
+    fn age(&self, now: Duration) -> Duration {
+        self.learned_age + now.saturating_sub(self.learned)
     }
 }
 
@@ -91,6 +96,7 @@
     fn update<'a>(
         &mut self,
         limits: &RolloutLimits,
+        clock: &impl Clock,
         orders: impl Iterator<Item = &'a RolloutOrder>,
     ) {
         let is_running = |order: &&RolloutOrder| order.state() == RolloutState::Running;
@@ -102,10 +108,13 @@
         for (index, order) in orders {
             self.running.entry(index).or_insert_with(|| {
                 let duration = Duration::from_millis(order.order.duration_ms);
+                let learned_ms = clock.unix_ms().saturating_sub(order.started_unix_ms);
                 Running {
                     order: order.clone(),
                     rollout: Rollout::new(limits.bounds(), duration),
                     end: None,
+                    learned_age: Duration::from_millis(learned_ms),
+                    learned: clock.monotonic(),
                 }
             });
         }
@@ -148,10 +157,10 @@
     if follow.rollouts.is_empty() {
         return;
     }
-    let now = core.clock.unix_ms();
+    let now = core.now();
     let state = core.log.state();
     let mut rollouts = core.rollouts();
-    rollouts.update(&limits, state.rollouts().iter());
+    rollouts.update(&limits, &*core.clock, state.rollouts().iter());
     for report in &follow.rollouts {
         if let Some(running) = rollouts.running.get_mut(&report.order) {
             let age = running.age(now);
@@ -205,17 +214,13 @@
             },
         }
     };
-    let told = |order: &&RolloutOrder| match order.state() {
-        RolloutState::Completed => now.saturating_sub(order.ended_unix_ms) < millis(COMPLETED_TOLD),
-        RolloutState::Running | RolloutState::RolledBack => true,
-    };
-    // Leases are renewed with every reply; ends are told once.
+    // Leases are renewed with every reply; ends are told once, also late, to gateways that were out of touch.
     if index == 0 || (version == held && rollouts.running.is_empty()) {
         return None;
     }
     Some(RolloutNews {
         version,
-        rollouts: state.rollouts().iter().filter(told).map(record).collect(),
+        rollouts: state.rollouts().iter().map(record).collect(),
     })
 }
 
@@ -260,19 +265,23 @@
 impl<T: Clock> Worker<T> {
     async fn run_round(&self) {
         let leads = self.core.leads();
-        let now = self.core.clock.unix_ms();
+        let now = self.core.now();
         let ends = {
             let followers = self.core.followers();
             let rows = followers.upstream_list().rows();
             let state = self.core.log.state();
             let mut rollouts = self.core.rollouts();
-            rollouts.update(&self.limits, state.rollouts().iter());
+            rollouts.update(&self.limits, &*self.core.clock, state.rollouts().iter());
             let before = rollouts.changes;
             let RunningRollouts { running, changes } = &mut *rollouts;
             for running in running.values_mut() {
                 match leads {
                     true => decide(running, changes, rows, now),
-                    false => running.rollout.follow(),
+                    false => {
+                        // An end that was not committed may hold no more when this controller leads again.
+                        running.end = None;
+                        running.rollout.follow();
+                    }
                 }
             }
             let is_changed = rollouts.changes != before;
@@ -310,19 +319,27 @@
                     }
                 }
             }
-            Err(e) => log::warn!(
-                event = "rollout.not_committed", order = order, state:? = state;
-                "controller: the end of a roll-out can't be committed yet: {e}"
-            ),
+            Err(e) => {
+                log::warn!(
+                    event = "rollout.not_committed", order = order, state:? = state;
+                    "controller: the end of a roll-out can't be committed yet: {e}"
+                );
+                // By the next attempt old servers may serve again. A bad version stays bad.
+                if state == RolloutState::Completed
+                    && let Some(running) = self.core.rollouts().running.get_mut(&order)
+                {
+                    running.end = None;
+                }
+            }
         }
     }
 }
 
-fn decide(running: &mut Running, changes: &mut u64, rows: &[UpstreamRow], unix_ms: u64) {
+fn decide(running: &mut Running, changes: &mut u64, rows: &[UpstreamRow], now: Duration) {
     if running.end.is_some() {
         return;
     }
-    let age = running.age(unix_ms);
+    let age = running.age(now);
     let order = &running.order.order;
     let slots = count_slots(rows, &order.service, &order.target);
     let decision = running.rollout.decide(age, slots);
@@ -398,7 +415,7 @@
     /// # Errors
     ///
     /// Fails if roll-outs are not set up, if the order can't be carried out, while another one of the service runs, if this
-    /// controller does not lead, or without a quorum.
+    /// controller does not lead or has not read the platform's list, or without a quorum.
     pub async fn start_rollout(
         &self,
         service: &str,
@@ -426,7 +443,15 @@
         {
             return Ok(());
         }
-        let slots = count_slots(core.followers().upstream_list().rows(), service, target);
+        let term = core.fleet().term();
+        let slots = {
+            let followers = core.followers();
+            let list = followers.upstream_list();
+            if list.version().is_none_or(|version| version.term != term) {
+                return Err(RolloutError::ListUnread);
+            }
+            count_slots(list.rows(), service, target)
+        };
         if slots.old == 0 && slots.new + slots.cold > 0 {
             return Err(RolloutError::Invalid(
                 "all servers of the service run the target already",
--- a/src/ingress/forward/mod.rs
+++ b/src/ingress/forward/mod.rs
@@ -464,15 +464,23 @@
             0 => rand::random(),
             _ => 1.0,
         };
-        self.versions = rollouts.versions(&self.service, origin, draw, now);
+        let (versions, counted) = rollouts.versions(&self.service, origin, draw, now);
+        self.versions = versions;
+        let core = Arc::clone(&self.core);
+        let service = self.service.clone();
+        let has_others = |target: &_| core.upstreams.has_beside(&service, target);
         let mut chosen = self.choose_upstream(now);
         if chosen.is_none()
-            && let Some(versions) = rollouts.otherwise(&self.service, &self.versions)
+            && let Some(versions) = rollouts.otherwise(&self.versions, counted, has_others)
         {
             self.versions = versions;
             chosen = self.choose_upstream(now);
+            if chosen.is_some() && self.versions == Versions::Any {
+                rollouts.record_alone(&service);
+            }
         }
-        self.versions = rollouts.usual_versions(&self.service, self.origin.as_ref(), now);
+        let origin = self.origin.as_ref();
+        self.versions = rollouts.usual_versions(&service, origin, has_others, now);
         chosen
     }
 
--- a/src/ingress/rollout.rs
+++ b/src/ingress/rollout.rs
@@ -119,6 +119,20 @@
     }
 }
 
+/// A request that was counted as sent to the target of an order.
+#[derive(Debug)]
+pub(super) struct Counted(Arc<Counts>);
+
+impl Counted {
+    /// Corrects the count of the order for which it was made, since the request was not sent there.
+    fn revoke(self) {
+        let one_less = |exposed: u64| exposed.checked_sub(1);
+        let (set, fetch) = (Ordering::Relaxed, Ordering::Relaxed);
+        // It fails only at zero, where nothing is left to correct.
+        let _ = self.0.exposed.fetch_update(set, fetch, one_less);
+    }
+}
+
 impl Rollouts {
     /// Starts without roll-outs.
     pub(super) fn new(enabled: bool, metrics: &Metrics) -> Self {
@@ -224,13 +238,13 @@
         origin: Option<&Origin>,
         draw: f64,
         now: Instant,
-    ) -> Versions {
+    ) -> (Versions, Option<Counted>) {
         let services = self.services.load();
         let Some(rollout) = services.get(service) else {
-            return Versions::Any;
+            return (Versions::Any, None);
         };
         let target = || rollout.target.clone();
-        match rollout.state {
+        let versions = match rollout.state {
             RolloutState::RolledBack => Versions::Except(target()),
             RolloutState::Completed if now < rollout.exclude_until => Versions::Only(target()),
             RolloutState::Completed => Versions::Any,
@@ -241,34 +255,51 @@
                     Some(origin) => origin.software == rollout.target && lease.share > 0.0,
                     None => draw < lease.share || lease.share >= 1.0,
                 };
-                match is_drawn && rollout.counts.take(&lease) {
-                    true => Versions::Only(target()),
-                    false => Versions::Except(target()),
+                if is_drawn && rollout.counts.take(&lease) {
+                    let counted = Counted(Arc::clone(&rollout.counts));
+                    return (Versions::Only(target()), Some(counted));
                 }
+                Versions::Except(target())
             }
-        }
+        };
+        (versions, None)
     }
 
     /// Returns which versions may get an attempt if none of `versions` is available: a target that can't take it leaves it to
-    /// the old version while that still serves.
-    pub(super) fn otherwise(&self, service: &ServiceName, versions: &Versions) -> Option<Versions> {
-        let services = self.services.load();
-        let rollout = services.get(service)?;
-        match (rollout.state, versions) {
-            (RolloutState::Running, Versions::Only(target)) => {
-                rollout.counts.exposed.fetch_sub(1, Ordering::Relaxed);
+    /// the old version while that still serves, and the target serves where it is alone. `counted` is what
+    /// [`Self::versions`] counted for the attempt; `has_others` returns whether the service has servers of other versions.
+    pub(super) fn otherwise(
+        &self,
+        versions: &Versions,
+        counted: Option<Counted>,
+        has_others: impl Fn(&SoftwareVersion) -> bool,
+    ) -> Option<Versions> {
+        match (versions, counted) {
+            (Versions::Only(target), Some(counted)) => {
+                counted.revoke();
                 Some(Versions::Except(target.clone()))
             }
+            (Versions::Except(target), _) if !has_others(target) => Some(Versions::Any),
             _ => None,
         }
     }
 
+    /// Counts an attempt that goes to the target of a running order because it serves alone.
+    pub(super) fn record_alone(&self, service: &ServiceName) {
+        let services = self.services.load();
+        let rollout = services.get(service);
+        if let Some(rollout) = rollout.filter(|rollout| rollout.state == RolloutState::Running) {
+            rollout.counts.exposed.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
     /// Returns which versions may get an attempt that tries no new version, of a request that resumes a stream of `origin` or
-    /// none.
+    /// none; `has_others` returns whether the service has servers of other versions.
     pub(super) fn usual_versions(
         &self,
         service: &ServiceName,
         origin: Option<&Origin>,
+        has_others: impl Fn(&SoftwareVersion) -> bool,
         now: Instant,
     ) -> Versions {
         let services = self.services.load();
@@ -276,15 +307,19 @@
             return Versions::Any;
         };
         let target = || rollout.target.clone();
+        let beside_target = || match has_others(&rollout.target) {
+            true => Versions::Except(target()),
+            false => Versions::Any,
+        };
         match rollout.state {
-            RolloutState::RolledBack => Versions::Except(target()),
+            RolloutState::RolledBack => beside_target(),
             RolloutState::Completed if now < rollout.exclude_until => Versions::Only(target()),
             RolloutState::Completed => Versions::Any,
             RolloutState::Running => {
                 let is_from_target = origin.is_some_and(|origin| origin.software == rollout.target);
                 match is_from_target || rollout.counts.lease(now).share >= 1.0 {
                     true => Versions::Any,
-                    false => Versions::Except(target()),
+                    false => beside_target(),
                 }
             }
         }
--- a/src/ingress/room.rs
+++ b/src/ingress/room.rs
@@ -389,7 +389,8 @@
             home: 0,
         };
         // Idle servers of a version that is only tried are no room.
-        let versions = core.rollouts.usual_versions(service, None, now);
+        let has_others = |target: &_| core.upstreams.has_beside(service, target);
+        let versions = core.rollouts.usual_versions(service, None, has_others, now);
         let eligible = Eligible {
             tried: &[],
             origin: None,
--- a/src/ingress/upstreams.rs
+++ b/src/ingress/upstreams.rs
@@ -477,6 +477,13 @@
         all.is_some_and(|all| available(all, eligible, &gateways, now).next().is_some())
     }
 
+    /// Returns whether a service has servers of other versions than one that are not leaving.
+    pub(super) fn has_beside(&self, service: &ServiceName, version: &SoftwareVersion) -> bool {
+        let services = self.services.load();
+        let mut all = services.get(service).into_iter().flatten();
+        all.any(|upstream| upstream.software() != version && !upstream.is_leaving())
+    }
+
     /// Returns the number of requests in progress at a service's servers of other versions than one.
     pub(super) fn in_progress_beside(
         &self,
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -166,6 +166,7 @@
 fn rollout_error_reply(e: &RolloutError, path: &str) -> Response<Full<Bytes>> {
     let status = match e {
         RolloutError::Unavailable(e) => return error_reply(e, path),
+        RolloutError::ListUnread => StatusCode::SERVICE_UNAVAILABLE,
         RolloutError::Off | RolloutError::NotOrdered => StatusCode::NOT_FOUND,
         RolloutError::Invalid(_) => StatusCode::BAD_REQUEST,
         RolloutError::InProgress(_) => StatusCode::CONFLICT,
--- a/src/policy/rollout.rs
+++ b/src/policy/rollout.rs
@@ -100,17 +100,17 @@
 impl Answers {
     /// Returns the number of answers that began.
     fn begun(&self) -> u64 {
-        self.waits.iter().sum()
+        self.waits.iter().copied().fold(0, u64::saturating_add)
     }
 
     /// Returns the number of answers and failures.
     pub fn count(&self) -> u64 {
-        self.begun() + self.failed
+        self.begun().saturating_add(self.failed)
     }
 
     /// Returns the number of bad ones.
     pub fn bad(&self) -> u64 {
-        self.failed + self.broken
+        self.failed.saturating_add(self.broken)
     }
 
     /// Returns the number of good ones.
@@ -120,9 +120,9 @@
 
     /// Adds others as one class of waits, for sums of routes whose classes can't be compared.
     fn add_unclassed(&mut self, other: &Self) {
-        self.waits[0] += other.begun();
-        self.failed += other.failed;
-        self.broken += other.broken;
+        self.waits[0] = self.waits[0].saturating_add(other.begun());
+        self.failed = self.failed.saturating_add(other.failed);
+        self.broken = self.broken.saturating_add(other.broken);
     }
 
     fn combine(&self, other: &Self, f: impl Fn(u64, u64) -> u64) -> Self {
@@ -281,7 +281,8 @@
         let answers: f64 = self.old.iter().sum();
         let slow_from = self.median() + SLOW_CLASSES;
         let slow_old: f64 = self.old.iter().skip(slow_from).sum();
-        let slow_new: u64 = window.new.waits.iter().skip(slow_from).sum();
+        let slow_new = window.new.waits.iter().skip(slow_from);
+        let slow_new = slow_new.copied().fold(0, u64::saturating_add);
         // Without answers of the old version there is nothing to compare waits with.
         if answers >= 1.0 {
             add_score(
@@ -393,8 +394,8 @@
             .map(|gateway| gateway.report.requests);
         let committed = self.gateways.values().map(Gateway::committed);
         (
-            self.past_requests + requests.sum::<u64>(),
-            self.past_committed + committed.sum::<u64>(),
+            requests.fold(self.past_requests, u64::saturating_add),
+            committed.fold(self.past_committed, u64::saturating_add),
         )
     }
 
@@ -419,11 +420,11 @@
             return;
         }
         if report.incarnation != held.incarnation {
-            self.past_requests += held.requests;
-            self.past_committed += gateway.committed();
+            self.past_requests = self.past_requests.saturating_add(held.requests);
+            self.past_committed = self.past_committed.saturating_add(gateway.committed());
             for (route, answers) in &held.routes {
                 let past = self.past_routes.entry(route.clone()).or_default();
-                *past = past.combine(answers, |a, b| a + b);
+                *past = past.combine(answers, u64::saturating_add);
             }
             *gateway = Gateway::default();
         }
@@ -509,7 +510,7 @@
             .gateways
             .values()
             .map(|gateway| gateway.in_window)
-            .sum();
+            .fold(0, u64::saturating_add);
         let per_second = in_window as f64 / self.window_length.as_secs_f64();
         let left = self.duration.saturating_sub(now).as_secs_f64();
         let all = requests as f64 + per_second * left;
@@ -522,24 +523,29 @@
         slots.new > 0 && slots.new as f64 >= slots.old as f64 * MIN_CAPACITY
     }
 
-    /// Returns whether no gateway in touch, or silent for a moment only, has requests in progress at old servers or still
-    /// sends new ones to them.
+    /// Returns whether no gateway has requests in progress at old servers or still sends new ones to them. At least one must
+    /// have said so, and one that is silent for a moment is waited for.
     fn is_old_idle(&self, now: Duration) -> bool {
-        let counted = self
+        let mut counted = self
             .gateways
             .values()
-            .filter(|gateway| now.saturating_sub(gateway.heard) <= MAX_SILENCE);
-        counted.into_iter().all(|gateway| {
-            gateway.report.share >= 1.0
-                && gateway.report.old_in_progress == 0
-                && gateway.heard > self.stage_since
-        })
+            .filter(|gateway| now.saturating_sub(gateway.heard) <= MAX_SILENCE)
+            .peekable();
+        // A gateway whose lease may have ended sends to old servers again.
+        let max_age = self.bounds.lease() / 2;
+        counted.peek().is_some()
+            && counted.all(|gateway| {
+                gateway.is_in_touch(now, max_age)
+                    && gateway.report.share >= 1.0
+                    && gateway.report.old_in_progress == 0
+                    && gateway.heard > self.stage_since
+            })
     }
 
     fn has_evidence(&self) -> bool {
-        let mut good = 0;
+        let mut good: u64 = 0;
         for answers in self.weighed.values() {
-            good += answers.new.good();
+            good = good.saturating_add(answers.new.good());
             let is_busy = answers.old.count() >= TRIED_ROUTE_ANSWERS;
             if is_busy && answers.new.good() < MIN_ROUTE_ANSWERS {
                 return false;
@@ -552,7 +558,7 @@
         self.weighed
             .values()
             .map(|answers| answers.new.good())
-            .sum()
+            .fold(0, u64::saturating_add)
     }
 
     fn is_doubtful(&self) -> bool {
@@ -564,7 +570,7 @@
         for gateway in self.gateways.values() {
             for (route, answers) in &gateway.report.routes {
                 match sums.get_mut(route) {
-                    Some(sum) => *sum = sum.combine(answers, |a, b| a + b),
+                    Some(sum) => *sum = sum.combine(answers, u64::saturating_add),
                     None => {
                         sums.insert(route.clone(), *answers);
                     }
@@ -580,7 +586,7 @@
         self.window_length = now.saturating_sub(self.window_since).max(WINDOW);
         self.window_since = now;
         for gateway in self.gateways.values_mut() {
-            gateway.in_window = gateway.report.requests - gateway.at_window;
+            gateway.in_window = gateway.report.requests.saturating_sub(gateway.at_window);
             gateway.at_window = gateway.report.requests;
         }
         let sums = self.sums();
@@ -622,7 +628,7 @@
         let wanted = |gateway: &Gateway| {
             let rate = gateway.in_window as f64 * per_second;
             let ahead = (rate * share * ALLOWANCE_TIME.as_secs_f64()).ceil() as u64;
-            let wanted = gateway.report.exposed + ahead.max(1);
+            let wanted = gateway.report.exposed.saturating_add(ahead.max(1));
             wanted.saturating_sub(gateway.granted)
         };
         let mut asking: Vec<_> = self
@@ -632,13 +638,14 @@
             .map(|gateway| (wanted(gateway), gateway))
             .filter(|(wanted, _)| *wanted > 0)
             .collect();
-        let all: u64 = asking.iter().map(|(wanted, _)| wanted).sum();
+        let all = asking.iter().map(|(wanted, _)| *wanted);
+        let all = all.fold(0, u64::saturating_add);
         let part = (left as f64 / (all as f64).max(1.0)).min(1.0);
         // Busy gateways come first, since they use what they get.
         asking.sort_by_key(|(wanted, _)| std::cmp::Reverse(*wanted));
         for (wanted, gateway) in asking {
             let granted = ((wanted as f64 * part).ceil() as u64).min(wanted).min(left);
-            gateway.granted += granted;
+            gateway.granted = gateway.granted.saturating_add(granted);
             left -= granted;
         }
     }
--- a/tests/platform_rollout.rs
+++ b/tests/platform_rollout.rs
@@ -324,6 +324,26 @@
     );
 }
 
+#[tokio::test]
+async fn a_service_whose_every_server_runs_a_version_that_was_rolled_back_is_served() {
+    let installation = Installation::start_prepared(prepare(1, answers_all).await).await;
+    let target = hide_target(&installation);
+    installation.publish(&document(1)).await;
+    let control = installation.control_address;
+    assert_eq!(start(control, order("v2", 1.5)).await, StatusCode::OK);
+    wait_until("the roll-out is rolled back", || async {
+        state(control).await["State"] == json!("rolled_back")
+    })
+    .await;
+    *installation.listed.lock().unwrap() = target;
+    wait_until("the target serves alone", || async {
+        let gateway = installation.caller_address;
+        let answer = Installation::send_to(gateway, Method::GET, "/safe/x", "id", "id").await;
+        answer.status == StatusCode::OK && sent_to_target(&installation) > 0
+    })
+    .await;
+}
+
 /// Returns which controller leads: the one that answers itself.
 async fn leader(controls: &[SocketAddr]) -> usize {
     loop {
--- a/tests/policy_rollout.rs
+++ b/tests/policy_rollout.rs
@@ -408,6 +408,99 @@
     assert!(rollout.lease("g").allowance >= Some(80));
 }
 
+/// Reports of a gateway until everything goes to the target, and the time of the last one.
+fn drain(rollout: &mut Rollout, slots: Slots) -> (GatewayReport, Duration) {
+    let mut report = GatewayReport::default();
+    for step in 1..400 {
+        let now = Duration::from_millis(step * 100);
+        let answers = Answers {
+            waits: [step * 10; 12],
+            ..Answers::default()
+        };
+        let answers = RouteAnswers {
+            old: answers,
+            new: answers,
+        };
+        let lease = rollout.lease("g");
+        report.requests += 1000;
+        report.exposed = lease.allowance.unwrap_or(report.exposed);
+        report.share = lease.share;
+        report.old_in_progress = 1;
+        report.routes = BTreeMap::from([("query".to_owned(), answers)]);
+        rollout.record("g", report.clone(), now);
+        rollout.decide(now, slots);
+        if rollout.stage() == Stage::Draining {
+            report.share = 1.0;
+            return (report, now);
+        }
+    }
+    panic!("it stays in {:?}", rollout.stage());
+}
+
+#[test]
+fn a_gateway_whose_lease_may_have_ended_or_none_at_all_completes_nothing() {
+    let slots = Slots {
+        old: 10,
+        new: 10,
+        cold: 0,
+    };
+    let mut rollout = Rollout::new(BOUNDS, Duration::from_secs(60));
+    let (mut report, drained) = drain(&mut rollout, slots);
+    report.old_in_progress = 0;
+    let heard = drained + Duration::from_millis(300);
+    rollout.record("g", report.clone(), heard);
+    for silent_ms in (800..8000).step_by(100) {
+        let now = heard + Duration::from_millis(silent_ms);
+        assert_eq!(
+            rollout.decide(now, slots),
+            Decision::Continue,
+            "silent for {silent_ms} ms"
+        );
+    }
+    let now = heard + Duration::from_secs(8);
+    rollout.record("g", report, now);
+    assert_eq!(rollout.decide(now, slots), Decision::Complete);
+}
+
+#[test]
+fn sums_that_are_too_large_grant_nothing() {
+    let second = Duration::from_secs;
+    let slots = Slots {
+        old: 10,
+        new: 10,
+        cold: 0,
+    };
+    let mut rollout = Rollout::new(BOUNDS, second(20));
+    let answers = Answers {
+        waits: [u64::MAX; 12],
+        failed: u64::MAX,
+        broken: u64::MAX,
+    };
+    let report = |incarnation| GatewayReport {
+        incarnation,
+        requests: 1000,
+        exposed: u64::MAX,
+        routes: BTreeMap::from([(
+            "query".to_owned(),
+            RouteAnswers {
+                old: answers,
+                ..RouteAnswers::default()
+            },
+        )]),
+        ..GatewayReport::default()
+    };
+    for at in [1, 3, 4, 5] {
+        for name in ["a", "b"] {
+            rollout.record(name, report(at), second(at));
+        }
+        rollout.decide(second(at), slots);
+    }
+    assert_eq!(rollout.exposure().1, u64::MAX);
+    rollout.record("c", GatewayReport::default(), second(5));
+    rollout.decide(second(5), slots);
+    assert_eq!(rollout.lease("c").allowance, Some(0));
+}
+
 #[test]
 fn slow_answers_of_servers_that_just_started_are_no_verdict() {
     for seed in 0..SEEDS {
