Memory: bounded endpoints, and who loses a connection for a new one

A connection that waits for a request went before a slow head whatever its wait, so under a table full of slow heads the ordinary caller that was just accepted was closed for the next one. One that lingers after a refusal counted as idle and could lose its 413 or 503. A configuration document left the memory for requests before its publication.

Change: each endpoint keeps a sixteenth as many connections as the routes (12 of 256 descriptors). Order of closing: idle for a second or more, the slowest head, a stalled body, idle for less, answered and closing for less than a second. A stalled body goes before a young idle connection for the reason that holds for heads. A document counts until `publish` returns.

Crowds and bounds of tests/caller_memory*.rs are unchanged.

Not tested through a process: the order under a table full of slow heads, a refusal that lingers, and that a document counts while it is published.

--- a/src/adapters/http/caller.rs
+++ b/src/adapters/http/caller.rs
@@ -113,6 +113,7 @@
     pub(super) fn waiting(&self) -> Option<(Awaits, Instant)> {
         let state = self.lock();
         match state.phase {
+            Phase::Idle | Phase::Head if state.lingers => Some((Awaits::Close, state.since)),
             Phase::Idle => Some((Awaits::Request, state.since)),
             Phase::Head => Some((Awaits::Head, state.since)),
             Phase::Request => {
@@ -557,8 +558,13 @@
             self.set_linger(None)?;
         }
         ready!(Pin::new(&mut self.io).poll_shutdown(cx))?;
-        let state = self.progress.lock();
-        let lingers = state.lingers || state.phase == Phase::Head;
+        let mut state = self.progress.lock();
+        if state.phase == Phase::Head {
+            // The HTTP library has refused the head.
+            state.lingers = true;
+            state.enter(Phase::Idle);
+        }
+        let lingers = state.lingers;
         drop(state);
         if !lingers {
             return Poll::Ready(Ok(()));
--- a/src/ingress/directory.rs
+++ b/src/ingress/directory.rs
@@ -4,7 +4,7 @@
 
 use super::Core;
 use crate::{
-    policy::capacity,
+    policy::{capacity, connections::max_endpoint_connections},
     ports::{Clock, Platform},
     wire::IngressRecord,
 };
@@ -25,6 +25,7 @@
     fn gateways(&self) -> Arc<Vec<IngressRecord>>;
     fn own(&self) -> IngressRecord;
     fn ttl(&self) -> Duration;
+    fn max_connections(&self) -> usize;
 }
 
 impl<P: Platform, T: Clock> DirectorySource for Core<P, T> {
@@ -39,6 +40,11 @@
     fn ttl(&self) -> Duration {
         self.settings.timing.address_ttl
     }
+
+    fn max_connections(&self) -> usize {
+        let machine = self.settings.machine.clone().unwrap_or_default();
+        max_endpoint_connections(machine.descriptors, machine.memory_mb)
+    }
 }
 
 impl fmt::Debug for Directory {
@@ -64,6 +70,11 @@
         self.source.ttl()
     }
 
+    /// Returns how many connections an endpoint that serves this directory keeps.
+    pub fn max_connections(&self) -> usize {
+        self.source.max_connections()
+    }
+
     /// Returns the gateway addresses for a caller in a zone.
     pub fn addresses(&self, zone: &str) -> Vec<SocketAddr> {
         select_addresses(
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -86,7 +86,11 @@
                 Ok(document) => document,
                 Err(res) => return res,
             };
-            match publisher.publish(document).await {
+            // The document becomes part of the state, so it leaves the memory for requests; until then both count.
+            let copy = Bytes::copy_from_slice(&document);
+            let published = publisher.publish(copy).await;
+            drop(document);
+            match published {
                 Ok(_) => reply(StatusCode::OK, "{}"),
                 Err(e) => error_reply(&e, PUT_PATH),
             }
@@ -174,7 +178,7 @@
     reply(status, e.to_string())
 }
 
-/// Reads a document. It becomes part of the state, so it leaves the memory for requests.
+/// Reads a document, which counts towards the memory for requests until it is dropped.
 async fn read_document(memory: &RequestMemory, body: CallerBody) -> Result<Bytes, CollectError> {
     let limits = BodyLimits {
         bytes: MAX_DOCUMENT_BYTES,
@@ -184,8 +188,7 @@
     };
     let body = memory.collect(BodyDataStream::new(body), limits);
     let body = timeout(DOCUMENT_TIMEOUT, body).await;
-    let body = body.map_err(|_| CollectError::Silent)??;
-    Ok(Bytes::copy_from_slice(&body))
+    body.map_err(|_| CollectError::Silent)?
 }
 
 fn read_error_reply(e: CollectError) -> Response<Full<Bytes>> {
--- a/src/platform/directory.rs
+++ b/src/platform/directory.rs
@@ -34,23 +34,18 @@
 
 /// Serves address resolution for callers until the token is cancelled.
 pub async fn serve_directory(directory: Directory, listener: TcpListener, stop: CancellationToken) {
+    let options = options(&directory);
     let directory = Arc::new(directory);
     let service = service_fn(move |req| {
         let res = handle_resolve(&directory, &req);
         async move { Ok::<_, Infallible>(res) }
     });
-    serve(
-        listener,
-        ServerOptions::default,
-        no_observer(),
-        service,
-        stop,
-    )
-    .await;
+    serve(listener, options, no_observer(), service, stop).await;
 }
 
 /// Serves the platform's readiness check of this gateway until the token is cancelled.
 pub async fn serve_ready(directory: Directory, listener: TcpListener, stop: CancellationToken) {
+    let options = options(&directory);
     let directory = Arc::new(directory);
     let service = service_fn(move |req: Request<CallerBody>| {
         let status = match (req.uri().path(), directory.is_open()) {
@@ -60,14 +55,16 @@
         };
         async move { Ok::<_, Infallible>(empty_response(status)) }
     });
-    serve(
-        listener,
-        ServerOptions::default,
-        no_observer(),
-        service,
-        stop,
-    )
-    .await;
+    serve(listener, options, no_observer(), service, stop).await;
+}
+
+/// Returns the options of an endpoint, whose callers are as little controlled as those of the routes.
+fn options(directory: &Directory) -> impl Fn() -> ServerOptions + Send + Sync + 'static {
+    let max_connections = directory.max_connections();
+    move || ServerOptions {
+        max_connections,
+        ..ServerOptions::default()
+    }
 }
 
 fn handle_resolve(directory: &Directory, req: &Request<CallerBody>) -> Response<Full<Bytes>> {
--- a/src/policy/connections.rs
+++ b/src/policy/connections.rs
@@ -10,6 +10,8 @@
 const DESCRIPTORS_PART: (u64, u64) = (3, 4);
 /// Part of the machine's memory for connections; bodies get as much.
 const MEMORY_DIVISOR: u64 = 4;
+/// The part of these connections that an endpoint without requests for upstreams gets besides.
+const ENDPOINT_DIVISOR: usize = 16;
 /// Memory for one connection, in bytes: its buffers and the state of its request without the body.
 const CONNECTION_BYTES: u64 = 64 * 1024;
 const MIB: u64 = 1024 * 1024;
@@ -27,8 +29,14 @@
         .map_or(usize::MAX, |bound| bound.max(1) as usize)
 }
 
+/// Returns how many connections such a machine bears on each endpoint for address resolution or readiness checks, besides
+/// those of [`max_connections`].
+pub fn max_endpoint_connections(descriptors: Option<u64>, memory_mb: Option<u64>) -> usize {
+    (max_connections(descriptors, memory_mb) / ENDPOINT_DIVISOR).max(1)
+}
+
 /// What a connection waits for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Awaits {
     /// More of a request body.
     Body,
@@ -36,6 +44,20 @@
     Head,
     /// The first byte of a request.
     Request,
+    /// The end of the connection, after a response to a request that was not read completely.
+    Close,
+}
+
+/// How soon a waiting connection is closed for a new one; later variants go first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Rank {
+    /// Its caller may not have read the response yet.
+    Answered,
+    /// Its caller may be about to send a request, such as one that was just accepted.
+    JustIdle,
+    StalledBody,
+    Head,
+    Idle,
 }
 
 /// An open connection whose caller has to send next.
@@ -49,12 +71,28 @@
     pub waited: Duration,
 }
 
-/// Chooses the connection that is closed for a new one: the one that has waited longest for a request, or else for a head, or
-/// else for a stalled body.
+impl WaitingConnection {
+    /// Returns `None` if it is not closed for a new one.
+    fn rank(&self) -> Option<Rank> {
+        let is_stalled = self.waited >= STALLED_TIME;
+        match (self.awaits, is_stalled) {
+            (Awaits::Request | Awaits::Close, true) => Some(Rank::Idle),
+            (Awaits::Head, _) => Some(Rank::Head),
+            (Awaits::Body, true) => Some(Rank::StalledBody),
+            (Awaits::Request, false) => Some(Rank::JustIdle),
+            (Awaits::Close, false) => Some(Rank::Answered),
+            (Awaits::Body, false) => None,
+        }
+    }
+}
+
+/// Chooses the connection that is closed for a new one: one that has been idle for a time, or else the slowest head, a
+/// stalled body, one that just became idle, or one that was just answered and closes. Among equals, that which has waited
+/// longest.
 pub fn choose_closed(waiting: impl IntoIterator<Item = WaitingConnection>) -> Option<u64> {
-    let longest = waiting
+    let ranked = waiting
         .into_iter()
-        .filter(|connection| connection.awaits != Awaits::Body || connection.waited >= STALLED_TIME)
-        .max_by_key(|connection| (connection.awaits, connection.waited));
-    longest.map(|connection| connection.id)
+        .filter_map(|connection| Some((connection.rank()?, connection.waited, connection.id)));
+    let (_, _, id) = ranked.max_by_key(|(rank, waited, _)| (*rank, *waited))?;
+    Some(id)
 }
--- a/tests/caller_memory.rs
+++ b/tests/caller_memory.rs
@@ -4,7 +4,7 @@
 mod crowd_support;
 mod platform_support;
 
-use std::{path::Path, time::Duration};
+use std::{net::SocketAddr, path::Path, time::Duration};
 
 use crowd_support::{
     Aim, BODIES, CROWD, Crowd, DESCRIPTORS, MAX_BODY_BYTES, MEMORY_MB, Watch, alone, send_all,
@@ -168,6 +168,40 @@
     check(&[Crowd::OnlyOpens, Crowd::SlowHead], 3 * CROWD).await;
 }
 
+async fn check_endpoint(address: impl Fn(&Daemons) -> SocketAddr, path: &str) {
+    let _alone = alone().await;
+    let daemons = start().await;
+    let gateway = Watch::start("gateway", daemons.gateway.id());
+    let aim = Aim {
+        address: address(&daemons),
+        ..aim(&daemons)
+    };
+    let stay = send_all(&aim, &[Crowd::OnlyOpens], 3 * CROWD).await;
+    gateway.settle().await;
+    gateway.check();
+    let res = call(aim.address, Method::GET, path, &[], "").await;
+    assert_eq!(res.unwrap().status, StatusCode::OK);
+    let installation = &daemons.installation;
+    let res = installation
+        .send(Method::POST, "/safe/small", "ordinary", "an ordinary body")
+        .await;
+    assert_eq!(res.status, StatusCode::OK);
+    gateway.check();
+    drop(stay);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn many_connections_that_only_open_at_the_address_resolution() {
+    let address = |daemons: &Daemons| daemons.installation.directory_address;
+    check_endpoint(address, "/api/resolve?Zone=a").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn many_connections_that_only_open_at_the_readiness_check() {
+    let address = |daemons: &Daemons| daemons.installation.ready_address;
+    check_endpoint(address, "/api/readiness").await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn many_large_documents_at_a_controller() {
     let _alone = alone().await;
