--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -198,7 +198,7 @@
         origins: Arc::new(Origins::new(metrics)),
         controllers: ControllerContacts::default(),
         announcer: Announcer::new(datagrams, metrics),
-        capacity: OwnCapacity::new(settings.machine.as_ref()),
+        capacity: OwnCapacity::new(settings.machine.as_ref().filter(|_| ingress.share_callers)),
         peer_address,
         leader: ArcSwapOption::empty(),
         incarnation: identity.incarnation.0,
--- a/src/settings/ingress.rs
+++ b/src/settings/ingress.rs
@@ -70,6 +70,9 @@
     /// Bounds of roll-outs; operators can't order any if absent.
     #[serde(default)]
     pub rollout: Option<RolloutLimits>,
+    /// Whether callers are given to gateways by the capacity of their machines. See docs/design/GATEWAY_CAPACITY.md.
+    #[serde(default)]
+    pub share_callers: bool,
     /// Whether a gateway divides a service with too little room fairly among the accounts, and refuses requests
     /// for which there is none before it reads their bodies. See docs/design/ROOM.md.
     #[serde(default)]
--- a/src/settings/schema.rs
+++ b/src/settings/schema.rs
@@ -140,6 +140,7 @@
     optional("learn_paces", FieldType::Bool),
     optional("rollout", FieldType::Object(ROLLOUT)),
     optional("share_room", FieldType::Bool),
+    optional("share_callers", FieldType::Bool),
 ];
 
 /// Schema of the settings file of a daemon.
