--- a/review/harness-2/cases.rs
+++ b/review/harness-2/cases.rs
@@ -77,8 +77,8 @@
     (is_read, last.join("; "))
 }
 
-/// A planned replacement of a core machine; when its successor has had `CatchUpS`, another one loses its disk right after
-/// it has acknowledged a change.
+/// A planned replacement of a core machine, whose successor has had `CatchUpS`; when as much time has passed since the old one
+/// went, another one loses its disk right after it has acknowledged a change.
 fn planned_replacement(trouble: bool, record: &Record) -> Verdict {
     let mut world = World::new(record)?;
     platform::start(world.cloud(), &[], record).map_err(|e| e.to_string())?;
@@ -91,26 +91,20 @@
     let acked = acked.ok_or("the second configuration is not acknowledged")?;
     let old = machine_of(&world, &core, acked).ok_or("an unknown node acknowledged it")?;
     let mut nodes = core.clone();
-    let begun = Instant::now();
     if trouble {
-        // The new machine first, then SIGTERM, 1 s later; the old one is gone for good.
+        // The new machine first; SIGTERM when it has had CatchUpS and a little more; the old one is gone for good.
         let zone = world.machines[old].zone;
         let new = world.add("controller", zone, 14);
         world.start(new, &core, false)?;
-        sleep_until(begun + Duration::from_secs(1));
+        sleep(CATCH_UP + Duration::from_millis(250));
+        record.note("the successor has had CatchUpS");
         world.signal(old, "TERM");
         world.wait_end(old, Duration::from_secs(8));
-        world.note_machine(old, "is gone for good");
+        world.note_machine(old, "is gone for good, and no longer counts as lost");
         nodes.retain(|node| *node != old);
         nodes.push(new);
     }
-    // A little later than the pages ask for.
-    sleep_until(begun + CATCH_UP + Duration::from_millis(250));
-    if trouble {
-        record.note(
-            "the successor has had CatchUpS, so the machine that is gone no longer counts as lost",
-        );
-    }
+    sleep(CATCH_UP + Duration::from_millis(50));
     let acked = world.put(&nodes, &document(3), Duration::from_secs(4));
     let acked = acked.ok_or("the third configuration is not acknowledged")?;
     if trouble {
