Pass a controller's vote on before it stops, and sooner after it is lost

What callers saw: after a planned replacement of a core machine (successor first, SIGTERM 4.25 s later), the next loss that is to be borne ended the quorum for good: every read and change of the configuration was answered 503, and an acknowledged one never came back.

Cause: a vote passed on only after its controller had been silent for 3 s, looked at once a second and counted anew by each leader.

Change: a controller that gets SIGTERM tells the others (MemberQuery.leaving), goes on, and ends once the leader has given its vote to a learner that has caught up, or says that none can have it; 3 s at most. The leader looks at its members when such news come and every 250 ms, counts silence from replication's acknowledgements too, in 1.5 s and across leaders, and removes a voter only while a majority of the others has answered it. Learners that don't answer take no place. Logged (member.seen, member.absent, members.changed, leave.begins, leave.ends) and measured (controller_losses_borne, controller_member_changes_total). New fields of MemberQuery and MemberReport are skipped by the build before; a controller that gets no LeaveReply stops at once, as that build does.

--- a/src/controller/bootstrap.rs
+++ b/src/controller/bootstrap.rs
@@ -31,6 +31,7 @@
     id: MemberId,
     controllers: Vec<Arc<str>>,
     blank: AtomicBool,
+    leaving: AtomicBool,
 }
 
 impl LocalMember {
@@ -41,6 +42,7 @@
             id: member,
             controllers: controller_names(settings),
             blank: AtomicBool::new(*recovered == Recovered::default()),
+            leaving: AtomicBool::new(false),
         }
     }
 
@@ -54,6 +56,16 @@
         self.blank.store(blank, Ordering::Release);
     }
 
+    /// Marks this controller as about to stop.
+    pub fn set_leaving(&self) {
+        self.leaving.store(true, Ordering::Release);
+    }
+
+    /// Returns whether this controller is about to stop.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
     /// Returns the answer to a `MemberQuery`.
     pub fn report(&self) -> MemberReport {
         MemberReport {
@@ -61,7 +73,8 @@
             member: self.id.0,
             blank: self.blank.load(Ordering::Acquire),
             controllers: self.controllers.iter().map(ToString::to_string).collect(),
-            known: Vec::new(),
+            leaving: self.is_leaving(),
+            ..MemberReport::default()
         }
     }
 }
--- a/src/controller/core.rs
+++ b/src/controller/core.rs
@@ -17,6 +17,7 @@
     fleet::Fleet,
     followers::Followers,
     log::{Applied, Log, LogError},
+    member_reports::MemberReports,
     peers::Peers,
     rollouts::RunningRollouts,
 };
@@ -47,6 +48,8 @@
     pub peers: Arc<Peers>,
     /// This controller's member and whether its data folder is blank.
     pub local_member: Arc<LocalMember>,
+    /// What the other controllers last said of their members.
+    pub(super) member_reports: MemberReports,
     /// The published document as gateways fetch it.
     pub(super) documents: DocumentCache,
     fleet: Mutex<Fleet>,
@@ -84,6 +87,7 @@
             log,
             peers,
             local_member,
+            member_reports: MemberReports::default(),
             documents: DocumentCache::default(),
             fleet: Mutex::new(fleet),
             followers: Mutex::new(followers),
--- a/src/controller/driver.rs
+++ b/src/controller/driver.rs
@@ -371,10 +371,7 @@
         let leads = replica.role() == Role::Leader;
         let membership = replica.membership().clone();
         let members = membership.voters.iter().chain(&membership.learners);
-        let matched = members.map(|id| {
-            let member = MemberId(*id);
-            (member, replica.match_index(member).unwrap_or_default())
-        });
+        let progress = members.map(|id| replica.member_progress(MemberId(*id)));
         let status = ReplicaStatus {
             member: self.parts.local_member.id(),
             leads,
@@ -383,7 +380,9 @@
             commit: replica.commit(),
             applied: replica.applied(),
             lease_until: replica.lease_until(),
-            matched: matched.collect(),
+            led_since: replica.led_since(),
+            progress: progress.collect(),
+            is_membership_committed: replica.is_membership_committed(),
             membership,
         };
         let led = leads.then_some(status.term);
--- a/src/controller/handler.rs
+++ b/src/controller/handler.rs
@@ -6,9 +6,9 @@
 
 use super::{
     core::Core,
-    documents, followers,
+    documents, followers, leave,
     log::{Applied, LogError},
-    origins, view,
+    membership, origins, view,
 };
 use crate::{
     domain::{IdempotencyKey, MemberId},
@@ -42,7 +42,7 @@
                 self.core.log.receive(message).await;
                 None
             }
-            Body::MemberQuery(query) => Some(self.member_report(&query)),
+            Body::MemberQuery(query) => Some(self.member_report(peer, &query)),
             Body::Follow(follow) => followers::answer_follow(&self.core, peer, follow).await,
             Body::ReserveRequest(request) => followers::answer_reserve(&self.core, peer, &request),
             Body::DocumentRequest(_) => Some(documents::document_reply(&self.core)),
@@ -79,12 +79,19 @@
 }
 
 impl<T: Clock> PeerHandler<T> {
-    fn member_report(&self, query: &MemberQuery) -> Body {
+    fn member_report(&self, peer: &Peer, query: &MemberQuery) -> Body {
+        let member = MemberId(query.member);
         if let Some(sender) = &query.sender {
             self.core.peers.add_record(sender);
+            if query.member != 0 {
+                membership::record_sighting(&self.core, &peer.name, member, query.leaving);
+            }
         }
         Body::MemberReport(MemberReport {
             known: self.core.peers.records(),
+            leave: query
+                .leaving
+                .then(|| leave::leave_reply(&self.core, member)),
             ..self.core.local_member.report()
         })
     }
--- a/src/controller/log.rs
+++ b/src/controller/log.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     domain::MemberId,
-    replication::{MemberChange, Rejection},
+    replication::{MemberChange, MemberProgress, Rejection},
     state::{Command, Reply, State},
     wire::{MembershipRecord, ReplicaMessage},
 };
@@ -111,10 +111,14 @@
     pub applied: u64,
     /// When this controller's leader lease ends, by the monotonic clock.
     pub lease_until: Option<Duration>,
-    /// The voters and learners.
+    /// When this controller began to lead, by the monotonic clock, if it leads.
+    pub led_since: Option<Duration>,
+    /// The voters and learners, which may be uncommitted.
     pub membership: MembershipRecord,
-    /// The last index known to be on each member's disk; zero unless this controller leads.
-    pub matched: Vec<(MemberId, u64)>,
+    /// Whether the membership is committed.
+    pub is_membership_committed: bool,
+    /// The progress of each member; unknown unless this controller leads.
+    pub progress: Vec<MemberProgress>,
 }
 
 /// The driver's ends of the channels of a [`Log`].
--- a/src/controller/membership.rs
+++ b/src/controller/membership.rs
@@ -2,7 +2,7 @@
 //! the controllers that they know and, while this one leads, applies the member changes of `policy::members`.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeMap, HashSet},
     sync::Arc,
     time::Duration,
 };
@@ -11,11 +11,15 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
-use super::{core::Core, periodic::run_periodically};
+use super::{
+    core::Core, log::LogError, member_reports::Sighting, metrics::MemberChangeCounters,
+    periodic::run_periodically,
+};
 use crate::{
     domain::MemberId,
-    policy::members::{Member, Members, voters_needed},
+    policy::members::{Absence, Member, Members, silence, voters_needed},
     ports::Clock,
+    replication::MemberChange,
     settings::ControllerEntry,
     wire::{Body, MemberQuery, MemberReport},
 };
@@ -24,76 +28,189 @@
 const MEMBER_QUERY_INTERVAL: Duration = Duration::from_secs(1);
 /// Longest wait for the report of a controller.
 const MEMBER_QUERY_TIMEOUT: Duration = Duration::from_millis(700);
-/// Most member changes in one round.
-const MAX_MEMBER_CHANGES_PER_ROUND: usize = 4;
-/// Most pauses in one round for a learner that is to vote once it has caught up; they take as long as the round.
-const MAX_CATCH_UP_PAUSES_PER_ROUND: usize = 6;
-/// Pause after a member change; a new member receives a log of usual size within this time.
-const LEARNER_CATCH_UP_DELAY: Duration = Duration::from_millis(150);
-/// Most log entries by which a member may lag and still count as caught up.
-const MAX_CATCH_UP_LAG_ENTRIES: u64 = 64;
+/// Interval at which a leader looks at the members without being woken.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// The same, while a learner that is to vote catches up.
+const CATCH_UP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Queries the controllers and maintains the members until the token is cancelled.
 pub(super) async fn run<T: Clock>(core: Arc<Core<T>>, stop: CancellationToken) {
+    let queries = run_periodically(
+        MEMBER_QUERY_INTERVAL,
+        &stop,
+        Arc::clone(&core),
+        |core| async move {
+            query_all(&core).await;
+            core
+        },
+    );
     let task = MembershipTask {
-        last_reports: HashMap::new(),
-        term: 0,
-        missing_voters: 0,
-        leading_since: core.now(),
+        counters: MemberChangeCounters::new(&core.metrics),
         core,
+        missing_voters: 0,
+        absent: BTreeMap::new(),
+        failed: None,
+    };
+    tokio::join!(queries, stop.run_until_cancelled(task.run()));
+}
+
+/// Returns this controller's query, which also tells the receiver of this controller.
+pub(super) fn member_query<T: Clock>(core: &Core<T>) -> MemberQuery {
+    let own = core.peers.entry(&core.settings.name);
+    MemberQuery {
+        sender: own.as_ref().map(ControllerEntry::to_record),
+        member: core.local_member.id().0,
+        leaving: core.local_member.is_leaving(),
+    }
+}
+
+async fn query_all<T: Clock>(core: &Core<T>) {
+    let query = member_query(core);
+    let links = core.peers.links();
+    let queries = links.iter().map(|(name, link)| async {
+        let query = Body::MemberQuery(query.clone());
+        if let Ok(Body::MemberReport(report)) = link.call(query, MEMBER_QUERY_TIMEOUT).await {
+            handle_report(core, name, &report);
+        }
+    });
+    join_all(queries).await;
+}
+
+/// Records what a controller reports of its member and of the controllers that it knows.
+pub(super) fn handle_report<T: Clock>(core: &Core<T>, name: &Arc<str>, report: &MemberReport) {
+    record_sighting(core, name, MemberId(report.member), report.leaving);
+    for known in &report.known {
+        core.peers.add_record(known);
+    }
+}
+
+/// Records the member of a controller.
+pub(super) fn record_sighting<T: Clock>(
+    core: &Core<T>,
+    name: &Arc<str>,
+    member: MemberId,
+    is_leaving: bool,
+) {
+    core.peers.set_controller(member, name);
+    let sighting = Sighting {
+        member,
+        at: core.now(),
+        is_leaving,
     };
-    run_periodically(MEMBER_QUERY_INTERVAL, &stop, task, |mut task| async move {
-        task.run_round().await;
-        task
-    })
-    .await;
+    core.member_reports.record(name, sighting);
+}
+
+/// Returns the members as this controller sees them; only a leader sees who answers.
+pub(super) fn members<T: Clock>(core: &Core<T>) -> Members {
+    let status = core.log.status();
+    let own = core.local_member.id();
+    let now = core.now();
+    let member = |id: &u64| {
+        let id = MemberId(*id);
+        let progress = status.progress.iter().find(|p| p.member == id);
+        let progress = progress.copied().unwrap_or_default();
+        let name = core.peers.controller_name(id);
+        let sighting = name.and_then(|name| core.member_reports.get(&name));
+        let same = sighting.filter(|sighting| sighting.member == id);
+        let acknowledged = Some(progress.acknowledged_at).filter(|at| !at.is_zero());
+        let heard = acknowledged.max(same.map(|sighting| sighting.at));
+        let is_own = id == own;
+        Member {
+            id,
+            silence: match is_own {
+                true => Duration::ZERO,
+                false => silence(now, status.led_since.unwrap_or(now), heard),
+            },
+            is_replaced: !is_own && sighting.is_some_and(|sighting| sighting.member != id),
+            is_leaving: match is_own {
+                true => core.local_member.is_leaving(),
+                false => same.is_some_and(|sighting| sighting.is_leaving),
+            },
+            has_answered: is_own || acknowledged.is_some(),
+            has_caught_up: progress.has_caught_up,
+        }
+    };
+    let membership = &status.membership;
+    let known: HashSet<u64> = membership
+        .voters
+        .iter()
+        .chain(&membership.learners)
+        .copied()
+        .collect();
+    let strangers = core.member_reports.all().into_iter().filter(|sighting| {
+        let is_fresh = now.saturating_sub(sighting.at) <= MEMBER_QUERY_INTERVAL * 2;
+        !known.contains(&sighting.member.0) && is_fresh && !sighting.is_leaving
+    });
+    Members {
+        voters: membership.voters.iter().map(member).collect(),
+        learners: membership.learners.iter().map(member).collect(),
+        strangers: strangers.map(|sighting| sighting.member).collect(),
+        leader: status.leader,
+        wanted: voters_needed(core.settings.tolerated_losses),
+    }
 }
 
 struct MembershipTask<T> {
     core: Arc<Core<T>>,
-    /// The member that each controller last reported, by the controller's name, and when.
-    last_reports: HashMap<Arc<str>, (MemberId, Duration)>,
-    term: u64,
-    /// Number of missing voters in the last round.
+    counters: MemberChangeCounters,
+    /// Number of missing voters at the last check.
     missing_voters: usize,
-    /// When this controller began to lead; the silence of a member counts from then at the earliest.
-    leading_since: Duration,
+    /// The members that did not count as present at the last check, and why.
+    absent: BTreeMap<MemberId, Absence>,
+    /// The change that failed last, and how, so that it is logged once.
+    failed: Option<(MemberChange, LogError)>,
 }
 
 impl<T: Clock> MembershipTask<T> {
-    async fn run_round(&mut self) {
-        let links = self.core.peers.links();
-        let own = self.core.peers.entry(&self.core.settings.name);
-        let query = MemberQuery {
-            sender: own.as_ref().map(ControllerEntry::to_record),
-        };
-        let queries = links.iter().map(|(name, link)| async {
-            let answer = link
-                .call(Body::MemberQuery(query.clone()), MEMBER_QUERY_TIMEOUT)
-                .await;
-            match answer {
-                Ok(Body::MemberReport(report)) => Some((Arc::clone(name), report)),
-                Ok(_) | Err(_) => None,
+    async fn run(mut self) {
+        let mut led_term = self.core.log.watch_led_term();
+        loop {
+            let pause = self.check().await;
+            tokio::select! {
+                () = sleep(pause) => {}
+                () = self.core.member_reports.changed() => {}
+                Ok(()) = led_term.changed() => {}
             }
-        });
-        for (name, report) in join_all(queries).await.into_iter().flatten() {
-            self.handle_report(name, &report);
         }
-        self.change_members().await;
     }
 
-    fn handle_report(&mut self, name: Arc<str>, report: &MemberReport) {
-        let member = MemberId(report.member);
-        self.core.peers.set_controller(member, &name);
-        self.last_reports.insert(name, (member, self.core.now()));
-        for known in &report.known {
-            self.core.peers.add_record(known);
+    /// Applies the changes that are due now. Returns the time until the next check.
+    async fn check(&mut self) -> Duration {
+        if !self.core.leads() {
+            self.missing_voters = 0;
+            self.absent.clear();
+            return CHECK_INTERVAL;
+        }
+        loop {
+            let members = members(&self.core);
+            self.log_missing_voters(&members);
+            self.log_absent(&members);
+            let Some(change) = members.next_change() else {
+                return match members.awaits_learner() {
+                    true => CATCH_UP_CHECK_INTERVAL,
+                    false => CHECK_INTERVAL,
+                };
+            };
+            if let Err(e) = self.core.log.change_members(change).await {
+                if self.failed.replace((change, e)) != Some((change, e)) {
+                    log::warn!(
+                        event = "members.change_failed", change:? = change;
+                        "controller: cannot apply the member change {change:?}: {e}."
+                    );
+                }
+                return CHECK_INTERVAL;
+            }
+            self.failed = None;
+            self.counters.count(change);
+            log::info!(
+                event = "members.changed", change:? = change, losses_borne = members.losses_borne();
+                "controller: members change: {change:?}, of {members:?}."
+            );
         }
     }
 
     /// Logs when the number of voters missing for `tolerated_losses` changes.
-    fn log_missing_voters(&mut self) {
-        let members = self.members();
+    fn log_missing_voters(&mut self, members: &Members) {
         let missing = members.missing_voters();
         if self.missing_voters == missing {
             return;
@@ -111,87 +228,31 @@
         );
     }
 
-    async fn change_members(&mut self) {
-        if !self.core.leads() {
-            self.term = 0;
-            self.missing_voters = 0;
-            return;
-        }
-        let term = self.core.fleet().term();
-        if self.term != term {
-            self.term = term;
-            self.leading_since = self.core.now();
-        }
-        self.log_missing_voters();
-        // Several changes fit into one round because a learner catches up during the pauses between them.
-        let (mut changes, mut pauses) = (0, 0);
-        while changes < MAX_MEMBER_CHANGES_PER_ROUND {
-            let members = self.members();
-            let Some(change) = members.next_change() else {
-                if !members.awaits_learner() || pauses == MAX_CATCH_UP_PAUSES_PER_ROUND {
-                    return;
-                }
-                pauses += 1;
-                sleep(LEARNER_CATCH_UP_DELAY).await;
-                continue;
-            };
-            changes += 1;
-            if let Err(e) = self.core.log.change_members(change).await {
-                log::warn!("controller: cannot apply the member change {change:?}: {e}.");
-                return;
-            }
-            log::info!("controller: members change: {change:?}, of {members:?}.");
-            sleep(LEARNER_CATCH_UP_DELAY).await;
-        }
-    }
-
-    fn members(&self) -> Members {
-        let status = self.core.log.status();
-        let membership = &status.membership;
-        let to_members = |ids: &[u64]| {
-            ids.iter()
-                .map(|id| self.member_status(MemberId(*id)))
-                .collect()
-        };
-        let known: HashSet<u64> = membership
-            .voters
-            .iter()
-            .chain(&membership.learners)
-            .copied()
+    /// Logs which members do not count as present any more, and which do again.
+    fn log_absent(&mut self, members: &Members) {
+        let all = members.voters.iter().chain(&members.learners);
+        let absent: BTreeMap<_, _> = all
+            .filter_map(|m| Some((m.id, (m.absence()?, m.silence))))
             .collect();
-        let now = self.core.now();
-        let strangers = self
-            .last_reports
-            .values()
-            .filter(|(member, at)| {
-                !known.contains(&member.0) && now.saturating_sub(*at) <= MEMBER_QUERY_INTERVAL * 2
-            })
-            .map(|(member, _)| *member);
-        Members {
-            voters: to_members(&membership.voters),
-            learners: to_members(&membership.learners),
-            strangers: strangers.collect(),
-            wanted: voters_needed(self.core.settings.tolerated_losses),
+        let losses_borne = members.losses_borne();
+        for (id, (absence, silence)) in &absent {
+            if self.absent.get(id) != Some(absence) {
+                log::warn!(
+                    event = "member.absent", member = id.0, cause:? = absence, silence_ms = silence.as_millis() as u64,
+                    votes = members.voters.iter().any(|m| m.id == *id), losses_borne = losses_borne;
+                    "controller: member {id} does not count as present: {absence:?}"
+                );
+            }
         }
-    }
-
-    fn member_status(&self, id: MemberId) -> Member {
-        let status = self.core.log.status();
-        let matched = status.matched.iter().find(|(member, _)| *member == id);
-        let matched = matched.map_or(0, |(_, index)| *index);
-        let own = id == self.core.local_member.id();
-        let name = self.core.peers.controller_name(id);
-        let report = name.and_then(|name| self.last_reports.get(&name));
-        let last = match report {
-            Some((member, at)) if *member == id => *at,
-            _ => Duration::ZERO,
-        };
-        let silence = self.core.now().saturating_sub(last.max(self.leading_since));
-        Member {
-            id,
-            silence: if own { Duration::ZERO } else { silence },
-            is_replaced: !own && report.is_some_and(|(member, _)| *member != id),
-            has_caught_up: matched + MAX_CATCH_UP_LAG_ENTRIES >= status.commit,
+        for id in self.absent.keys().filter(|id| !absent.contains_key(id)) {
+            log::info!(
+                event = "member.present", member = id.0, losses_borne = losses_borne;
+                "controller: member {id} is present again, or is no member any more"
+            );
         }
+        self.absent = absent
+            .into_iter()
+            .map(|(id, (absence, _))| (id, absence))
+            .collect();
     }
 }
--- a/src/controller/metrics.rs
+++ b/src/controller/metrics.rs
@@ -2,10 +2,11 @@
 
 use std::sync::Arc;
 
-use super::core::Core;
+use super::{core::Core, membership};
 use crate::{
     policy::members::voters_needed,
     ports::Clock,
+    replication::MemberChange,
     telemetry::{Counter, Metrics},
 };
 
@@ -32,6 +33,39 @@
     }
 }
 
+/// Counters of the member changes that this controller made as leader.
+#[derive(Debug)]
+pub(super) struct MemberChangeCounters {
+    added: Counter,
+    promoted: Counter,
+    removed: Counter,
+}
+
+impl MemberChangeCounters {
+    /// Creates the counters. Call it only once in a process.
+    pub(super) fn new(metrics: &Metrics) -> Self {
+        let counter = |change| {
+            let help = "Member changes made as leader.";
+            let labels = [("change", change)];
+            metrics.register_labelled_counter("controller_member_changes", help, &labels)
+        };
+        Self {
+            added: counter("added"),
+            promoted: counter("promoted"),
+            removed: counter("removed"),
+        }
+    }
+
+    /// Counts a change.
+    pub(super) fn count(&self, change: MemberChange) {
+        match change {
+            MemberChange::AddLearner(_) => self.added.increment(),
+            MemberChange::Promote(_) => self.promoted.increment(),
+            MemberChange::Remove(_) => self.removed.increment(),
+        }
+    }
+}
+
 /// Registers the gauges of the controller's role, log, gateways and duties.
 pub(super) fn register_gauges<T: Clock>(core: &Arc<Core<T>>) {
     let gauge = |name, help, read: fn(&Core<T>) -> u64| {
@@ -71,6 +105,14 @@
             wanted.saturating_sub(core.log.status().membership.voters.len()) as u64
         },
     );
+    gauge(
+        "controller_losses_borne",
+        "Further voters that may be lost while a majority remains, as the leader knows; zero elsewhere.",
+        |core| match core.leads() {
+            true => membership::members(core).losses_borne() as u64,
+            false => 0,
+        },
+    );
     gauge(
         "controller_table_version",
         "Version of the published table in the log.",
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -16,9 +16,11 @@
 pub mod instance_poller;
 pub mod intent_diff;
 mod leader;
+mod leave;
 pub mod list_history;
 mod list_reader;
 mod log;
+mod member_reports;
 mod membership;
 mod metrics;
 mod operator_api;
@@ -99,38 +101,46 @@
     let ingress = settings.ingress.clone();
     let ingress = ingress.context("ingress is missing; a controller that publishes needs it")?;
     let mut publisher = None;
-    let running = start_with(settings, ports, stop, |core, tasks, stop| {
-        metrics::register_gauges(core);
-        tasks.spawn(list_reader::run(
-            Arc::clone(core),
-            Arc::clone(&platform),
-            ingress.clone(),
-            stop.clone(),
-        ));
-        tasks.spawn(scaler::run(
-            Arc::clone(core),
-            Arc::clone(&platform),
-            ingress.clone(),
-            stop.clone(),
-        ));
-        tasks.spawn(usage::run(
-            Arc::clone(core),
-            Arc::clone(&platform),
-            ingress,
-            stop.clone(),
-        ));
-        tasks.spawn(rollouts::run(Arc::clone(core), stop.clone()));
-        tasks.spawn(membership::run(Arc::clone(core), stop.clone()));
-        tasks.spawn(link_reloaded_controllers(
-            Arc::clone(core),
-            reloaded,
-            stop.clone(),
-        ));
-        publisher = Some(Publisher {
-            core: Arc::clone(core),
-            platform,
-        });
-    })
+    // The tasks go on until another controller has taken the vote of this one.
+    let running = start_with(
+        settings,
+        ports,
+        CancellationToken::new(),
+        |core, tasks, stop_tasks| {
+            tasks.spawn(leave::run(Arc::clone(core), stop, stop_tasks.clone()));
+            let stop = stop_tasks;
+            metrics::register_gauges(core);
+            tasks.spawn(list_reader::run(
+                Arc::clone(core),
+                Arc::clone(&platform),
+                ingress.clone(),
+                stop.clone(),
+            ));
+            tasks.spawn(scaler::run(
+                Arc::clone(core),
+                Arc::clone(&platform),
+                ingress.clone(),
+                stop.clone(),
+            ));
+            tasks.spawn(usage::run(
+                Arc::clone(core),
+                Arc::clone(&platform),
+                ingress,
+                stop.clone(),
+            ));
+            tasks.spawn(rollouts::run(Arc::clone(core), stop.clone()));
+            tasks.spawn(membership::run(Arc::clone(core), stop.clone()));
+            tasks.spawn(link_reloaded_controllers(
+                Arc::clone(core),
+                reloaded,
+                stop.clone(),
+            ));
+            publisher = Some(Publisher {
+                core: Arc::clone(core),
+                platform,
+            });
+        },
+    )
     .await?;
     let publisher = publisher.context("the controller started without a publisher")?;
     Ok((running, publisher))
--- a/src/controller/operator_api.rs
+++ b/src/controller/operator_api.rs
@@ -44,11 +44,11 @@
         self.read_barrier().await?;
         let status = self.core.log.status();
         let voters = &status.membership.voters;
-        let members = status.matched.iter().map(|(member, matched)| MemberStatus {
-            name: self.controller_name(*member),
-            member: *member,
-            voter: voters.contains(&member.0),
-            matched: *matched,
+        let members = status.progress.iter().map(|progress| MemberStatus {
+            name: self.controller_name(progress.member),
+            member: progress.member,
+            voter: voters.contains(&progress.member.0),
+            matched: progress.matched,
         });
         let members = members.collect();
         let gateways = self.gateway_statuses();
--- a/src/replication/bootstrap.rs
+++ b/src/replication/bootstrap.rs
@@ -118,7 +118,7 @@
             member: self.own_id.0,
             blank,
             controllers: self.controllers.iter().map(ToString::to_string).collect(),
-            known: Vec::new(),
+            ..MemberReport::default()
         }
     }
 
--- a/src/replication/leader.rs
+++ b/src/replication/leader.rs
@@ -9,12 +9,15 @@
 use bytes::Bytes;
 
 use super::{
-    Rejection, Replica, Ticket,
+    MemberProgress, Rejection, Replica, Ticket,
     log::quorum_value,
     progress::{Progress, ReplicationMode},
     replica::RoleState,
 };
-use crate::wire::{Entry, EntryKind};
+use crate::{
+    domain::MemberId,
+    wire::{Entry, EntryKind},
+};
 
 /// Maximum size of a command, in bytes, so that a message that carries it fits into a frame.
 pub const MAX_COMMAND_BYTES: usize = 4 * 1024 * 1024;
@@ -238,8 +241,25 @@
         })
     }
 
+    /// Returns when this member began to lead, if it leads.
+    pub fn led_since(&self) -> Option<Duration> {
+        self.leader_state()
+            .map(|leader_state| leader_state.elected_at)
+    }
+
+    /// Returns what this member knows of another one's replication; nothing is known unless it leads.
+    pub fn member_progress(&self, member: MemberId) -> MemberProgress {
+        let progress = self.leader_state().and_then(|l| l.progress.get(&member.0));
+        MemberProgress {
+            member,
+            matched: self.match_index(member).unwrap_or_default(),
+            acknowledged_at: progress.map_or(Duration::ZERO, |p| p.acked_round_start),
+            has_caught_up: self.has_caught_up(member.0),
+        }
+    }
+
     /// Returns the last index that a member is known to have synced, if this member is the leader.
-    pub fn match_index(&self, member: crate::domain::MemberId) -> Option<u64> {
+    pub fn match_index(&self, member: MemberId) -> Option<u64> {
         let leader_state = self.leader_state()?;
         if member.0 == self.own_id {
             return Some(self.persisted_index);
--- a/src/replication/mod.rs
+++ b/src/replication/mod.rs
@@ -143,6 +143,19 @@
     },
 }
 
+/// What a leader knows of a member's replication.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct MemberProgress {
+    /// The member.
+    pub member: MemberId,
+    /// The last index known to be on its disk.
+    pub matched: u64,
+    /// Start of the newest heartbeat round that it acknowledged; zero if there is none in the leader's term.
+    pub acknowledged_at: Duration,
+    /// Whether a promotion would be accepted: it acknowledges the newest rounds and lacks few entries.
+    pub has_caught_up: bool,
+}
+
 /// A change to the membership.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MemberChange {
--- a/src/replication/replica.rs
+++ b/src/replication/replica.rs
@@ -200,6 +200,11 @@
         self.memberships.latest()
     }
 
+    /// Returns whether the newest membership is committed.
+    pub fn is_membership_committed(&self) -> bool {
+        self.memberships.last_change_index() <= self.commit
+    }
+
     /// Returns the entry at an index, unless it was compacted or not appended yet.
     pub fn entry(&self, index: u64) -> Option<&Entry> {
         self.log.get(index)
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -43,8 +43,8 @@
 };
 pub use replica::{
     AppendReply, AppendRequest, Entry, EntryKind, InstallSnapshot, InstallSnapshotReply,
-    MemberQuery, MemberReport, MembershipRecord, ReplicaMessage, ReplicaPayload, UnreadableEntry,
-    VoteReply, VoteRequest,
+    LeaveReply, MemberQuery, MemberReport, MembershipRecord, ReplicaMessage, ReplicaPayload,
+    UnreadableEntry, VoteReply, VoteRequest,
 };
 pub use rollout::{
     RolloutLease, RolloutNews, RolloutRecord, RolloutReport, RolloutRoute, RolloutState,
--- a/src/wire/replica.rs
+++ b/src/wire/replica.rs
@@ -149,6 +149,12 @@
     /// The requesting controller, so that the receiver learns of new controllers.
     #[prost(message, optional, tag = "1")]
     pub sender: Option<super::ControllerRecord>,
+    /// The requesting controller's member identifier. Builds before [`LeaveReply`] send none, which reads as zero.
+    #[prost(uint64, tag = "2")]
+    pub member: u64,
+    /// Whether the requesting controller is about to stop.
+    #[prost(bool, tag = "3")]
+    pub leaving: bool,
 }
 
 /// A controller's member identifier and state; see `replication::Bootstrap`.
@@ -170,6 +176,23 @@
     /// settings name.
     #[prost(message, repeated, tag = "5")]
     pub known: Vec<super::ControllerRecord>,
+    /// Whether this controller is about to stop.
+    #[prost(bool, tag = "6")]
+    pub leaving: bool,
+    /// The answer to a controller that is about to stop. Missing in builds that do not replace its vote.
+    #[prost(message, optional, tag = "7")]
+    pub leave: Option<LeaveReply>,
+}
+
+/// Whether a controller that is about to stop may do so; see `policy::members`.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct LeaveReply {
+    /// Whether the sender leads; otherwise it cannot tell.
+    #[prost(bool, tag = "1")]
+    pub leads: bool,
+    /// Whether the controller that asks has no vote any more, or no other controller can take it.
+    #[prost(bool, tag = "2")]
+    pub may_leave: bool,
 }
 
 /// One entry of the log.
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -240,6 +240,19 @@
         data_folder(self.folder.path(), self.hosts[controller])
     }
 
+    /// Writes the settings of a further controller, which joins through the others. Returns the file, the address of its
+    /// operator interface and its data folder.
+    pub fn add_controller_file(&self) -> (PathBuf, SocketAddr, PathBuf) {
+        let host = unique_host();
+        let (folder, hosts) = (self.folder.path(), &self.hosts);
+        let file = write_settings(folder, host, "controller", hosts, self.api_address);
+        let text = std::fs::read_to_string(&file).unwrap();
+        let mut settings: Value = serde_json::from_str(&text).unwrap();
+        settings["bootstrap"] = json!(false);
+        std::fs::write(&file, settings.to_string()).unwrap();
+        (file, control_address(host), data_folder(folder, host))
+    }
+
     /// Writes the settings of a further gateway. Returns the file and the address of its machine.
     pub fn add_gateway_file(&self) -> (PathBuf, IpAddr) {
         let host = unique_host();
