Let controllers that stand by in pairs vote, and let a leaving one wait for its successor

Three planned leaves of the leader in a row could bring the same about with 30 controllers: each was removed before the next one could vote.

Cause: three voters bear one loss, however many controllers stand by; and a voter that was about to stop was removed as soon as more than the wanted number voted, also while a learner was still catching up.

Change: where two more controllers are ready than 2 * tolerated_losses + 1, both vote. A ready learner is promoted before an absent voter is removed, so that the number stays odd. A voter that leaves but still answers goes once its successor votes. The operators' interface answers until the controller stops, not only until it is told to.

--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -138,6 +138,7 @@
             publisher = Some(Publisher {
                 core: Arc::clone(core),
                 platform,
+                stop: stop.clone(),
             });
         },
     )
--- a/src/controller/publisher.rs
+++ b/src/controller/publisher.rs
@@ -4,6 +4,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use bytes::Bytes;
+use tokio_util::sync::CancellationToken;
 
 use super::{core::Core, log::LogError};
 use crate::{
@@ -36,9 +37,16 @@
 pub struct Publisher<T, P> {
     pub(super) core: Arc<Core<T>>,
     pub(super) platform: Arc<P>,
+    pub(super) stop: CancellationToken,
 }
 
 impl<T: Clock, P: Platform> Publisher<T, P> {
+    /// Returns the token that is cancelled when the controller stops: later than it is told to, if it lets another
+    /// controller take its vote first. It answers operators until then.
+    pub fn stop_token(&self) -> CancellationToken {
+        self.stop.clone()
+    }
+
     /// Publishes a document and returns its version. A document whose version is not higher than the
     /// published one is acknowledged without effect, so that a retried call is acknowledged again.
     ///
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -105,9 +105,9 @@
         &settings.timing,
     ));
     let listener = bind(ingress.address).await?;
-    let started =
-        controller::start_publishing(settings, settings_watch, ports, api, stop.clone()).await;
+    let started = controller::start_publishing(settings, settings_watch, ports, api, stop).await;
     let (running, publisher) = started?;
+    let stop = publisher.stop_token();
     tokio::spawn(platform::serve_control(Arc::new(publisher), listener, stop));
     Ok(running)
 }
--- a/src/policy/members.rs
+++ b/src/policy/members.rs
@@ -18,6 +18,10 @@
 /// Fewest learners that are kept up to date, so that two voters that leave at once can be replaced.
 const MIN_LEARNERS: usize = 2;
 
+/// Voters beyond the target that controllers which stand by become, if there are enough. With them two voters may be lost
+/// at once without notice although only one loss is tolerated, because their successors stand by.
+const EXTRA_VOTERS: usize = 2;
+
 /// Returns how many voters are needed to tolerate a number of simultaneous losses.
 pub fn voters_needed(tolerated_losses: usize) -> usize {
     tolerated_losses * 2 + 1
@@ -73,6 +77,11 @@
         self.absence().is_some()
     }
 
+    /// Returns whether it may take a vote.
+    fn is_ready(&self) -> bool {
+        self.has_caught_up && !self.is_lost()
+    }
+
     /// Returns whether it answers, though it may be about to stop.
     fn answers(&self) -> bool {
         self.has_answered && self.absence().is_none_or(|why| why == Absence::Leaving)
@@ -121,17 +130,15 @@
     /// to take it. A vote that nobody takes stays, because fewer voters than the target hold too few copies.
     pub fn may_leave(&self, id: MemberId) -> bool {
         let votes = self.voters.iter().any(|m| m.id == id);
-        let has_successor = self.voters.len() > self.wanted
-            || self.learners.iter().any(|m| !m.is_lost())
-            || !self.strangers.is_empty();
+        let has_successor = self.voters.len() > self.wanted || self.candidates() > 0;
         !votes || !has_successor
     }
 
     /// Returns the next membership change, one member at a time, or `None` if none is needed.
     pub fn next_change(&self) -> Option<MemberChange> {
         self.remove_lost_learner()
-            .or_else(|| self.remove_lost_voter())
             .or_else(|| self.promote_learner())
+            .or_else(|| self.remove_lost_voter())
             .or_else(|| self.add_learner())
     }
 
@@ -141,8 +148,26 @@
     }
 
     fn wants_voter(&self) -> bool {
-        let responsive = self.voters.iter().filter(|m| !m.is_lost()).count();
-        responsive < self.wanted && self.voters.len() <= self.wanted
+        let ready = self.learners.iter().filter(|m| m.is_ready()).count();
+        self.responsive() < self.target(ready)
+            && self.voters.len() <= self.target(self.candidates())
+    }
+
+    /// Returns the number of voters that stay.
+    fn responsive(&self) -> usize {
+        self.voters.iter().filter(|m| !m.is_lost()).count()
+    }
+
+    /// Returns how many voters there are to be while some controllers stand by. An even number bears no more losses than
+    /// the odd one below it.
+    fn target(&self, standing_by: usize) -> usize {
+        let odd = (self.responsive() + standing_by).saturating_sub(1) | 1;
+        odd.clamp(self.wanted, self.wanted + EXTRA_VOTERS)
+    }
+
+    /// Returns how many controllers that are no voters may become some.
+    fn candidates(&self) -> usize {
+        self.learners.iter().filter(|m| !m.is_lost()).count() + self.strangers.len()
     }
 
     fn remove_lost_learner(&self) -> Option<MemberChange> {
@@ -151,14 +176,18 @@
         Some(MemberChange::Remove(learner.id))
     }
 
-    /// Removes a lost voter, or one that leaves, only if there are more voters than the target and a majority
-    /// of the remaining ones is known to answer.
+    /// Removes a lost voter, or one that leaves, only if there are more voters than wanted and a majority of the
+    /// remaining ones is known to answer. One that leaves but still answers waits for its successor.
     fn remove_lost_voter(&self) -> Option<MemberChange> {
         if self.voters.len() <= self.wanted {
             return None;
         }
         let lost = self.voters.iter().filter(|m| m.is_lost());
         let lost = lost.min_by_key(|m| (Some(m.id) == self.leader, m.absence()))?;
+        let is_leaving = lost.absence() == Some(Absence::Leaving);
+        if is_leaving && self.voters.len() <= self.target(self.candidates()) {
+            return None;
+        }
         let others = self.voters.iter().filter(|m| m.id != lost.id);
         let answering = others.filter(|m| m.answers()).count();
         let remaining = self.voters.len() - 1;
@@ -169,8 +198,7 @@
         if !self.wants_voter() {
             return None;
         }
-        let is_ready = |m: &&Member| m.has_caught_up && !m.is_lost();
-        let learner = self.learners.iter().find(is_ready)?;
+        let learner = self.learners.iter().find(|m| m.is_ready())?;
         Some(MemberChange::Promote(learner.id))
     }
 
--- a/tests/platform_successors.rs
+++ b/tests/platform_successors.rs
@@ -280,3 +280,19 @@
     core.lose_a_disk().await;
     core.check().await;
 }
+
+/// Guards against a quorum that ended when two controllers were lost at once without notice though both successors stood by.
+#[tokio::test(flavor = "multi_thread")]
+async fn two_controllers_that_are_lost_at_once_after_their_successors_caught_up_end_no_quorum() {
+    let mut core = Core::start(3).await;
+    core.add(current_program());
+    core.add(current_program());
+    sleep(CATCH_UP).await;
+    core.wait_until_borne(2).await;
+    core.kill(1);
+    core.kill(0);
+    core.check().await;
+    core.wait_until_borne(1).await;
+    core.lose_a_disk().await;
+    core.check().await;
+}
