Stop at once where the leader is of an earlier build, or no cluster was joined

Found by reading: a controller that gets SIGTERM waited for up to 3 s if the leader runs the build before, which gives no LeaveReply, beside another controller of this build that is no leader; and as long if it had not joined a cluster yet, which has no vote to pass on.

Change: the answer of the controller that is known to lead decides; without members in the log there is nothing to wait for.

--- a/src/controller/leave.rs
+++ b/src/controller/leave.rs
@@ -63,6 +63,8 @@
 /// Why a controller that leaves stops now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Outcome {
+    /// It knows no members, so it has no vote.
+    NoMember,
     /// The leader says that it has no vote, or that nobody can take it.
     Released,
     /// It led and has given its vote away.
@@ -79,6 +81,9 @@
 
 async fn wait_for_release<T: Clock>(core: &Core<T>) -> Outcome {
     let own = core.local_member.id();
+    if core.log.status().membership.voters.is_empty() {
+        return Outcome::NoMember;
+    }
     let had_vote = votes(core, own);
     let mut unanswered = 0;
     loop {
@@ -128,28 +133,33 @@
 /// Tells all other controllers that this one leaves, and returns the leader's answer if it comes.
 async fn ask_others<T: Clock>(core: &Core<T>) -> Answer {
     let query = membership::member_query(core);
+    let leader = core.log.status().leader;
     let links = core.peers.links();
     let calls = links.iter().map(|(name, link)| async {
         let query = Body::MemberQuery(query.clone());
         match link.call(query, LEAVE_QUERY_TIMEOUT).await {
             Ok(Body::MemberReport(report)) => {
                 membership::handle_report(core, name, &report);
-                (!report.leaving || report.leave.is_some_and(|leave| leave.leads))
-                    .then_some(report.leave)
+                Some(report)
             }
             Ok(_) | Err(_) => None,
         }
     });
-    let mut calls: FuturesUnordered<_> = calls.collect();
+    let mut reports: FuturesUnordered<_> = calls.collect();
     let mut answer = Answer::None;
-    while let Some(leave) = calls.next().await {
-        answer = match (leave, answer) {
-            (Some(Some(leave)), _) if leave.may_leave => return Answer::Released,
-            (Some(Some(leave)), _) if leave.leads => return Answer::Wait,
-            (Some(Some(_)), _) => Answer::Wait,
-            (Some(None), Answer::None) => Answer::EarlierBuild,
-            (_, answer) => answer,
-        };
+    while let Some(report) = reports.next().await {
+        let Some(report) = report else { continue };
+        let is_leader = leader == Some(MemberId(report.member));
+        match report.leave {
+            Some(leave) if leave.may_leave => return Answer::Released,
+            Some(leave) if leave.leads => return Answer::Wait,
+            // Another one that leaves may be gone soon, so it is nobody to wait for.
+            Some(_) if report.leaving => {}
+            Some(_) => answer = Answer::Wait,
+            None if is_leader => return Answer::EarlierBuild,
+            None if matches!(answer, Answer::None) => answer = Answer::EarlierBuild,
+            None => {}
+        }
     }
     answer
 }
