Wait until a link's server has ended before its address is taken again

Cause: the test bound the address again as soon as the client saw its connection closed, which another task of the server does than the one that holds the listener; on a multi-threaded runtime whose threads are starved the listener may still be open then. The test now awaits the server's task after it was told to stop: as strict as before, and it also fails if that task doesn't end.

--- a/tests/link.rs
+++ b/tests/link.rs
@@ -23,6 +23,7 @@
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
     sync::{Notify, watch},
+    task::JoinHandle,
     time::{Instant, sleep, timeout},
 };
 use tokio_util::sync::CancellationToken;
@@ -102,17 +103,20 @@
 }
 
 async fn start_server(handler: Arc<Echo>) -> (SocketAddr, CancellationToken) {
-    start_server_at("127.0.0.1:0".parse().unwrap(), handler).await
+    let (address, stop, _) = start_server_at("127.0.0.1:0".parse().unwrap(), handler).await;
+    (address, stop)
 }
 
+/// Starts a server. Its task ends, and its port is free, some time after the token was cancelled.
+
 async fn start_server_at(
     address: SocketAddr,
     handler: Arc<Echo>,
-) -> (SocketAddr, CancellationToken) {
+) -> (SocketAddr, CancellationToken, JoinHandle<()>) {
     let listener = TcpListener::bind(address).await.unwrap();
     let address = listener.local_addr().unwrap();
     let stop = CancellationToken::new();
-    tokio::spawn(serve(
+    let server = tokio::spawn(serve(
         listener,
         key("a shared key of some length"),
         identity("server"),
@@ -120,7 +124,7 @@
         handler,
         stop.clone(),
     ));
-    (address, stop)
+    (address, stop, server)
 }
 
 fn connect(address: SocketAddr, text: &str) -> Link {
@@ -203,7 +207,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_link_reconnects_to_a_restarted_peer() {
-    let (address, stop) = start_server_at(unused_address(), Echo::new()).await;
+    let (address, stop, server) = start_server_at(unused_address(), Echo::new()).await;
     let link = connect(address, "a shared key of some length");
     call_until_answered(&link, "first").await;
     stop.cancel();
@@ -215,7 +219,8 @@
         }
     };
     timeout(TEST_TIMEOUT, down).await.unwrap();
-    let (_, _stop) = start_server_at(address, Echo::new()).await;
+    server.await.unwrap();
+    let (_, _stop, _) = start_server_at(address, Echo::new()).await;
     call_until_answered(&link, "again").await;
 }
 
