--- a/tests/link.rs
+++ b/tests/link.rs
@@ -108,7 +108,6 @@
 }
 
 /// Starts a server. Its task ends, and its port is free, some time after the token was cancelled.
-
 async fn start_server_at(
     address: SocketAddr,
     handler: Arc<Echo>,
