--- a/src/controller/leave.rs
+++ b/src/controller/leave.rs
@@ -11,11 +11,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{core::Core, membership};
-use crate::{
-    domain::MemberId,
-    ports::Clock,
-    wire::{Body, LeaveReply},
-};
+use crate::{domain::MemberId, ports::Clock, wire::LeaveReply};
 
 /// Longest time for which a controller that is to stop waits for its successor. It leaves time to close connections
 /// within the 8 s that the users' machines grant.
@@ -132,20 +128,12 @@
 
 /// Tells all other controllers that this one leaves, and returns the leader's answer if it comes.
 async fn ask_others<T: Clock>(core: &Core<T>) -> Answer {
-    let query = membership::member_query(core);
     let leader = core.log.status().leader;
     let links = core.peers.links();
-    let calls = links.iter().map(|(name, link)| async {
-        let query = Body::MemberQuery(query.clone());
-        match link.call(query, LEAVE_QUERY_TIMEOUT).await {
-            Ok(Body::MemberReport(report)) => {
-                membership::handle_report(core, name, &report);
-                Some(report)
-            }
-            Ok(_) | Err(_) => None,
-        }
-    });
-    let mut reports: FuturesUnordered<_> = calls.collect();
+    let queries = links
+        .iter()
+        .map(|(name, link)| membership::query(core, name, link, LEAVE_QUERY_TIMEOUT));
+    let mut reports: FuturesUnordered<_> = queries.collect();
     let mut answer = Answer::None;
     while let Some(report) = reports.next().await {
         let Some(report) = report else { continue };
--- a/src/controller/membership.rs
+++ b/src/controller/membership.rs
@@ -17,6 +17,7 @@
 };
 use crate::{
     domain::MemberId,
+    link::Link,
     policy::members::{Absence, Member, Members, silence, voters_needed},
     ports::Clock,
     replication::MemberChange,
@@ -55,7 +56,7 @@
 }
 
 /// Returns this controller's query, which also tells the receiver of this controller.
-pub(super) fn member_query<T: Clock>(core: &Core<T>) -> MemberQuery {
+fn member_query<T: Clock>(core: &Core<T>) -> MemberQuery {
     let own = core.peers.entry(&core.settings.name);
     MemberQuery {
         sender: own.as_ref().map(ControllerEntry::to_record),
@@ -65,23 +66,30 @@
 }
 
 async fn query_all<T: Clock>(core: &Core<T>) {
-    let query = member_query(core);
     let links = core.peers.links();
-    let queries = links.iter().map(|(name, link)| async {
-        let query = Body::MemberQuery(query.clone());
-        if let Ok(Body::MemberReport(report)) = link.call(query, MEMBER_QUERY_TIMEOUT).await {
-            handle_report(core, name, &report);
-        }
-    });
+    let queries = links
+        .iter()
+        .map(|(name, link)| query(core, name, link, MEMBER_QUERY_TIMEOUT));
     join_all(queries).await;
 }
 
-/// Records what a controller reports of its member and of the controllers that it knows.
-pub(super) fn handle_report<T: Clock>(core: &Core<T>, name: &Arc<str>, report: &MemberReport) {
+/// Asks a controller for its report and records what it says of its member and of the controllers that it knows. Returns
+/// `None` if it does not answer in time.
+pub(super) async fn query<T: Clock>(
+    core: &Core<T>,
+    name: &Arc<str>,
+    link: &Link,
+    deadline: Duration,
+) -> Option<MemberReport> {
+    let query = Body::MemberQuery(member_query(core));
+    let Ok(Body::MemberReport(report)) = link.call(query, deadline).await else {
+        return None;
+    };
     record_sighting(core, name, MemberId(report.member), report.leaving);
     for known in &report.known {
         core.peers.add_record(known);
     }
+    Some(report)
 }
 
 /// Records the member of a controller.
--- a/src/policy/members.rs
+++ b/src/policy/members.rs
@@ -17,7 +17,6 @@
 const LEARNER_REMOVAL_TIMEOUT: Duration = Duration::from_secs(30);
 /// Fewest learners that are kept up to date, so that two voters that leave at once can be replaced.
 const MIN_LEARNERS: usize = 2;
-
 /// Voters beyond the target that controllers which stand by become, if there are enough. With them two voters may be lost
 /// at once without notice although only one loss is tolerated, because their successors stand by.
 const EXTRA_VOTERS: usize = 2;
--- a/tests/platform_successors.rs
+++ b/tests/platform_successors.rs
@@ -2,7 +2,12 @@
 
 mod platform_support;
 
-use std::{net::SocketAddr, path::PathBuf, time::Duration};
+use std::{
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::Stdio,
+    time::Duration,
+};
 
 use hyper::{Method, StatusCode};
 use platform_support::{
@@ -55,11 +60,21 @@
         core
     }
 
+    /// Starts three controllers and further ones, and waits until those have caught up.
+    async fn start_with(successors: usize) -> Self {
+        let mut core = Self::start(3).await;
+        for _ in 0..successors {
+            core.add(current_program());
+        }
+        sleep(CATCH_UP).await;
+        core
+    }
+
     /// Starts a further controller of a build.
-    fn add(&mut self, program: &std::path::Path) {
+    fn add(&mut self, program: &Path) {
         let (file, control, folder) = self.prepared.add_controller_file();
         self.places.push(Place {
-            daemon: Daemon::start_program(program, &file, "info", std::process::Stdio::null()),
+            daemon: Daemon::start_program(program, &file, "info", Stdio::null()),
             control,
             folder,
         });
@@ -167,9 +182,7 @@
 
 /// Replaces a controller with notice, its successor first, and loses a disk right after it has ended.
 async fn replace_as_planned(leads: bool) {
-    let mut core = Core::start(3).await;
-    core.add(current_program());
-    sleep(CATCH_UP).await;
+    let mut core = Core::start_with(1).await;
     let old = core.find(leads).await;
     core.stop(old).await;
     core.lose_a_disk().await;
@@ -191,10 +204,7 @@
 /// Guards against a quorum that ended with the second of two planned replacements.
 #[tokio::test(flavor = "multi_thread")]
 async fn two_controllers_that_are_replaced_as_planned_in_a_row_end_no_quorum() {
-    let mut core = Core::start(3).await;
-    core.add(current_program());
-    core.add(current_program());
-    sleep(CATCH_UP).await;
+    let mut core = Core::start_with(2).await;
     for leads in [true, false] {
         let old = core.find(leads).await;
         core.stop(old).await;
@@ -207,10 +217,7 @@
 /// Guards against a quorum that ended when two controllers were stopped at the same moment.
 #[tokio::test(flavor = "multi_thread")]
 async fn two_controllers_that_are_replaced_as_planned_at_once_end_no_quorum() {
-    let mut core = Core::start(3).await;
-    core.add(current_program());
-    core.add(current_program());
-    sleep(CATCH_UP).await;
+    let mut core = Core::start_with(2).await;
     for at in [0, 1] {
         core.places[at].daemon.terminate();
     }
@@ -265,11 +272,7 @@
 /// Guards against a loss that is borne again later than the pages allow: the leader knows it within the time of a successor.
 #[tokio::test(flavor = "multi_thread")]
 async fn standing_by_controllers_restore_what_is_borne_after_each_loss() {
-    let mut core = Core::start(3).await;
-    for _ in 0..4 {
-        core.add(current_program());
-    }
-    sleep(CATCH_UP).await;
+    let mut core = Core::start_with(4).await;
     core.wait_until_borne(1).await;
     for leads in [true, false, true, false] {
         let lost = core.find(leads).await;
@@ -284,10 +287,7 @@
 /// Guards against a quorum that ended when two controllers were lost at once without notice though both successors stood by.
 #[tokio::test(flavor = "multi_thread")]
 async fn two_controllers_that_are_lost_at_once_after_their_successors_caught_up_end_no_quorum() {
-    let mut core = Core::start(3).await;
-    core.add(current_program());
-    core.add(current_program());
-    sleep(CATCH_UP).await;
+    let mut core = Core::start_with(2).await;
     core.wait_until_borne(2).await;
     core.kill(1);
     core.kill(0);
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -223,10 +223,9 @@
     /// Lets the controllers and the gateway learn the speeds of servers.
     pub fn learn_paces(&self) {
         for file in self.controller_files.iter().chain([&self.gateway_file]) {
-            let text = std::fs::read_to_string(file).unwrap();
-            let mut settings: Value = serde_json::from_str(&text).unwrap();
-            settings["ingress"]["learn_paces"] = json!(true);
-            std::fs::write(file, settings.to_string()).unwrap();
+            edit_settings(file, |settings| {
+                settings["ingress"]["learn_paces"] = json!(true)
+            });
         }
     }
 
@@ -246,10 +245,7 @@
         let host = unique_host();
         let (folder, hosts) = (self.folder.path(), &self.hosts);
         let file = write_settings(folder, host, "controller", hosts, self.api_address);
-        let text = std::fs::read_to_string(&file).unwrap();
-        let mut settings: Value = serde_json::from_str(&text).unwrap();
-        settings["bootstrap"] = json!(false);
-        std::fs::write(&file, settings.to_string()).unwrap();
+        edit_settings(&file, |settings| settings["bootstrap"] = json!(false));
         (file, control_address(host), data_folder(folder, host))
     }
 
@@ -625,11 +621,18 @@
     let near = link
         .start(SocketAddr::new(IpAddr::V4(controller), PEER_PORT))
         .await;
+    edit_settings(file, |settings| {
+        let own = settings["peer_address"].as_str().unwrap();
+        let own = SocketAddr::new(own.parse::<SocketAddr>().unwrap().ip(), near.port());
+        settings["peer_address"] = json!(own.to_string());
+    });
+}
+
+/// Changes a settings file.
+fn edit_settings(file: &Path, change: impl FnOnce(&mut Value)) {
     let text = std::fs::read_to_string(file).unwrap();
     let mut settings: Value = serde_json::from_str(&text).unwrap();
-    let own = settings["peer_address"].as_str().unwrap();
-    let own = SocketAddr::new(own.parse::<SocketAddr>().unwrap().ip(), near.port());
-    settings["peer_address"] = json!(own.to_string());
+    change(&mut settings);
     std::fs::write(file, settings.to_string()).unwrap();
 }
 
