Review: case 12, a report of a former leader arrives after its successor's

Cause looked for: calls of a duty that outlive the lease under which they were made. Case: the leader is cut off for 5 s with a report of usage on its way; it arrives 1.2 s after the cut, with a lower fencing token than the platform has seen.

--- /dev/null
+++ b/review/12/run.sh
@@ -0,0 +1,2 @@
+#!/bin/bash
+exec python3 -B "$(dirname "$0")/case.py"
