Reset connections within an exchange, so that what was given up never arrives

Cause: a process gave an exchange up by closing its connection. The kernel had taken the bytes and went on sending them, for up to 8 s (TCP_USER_TIMEOUT) and longer on links, also for a process that was killed or had ended. A call that its process wrote late, after it had been stopped, was not checked against the duty either.

Change: RevocableStream sets SO_LINGER to zero as it opens, so that the kernel drops what it holds whichever way the process ends, and takes that back only where the last exchange ended well. Sending tells the stream what is open and until when: a deadline, or the right to a duty (SendRight), which is asked at each write and bounds TCP_USER_TIMEOUT for a process that is stopped. Used for upstreams, the platform, the cloud and the weight store, for the opening side of links, and on both hops of tunnels: TunnelData says how long its bytes are valid, so that a carrying gateway that is cut off as well gives them up by itself.

--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -20,7 +20,7 @@
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::{
     io::{AsyncRead, AsyncWrite},
-    time::{Instant, timeout_at},
+    time::{Instant, sleep, timeout_at},
 };
 
 use super::{
@@ -30,13 +30,16 @@
     pool::{IdleConnections, Pool},
 };
 use crate::{
-    adapters::tcp::TcpDialer,
-    ports::{Dialer, Sent, Target, UpstreamError, UpstreamErrorKind},
+    adapters::{revocable::Sending, tcp::TcpDialer},
+    ports::{Dialer, SendRight, Sent, Target, UpstreamError, UpstreamErrorKind},
 };
 
 /// Maximum size of a response body that is buffered, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
 
+/// Interval at which it is checked whether the right to make a call still lasts.
+const RIGHT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Why a response that ends with its connection is not complete.
 pub(crate) const UNREAD_REQUEST: &str =
     "the upstream ended the connection before it had taken the whole request";
@@ -84,14 +87,15 @@
     pub(crate) connection: PooledConnection,
 }
 
-/// A request on its connection, whose response is awaited. Dropping it closes the connection.
+/// A request on its connection, whose response is awaited. Dropping it resets the connection, so that a request that has not
+/// arrived never does.
 pub(crate) struct Exchange {
     connection: PooledConnection,
     response: BoxFuture<'static, Result<Response<Incoming>, UpstreamError>>,
     deadline: Instant,
 }
 
-/// A connection in use. Dropping it closes it, unless it is returned to the pool.
+/// A connection in use. Dropping it resets it, unless it is returned to the pool.
 #[derive(Debug)]
 pub(crate) struct PooledConnection {
     connection: Connection,
@@ -113,9 +117,19 @@
     }
 
     /// Starts to send a request whose response is awaited until the deadline.
-    pub(crate) fn start(mut self, req: Request<Full<Bytes>>, deadline: Instant) -> Exchange {
+    pub(crate) fn start(self, req: Request<Full<Bytes>>, deadline: Instant) -> Exchange {
+        self.start_while(req, Arc::new(deadline), deadline)
+    }
+
+    /// Like [`Self::start`], for a request that may be sent only while a right lasts.
+    fn start_while(
+        mut self,
+        req: Request<Full<Bytes>>,
+        right: Arc<dyn SendRight>,
+        deadline: Instant,
+    ) -> Exchange {
         Exchange {
-            response: Box::pin(self.connection.send(req)),
+            response: Box::pin(self.connection.send(req, right)),
             connection: self,
             deadline,
         }
@@ -258,6 +272,38 @@
         response.read_body(deadline).await
     }
 
+    /// Sends a request once, while a right lasts, and reads the complete response.
+    pub(crate) async fn fetch_while(
+        &self,
+        target: &Target,
+        req: Request<Full<Bytes>>,
+        right: Arc<dyn SendRight>,
+        deadline: Instant,
+    ) -> Result<FullResponse, UpstreamError> {
+        let lost = async {
+            loop {
+                match right.time_left() {
+                    Duration::ZERO => return,
+                    left => sleep(left.min(RIGHT_CHECK_INTERVAL)).await,
+                }
+            }
+        };
+        let fetched = async {
+            let connection = self.connect(target, Reuse::Allowed, deadline).await?;
+            let exchange = connection.start_while(req, Arc::clone(&right), deadline);
+            exchange.await_response().await?.read_body(deadline).await
+        };
+        tokio::select! {
+            biased;
+            () = lost => Err(UpstreamError::new(
+                UpstreamErrorKind::Silent,
+                Sent::Maybe,
+                "no answer while the right to make the call lasted",
+            )),
+            result = fetched => result,
+        }
+    }
+
     /// Sends an idempotent request and decodes the JSON body of its response.
     pub(crate) async fn fetch_json<T: DeserializeOwned>(
         &self,
@@ -304,13 +350,15 @@
         None
     }
 
-    /// Uses a tunnel to a target for HTTP. An error means that nothing was sent.
+    /// Uses a tunnel to a target for HTTP; its bytes can be taken back through `sending`. An error means that nothing was
+    /// sent.
     pub(crate) async fn connect_over(
         &self,
         target: &Target,
         tunnel: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
+        sending: Sending,
     ) -> Result<PooledConnection, UpstreamError> {
-        let connection = Connection::over(tunnel).await;
+        let connection = Connection::over(tunnel, sending).await;
         let connection = connection.map_err(|e| connect_error(target.address, &e.to_string()))?;
         Ok(self.opened(target, Way::Tunnel, connection))
     }
--- a/src/adapters/http/connection.rs
+++ b/src/adapters/http/connection.rs
@@ -1,6 +1,6 @@
-//! An HTTP/1.1 connection to an upstream, which is closed when dropped.
+//! An HTTP/1.1 connection to an upstream. Dropped within an exchange it is reset, and otherwise closed in order.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -21,7 +21,10 @@
     client::protocol_error,
     tracked_stream::{RequestProgress, TrackedStream},
 };
-use crate::ports::{Dialer, Sent, UpstreamError, UpstreamErrorKind};
+use crate::{
+    adapters::revocable::{RevocableStream, Sending},
+    ports::{Dialer, SendRight, Sent, UpstreamError, UpstreamErrorKind},
+};
 
 /// Idle time after which a connection is not reused.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(20);
@@ -41,16 +44,18 @@
 pub(super) struct Connection {
     sender: SendRequest<Full<Bytes>>,
     progress: watch::Receiver<RequestProgress>,
+    sending: Sending,
     task: JoinHandle<()>,
     last_used: Instant,
 }
 
 impl Connection {
-    /// Speaks HTTP over an open connection.
+    /// Speaks HTTP over an open connection, whose bytes can be taken back through `sending`.
     pub(super) async fn over(
         io: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
+        sending: Sending,
     ) -> hyper::Result<Self> {
-        let (io, progress) = TrackedStream::new(io);
+        let (io, progress) = TrackedStream::new(io, sending.clone());
         let (mut sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(io))
@@ -63,6 +68,7 @@
         Ok(Self {
             sender,
             progress,
+            sending,
             task,
             last_used: Instant::now(),
         })
@@ -136,11 +142,18 @@
         self.last_used = Instant::now();
     }
 
-    /// Sends a request and waits for the response head. The connection must outlive the returned future.
+    /// Marks that the exchange ended well. What is left of its request may still arrive.
+    pub(super) fn settle(&self) {
+        self.sending.settle();
+    }
+
+    /// Sends a request while the right lasts and waits for the response head. The connection must outlive the returned future.
     pub(super) fn send(
         &mut self,
         req: Request<Full<Bytes>>,
+        right: Arc<dyn SendRight>,
     ) -> impl Future<Output = Result<Response<Incoming>, UpstreamError>> + Send + use<> {
+        self.sending.begin(right);
         let response = self.sender.try_send_request(req);
         async {
             response.await.map_err(|mut e| {
@@ -175,7 +188,9 @@
 }
 
 async fn open(dialer: &dyn Dialer, address: SocketAddr) -> anyhow::Result<Connection> {
-    Ok(Connection::over(dialer.dial(address).await?).await?)
+    let stream = RevocableStream::new(dialer.dial(address).await?)?;
+    let sending = stream.sending();
+    Ok(Connection::over(stream, sending).await?)
 }
 
 pub(super) fn connect_error(address: SocketAddr, reason: &str) -> UpstreamError {
--- a/src/adapters/http/pool.rs
+++ b/src/adapters/http/pool.rs
@@ -115,6 +115,7 @@
     /// Keeps a connection whose response was read to its end, once its request is complete too. One whose request was
     /// not wholly written before the response finishes outside the pool and is closed.
     pub(super) fn put(self: Arc<Self>, mut connection: Connection) {
+        connection.settle();
         if connection.is_closed() {
             return;
         }
--- a/src/adapters/http/tracked_stream.rs
+++ b/src/adapters/http/tracked_stream.rs
@@ -14,6 +14,8 @@
     sync::watch,
 };
 
+use crate::adapters::revocable::Sending;
+
 /// What is known of the request on a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct RequestProgress {
@@ -28,16 +30,22 @@
 pub(super) struct TrackedStream<S> {
     io: S,
     progress: watch::Sender<RequestProgress>,
+    sending: Sending,
 }
 
 impl<S> TrackedStream<S> {
     /// Wraps a stream; the receiver shows the progress until the stream is dropped.
-    pub(super) fn new(io: S) -> (Self, watch::Receiver<RequestProgress>) {
+    pub(super) fn new(io: S, sending: Sending) -> (Self, watch::Receiver<RequestProgress>) {
         let (progress, rx) = watch::channel(RequestProgress {
             written: true,
             answered_early: false,
         });
-        (Self { io, progress }, rx)
+        let stream = Self {
+            io,
+            progress,
+            sending,
+        };
+        (stream, rx)
     }
 
     fn set_written(&self, written: bool) {
@@ -52,6 +60,9 @@
             progress.answered_early |= is_new;
             is_new
         });
+        if self.progress.borrow().answered_early {
+            self.sending.lift_limit();
+        }
     }
 }
 
--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -3,6 +3,7 @@
 mod clock;
 pub mod disk;
 pub(crate) mod http;
+pub(crate) mod revocable;
 pub(crate) mod tcp;
 
 pub use clock::SystemClock;
--- a/src/adapters/tcp.rs
+++ b/src/adapters/tcp.rs
@@ -15,7 +15,7 @@
 /// Number of unanswered keepalive probes after which the kernel closes the connection.
 const KEEPALIVE_PROBES: u32 = 3;
 /// `TCP_USER_TIMEOUT`: the kernel closes the connection if sent bytes or keepalive probes stay unacknowledged this long.
-const TCP_USER_TIMEOUT: Duration = Duration::from_secs(8);
+pub(super) const TCP_USER_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// Maximum bytes that the kernel holds unsent. Without a limit it takes megabytes at once, which hides for seconds whether
 /// a slow network or a peer that does not read still makes progress, and puts small messages behind them. Bytes that were
--- a/src/controller/duty.rs
+++ b/src/controller/duty.rs
@@ -1,12 +1,12 @@
 //! Duties: calls to the platform that only the leader may make. The leader holds a duty under a
 //! fencing token of its own, and only after the lease of the previous holder has expired.
 
-use std::{sync::Arc, time::Duration};
+use std::{fmt, sync::Arc, time::Duration};
 
 use super::core::Core;
 use crate::{
     domain::FencingToken,
-    ports::{Clock, DutyHolder},
+    ports::{Clock, DutyHolder, SendRight},
     state::{Action, AllocateFence, Reply},
 };
 
@@ -40,7 +40,7 @@
     /// process is stopped. Allocates the fencing token once the previous holder's lease has expired.
     pub(super) async fn current_holder<T: Clock>(
         &mut self,
-        core: &Core<T>,
+        core: &Arc<Core<T>>,
     ) -> Option<(u64, DutyHolder)> {
         if !core.leads() {
             if self
@@ -76,11 +76,43 @@
         if current.fence.is_none() {
             current.fence = acquire(core, self.name).await;
         }
+        // No other controller leads yet at this time, and one that leads later waits for the lease.
+        let right = DutyRight {
+            core: Arc::clone(core),
+            term,
+            until: core.now() + self.lease,
+        };
         let holder = DutyHolder {
             name: Arc::clone(&core.settings.name),
             fence: current.fence?,
+            right: Arc::new(right),
         };
-        (core.leads() && core.fleet().term() == term).then_some((term, holder))
+        (!holder.right.time_left().is_zero()).then_some((term, holder))
+    }
+}
+
+/// The right to make one call under a duty, in the term of its fencing token and within its lease.
+struct DutyRight<T> {
+    core: Arc<Core<T>>,
+    term: u64,
+    until: Duration,
+}
+
+impl<T: Clock> SendRight for DutyRight<T> {
+    fn time_left(&self) -> Duration {
+        match self.core.leads() && self.core.fleet().term() == self.term {
+            true => self.until.saturating_sub(self.core.now()),
+            false => Duration::ZERO,
+        }
+    }
+}
+
+impl<T> fmt::Debug for DutyRight<T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("DutyRight")
+            .field("term", &self.term)
+            .field("until", &self.until)
+            .finish_non_exhaustive()
     }
 }
 
--- a/src/ingress/reach.rs
+++ b/src/ingress/reach.rs
@@ -332,8 +332,11 @@
             address: upstream.target.address.to_string(),
         };
         let opening = open_tunnel(other.address, &self.key, &self.own, open);
-        let (tunnel, opened) = opening.await?;
-        let connection = client.connect_over(&upstream.target, tunnel).await;
+        let tunnel = opening.await?;
+        let opened = tunnel.opened;
+        let connection = client
+            .connect_over(&upstream.target, tunnel.io, tunnel.sending)
+            .await;
         let connection = connection.map_err(|e| io::Error::other(e.to_string()))?;
         let instance = &upstream.target.instance;
         self.known().record_opened(other, instance, opened.carried);
--- a/src/link/activity.rs
+++ b/src/link/activity.rs
@@ -93,6 +93,10 @@
         Self { io, activity }
     }
 
+    pub(super) fn get_ref(&self) -> &T {
+        &self.io
+    }
+
     pub(super) fn activity(&self) -> Arc<Activity> {
         Arc::clone(&self.activity)
     }
--- a/src/link/client.rs
+++ b/src/link/client.rs
@@ -17,8 +17,11 @@
     time::{Instant, sleep, timeout},
 };
 
-use super::{Identity, LinkSettings, PeerKey, activity::Activity, handshake};
-use crate::wire::{Body, Frame, Ping};
+use super::{Identity, LinkSettings, OpenedConnection, PeerKey, activity::Activity, handshake};
+use crate::{
+    adapters::revocable::Sending,
+    wire::{Body, Frame, Ping},
+};
 
 /// Reason why a call failed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -151,10 +154,10 @@
         }
     }
 
-    async fn open_connection(&self) -> io::Result<handshake::Connection> {
+    async fn open_connection(&self) -> io::Result<OpenedConnection> {
         let attempt = async {
             let stream = TcpStream::connect(self.address).await?;
-            let mut connection = super::frame_stream(stream)?;
+            let mut connection = super::opened_stream(stream)?;
             let peer = handshake::connect(&mut connection, &self.key, &self.local).await?;
             self.peer.store(Some(Arc::new(peer)));
             Ok(connection)
@@ -180,10 +183,11 @@
         }
     }
 
-    async fn run_connection(&mut self, connection: handshake::Connection) -> ConnectionEnd {
+    async fn run_connection(&mut self, connection: OpenedConnection) -> ConnectionEnd {
         let activity = connection.get_ref().activity();
+        let sending = connection.get_ref().get_ref().sending();
         let (sink, mut stream) = connection.split();
-        let pending = PendingCalls::default();
+        let pending = PendingCalls::new(sending.clone());
         let read = async {
             while let Some(Ok(frame)) = stream.next().await {
                 pending.complete(frame);
@@ -192,14 +196,18 @@
         };
         let (address, settings) = (self.address, self.settings.clone());
         // Reading goes on while a large frame is written, and the reverse.
-        tokio::select! {
+        let end = tokio::select! {
             end = read => end,
             end = self.write(sink, &pending, &activity) => end,
             _ = super::wait_for_silence(&activity, &settings) => {
                 log::warn!("link: {address} is silent and is connected anew.");
                 ConnectionEnd::Failed
             }
+        };
+        if matches!(end, ConnectionEnd::Failed) {
+            sending.revoke();
         }
+        end
     }
 
     async fn write(
@@ -269,9 +277,20 @@
     }
 }
 
-/// The calls that wait for their replies, by correlation.
-#[derive(Default)]
-struct PendingCalls(Mutex<HashMap<u64, PendingCall>>);
+/// The calls on a connection that wait for their replies, by correlation. Those that are left when the connection ends are
+/// given up, so the peer must not get them later.
+struct PendingCalls {
+    calls: Mutex<HashMap<u64, PendingCall>>,
+    sending: Sending,
+}
+
+impl Drop for PendingCalls {
+    fn drop(&mut self) {
+        if !self.lock().is_empty() {
+            self.sending.revoke();
+        }
+    }
+}
 
 struct PendingCall {
     reply: oneshot::Sender<Result<Body, LinkError>>,
@@ -279,6 +298,13 @@
 }
 
 impl PendingCalls {
+    fn new(sending: Sending) -> Self {
+        Self {
+            calls: Mutex::default(),
+            sending,
+        }
+    }
+
     fn insert(&self, correlation: u64, call: PendingCall) {
         self.lock().insert(correlation, call);
     }
@@ -301,6 +327,6 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<u64, PendingCall>> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.calls.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/src/link/handshake.rs
+++ b/src/link/handshake.rs
@@ -6,7 +6,7 @@
 use futures_util::{SinkExt, StreamExt};
 use hmac::{Hmac, Mac};
 use sha2::Sha256;
-use tokio::net::TcpStream;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio_util::codec::Framed;
 
 use super::{activity::Watched, codec::FrameCodec};
@@ -22,7 +22,7 @@
 /// Size of a datagram's proof: the HMAC truncated to half its length, as RFC 2104 allows.
 const DATAGRAM_PROOF_BYTES: usize = 16;
 
-pub(super) type Connection = Framed<Watched<TcpStream>, FrameCodec>;
+pub(super) type Connection<T> = Framed<Watched<T>, FrameCodec>;
 
 /// The key that all processes of an installation share. Its `Debug` output does not reveal it.
 #[derive(Clone)]
@@ -131,7 +131,7 @@
 const ACCEPTING_LABEL: &[u8] = b"accept";
 
 pub(super) async fn connect(
-    connection: &mut Connection,
+    connection: &mut Connection<impl AsyncRead + AsyncWrite + Unpin>,
     key: &PeerKey,
     local: &Identity,
 ) -> io::Result<Identity> {
@@ -155,7 +155,7 @@
 }
 
 pub(super) async fn accept(
-    connection: &mut Connection,
+    connection: &mut Connection<impl AsyncRead + AsyncWrite + Unpin>,
     key: &PeerKey,
     local: &Identity,
 ) -> io::Result<Identity> {
@@ -189,7 +189,9 @@
     rand::random::<[u8; NONCE_BYTES]>().to_vec()
 }
 
-async fn receive_body(connection: &mut Connection) -> io::Result<Body> {
+async fn receive_body(
+    connection: &mut Connection<impl AsyncRead + AsyncWrite + Unpin>,
+) -> io::Result<Body> {
     let frame = connection
         .next()
         .await
@@ -199,7 +201,10 @@
         .ok_or_else(|| auth_error("the peer sent an unknown message"))
 }
 
-async fn send_body(connection: &mut Connection, body: Body) -> io::Result<()> {
+async fn send_body(
+    connection: &mut Connection<impl AsyncRead + AsyncWrite + Unpin>,
+    body: Body,
+) -> io::Result<()> {
     let frame = Frame {
         body: Some(body),
         ..Frame::default()
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -10,26 +10,37 @@
 mod server;
 mod tunnel;
 
+pub use crate::adapters::revocable::Sending;
 pub use client::{Link, LinkError};
 pub use datagram::DatagramSocket;
 pub use handshake::{Identity, PeerKey};
 pub use server::{Handler, Peer, serve};
-pub use tunnel::{TunnelError, TunnelHandler, open as open_tunnel, serve_tunnels};
+pub use tunnel::{Tunnel, TunnelError, TunnelHandler, open as open_tunnel, serve_tunnels};
 
 use std::{io, time::Duration};
 
 use tokio::net::TcpStream;
 use tokio_util::codec::Framed;
 
-use crate::adapters::tcp::set_write_options;
+use crate::adapters::{revocable::RevocableStream, tcp::set_write_options};
 
-/// Prepares a new TCP connection for frames.
-fn frame_stream(stream: TcpStream) -> io::Result<handshake::Connection> {
+/// A connection whose opener can take back what it has sent.
+type OpenedConnection = handshake::Connection<RevocableStream>;
+
+/// Prepares an accepted TCP connection for frames. What it sends are answers, and those still arrive when it has ended.
+fn accepted_stream(stream: TcpStream) -> io::Result<handshake::Connection<TcpStream>> {
     set_write_options(&stream)?;
     let watched = activity::Watched::new(stream);
     Ok(Framed::new(watched, codec::FrameCodec::new()))
 }
 
+/// Prepares a TCP connection that this process opened for frames.
+fn opened_stream(stream: TcpStream) -> io::Result<OpenedConnection> {
+    set_write_options(&stream)?;
+    let watched = activity::Watched::new(RevocableStream::new(stream)?);
+    Ok(Framed::new(watched, codec::FrameCodec::new()))
+}
+
 /// Returns an error once nothing was received for the silence timeout.
 async fn wait_for_silence(activity: &activity::Activity, settings: &LinkSettings) -> io::Error {
     let mut timer = tokio::time::interval(settings.ping_interval);
--- a/src/link/server.rs
+++ b/src/link/server.rs
@@ -70,7 +70,7 @@
 
 impl<H: Handler> AcceptedConnection<H> {
     async fn run(self, stream: TcpStream) -> io::Result<()> {
-        let mut connection = super::frame_stream(stream)?;
+        let mut connection = super::accepted_stream(stream)?;
         let handshake = handshake::accept(&mut connection, &self.key, &self.local);
         let peer = timeout(self.settings.connect_timeout, handshake)
             .await
--- a/src/link/tunnel.rs
+++ b/src/link/tunnel.rs
@@ -18,18 +18,22 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt, future, stream};
 use tokio::{
-    io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, join},
+    io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, join, split},
     net::{TcpListener, TcpStream},
-    time::{sleep, timeout},
+    sync::watch,
+    time::{Instant, sleep, sleep_until, timeout},
 };
 use tokio_util::{
     io::{CopyToBytes, SinkWriter, StreamReader},
     sync::CancellationToken,
 };
 
-use super::{Identity, Peer, PeerKey, frame_stream, handshake};
+use super::{Identity, Peer, PeerKey, accepted_stream, handshake, opened_stream};
 use crate::{
-    adapters::tcp::set_socket_options,
+    adapters::{
+        revocable::{RevocableStream, Sending},
+        tcp::set_socket_options,
+    },
     wire::{Body, Frame, TunnelData, TunnelEnd, TunnelOpen, TunnelOpened, TunnelRefused},
 };
 
@@ -39,6 +43,8 @@
 const OPEN_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Time for which a peer may keep a tunnel whose upstream has ended the connection.
 const ENDED_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time by which a request must be overdue before the carrying side gives it up, so that a peer in reach does so first.
+const GIVE_UP_DELAY: Duration = Duration::from_millis(250);
 /// Delay after a failed `accept`, for example when file descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -77,8 +83,17 @@
     fn ended(&self, peer: &Peer, result: io::Result<()>);
 }
 
-/// Opens a tunnel to an upstream through the peer at an address. Its bytes are those of a connection to the upstream; a read
-/// fails if the tunnel breaks off before the upstream has ended the connection. Also returns what the peer said of its load.
+/// A connection to an upstream through a peer.
+pub struct Tunnel<T> {
+    /// The bytes of the connection. A read fails if the tunnel breaks off before the upstream has ended the connection.
+    pub io: T,
+    /// Through which what was sent is taken back, at the peer as well.
+    pub sending: Sending,
+    /// What the peer said of its load.
+    pub opened: TunnelOpened,
+}
+
+/// Opens a tunnel to an upstream through the peer at an address.
 ///
 /// # Errors
 ///
@@ -88,16 +103,11 @@
     key: &PeerKey,
     local: &Identity,
     target: TunnelOpen,
-) -> Result<
-    (
-        impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
-        TunnelOpened,
-    ),
-    TunnelError,
-> {
+) -> Result<Tunnel<impl AsyncRead + AsyncWrite + Send + Unpin + 'static>, TunnelError> {
     let stream = TcpStream::connect(peer).await?;
     set_socket_options(&stream)?;
-    let mut connection = frame_stream(stream)?;
+    let mut connection = opened_stream(stream)?;
+    let sending = connection.get_ref().get_ref().sending();
     handshake::connect(&mut connection, key, local).await?;
     connection.send(frame(Body::TunnelOpen(target))).await?;
     let opened = match connection
@@ -138,14 +148,23 @@
             }
         }
     });
-    let sink = sink.with(|bytes: Bytes| {
-        future::ready(Ok::<_, io::Error>(frame(Body::TunnelData(TunnelData {
-            bytes,
-        }))))
+    let valid = sending.clone();
+    let sink = sink.with(move |bytes: Bytes| {
+        let valid_ms = valid.time_left().map_or(0, millis_at_least_one);
+        let data = TunnelData { bytes, valid_ms };
+        future::ready(Ok::<_, io::Error>(frame(Body::TunnelData(data))))
     });
     let reader = StreamReader::new(Box::pin(chunks));
     let writer = InParts(SinkWriter::new(CopyToBytes::new(sink)));
-    Ok((join(reader, writer), opened))
+    Ok(Tunnel {
+        io: join(reader, writer),
+        sending,
+        opened,
+    })
+}
+
+fn millis_at_least_one(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX).max(1)
 }
 
 /// Writes at most [`MAX_DATA_BYTES`] at once, because each write becomes a frame, and the size of those is limited.
@@ -207,7 +226,7 @@
     handler: &impl TunnelHandler,
 ) -> io::Result<()> {
     set_socket_options(&stream)?;
-    let mut connection = frame_stream(stream)?;
+    let mut connection = accepted_stream(stream)?;
     let opening = async {
         let peer = handshake::accept(&mut connection, key, local).await?;
         let frame = connection.next().await.transpose()?;
@@ -235,11 +254,18 @@
     }
 }
 
-/// Copies between a peer and an upstream until the peer closes the tunnel or either side fails, which closes both.
-async fn carry(connection: handshake::Connection, upstream: TcpStream) -> io::Result<()> {
+/// Copies between a peer and an upstream until the peer closes the tunnel or either side fails, which ends both. The upstream's
+/// connection is closed in order only if the peer closed the tunnel in order or the upstream itself has ended it.
+async fn carry(
+    connection: handshake::Connection<TcpStream>,
+    upstream: TcpStream,
+) -> io::Result<()> {
+    let upstream = RevocableStream::new(upstream)?;
+    let sending = upstream.sending();
     let (mut sink, mut frames) = connection.split();
-    let (mut read, mut write) = upstream.into_split();
+    let (mut read, mut write) = split(upstream);
     let is_writing = AtomicBool::new(false);
+    let (limit, mut limit_rx) = watch::channel(None);
     let to_upstream = async {
         while let Some(frame) = frames.next().await {
             // Any other frame may have held bytes, without which those behind it must not go on.
@@ -247,6 +273,18 @@
                 let message = "the peer sent a frame that can't be read; start the same version on both sides";
                 return Err(io::Error::new(io::ErrorKind::InvalidData, message));
             };
+            match data.valid_ms {
+                0 => {
+                    sending.lift_limit();
+                    sending.revoke();
+                    limit.send_replace(None);
+                }
+                valid_ms => {
+                    let until = Instant::now() + Duration::from_millis(valid_ms.into());
+                    sending.begin(Arc::new(until));
+                    limit.send_replace(Some(until));
+                }
+            }
             is_writing.store(true, Ordering::Relaxed);
             write.write_all(&data.bytes).await?;
             is_writing.store(false, Ordering::Relaxed);
@@ -268,15 +306,46 @@
                 sleep(ENDED_TIMEOUT).await;
                 return Ok(());
             }
-            let bytes = buf.split().freeze();
-            sink.send(frame(Body::TunnelData(TunnelData { bytes })))
-                .await?;
+            // The upstream has the request, or answers before it has read the rest of it.
+            if limit.send_replace(None).is_some() {
+                sending.lift_limit();
+            }
+            let data = TunnelData {
+                bytes: buf.split().freeze(),
+                valid_ms: 0,
+            };
+            sink.send(frame(Body::TunnelData(data))).await?;
         }
     };
-    tokio::select! {
+    // The peer may be out of reach, so that it cannot take its bytes back.
+    let given_up = async {
+        loop {
+            let until = *limit_rx.borrow_and_update();
+            let passed = async {
+                match until {
+                    Some(until) => sleep_until(until + GIVE_UP_DELAY).await,
+                    None => future::pending().await,
+                }
+            };
+            tokio::select! {
+                () = passed => {
+                    let message = "the upstream did not answer in the time that the peer gave it";
+                    return io::Error::new(io::ErrorKind::TimedOut, message);
+                }
+                // The sender lives as long as this future.
+                _ = limit_rx.changed() => {}
+            }
+        }
+    };
+    let result = tokio::select! {
         result = to_upstream => result,
         result = to_peer => result,
+        e = given_up => Err(e),
+    };
+    if result.is_ok() {
+        sending.settle();
     }
+    result
 }
 
 fn frame(body: Body) -> Frame {
--- a/src/platform/api.rs
+++ b/src/platform/api.rs
@@ -79,7 +79,7 @@
         let deadline = Instant::now() + self.timeout;
         let res = self
             .client
-            .fetch(&self.target, req, Reuse::Allowed, deadline);
+            .fetch_while(&self.target, req, holder.right, deadline);
         let res = res.await.map_err(no_answer)?;
         res.error_for_status()
             .map(drop)
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -5,6 +5,7 @@
 mod cloud;
 mod dialer;
 mod platform;
+mod send_right;
 mod upstream;
 mod weights;
 
@@ -18,6 +19,7 @@
     PromptSizes, ReportedLoad, RequestMetadata, ResponseMetadata, StatedBrittleness, UpstreamOrder,
     WindowUsage,
 };
+pub use send_right::SendRight;
 pub use upstream::{
     CacheEvent, CacheEvents, EngineLoad, EngineOrder, OrderKind, OrderOutcome, Sent, ServiceCall,
     ServiceReply, StreamEnd, StreamItem, Target, TokenStream, UpstreamError, UpstreamErrorKind,
--- a/src/ports/platform.rs
+++ b/src/ports/platform.rs
@@ -1,12 +1,12 @@
 //! The platform that an installation runs on: its list of upstreams, the calls that controllers make to it,
 //! and its formats of request headers, response headers and published documents.
 
-use std::{future::Future, net::SocketAddr, time::Duration};
+use std::{future::Future, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use hyper::{HeaderMap, StatusCode, header::HeaderValue};
 
-use super::{CloudError, RejectedItems};
+use super::{CloudError, RejectedItems, SendRight};
 use crate::domain::{
     AccountName, FencingToken, InstanceName, InvalidTable, RouteTable, ServiceName,
     SoftwareVersion, ZoneName,
@@ -189,12 +189,14 @@
 
 /// The current holder of a duty, on whose behalf one call to the platform is made. It is not cloned: each call needs a check
 /// of its own that the duty is still held, because time passes while the platform answers.
-#[derive(Debug, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct DutyHolder {
     /// The holder's name.
-    pub name: std::sync::Arc<str>,
+    pub name: Arc<str>,
     /// Fencing token that increases whenever the holder changes.
     pub fence: FencingToken,
+    /// The right to act under the token, which ends before another holder acts.
+    pub right: Arc<dyn SendRight>,
 }
 
 /// The platform as used by controllers and gateways.
--- a/src/wire/tunnel.rs
+++ b/src/wire/tunnel.rs
@@ -44,6 +44,9 @@
     /// The bytes, in order.
     #[prost(bytes = "bytes", tag = "1")]
     pub bytes: Bytes,
+    /// Time for which the upstream may still get the bytes, in milliseconds; zero if that is not limited.
+    #[prost(uint32, tag = "2")]
+    pub valid_ms: u32,
 }
 
 /// The upstream ended its side of the connection properly. A tunnel that ends without this was broken off.
--- a/tests/link_frames.rs
+++ b/tests/link_frames.rs
@@ -189,7 +189,7 @@
     let proxy = start_changing_proxy(server, Change::LaterData, false).await;
     let local = identity("client");
     let open = open_tunnel(proxy, &key, &local, TunnelOpen::default());
-    let (mut tunnel, _) = open.await.unwrap();
+    let mut tunnel = open.await.unwrap().io;
     let (mut accepted, _) = upstream.accept().await.unwrap();
     let read = tokio::spawn(async move {
         let mut bytes = Vec::new();
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -222,13 +222,21 @@
 
     /// Lets the controllers and the gateway learn the speeds of servers.
     pub fn learn_paces(&self) {
+        self.change_settings(|settings| settings["ingress"]["learn_paces"] = json!(true));
+    }
+
+    /// Changes the settings of the controllers and of the gateway, none of which runs yet.
+    pub fn change_settings(&self, change: impl Fn(&mut Value)) {
         for file in self.controller_files.iter().chain([&self.gateway_file]) {
-            edit_settings(file, |settings| {
-                settings["ingress"]["learn_paces"] = json!(true)
-            });
+            edit_settings(file, &change);
         }
     }
 
+    /// Returns the address of the platform's API.
+    pub fn api_address(&self) -> SocketAddr {
+        self.api_address
+    }
+
     /// Returns the addresses of the controllers' operator interfaces.
     pub fn controls(&self) -> Vec<SocketAddr> {
         self.hosts.iter().copied().map(control_address).collect()
