Take back an order that the operator tool has given up

Seen: the tool says that nobody answered in time (exit code 4), and a change that it had confirmed takes effect once the network lets its bytes through.

Change: the tool's connections are RevocableStreams, whose exchange ends well with the whole response.

--- a/src/cmd/client.rs
+++ b/src/cmd/client.rs
@@ -1,7 +1,7 @@
 //! Client of the controllers. It finds the leader and retries calls until a deadline. Retries are safe
 //! because every change carries an operation id or is idempotent.
 
-use std::{collections::VecDeque, net::SocketAddr, path::Path, time::Duration};
+use std::{collections::VecDeque, net::SocketAddr, path::Path, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -10,11 +10,14 @@
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::{
     net::TcpStream,
-    time::{Instant, sleep, timeout},
+    time::{Instant, sleep, timeout_at},
 };
 
 use super::CmdError;
-use crate::operator::{ErrorBody, ErrorDetail};
+use crate::{
+    adapters::revocable::RevocableStream,
+    operator::{ErrorBody, ErrorDetail},
+};
 
 /// Timeout of one call to one controller.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(5);
@@ -164,21 +167,26 @@
         body: Bytes,
     ) -> Attempt {
         let attempt_timeout = ATTEMPT_TIMEOUT.min(self.timeout.max(RETRY_DELAY));
-        match timeout(attempt_timeout, self.send(server, method, path, body)).await {
+        let deadline = Instant::now() + attempt_timeout;
+        match timeout_at(deadline, self.send(server, method, path, body, deadline)).await {
             Ok(Ok((status, body))) => classify(server, status, body),
             Ok(Err(e)) => Attempt::Retry(format!("{server}: {e:#}")),
             Err(_) => Attempt::Retry(format!("{server} did not answer in time")),
         }
     }
 
+    /// Sends one order. One that is given up, or whose tool is killed, does not arrive later.
     async fn send(
         &self,
         server: SocketAddr,
         method: Method,
         path: &str,
         body: Bytes,
+        deadline: Instant,
     ) -> anyhow::Result<(StatusCode, Bytes)> {
-        let stream = TcpStream::connect(server).await?;
+        let stream = RevocableStream::new(TcpStream::connect(server).await?)?;
+        let sending = stream.sending();
+        sending.begin(Arc::new(deadline));
         let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
         let req = Request::builder()
             .method(method)
@@ -192,6 +200,7 @@
             let (head, body) = res.into_parts();
             let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
             let body = body.map_err(|e| anyhow::anyhow!(e))?;
+            sending.settle();
             anyhow::Ok((head.status, body.to_bytes()))
         };
         tokio::pin!(response, connection);
