--- a/tests/adapters_given_up.rs
+++ b/tests/adapters_given_up.rs
@@ -14,7 +14,7 @@
 use standin::service::{self, ServiceParams};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpListener,
+    net::{TcpListener, TcpSocket},
     task::{JoinHandle, JoinSet},
     time::{sleep, timeout},
 };
@@ -121,3 +121,39 @@
         assert!(read > BODY_BYTES, "{read} bytes arrive after {answer}");
     }
 }
+
+/// Guards against requests that the kernel delivers for a process that is stopped, which can give nothing up.
+#[tokio::test]
+async fn the_kernel_stops_sending_for_a_process_that_is_stopped() {
+    const STOPPED: Duration = Duration::from_secs(5);
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4096).unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(1).unwrap();
+    let to = target(listener.local_addr().unwrap());
+    // The runtime of the caller does nothing for a while after it has begun to send, like a stopped process.
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build();
+        runtime.unwrap().block_on(async {
+            let upstreams = HttpUpstreams::new(&timing());
+            let mut call = release_call(KEY, CALL_TIMEOUT);
+            call.body = vec![b'x'; 1024 * 1024].into();
+            tokio::join!(upstreams.call(&to, &call), async {
+                sleep(CALL_TIMEOUT / 3).await;
+                std::thread::sleep(STOPPED);
+            })
+        })
+    });
+    let (mut stream, _) = listener.accept().await.unwrap();
+    // The kernel's limit comes half a second after the deadline.
+    sleep(CALL_TIMEOUT + Duration::from_millis(1500)).await;
+    let mut buf = vec![0; 64 * 1024];
+    let end = async { while stream.read(&mut buf).await.is_ok_and(|len| len > 0) {} };
+    let ended = timeout(Duration::from_secs(1), end).await;
+    assert!(
+        ended.is_ok(),
+        "the connection lives on while its process is stopped"
+    );
+}
