--- a/tests/adapters_send_right.rs
+++ b/tests/adapters_send_right.rs
@@ -15,7 +15,7 @@
 use flamingocroft::{
     domain::FencingToken,
     platform,
-    ports::{DutyHolder, Platform, SendRight, WindowUsage},
+    ports::{DutyHolder, Platform, SendRight, UpstreamOrder, WindowUsage},
 };
 use held_link::{Held, HeldLink};
 use standin::service::{self, ServiceParams};
@@ -38,6 +38,15 @@
     }
 }
 
+fn order() -> UpstreamOrder {
+    UpstreamOrder {
+        service: "depot".into(),
+        zone: "a".into(),
+        count: 3,
+        reclaimable: false,
+    }
+}
+
 fn usage() -> WindowUsage {
     WindowUsage {
         window: 3,
@@ -76,18 +85,23 @@
 /// Guards against calls under a fencing token that arrive once another controller may hold the duty.
 #[tokio::test]
 async fn a_call_is_taken_back_when_its_right_ends() {
-    let service = service::start(ServiceParams::default()).await.unwrap();
-    let link = HeldLink::start(service.address()).await;
-    link.set(Held::Both);
-    let api = platform::Api::new(link.address(), &timing());
-    let begun = Instant::now();
-    let right = Arc::new(begun + RIGHT);
-    let reported = api.report_usage(holder(right), &usage()).await;
-    assert!(reported.is_err());
-    let waited = begun.elapsed();
-    assert!(waited < RIGHT + ARRIVAL, "{waited:?}");
-    eventually("the connection is reset", || link.resets() == 1).await;
-    link.set(Held::Nothing);
-    sleep(ARRIVAL).await;
-    assert_eq!(link.arrivals("HTTP/1.1"), 0);
+    for is_order in [false, true] {
+        let service = service::start(ServiceParams::default()).await.unwrap();
+        let link = HeldLink::start(service.address()).await;
+        link.set(Held::Both);
+        let api = platform::Api::new(link.address(), &timing());
+        let begun = Instant::now();
+        let holder = holder(Arc::new(begun + RIGHT));
+        let called = match is_order {
+            true => api.order_upstreams(holder, &order()).await,
+            false => api.report_usage(holder, &usage()).await,
+        };
+        assert!(called.is_err());
+        let waited = begun.elapsed();
+        assert!(waited < RIGHT + ARRIVAL, "{waited:?}");
+        eventually("the connection is reset", || link.resets() == 1).await;
+        link.set(Held::Nothing);
+        sleep(ARRIVAL).await;
+        assert_eq!(link.arrivals("HTTP/1.1"), 0);
+    }
 }
