Remove a voter whose disk is lost before its successor is promoted

Cause: the returned member was proposed as fourth voter while the one with the lost disk still counted. Three of four are needed then, two are gone for good, and the proposal can't be taken back.

Change: a voter that is known to have lost its disk is removed first. It never acknowledges again, so what is needed without it is what was needed with it. Lost voters beyond the wanted number go before a promotion too.

Three tests of policy_members expected the other order (promote, then remove, or nothing without a successor); they now state the new one step by step, and two more state when a voter is removed and when not.

Open: the same beside a voter that is only silent.

--- a/src/policy/members.rs
+++ b/src/policy/members.rs
@@ -136,8 +136,9 @@
     /// Returns the next membership change, one member at a time, or `None` if none is needed.
     pub fn next_change(&self) -> Option<MemberChange> {
         self.remove_lost_learner()
-            .or_else(|| self.promote_learner())
+            .or_else(|| self.remove_replaced_voter())
             .or_else(|| self.remove_lost_voter())
+            .or_else(|| self.promote_learner())
             .or_else(|| self.add_learner())
     }
 
@@ -175,6 +176,22 @@
         Some(MemberChange::Remove(learner.id))
     }
 
+    /// Removes a voter whose disk was lost, also if too few are left then. It never acknowledges anything again, so the voters
+    /// that are needed without it are no more than with it. While it is counted, a promotion needs one voter more, and
+    /// could never be committed once the promoted member is lost as well.
+    fn remove_replaced_voter(&self) -> Option<MemberChange> {
+        let replaced = self.voters.iter().find(|m| m.is_replaced)?;
+        self.can_do_without(replaced)
+            .then_some(MemberChange::Remove(replaced.id))
+    }
+
+    /// Returns whether a majority of the voters without this one is known to answer.
+    fn can_do_without(&self, voter: &Member) -> bool {
+        let others = self.voters.iter().filter(|m| m.id != voter.id);
+        let answering = others.filter(|m| m.answers()).count();
+        answering * 2 > self.voters.len() - 1
+    }
+
     /// Removes a lost voter, or one that leaves, only if there are more voters than wanted and a majority of the
     /// remaining ones is known to answer. One that leaves but still answers waits for its successor.
     fn remove_lost_voter(&self) -> Option<MemberChange> {
@@ -187,10 +204,8 @@
         if is_leaving && self.voters.len() <= self.target(self.candidates()) {
             return None;
         }
-        let others = self.voters.iter().filter(|m| m.id != lost.id);
-        let answering = others.filter(|m| m.answers()).count();
-        let remaining = self.voters.len() - 1;
-        (answering * 2 > remaining).then_some(MemberChange::Remove(lost.id))
+        self.can_do_without(lost)
+            .then_some(MemberChange::Remove(lost.id))
     }
 
     fn promote_learner(&self) -> Option<MemberChange> {
--- a/tests/policy_members.rs
+++ b/tests/policy_members.rs
@@ -82,13 +82,37 @@
     before.strangers = vec![MemberId(13)];
     let (_, changes) = settle(before);
     let expected = [
+        MemberChange::Remove(MemberId(3)),
         MemberChange::AddLearner(MemberId(13)),
         MemberChange::Promote(MemberId(13)),
-        MemberChange::Remove(MemberId(3)),
     ];
     assert_eq!(changes, expected);
 }
 
+/// Guards against a promotion that can never be committed because a voter that is gone for good still counts.
+#[test]
+fn a_voter_whose_disk_is_lost_does_not_count_when_another_one_is_promoted() {
+    for voters in [3, 4, 5] {
+        let mut all = members((1..voters).map(member).chain([replaced(voters)]).collect());
+        all.wanted = voters_needed(voters as usize / 2);
+        all.learners = vec![member(13)];
+        let borne = all.losses_borne();
+        let MemberChange::Remove(MemberId(id)) = all.next_change().unwrap() else {
+            panic!("{all:?}")
+        };
+        assert_eq!(id, voters);
+        all.voters.pop();
+        assert!(all.losses_borne() >= borne, "{all:?}");
+    }
+}
+
+/// Guards against a removal that cannot be committed.
+#[test]
+fn a_voter_whose_disk_is_lost_stays_while_too_few_others_answer() {
+    let all = members(vec![member(1), silent(2, 5), replaced(3)]);
+    assert_eq!(all.next_change(), None);
+}
+
 #[test]
 fn a_silent_voter_stays_while_nobody_can_replace_it() {
     assert_eq!(
@@ -133,7 +157,8 @@
         has_caught_up: false,
         ..member(4)
     }];
-    assert_eq!(all.next_change(), None);
+    let (_, changes) = settle(all);
+    assert_eq!(changes, [MemberChange::Remove(MemberId(3))]);
 }
 
 proptest! {
@@ -228,7 +253,8 @@
 fn a_learner_that_leaves_takes_no_vote() {
     let mut all = members(vec![replaced(1), member(2), member(3)]);
     all.learners = vec![leaving(4)];
-    assert_eq!(all.next_change(), None);
+    let (mut all, changes) = settle(all);
+    assert_eq!(changes, [MemberChange::Remove(MemberId(1))]);
     all.learners.push(member(5));
     assert_eq!(all.next_change(), Some(MemberChange::Promote(MemberId(5))));
 }
