Wait until a process is stopped before a test goes on

SIGSTOP only asks for the stop: a process that waits for events and gets no processor meanwhile takes the events that come until then along, without the end of the callers' connections, and acts on them when it goes on. So the gateway was not suspended when they were sent, which is what the test is about.

Daemon::suspend now returns once the kernel shows the process as stopped; the checks stay.

--- a/tests/platform_support/daemons.rs
+++ b/tests/platform_support/daemons.rs
@@ -93,8 +93,16 @@
         *self = Self::start_with_log_level(&self.settings.clone(), &self.log_level.clone());
     }
 
+    /// Stops the process and waits until it runs no more: the signal only asks for it.
     pub fn suspend(&self) {
         self.signal(Signal::SIGSTOP);
+        let file = format!("/proc/{}/stat", self.id());
+        let begun = std::time::Instant::now();
+        // The state follows the program's name, which is in parentheses.
+        while !std::fs::read_to_string(&file).unwrap().contains(") T ") {
+            assert!(begun.elapsed() < TEST_TIMEOUT, "the process is not stopped");
+            std::thread::sleep(Duration::from_millis(1));
+        }
     }
 
     pub fn resume(&self) {
